--- /dev/null
+++ b/blade/pool.go
@@ -0,0 +1,165 @@
+package blade
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// Dialer opens connections to replicas.
+type Dialer interface {
+	DialReplica(addr string, d tick.Span) (net.Conn, error)
+}
+
+// TCP is the real network: unacknowledged bytes and silent peers end a connection soon.
+type TCP struct {
+	Control func(d *net.Dialer)
+}
+
+// DialReplica connects.
+func (t TCP) DialReplica(addr string, d tick.Span) (net.Conn, error) {
+	x := net.Dialer{Timeout: d, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: plate.AliveIdle, Interval: plate.AliveEvery, Count: plate.AliveCount}}
+	if t.Control != nil {
+		t.Control(&x)
+	}
+	return x.DialContext(context.Background(), "tcp4", addr)
+}
+
+// Pool holds the connections to one life of a replica.
+type Pool struct {
+	addr string
+	d    Dialer
+	mu   sync.Mutex
+	free []*Channel
+	open int
+	most int
+	shut bool
+	wait []chan struct{}
+	made *atomic.Int64
+}
+
+// NewPool makes a pool; most is this process's share of the replica's connections.
+func NewPool(addr string, d Dialer, most int, made *atomic.Int64) *Pool {
+	return &Pool{addr: addr, d: d, most: max(1, most), made: made}
+}
+
+// SetMost changes the share.
+func (p *Pool) SetMost(n int) {
+	p.mu.Lock()
+	p.most = max(1, n)
+	p.mu.Unlock()
+}
+
+// Get gives an idle connection or a new one, waiting at most d.
+func (p *Pool) Get(d tick.Span) (*Channel, error) {
+	end := tick.Now().Add(d)
+	for {
+		p.mu.Lock()
+		if p.shut {
+			p.mu.Unlock()
+			return nil, fault.New(fault.Unready, "the replica is gone")
+		}
+		now := tick.Now()
+		for len(p.free) > 0 {
+			ch := p.free[len(p.free)-1]
+			p.free = p.free[:len(p.free)-1]
+			if now.Before(ch.expires) && !ch.killed.Load() {
+				p.mu.Unlock()
+				return ch, nil
+			}
+			go ch.Kill()
+		}
+		if p.open < p.most {
+			p.open++
+			p.mu.Unlock()
+			c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
+			if err != nil {
+				p.mu.Lock()
+				p.open--
+				p.mu.Unlock()
+				return nil, fault.Wrap(fault.Broken, err, "dial")
+			}
+			p.made.Inc()
+			return open(p, c), nil
+		}
+		w := make(chan struct{}, 1)
+		p.wait = append(p.wait, w)
+		p.mu.Unlock()
+		select {
+		case <-w:
+		case <-tick.After(tick.Until(end)):
+			return nil, fault.New(fault.Crowded, "no connection is free")
+		}
+	}
+}
+
+func (p *Pool) signal() {
+	for _, w := range p.wait {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+	p.wait = nil
+}
+
+func (p *Pool) put(ch *Channel) {
+	p.mu.Lock()
+	if p.shut {
+		p.mu.Unlock()
+		go ch.Kill()
+		return
+	}
+	p.free = append(p.free, ch)
+	p.signal()
+	p.mu.Unlock()
+}
+
+func (p *Pool) gone(ch *Channel) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	for i, x := range p.free {
+		if x == ch {
+			p.free = append(p.free[:i], p.free[i+1:]...)
+			break
+		}
+	}
+	p.signal()
+}
+
+// Sweep closes connections whose idle time is over.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	now := tick.Now()
+	var old []*Channel
+	for _, ch := range p.free {
+		if !now.Before(ch.expires) {
+			old = append(old, ch)
+		}
+	}
+	p.mu.Unlock()
+	for _, ch := range old {
+		ch.Kill()
+	}
+}
+
+// Shut closes idle connections and gives out no more.
+func (p *Pool) Shut() {
+	p.mu.Lock()
+	p.shut = true
+	free := append([]*Channel{}, p.free...)
+	p.mu.Unlock()
+	for _, ch := range free {
+		ch.Kill()
+	}
+}
+
+// Back returns a channel that was got and not used.
+func (ch *Channel) Back() { ch.pool.put(ch) }
--- /dev/null
+++ b/buyer/front.go
@@ -0,0 +1,205 @@
+// Package buyer serves clients: one catch-all handler behind net/http, with the limits of the setup in force.
+package buyer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/sorting"
+	"shaletrestle/tick"
+)
+
+// tap remembers the first bytes of the inquiry being read, so that a doubtful framing can be looked at as it was sent.
+type tap struct {
+	net.Conn
+	mu  sync.Mutex
+	buf []byte
+}
+
+const tapMost = 4 << 10
+
+func (t *tap) Read(b []byte) (int, error) {
+	n, err := t.Conn.Read(b)
+	t.mu.Lock()
+	if k := min(n, tapMost-len(t.buf)); k > 0 {
+		t.buf = append(t.buf, b[:k]...)
+	}
+	t.mu.Unlock()
+	return n, err
+}
+
+func (t *tap) reset() {
+	t.mu.Lock()
+	t.buf = t.buf[:0]
+	t.mu.Unlock()
+}
+
+// doubtful tells whether a head in chunks also named a length, or can't be seen whole.
+func (t *tap) doubtful() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	head, _, whole := strings.Cut(strings.ToLower(string(t.buf)), "\r\n\r\n")
+	return !whole || strings.Contains(head, "\ncontent-length")
+}
+
+type tapKey struct{}
+
+// Doubtful tells whether an inquiry's framing could be read in two ways.
+func Doubtful(r *http.Request) bool {
+	if len(r.TransferEncoding) == 0 {
+		return false
+	}
+	t, ok := r.Context().Value(tapKey{}).(*tap)
+	return !ok || t.doubtful()
+}
+
+// line hands accepted connections to one server.
+type line struct {
+	c    chan net.Conn
+	done chan struct{}
+	once sync.Once
+	addr net.Addr
+}
+
+func (l *line) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.c:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the line.
+func (l *line) Close() error { l.once.Do(func() { close(l.done) }); return nil }
+
+// Addr is the front address.
+func (l *line) Addr() net.Addr { return l.addr }
+
+type server struct {
+	s *http.Server
+	l *line
+}
+
+// Front accepts clients. A change of limits makes a new server for the connections that come later.
+type Front struct {
+	sc  *scope.Scope
+	ln  net.Listener
+	h   http.Handler
+	mu  sync.Mutex
+	now *server
+	old []*server
+	lim sorting.Limits
+}
+
+// New makes the front over a listener.
+func New(sc *scope.Scope, ln net.Listener, h http.Handler) *Front {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	all := func(c echo.Context) error {
+		w, r := c.Response().Writer, c.Request()
+		if t, ok := r.Context().Value(tapKey{}).(*tap); ok {
+			defer t.reset()
+		}
+		h.ServeHTTP(w, r)
+		return nil
+	}
+	e.RouteNotFound("/*", all)
+	e.Any("/*", all)
+	f := &Front{sc: sc.Part("buyer"), ln: ln, h: e}
+	f.Limit(sorting.Limits{})
+	return f
+}
+
+// Limit puts the limits of a setup in force for new connections.
+func (f *Front) Limit(l sorting.Limits) {
+	if l.Head <= 0 {
+		l.Head = plate.HeadBytes
+	}
+	if l.HeadWait <= 0 {
+		l.HeadWait = plate.HeadWait
+	}
+	if l.IdleWait <= 0 {
+		l.IdleWait = plate.IdleWait
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now != nil && f.lim == l {
+		return
+	}
+	f.lim = l
+	s := &server{&http.Server{Handler: f.h, MaxHeaderBytes: l.Head, ReadHeaderTimeout: l.HeadWait, IdleTimeout: l.IdleWait, DisableGeneralOptionsHandler: true,
+		ErrorLog: quiet(f.sc),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, tapKey{}, c)
+		}}, &line{c: make(chan net.Conn), done: make(chan struct{}), addr: f.ln.Addr()}}
+	if f.now != nil {
+		_ = f.now.l.Close()
+		f.old = append(f.old, f.now)
+	}
+	f.now = s
+	go func() { _ = s.s.Serve(s.l) }()
+}
+
+// Run accepts until the listener closes.
+func (f *Front) Run() {
+	for {
+		c, err := f.ln.Accept()
+		if err != nil {
+			if f.sc.Ended() || strings.Contains(err.Error(), net.ErrClosed.Error()) {
+				return
+			}
+			tick.Rest(f.sc, plate.AcceptPause)
+			continue
+		}
+		f.hand(&tap{Conn: c})
+	}
+}
+
+func (f *Front) hand(c net.Conn) {
+	for {
+		f.mu.Lock()
+		s := f.now
+		f.mu.Unlock()
+		select {
+		case s.l.c <- c:
+			return
+		case <-s.l.done:
+			f.mu.Lock()
+			over := f.now == s
+			f.mu.Unlock()
+			if over {
+				_ = c.Close()
+				return
+			}
+		}
+	}
+}
+
+// Finish takes no more connections and waits for what is held, at most d.
+func (f *Front) Finish(d tick.Span) {
+	_ = f.ln.Close()
+	f.mu.Lock()
+	all := append(append([]*server{}, f.old...), f.now)
+	f.mu.Unlock()
+	sc := f.sc.Within(d)
+	defer sc.Stop()
+	var wg sync.WaitGroup
+	for _, s := range all {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if s.s.Shutdown(sc.Context()) != nil {
+				_ = s.s.Close()
+			}
+		}()
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/cmd/gatehouse/main.go
@@ -0,0 +1,16 @@
+// Command gatehouse carries the traffic.
+package main
+
+import (
+	"shaletrestle/blade"
+	"shaletrestle/crew"
+	"shaletrestle/env"
+	"shaletrestle/gatehouse"
+	"shaletrestle/scope"
+)
+
+func main() {
+	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
+		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: crew.TCP{}, Dialer: blade.TCP{}}), nil
+	})
+}
--- /dev/null
+++ b/cmd/tallyhouse/main.go
@@ -0,0 +1,23 @@
+// Command tallyhouse keeps the control state and tells the gatehouses.
+package main
+
+import (
+	"shaletrestle/crew"
+	"shaletrestle/env"
+	"shaletrestle/scope"
+	"shaletrestle/tally"
+	"shaletrestle/tallyhouse"
+)
+
+func main() {
+	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
+		st, err := tally.OpenDisk(e.DataDir, e.Bootstrap)
+		if err != nil {
+			return nil, err
+		}
+		if n := st.Note(); n != "" {
+			sc.Part("tally").Log().Error("the disk was damaged and is joined anew, empty", "why", n)
+		}
+		return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: st})
+	})
+}
--- /dev/null
+++ b/crew/net.go
@@ -0,0 +1,119 @@
+package crew
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// Net is what a process reaches others through; tests put a simulated one here.
+type Net interface {
+	Dial(addr string, d tick.Span) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+}
+
+// TCP is the real network.
+type TCP struct{}
+
+// Dial connects, with a bound on how long unacknowledged bytes may wait.
+func (TCP) Dial(addr string, d tick.Span) (net.Conn, error) {
+	x := net.Dialer{Timeout: d, KeepAlive: -1, Control: UserTimeout}
+	return x.Dial("tcp4", addr)
+}
+
+// Listen accepts connections.
+func (TCP) Listen(addr string) (net.Listener, error) {
+	x := net.ListenConfig{KeepAlive: -1, Control: UserTimeout}
+	return x.Listen(context.Background(), "tcp4", addr)
+}
+
+// UserTimeout sets TCP_USER_TIMEOUT on a socket.
+func UserTimeout(_, _ string, c syscall.RawConn) error {
+	_ = c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, plate.UserTimeout)
+	})
+	return nil
+}
+
+// Serve accepts channels until the scope ends.
+func Serve(sc *scope.Scope, ln net.Listener, h Handler) {
+	go func() {
+		<-sc.Done()
+		_ = ln.Close()
+	}()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if sc.Ended() || !tick.Rest(sc, plate.BeatEvery) {
+				return
+			}
+			continue
+		}
+		Open(sc, c, h)
+	}
+}
+
+// Lines holds one channel per address and dials when it is needed.
+type Lines struct {
+	sc  *scope.Scope
+	net Net
+	h   Handler
+	mu  sync.Mutex
+	m   map[string]*line
+}
+
+type line struct {
+	mu sync.Mutex
+	ch *Channel
+}
+
+// NewLines makes the set of channels of a process.
+func NewLines(sc *scope.Scope, n Net, h Handler) *Lines {
+	return &Lines{sc: sc, net: n, h: h, m: map[string]*line{}}
+}
+
+// Get gives the channel to an address.
+func (l *Lines) Get(addr string) (*Channel, error) {
+	l.mu.Lock()
+	x := l.m[addr]
+	if x == nil {
+		x = &line{}
+		l.m[addr] = x
+	}
+	l.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ch != nil && !x.ch.sc.Ended() {
+		return x.ch, nil
+	}
+	c, err := l.net.Dial(addr, plate.DialWait)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unready, err, "dial")
+	}
+	x.ch = Open(l.sc, c, l.h)
+	return x.ch, nil
+}
+
+// Call asks one address. A channel on which nothing came during a failed call is closed, so that the next call dials anew.
+func (l *Lines) Call(addr string, n *Note, d tick.Span) (*Note, error) {
+	if addr == "" {
+		return nil, fault.New(fault.Unready, "no address")
+	}
+	ch, err := l.Get(addr)
+	if err != nil {
+		return nil, err
+	}
+	a, err := ch.Call(n, d)
+	if err != nil && ch.Quiet() >= d {
+		ch.Close()
+	}
+	return a, err
+}
--- /dev/null
+++ b/crew/note.go
@@ -0,0 +1,195 @@
+// Package crew is how the project's own processes talk: FlatBuffers notes in frames over held channels.
+package crew
+
+import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"shaletrestle/crew/crewfb"
+	"shaletrestle/fault"
+)
+
+// Kind tells what a note is about.
+type Kind uint16
+
+// The kinds of notes.
+const (
+	Hello      Kind = iota + 1 // who are you and what do you know
+	Beat                       // primary to members
+	Prepare                    // proposer to witness
+	Accept                     // proposer to witness
+	Install                    // a chosen chart
+	Checkpoint                 // whole state to a new backup
+	Append                     // one entry to the backup
+	Confirm                    // is this still the pair's epoch
+	Yield                      // primary asks its backup to take over
+	Lease                      // ask a witness for a duty
+	Follow                     // subscribe to news
+	News                       // one numbered change or a checkpoint
+	Heard                      // news acknowledged up to a number
+	Suspect                    // a gatehouse suspects another
+)
+
+// Seat names a member: its id belongs to its disk, the address is only where it lives.
+type Seat struct {
+	ID       uint64
+	Addr     string
+	Locality string
+}
+
+// Chart is one view of the control pair and its witnesses.
+type Chart struct {
+	Epoch     uint64
+	Mark      uint64 // ballot under which the pair's state was synced
+	Witnesses []Seat
+	Primary   Seat
+	Backup    Seat
+}
+
+// Note is one message.
+type Note struct {
+	Kind       Kind
+	Call       uint64
+	Answer     bool
+	OK         bool
+	From       Seat
+	To         uint64
+	Epoch      uint64
+	Ballot     uint64
+	Number     uint64
+	Base       uint64
+	Span       uint64
+	Chart      *Chart
+	Held       *Chart
+	HeldBallot uint64
+	Word       string
+	Body       []byte
+	Seats      []Seat
+}
+
+func putSeat(b *flatbuffers.Builder, s Seat) flatbuffers.UOffsetT {
+	a, l := b.CreateString(s.Addr), b.CreateString(s.Locality)
+	crewfb.SeatStart(b)
+	crewfb.SeatAddId(b, s.ID)
+	crewfb.SeatAddAddr(b, a)
+	crewfb.SeatAddLocality(b, l)
+	return crewfb.SeatEnd(b)
+}
+
+func putSeats(b *flatbuffers.Builder, ss []Seat, start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	os := make([]flatbuffers.UOffsetT, len(ss))
+	for i, s := range ss {
+		os[i] = putSeat(b, s)
+	}
+	start(b, len(os))
+	for i := len(os) - 1; i >= 0; i-- {
+		b.PrependUOffsetT(os[i])
+	}
+	return b.EndVector(len(os))
+}
+
+func putChart(b *flatbuffers.Builder, c *Chart) flatbuffers.UOffsetT {
+	w := putSeats(b, c.Witnesses, crewfb.ChartStartWitnessesVector)
+	p, k := putSeat(b, c.Primary), putSeat(b, c.Backup)
+	crewfb.ChartStart(b)
+	crewfb.ChartAddEpoch(b, c.Epoch)
+	crewfb.ChartAddMark(b, c.Mark)
+	crewfb.ChartAddWitnesses(b, w)
+	crewfb.ChartAddPrimary(b, p)
+	crewfb.ChartAddBackup(b, k)
+	return crewfb.ChartEnd(b)
+}
+
+// Encode puts a note into bytes.
+func (n *Note) Encode() []byte {
+	b := flatbuffers.NewBuilder(256 + len(n.Body))
+	from := putSeat(b, n.From)
+	var ch, he, wd, bd, st flatbuffers.UOffsetT
+	if n.Chart != nil {
+		ch = putChart(b, n.Chart)
+	}
+	if n.Held != nil {
+		he = putChart(b, n.Held)
+	}
+	if n.Word != "" {
+		wd = b.CreateString(n.Word)
+	}
+	if n.Body != nil {
+		bd = b.CreateByteVector(n.Body)
+	}
+	if len(n.Seats) > 0 {
+		st = putSeats(b, n.Seats, crewfb.NoteStartSeatsVector)
+	}
+	crewfb.NoteStart(b)
+	crewfb.NoteAddKind(b, uint16(n.Kind))
+	crewfb.NoteAddCall(b, n.Call)
+	crewfb.NoteAddAnswer(b, n.Answer)
+	crewfb.NoteAddOk(b, n.OK)
+	crewfb.NoteAddFrom(b, from)
+	crewfb.NoteAddTo(b, n.To)
+	crewfb.NoteAddEpoch(b, n.Epoch)
+	crewfb.NoteAddBallot(b, n.Ballot)
+	crewfb.NoteAddNumber(b, n.Number)
+	crewfb.NoteAddBase(b, n.Base)
+	crewfb.NoteAddSpan(b, n.Span)
+	crewfb.NoteAddHeldBallot(b, n.HeldBallot)
+	for _, x := range []struct {
+		o   flatbuffers.UOffsetT
+		add func(*flatbuffers.Builder, flatbuffers.UOffsetT)
+	}{{ch, crewfb.NoteAddChart}, {he, crewfb.NoteAddHeld}, {wd, crewfb.NoteAddWord}, {bd, crewfb.NoteAddBody}, {st, crewfb.NoteAddSeats}} {
+		if x.o != 0 {
+			x.add(b, x.o)
+		}
+	}
+	b.Finish(crewfb.NoteEnd(b))
+	return b.FinishedBytes()
+}
+
+func getSeat(s *crewfb.Seat) Seat {
+	if s == nil {
+		return Seat{}
+	}
+	return Seat{s.Id(), string(s.Addr()), string(s.Locality())}
+}
+
+func getChart(c *crewfb.Chart) *Chart {
+	if c == nil {
+		return nil
+	}
+	o := &Chart{Epoch: c.Epoch(), Mark: c.Mark(), Primary: getSeat(c.Primary(nil)), Backup: getSeat(c.Backup(nil))}
+	for i := range c.WitnessesLength() {
+		var s crewfb.Seat
+		if c.Witnesses(&s, i) {
+			o.Witnesses = append(o.Witnesses, getSeat(&s))
+		}
+	}
+	return o
+}
+
+// Decode reads a note; bytes that are none give an error, never a panic.
+func Decode(b []byte) (n *Note, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			n, err = nil, fault.New(fault.BadInput, "note: %v", r)
+		}
+	}()
+	if len(b) < 8 {
+		return nil, fault.New(fault.BadInput, "note of %d bytes", len(b))
+	}
+	f := crewfb.GetRootAsNote(b, 0)
+	n = &Note{
+		Kind: Kind(f.Kind()), Call: f.Call(), Answer: f.Answer(), OK: f.Ok(), From: getSeat(f.From(nil)), To: f.To(),
+		Epoch: f.Epoch(), Ballot: f.Ballot(), Number: f.Number(), Base: f.Base(), Span: f.Span(),
+		Chart: getChart(f.Chart(nil)), Held: getChart(f.Held(nil)), HeldBallot: f.HeldBallot(),
+		Word: string(f.Word()), Body: f.BodyBytes(),
+	}
+	for i := range f.SeatsLength() {
+		var s crewfb.Seat
+		if f.Seats(&s, i) {
+			n.Seats = append(n.Seats, getSeat(&s))
+		}
+	}
+	return n, nil
+}
+
+// Reply starts the answer to a note.
+func (n *Note) Reply(ok bool) *Note { return &Note{Kind: n.Kind, Call: n.Call, Answer: true, OK: ok} }
--- /dev/null
+++ b/env/program.go
@@ -0,0 +1,126 @@
+package env
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// Daemon is what a program does with its settings.
+type Daemon interface {
+	Run() error
+	Leave()
+	Reload(*Env)
+}
+
+// Main is the command line that the daemons share.
+func Main(name, what string, n Need, build func(*scope.Scope, *Env) (Daemon, error)) {
+	os.Exit(run(name, what, n, build))
+}
+
+func run(name, what string, n Need, build func(*scope.Scope, *Env) (Daemon, error)) int {
+	p := flaggy.NewParser(name)
+	p.Description = what + " Settings are read from the file that " + plate.EnvVar + " names."
+	p.Version = plate.Version
+	p.ShowHelpOnUnexpected = true
+	level := "info"
+	p.String(&level, "l", "log-level", "debug, info, warn or error")
+	check := flaggy.NewSubcommand("check-env")
+	check.Description = "Check a settings file without starting."
+	file := ""
+	check.AddPositionalValue(&file, "file", 1, false, "the file; that of "+plate.EnvVar+" if none is named")
+	p.AttachSubcommand(check, 1)
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		return 2
+	}
+	var lv slog.Level
+	if err := lv.UnmarshalText([]byte(level)); err != nil {
+		fmt.Fprintln(os.Stderr, name+": --log-level takes debug, info, warn or error")
+		return 2
+	}
+	if file == "" {
+		file = os.Getenv(plate.EnvVar)
+	}
+	if file == "" {
+		fmt.Fprintf(os.Stderr, "%s: %s is not set\n", name, plate.EnvVar)
+		return 1
+	}
+	e, err := LoadFile(file, n)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		return 1
+	}
+	if check.Used {
+		fmt.Println("the settings are fine")
+		return 0
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
+	sc := scope.New(log.With("program", name))
+	debug.SetMemoryLimit(int64(e.Limits.MemoryMB * (1 << 20) * plate.SoftMemory))
+	debug.SetGCPercent(plate.CollectAt)
+	d, err := build(sc, e)
+	if err != nil {
+		log.Error("can't start", "part", name, "err", err.Error())
+		return 1
+	}
+	go hearSignals(sc, d, file, n)
+	if err := d.Run(); err != nil {
+		log.Error("ended", "part", name, "err", err.Error())
+		return 1
+	}
+	return 0
+}
+
+func hearSignals(sc *scope.Scope, d Daemon, file string, n Need) {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log := sc.Part("env").Log()
+	last := stamp(file)
+	reload := func() {
+		last = stamp(file)
+		e, err := LoadFile(file, n)
+		if err != nil {
+			log.Error("settings kept as they were", "err", err.Error())
+			return
+		}
+		log.Info("settings read again")
+		d.Reload(e)
+	}
+	for {
+		select {
+		case s := <-c:
+			if s == syscall.SIGHUP {
+				reload()
+				continue
+			}
+			log.Info("leaving")
+			d.Leave()
+			sc.Stop()
+			return
+		case <-tick.After(plate.WatchFile):
+			if stamp(file) != last {
+				reload()
+			}
+		case <-sc.Done():
+			return
+		}
+	}
+}
+
+func stamp(file string) string {
+	i, err := os.Stat(file)
+	if err != nil {
+		return "none"
+	}
+	return fmt.Sprint(i.Size(), i.ModTime().UnixNano())
+}
--- /dev/null
+++ b/gatehouse/inquiry.go
@@ -0,0 +1,475 @@
+package gatehouse
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"shaletrestle/berth"
+	"shaletrestle/blade"
+	"shaletrestle/buyer"
+	"shaletrestle/fault"
+	"shaletrestle/kerf"
+	"shaletrestle/plate"
+	"shaletrestle/reply"
+	"shaletrestle/sorting"
+	"shaletrestle/tick"
+)
+
+// inquiry is one try of a client on its way.
+type inquiry struct {
+	g        *Gate
+	w        http.ResponseWriter
+	r        *http.Request
+	rc       *http.ResponseController
+	table    *sorting.Table
+	path     *sorting.Path
+	pool     *sorting.Pool
+	id       string
+	arrived  tick.Moment
+	deadline tick.Moment
+	body     []byte
+	head     http.Header
+	ask      *berth.Ask
+	// what may be said
+	sent    int  // replicas that it was sent to
+	mayRun  bool // one of them may have run it, or did
+	began   bool // the client has the head of an answer
+	lastID  int64
+	step    int64
+	held    int64
+	status  int         // of the newest promise
+	notRun  http.Header // heads of the newest promise
+	unready bool
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	g.inflight.Inc()
+	defer g.inflight.Dec()
+	g.count.inquiries.Inc()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: tick.Now(), lastID: -1}
+	defer q.release()
+	if q.table.Epoch == 0 {
+		q.refuse(fault.Unready)
+		return
+	}
+	if buyer.Doubtful(r) {
+		w.Header().Set("Connection", "close")
+		reply.Fault(w, fault.New(fault.BadInput, "both a length and chunks"))
+		return
+	}
+	if l := q.table.Limits.Head; l > 0 && headSize(r) > l {
+		w.Header().Set("Connection", "close")
+		reply.Fault(w, fault.New(fault.HeadLarge, "head over the limit"))
+		return
+	}
+	if q.path = q.table.Match(r.Host, r.RequestURI); q.path == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, plate.HeadBytes))
+		reply.Fault(w, fault.New(fault.NoPath, "no route"))
+		return
+	}
+	for _, op := range q.path.Steps {
+		if !q.do(op) {
+			return
+		}
+	}
+}
+
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 20
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// do is the interpreter: one step of a path; false ends it.
+func (q *inquiry) do(op sorting.Op) bool {
+	switch op {
+	case sorting.TakeBody:
+		return q.takeBody()
+	case sorting.SetClock:
+		return q.setClock()
+	case sorting.Split:
+		return q.split()
+	case sorting.Fence:
+		q.ask.Regions = func(loc string) bool { return q.path.Regions[q.g.env.Load().Zones[loc]] }
+		return true
+	case sorting.Whole, sorting.Events:
+		q.fire()
+	}
+	return false
+}
+
+func (q *inquiry) takeBody() bool {
+	most := q.table.Limits.Body
+	if most <= 0 {
+		most = plate.OrderBody
+	}
+	if q.r.ContentLength > most {
+		q.w.Header().Set("Connection", "close")
+		reply.Fault(q.w, fault.New(fault.TooLarge, "body over the limit"))
+		return false
+	}
+	room := int64(q.g.env.Load().Limits.MemoryMB * (1 << 20) * plate.BodyMemory)
+	q.held = max(q.r.ContentLength, 0)
+	if q.g.bodies.Add(q.held) > room {
+		q.w.Header().Set("Connection", "close")
+		q.refuse(fault.Crowded)
+		return false
+	}
+	_ = q.rc.SetReadDeadline(tick.Now().Add(plate.BodyWait))
+	var b bytes.Buffer
+	if q.held > 0 {
+		b.Grow(int(q.held) + bytes.MinRead)
+	}
+	n, err := b.ReadFrom(http.MaxBytesReader(q.w, q.r.Body, most))
+	if q.r.ContentLength < 0 {
+		q.held = n
+		q.g.bodies.Add(n)
+	}
+	if err != nil {
+		q.w.Header().Set("Connection", "close")
+		switch {
+		case strings.Contains(err.Error(), "too large"):
+			reply.Fault(q.w, fault.New(fault.TooLarge, "body over the limit"))
+		case strings.Contains(err.Error(), "timeout"):
+			reply.Fault(q.w, fault.New(fault.Slow, "body too slow"))
+		default:
+			reply.Fault(q.w, fault.New(fault.BadInput, "body can't be read"))
+		}
+		return false
+	}
+	_ = q.rc.SetReadDeadline(tick.Moment{})
+	q.body = b.Bytes()
+	return true
+}
+
+func (q *inquiry) release() { q.g.bodies.Sub(q.held) }
+
+func (q *inquiry) setClock() bool {
+	q.id = q.r.Header.Get(blade.HeadID)
+	left := plate.DefaultBudget
+	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(blade.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
+		left = min(tick.Millis(min(ms, 1e9)), 24*plate.DefaultBudget)
+	}
+	q.deadline = q.arrived.Add(min(left, q.path.Timeout))
+	return true
+}
+
+func (q *inquiry) split() bool {
+	parts := kerf.ParseParts(q.r.Header.Get("Prompt-Prefix"))
+	key := q.id
+	if q.path.Sticky && len(parts) > 0 {
+		key = ""
+		for _, p := range parts[:max(1, len(parts)-1)] {
+			key += strconv.FormatUint(p.ID, 16) + ","
+		}
+	}
+	name := q.path.Choose(key)
+	q.pool = q.table.Pools[name]
+	if q.pool == nil {
+		q.refuse(fault.Unready)
+		return false
+	}
+	q.head = passOn(q.r.Header)
+	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{},
+		ColdRate: func(id string) float64 { return q.g.coldRate(q.pool.ColdPerS, id) }}
+	if e := q.pool.Engine; e != nil {
+		model := q.r.Header.Get("Model")
+		in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
+		if len(parts) == 0 {
+			parts = []kerf.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
+		}
+		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights(name, model)), parts)
+		q.ask.Capacity, q.ask.OutMost = int(e.Tokens), out
+		q.head.Set(blade.HeadUrgency, strconv.Itoa(min(9, max(0, q.path.Priority))))
+	}
+	q.g.budget.Asked(name)
+	return true
+}
+
+func tokenCounts(s string) (in, out int) {
+	a, b, _ := strings.Cut(s, ",")
+	in, _ = strconv.Atoi(strings.TrimSpace(a))
+	out, _ = strconv.Atoi(strings.TrimSpace(b))
+	return min(max(in, 0), 1<<28), min(max(out, 0), 1<<28)
+}
+
+// refuse promises that nothing was run and never will be.
+func (q *inquiry) refuse(k fault.Kind) {
+	q.g.count.refused.Inc()
+	reply.Refuse(q.w, k, plate.RetryAfter)
+}
+
+// giveUp ends an inquiry with what may truly be said of it.
+func (q *inquiry) giveUp(k fault.Kind, why string) {
+	switch {
+	case q.began:
+		q.g.count.failed.Inc()
+		panic(http.ErrAbortHandler) // the client must see that it is incomplete
+	case !q.mayRun:
+		q.refuse(fault.Crowded)
+	default:
+		q.g.count.failed.Inc()
+		reply.Fault(q.w, fault.New(k, "%s", why))
+	}
+}
+
+// fire sends the inquiry to replicas until one has answered or nothing more may be tried.
+func (q *inquiry) fire() {
+	quit := q.r.Context().Done()
+	for {
+		left := tick.Until(q.deadline)
+		if left <= plate.BudgetReserve {
+			q.giveUp(fault.Late, "time ran out")
+			return
+		}
+		if q.sent >= q.path.Shots {
+			q.giveUp(fault.Broken, "replicas failed")
+			return
+		}
+		c, ok := q.g.yard.Place(q.ask)
+		if !ok {
+			if !q.mayRun && tick.Since(q.arrived) > tick.Span(float64(q.path.Aim)*plate.RefusePart) {
+				q.refuse(fault.Crowded)
+				return
+			}
+			clear(q.ask.Not)
+			select {
+			case <-tick.After(plate.PlaceAgain):
+			case <-quit:
+				return
+			}
+			continue
+		}
+		if !q.shoot(c, left, quit) {
+			return
+		}
+	}
+}
+
+// shoot sends to one replica; true means that another may be tried.
+func (q *inquiry) shoot(c berth.Choice, left tick.Span, quit <-chan struct{}) bool {
+	id := c.Replica.ID
+	end := &berth.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
+	defer q.g.yard.Done(end)
+	ch, err := q.g.pool(c.Replica, q.table).Get(left)
+	if err != nil {
+		q.ask.Not[id] = true
+		if fault.KindOf(err) == fault.Broken {
+			q.g.yard.Failed(id)
+		}
+		return true
+	}
+	if !q.g.yard.May(id) {
+		ch.Back()
+		return true
+	}
+	if q.sent > 0 {
+		if !q.g.budget.Take(q.pool.Name, q.g.fleet()) {
+			ch.Back()
+			q.giveUp(fault.Broken, "no further try is left")
+			return false
+		}
+		q.g.count.further.Inc()
+	}
+	left = tick.Until(q.deadline)
+	h := q.head.Clone()
+	h.Set(blade.HeadExpect, id)
+	h.Set(blade.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
+	if q.lastID >= 0 {
+		h.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+	}
+	at := tick.Now()
+	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
+	if err != nil {
+		q.ask.Not[id] = true
+		q.g.yard.Failed(id)
+		if !sent {
+			return true
+		}
+		q.sent++
+		q.mayRun = true
+		return q.again("sending failed")
+	}
+	q.sent++
+	defer a.Drop()
+	if q.ask.Chain != nil {
+		q.g.index.Sent(id, q.ask.Capacity, q.ask.Chain)
+	}
+	return q.listen(a, end, at, c, quit)
+}
+
+// again tells whether another replica may be tried after one that may have run the inquiry; if not, it is answered.
+func (q *inquiry) again(why string) bool {
+	q.mayRun = true
+	if q.path.Repeatable() && q.sent < q.path.Shots {
+		return true
+	}
+	q.giveUp(fault.Broken, why)
+	return false
+}
+
+func (q *inquiry) patience() tick.Span {
+	if !q.path.Repeatable() || q.sent >= q.path.Shots {
+		return 0
+	}
+	if q.began {
+		return tick.Span(float64(q.path.Gap) * plate.SilenceGaps)
+	}
+	return tick.Span(float64(q.path.Aim) * plate.SilenceAims)
+}
+
+// listen takes an answer's parts; true means that another replica may be tried.
+func (q *inquiry) listen(a *blade.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
+	id := c.Replica.ID
+	var head blade.Part
+	joined := !q.began // the first event of a run that goes on must follow the last
+	for {
+		wait := tick.Until(q.deadline)
+		if p := q.patience(); p > 0 && p < wait {
+			wait = p
+		}
+		late := tick.NewTimer(wait)
+		p, ok := a.Next(late.C, quit)
+		late.Stop()
+		if !ok {
+			if q.r.Context().Err() != nil {
+				return false
+			}
+			q.mayRun = true
+			if tick.Until(q.deadline) <= 0 {
+				q.giveUp(fault.Late, "time ran out")
+				return false
+			}
+			q.g.yard.Failed(id)
+			q.ask.Not[id] = true
+			return q.again("silence")
+		}
+		switch p.Kind {
+		case blade.Head:
+			q.told(id, p.Head.Get(blade.HeadLoad))
+			head = p
+			if p.NotRun() {
+				continue // the rest of it comes, then it is known whole
+			}
+			q.mayRun = true
+		case blade.Event:
+			q.g.yard.Began(end, tick.Since(at), c.Expect)
+			if !q.event(&p, head.Head, &joined) {
+				q.ask.Not[id] = true
+				return q.again("events out of order")
+			}
+		case blade.Body:
+			head.Bytes = p.Bytes
+		case blade.End:
+			q.g.yard.Began(end, tick.Since(at), c.Expect)
+			return q.whole(&head, id)
+		case blade.Fail:
+			q.mayRun = true
+			q.ask.Not[id] = true
+			q.g.yard.Failed(id)
+			return q.again(p.Why)
+		}
+	}
+}
+
+func (q *inquiry) told(id, s string) {
+	x := strings.Split(s, ",")
+	if len(x) != 3 {
+		return
+	}
+	var v [3]float64
+	for i := range x {
+		f, err := strconv.ParseFloat(strings.TrimSpace(x[i]), 64)
+		if err != nil || f < 0 {
+			return
+		}
+		v[i] = f
+	}
+	q.g.yard.Told(id, v[0], v[1], v[2])
+}
+
+// event passes one event on; false if it does not follow the last.
+func (q *inquiry) event(p *blade.Part, h http.Header, joined *bool) bool {
+	if p.ID >= 0 {
+		if q.lastID >= 0 {
+			d := p.ID - q.lastID
+			if d <= 0 || !*joined && q.step > 0 && d != q.step {
+				return false
+			}
+			if *joined {
+				q.step = d
+			}
+		}
+		q.lastID = p.ID
+	} else if !*joined {
+		return false
+	}
+	*joined = true
+	if !q.began {
+		q.began = true
+		passBack(q.w.Header(), h)
+		q.w.WriteHeader(http.StatusOK)
+	}
+	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	if _, err := q.w.Write(p.Bytes); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if q.rc.Flush() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
+// whole ends an inquiry with an answer that came whole; true means that another replica may be tried.
+func (q *inquiry) whole(p *blade.Part, id string) bool {
+	if p.NotRun() {
+		q.ask.Not[id] = true
+		if p.Status == http.StatusMisdirectedRequest {
+			q.g.yard.Wrong(id)
+		}
+		if p.Status == http.StatusBadRequest && !q.mayRun && !q.began {
+			q.answer(p)
+			return false
+		}
+		if q.sent < q.path.Shots {
+			return true
+		}
+		q.giveUp(fault.Broken, "replicas refused")
+		return false
+	}
+	q.mayRun = true
+	if q.began {
+		if p.Bytes != nil { // a resumed run answered with something else than events
+			return q.again("not resumed")
+		}
+		return false
+	}
+	switch {
+	case p.Status >= 500 && q.path.Repeatable() && q.sent < q.path.Shots && p.Status != http.StatusGatewayTimeout:
+		return true
+	case p.Status == http.StatusServiceUnavailable, p.Status == http.StatusTooManyRequests, p.Status == http.StatusRequestTimeout:
+		q.giveUp(fault.Broken, "the replica refused after it may have run")
+		return false
+	}
+	q.answer(p)
+	return false
+}
+
+func (q *inquiry) answer(p *blade.Part) {
+	passBack(q.w.Header(), p.Head)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(p.Bytes)))
+	q.w.WriteHeader(p.Status)
+	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	_, _ = q.w.Write(p.Bytes)
+}
--- /dev/null
+++ b/kerf/index.go
@@ -0,0 +1,254 @@
+package kerf
+
+import (
+	"container/heap"
+	"container/list"
+	"sync"
+
+	"shaletrestle/plate"
+)
+
+type run struct {
+	key    Key
+	tokens int
+	wrong  int
+}
+
+// shelf is what one life of a replica is believed to keep, oldest use last.
+type shelf struct {
+	capacity int
+	used     int
+	lru      *list.List
+	at       map[Key]*list.Element
+	stores   float64
+	evicts   float64
+}
+
+type pending struct {
+	replica  string
+	chain    *Chain
+	upto     int
+	priority int
+	seq      int
+}
+
+type queue []pending
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority > q[j].priority
+	}
+	return q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is the heap's.
+func (q *queue) Push(x any) { *q = append(*q, x.(pending)) }
+
+// Pop is the heap's.
+func (q *queue) Pop() any {
+	o := *q
+	x := o[len(o)-1]
+	*q = o[:len(o)-1]
+	return x
+}
+
+// Index holds the hints of one process.
+type Index struct {
+	mu      sync.Mutex
+	sketch  *Sketch
+	shelves map[string]*shelf
+	store   queue
+	seq     int
+	runs    int
+	hits    int64
+	asked   int64
+}
+
+// NewIndex makes an empty index.
+func NewIndex() *Index { return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}} }
+
+// Matched is the number of tokens of a chain that a replica is believed to keep, cut to a block.
+func (x *Index) Matched(replica string, c *Chain) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.matched(replica, c)
+}
+
+func (x *Index) matched(replica string, c *Chain) int {
+	s := x.shelves[replica]
+	if s == nil || c == nil {
+		return 0
+	}
+	n := 0
+	for i, k := range c.Keys {
+		if _, ok := s.at[k]; !ok {
+			break
+		}
+		n = c.Upto[i]
+	}
+	return ToBlock(n)
+}
+
+// Lookup is Matched for many replicas at once.
+func (x *Index) Lookup(replicas []string, c *Chain) []int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]int, len(replicas))
+	best := 0
+	for i, r := range replicas {
+		out[i] = x.matched(r, c)
+		best = max(best, out[i])
+	}
+	x.asked++
+	if best > 0 {
+		x.hits++
+	}
+	return out
+}
+
+// Sent notes that a chain was sent to a replica. A run is entered at its second sighting; what waits is entered by worth, matched length times count.
+func (x *Index) Sent(replica string, capacity int, c *Chain) {
+	if c == nil || len(c.Keys) == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.shelves[replica]
+	if s == nil {
+		s = &shelf{lru: list.New(), at: map[Key]*list.Element{}}
+		x.shelves[replica] = s
+	}
+	s.capacity = capacity
+	need := plate.SecondSight
+	if s.evicts > plate.Thrash*s.stores && s.stores > 16 {
+		need++ // thrash: be more selective
+	}
+	upto, count := 0, 0
+	for i, k := range c.Keys {
+		n := x.sketch.Add(k)
+		if n < need {
+			break
+		}
+		upto, count = i+1, n
+	}
+	if upto == 0 {
+		return
+	}
+	x.seq++
+	heap.Push(&x.store, pending{replica, c, upto, c.Upto[upto-1] * count, x.seq})
+	if len(x.store) > plate.StoreQueue {
+		x.dropLowest()
+	}
+	if len(x.store) >= plate.StoreQueue/8 || x.runs < plate.IndexRuns {
+		x.drain()
+	}
+}
+
+func (x *Index) dropLowest() {
+	low := 0
+	for i := range x.store {
+		if x.store.Less(low, i) {
+			low = i
+		}
+	}
+	heap.Remove(&x.store, low)
+}
+
+func (x *Index) drain() {
+	for len(x.store) > 0 {
+		p := heap.Pop(&x.store).(pending)
+		if s := x.shelves[p.replica]; s != nil {
+			x.enter(s, p.chain, p.upto)
+		}
+	}
+}
+
+func (x *Index) enter(s *shelf, c *Chain, upto int) {
+	for i := upto - 1; i >= 0; i-- { // the first run ends up newest: what goes before is never older than what follows
+		k, t := c.Keys[i], c.Parts[i].Tokens
+		if e, ok := s.at[k]; ok {
+			s.lru.MoveToFront(e)
+			continue
+		}
+		s.at[k] = s.lru.PushFront(&run{key: k, tokens: t})
+		s.used += t
+		s.stores++
+		x.runs++
+	}
+	for (s.used > s.capacity || x.runs > plate.IndexRuns) && s.lru.Len() > 0 {
+		x.evict(s, s.lru.Back())
+	}
+	if s.stores > 4096 {
+		s.stores, s.evicts = s.stores/2, s.evicts/2
+	}
+}
+
+func (x *Index) evict(s *shelf, e *list.Element) {
+	r := s.lru.Remove(e).(*run)
+	delete(s.at, r.key)
+	s.used -= r.tokens
+	s.evicts++
+	x.runs--
+}
+
+// Contradicted notes that a replica took as long as if it kept nothing; a hint contradicted often is dropped.
+func (x *Index) Contradicted(replica string, c *Chain) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.shelves[replica]
+	if s == nil || c == nil {
+		return
+	}
+	for _, k := range c.Keys {
+		e, ok := s.at[k]
+		if !ok {
+			return
+		}
+		r := e.Value.(*run)
+		if r.wrong++; r.wrong >= plate.HintContra {
+			x.evict(s, e)
+		}
+	}
+}
+
+// Confirmed notes that a replica was as quick as hinted.
+func (x *Index) Confirmed(replica string, c *Chain) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s := x.shelves[replica]; s != nil && c != nil {
+		for _, k := range c.Keys {
+			if e, ok := s.at[k]; ok {
+				e.Value.(*run).wrong = 0
+			}
+		}
+	}
+}
+
+// Keep drops the shelves of all lives but these: a new life or revision is another, empty one.
+func (x *Index) Keep(live map[string]bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for id, s := range x.shelves {
+		if !live[id] {
+			x.runs -= s.lru.Len()
+			delete(x.shelves, id)
+		}
+	}
+}
+
+// Stats tells the runs held, lookups and how many of them found something.
+func (x *Index) Stats() (runs int, asked, hits int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.runs, x.asked, x.hits
+}
+
+// FetchPays is the break-even of the source: importing a run from a peer pays if the link carries its bytes faster than they are computed anew.
+func FetchPays(tokenBytes, linkMbps float64, prefillPerToken float64) bool {
+	if linkMbps <= 0 || prefillPerToken <= 0 {
+		return false
+	}
+	return tokenBytes*8/(linkMbps*1e6) < prefillPerToken
+}
--- /dev/null
+++ b/logbook/book.go
@@ -0,0 +1,282 @@
+// Package logbook is what happens inside the system as a journal of events, and the view that is folded from it.
+package logbook
+
+import (
+	"encoding/json"
+	"sync"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/fault"
+	"shaletrestle/setup"
+)
+
+// Event kinds.
+const (
+	Put      = "put"      // a whole configuration
+	Patch    = "patch"    // named changes to it
+	Evacuate = "evacuate" // a locality takes nothing more
+	Return   = "return"   // and takes it again
+	List     = "list"     // changes of the platform's list
+	Fleet    = "fleet"    // how many gatehouses share the budgets
+	Houses   = "houses"   // where the control members are
+)
+
+const digestsKept = 64 // orders that an identical repeat is recognised among
+
+// Event is one entry of the journal.
+type Event struct {
+	Kind     string          `json:"k"`
+	Base     int64           `json:"base,omitempty"`
+	Body     json.RawMessage `json:"body,omitempty"`
+	Locality string          `json:"loc,omitempty"`
+	Replicas []*Replica      `json:"rep,omitempty"`
+	Gone     []string        `json:"gone,omitempty"`
+	Size     int             `json:"size,omitempty"`
+	Nodes    []string        `json:"nodes,omitempty"`
+	Houses   []House         `json:"houses,omitempty"`
+}
+
+// Model is what a replica serves.
+type Model struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+}
+
+// Replica is one entry of the platform's list.
+type Replica struct {
+	ID       string  `json:"replica_id"`
+	Pool     string  `json:"backend_pool"`
+	Addr     string  `json:"address"`
+	Locality string  `json:"zone"`
+	Software string  `json:"revision"`
+	Slots    int     `json:"slots"`
+	State    string  `json:"state"`
+	ColdMs   float64 `json:"warmup_left_ms"`
+	Stage    string  `json:"stage,omitempty"`
+	Models   []Model `json:"models,omitempty"`
+}
+
+// Same tells whether two entries say the same, cold or not counting but not for how long.
+func (r *Replica) Same(o *Replica) bool {
+	if o == nil || r.ID != o.ID || r.Pool != o.Pool || r.Addr != o.Addr || r.Locality != o.Locality || r.Software != o.Software ||
+		r.Slots != o.Slots || r.State != o.State || (r.ColdMs > 0) != (o.ColdMs > 0) || r.Stage != o.Stage || len(r.Models) != len(o.Models) {
+		return false
+	}
+	for i, m := range r.Models {
+		if m != o.Models[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// House is a control member.
+type House struct {
+	Addr     string `json:"addr"`
+	Locality string `json:"loc"`
+}
+
+// View is the folded state. It is never changed after it was made.
+type View struct {
+	Doc      *setup.Doc
+	Digests  []string
+	Evac     map[string]bool
+	Replicas map[string]*Replica
+	Listed   bool
+	Fleet    int
+	Nodes    []string
+	Houses   []House
+}
+
+type stored struct {
+	Doc      json.RawMessage `json:"doc,omitempty"`
+	Digests  []string        `json:"digests,omitempty"`
+	Evac     []string        `json:"evac,omitempty"`
+	Replicas []*Replica      `json:"rep,omitempty"`
+	Listed   bool            `json:"listed,omitempty"`
+	Fleet    int             `json:"fleet,omitempty"`
+	Nodes    []string        `json:"nodes,omitempty"`
+	Houses   []House         `json:"houses,omitempty"`
+}
+
+// EmptyView is the view before the first event.
+func EmptyView() *View {
+	return &View{Doc: setup.Empty(), Evac: map[string]bool{}, Replicas: map[string]*Replica{}}
+}
+
+// Next gives the view after an event.
+func (v *View) Next(e *Event) (*View, error) {
+	n := *v
+	var err error
+	switch e.Kind {
+	case Put:
+		n.Doc, err = v.Doc.Put(e.Body)
+	case Patch:
+		n.Doc, err = v.Doc.Patch(e.Body)
+	case Evacuate, Return:
+		n.Evac = map[string]bool{}
+		for k := range v.Evac {
+			n.Evac[k] = true
+		}
+		delete(n.Evac, e.Locality)
+		if e.Kind == Evacuate {
+			n.Evac[e.Locality] = true
+		}
+	case List:
+		n.Replicas = make(map[string]*Replica, len(v.Replicas)+len(e.Replicas))
+		for k, r := range v.Replicas {
+			n.Replicas[k] = r
+		}
+		for _, k := range e.Gone {
+			delete(n.Replicas, k)
+		}
+		for _, r := range e.Replicas {
+			n.Replicas[r.ID] = r
+		}
+		n.Listed = true
+	case Fleet:
+		n.Fleet, n.Nodes = e.Size, e.Nodes
+	case Houses:
+		n.Houses = e.Houses
+	default:
+		err = fault.New(fault.BadInput, "unknown event %q", e.Kind)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if e.Kind == Put || e.Kind == Patch {
+		d := append(append([]string{}, v.Digests...), setup.Digest(e.Kind, e.Base, e.Body))
+		n.Digests = d[max(0, len(d)-digestsKept):]
+	}
+	return &n, nil
+}
+
+// Taken tells whether an identical order was taken before.
+func (v *View) Taken(digest string) bool {
+	for _, d := range v.Digests {
+		if d == digest {
+			return true
+		}
+	}
+	return false
+}
+
+// Encode gives an event's bytes.
+func (e *Event) Encode() []byte {
+	b, _ := json.Marshal(e)
+	return b
+}
+
+// Book holds the newest view, folds events into it and tells who asks.
+type Book struct {
+	view    atomic.Pointer[View]
+	mu      sync.Mutex
+	watch   []func(old, now *View, e *Event)
+	guarded bool
+}
+
+// NewBook makes a book. A guarded one never goes back to an older configuration.
+func NewBook(guarded bool) *Book {
+	b := &Book{guarded: guarded}
+	b.view.Store(EmptyView())
+	return b
+}
+
+// View is the newest view.
+func (b *Book) View() *View { return b.view.Load() }
+
+// Watch adds what is called after each change; e is nil after a checkpoint.
+func (b *Book) Watch(f func(old, now *View, e *Event)) {
+	b.mu.Lock()
+	b.watch = append(b.watch, f)
+	b.mu.Unlock()
+}
+
+func (b *Book) set(n *View, e *Event) {
+	old := b.view.Load()
+	b.view.Store(n)
+	for _, f := range b.watch {
+		f(old, n, e)
+	}
+}
+
+// Fold takes one event in; one that can't be folded changes nothing.
+func (b *Book) Fold(body []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := &Event{}
+	if json.Unmarshal(body, e) != nil {
+		return
+	}
+	if n, err := b.view.Load().Next(e); err == nil {
+		b.set(n, e)
+	}
+}
+
+// Apply is Fold under the name that the control state has for it.
+func (b *Book) Apply(body []byte) { b.Fold(body) }
+
+// Checkpoint gives the view's bytes.
+func (b *Book) Checkpoint() []byte { return b.view.Load().Encode() }
+
+// Encode gives a view's bytes.
+func (v *View) Encode() []byte {
+	s := stored{Digests: v.Digests, Listed: v.Listed, Fleet: v.Fleet, Nodes: v.Nodes, Houses: v.Houses}
+	if v.Doc.Epoch > 0 {
+		s.Doc = v.Doc.JSON()
+	}
+	for k := range v.Evac {
+		s.Evac = append(s.Evac, k)
+	}
+	for _, r := range v.Replicas {
+		s.Replicas = append(s.Replicas, r)
+	}
+	j, _ := json.Marshal(s)
+	return j
+}
+
+// Restore puts a checkpoint in place of the view.
+func (b *Book) Restore(body []byte) error {
+	n, err := DecodeView(body)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.view.Load()
+	if b.guarded {
+		if n.Doc.Epoch < old.Doc.Epoch {
+			n.Doc, n.Digests = old.Doc, old.Digests
+		}
+		if !n.Listed && old.Listed {
+			n.Replicas, n.Listed = old.Replicas, true
+		}
+	}
+	b.set(n, nil)
+	return nil
+}
+
+// DecodeView reads a view's bytes.
+func DecodeView(body []byte) (*View, error) {
+	var s stored
+	if err := json.Unmarshal(body, &s); err != nil {
+		return nil, fault.Wrap(fault.BadInput, err, "checkpoint")
+	}
+	n := EmptyView()
+	if s.Doc != nil {
+		d, err := n.Doc.Put(s.Doc)
+		if err != nil {
+			return nil, err
+		}
+		n.Doc = d
+	}
+	for _, k := range s.Evac {
+		n.Evac[k] = true
+	}
+	for _, r := range s.Replicas {
+		n.Replicas[r.ID] = r
+	}
+	n.Digests, n.Listed, n.Fleet, n.Nodes, n.Houses = s.Digests, s.Listed, s.Fleet, s.Nodes, s.Houses
+	return n, nil
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,118 @@
+// Package roster reads the platform's list of replicas.
+package roster
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"shaletrestle/fault"
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+const pagesMost = 1000 // pages of one listing; more is an endless loop
+
+// Reader calls the platform.
+type Reader struct {
+	base string
+	c    *http.Client
+}
+
+// NewReader makes a reader; dial may be nil for the real network.
+func NewReader(addr string, dial func(addr string, d tick.Span) (net.Conn, error)) *Reader {
+	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	if dial != nil {
+		t.Dial = func(_, a string) (net.Conn, error) { return dial(a, plate.DialWait) }
+	}
+	return &Reader{base: "http://" + addr + "/replicas", c: &http.Client{Transport: t, Timeout: plate.ListWait}}
+}
+
+type page struct {
+	Replicas *[]*logbook.Replica `json:"replicas"`
+	Next     *string             `json:"next_token"`
+}
+
+// Read gives the whole list; an error if any page fails.
+func (r *Reader) Read(sc *scope.Scope) ([]*logbook.Replica, error) {
+	var out []*logbook.Replica
+	token := ""
+	for range pagesMost {
+		u := r.base
+		if token != "" {
+			u += "?page_token=" + url.QueryEscape(token)
+		}
+		q, err := http.NewRequestWithContext(sc.Context(), http.MethodGet, u, nil)
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "platform")
+		}
+		a, err := r.c.Do(q)
+		if err != nil {
+			return nil, fault.Wrap(fault.Unready, err, "platform")
+		}
+		b, err := io.ReadAll(io.LimitReader(a.Body, plate.AnswerMax))
+		_ = a.Body.Close()
+		if err != nil {
+			return nil, fault.Wrap(fault.Unready, err, "platform")
+		}
+		if a.StatusCode != http.StatusOK {
+			return nil, fault.New(fault.Unready, "platform answered %d", a.StatusCode)
+		}
+		var p page
+		if err := json.Unmarshal(b, &p); err != nil || p.Replicas == nil {
+			return nil, fault.New(fault.BadInput, "platform: page can't be read")
+		}
+		for _, x := range *p.Replicas {
+			if x == nil || x.ID == "" || x.Addr == "" || x.Pool == "" {
+				return nil, fault.New(fault.BadInput, "platform: entry without id, address or service")
+			}
+			out = append(out, x)
+		}
+		if p.Next == nil || *p.Next == "" {
+			return out, nil
+		}
+		token = *p.Next
+	}
+	return nil, fault.New(fault.BadInput, "platform: the list has no end")
+}
+
+// Differ turns whole listings into changes.
+type Differ struct {
+	missed map[string]int
+}
+
+// NewDiffer makes a differ.
+func NewDiffer() *Differ { return &Differ{missed: map[string]int{}} }
+
+// Diff gives the event that brings known to now, nil if nothing changed. A replica counts as gone at its second whole listing without it; an empty listing changes nothing.
+func (d *Differ) Diff(known map[string]*logbook.Replica, listed bool, now []*logbook.Replica) *logbook.Event {
+	if len(now) == 0 && len(known) > 0 {
+		return nil
+	}
+	e := &logbook.Event{Kind: logbook.List}
+	seen := make(map[string]bool, len(now))
+	for _, r := range now {
+		seen[r.ID] = true
+		if !r.Same(known[r.ID]) {
+			e.Replicas = append(e.Replicas, r)
+		}
+	}
+	for id := range known {
+		if seen[id] {
+			delete(d.missed, id)
+			continue
+		}
+		if d.missed[id]++; d.missed[id] >= plate.VanishTwice {
+			delete(d.missed, id)
+			e.Gone = append(e.Gone, id)
+		}
+	}
+	if listed && len(e.Replicas) == 0 && len(e.Gone) == 0 {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/rota/rota.go
@@ -0,0 +1,136 @@
+// Package rota gives duties to one process at a time: a lease granted by a majority of grantors, counted on the steady clock from before it was asked for, and given up before it ends.
+package rota
+
+import (
+	"sync"
+
+	"shaletrestle/crew"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+type grant struct {
+	holder uint64
+	until  tick.Moment
+}
+
+// Grantor answers lease requests. It keeps nothing on disk: a new one refuses until any lease that its forerunner gave has ended.
+type Grantor struct {
+	mu    sync.Mutex
+	born  tick.Moment
+	given map[string]grant
+}
+
+// NewGrantor makes a grantor.
+func NewGrantor() *Grantor { return &Grantor{born: tick.Now(), given: map[string]grant{}} }
+
+// Handle answers a lease request.
+func (g *Grantor) Handle(n *crew.Note) *crew.Note {
+	a := n.Reply(false)
+	now := tick.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.born) < plate.LeaseSpan {
+		return a
+	}
+	x, ok := g.given[n.Word]
+	if ok && x.holder != n.From.ID && now.Before(x.until) {
+		return a
+	}
+	if n.Span == 0 { // given back
+		delete(g.given, n.Word)
+	} else {
+		g.given[n.Word] = grant{n.From.ID, now.Add(min(tick.Span(n.Span), plate.LeaseSpan))}
+	}
+	a.OK = true
+	return a
+}
+
+// Asker asks one grantor.
+type Asker interface {
+	Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error)
+}
+
+// Holder keeps one duty's lease while it is wanted.
+type Holder struct {
+	sc    *scope.Scope
+	duty  string
+	self  crew.Seat
+	ask   Asker
+	from  func() []crew.Seat
+	want  func() bool
+	local *Grantor
+	mu    sync.Mutex
+	until tick.Moment
+}
+
+// NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
+func NewHolder(sc *scope.Scope, duty string, self crew.Seat, ask Asker, from func() []crew.Seat, want func() bool, local *Grantor) *Holder {
+	return &Holder{sc: sc.Part("rota"), duty: duty, self: self, ask: ask, from: from, want: want, local: local}
+}
+
+// Held tells whether the duty may be done now. Ask again after every wait: the process may have stood still.
+func (h *Holder) Held() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return tick.Now().Before(h.until)
+}
+
+// Run renews until the scope ends, then gives back.
+func (h *Holder) Run() {
+	tick.Every(h.sc, plate.LeaseRenew, func() bool { h.Renew(); return true })
+	h.giveBack()
+}
+
+func (h *Holder) giveBack() {
+	h.mu.Lock()
+	had := !h.until.IsZero()
+	h.until = tick.Moment{}
+	h.mu.Unlock()
+	if had {
+		h.round(0)
+	}
+}
+
+// Renew asks for the lease once, if it is wanted.
+func (h *Holder) Renew() bool {
+	if !h.want() {
+		h.giveBack()
+		return false
+	}
+	start := tick.Now()
+	if !h.round(uint64(plate.LeaseSpan)) {
+		return false
+	}
+	h.mu.Lock()
+	h.until = start.Add(plate.LeaseSpan - plate.LeaseMargin)
+	h.mu.Unlock()
+	return true
+}
+
+func (h *Holder) round(span uint64) bool {
+	seats := h.from()
+	ch := make(chan bool, len(seats))
+	for _, s := range seats {
+		n := &crew.Note{Kind: crew.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span}
+		go func() {
+			if s.ID == h.self.ID {
+				ch <- h.local.Handle(n).OK
+				return
+			}
+			a, err := h.ask.Call(s.Addr, n, plate.CallWait)
+			ch <- err == nil && a.OK
+		}()
+	}
+	got := 0
+	for range seats {
+		if <-ch {
+			got++
+		}
+		if got > len(seats)/2 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/tally/member.go
@@ -0,0 +1,617 @@
+// Package tally keeps a small state on a primary and a backup. A change counts only when both have synced it; a register at three witnesses, decided by prepare and accept, says who the pair is. Nothing else is replicated by majority.
+package tally
+
+import (
+	"encoding/binary"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/crew"
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// Machine is the state that is kept. Apply, Checkpoint and Restore are never called at the same time.
+type Machine interface {
+	Apply(entry []byte)
+	Checkpoint() []byte
+	Restore(base []byte) error
+}
+
+// Caller asks another member.
+type Caller interface {
+	Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error)
+}
+
+// Config is what a member needs.
+type Config struct {
+	Addr     string
+	Locality string
+	Seeds    []string // crew addresses; at the first start the same for all
+	Solo     bool     // one member alone may be primary: nothing may be lost then
+	Store    Store
+	Machine  Machine
+	Caller   Caller
+	OnActive func(epoch uint64) // this member became primary; called before writes are taken
+	OnIdle   func()             // this member is no longer primary
+}
+
+type peer struct {
+	seat crew.Seat
+	seen tick.Moment
+	fit  bool // its disk takes writes and it isn't leaving
+}
+
+// Member is one control process.
+type Member struct {
+	sc   *scope.Scope
+	cf   Config
+	self crew.Seat
+	boot bool
+	disk chan func()
+
+	wr sync.Mutex // held through a write or a change of view
+
+	mu      sync.Mutex
+	reg     Register
+	round   uint64
+	tag     Tag // of the state held
+	joined  Tag // backup: handed over in this life by the primary of this epoch
+	tail    [][]byte
+	active  bool
+	epoch   uint64
+	beat    tick.Moment
+	beatBy  crew.Seat
+	urged   bool
+	leaving bool
+	peers   map[uint64]*peer
+	stalled atomic.Bool
+	broken  atomic.Bool
+	asking  atomic.Bool
+	born    tick.Moment
+}
+
+// New makes a member from its store; Run starts it.
+func New(sc *scope.Scope, cf Config) (*Member, error) {
+	id, boot := cf.Store.Identity()
+	m := &Member{sc: sc.Part("tally"), cf: cf, self: crew.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
+		disk: make(chan func(), 64), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
+	h := cf.Store.Load()
+	if h.Base != nil {
+		if err := cf.Machine.Restore(h.Base); err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "held state")
+		}
+	}
+	m.tag, m.tail = h.Tag, h.Tail
+	m.round = max(m.reg.Promised, m.reg.Ballot) >> 20
+	if h.Base == nil {
+		m.broken.Store(true) // no log yet: the first hand-over makes one
+	}
+	return m, nil
+}
+
+// Run works until the scope ends.
+func (m *Member) Run() {
+	go func() {
+		for {
+			select {
+			case f := <-m.disk:
+				f()
+			case <-m.sc.Done():
+				return
+			}
+		}
+	}()
+	go tick.Every(m.sc, plate.BeatEvery, func() bool { m.beats(); return true })
+	pause := plate.StepPause + tick.Span(m.self.ID%8)*20*time.Millisecond
+	tick.Every(m.sc, pause, func() bool { m.step(); return true })
+}
+
+// onDisk runs a job in the disk's own task and waits for it at most d.
+func (m *Member) onDisk(d tick.Span, f func() error) error {
+	if m.stalled.Load() {
+		return fault.New(fault.Unready, "the disk is stalled")
+	}
+	done := make(chan error, 1)
+	job := func() { done <- f(); m.stalled.Store(false) }
+	select {
+	case m.disk <- job:
+	default:
+		return fault.New(fault.Unready, "the disk is behind")
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-tick.After(d):
+		m.stalled.Store(true)
+		select {
+		case err := <-done: // it ended in between
+			m.stalled.Store(false)
+			return err
+		default:
+		}
+		m.sc.Log().Warn("disk stalled")
+		return fault.New(fault.Unready, "the disk is stalled")
+	case <-m.sc.Done():
+		return fault.New(fault.Unready, "ending")
+	}
+}
+
+// Self is this member's seat.
+func (m *Member) Self() crew.Seat { return m.self }
+
+// Chart is the newest chart known, nil before the first.
+func (m *Member) Chart() *crew.Chart {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reg.Chart
+}
+
+// Active tells whether this member is primary, and of which epoch.
+func (m *Member) Active() (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch, m.active
+}
+
+// Primary is the seat that was last heard to be primary, if it was heard lately.
+func (m *Member) Primary() (crew.Seat, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.active {
+		return m.self, true
+	}
+	if m.beatBy.ID != 0 && tick.Since(m.beat) < plate.BeatLost {
+		return m.beatBy, true
+	}
+	return crew.Seat{}, false
+}
+
+// Members are all seats known, this one too.
+func (m *Member) Members() []crew.Seat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []crew.Seat{m.self}
+	for _, p := range m.peers {
+		out = append(out, p.seat)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Addr < out[j].Addr })
+	return out
+}
+
+// State is for the state page.
+type State struct {
+	Self      crew.Seat   `json:"self"`
+	Chart     *crew.Chart `json:"chart"`
+	Active    bool        `json:"active"`
+	Joined    bool        `json:"joined"`
+	Stalled   bool        `json:"stalled"`
+	BeatAgoMs int64       `json:"beat_ago_ms"`
+	Members   []crew.Seat `json:"members"`
+}
+
+// State tells what this member knows.
+func (m *Member) State() State {
+	ms := m.Members()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return State{m.self, m.reg.Chart, m.active, m.joined.Epoch != 0, m.stalled.Load(), tick.Since(m.beat).Milliseconds(), ms}
+}
+
+func (m *Member) fit() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.leaving && !m.stalled.Load()
+}
+
+func (m *Member) saw(s crew.Seat, fit bool) {
+	if s.ID == 0 || s.ID == m.self.ID || s.Addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, p := range m.peers { // another disk at the same address: the old one is gone
+		if p.seat.Addr == s.Addr && id != s.ID {
+			delete(m.peers, id)
+		}
+	}
+	p := m.peers[s.ID]
+	if p == nil {
+		p = &peer{}
+		m.peers[s.ID] = p
+	}
+	p.seat, p.seen, p.fit = s, tick.Now(), fit
+}
+
+// learn takes a chosen chart; it tells whether it was new.
+func (m *Member) learn(c *crew.Chart) bool {
+	if c == nil || c.Epoch == 0 {
+		return false
+	}
+	m.mu.Lock()
+	if m.reg.Chart != nil && m.reg.Chart.Epoch >= c.Epoch {
+		m.mu.Unlock()
+		return false
+	}
+	m.reg = Register{Chart: c}
+	m.urged = false
+	if m.joined.Epoch != c.Epoch || m.joined.Mark != c.Mark {
+		m.joined = Tag{}
+	}
+	idle := false
+	if m.active && (c.Primary.ID != m.self.ID || c.Epoch != m.epoch) {
+		m.active, idle = false, true
+	}
+	m.mu.Unlock()
+	m.sc.Log().Info("new chart", "epoch", c.Epoch, "primary", c.Primary.Addr, "backup", c.Backup.Addr)
+	if idle && m.cf.OnIdle != nil {
+		m.cf.OnIdle()
+	}
+	return true
+}
+
+func (m *Member) stepDown(why string) {
+	m.mu.Lock()
+	was := m.active
+	m.active = false
+	m.beat = tick.Now()
+	m.mu.Unlock()
+	if was {
+		m.sc.Log().Warn("stepping down", "why", why)
+		if m.cf.OnIdle != nil {
+			m.cf.OnIdle()
+		}
+	}
+}
+
+func (m *Member) saveRegister() error {
+	return m.onDisk(plate.CallWait, func() error {
+		m.mu.Lock()
+		r := m.reg
+		m.mu.Unlock()
+		return m.cf.Store.SaveRegister(r)
+	})
+}
+
+// Handle answers the notes that belong to this package; others give false.
+func (m *Member) Handle(n *crew.Note) (*crew.Note, bool) {
+	switch n.Kind {
+	case crew.Hello, crew.Beat, crew.Prepare, crew.Accept, crew.Install, crew.Checkpoint, crew.Append, crew.Confirm, crew.Yield:
+	default:
+		return nil, false
+	}
+	a := n.Reply(false)
+	a.From = m.self
+	if n.To != 0 && n.To != m.self.ID {
+		a.Word = "another disk is here"
+		return a, true
+	}
+	switch n.Kind {
+	case crew.Hello:
+		m.saw(n.From, n.OK)
+		m.learn(n.Chart)
+		a.OK, a.Chart, a.Seats = m.fit(), m.Chart(), m.Members()
+		if m.boot {
+			a.Word = "boot"
+		}
+	case crew.Beat:
+		m.onBeat(n, a)
+	case crew.Prepare, crew.Accept:
+		m.onBallot(n, a)
+	case crew.Install:
+		m.learn(n.Chart)
+		if c := m.Chart(); c != nil && c.Epoch >= n.Chart.Epoch {
+			a.OK = m.saveRegister() == nil
+		}
+	case crew.Checkpoint:
+		m.onCheckpoint(n, a)
+	case crew.Append:
+		m.onAppend(n, a)
+	case crew.Confirm:
+		m.mu.Lock()
+		a.OK = m.joined.Epoch == n.Epoch && m.joined.Mark == n.Ballot && n.Epoch != 0
+		a.Chart = m.reg.Chart
+		m.mu.Unlock()
+	case crew.Yield:
+		m.mu.Lock()
+		c := m.reg.Chart
+		a.OK = c != nil && c.Epoch == n.Epoch && c.Backup.ID == m.self.ID
+		m.urged = m.urged || a.OK
+		m.mu.Unlock()
+	}
+	return a, true
+}
+
+func (m *Member) onBeat(n, a *crew.Note) {
+	m.saw(n.From, true)
+	fresh := m.learn(n.Chart)
+	for _, s := range n.Seats {
+		m.mu.Lock()
+		_, known := m.peers[s.ID]
+		m.mu.Unlock()
+		if !known {
+			m.saw(s, false)
+		}
+	}
+	m.mu.Lock()
+	c := m.reg.Chart
+	if c != nil && n.Chart != nil && n.Chart.Epoch == c.Epoch {
+		m.beat, m.beatBy = tick.Now(), n.From
+	}
+	a.Chart = c
+	a.Number = 0
+	if m.joined.Epoch == n.Epoch {
+		a.Number = 1
+	}
+	m.mu.Unlock()
+	a.OK = m.fit()
+	if fresh {
+		go func() { _ = m.saveRegister() }()
+	}
+}
+
+// onBallot is the witness: one compare-and-set register for the epoch after the newest chosen chart.
+func (m *Member) onBallot(n, a *crew.Note) {
+	base := n.Held
+	if base == nil || base.Epoch+1 != n.Epoch {
+		return
+	}
+	if base.Epoch > 0 {
+		m.learn(base)
+	}
+	m.mu.Lock()
+	if base.Epoch == 0 && !m.boot {
+		m.mu.Unlock()
+		return
+	}
+	at := uint64(0)
+	if m.reg.Chart != nil {
+		at = m.reg.Chart.Epoch
+	}
+	if at+1 != n.Epoch {
+		a.Chart = m.reg.Chart
+		m.mu.Unlock()
+		return
+	}
+	if n.Ballot < m.reg.Promised {
+		a.Ballot = m.reg.Promised
+		m.mu.Unlock()
+		return
+	}
+	m.reg.Promised = n.Ballot
+	a.Held, a.HeldBallot = m.reg.Accepted, m.reg.Ballot
+	if n.Kind == crew.Accept {
+		m.reg.Accepted, m.reg.Ballot = n.Chart, n.Ballot
+	}
+	m.mu.Unlock()
+	a.OK = m.saveRegister() == nil
+}
+
+func packHeld(h Held) []byte {
+	var b []byte
+	for _, x := range append([][]byte{h.Base}, h.Tail...) {
+		b = binary.AppendUvarint(b, uint64(len(x)))
+		b = append(b, x...)
+	}
+	return b
+}
+
+func unpackHeld(b []byte) (h Held, ok bool) {
+	var xs [][]byte
+	for len(b) > 0 {
+		n, k := binary.Uvarint(b)
+		if k <= 0 || n > uint64(len(b)-k) {
+			return h, false
+		}
+		xs = append(xs, append([]byte{}, b[k:k+int(n)]...))
+		b = b[k+int(n):]
+	}
+	if len(xs) == 0 {
+		return h, false
+	}
+	return Held{Base: xs[0], Tail: xs[1:]}, true
+}
+
+// onCheckpoint takes over a whole state for an epoch that is being proposed.
+func (m *Member) onCheckpoint(n, a *crew.Note) {
+	h, ok := unpackHeld(n.Body)
+	if !ok || !m.fit() {
+		return
+	}
+	h.Tag = Tag{n.Epoch, n.Ballot}
+	m.learn(n.Held)
+	if !m.wr.TryLock() { // proposing itself: two candidates must not wait for each other
+		return
+	}
+	defer m.wr.Unlock()
+	m.mu.Lock()
+	c := m.reg.Chart
+	if (c != nil && c.Epoch >= n.Epoch) || !h.Tag.Covers(m.tag) || m.reg.Promised > n.Ballot && c != nil && c.Epoch+1 == n.Epoch {
+		a.Chart = c
+		m.mu.Unlock()
+		return
+	}
+	m.joined = Tag{}
+	m.mu.Unlock()
+	m.stepDown("another member proposes")
+	err := m.onDisk(plate.TransferWait, func() error {
+		if err := m.cf.Store.Reset(h); err != nil {
+			m.broken.Store(true)
+			return err
+		}
+		m.broken.Store(false)
+		return nil
+	})
+	if err != nil {
+		m.sc.Log().Warn("checkpoint not taken", "err", err.Error())
+		return
+	}
+	if err := m.cf.Machine.Restore(h.Base); err != nil {
+		m.sc.Log().Warn("checkpoint can't be read", "err", err.Error())
+		return
+	}
+	for _, e := range h.Tail {
+		m.cf.Machine.Apply(e)
+	}
+	m.mu.Lock()
+	m.tag, m.joined, m.tail = h.Tag, h.Tag, nil
+	m.beat, m.beatBy = tick.Now(), n.From
+	m.mu.Unlock()
+	a.OK = true
+}
+
+func (m *Member) onAppend(n, a *crew.Note) {
+	if !m.wr.TryLock() {
+		return
+	}
+	defer m.wr.Unlock()
+	m.mu.Lock()
+	ok := n.Epoch != 0 && m.joined.Epoch == n.Epoch && m.joined.Mark == n.Ballot
+	a.Chart = m.reg.Chart
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	body := append([]byte{}, n.Body...)
+	if err := m.appendDisk(body); err != nil {
+		m.mu.Lock()
+		m.joined = Tag{} // the disk's state is in doubt: a new hand-over must come first
+		m.mu.Unlock()
+		return
+	}
+	m.cf.Machine.Apply(body)
+	m.trim()
+	a.OK = true
+}
+
+func (m *Member) appendDisk(e []byte) error {
+	return m.onDisk(plate.DiskWait, func() error {
+		if m.broken.Load() {
+			return fault.New(fault.Unready, "the log is closed")
+		}
+		err := m.cf.Store.Append(e)
+		if err != nil {
+			m.broken.Store(true)
+		}
+		return err
+	})
+}
+
+// trim puts a checkpoint in place of a log that has grown.
+func (m *Member) trim() {
+	if m.cf.Store.Size() < plate.LogSegment {
+		return
+	}
+	m.mu.Lock()
+	h := Held{m.tag, nil, m.tail}
+	m.mu.Unlock()
+	h.Base = m.cf.Machine.Checkpoint()
+	_ = m.onDisk(plate.TransferWait, func() error {
+		err := m.cf.Store.Reset(h)
+		if err != nil {
+			m.broken.Store(true)
+		}
+		return err
+	})
+}
+
+// Propose makes one change: check runs with nothing else in between and gives the entry. It returns once primary and backup have both synced it.
+func (m *Member) Propose(check func() ([]byte, error)) error {
+	m.wr.Lock()
+	defer m.wr.Unlock()
+	if _, ok := m.Active(); !ok {
+		return fault.New(fault.NotHere, "not the primary")
+	}
+	e, err := check()
+	if err != nil || e == nil {
+		return err
+	}
+	m.mu.Lock()
+	c := m.reg.Chart
+	m.mu.Unlock()
+	far := make(chan bool, 1)
+	go func() {
+		if c.Backup.ID == 0 {
+			far <- true
+			return
+		}
+		a, err := m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, plate.CallWait)
+		if err == nil && a.Chart != nil {
+			m.learn(a.Chart)
+		}
+		far <- err == nil && a.OK
+	}()
+	near := m.appendDisk(e)
+	there := <-far
+	if near != nil {
+		m.stepDown("own disk failed")
+		go m.yield(c)
+		return fault.Wrap(fault.Unready, near, "own disk")
+	}
+	m.mu.Lock()
+	m.tail = append(m.tail, e)
+	still := m.active && m.epoch == c.Epoch
+	m.mu.Unlock()
+	if !there || !still {
+		// the entry stays in the tail and goes into the next view's checkpoint
+		if !still || !m.change(true) {
+			return fault.New(fault.Unready, "no backup")
+		}
+		return nil
+	}
+	m.commit()
+	m.trim()
+	return nil
+}
+
+// commit applies the tail, which both of the pair have on disk.
+func (m *Member) commit() {
+	m.mu.Lock()
+	t := m.tail
+	m.tail = nil
+	m.mu.Unlock()
+	for _, e := range t {
+		m.cf.Machine.Apply(e)
+	}
+}
+
+// Confirmed tells whether this member is still primary: its backup says so now.
+func (m *Member) Confirmed() bool {
+	m.mu.Lock()
+	c, ok, ep := m.reg.Chart, m.active, m.epoch
+	m.mu.Unlock()
+	if !ok || c == nil || c.Epoch != ep {
+		return false
+	}
+	if c.Backup.ID == 0 {
+		return m.cf.Solo
+	}
+	a, err := m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Confirm, From: m.self, To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark}, plate.CallWait)
+	return err == nil && a.OK
+}
+
+func (m *Member) yield(c *crew.Chart) {
+	if c == nil || c.Backup.ID == 0 {
+		return
+	}
+	_, _ = m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Yield, From: m.self, To: c.Backup.ID, Epoch: c.Epoch}, plate.CallWait)
+}
+
+// Leave hands the primacy over, if held, and keeps this member out of the pair from now on.
+func (m *Member) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	was, c := m.active, m.reg.Chart
+	m.mu.Unlock()
+	if was {
+		m.wr.Lock()
+		m.stepDown("leaving")
+		m.wr.Unlock()
+		m.yield(c)
+	}
+}
--- /dev/null
+++ b/tick/tick.go
@@ -0,0 +1,75 @@
+// Package tick is the project's only door to time: the steady clock, timers and tickers.
+package tick
+
+import (
+	"time"
+
+	"shaletrestle/scope"
+)
+
+// Moment is a point on the steady clock.
+type Moment = time.Time
+
+// Span is a length of time.
+type Span = time.Duration
+
+// Now reads the steady clock.
+func Now() Moment { return time.Now() }
+
+// Since is the time passed since m.
+func Since(m Moment) Span { return time.Since(m) }
+
+// Until is the time left to m.
+func Until(m Moment) Span { return time.Until(m) }
+
+// Millis makes a span of milliseconds.
+func Millis(ms float64) Span { return Span(ms * float64(time.Millisecond)) }
+
+// Seconds makes a span of seconds.
+func Seconds(s float64) Span { return Span(s * float64(time.Second)) }
+
+// After gives a channel that fires once.
+func After(d Span) <-chan Moment { return time.After(d) }
+
+// Rest waits for d or until the scope ends; false means that it ended.
+func Rest(sc *scope.Scope, d Span) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-sc.Done():
+		return false
+	}
+}
+
+// Every calls f each d until the scope ends or f says false.
+func Every(sc *scope.Scope, d Span, f func() bool) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if !f() {
+				return
+			}
+		case <-sc.Done():
+			return
+		}
+	}
+}
+
+// Timer fires once.
+type Timer struct {
+	C <-chan Moment
+	t *time.Timer
+}
+
+// NewTimer makes a timer.
+func NewTimer(d Span) Timer {
+	t := time.NewTimer(d)
+	return Timer{t.C, t}
+}
+
+// Stop ends a timer.
+func (t Timer) Stop() { t.t.Stop() }
