--- a/berth/yard.go
+++ b/berth/yard.go
@@ -22,6 +22,7 @@
 	Chain    *kerf.Chain // nil for services without an engine
 	Capacity int         // tokens of memory of one replica
 	OutMost  int         // most tokens that may come out
+	Aim      tick.Span   // time within which the first token is wanted
 	Not      map[string]bool
 	Regions  func(locality string) bool // nil: everywhere
 	ColdRate func(id string) float64    // inquiries a second that this process may send to a cold replica
@@ -245,17 +246,19 @@
 	if pick < 0 {
 		pick, spilled = least, true
 	}
-	// a home not yet warm is worth what it will keep for the next ones; it gives way to the least busy by the same rule
-	worth := os[pick].m
-	if !spilled && a.Chain.Shared() > 0 {
-		worth = max(worth, a.Chain.Upto[a.Chain.Shared()-1])
-	}
-	if d := os[pick].delay - os[least].delay; pick != least && d > float64(worth-os[least].m)*os[pick].b.prefill {
+	// the smallest exception: a home that would miss the aim gives way to the least busy if that one would be much sooner
+	first := func(o option) float64 { return o.delay + float64(a.Chain.Tokens()-o.m)*o.b.prefill }
+	if f := first(os[pick]); pick != least && f > plate.SpillAim*a.Aim.Seconds() && first(os[least]) < f/2 {
 		pick, spilled = least, true
 	}
 	c := Choice{Spilled: spilled}
+	// every node sees its own part of the traffic only: what the first home keeps is credited with the shared parts, which the others have sent there too
+	kept := os[pick].m
+	if pick == order[0] && a.Chain.Shared() > 0 {
+		kept = max(kept, kerf.ToBlock(a.Chain.Upto[a.Chain.Shared()-1]))
+	}
 	for i, o := range os {
-		if saves := float64(o.m-os[pick].m) * o.b.prefill; o.m > os[pick].m && saves > o.delay-os[pick].delay && (spilled || o.occ < plate.Spill) {
+		if saves := float64(o.m-kept) * o.b.prefill; o.m > kept && saves > o.delay-os[pick].delay && (spilled || o.occ < plate.Spill) {
 			pick, c.Warmer = i, true
 		}
 	}
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -190,7 +190,7 @@
 			parts = []kerf.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
 		}
 		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights(name, model)), parts)
-		q.ask.Capacity, q.ask.OutMost = int(e.Tokens), out
+		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
 		q.head.Set(blade.HeadUrgency, strconv.Itoa(min(9, max(0, q.path.Priority))))
 	}
 	q.g.budget.Asked(name)
