--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -48,6 +48,7 @@
 	budget   *Budget
 	table    atomic.Pointer[sorting.Table]
 	ready    atomic.Bool
+	isReady  chan struct{}
 	leaving  atomic.Bool
 	inflight atomic.Int64
 	bodies   atomic.Int64
@@ -65,7 +66,7 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, isReady: make(chan struct{})}
 	g.env.Store(p.Env)
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
@@ -102,6 +103,7 @@
 	go g.follower.Run()
 	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
 	go g.front.Run()
+	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
 	<-g.sc.Done()
 	_ = rs.Close()
 	_ = ps.Close()
@@ -210,7 +212,10 @@
 	}
 	g.mu.Unlock()
 	if v.Doc.Epoch > 0 && v.Listed {
-		g.ready.Store(true)
+		if g.ready.CompareAndSwap(false, true) {
+			close(g.isReady)
+			g.sc.Log().Info("ready", "part", "gatehouse", "revision", v.Doc.Epoch, "replicas", len(v.Replicas))
+		}
 	}
 	if e != nil && e.Kind == logbook.Houses {
 		g.nearer(v)
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -35,15 +35,14 @@
 	head     http.Header
 	ask      *berth.Ask
 	// what may be said
-	sent    int  // replicas that it was sent to
-	mayRun  bool // one of them may have run it, or did
-	began   bool // the client has the head of an answer
-	lastID  int64
-	step    int64
-	held    int64
-	status  int         // of the newest promise
-	notRun  http.Header // heads of the newest promise
-	unready bool
+	sent   int  // replicas that it was sent to
+	mayRun bool // one of them may have run it, or did
+	began  bool // the client has the head of an answer
+	lastID int64
+	step   int64
+	held   int64
+	status int         // of the newest promise
+	notRun http.Header // heads of the newest promise
 }
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
@@ -55,9 +54,16 @@
 	}
 	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: tick.Now(), lastID: -1}
 	defer q.release()
-	if q.table.Epoch == 0 {
-		q.refuse(fault.Unready)
-		return
+	if !g.ready.Load() {
+		select {
+		case <-g.isReady:
+			q.table = g.table.Load()
+		case <-tick.After(plate.UnreadyHold):
+			q.refuse(fault.Unready)
+			return
+		case <-r.Context().Done():
+			return
+		}
 	}
 	if buyer.Doubtful(r) {
 		w.Header().Set("Connection", "close")
@@ -207,7 +213,11 @@
 // refuse promises that nothing was run and never will be.
 func (q *inquiry) refuse(k fault.Kind) {
 	q.g.count.refused.Inc()
-	reply.Refuse(q.w, k, plate.RetryAfter)
+	after := plate.RetryAfter
+	if k == fault.Unready {
+		after = plate.RetryUnready
+	}
+	reply.Refuse(q.w, k, after)
 }
 
 // giveUp ends an inquiry with what may truly be said of it.
--- a/haul/feed.go
+++ b/haul/feed.go
@@ -49,7 +49,7 @@
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
 func NewFeed(sc *scope.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
-	f := &Feed{sc: sc.Part("haul"), board: b, subs: map[*crew.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
+	f := &Feed{sc: sc.Part("haul"), board: b, fresh: tick.Now(), subs: map[*crew.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
 	go tick.Every(f.sc, plate.NewsBeat, func() bool { f.beat(); return true })
 	return f
 }
@@ -150,9 +150,6 @@
 func (f *Feed) beat() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.epoch == 0 {
-		return
-	}
 	n := &crew.Note{Kind: crew.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "beat"}
 	for _, l := range f.subs {
 		if l.ch.Quiet() > plate.NewsLost {
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -40,9 +40,10 @@
 
 // Leases.
 const (
-	LeaseSpan   = 1500 * time.Millisecond // how long a duty is granted
-	LeaseMargin = 300 * time.Millisecond  // holder stops this much earlier: clock drift and late timers
-	LeaseRenew  = 500 * time.Millisecond  // three renewals fit into a span
+	LeaseSpan   = 500 * time.Millisecond // how long a duty is granted; a restarted grantor is silent this long
+	LeaseMargin = 120 * time.Millisecond // holder stops this much earlier: clock drift and late timers
+	LeaseRenew  = 150 * time.Millisecond // three renewals fit into a span
+	LeaseAgain  = 50 * time.Millisecond  // pause while a wanted lease is not granted yet
 )
 
 // News to the gatehouses.
@@ -86,7 +87,9 @@
 	EventMax      = 1 << 20                 // bytes of one stream event
 	AnswerMax     = 32 << 20                // bytes of one whole answer held
 	RefusePart    = 0.2                     // refusals come before this part of the aim
-	RetryAfter    = 0.25                    // s; told with a refusal
+	RetryAfter    = 0.4                     // s; told with a refusal while replicas are crowded
+	RetryUnready  = 0.8                     // s; told while this process has no setup or list yet: about what a start takes
+	UnreadyHold   = 150 * time.Millisecond  // an inquiry waits this long for setup and list before it is refused
 	SilenceGaps   = 2.5                     // a stream silent for this many target gaps is taken up elsewhere
 	SilenceAims   = 1.5                     // no first event within this many aims: another replica is tried
 	KeepMargin    = 300 * time.Millisecond  // an idle connection is left alone this long before its Keep-Alive ends
--- a/tally/member.go
+++ b/tally/member.go
@@ -81,6 +81,9 @@
 	id, boot := cf.Store.Identity()
 	m := &Member{sc: sc.Part("tally"), cf: cf, self: crew.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
 		disk: make(chan func(), 64), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
+	if c := m.reg.Chart; c != nil && c.Primary.ID == id {
+		m.beat = m.beat.Add(-2 * plate.BeatEvery) // a primary that comes back asks at once; the witnesses know better if it was followed
+	}
 	h := cf.Store.Load()
 	if h.Base != nil {
 		if err := cf.Machine.Restore(h.Base); err != nil {
@@ -109,6 +112,7 @@
 	}()
 	go tick.Every(m.sc, plate.BeatEvery, func() bool { m.beats(); return true })
 	pause := plate.StepPause + tick.Span(m.self.ID%8)*20*time.Millisecond
+	m.step()
 	tick.Every(m.sc, pause, func() bool { m.step(); return true })
 }
 
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -103,8 +103,9 @@
 	go h.member.Run()
 	go h.follower.Run()
 	go h.duty.Run()
-	go tick.Every(h.sc, plate.ListEvery, func() bool { h.poll(); return true })
+	go h.read()
 	go tick.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
+	h.sc.Log().Info("started", "part", "tallyhouse", "node", h.env.NodeName)
 	<-h.sc.Done()
 	_ = srv.Close()
 	_ = page.Close()
@@ -159,7 +160,6 @@
 	_ = h.news.Restore(v.Encode())
 	h.feed.Begin(epoch)
 	h.live.Store(true)
-	go h.duty.Renew()
 }
 
 func (h *House) idle() {
@@ -228,6 +228,20 @@
 	return h.state.View(), nil
 }
 
+// read does the duty of reading the list: at once when the lease comes, then again and again.
+func (h *House) read() {
+	for !h.sc.Ended() {
+		pause := plate.LeaseAgain
+		if h.live.Load() && (h.duty.Held() || h.duty.Renew()) {
+			h.poll()
+			pause = plate.ListEvery
+		}
+		if !tick.Rest(h.sc, pause) {
+			return
+		}
+	}
+}
+
 // poll reads the platform's list if the lease for it is held.
 func (h *House) poll() {
 	if !h.live.Load() || !h.duty.Held() {
