--- a/berth/yard.go
+++ b/berth/yard.go
@@ -33,6 +33,7 @@
 	Replica *logbook.Replica
 	Matched int
 	Expect  tick.Span // predicted time to the first token
+	Alone   tick.Span // the same with nothing else there
 	Spilled bool
 	Warmer  bool
 	Cold    bool
@@ -270,7 +271,8 @@
 	}
 	o := os[pick]
 	c.Matched = o.m
-	c.Expect = tick.Seconds(o.delay + float64(a.Chain.Tokens()-o.m)*o.b.prefill)
+	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-o.m)*o.b.prefill)
+	c.Expect = tick.Seconds(o.delay) + c.Alone
 	return o.b, c
 }
 
@@ -335,10 +337,10 @@
 	b.tokens = max(0, b.tokens-n)
 	b.extra, b.extraAt = max(0, (took-expect).Seconds()), tick.Now()
 	quiet := b.inflight <= 1
-	if quiet && n > 2000 { // alone there: the time is the prompt's
-		per := took.Seconds() / n
-		b.prefill += plate.LearnRate * (per - b.prefill)
-		y.prefill += plate.LearnRate * (per - y.prefill)
+	if n >= plate.LearnTokens {
+		per := max(0, took.Seconds()-plate.FirstBase.Seconds()) / n
+		learn(&b.prefill, per)
+		learn(&y.prefill, per)
 	}
 	saved := float64(e.Matched) * b.prefill
 	y.mu.Unlock()
@@ -352,6 +354,15 @@
 	}
 }
 
+// learn moves a rate to an observation: quickly down, slowly up, since waiting only ever adds to what is observed.
+func learn(rate *float64, seen float64) {
+	w := plate.LearnUp
+	if seen < *rate {
+		w = plate.LearnDown
+	}
+	*rate += w * (seen - *rate)
+}
+
 // Done ends the count of a shot.
 func (y *Yard) Done(e *End) {
 	y.mu.Lock()
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -197,7 +197,6 @@
 		}
 		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights(name, model)), parts)
 		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
-		q.head.Set(blade.HeadUrgency, strconv.Itoa(min(9, max(0, q.path.Priority))))
 	}
 	q.g.budget.Asked(name)
 	return true
@@ -296,6 +295,9 @@
 	h := q.head.Clone()
 	h.Set(blade.HeadExpect, id)
 	h.Set(blade.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
+	if q.ask.Chain != nil {
+		h.Set(blade.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
+	}
 	if q.lastID >= 0 {
 		h.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
@@ -319,6 +321,15 @@
 	return q.listen(a, end, at, c, quit)
 }
 
+// urgency is the class that a replica is told: by the path's priority, behind all others if the prompt alone takes longer than the aim.
+func (q *inquiry) urgency(alone tick.Span) int {
+	if alone > q.path.Aim {
+		return plate.UrgencyLate
+	}
+	part := float64(alone) / float64(max(q.path.Aim, 1))
+	return min(plate.UrgencyLate-1, int(part*7))
+}
+
 // again tells whether another replica may be tried after one that may have run the inquiry; if not, it is answered.
 func (q *inquiry) again(why string) bool {
 	q.mayRun = true
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -105,6 +105,7 @@
 	GraceMargin   = 700 * time.Millisecond  // a leaving process ends this long before its grace does
 	BodyWait      = 10 * time.Second        // a client may take this long over its body
 	WriteWait     = 10 * time.Second        // a client that reads nothing this long is let go
+	UrgencyLate   = 8                       // class of prompts that miss the aim in any case; 9 is the last
 	BudgetReserve = 15 * time.Millisecond   // taken off Time-Budget-Ms for the way back
 	LingerReady   = 2500 * time.Millisecond // after SIGTERM: the platform asks each second and notices at two misses
 	WatchFile     = 2 * time.Second         // the settings file is looked at this often
@@ -127,5 +128,8 @@
 	IndexRuns    = 20000                 // runs kept at most over all replicas
 	NearBonus    = 0.15                  // part of the slots by which another locality must be less busy
 	HintContra   = 3                     // contradictions before a hint is dropped
-	LearnRate    = 0.1                   // weight of the newest observation
+	LearnTokens  = 4000                  // shorter prompts tell little about the time per token
+	LearnDown    = 0.2                   // weight of an observation below what is believed
+	LearnUp      = 0.02                  // weight of one above: it holds waiting too
+	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
