--- a/berth/yard.go
+++ b/berth/yard.go
@@ -67,6 +67,7 @@
 	pools   map[string][]*berth
 	evac    map[string]bool
 	prefill float64
+	prompt  float64 // tokens that a prompt leaves to be read, on average
 	spills  int64
 	warmer  int64
 	placed  int64
@@ -175,6 +176,7 @@
 	b.inflight++
 	if a.Chain != nil {
 		n := a.Chain.Tokens()
+		y.prompt += plate.LearnUp * (float64(n-c.Matched) - y.prompt)
 		b.tokens += float64(n - c.Matched)
 		b.kv += float64(n + a.OutMost)
 	}
@@ -182,11 +184,14 @@
 }
 
 // delay is the predicted time before a new inquiry's own prompt is read.
-func (b *berth) delay(now tick.Moment) float64 {
+func (b *berth) delay(now tick.Moment, prompt float64) float64 {
 	d := b.tokens * b.prefill
 	if age := now.Sub(b.extraAt).Seconds(); age < 2 {
 		d = max(d, b.extra*math.Exp(-age*2))
 	}
+	if age := now.Sub(b.toldAt).Seconds(); age < 1 {
+		d = max(d, b.waiting*prompt*(1-age))
+	}
 	return d
 }
 
@@ -227,7 +232,7 @@
 	least := 0
 	busy := func(o option) float64 { return o.delay + o.occ }
 	for i, b := range fit {
-		os[i] = option{b, match[i], rank(a.Chain.Head(), b.r.ID), b.delay(now), b.occupancy(a.Capacity, now)}
+		os[i] = option{b, match[i], rank(a.Chain.Head(), b.r.ID), b.delay(now, y.prompt*b.prefill), b.occupancy(a.Capacity, now)}
 		if busy(os[i]) < busy(os[least]) {
 			least = i
 		}
