--- a/haul/follower.go
+++ b/haul/follower.go
@@ -56,7 +56,11 @@
 			f.now.Store("")
 		}
 		bad = at
-		if !tick.Rest(f.sc, plate.StepPause) {
+		pause := plate.StepPause
+		if at == "" {
+			pause = plate.LookAgain
+		}
+		if !tick.Rest(f.sc, pause) {
 			return
 		}
 	}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -49,6 +49,7 @@
 // News to the gatehouses.
 const (
 	NewsBeat    = 400 * time.Millisecond  // beat on a quiet channel
+	LookAgain   = 40 * time.Millisecond   // a follower without anybody to follow looks again
 	NewsLost    = 1300 * time.Millisecond // three beats: the channel counts as dead
 	RelayStale  = 1200 * time.Millisecond // a relay without its primary this long says so
 	AckWait     = 300 * time.Millisecond  // an order's answer waits this long for gatehouses
@@ -89,7 +90,7 @@
 	RefusePart    = 0.2                     // refusals come before this part of the aim
 	RetryAfter    = 0.4                     // s; told with a refusal while replicas are crowded
 	RetryUnready  = 0.8                     // s; told while this process has no setup or list yet: about what a start takes
-	UnreadyHold   = 150 * time.Millisecond  // an inquiry waits this long for setup and list before it is refused
+	UnreadyHold   = 1 * time.Second         // an inquiry waits this long for setup and list before it is refused: a start takes less
 	SilenceGaps   = 2.5                     // a stream silent for this many target gaps is taken up elsewhere
 	SilenceAims   = 1.5                     // no first event within this many aims: another replica is tried
 	KeepMargin    = 300 * time.Millisecond  // an idle connection is left alone this long before its Keep-Alive ends
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -48,6 +48,7 @@
 	live     atomic.Bool
 	polls    atomic.Int64
 	fails    atomic.Int64
+	polling  sync.Mutex
 	mu       sync.Mutex
 	fleet    map[string]tick.Moment
 }
@@ -160,6 +161,7 @@
 	_ = h.news.Restore(v.Encode())
 	h.feed.Begin(epoch)
 	h.live.Store(true)
+	go h.poll(true) // once, without the lease: that one settles who reads again and again
 }
 
 func (h *House) idle() {
@@ -233,7 +235,7 @@
 	for !h.sc.Ended() {
 		pause := plate.LeaseAgain
 		if h.live.Load() && (h.duty.Held() || h.duty.Renew()) {
-			h.poll()
+			h.poll(false)
 			pause = plate.ListEvery
 		}
 		if !tick.Rest(h.sc, pause) {
@@ -242,9 +244,10 @@
 	}
 }
 
-// poll reads the platform's list if the lease for it is held.
-func (h *House) poll() {
-	if !h.live.Load() || !h.duty.Held() {
+// poll reads the platform's list if the lease for it is held; the first time of a view it needs none.
+func (h *House) poll(first bool) {
+	may := func() bool { return h.live.Load() && (first || h.duty.Held()) }
+	if !may() {
 		return
 	}
 	h.polls.Inc()
@@ -255,7 +258,9 @@
 		}
 		return
 	}
-	if !h.duty.Held() || !h.live.Load() {
+	h.polling.Lock()
+	defer h.polling.Unlock()
+	if !may() {
 		return
 	}
 	v := h.news.View()
