--- a/plate/plate.go
+++ b/plate/plate.go
@@ -118,7 +118,7 @@
 	BlockTokens  = 16                    // tokens a block (source)
 	Homes        = 3                     // rendezvous homes of a chain (source)
 	Spill        = 0.85                  // occupancy above which a home is passed over (source)
-	SpillAim     = 0.45                  // part of the aim that the first token may take at a home before it is passed over
+	SpillAim     = 0.9                   // part of the aim that the first token may take at a home before it is passed over
 	Thrash       = 0.9                   // evictions over stores that count as thrash (source)
 	SecondSight  = 2                     // sightings before an entry is made (source)
 	PrefillToken = 35 * time.Microsecond // per prompt token until learned (source)
