--- a/buyer/front.go
+++ b/buyer/front.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// Close ends the front at once.
+func (f *Front) Close() { f.Finish(0) }
+
 // Finish takes no more connections and waits for what is held, at most d.
 func (f *Front) Finish(d tick.Span) {
 	_ = f.ln.Close()
--- a/crew/net.go
+++ b/crew/net.go
@@ -71,7 +71,7 @@
 }
 
 type line struct {
-	mu sync.Mutex
+	mu tick.Latch
 	ch *Channel
 }
 
@@ -85,7 +85,7 @@
 	l.mu.Lock()
 	x := l.m[addr]
 	if x == nil {
-		x = &line{}
+		x = &line{mu: tick.NewLatch()}
 		l.m[addr] = x
 	}
 	l.mu.Unlock()
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -107,6 +107,12 @@
 	<-g.sc.Done()
 	_ = rs.Close()
 	_ = ps.Close()
+	g.front.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		p.Shut()
+	}
 	return nil
 }
 
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -478,6 +478,7 @@
 	}
 	switch {
 	case p.Status >= 500 && q.path.Repeatable() && q.sent < q.path.Shots && p.Status != http.StatusGatewayTimeout:
+		q.ask.Not[id] = true
 		return true
 	case p.Status == http.StatusServiceUnavailable, p.Status == http.StatusTooManyRequests, p.Status == http.StatusRequestTimeout:
 		q.giveUp(fault.Broken, "the replica refused after it may have run")
--- /dev/null
+++ b/sim/script_test.go
@@ -0,0 +1,31 @@
+package sim
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestScenarios runs every file of testdata on simulated time.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.scn")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".scn"), func(t *testing.T) {
+			out := io.Writer(io.Discard)
+			if os.Getenv("SCENARIO_LOG") != "" {
+				out = os.Stderr
+			}
+			synctest.Test(t, func(t *testing.T) {
+				require.NoError(t, RunFile(NewWorld(slog.New(slog.NewTextHandler(out, nil))), f))
+			})
+		})
+	}
+}
--- a/tally/member.go
+++ b/tally/member.go
@@ -55,7 +55,7 @@
 	boot bool
 	disk chan func()
 
-	wr sync.Mutex // held through a write or a change of view
+	wr tick.Latch // held through a write or a change of view
 
 	mu      sync.Mutex
 	reg     Register
@@ -80,7 +80,7 @@
 func New(sc *scope.Scope, cf Config) (*Member, error) {
 	id, boot := cf.Store.Identity()
 	m := &Member{sc: sc.Part("tally"), cf: cf, self: crew.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
-		disk: make(chan func(), 64), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
+		disk: make(chan func(), 64), wr: tick.NewLatch(), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
 	if c := m.reg.Chart; c != nil && c.Primary.ID == id {
 		m.beat = m.beat.Add(-2 * plate.BeatEvery) // a primary that comes back asks at once; the witnesses know better if it was followed
 	}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -342,3 +342,6 @@
 
 // Reload takes new settings: nothing that this process holds depends on those that may change while it runs.
 func (h *House) Reload(*env.Env) {}
+
+// Acting tells whether this process is primary and tells the news.
+func (h *House) Acting() bool { return h.live.Load() }
