--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -19,6 +19,7 @@
 	"shaletrestle/haul"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
+	"shaletrestle/lookout"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
@@ -43,6 +44,7 @@
 	cursor   *haul.Cursor
 	follower *haul.Follower
 	front    *buyer.Front
+	watcher  *lookout.Watcher
 	index    *kerf.Index
 	yard     *berth.Yard
 	budget   *Budget
@@ -75,6 +77,14 @@
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
 	at := p.Env.Port(plate.PortGate)
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
+	lines := crew.NewLines(sc, p.Net, g.handle)
+	ping := func(node string) bool {
+		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello}, plate.CallWait)
+		return err == nil && a.OK
+	}
+	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, ping, func(node string, alive bool) {
+		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
+	})
 	g.book.Watch(g.changed)
 	return g
 }
@@ -94,6 +104,11 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "state page")
 	}
+	cl, err := g.net.Listen(e.Port(plate.PortGate))
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "crew port")
+	}
+	go crew.Serve(g.sc, cl, g.handle)
 	g.front = buyer.New(g.sc, fl, http.HandlerFunc(g.serve))
 	g.front.Limit(g.table.Load().Limits)
 	rs := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
@@ -101,6 +116,7 @@
 	go func() { _ = rs.Serve(rl) }()
 	go func() { _ = ps.Serve(pl) }()
 	go g.follower.Run()
+	go g.watcher.Run()
 	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
@@ -116,6 +132,14 @@
 	return nil
 }
 
+// handle answers the pings of other gatehouses.
+func (g *Gate) handle(_ *crew.Channel, n *crew.Note) *crew.Note {
+	if n.Kind != crew.Hello || n.Call == 0 {
+		return nil
+	}
+	return n.Reply(true)
+}
+
 // Leave finishes what is held and returns when the process may end.
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
@@ -310,7 +334,7 @@
 		"setup": map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths}, "evacuated": v.Evac, "fleet": v.Fleet,
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
 		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": g.made.Load(), "budget_left": left,
-		"index": map[string]any{"runs": runs, "asked": asked, "hits": hits}, "yard": g.yard.Stats(),
+		"index": map[string]any{"runs": runs, "asked": asked, "hits": hits}, "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
 	})
 }
 
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -115,6 +115,12 @@
 	}
 }
 
+// Send passes a note to the source followed now, if there is one.
+func (f *Follower) Send(n *crew.Note) bool {
+	ch := f.ch.Load()
+	return ch != nil && ch.Send(n)
+}
+
 // Tell sends the acknowledgement again, after this relay's own followers moved on.
 func (f *Follower) Tell() {
 	if ch := f.ch.Load(); ch != nil {
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -48,14 +48,17 @@
 
 // News to the gatehouses.
 const (
-	NewsBeat    = 400 * time.Millisecond  // beat on a quiet channel
-	LookAgain   = 40 * time.Millisecond   // a follower without anybody to follow looks again
-	NewsLost    = 1300 * time.Millisecond // three beats: the channel counts as dead
-	RelayStale  = 1200 * time.Millisecond // a relay without its primary this long says so
-	AckWait     = 300 * time.Millisecond  // an order's answer waits this long for gatehouses
-	NewsKeep    = 512                     // deltas kept for those that come back
-	FleetEvery  = 500 * time.Millisecond  // how often fleet size and control members are told, if they changed
-	FleetForget = 30 * time.Second        // a gatehouse unseen this long leaves the fleet size
+	NewsBeat     = 400 * time.Millisecond  // beat on a quiet channel
+	LookAgain    = 40 * time.Millisecond   // a follower without anybody to follow looks again
+	NewsLost     = 1300 * time.Millisecond // three beats: the channel counts as dead
+	RelayStale   = 1200 * time.Millisecond // a relay without its primary this long says so
+	AckWait      = 300 * time.Millisecond  // an order's answer waits this long for gatehouses
+	NewsKeep     = 512                     // deltas kept for those that come back
+	FleetEvery   = 500 * time.Millisecond  // how often fleet size and control members are told, if they changed
+	FleetForget  = 30 * time.Second        // a gatehouse unseen this long leaves the fleet size
+	WatchersEach = 2                       // watchers of one gatehouse: one may be lost with it
+	MissesMost   = 3                       // pings missed before a node is suspected: one or two are lost by chance
+	SuspectPart  = 4                       // at most one in so many gatehouses leaves the fleet size by suspicion: BudgetMargin covers as many that still run
 )
 
 // The platform's list.
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -51,6 +51,8 @@
 	polling  sync.Mutex
 	mu       sync.Mutex
 	fleet    map[string]tick.Moment
+	most     int // the largest fleet of late
+	mostAt   tick.Moment
 }
 
 // New builds a tallyhouse.
@@ -132,7 +134,7 @@
 	case crew.Heard:
 		h.feed.Ack(ch, n)
 	case crew.Suspect:
-		h.suspect(n.Word)
+		h.suspect(n)
 	}
 	return nil
 }
@@ -287,6 +289,9 @@
 		}
 		nodes = append(nodes, a)
 	}
+	if len(nodes) >= h.most || now.Sub(h.mostAt) > plate.FleetForget {
+		h.most, h.mostAt = len(nodes), now
+	}
 	h.mu.Unlock()
 	sort.Strings(nodes)
 	v := h.news.View()
@@ -323,9 +328,27 @@
 	return true
 }
 
-// suspect hears that a gatehouse does not answer its watchers.
-func (h *House) suspect(addr string) {
-	h.sc.Log().Warn("node suspected", "part", "lookout", "node", addr)
+// suspect hears from watchers that a gatehouse does not answer. The primary takes it out of the fleet size if it isn't reached any more, at most a part of the fleet at a time: one that still runs keeps using its old share.
+func (h *House) suspect(n *crew.Note) {
+	if !h.live.Load() {
+		h.follower.Send(n)
+		return
+	}
+	if n.OK {
+		return
+	}
+	for _, s := range h.feed.Reached() {
+		if s.Addr == n.Word {
+			return
+		}
+	}
+	h.mu.Lock()
+	_, known := h.fleet[n.Word]
+	if known && len(h.fleet)-1 >= h.most-h.most/plate.SuspectPart {
+		delete(h.fleet, n.Word)
+		h.sc.Log().Info("suspected node leaves the fleet size", "part", "lookout", "node", n.Word)
+	}
+	h.mu.Unlock()
 }
 
 // page is the state page.
