Deep prompt parts enter the index at their second sighting; one trial after an ejection

Counting stopped at the first part seen once, so the third part of a prompt entered at its fourth sighting; a trial waited for all that was out at the replica.

--- a/berth/yard.go
+++ b/berth/yard.go
@@ -53,7 +53,8 @@
 	extraAt  tick.Moment
 	ejected  tick.Moment
 	fails    int
-	trial    bool
+	trial    bool // the next inquiry is the one trial after an ejection
+	trying   bool // it is out
 	wrong    bool // another replica is at its address
 	coldNext tick.Moment
 	coldTill tick.Moment // back from an evacuation: cold until the list has had time to say
@@ -145,7 +146,7 @@
 	var cold *berth
 	coldRate := 0.0
 	for _, b := range y.pools[a.Pool] {
-		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) || now.Before(b.ejected) || b.trial && b.inflight > 0 {
+		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) || now.Before(b.ejected) || b.trial && b.trying {
 			continue
 		}
 		if y.cold(b, now) {
@@ -172,6 +173,7 @@
 		b.coldNext = now.Add(tick.Seconds(1 / coldRate))
 	}
 	c.Replica = b.r
+	b.trying = b.trial
 	y.placed++
 	b.inflight++
 	if a.Chain != nil {
@@ -333,7 +335,7 @@
 		return
 	}
 	e.First = true
-	b.fails, b.trial = 0, false
+	b.fails, b.trial, b.trying = 0, false, false
 	if e.Chain == nil {
 		y.mu.Unlock()
 		return
@@ -377,6 +379,7 @@
 		return
 	}
 	b.inflight = max(0, b.inflight-1)
+	b.trying = false
 	if e.Chain != nil {
 		if !e.First {
 			b.tokens = max(0, b.tokens-float64(e.Chain.Tokens()-e.Matched))
--- /dev/null
+++ b/crew/note_test.go
@@ -0,0 +1,46 @@
+package crew
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func sample() *Note {
+	s := func(i uint64) Seat { return Seat{i, "10.0.0.1:7000", "north"} }
+	c := &Chart{Epoch: 4, Mark: 9, Witnesses: []Seat{s(1), s(2), s(3)}, Primary: s(1), Backup: s(2)}
+	return &Note{Kind: Accept, Call: 7, Answer: true, OK: true, From: s(5), To: 6, Epoch: 4, Ballot: 9, Number: 3, Base: 2, Span: 8, Chart: c, Held: c, HeldBallot: 1, Word: "w", Body: []byte{0, 1}, Seats: []Seat{s(8)}}
+}
+
+func TestNotesComeBackAsTheyWere(t *testing.T) {
+	for _, n := range []*Note{sample(), {}, {Kind: News, Body: []byte("x")}} {
+		m, err := Decode(n.Encode())
+		require.NoError(t, err)
+		require.Equal(t, n, m)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sample().Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if n, err := Decode(b); err == nil {
+			require.NotNil(t, n)
+		} else {
+			require.Nil(t, n)
+		}
+	})
+}
+
+func TestFramesOverTheLimitAreRefused(t *testing.T) {
+	var l [4]byte
+	binary.LittleEndian.PutUint32(l[:], 1<<31)
+	_, err := ReadFrame(bytes.NewReader(l[:]))
+	require.Error(t, err)
+	_, err = ReadFrame(bytes.NewReader([]byte{9, 0, 0, 0, 1}))
+	require.Error(t, err, "cut short")
+	b, err := ReadFrame(bytes.NewReader([]byte{2, 0, 0, 0, 5, 6}))
+	require.NoError(t, err)
+	require.Equal(t, []byte{5, 6}, b)
+}
--- /dev/null
+++ b/haul/haul_test.go
@@ -0,0 +1,127 @@
+package haul
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/crew"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// words is a board that joins its changes.
+type words struct {
+	mu sync.Mutex
+	s  string
+}
+
+func (w *words) Restore(b []byte) error { w.mu.Lock(); w.s = string(b); w.mu.Unlock(); return nil }
+func (w *words) Fold(b []byte)          { w.mu.Lock(); w.s += string(b); w.mu.Unlock() }
+func (w *words) Checkpoint() []byte     { w.mu.Lock(); defer w.mu.Unlock(); return []byte(w.s) }
+
+// pipes is a network of in-memory connections to one feed.
+type pipes struct {
+	sc   *scope.Scope
+	feed *Feed
+	last net.Conn
+	off  bool
+}
+
+func (p *pipes) Dial(string, tick.Span) (net.Conn, error) {
+	if p.off {
+		return nil, net.ErrClosed
+	}
+	a, b := net.Pipe()
+	p.last = b
+	crew.Open(p.sc, b, func(ch *crew.Channel, n *crew.Note) *crew.Note {
+		switch n.Kind {
+		case crew.Follow:
+			p.feed.Follow(ch, n)
+		case crew.Heard:
+			p.feed.Ack(ch, n)
+		}
+		return nil
+	})
+	return a, nil
+}
+
+func (p *pipes) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+func TestAFollowerGetsCheckpointThenDeltasThenWhatItMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		src := &words{s: "old"}
+		f := NewFeed(sc, src, nil)
+		p := &pipes{sc: sc, feed: f}
+		got := &words{}
+		c := NewCursor(got)
+		go NewFollower(sc, p, c, crew.Seat{ID: 1, Addr: "n1"}, false, func(string) string { return "x" }, nil).Run()
+		f.Begin(1)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, "old", string(got.Checkpoint()))
+		n := f.Push([]byte("+a"))
+		have, of := f.Wait(sc, n, time.Second)
+		require.Equal(t, 1, have)
+		require.Equal(t, 1, of)
+		require.Equal(t, "old+a", string(got.Checkpoint()))
+		_ = p.last.Close()
+		p.off = true
+		time.Sleep(50 * time.Millisecond)
+		f.Push([]byte("+b"))
+		f.Push([]byte("+c"))
+		p.off = false
+		time.Sleep(time.Second)
+		require.Equal(t, "old+a+b+c", string(got.Checkpoint()))
+		f.Begin(2)
+		f.Push([]byte("+d"))
+		time.Sleep(100 * time.Millisecond)
+		ep, num := c.At()
+		require.Equal(t, uint64(2), ep)
+		require.Equal(t, uint64(1), num)
+		require.Error(t, c.Restore(1, 9, []byte("stale")), "an older life is refused")
+		require.False(t, c.Take(2, 7, []byte("gap")))
+		require.True(t, c.Take(2, 1, []byte("+d")), "one that was taken is no gap")
+		require.Equal(t, "old+a+b+c+d", string(got.Checkpoint()))
+		require.Len(t, f.Reached(), 1)
+	})
+}
+
+func TestASilentSourceIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		f := NewFeed(sc, &words{}, nil)
+		f.Begin(1)
+		p := &pipes{sc: sc, feed: f}
+		var tried []string
+		fo := NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
+		go fo.Run()
+		time.Sleep(5 * time.Second)
+		require.Len(t, tried, 1)
+		f.End() // a relay that hears nothing says so after a while
+		time.Sleep(plate.RelayStale + plate.NewsLost)
+		require.Greater(t, len(tried), 1)
+		require.True(t, strings.HasPrefix(tried[1], "at1"))
+	})
+}
+
+func ExampleFeed() {
+	sc := scope.New(slog.New(slog.DiscardHandler))
+	defer sc.Stop()
+	board := &words{}
+	f := NewFeed(sc, board, nil)
+	f.Begin(1)
+	f.Push([]byte("sal "))
+	fmt.Println(f.Push([]byte("pine")), string(board.Checkpoint()))
+	// Output: 2 sal pine
+}
--- a/kerf/index.go
+++ b/kerf/index.go
@@ -126,12 +126,10 @@
 		need++ // thrash: be more selective
 	}
 	upto, count := 0, 0
-	for i, k := range c.Keys {
-		n := x.sketch.Add(k)
-		if n < need {
-			break
+	for i, k := range c.Keys { // every part is counted, also behind one that is seen for the first time
+		if n := x.sketch.Add(k); n >= need && upto == i {
+			upto, count = i+1, n
 		}
-		upto, count = i+1, n
 	}
 	if upto == 0 {
 		return
--- /dev/null
+++ b/rota/rota_test.go
@@ -0,0 +1,135 @@
+package rota
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/crew"
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// fleet is grantors in one process, some of them out of reach.
+type fleet struct {
+	g    []*Grantor
+	down map[int]bool
+	lag  time.Duration
+}
+
+func (f *fleet) Call(addr string, n *crew.Note, _ tick.Span) (*crew.Note, error) {
+	var i int
+	_, _ = fmt.Sscan(addr, &i)
+	time.Sleep(f.lag)
+	if f.down[i] {
+		return nil, fault.New(fault.Unready, "down")
+	}
+	return f.g[i].Handle(n), nil
+}
+
+func (f *fleet) seats() (out []crew.Seat) {
+	for i := range f.g {
+		out = append(out, crew.Seat{ID: uint64(100 + i), Addr: fmt.Sprint(i)})
+	}
+	return
+}
+
+func newFleet() *fleet {
+	f := &fleet{down: map[int]bool{}}
+	for range 3 {
+		f.g = append(f.g, NewGrantor())
+	}
+	return f
+}
+
+func (f *fleet) holder(id uint64) *Holder {
+	return NewHolder(scope.New(slog.New(slog.DiscardHandler)), "list", crew.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		a, b := f.holder(1), f.holder(2)
+		require.False(t, a.Renew(), "grantors that just started are silent for one span")
+		time.Sleep(plate.LeaseSpan)
+		require.True(t, a.Renew())
+		require.True(t, a.Held())
+		for range 20 {
+			require.False(t, b.Renew() && a.Held())
+			time.Sleep(20 * time.Millisecond)
+			if !a.Held() {
+				break
+			}
+		}
+		time.Sleep(plate.LeaseSpan)
+		require.False(t, a.Held(), "it stops by itself")
+		require.True(t, b.Renew())
+	})
+}
+
+func TestMinorityGivesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(plate.LeaseSpan)
+		f.down[0], f.down[1] = true, true
+		a := f.holder(1)
+		require.False(t, a.Renew())
+		f.down[0] = false
+		require.True(t, a.Renew())
+	})
+}
+
+func TestAFrozenHolderHasNothingWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(plate.LeaseSpan)
+		a, b := f.holder(1), f.holder(2)
+		require.True(t, a.Renew())
+		time.Sleep(5 * time.Second) // it stood still; the others went on
+		require.True(t, b.Renew())
+		require.False(t, a.Held(), "asked again after the wait, it knows")
+		require.False(t, a.Renew())
+	})
+}
+
+func TestTheSpanCountsFromBeforeTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(plate.LeaseSpan)
+		f.lag = plate.LeaseSpan
+		a := f.holder(1)
+		require.True(t, a.Renew())
+		require.False(t, a.Held(), "the answer came too late to be of use")
+	})
+}
+
+func TestARestartedGrantorDoesNotGiveTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(plate.LeaseSpan)
+		a, b := f.holder(1), f.holder(2)
+		f.down[2] = true
+		require.True(t, a.Renew())
+		f.g[0] = NewGrantor() // forgot what it gave
+		f.down[2] = false
+		require.False(t, b.Renew() && a.Held())
+	})
+}
+
+func ExampleHolder() {
+	f := newFleet()
+	for _, g := range f.g {
+		g.born = g.born.Add(-plate.LeaseSpan)
+	}
+	h := f.holder(7)
+	if h.Renew() && h.Held() {
+		fmt.Println("the duty is ours")
+	}
+	// Output: the duty is ours
+}
