--- a/berth/yard_test.go
+++ b/berth/yard_test.go
@@ -71,7 +71,7 @@
 		other = "r1"
 	}
 	for range 2 {
-		x.Sent(other, 100000, c) // it keeps the own part too
+		x.Sent(other, 100000, c, "p") // it keeps the own part too
 	}
 	got, _ := y.Place(ask(c))
 	require.Equal(t, other, got.Replica.ID)
--- a/blade/channel.go
+++ b/blade/channel.go
@@ -84,11 +84,11 @@
 	killed  atomic.Bool
 	idle    tick.Moment
 	expires tick.Moment
-	used    bool
+	owner   string // who uses it now; guarded by the pool
 }
 
-func open(p *Pool, c net.Conn) *Channel {
-	ch := &Channel{pool: p, c: c, start: make(chan *job, 1), dead: make(chan struct{}), expires: tick.Now().Add(plate.KeepIdle)}
+func open(p *Pool, c net.Conn, owner string) *Channel {
+	ch := &Channel{pool: p, owner: owner, c: c, start: make(chan *job, 1), dead: make(chan struct{}), expires: tick.Now().Add(plate.KeepIdle)}
 	go ch.read()
 	return ch
 }
@@ -166,7 +166,6 @@
 		q.Body = http.NoBody
 	}
 	j := &job{shot: s, req: q, out: make(chan Part, 32), quit: make(chan struct{})}
-	ch.used = true
 	ch.job.Store(j)
 	select {
 	case <-ch.dead:
--- a/blade/pool.go
+++ b/blade/pool.go
@@ -9,6 +9,7 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/plate"
+	"shaletrestle/portion"
 	"shaletrestle/tick"
 )
 
@@ -42,22 +43,16 @@
 	shut bool
 	wait []chan struct{}
 	made *atomic.Int64
+	pie  *portion.Pie // channels in use, by owner
 }
 
 // NewPool makes a pool; most is this process's share of the replica's connections.
 func NewPool(addr string, d Dialer, most int, made *atomic.Int64) *Pool {
-	return &Pool{addr: addr, d: d, most: max(1, most), made: made}
+	return &Pool{addr: addr, d: d, most: max(1, most), made: made, pie: portion.New(int64(max(1, most)), plate.CalmPart)}
 }
 
-// SetMost changes the share.
-func (p *Pool) SetMost(n int) {
-	p.mu.Lock()
-	p.most = max(1, n)
-	p.mu.Unlock()
-}
-
-// Get gives an idle connection or a new one, waiting at most d.
-func (p *Pool) Get(d tick.Span) (*Channel, error) {
+// Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion.
+func (p *Pool) Get(owner string, d tick.Span) (*Channel, error) {
 	end := tick.Now().Add(d)
 	for {
 		p.mu.Lock()
@@ -65,28 +60,18 @@
 			p.mu.Unlock()
 			return nil, fault.New(fault.Unready, "the replica is gone")
 		}
-		now := tick.Now()
-		for len(p.free) > 0 {
-			ch := p.free[len(p.free)-1]
-			p.free = p.free[:len(p.free)-1]
-			if now.Before(ch.expires) && !ch.killed.Load() {
+		if p.pie.Take(owner, 1) {
+			if ch := p.idle(); ch != nil {
+				ch.owner = owner
 				p.mu.Unlock()
 				return ch, nil
 			}
-			go ch.Kill()
-		}
-		if p.open < p.most {
-			p.open++
-			p.mu.Unlock()
-			c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
-			if err != nil {
-				p.mu.Lock()
-				p.open--
+			if p.open < p.most {
+				p.open++
 				p.mu.Unlock()
-				return nil, fault.Wrap(fault.Broken, err, "dial")
+				return p.dial(owner, end)
 			}
-			p.made.Inc()
-			return open(p, c), nil
+			p.pie.Give(owner, 1)
 		}
 		w := make(chan struct{}, 1)
 		p.wait = append(p.wait, w)
@@ -99,6 +84,33 @@
 	}
 }
 
+func (p *Pool) idle() *Channel {
+	now := tick.Now()
+	for len(p.free) > 0 {
+		ch := p.free[len(p.free)-1]
+		p.free = p.free[:len(p.free)-1]
+		if now.Before(ch.expires) && !ch.killed.Load() {
+			return ch
+		}
+		go ch.Kill()
+	}
+	return nil
+}
+
+func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
+	c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.pie.Give(owner, 1)
+		p.signal()
+		p.mu.Unlock()
+		return nil, fault.Wrap(fault.Broken, err, "dial")
+	}
+	p.made.Inc()
+	return open(p, c, owner), nil
+}
+
 func (p *Pool) signal() {
 	for _, w := range p.wait {
 		select {
@@ -109,8 +121,17 @@
 	p.wait = nil
 }
 
+// release ends an owner's use of a channel; the caller holds the pool.
+func (p *Pool) release(ch *Channel) {
+	if ch.owner != "" {
+		p.pie.Give(ch.owner, 1)
+		ch.owner = ""
+	}
+}
+
 func (p *Pool) put(ch *Channel) {
 	p.mu.Lock()
+	p.release(ch)
 	if p.shut {
 		p.mu.Unlock()
 		go ch.Kill()
@@ -125,6 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	p.release(ch)
 	for i, x := range p.free {
 		if x == ch {
 			p.free = append(p.free[:i], p.free[i+1:]...)
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -21,6 +21,7 @@
 	"shaletrestle/logbook"
 	"shaletrestle/lookout"
 	"shaletrestle/plate"
+	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
 	"shaletrestle/sorting"
@@ -53,7 +54,7 @@
 	isReady  chan struct{}
 	leaving  atomic.Bool
 	inflight atomic.Int64
-	bodies   atomic.Int64
+	bodies   *portion.Pie
 	made     atomic.Int64
 	count    counts
 	mu       sync.Mutex
@@ -73,6 +74,7 @@
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
 	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
+	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = haul.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
 	at := p.Env.Port(plate.PortGate)
@@ -334,7 +336,8 @@
 		"setup": map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths}, "evacuated": v.Evac, "fleet": v.Fleet,
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
 		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": g.made.Load(), "budget_left": left,
-		"index": map[string]any{"runs": runs, "asked": asked, "hits": hits}, "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
+		"index":  map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()},
+		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
 	})
 }
 
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -125,11 +125,7 @@
 		reply.Fault(q.w, fault.New(fault.TooLarge, "body over the limit"))
 		return false
 	}
-	room := int64(q.g.env.Load().Limits.MemoryMB * (1 << 20) * plate.BodyMemory)
-	q.held = max(q.r.ContentLength, 0)
-	if q.g.bodies.Add(q.held) > room {
-		q.w.Header().Set("Connection", "close")
-		q.refuse(fault.Crowded)
+	if n := max(q.r.ContentLength, 0); !q.hold(n) {
 		return false
 	}
 	_ = q.rc.SetReadDeadline(tick.Now().Add(plate.BodyWait))
@@ -138,9 +134,8 @@
 		b.Grow(int(q.held) + bytes.MinRead)
 	}
 	n, err := b.ReadFrom(http.MaxBytesReader(q.w, q.r.Body, most))
-	if q.r.ContentLength < 0 {
-		q.held = n
-		q.g.bodies.Add(n)
+	if err == nil && n > q.held && !q.hold(n-q.held) {
+		return false
 	}
 	if err != nil {
 		q.w.Header().Set("Connection", "close")
@@ -159,7 +154,22 @@
 	return true
 }
 
-func (q *inquiry) release() { q.g.bodies.Sub(q.held) }
+// hold books memory for a body; when it is crowded, a path that has its portion is refused and the others are not.
+func (q *inquiry) hold(n int64) bool {
+	if !q.g.bodies.Take(q.path.Name, n) {
+		q.w.Header().Set("Connection", "close")
+		q.refuse(fault.Crowded)
+		return false
+	}
+	q.held += n
+	return true
+}
+
+func (q *inquiry) release() {
+	if q.held > 0 {
+		q.g.bodies.Give(q.path.Name, q.held)
+	}
+}
 
 func (q *inquiry) setClock() bool {
 	q.id = q.r.Header.Get(blade.HeadID)
@@ -248,7 +258,7 @@
 		}
 		c, ok := q.g.yard.Place(q.ask)
 		if !ok {
-			if !q.mayRun && tick.Since(q.arrived) > tick.Span(float64(q.path.Aim)*plate.RefusePart) {
+			if !q.mayRun && tick.Until(q.refuseAt()) <= 0 {
 				q.refuse(fault.Crowded)
 				return
 			}
@@ -266,12 +276,17 @@
 	}
 }
 
+// refuseAt is when an inquiry that could be sent nowhere is refused.
+func (q *inquiry) refuseAt() tick.Moment {
+	return q.arrived.Add(tick.Span(float64(q.path.Aim) * plate.RefusePart))
+}
+
 // shoot sends to one replica; true means that another may be tried.
 func (q *inquiry) shoot(c berth.Choice, left tick.Span, quit <-chan struct{}) bool {
 	id := c.Replica.ID
 	end := &berth.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
 	defer q.g.yard.Done(end)
-	ch, err := q.g.pool(c.Replica, q.table).Get(left)
+	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))))
 	if err != nil {
 		q.ask.Not[id] = true
 		if fault.KindOf(err) == fault.Broken {
@@ -316,7 +331,7 @@
 	q.sent++
 	defer a.Drop()
 	if q.ask.Chain != nil {
-		q.g.index.Sent(id, q.ask.Capacity, q.ask.Chain)
+		q.g.index.Sent(id, q.ask.Capacity, q.ask.Chain, q.path.Name)
 	}
 	return q.listen(a, end, at, c, quit)
 }
--- a/kerf/index.go
+++ b/kerf/index.go
@@ -6,12 +6,17 @@
 	"sync"
 
 	"shaletrestle/plate"
+	"shaletrestle/portion"
 )
 
 type run struct {
 	key    Key
 	tokens int
 	wrong  int
+	owner  string
+	shelf  *shelf
+	here   *list.Element // on its shelf
+	owned  *list.Element // among its owner's
 }
 
 // shelf is what one life of a replica is believed to keep, oldest use last.
@@ -27,6 +32,7 @@
 type pending struct {
 	replica  string
 	chain    *Chain
+	owner    string
 	upto     int
 	priority int
 	seq      int
@@ -61,13 +67,20 @@
 	shelves map[string]*shelf
 	store   queue
 	seq     int
+	room    *portion.Pie // runs, by owner: the node's memory for hints
+	owners  map[string]*list.List
 	runs    int
 	hits    int64
 	asked   int64
 }
 
 // NewIndex makes an empty index.
-func NewIndex() *Index { return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}} }
+func NewIndex() *Index { return SizedIndex(plate.IndexRuns) }
+
+// SizedIndex makes an empty index that holds at most so many runs. When it is full, the owner that holds most gives way, so that a heavy one can't push the others' out.
+func SizedIndex(runs int) *Index {
+	return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}, room: portion.New(int64(runs), 1), owners: map[string]*list.List{}}
+}
 
 // Matched is the number of tokens of a chain that a replica is believed to keep, cut to a block.
 func (x *Index) Matched(replica string, c *Chain) int {
@@ -108,8 +121,8 @@
 	return out
 }
 
-// Sent notes that a chain was sent to a replica. A run is entered at its second sighting; what waits is entered by worth, matched length times count.
-func (x *Index) Sent(replica string, capacity int, c *Chain) {
+// Sent notes that an owner's chain was sent to a replica. A run is entered at its second sighting; what waits is entered by worth, matched length times count.
+func (x *Index) Sent(replica string, capacity int, c *Chain, owner string) {
 	if c == nil || len(c.Keys) == 0 {
 		return
 	}
@@ -135,11 +148,11 @@
 		return
 	}
 	x.seq++
-	heap.Push(&x.store, pending{replica, c, upto, c.Upto[upto-1] * count, x.seq})
+	heap.Push(&x.store, pending{replica, c, owner, upto, c.Upto[upto-1] * count, x.seq})
 	if len(x.store) > plate.StoreQueue {
 		x.dropLowest()
 	}
-	if len(x.store) >= plate.StoreQueue/8 || x.runs < plate.IndexRuns {
+	if len(x.store) >= plate.StoreQueue/8 || !x.room.Full() {
 		x.drain()
 	}
 }
@@ -158,36 +171,60 @@
 	for len(x.store) > 0 {
 		p := heap.Pop(&x.store).(pending)
 		if s := x.shelves[p.replica]; s != nil {
-			x.enter(s, p.chain, p.upto)
+			x.enter(s, p.chain, p.upto, p.owner)
 		}
 	}
 }
 
-func (x *Index) enter(s *shelf, c *Chain, upto int) {
+func (x *Index) enter(s *shelf, c *Chain, upto int, owner string) {
+	mine := x.owners[owner]
+	if mine == nil {
+		mine = list.New()
+		x.owners[owner] = mine
+	}
 	for i := upto - 1; i >= 0; i-- { // the first run ends up newest: what goes before is never older than what follows
 		k, t := c.Keys[i], c.Parts[i].Tokens
 		if e, ok := s.at[k]; ok {
 			s.lru.MoveToFront(e)
+			r := e.Value.(*run)
+			x.owners[r.owner].MoveToFront(r.owned)
 			continue
 		}
-		s.at[k] = s.lru.PushFront(&run{key: k, tokens: t})
+		r := &run{key: k, tokens: t, owner: owner, shelf: s}
+		r.here, r.owned = s.lru.PushFront(r), mine.PushFront(r)
+		s.at[k] = r.here
 		s.used += t
 		s.stores++
 		x.runs++
+		x.room.Add(owner, 1)
 	}
-	for (s.used > s.capacity || x.runs > plate.IndexRuns) && s.lru.Len() > 0 {
-		x.evict(s, s.lru.Back())
+	for s.used > s.capacity && s.lru.Len() > 0 { // the replica's memory: it knows no owners
+		x.evict(s.lru.Back().Value.(*run))
+	}
+	for x.room.Full() { // this node's memory: the heaviest owner gives way
+		x.evict(x.owners[x.room.Heaviest()].Back().Value.(*run))
 	}
 	if s.stores > 4096 {
 		s.stores, s.evicts = s.stores/2, s.evicts/2
 	}
 }
 
-func (x *Index) evict(s *shelf, e *list.Element) {
-	r := s.lru.Remove(e).(*run)
+func (x *Index) evict(r *run) {
+	s := r.shelf
+	s.lru.Remove(r.here)
+	x.drop(r)
 	delete(s.at, r.key)
 	s.used -= r.tokens
 	s.evicts++
+}
+
+// drop takes a run off its owner's books.
+func (x *Index) drop(r *run) {
+	own := x.owners[r.owner]
+	if own.Remove(r.owned); own.Len() == 0 {
+		delete(x.owners, r.owner)
+	}
+	x.room.Give(r.owner, 1)
 	x.runs--
 }
 
@@ -206,7 +243,7 @@
 		}
 		r := e.Value.(*run)
 		if r.wrong++; r.wrong >= plate.HintContra {
-			x.evict(s, e)
+			x.evict(r)
 		}
 	}
 }
@@ -230,7 +267,9 @@
 	defer x.mu.Unlock()
 	for id, s := range x.shelves {
 		if !live[id] {
-			x.runs -= s.lru.Len()
+			for e := s.lru.Front(); e != nil; e = e.Next() {
+				x.drop(e.Value.(*run))
+			}
 			delete(x.shelves, id)
 		}
 	}
@@ -243,6 +282,9 @@
 	return x.runs, x.asked, x.hits
 }
 
+// Portions lists how many runs each owner holds.
+func (x *Index) Portions() []portion.Slice { return x.room.Slices() }
+
 // FetchPays is the break-even of the source: importing a run from a peer pays if the link carries its bytes faster than they are computed anew.
 func FetchPays(tokenBytes, linkMbps float64, prefillPerToken float64) bool {
 	if linkMbps <= 0 || prefillPerToken <= 0 {
--- a/kerf/kerf_test.go
+++ b/kerf/kerf_test.go
@@ -51,7 +51,7 @@
 		for range 5 {
 			ps := some()
 			for range plate.SecondSight {
-				x.Sent("r", 1<<30, chain(ps...))
+				x.Sent("r", 1<<30, chain(ps...), "own")
 			}
 			for _, b := range blocks(ps) {
 				lit[b] = true
@@ -75,9 +75,9 @@
 func TestStoredPromptsMatchWholeAndDifferentOnesDoNot(t *testing.T) {
 	x := NewIndex()
 	a := chain(Part{1, 100}, Part{2, 400}, Part{9, 50})
-	x.Sent("r", 1<<20, a)
+	x.Sent("r", 1<<20, a, "own")
 	require.Zero(t, x.Matched("r", a), "one sighting is no reason to keep anything")
-	x.Sent("r", 1<<20, a)
+	x.Sent("r", 1<<20, a, "own")
 	require.Equal(t, 544, x.Matched("r", a))
 	require.Equal(t, 496, x.Matched("r", chain(Part{1, 100}, Part{2, 400}, Part{8, 50})))
 	require.Equal(t, 96, x.Matched("r", chain(Part{1, 100}, Part{3, 400})))
@@ -93,8 +93,8 @@
 	x := NewIndex()
 	for i := range 10 {
 		c := chain(Part{1, 100}, Part{uint64(10 + i), 100})
-		x.Sent("r", 500, c)
-		x.Sent("r", 500, c)
+		x.Sent("r", 500, c, "own")
+		x.Sent("r", 500, c, "own")
 	}
 	require.Equal(t, 192, x.Matched("r", chain(Part{1, 100}, Part{19, 100})))
 	require.Equal(t, 96, x.Matched("r", chain(Part{1, 100}, Part{10, 100})), "the shared head is kept, the oldest is not")
@@ -105,8 +105,8 @@
 func TestAHintContradictedOftenIsDropped(t *testing.T) {
 	x := NewIndex()
 	c := chain(Part{1, 100}, Part{2, 100})
-	x.Sent("r", 1000, c)
-	x.Sent("r", 1000, c)
+	x.Sent("r", 1000, c, "own")
+	x.Sent("r", 1000, c, "own")
 	for range plate.HintContra - 1 {
 		x.Contradicted("r", c)
 	}
@@ -154,3 +154,30 @@
 		require.GreaterOrEqual(t, s.Count(k), n)
 	}
 }
+
+func TestAHeavyOwnerLeavesTheOthersTheirPortion(t *testing.T) {
+	x := SizedIndex(300)
+	light := func(i int) *Chain { return chain(Part{uint64(1000 + i), 64}, Part{uint64(5000 + i), 64}) }
+	for i := range 50 {
+		for range plate.SecondSight {
+			x.Sent("r", 1<<30, light(i), "lookups")
+		}
+	}
+	for i := range 2000 {
+		for range plate.SecondSight {
+			x.Sent("r", 1<<30, chain(Part{uint64(100000 + i), 64}), "ledgers")
+		}
+	}
+	for i := range 50 {
+		require.Equal(t, 128, x.Matched("r", light(i)), "%d", i)
+	}
+	runs, _, _ := x.Stats()
+	require.Equal(t, 300, runs, "the whole is never exceeded")
+	ps := x.Portions()
+	require.Equal(t, "ledgers", ps[0].Who)
+	require.Equal(t, int64(200), ps[0].Used, "and the heavy one has all that is left")
+	x.Keep(map[string]bool{})
+	runs, _, _ = x.Stats()
+	require.Zero(t, runs)
+	require.Empty(t, x.Portions())
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -86,6 +86,7 @@
 	BudgetMargin  = 0.8                     // part of the fleet's budget that nodes share out
 	ColdMargin    = 0.8                     // part of warmup_per_s that nodes share out
 	BodyMemory    = 0.25                    // part of memory_mb that bodies in flight may take
+	CalmPart      = 0.5                     // part of the memory for bodies below which no path is held to its portion
 	CollectAt     = 100                     // percent of growth before the collector runs
 	SoftMemory    = 0.8                     // part of memory_mb given to the collector as its soft limit
 	EventMax      = 1 << 20                 // bytes of one stream event
--- a/sim/script.go
+++ b/sim/script.go
@@ -152,10 +152,10 @@
 		w.mu.Lock()
 		w.replicas[arg(0)].ID = arg(1)
 		w.mu.Unlock()
-	case "does": // does r1 ok|full|cut|... work=20ms
+	case "does": // does r1 ok|full|cut|... work=20ms only=/n/
 		r := w.replicas[arg(0)]
 		r.mu.Lock()
-		r.how, r.work = arg(1), a.span("work", r.work)
+		r.how, r.work, r.only = arg(1), a.span("work", r.work), a.kv["only"]
 		r.mu.Unlock()
 	case "platform": // platform down|empty|up
 		w.mu.Lock()
@@ -250,7 +250,7 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					s.note(w.Ask(g[i%len(g)], a.kv["path"], prefixOf(a, i), a.kv["once"] != ""))
+					s.note(w.Ask(g[i%len(g)], a.kv["path"], prefixOf(a, i), a.kv["once"] != "", a.num("body", 0)))
 				}()
 				time.Sleep(gap)
 			}
@@ -258,7 +258,7 @@
 		}()
 	case "ask": // ask gate=g1 path=/i/x expect=200 within=500ms n=3
 		for i := range a.num("n", 1) {
-			o := w.Ask(a.kv["gate"], a.kv["path"], prefixOf(a, i), a.kv["once"] != "")
+			o := w.Ask(a.kv["gate"], a.kv["path"], prefixOf(a, i), a.kv["once"] != "", a.num("body", 0))
 			if e := a.kv["expect"]; e != "" && !strings.Contains(","+e+",", fmt.Sprintf(",%d,", o.Status)) {
 				return fmt.Errorf("%s got %d after %v: %.80s", o.ID, o.Status, o.Took, o.Body)
 			}
--- a/sim/world.go
+++ b/sim/world.go
@@ -109,7 +109,7 @@
 internal_port_range: [7000, 7015]
 seed_nodes: %[4]s
 bootstrap: %[5]v
-limits: {memory_mb: 200}
+limits: {memory_mb: 64}
 data_dir: "/data"
 fault_tolerance: {machine_losses: 1}
 bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 3000, grace_s: 8, retry_budget_ratio: 0.2, retry_window_s: 10, retry_slack: 60, cold_overshoot: 1.5, cold_slack: 5}
@@ -265,6 +265,7 @@
 	cold    float64
 	how     string // what it does with inquiries: ok, full, cut, garble, late, noseal, slow, dark, error
 	work    time.Duration
+	only    string // the paths that take so long; the others are quick
 	mu      sync.Mutex
 	busy    int
 	got     int
@@ -306,6 +307,9 @@
 	r.judge(q, id, string(body))
 	r.mu.Lock()
 	how, work, events := r.how, r.work, r.events
+	if !strings.HasPrefix(q.URL.Path, r.only) {
+		work = 20 * time.Millisecond
+	}
 	full := how == "full" || r.busy >= r.slots
 	if !full {
 		r.busy++
@@ -476,12 +480,12 @@
 }
 
 // Ask sends one inquiry to a gate and judges its answer.
-func (w *World) Ask(gate, path, prefix string, once bool) Outcome {
+func (w *World) Ask(gate, path, prefix string, once bool, size int) Outcome {
 	w.mu.Lock()
 	w.asked++
 	id := fmt.Sprintf("q%d", w.asked)
 	w.unsafe[id] = once
-	body := "body of " + id
+	body := "body of " + id + strings.Repeat(".", size)
 	w.bodies[id] = "POST " + path + " " + body
 	w.mu.Unlock()
 	q, _ := http.NewRequest(http.MethodPost, "http://"+w.procs[gate].ip+":80"+path, strings.NewReader(body))
