--- /dev/null
+++ b/tally/member_test.go
@@ -0,0 +1,241 @@
+package tally
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/crew"
+	"shaletrestle/fault"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// lines is a machine that keeps a text.
+type lines struct {
+	mu sync.Mutex
+	s  string
+}
+
+func (l *lines) Apply(e []byte)         { l.mu.Lock(); l.s += string(e) + ";"; l.mu.Unlock() }
+func (l *lines) Checkpoint() []byte     { l.mu.Lock(); defer l.mu.Unlock(); return []byte(l.s) }
+func (l *lines) Restore(b []byte) error { l.mu.Lock(); l.s = string(b); l.mu.Unlock(); return nil }
+
+// memory is a store that never fails.
+type memory struct {
+	id   uint64
+	reg  Register
+	held Held
+}
+
+func (m *memory) Identity() (uint64, bool)      { return m.id, true }
+func (m *memory) LoadRegister() Register        { return m.reg }
+func (m *memory) SaveRegister(r Register) error { m.reg = r; return nil }
+func (m *memory) Load() Held                    { return m.held }
+func (m *memory) Reset(h Held) error            { m.held = h; return nil }
+func (m *memory) Append(e []byte) error         { m.held.Tail = append(m.held.Tail, e); return nil }
+func (m *memory) Size() int                     { return 0 }
+
+// hall carries notes between members of one process; some steps may be lost.
+type hall struct {
+	mu   sync.Mutex
+	m    map[string]*Member
+	off  map[string]bool
+	drop func(addr string, n *crew.Note) bool
+}
+
+func (h *hall) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
+	h.mu.Lock()
+	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr], h.drop
+	h.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if m == nil || off || drop != nil && drop(addr, n) {
+		time.Sleep(d)
+		return nil, fault.New(fault.Unready, "lost")
+	}
+	x := *n
+	a, _ := m.Handle(&x)
+	return a, nil
+}
+
+type trio struct {
+	h  *hall
+	sc []*scope.Scope
+	m  []*Member
+	l  []*lines
+	st []*memory
+}
+
+func (t *trio) start(i int) {
+	addr := fmt.Sprint("m", i)
+	t.sc[i] = scope.New(slog.New(slog.DiscardHandler))
+	t.l[i] = &lines{}
+	m, err := New(t.sc[i], Config{Addr: addr, Seeds: []string{"m0", "m1", "m2"}, Store: t.st[i], Machine: t.l[i], Caller: t.h})
+	if err != nil {
+		panic(err)
+	}
+	t.m[i] = m
+	t.h.mu.Lock()
+	t.h.m[addr], t.h.off[addr] = m, false
+	t.h.mu.Unlock()
+	go m.Run()
+}
+
+func (t *trio) stop(i int) {
+	t.h.mu.Lock()
+	t.h.off[fmt.Sprint("m", i)] = true
+	t.h.mu.Unlock()
+	t.sc[i].Stop()
+}
+
+func newTrio() *trio {
+	t := &trio{h: &hall{m: map[string]*Member{}, off: map[string]bool{}}, sc: make([]*scope.Scope, 3), m: make([]*Member, 3), l: make([]*lines, 3), st: []*memory{{id: 11}, {id: 22}, {id: 33}}}
+	for i := range 3 {
+		t.start(i)
+	}
+	time.Sleep(2 * time.Second)
+	return t
+}
+
+func (t *trio) end() {
+	for _, s := range t.sc {
+		s.Stop()
+	}
+	time.Sleep(5 * time.Second)
+}
+
+func (t *trio) primary() int {
+	for i, m := range t.m {
+		if _, ok := m.Active(); ok && !t.sc[i].Ended() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *trio) propose(i int, s string) error {
+	return t.m[i].Propose(func() ([]byte, error) { return []byte(s), nil })
+}
+
+// TestTakeoverAtEveryStepOfAWrite loses the primary at each step of a write: what was acknowledged is held by the next one, what was not is held or is not.
+func TestTakeoverAtEveryStepOfAWrite(t *testing.T) {
+	for _, step := range []string{"before append", "append lost", "answer lost", "after answer"} {
+		t.Run(step, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := newTrio()
+				defer tr.end()
+				p := tr.primary()
+				require.GreaterOrEqual(t, p, 0)
+				require.NoError(t, tr.propose(p, "first"))
+				acked := false
+				switch step {
+				case "append lost", "answer lost":
+					tr.h.mu.Lock()
+					tr.h.drop = func(addr string, n *crew.Note) bool {
+						if n.Kind != crew.Append {
+							return false
+						}
+						if step == "answer lost" {
+							x := *n
+							tr.h.m[addr].Handle(&x)
+						}
+						tr.h.off[fmt.Sprint("m", p)] = true
+						return true
+					}
+					tr.h.mu.Unlock()
+					acked = tr.propose(p, "second") == nil
+				case "after answer":
+					acked = tr.propose(p, "second") == nil
+					require.True(t, acked)
+				}
+				tr.stop(p)
+				time.Sleep(6 * time.Second)
+				q := tr.primary()
+				require.NotEqual(t, p, q)
+				require.GreaterOrEqual(t, q, 0)
+				require.True(t, tr.m[q].Confirmed())
+				got := string(tr.l[q].Checkpoint())
+				require.True(t, strings.HasPrefix(got, "first;"), got)
+				if acked || step == "answer lost" {
+					require.Equal(t, "first;second;", got)
+				} else {
+					require.Equal(t, "first;", got)
+				}
+				tr.h.mu.Lock()
+				tr.h.drop = nil
+				tr.h.mu.Unlock()
+				require.NoError(t, tr.propose(q, "third"))
+				tr.start(p)
+				time.Sleep(3 * time.Second)
+				require.Equal(t, q, tr.primary(), "the returning one drops its tail and does not take over")
+			})
+		})
+	}
+}
+
+func TestADeposedPrimaryAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		tr.h.mu.Lock()
+		tr.h.off[fmt.Sprint("m", p)] = true
+		tr.h.mu.Unlock()
+		require.Error(t, tr.propose(p, "alone"))
+		require.False(t, tr.m[p].Confirmed())
+		time.Sleep(5 * time.Second)
+		n := 0
+		for _, m := range tr.m {
+			if _, ok := m.Active(); ok {
+				n++
+			}
+		}
+		require.Equal(t, 1, n)
+	})
+}
+
+func TestManyTakeoversLoseNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		want := ""
+		for i := range 12 {
+			p := tr.primary()
+			require.GreaterOrEqual(t, p, 0, "round %d", i)
+			require.NoError(t, tr.propose(p, fmt.Sprint(i)))
+			want += fmt.Sprint(i, ";")
+			tr.stop(p)
+			time.Sleep(4 * time.Second)
+			tr.start(p)
+			time.Sleep(3 * time.Second)
+		}
+		require.Equal(t, want, string(tr.l[tr.primary()].Checkpoint()))
+	})
+}
+
+func ExampleMember_Propose() {
+	sc := scope.New(slog.New(slog.DiscardHandler))
+	defer sc.Stop()
+	h := &hall{m: map[string]*Member{}, off: map[string]bool{}}
+	ready := make(chan uint64, 1)
+	text := &lines{}
+	m, err := New(sc, Config{Addr: "only", Seeds: []string{"only"}, Solo: true, Store: &memory{id: 7}, Machine: text, Caller: h, OnActive: func(e uint64) { ready <- e }})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	go m.Run()
+	fmt.Println("primary of epoch", <-ready)
+	fmt.Println(m.Propose(func() ([]byte, error) { return []byte("sal, 40 planks"), nil }))
+	fmt.Println(string(text.Checkpoint()))
+	// Output:
+	// primary of epoch 1
+	// <nil>
+	// sal, 40 planks;
+}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/atomic"
 
+	"shaletrestle/calendar"
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
@@ -351,12 +352,35 @@
 	h.mu.Unlock()
 }
 
-// page is the state page.
-func (h *House) page(w http.ResponseWriter, _ *http.Request) {
+// maintenance lists the windows open now, or what is wrong with the calendar; nothing unless one is set.
+func (h *House) maintenance() any {
+	if h.env.Calendar == "" {
+		return nil
+	}
+	ws, err := calendar.Read(h.env.Calendar, h.env.Zones)
+	if err != nil {
+		return map[string]string{"ignored": err.Error()}
+	}
+	return calendar.At(ws, tick.Wall())
+}
+
+// page is the state page: all of it, or at /fleet the view of the fleet that the checker reads.
+func (h *House) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/fleet" {
+		v := *h.news.View()
+		if _, primary := h.member.Active(); primary {
+			o := h.state.View()
+			v.Doc, v.Evac = o.Doc, o.Evac
+		}
+		v.Digests = nil
+		reply.Bytes(w, http.StatusOK, v.Encode())
+		return
+	}
 	ep, num := h.feed.At()
 	v := h.news.View()
 	reply.JSON(w, http.StatusOK, map[string]any{
-		"program": "tallyhouse", "version": plate.Version, "node": h.env.NodeName, "tally": h.member.State(),
+		"maintenance": h.maintenance(),
+		"program":     "tallyhouse", "version": plate.Version, "node": h.env.NodeName, "tally": h.member.State(),
 		"news":           map[string]any{"epoch": ep, "number": num, "acked": h.feed.Acked(), "source": h.follower.Source(), "live": h.live.Load()},
 		"setup_revision": h.state.View().Doc.Epoch, "evacuated": h.state.View().Evac, "replicas": len(v.Replicas), "fleet": v.Fleet,
 		"list_duty": h.duty.Held(), "list_calls": h.polls.Load(), "list_failures": h.fails.Load(),
--- a/tick/tick.go
+++ b/tick/tick.go
@@ -16,6 +16,9 @@
 // Now reads the steady clock.
 func Now() Moment { return time.Now() }
 
+// Wall reads the time of day; nothing but what people are shown may depend on it.
+func Wall() Moment { return time.Now().Round(0) }
+
 // Since is the time passed since m.
 func Since(m Moment) Span { return time.Since(m) }
 
