--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -115,6 +115,25 @@
 	})
 }
 
+func TestARelayTakesNoGapAndNoOlderLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		b := &words{}
+		f := NewFeed(sc, b, nil)
+		require.NoError(t, f.Restore(3, 5, []byte("s")))
+		require.False(t, f.Take(3, 7, []byte("gap")))
+		require.False(t, f.Take(4, 6, []byte("another life")))
+		require.True(t, f.Take(3, 6, []byte("+")))
+		require.True(t, f.Take(3, 6, []byte("again")))
+		require.Equal(t, "s+", string(b.Checkpoint()))
+		require.Error(t, f.Restore(2, 9, []byte("old")))
+		f.Begin(4)
+		require.False(t, f.Take(4, 1, []byte("x")), "a source takes nothing from others")
+		require.Error(t, f.Restore(4, 9, []byte("y")))
+	})
+}
+
 func ExampleFeed() {
 	sc := scope.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -219,6 +219,66 @@
 	})
 }
 
+func TestARestartedBackupTakesNothingBeforeItWasHandedTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		c := tr.m[p].Chart()
+		b := -1
+		for i, m := range tr.m {
+			if m.Self().ID == c.Backup.ID {
+				b = i
+			}
+		}
+		entry := &crew.Note{Kind: crew.Append, From: tr.m[p].Self(), To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
+		a, _ := tr.m[b].Handle(entry)
+		require.True(t, a.OK)
+		tr.stop(b)
+		tr.start(b)
+		a, _ = tr.m[b].Handle(entry)
+		require.False(t, a.OK, "the same disk, but another life")
+		wrong := *entry
+		wrong.To = 99
+		a, _ = tr.m[b].Handle(&wrong)
+		require.False(t, a.OK, "meant for a disk that is gone")
+	})
+}
+
+func TestAnEarlierProposalIsFinishedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		c := tr.m[p].Chart()
+		var half *crew.Chart
+		accepts := 0
+		tr.h.mu.Lock()
+		tr.h.drop = func(addr string, n *crew.Note) bool {
+			if n.Kind != crew.Accept || half != nil && accepts >= 2 {
+				return false
+			}
+			x := *n
+			tr.h.m[addr].Handle(&x) // the witness stores it, its answer is lost, and then the proposer
+			half = n.Chart
+			if accepts++; accepts == 2 {
+				tr.h.off[n.From.Addr] = true
+			}
+			return true
+		}
+		tr.h.mu.Unlock()
+		tr.stop(p)
+		tr.start(p) // proposes a new view and is lost in the middle of it
+		time.Sleep(10 * time.Second)
+		require.NotNil(t, half)
+		require.Equal(t, c.Epoch+1, half.Epoch)
+		q := tr.primary()
+		require.GreaterOrEqual(t, q, 0)
+		got := tr.m[q].Chart()
+		require.Greater(t, got.Epoch, half.Epoch, "what two witnesses had stored counts as chosen: it has an epoch of its own")
+	})
+}
+
 func ExampleMember_Propose() {
 	sc := scope.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
