A cut-off primary steps down at once; stale relays are left; dials are shared

Now one dial is shared by all who wait, a primary that has not heard most witnesses for 1.25 s steps down whatever a write is waiting for, and gatehouses remember which tallyhouse failed. Ruled out: the follower's own time-out (it heard live beats).

--- a/crew/net.go
+++ b/crew/net.go
@@ -71,8 +71,9 @@
 }
 
 type line struct {
-	mu tick.Latch
-	ch *Channel
+	ch      *Channel
+	dialing chan struct{} // closed when the dial under way has ended
+	err     error         // of the newest dial
 }
 
 // NewLines makes the set of channels of a process.
@@ -80,21 +81,36 @@
 	return &Lines{sc: sc, net: n, h: h, m: map[string]*line{}}
 }
 
-// Get gives the channel to an address.
+// Get gives the channel to an address. Whoever comes while it is being dialled shares that dial's result: a silent address never makes a queue.
 func (l *Lines) Get(addr string) (*Channel, error) {
 	l.mu.Lock()
 	x := l.m[addr]
 	if x == nil {
-		x = &line{mu: tick.NewLatch()}
+		x = &line{}
 		l.m[addr] = x
 	}
-	l.mu.Unlock()
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	if x.ch != nil && !x.ch.sc.Ended() {
+		defer l.mu.Unlock()
+		return x.ch, nil
+	}
+	if w := x.dialing; w != nil {
+		l.mu.Unlock()
+		<-w
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if x.err != nil || x.ch == nil {
+			return nil, fault.New(fault.Unready, "dial of %s failed", addr)
+		}
 		return x.ch, nil
 	}
+	w := make(chan struct{})
+	x.dialing = w
+	l.mu.Unlock()
 	c, err := l.net.Dial(addr, plate.DialWait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x.dialing, x.err = nil, err
+	close(w)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unready, err, "dial")
 	}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -61,6 +61,8 @@
 	pools    map[string]*blade.Pool
 	roots    sync.Map
 	pickAt   int
+	bad      map[string]tick.Moment // tallyhouses and when they failed last
+	dropped  string                 // one that was left for a nearer one, not for failing
 }
 
 type counts struct {
@@ -69,7 +71,7 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, isReady: make(chan struct{})}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
@@ -167,57 +169,63 @@
 	reply.Fault(w, fault.New(fault.NoPath, "no such call"))
 }
 
-// pick names the tallyhouse to follow next: the own locality's first, others if it fails.
+// pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
 	e := g.env.Load()
-	var near, far []string
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := tick.Now()
+	if failed != "" && failed != g.dropped {
+		g.bad[failed] = now
+	}
+	g.dropped = ""
+	var near, far, all []string
 	seen := map[string]bool{}
 	for _, h := range g.book.View().Houses {
 		seen[h.Addr] = true
-		if h.Locality == e.Locality {
+		all = append(all, h.Addr)
+		switch {
+		case now.Sub(g.bad[h.Addr]) < e.Contact():
+		case h.Locality == e.Locality:
 			near = append(near, h.Addr)
-		} else {
+		default:
 			far = append(far, h.Addr)
 		}
 	}
 	for _, a := range e.SeedCrew() {
 		if !seen[a] {
-			far = append(far, a)
+			all = append(all, a)
+			if now.Sub(g.bad[a]) >= e.Contact() {
+				far = append(far, a)
+			}
 		}
 	}
-	if failed == "" && len(near) > 0 {
-		return near[0]
-	}
-	all := append(near, far...)
-	if len(all) == 0 {
-		return ""
-	}
 	g.pickAt++
-	if failed == "" {
-		g.pickAt = int(xxhash.Sum64String(e.NodeName) % uint64(len(all)))
-	}
-	a := all[g.pickAt%len(all)]
-	if a == failed && len(all) > 1 {
-		g.pickAt++
-		a = all[g.pickAt%len(all)]
+	for _, s := range [][]string{near, far, all} {
+		if len(s) > 0 {
+			return s[(g.pickAt+int(xxhash.Sum64String(e.NodeName)%1024))%len(s)]
+		}
 	}
-	return a
+	return ""
 }
 
-// nearer changes over to the own locality's tallyhouse once it is known.
+// nearer changes over to the own locality's tallyhouse once it is known, unless it failed lately.
 func (g *Gate) nearer(v *logbook.View) {
 	src := g.follower.Source()
 	if src == "" {
 		return
 	}
-	loc := g.env.Load().Locality
+	e := g.env.Load()
 	for _, h := range v.Houses {
-		if h.Addr == src && h.Locality == loc {
+		if h.Addr == src && h.Locality == e.Locality {
 			return
 		}
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, h := range v.Houses {
-		if h.Locality == loc {
+		if h.Locality == e.Locality && tick.Since(g.bad[h.Addr]) >= 2*e.Contact() {
+			g.dropped = src
 			go g.follower.Drop()
 			return
 		}
@@ -249,7 +257,7 @@
 			g.sc.Log().Info("ready", "part", "gatehouse", "revision", v.Doc.Epoch, "replicas", len(v.Replicas))
 		}
 	}
-	if e != nil && e.Kind == logbook.Houses {
+	if e == nil || e.Kind == logbook.Houses {
 		g.nearer(v)
 	}
 }
--- a/sim/script.go
+++ b/sim/script.go
@@ -209,6 +209,18 @@
 			rm = fmt.Sprintf(`,"remove":{"route_table":["r-%s"]}`, n)
 		}
 		return s.order("PATCH", "/v1/config", a.kv["base"], fmt.Sprintf(`{"revision":%s%s%s}`, arg(0), up, rm), a)
+	case "pester": // pester at=h1 for=6s: orders on a stale base, several a second, at one node
+		end := time.Now().Add(a.span("for", time.Second))
+		for i := range 4 {
+			s.bg.Add(1)
+			go func() {
+				defer s.bg.Done()
+				for n := 0; time.Now().Before(end); n++ {
+					_, _ = w.Order(a.kv["at"], "PUT", "/v1/config", "5", setupOf(1000+10*n+i, "", ""))
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+		}
 	case "evacuate", "return": // evacuate a expect=200
 		m := map[string]string{"evacuate": "POST", "return": "DELETE"}[cmd]
 		err := s.order(m, "/v1/evacuation/"+arg(0), "", "", a)
@@ -325,7 +337,15 @@
 
 func (s *Script) order(method, path, base, body string, a args) error {
 	var got int
-	if at := a.kv["at"]; at != "" {
+	if at := a.kv["at"]; strings.Contains(at, ",") { // in turn, until one answers clearly
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end) && (got == 0 || got >= 500); time.Sleep(50 * time.Millisecond) {
+			for _, n := range strings.Split(at, ",") {
+				if got, _ = s.w.Order(n, method, path, base, body); got != 0 && got < 500 {
+					break
+				}
+			}
+		}
+	} else if at != "" {
 		got, _ = s.w.Order(at, method, path, base, body)
 	} else {
 		got = s.w.Insist(a.span("within", 4*time.Second), method, path, base, body)
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -245,6 +245,22 @@
 	})
 }
 
+func TestACutOffPrimaryStopsThoughAWriteHoldsItUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		tr.m[p].wr.Lock() // a write that waits for an answer
+		tr.h.mu.Lock()
+		tr.h.off[fmt.Sprint("m", p)] = true
+		tr.h.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		_, on := tr.m[p].Active()
+		tr.m[p].wr.Unlock()
+		require.False(t, on)
+	})
+}
+
 func TestAnEarlierProposalIsFinishedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTrio()
--- a/tally/view.go
+++ b/tally/view.go
@@ -35,6 +35,10 @@
 			}
 		}()
 	}
+	if m.alone(c) {
+		m.stepDown("cut off from the witnesses")
+		return
+	}
 	m.mu.Lock()
 	var lost bool
 	if p := m.peers[c.Backup.ID]; c.Backup.ID != 0 && m.active && (p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit) {
@@ -52,6 +56,19 @@
 	}
 }
 
+// alone tells whether most witnesses have not been heard for a while: another may be primary by now, and this one's news are old.
+func (m *Member) alone(c *crew.Chart) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	near := 0
+	for _, w := range c.Witnesses {
+		if p := m.peers[w.ID]; w.ID == m.self.ID || p != nil && tick.Since(p.seen) <= plate.BeatLost+plate.BeatEvery {
+			near++
+		}
+	}
+	return near <= len(c.Witnesses)/2
+}
+
 func (m *Member) anyFit() bool {
 	for _, p := range m.peers {
 		if p.fit && tick.Since(p.seen) < plate.BeatLost {
