--- a/blade/channel.go
+++ b/blade/channel.go
@@ -60,6 +60,7 @@
 	Bytes  []byte
 	ID     int64 // of an event, -1 if it has none
 	Why    string
+	Lost   bool // the connection itself failed
 }
 
 // NotRun tells whether a head says that the replica did not run the inquiry.
@@ -211,7 +212,7 @@
 			return
 		}
 		if err != nil {
-			j.tell(Part{Kind: Fail, Why: "no answer: " + err.Error()})
+			j.tell(Part{Kind: Fail, Why: "no answer: " + err.Error(), Lost: true})
 			return
 		}
 		if !ch.answer(br, j) {
--- a/blade/pool.go
+++ b/blade/pool.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"go.uber.org/atomic"
+	"golang.org/x/sys/unix"
 
 	"shaletrestle/fault"
 	"shaletrestle/plate"
@@ -19,16 +21,15 @@
 }
 
 // TCP is the real network: unacknowledged bytes and silent peers end a connection soon.
-type TCP struct {
-	Control func(d *net.Dialer)
-}
+type TCP struct{}
 
 // DialReplica connects.
-func (t TCP) DialReplica(addr string, d tick.Span) (net.Conn, error) {
-	x := net.Dialer{Timeout: d, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: plate.AliveIdle, Interval: plate.AliveEvery, Count: plate.AliveCount}}
-	if t.Control != nil {
-		t.Control(&x)
-	}
+func (TCP) DialReplica(addr string, d tick.Span) (net.Conn, error) {
+	x := net.Dialer{Timeout: d, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(plate.UnackedMost.Milliseconds()))
+		})
+	}, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: plate.AliveIdle, Interval: plate.AliveEvery, Count: plate.AliveCount}}
 	return x.DialContext(context.Background(), "tcp4", addr)
 }
 
@@ -172,10 +173,9 @@
 	}
 }
 
-// Shut closes idle connections and gives out no more.
-func (p *Pool) Shut() {
+// Flush closes the idle connections: after one was lost the others are in doubt, and the next inquiry dials before it sends.
+func (p *Pool) Flush() {
 	p.mu.Lock()
-	p.shut = true
 	free := append([]*Channel{}, p.free...)
 	p.mu.Unlock()
 	for _, ch := range free {
@@ -183,5 +183,13 @@
 	}
 }
 
+// Shut closes idle connections and gives out no more.
+func (p *Pool) Shut() {
+	p.mu.Lock()
+	p.shut = true
+	p.mu.Unlock()
+	p.Flush()
+}
+
 // Back returns a channel that was got and not used.
 func (ch *Channel) Back() { ch.pool.put(ch) }
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -13,6 +13,7 @@
 	"shaletrestle/buyer"
 	"shaletrestle/fault"
 	"shaletrestle/kerf"
+	"shaletrestle/logbook"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/sorting"
@@ -319,8 +320,7 @@
 	at := tick.Now()
 	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
 	if err != nil {
-		q.ask.Not[id] = true
-		q.g.yard.Failed(id)
+		q.lost(c.Replica)
 		if !sent {
 			return true
 		}
@@ -345,6 +345,13 @@
 	return min(plate.UrgencyLate-1, int(part*7))
 }
 
+// lost notes that the way to a replica failed: its idle connections are in doubt too.
+func (q *inquiry) lost(r *logbook.Replica) {
+	q.ask.Not[r.ID] = true
+	q.g.yard.Failed(r.ID)
+	q.g.pool(r, q.table).Flush()
+}
+
 // again tells whether another replica may be tried after one that may have run the inquiry; if not, it is answered.
 func (q *inquiry) again(why string) bool {
 	q.mayRun = true
@@ -387,8 +394,7 @@
 				q.giveUp(fault.Late, "time ran out")
 				return false
 			}
-			q.g.yard.Failed(id)
-			q.ask.Not[id] = true
+			q.lost(c.Replica)
 			return q.again("silence")
 		}
 		switch p.Kind {
@@ -412,8 +418,12 @@
 			return q.whole(&head, id)
 		case blade.Fail:
 			q.mayRun = true
-			q.ask.Not[id] = true
-			q.g.yard.Failed(id)
+			if p.Lost {
+				q.lost(c.Replica)
+			} else {
+				q.ask.Not[id] = true
+				q.g.yard.Failed(id)
+			}
 			return q.again(p.Why)
 		}
 	}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -20,7 +20,7 @@
 // Talk between own processes.
 const (
 	FrameMax    = 24 << 20               // bytes; a checkpoint of a very large setup still fits
-	DialWait    = 400 * time.Millisecond // an own node answers a dial in a few ms; a cut never does
+	DialWait    = 200 * time.Millisecond // an own node answers a dial in a few ms; a cut never does
 	UserTimeout = 1500                   // ms; TCP_USER_TIMEOUT, so that a silent peer frees its socket
 	OutboxLen   = 256                    // notes; a channel that lags this far is closed and starts over
 )
@@ -102,6 +102,7 @@
 	AliveIdle     = 1 * time.Second         // keep-alive probes of the kernel: a dark replica is noticed
 	AliveEvery    = 1 * time.Second         // though nothing is being sent
 	AliveCount    = 2                       // probes unanswered before the connection ends
+	UnackedMost   = 900 * time.Millisecond  // bytes that a replica leaves unacknowledged this long end the connection
 	FleetGuess    = 16                      // nodes, until control has told
 	ColdNodes     = 3                       // nodes that share one cold replica
 	PlaceAgain    = 25 * time.Millisecond   // pause while no replica can be used
--- a/sim/net.go
+++ b/sim/net.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"shaletrestle/plate"
 )
 
 // Net is the network. Times are those of the test's bubble.
@@ -80,7 +82,7 @@
 	for c := range n.all {
 		if c.from == ip || c.to == ip {
 			if power {
-				c.lost = true
+				c.lost, c.lostAt = true, time.Now()
 				if c.from == ip {
 					c.broken = true
 				}
@@ -216,6 +218,8 @@
 	in       []chunk
 	eof      bool
 	broken   bool
+	lostAt   time.Time
+	unacked  time.Time // the first write after that
 	lost     bool // its host or its peer's lost power
 	shut     bool
 	rd, wd   time.Time
@@ -245,6 +249,9 @@
 		case !c.rd.IsZero() && !now.Before(c.rd):
 			c.n.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
+		case c.lost && !now.Before(c.given()):
+			c.n.mu.Unlock()
+			return 0, syscall.ETIMEDOUT
 		case len(c.in) > 0 && !c.n.cuts[[2]string{c.to, c.from}]:
 			if x := &c.in[0]; !now.Before(x.at) {
 				k := copy(b, x.b)
@@ -265,6 +272,11 @@
 				wait = d
 			}
 		}
+		if c.lost {
+			if d := c.given().Sub(now); wait < 0 || d < wait {
+				wait = d
+			}
+		}
 		w := c.n.wake
 		c.n.mu.Unlock()
 		if wait < 0 {
@@ -280,6 +292,15 @@
 	}
 }
 
+// given is when the kernel gives a lost connection up: by its probes, or sooner if bytes go unacknowledged.
+func (c *conn) given() time.Time {
+	end := c.lostAt.Add(plate.AliveIdle + plate.AliveCount*plate.AliveEvery)
+	if u := c.unacked.Add(plate.UnackedMost); !c.unacked.IsZero() && u.Before(end) {
+		end = u
+	}
+	return end
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	c.n.mu.Lock()
 	defer c.n.mu.Unlock()
@@ -289,6 +310,10 @@
 	case c.broken:
 		return 0, syscall.ECONNRESET
 	case c.lost:
+		if c.unacked.IsZero() {
+			c.unacked = time.Now()
+			c.n.changed()
+		}
 		return len(b), nil
 	case c.peer.shut:
 		c.broken = true
--- a/sim/script.go
+++ b/sim/script.go
@@ -157,6 +157,8 @@
 		r.mu.Lock()
 		r.how, r.work, r.only = arg(1), a.span("work", r.work), a.kv["only"]
 		r.mu.Unlock()
+	case "blackout": // blackout r1: its machine goes dark
+		w.Net.Kill(w.replicas[arg(0)].ip, true)
 	case "platform": // platform down|empty|up
 		w.mu.Lock()
 		w.listDown, w.listEmpty = arg(0) == "down", arg(0) == "empty"
