--- a/blade/channel.go
+++ b/blade/channel.go
@@ -18,15 +18,14 @@
 
 // Wire names of the heads that matter here.
 const (
-	HeadID       = "Attempt-Id"
-	HeadSeal     = "Replica-Seal"
-	HeadNotRun   = "Not-Executed"
-	HeadBudget   = "Time-Budget-Ms"
-	HeadExpect   = "Expected-Replica"
-	HeadLoad     = "Replica-Load"
-	HeadLastID   = "Last-Event-Id"
-	HeadUrgency  = "Urgency-Class"
-	HeadRevision = "Expected-Revision"
+	HeadID      = "Attempt-Id"
+	HeadSeal    = "Replica-Seal"
+	HeadNotRun  = "Not-Executed"
+	HeadBudget  = "Time-Budget-Ms"
+	HeadExpect  = "Expected-Replica"
+	HeadLoad    = "Replica-Load"
+	HeadLastID  = "Last-Event-Id"
+	HeadUrgency = "Urgency-Class"
 )
 
 // Shot is one sending of an inquiry to a replica.
--- a/env/env.go
+++ b/env/env.go
@@ -96,15 +96,6 @@
 	Front, Control bool
 }
 
-// Load reads the file named by the environment variable.
-func Load(n Need) (*Env, error) {
-	p := os.Getenv(plate.EnvVar)
-	if p == "" {
-		return nil, fault.New(fault.BadEnv, "%s is not set", plate.EnvVar)
-	}
-	return LoadFile(p, n)
-}
-
 // LoadFile reads and checks one file.
 func LoadFile(p string, n Need) (*Env, error) {
 	b, err := os.ReadFile(p)
--- /dev/null
+++ b/logbook/book_test.go
@@ -0,0 +1,50 @@
+package logbook
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func doc(rev string) []byte {
+	return []byte(`{"revision":` + rev + `,"route_table":[{"name":"a","hostname":"h","path_prefix":"/","timeout_ms":1,"backend_pool":"s","x":1.0}],"backend_pools":[{"name":"s"}]}`)
+}
+
+func TestTheViewIsTheJournalFolded(t *testing.T) {
+	b := NewBook(false)
+	seen := 0
+	b.Watch(func(_, _ *View, _ *Event) { seen++ })
+	for _, e := range []*Event{
+		{Kind: Put, Body: doc("3")}, {Kind: Patch, Base: 3, Body: []byte(`{"revision":4,"remove":{"route_table":["a"]}}`)},
+		{Kind: Evacuate, Locality: "z"}, {Kind: Evacuate, Locality: "y"}, {Kind: Return, Locality: "z"},
+		{Kind: List, Replicas: []*Replica{{ID: "1"}, {ID: "2"}}}, {Kind: List, Gone: []string{"1"}},
+		{Kind: Fleet, Size: 2, Nodes: []string{"n", "m"}}, {Kind: Houses, Houses: []House{{"a", "z"}}},
+	} {
+		b.Fold(e.Encode())
+	}
+	require.Equal(t, 9, seen)
+	b.Fold([]byte("nonsense"))
+	b.Fold((&Event{Kind: "unknown"}).Encode())
+	b.Fold((&Event{Kind: Put, Body: doc("2")}).Encode())
+	require.Equal(t, 9, seen, "what can't be folded changes nothing")
+	v := b.View()
+	require.Equal(t, int64(4), v.Doc.Epoch)
+	require.Equal(t, map[string]bool{"y": true}, v.Evac)
+	require.Len(t, v.Replicas, 1)
+	require.True(t, v.Listed)
+	c := NewBook(false)
+	require.NoError(t, c.Restore(b.Checkpoint()))
+	require.Equal(t, string(b.Checkpoint()), string(c.Checkpoint()))
+	require.Equal(t, v.Digests, c.View().Digests)
+	require.Error(t, c.Restore([]byte("nonsense")))
+}
+
+func TestAGuardedBookNeverGoesBack(t *testing.T) {
+	old, now := NewBook(false), NewBook(true)
+	old.Fold((&Event{Kind: Put, Body: doc("3")}).Encode())
+	now.Fold((&Event{Kind: Put, Body: doc("5")}).Encode())
+	now.Fold((&Event{Kind: List, Replicas: []*Replica{{ID: "1"}}}).Encode())
+	require.NoError(t, now.Restore(old.Checkpoint()))
+	require.Equal(t, int64(5), now.View().Doc.Epoch)
+	require.Len(t, now.View().Replicas, 1, "a source that has no list yet empties nothing")
+}
--- a/scope/scope.go
+++ b/scope/scope.go
@@ -20,12 +20,6 @@
 	return &Scope{ctx, stop, log}
 }
 
-// From takes up a context of the standard library's.
-func From(ctx context.Context, log *slog.Logger) *Scope {
-	c, stop := context.WithCancel(ctx)
-	return &Scope{c, stop, log}
-}
-
 // Part makes a child whose log lines start with the part's prefix.
 func (s *Scope) Part(name string) *Scope {
 	ctx, stop := context.WithCancel(s.ctx)
--- a/setup/doc.go
+++ b/setup/doc.go
@@ -139,16 +139,22 @@
 	return int64(v), nil
 }
 
+// begin reads what an order holds and starts the configuration that it makes.
+func begin(b []byte) (n *Doc, m map[string]json.RawMessage, err error) {
+	if m, err = object(b); err != nil {
+		return nil, nil, err
+	}
+	n = &Doc{top: map[string]json.RawMessage{}, lists: map[string]list{}}
+	n.Epoch, err = epochOf(m)
+	return n, m, err
+}
+
 // Put makes the configuration that a whole one sent on top of d gives.
 func (d *Doc) Put(b []byte) (*Doc, error) {
-	m, err := object(b)
+	n, m, err := begin(b)
 	if err != nil {
 		return nil, err
 	}
-	n := &Doc{top: map[string]json.RawMessage{}, lists: map[string]list{}}
-	if n.Epoch, err = epochOf(m); err != nil {
-		return nil, err
-	}
 	for k, v := range m {
 		switch k {
 		case fieldEpoch:
@@ -170,14 +176,10 @@
 
 // Patch makes the configuration that named changes on top of d give.
 func (d *Doc) Patch(b []byte) (*Doc, error) {
-	m, err := object(b)
+	n, m, err := begin(b)
 	if err != nil {
 		return nil, err
 	}
-	n := &Doc{top: map[string]json.RawMessage{}, lists: map[string]list{}}
-	if n.Epoch, err = epochOf(m); err != nil {
-		return nil, err
-	}
 	for k, v := range d.top {
 		n.top[k] = v
 	}
--- a/sim/badinput_test.go
+++ b/sim/badinput_test.go
@@ -36,6 +36,18 @@
 	return a.StatusCode
 }
 
+// small is a world with one gate that serves.
+func small(t *testing.T) (*World, *Script) {
+	t.Helper()
+	w := NewWorld(slog.New(slog.DiscardHandler))
+	s := &Script{w: w, bad: map[int]int{}}
+	for _, l := range []string{"fleet houses=3 gates=1", "replica r1 pool=svc zone=a", "replica m1 pool=lm zone=a", "wait 1s", "put 5 base=0 expect=200", "wait 1500ms"} {
+		f := strings.Fields(l)
+		require.NoError(t, s.line(f[0], f[1:]), l)
+	}
+	return w, s
+}
+
 func TestBadInputNeverReachesAReplica(t *testing.T) {
 	head := "POST /n/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: bad\r\nTime-Budget-Ms: 2000\r\n"
 	for _, x := range []struct {
@@ -62,13 +74,8 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := NewWorld(slog.New(slog.DiscardHandler))
+				w, s := small(t)
 				defer func() { w.End(); time.Sleep(10 * time.Second) }()
-				s := &Script{w: w, bad: map[int]int{}}
-				for _, l := range []string{"fleet houses=3 gates=1", "replica r1 pool=svc zone=a", "replica m1 pool=lm zone=a", "wait 1s", "put 5 base=0 expect=200", "wait 1500ms"} {
-					f := strings.Fields(l)
-					require.NoError(t, s.line(f[0], f[1:]), l)
-				}
 				require.Contains(t, x.want, raw(t, w, x.text, x.slow))
 				require.NoError(t, s.line("got", []string{"r1", "max=0"}))
 				require.Empty(t, w.broken)
@@ -80,13 +87,8 @@
 
 func TestOddHintsDoNotFailAGoodInquiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := NewWorld(slog.New(slog.DiscardHandler))
+		w, _ := small(t)
 		defer func() { w.End(); time.Sleep(10 * time.Second) }()
-		s := &Script{w: w, bad: map[int]int{}}
-		for _, l := range []string{"fleet houses=3 gates=1", "replica r1 pool=svc zone=a", "replica m1 pool=lm zone=a", "wait 1s", "put 5 base=0 expect=200", "wait 1500ms"} {
-			f := strings.Fields(l)
-			require.NoError(t, s.line(f[0], f[1:]), l)
-		}
 		for _, h := range []string{"Time-Budget-Ms: soon", "Time-Budget-Ms: 1e400", "Prompt-Prefix: ::,;", "Prompt-Prefix: zz:1,aa:x", "Token-Counts: a,b", "Token-Counts: -5,99999999999999999999", "Model:"} {
 			w.bodies["ok"] = "POST /s/x "
 			w.runs["ok"] = 0
--- a/sim/net.go
+++ b/sim/net.go
@@ -220,7 +220,7 @@
 	broken   bool
 	lostAt   time.Time
 	unacked  time.Time // the first write after that
-	lost     bool // its host or its peer's lost power
+	lost     bool      // its host or its peer's lost power
 	shut     bool
 	rd, wd   time.Time
 }
--- a/tally/member.go
+++ b/tally/member.go
@@ -232,6 +232,21 @@
 	p.seat, p.seen, p.fit = s, tick.Now(), fit
 }
 
+// hearsay takes seats that others know. It never displaces what was seen at an address: a disk may have been replaced since.
+func (m *Member) hearsay(ss []crew.Seat) {
+	for _, s := range ss {
+		m.mu.Lock()
+		known := s.Addr == m.self.Addr
+		for _, p := range m.peers {
+			known = known || p.seat.Addr == s.Addr
+		}
+		m.mu.Unlock()
+		if !known {
+			m.saw(s, false)
+		}
+	}
+}
+
 // learn takes a chosen chart; it tells whether it was new.
 func (m *Member) learn(c *crew.Chart) bool {
 	if c == nil || c.Epoch == 0 {
@@ -334,14 +349,7 @@
 func (m *Member) onBeat(n, a *crew.Note) {
 	m.saw(n.From, true)
 	fresh := m.learn(n.Chart)
-	for _, s := range n.Seats {
-		m.mu.Lock()
-		_, known := m.peers[s.ID]
-		m.mu.Unlock()
-		if !known {
-			m.saw(s, false)
-		}
-	}
+	m.hearsay(n.Seats)
 	m.mu.Lock()
 	c := m.reg.Chart
 	if c != nil && n.Chart != nil && n.Chart.Epoch == c.Epoch {
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -261,6 +261,20 @@
 	})
 }
 
+func TestHearsayDisplacesNothingSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		m := tr.m[0]
+		m.hearsay([]crew.Seat{{ID: 5, Addr: "m1"}, {ID: 6, Addr: "m0"}, {ID: 7, Addr: "new"}})
+		got := map[string]uint64{}
+		for _, s := range m.Members() {
+			got[s.Addr] = s.ID
+		}
+		require.Equal(t, map[string]uint64{"m0": 11, "m1": 22, "m2": 33, "new": 7}, got)
+	})
+}
+
 func TestAnEarlierProposalIsFinishedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTrio()
--- a/tally/view.go
+++ b/tally/view.go
@@ -198,14 +198,7 @@
 			if m.learn(r.Chart) {
 				_ = m.saveRegister()
 			}
-			for _, s := range r.Seats {
-				m.mu.Lock()
-				_, known := m.peers[s.ID]
-				m.mu.Unlock()
-				if !known {
-					m.saw(s, false)
-				}
-			}
+			m.hearsay(r.Seats)
 		}()
 	}
 	for range at {
