--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -18,6 +18,9 @@
 		if n := st.Note(); n != "" {
 			sc.Part("tally").Log().Error("the disk was damaged and is joined anew, empty", "why", n)
 		}
+		if n := st.Cut(); n > 0 {
+			sc.Part("tally").Log().Warn("torn tail cut at its last whole record", "bytes", n)
+		}
 		return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: st})
 	})
 }
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -134,8 +134,8 @@
 	IndexRuns    = 20000                 // runs kept at most over all replicas
 	NearBonus    = 0.15                  // part of the slots by which another locality must be less busy
 	HintContra   = 3                     // contradictions before a hint is dropped
-	LearnTokens  = 4000                  // shorter prompts tell little about the time per token
-	LearnDown    = 0.2                   // weight of an observation below what is believed
+	LearnTokens  = 1500                  // shorter prompts tell little about the time per token
+	LearnDown    = 0.5                   // weight of an observation below what is believed
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
--- a/tally/store.go
+++ b/tally/store.go
@@ -73,6 +73,7 @@
 	next uint64
 	size int
 	note string
+	cut  int
 }
 
 var magic = []byte("\x7ftly")
@@ -157,6 +158,9 @@
 // Note tells what was found wrong when the store was opened, if anything.
 func (s *DiskStore) Note() string { return s.note }
 
+// Cut tells how many bytes of a torn tail were cut when the store was opened.
+func (s *DiskStore) Cut() int { return s.cut }
+
 func (s *DiskStore) path(p string) string { return filepath.Join(s.dir, p) }
 
 func (s *DiskStore) empty() error {
@@ -256,11 +260,11 @@
 
 func (s *DiskStore) logDir() string { return s.path("log-" + strconv.FormatUint(s.gen, 10)) }
 
-// mend cuts a damaged tail of a log segment at its last whole record; damage before a whole record is an error.
-func mend(p string) error {
+// mend cuts a damaged tail of a log segment at its last whole record and tells how many bytes that were; damage before a whole record is an error.
+func mend(p string) (cut int, err error) {
 	b, err := os.ReadFile(p)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	off := 0
 	for off < len(b) {
@@ -274,7 +278,7 @@
 		off += k + int(n)
 	}
 	if off == len(b) {
-		return nil
+		return 0, nil
 	}
 	for at := off + 1; at < len(b); at++ {
 		i := bytes.Index(b[at:], magic)
@@ -285,29 +289,31 @@
 		for k := 1; k <= 5 && at-k >= off; k++ {
 			if n, w := binary.Uvarint(b[at-k:]); w == k && n >= 8 && n <= uint64(len(b)-at) {
 				if _, ok := unseal(b[at : at+int(n)]); ok && at-k > off {
-					return fault.New(fault.Internal, "the log's body is damaged at byte %d", off)
+					return 0, fault.New(fault.Internal, "the log's body is damaged at byte %d", off)
 				}
 			}
 		}
 	}
 	f, err := os.OpenFile(p, os.O_RDWR, 0o600)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer f.Close()
 	if err := f.Truncate(int64(off)); err != nil {
-		return err
+		return 0, err
 	}
-	return f.Sync()
+	return len(b) - off, f.Sync()
 }
 
 func (s *DiskStore) openLog() ([][]byte, error) {
 	es, _ := os.ReadDir(s.logDir())
 	for _, e := range es {
 		if !e.IsDir() {
-			if err := mend(filepath.Join(s.logDir(), e.Name())); err != nil {
+			cut, err := mend(filepath.Join(s.logDir(), e.Name()))
+			if err != nil {
 				return nil, err
 			}
+			s.cut += cut
 		}
 	}
 	l, err := wal.Open(s.logDir(), &wal.Options{SegmentSize: plate.LogSegment * 4, LogFormat: wal.Binary, SegmentCacheSize: 1, DirPerms: 0o700, FilePerms: 0o600})
--- a/tally/store_test.go
+++ b/tally/store_test.go
@@ -72,6 +72,7 @@
 			}
 		}
 		require.Len(t, s.Load().Tail, want, "cut at byte %d", n)
+		require.Equal(t, n-append([]int{0}, ends...)[want-1], s.Cut())
 		require.NoError(t, os.WriteFile(p, whole, 0o600))
 	}
 }
@@ -149,12 +150,14 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		p := filepath.Join(t.TempDir(), "x")
 		require.NoError(t, os.WriteFile(p, b, 0o600))
-		if mend(p) != nil {
+		if _, err := mend(p); err != nil {
 			return
 		}
 		c, err := os.ReadFile(p)
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(c), len(b))
-		require.NoError(t, mend(p), "a mended log is whole")
+		cut, err := mend(p)
+		require.NoError(t, err)
+		require.Zero(t, cut, "a mended log is whole")
 	})
 }
