--- a/plate/plate.go
+++ b/plate/plate.go
@@ -96,7 +96,7 @@
 	RetryUnready  = 0.8                     // s; told while this process has no setup or list yet: about what a start takes
 	UnreadyHold   = 1 * time.Second         // an inquiry waits this long for setup and list before it is refused: a start takes less
 	SilenceGaps   = 2.5                     // a stream silent for this many target gaps is taken up elsewhere
-	SilenceAims   = 1.5                     // no first event within this many aims: another replica is tried
+	SilenceAims   = 3.0                     // no first event within this many aims: another replica is tried
 	KeepMargin    = 300 * time.Millisecond  // an idle connection is left alone this long before its Keep-Alive ends
 	KeepIdle      = 20 * time.Second        // idle connections without a Keep-Alive
 	AliveIdle     = 1 * time.Second         // keep-alive probes of the kernel: a dark replica is noticed
