--- a/blade/channel.go
+++ b/blade/channel.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -161,7 +162,7 @@
 	q := &http.Request{Method: s.Method, URL: &url.URL{Scheme: "http", Opaque: s.Target}, Host: s.Host, Header: s.Head,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(s.Body))}
 	if len(s.Body) > 0 {
-		q.Body = io.NopCloser(strings.NewReader(string(s.Body)))
+		q.Body = io.NopCloser(bytes.NewReader(s.Body))
 	} else if s.Method != http.MethodGet && s.Method != http.MethodHead {
 		q.Body = http.NoBody
 	}
@@ -175,7 +176,7 @@
 	ch.start <- j
 	cw := &counter{w: ch.c}
 	_ = ch.c.SetWriteDeadline(tick.Now().Add(within))
-	w := bufio.NewWriterSize(cw, 16<<10)
+	w := bufio.NewWriterSize(cw, 4<<10)
 	if err = q.Write(w); err == nil {
 		err = w.Flush()
 	}
