--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -271,12 +271,20 @@
 			}
 			continue
 		}
+		if q.sent == 0 && !letIn(c, left) {
+			q.g.yard.Done(&berth.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost})
+			q.refuse(fault.Crowded)
+			return
+		}
 		if !q.shoot(c, left, quit) {
 			return
 		}
 	}
 }
 
+// letIn tells whether an inquiry is worth sending: not if the line before it alone is predicted to outlast what is left of its time. The length of its own prompt never counts against it.
+func letIn(c berth.Choice, left tick.Span) bool { return c.Expect-c.Alone < left }
+
 // refuseAt is when an inquiry that could be sent nowhere is refused.
 func (q *inquiry) refuseAt() tick.Moment {
 	return q.arrived.Add(tick.Span(float64(q.path.Aim) * plate.RefusePart))
