Copies and witnesses from fault_tolerance: losses + 1 copies, 2 x losses + 1 witnesses

Cause: fault_tolerance was read and never used. With two losses to bear, the two disks that held an acknowledged order could both go, or two of three witnesses.

Change: the chart names a list of backups. The primary writes to all of them before it answers; fewer than f + 1 copies are taken only while the witnesses are fewer than 2f + 1 as well. Later backups take over 0.3 s after one another. Reads are confirmed by most witnesses, not by the backups. Copies and witnesses are spread over zones; those that are to be had come in before the next order is acknowledged. Processes without a disk that counts are relays.

--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -11,6 +11,9 @@
 
 func main() {
 	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
+		if !e.Keeps() {
+			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: tally.NewNoDisk()})
+		}
 		st, err := tally.OpenDisk(e.DataDir, e.Bootstrap)
 		if err != nil {
 			return nil, err
--- a/crew/crewfb/Chart.go
+++ b/crew/crewfb/Chart.go
@@ -90,17 +90,24 @@
 	return nil
 }
 
-func (rcv *Chart) Backup(obj *Seat) *Seat {
+func (rcv *Chart) Backups(obj *Seat, j int) bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
 	if o != 0 {
-		x := rcv._tab.Indirect(o + rcv._tab.Pos)
-		if obj == nil {
-			obj = new(Seat)
-		}
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
 		obj.Init(rcv._tab.Bytes, x)
-		return obj
+		return true
 	}
-	return nil
+	return false
+}
+
+func (rcv *Chart) BackupsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
 }
 
 func ChartStart(builder *flatbuffers.Builder) {
@@ -121,8 +128,11 @@
 func ChartAddPrimary(builder *flatbuffers.Builder, primary flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(primary), 0)
 }
-func ChartAddBackup(builder *flatbuffers.Builder, backup flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(backup), 0)
+func ChartAddBackups(builder *flatbuffers.Builder, backups flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(4, flatbuffers.UOffsetT(backups), 0)
+}
+func ChartStartBackupsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
 }
 func ChartEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
--- a/crew/note.go
+++ b/crew/note.go
@@ -18,10 +18,10 @@
 	Prepare                    // proposer to witness
 	Accept                     // proposer to witness
 	Install                    // a chosen chart
-	Checkpoint                 // whole state to a new backup
-	Append                     // one entry to the backup
-	Confirm                    // is this still the pair's epoch
-	Yield                      // primary asks its backup to take over
+	Checkpoint                 // whole state to a backup
+	Append                     // one entry to a backup
+	Confirm                    // is this still the newest chart
+	Yield                      // primary asks a backup to take over
 	Lease                      // ask a witness for a duty
 	Follow                     // subscribe to news
 	News                       // one numbered change or a checkpoint
@@ -36,15 +36,18 @@
 	Locality string
 }
 
-// Chart is one view of the control pair and its witnesses.
+// Chart is one view of the control state's copies and its witnesses.
 type Chart struct {
 	Epoch     uint64
-	Mark      uint64 // ballot under which the pair's state was synced
+	Mark      uint64 // ballot under which the copies were synced
 	Witnesses []Seat
 	Primary   Seat
-	Backup    Seat
+	Backups   []Seat // in the order in which they take over
 }
 
+// Copies are the primary and its backups.
+func (c *Chart) Copies() []Seat { return append([]Seat{c.Primary}, c.Backups...) }
+
 // Note is one message.
 type Note struct {
 	Kind       Kind
@@ -89,13 +92,14 @@
 
 func putChart(b *flatbuffers.Builder, c *Chart) flatbuffers.UOffsetT {
 	w := putSeats(b, c.Witnesses, crewfb.ChartStartWitnessesVector)
-	p, k := putSeat(b, c.Primary), putSeat(b, c.Backup)
+	k := putSeats(b, c.Backups, crewfb.ChartStartBackupsVector)
+	p := putSeat(b, c.Primary)
 	crewfb.ChartStart(b)
 	crewfb.ChartAddEpoch(b, c.Epoch)
 	crewfb.ChartAddMark(b, c.Mark)
 	crewfb.ChartAddWitnesses(b, w)
 	crewfb.ChartAddPrimary(b, p)
-	crewfb.ChartAddBackup(b, k)
+	crewfb.ChartAddBackups(b, k)
 	return crewfb.ChartEnd(b)
 }
 
@@ -155,7 +159,13 @@
 	if c == nil {
 		return nil
 	}
-	o := &Chart{Epoch: c.Epoch(), Mark: c.Mark(), Primary: getSeat(c.Primary(nil)), Backup: getSeat(c.Backup(nil))}
+	o := &Chart{Epoch: c.Epoch(), Mark: c.Mark(), Primary: getSeat(c.Primary(nil))}
+	for i := range c.BackupsLength() {
+		var s crewfb.Seat
+		if c.Backups(&s, i) {
+			o.Backups = append(o.Backups, getSeat(&s))
+		}
+	}
 	for i := range c.WitnessesLength() {
 		var s crewfb.Seat
 		if c.Witnesses(&s, i) {
--- a/env/env.go
+++ b/env/env.go
@@ -136,9 +136,12 @@
 	}
 	if n.Control {
 		at["bind_addresses.control"], at["cloud_api.address"] = e.Bind.Control, e.Cloud.Address
-		if e.DataDir == "" {
+		if e.Quorum && e.DataDir == "" {
 			return bad("data_dir", "is missing")
 		}
+		if t := e.Tolerance; min(t.Machines, t.Zones, t.Regions) < 0 || max(t.Machines, t.Zones, t.Regions) > plate.LossesMost {
+			return bad("fault_tolerance", "must be between 0 and "+strconv.Itoa(plate.LossesMost))
+		}
 	}
 	for i, s := range e.Seeds {
 		at["seed_nodes["+strconv.Itoa(i)+"]"] = s
@@ -173,6 +176,26 @@
 	return ""
 }
 
+// Keeps tells whether this machine's disk counts for the control state.
+func (e *Env) Keeps() bool { return e.Quorum && e.DataDir != "" }
+
+// Losses is the number of control members whose loss at once must be borne: machines, or as many members as the zones or regions that may go hold when 2 x losses + 1 witnesses are spread over all. ok is false if no number bears it, as with two zones of which one may go; then the machines count.
+func (e *Env) Losses() (n int, ok bool) {
+	regions := map[string]bool{}
+	for _, r := range e.Zones {
+		regions[r] = true
+	}
+	least := max(e.Tolerance.Machines, e.Tolerance.Zones, e.Tolerance.Regions)
+	for n = least; n <= plate.LossesMost; n++ {
+		if e.Tolerance.Zones*share(2*n+1, len(e.Zones)) <= n && e.Tolerance.Regions*share(2*n+1, len(regions)) <= n {
+			return n, true
+		}
+	}
+	return least, false
+}
+
+func share(members, places int) int { return (members + max(places, 1) - 1) / max(places, 1) }
+
 // Port gives one of our own ports.
 func (e *Env) Port(off int) string { return net.JoinHostPort(e.IP, strconv.Itoa(e.Ports[0]+off)) }
 
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -17,6 +17,7 @@
 internal_port_range: [7720, 7735]
 seed_nodes: ["10.1.0.13:83", "10.2.0.30:83"]
 limits: {memory_mb: 244}
+quorum_member: true
 data_dir: "/data/x"
 bounds: {contact_ms: 3000, drain_ms: 3000}
 cloud_api: {address: "10.200.0.79:8169"}
@@ -42,6 +43,8 @@
 		{`front: "10.1.0.13:81", `, ``, "bind_addresses.front"},
 		{`contact_ms: 3000`, `contact_ms: -1`, "contact_ms"},
 		{`data_dir: "/data/x"`, ``, "data_dir"},
+		{`a_later_field: 7`, `fault_tolerance: {machine_losses: -1}`, "fault_tolerance"},
+		{`a_later_field: 7`, `fault_tolerance: {zones: 99}`, "fault_tolerance"},
 		{`bounds:`, `bounds: [`, "settings file"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.old, x.now, 1)), Need{Front: true, Control: true})
@@ -50,3 +53,43 @@
 		require.Equal(t, fault.BadEnv, fault.KindOf(err))
 	}
 }
+
+func TestAMachineWithoutADiskKeepsNothing(t *testing.T) {
+	for _, x := range []struct {
+		yaml string
+		want bool
+	}{
+		{good, true},
+		{strings.NewReplacer(`data_dir: "/data/x"`, "", "quorum_member: true", "quorum_member: false").Replace(good), false},
+		{strings.Replace(good, "quorum_member: true", "quorum_member: false", 1), false},
+	} {
+		e, err := Parse([]byte(x.yaml), Need{Control: true})
+		require.NoError(t, err)
+		require.Equal(t, x.want, e.Keeps())
+	}
+}
+
+func TestLossesCoverZonesAndRegions(t *testing.T) {
+	three, five := map[string]string{"a": "r", "b": "r", "c": "r"}, map[string]string{"a": "r", "b": "r", "c": "r", "d": "r", "e": "r"}
+	for _, x := range []struct {
+		zones map[string]string
+		tol   Tolerance
+		want  int
+		ok    bool
+	}{
+		{three, Tolerance{1, 1, 0}, 1, true},
+		{three, Tolerance{2, 1, 0}, 2, true},
+		{five, Tolerance{2, 1, 0}, 2, true},
+		{five, Tolerance{1, 2, 0}, 2, true},
+		{five, Tolerance{3, 2, 0}, 4, true}, // seven witnesses lie two in some zones
+		{three, Tolerance{1, 2, 0}, 2, false},
+		{map[string]string{"a": "r", "b": "r"}, Tolerance{1, 1, 0}, 1, false},
+		{map[string]string{"a": "r", "b": "s", "c": "t"}, Tolerance{1, 1, 1}, 1, true},
+		{three, Tolerance{1, 0, 1}, 1, false},
+		{three, Tolerance{}, 0, true},
+	} {
+		n, ok := (&Env{Zones: x.zones, Tolerance: x.tol}).Losses()
+		require.Equal(t, x.want, n, "%+v", x)
+		require.Equal(t, x.ok, ok, "%+v", x)
+	}
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -25,19 +25,26 @@
 	OutboxLen   = 256                    // notes; a channel that lags this far is closed and starts over
 )
 
-// Control pair and witnesses.
+// Control copies and witnesses.
 const (
 	BeatEvery    = 250 * time.Millisecond  // primary to members; cheap, and four fit into BeatLost
 	BeatLost     = 1000 * time.Millisecond // backup takes over after this silence: four beats
 	CallWait     = 500 * time.Millisecond  // one call to a member, its synced write included
-	DiskWait     = 700 * time.Millisecond  // own disk slower than this: the member steps out of the pair
-	TransferWait = 1500 * time.Millisecond // a whole checkpoint to a new backup
+	DiskWait     = 700 * time.Millisecond  // own disk slower than this: the member is no copy any more
+	TransferWait = 1500 * time.Millisecond // a whole checkpoint to a backup
 	WitnessLost  = 3 * time.Second         // a witness unseen this long is swapped for a learner
 	HelloEvery   = 500 * time.Millisecond  // a member without a primary asks around
 	LogSegment   = 2 << 20                 // bytes of log before a checkpoint; the disk has tens of MB
 	StepPause    = 120 * time.Millisecond  // pause between tries of a view change; spread by the member's id
 )
 
+// Several backups.
+const (
+	RankWait   = 300 * time.Millisecond // each later backup takes over this much after the one before it, which needs tens of ms
+	RefusedFor = 2 * time.Second        // a member that took no hand-over is not offered one for its own sake again before
+	LossesMost = 8                      // losses borne at once; more would need over 17 members
+)
+
 // Leases.
 const (
 	LeaseSpan   = 500 * time.Millisecond // how long a duty is granted; a restarted grantor is silent this long
--- a/sim/world.go
+++ b/sim/world.go
@@ -110,6 +110,7 @@
 seed_nodes: %[4]s
 bootstrap: %[5]v
 limits: {memory_mb: 64}
+quorum_member: true
 data_dir: "/data"
 fault_tolerance: {machine_losses: 1}
 bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 3000, grace_s: 8, retry_budget_ratio: 0.2, retry_window_s: 10, retry_slack: 60, cold_overshoot: 1.5, cold_slack: 5}
--- /dev/null
+++ b/tally/bearing.go
@@ -0,0 +1,186 @@
+package tally
+
+import (
+	"cmp"
+	"slices"
+
+	"shaletrestle/crew"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// What must be borne: with f losses, f + 1 copies and 2f + 1 witnesses. Whoever reaches most of the witnesses reaches f + 1 members with disks, so a chart at its tolerance never needs fewer copies.
+
+const relayWord, bootWord = "relay", "boot"
+
+func index(ss []crew.Seat, id uint64) int {
+	return slices.IndexFunc(ss, func(s crew.Seat) bool { return s.ID == id })
+}
+
+func addrs(ss []crew.Seat) (out []string) {
+	for _, s := range ss {
+		out = append(out, s.Addr)
+	}
+	return out
+}
+
+// borne is the number of members that may be lost at once under a chart.
+func borne(c *crew.Chart) int {
+	if c == nil {
+		return 0
+	}
+	return min(len(c.Backups), max(0, len(c.Witnesses)-1)/2)
+}
+
+func (m *Member) word() string {
+	switch {
+	case m.cf.Relay:
+		return relayWord
+	case m.boot:
+		return bootWord
+	}
+	return ""
+}
+
+// copies is how many a chart should have. With nothing to bear, a backup is kept where one is to be had.
+func (m *Member) copies() int { return max(m.cf.Losses, 1) + 1 }
+
+// fewest is the number of copies below which no chart is made: what its witnesses bear, and one more.
+func (m *Member) fewest(c *crew.Chart) int {
+	if m.cf.Losses == 0 {
+		return 1
+	}
+	return max(2, (len(c.Witnesses)-1)/2+1)
+}
+
+func (m *Member) witnessesWanted() int { return 2*max(m.cf.Losses, 1) + 1 }
+
+// fitOnes are the other members that were seen lately and whose disks take writes.
+func (m *Member) fitOnes() (out []crew.Seat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.fit && tick.Since(p.seen) < plate.BeatLost {
+			out = append(out, p.seat)
+		}
+	}
+	return out
+}
+
+// spare are the fit members that are no copies and have not refused to be one lately.
+func (m *Member) spare(c *crew.Chart) []crew.Seat {
+	return slices.DeleteFunc(m.fitOnes(), func(s crew.Seat) (no bool) {
+		m.mark(s.ID, func(p *peer) { no = tick.Since(p.refused) < plate.RefusedFor })
+		return no || index(c.Copies(), s.ID) >= 0
+	})
+}
+
+// short tells whether the chart has fewer copies or witnesses than wanted while more are to be had.
+func (m *Member) short() bool {
+	c := m.Chart()
+	if c == nil {
+		return false
+	}
+	return len(c.Copies()) < m.copies() && len(m.spare(c)) > 0 || m.grown(c) != nil
+}
+
+// narrow tells whether the copies lie in so few localities that these may all be lost, while a member elsewhere could be one.
+func (m *Member) narrow(c *crew.Chart) bool {
+	at := places(c.Copies())
+	return len(at) <= m.cf.Zones && slices.ContainsFunc(m.spare(c), func(s crew.Seat) bool { return at[s.Locality] == 0 })
+}
+
+func places(ss []crew.Seat) map[string]int {
+	at := map[string]int{}
+	for _, s := range ss {
+		at[s.Locality]++
+	}
+	return at
+}
+
+// learners are the fit members, this one too, that are no witnesses.
+func (m *Member) learners(c *crew.Chart) []crew.Seat {
+	return slices.DeleteFunc(append(m.fitOnes(), m.self), func(s crew.Seat) bool { return index(c.Witnesses, s.ID) >= 0 })
+}
+
+// emptiest is the member whose locality holds the fewest of those placed.
+func emptiest(ss []crew.Seat, at map[string]int) crew.Seat {
+	return slices.MinFunc(ss, func(a, b crew.Seat) int {
+		return cmp.Or(cmp.Compare(at[a.Locality], at[b.Locality]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// grown gives the witnesses with learners added while there are fewer than wanted, nil if nothing is to be added. An odd number stays odd: one more would bear no more losses.
+func (m *Member) grown(c *crew.Chart) []crew.Seat {
+	n, free := 1+len(c.Witnesses)%2, m.learners(c)
+	if len(c.Witnesses) >= m.witnessesWanted() || len(free) < n {
+		return nil
+	}
+	ws, at := slices.Clone(c.Witnesses), places(c.Witnesses)
+	for range n {
+		s := emptiest(free, at)
+		free = slices.DeleteFunc(free, func(x crew.Seat) bool { return x.ID == s.ID })
+		at[s.Locality]++
+		ws = append(ws, s)
+	}
+	return ws
+}
+
+// panel gives the witnesses one step nearer to what is wanted, nil if all is well or nothing is to be had: more of them, a lost one replaced, or one moved out of a locality that holds too many.
+func (m *Member) panel(c *crew.Chart) []crew.Seat {
+	if ws := m.grown(c); ws != nil {
+		return ws
+	}
+	free := m.learners(c)
+	if len(free) == 0 {
+		return nil
+	}
+	put := func(i int, s crew.Seat) []crew.Seat {
+		ws := slices.Clone(c.Witnesses)
+		ws[i] = s
+		return ws
+	}
+	for i, w := range c.Witnesses {
+		if w.ID == m.self.ID {
+			continue
+		}
+		at := places(put(i, crew.Seat{}))
+		if j := slices.IndexFunc(free, func(s crew.Seat) bool { return s.Addr == w.Addr }); j >= 0 { // another disk at the witness's own address: it was wiped
+			return put(i, free[j])
+		}
+		if m.gone(w) {
+			return put(i, emptiest(free, at))
+		}
+	}
+	if m.cf.Zones == 0 {
+		return nil
+	}
+	at, most := places(c.Witnesses), max(1, m.cf.Losses/m.cf.Zones)
+	for i, w := range c.Witnesses {
+		if s := emptiest(free, at); at[w.Locality] > most && at[s.Locality] < most && w.ID != m.self.ID {
+			return put(i, s)
+		}
+	}
+	return nil
+}
+
+func (m *Member) gone(w crew.Seat) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[w.ID]
+	return p == nil && tick.Since(m.born) > plate.WitnessLost || p != nil && tick.Since(p.seen) > plate.WitnessLost
+}
+
+// warn says once in an epoch that the chart bears fewer losses than it should and nobody is there to mend it.
+func (m *Member) warn(c *crew.Chart) {
+	m.mu.Lock()
+	late := m.warned != c.Epoch && tick.Since(m.born) > plate.WitnessLost
+	if late && borne(c) < m.cf.Losses {
+		m.warned = c.Epoch
+	}
+	known := 1 + len(m.peers)
+	m.mu.Unlock()
+	if late && borne(c) < m.cf.Losses {
+		m.sc.Log().Warn("fewer losses are borne than the settings want", "borne", borne(c), "wanted", m.cf.Losses, "members", known)
+	}
+}
--- a/tally/member.go
+++ b/tally/member.go
@@ -1,4 +1,4 @@
-// Package tally keeps a small state on a primary and a backup. A change counts only when both have synced it; a register at three witnesses, decided by prepare and accept, says who the pair is. Nothing else is replicated by majority.
+// Package tally keeps a small state on a primary and its backups. A change counts only when all of them have synced it; a register at the witnesses, decided by prepare and accept, says who they are. Nothing else is replicated by majority.
 package tally
 
 import (
@@ -33,7 +33,9 @@
 	Addr     string
 	Locality string
 	Seeds    []string // crew addresses; at the first start the same for all
-	Solo     bool     // one member alone may be primary: nothing may be lost then
+	Losses   int      // members that may be lost at once; 0: one member alone may be primary
+	Zones    int      // localities that may be lost at once
+	Relay    bool     // it has no disk: it holds nothing, witnesses nothing and only learns the chart
 	Store    Store
 	Machine  Machine
 	Caller   Caller
@@ -42,9 +44,12 @@
 }
 
 type peer struct {
-	seat crew.Seat
-	seen tick.Moment
-	fit  bool // its disk takes writes and it isn't leaving
+	seat    crew.Seat
+	seen    tick.Moment
+	fit     bool        // its disk takes writes and it isn't leaving
+	relay   bool        // it has no disk
+	missed  bool        // it did not answer a write since it was last seen
+	refused tick.Moment // when it last took no hand-over
 }
 
 // Member is one control process.
@@ -68,6 +73,8 @@
 	beat    tick.Moment
 	beatBy  crew.Seat
 	urged   bool
+	warned  uint64      // epoch for which the tolerance was said to be out of reach
+	vowed   tick.Moment // when a promise was last given to another member
 	leaving bool
 	peers   map[uint64]*peer
 	stalled atomic.Bool
@@ -191,6 +198,9 @@
 // State is for the state page.
 type State struct {
 	Self      crew.Seat   `json:"self"`
+	Relay     bool        `json:"relay"`
+	Losses    int         `json:"losses_borne"` // by the chart: copies left and a majority of witnesses
+	Wanted    int         `json:"losses_wanted"`
 	Chart     *crew.Chart `json:"chart"`
 	Active    bool        `json:"active"`
 	Joined    bool        `json:"joined"`
@@ -204,13 +214,13 @@
 	ms := m.Members()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return State{m.self, m.reg.Chart, m.active, m.joined.Epoch != 0, m.stalled.Load(), tick.Since(m.beat).Milliseconds(), ms}
+	return State{m.self, m.cf.Relay, borne(m.reg.Chart), m.cf.Losses, m.reg.Chart, m.active, m.joined.Epoch != 0, m.stalled.Load(), tick.Since(m.beat).Milliseconds(), ms}
 }
 
 func (m *Member) fit() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.leaving && !m.stalled.Load()
+	return !m.cf.Relay && !m.leaving && !m.stalled.Load()
 }
 
 func (m *Member) saw(s crew.Seat, fit bool) {
@@ -229,7 +239,16 @@
 		p = &peer{}
 		m.peers[s.ID] = p
 	}
-	p.seat, p.seen, p.fit = s, tick.Now(), fit
+	p.seat, p.seen, p.fit, p.missed = s, tick.Now(), fit, false
+}
+
+// mark notes something about a member that is known.
+func (m *Member) mark(id uint64, f func(*peer)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[id]; p != nil {
+		f(p)
+	}
 }
 
 // hearsay takes seats that others know. It never displaces what was seen at an address: a disk may have been replaced since.
@@ -267,7 +286,7 @@
 		m.active, idle = false, true
 	}
 	m.mu.Unlock()
-	m.sc.Log().Info("new chart", "epoch", c.Epoch, "primary", c.Primary.Addr, "backup", c.Backup.Addr)
+	m.sc.Log().Info("new chart", "epoch", c.Epoch, "primary", c.Primary.Addr, "backups", addrs(c.Backups))
 	if idle && m.cf.OnIdle != nil {
 		m.cf.OnIdle()
 	}
@@ -315,11 +334,16 @@
 		m.saw(n.From, n.OK)
 		m.learn(n.Chart)
 		a.OK, a.Chart, a.Seats = m.fit(), m.Chart(), m.Members()
-		if m.boot {
-			a.Word = "boot"
-		}
+		a.Word = m.word()
 	case crew.Beat:
 		m.onBeat(n, a)
+	case crew.Prepare, crew.Accept, crew.Install, crew.Checkpoint, crew.Append, crew.Confirm:
+		if m.cf.Relay {
+			a.Word = "no disk is here"
+			return a, true
+		}
+	}
+	switch n.Kind {
 	case crew.Prepare, crew.Accept:
 		m.onBallot(n, a)
 	case crew.Install:
@@ -333,13 +357,14 @@
 		m.onAppend(n, a)
 	case crew.Confirm:
 		m.mu.Lock()
-		a.OK = m.joined.Epoch == n.Epoch && m.joined.Mark == n.Ballot && n.Epoch != 0
-		a.Chart = m.reg.Chart
+		c := m.reg.Chart
+		a.OK = c != nil && c.Epoch == n.Epoch && c.Mark == n.Ballot && m.reg.Accepted == nil
+		a.Chart = c
 		m.mu.Unlock()
 	case crew.Yield:
 		m.mu.Lock()
 		c := m.reg.Chart
-		a.OK = c != nil && c.Epoch == n.Epoch && c.Backup.ID == m.self.ID
+		a.OK = c != nil && c.Epoch == n.Epoch && index(c.Backups, m.self.ID) >= 0
 		m.urged = m.urged || a.OK
 		m.mu.Unlock()
 	}
@@ -396,6 +421,9 @@
 		return
 	}
 	m.reg.Promised = n.Ballot
+	if n.From.ID != m.self.ID {
+		m.vowed = tick.Now()
+	}
 	a.Held, a.HeldBallot = m.reg.Accepted, m.reg.Ballot
 	if n.Kind == crew.Accept {
 		m.reg.Accepted, m.reg.Ballot = n.Chart, n.Ballot
@@ -532,13 +560,18 @@
 	})
 }
 
-// Propose makes one change: check runs with nothing else in between and gives the entry. It returns once primary and backup have both synced it.
+// Propose makes one change: check runs with nothing else in between and gives the entry. It returns once the primary and all its backups have synced it.
 func (m *Member) Propose(check func() ([]byte, error)) error {
 	m.wr.Lock()
 	defer m.wr.Unlock()
 	if _, ok := m.Active(); !ok {
 		return fault.New(fault.NotHere, "not the primary")
 	}
+	for i := 0; m.short() && i < m.witnessesWanted(); i++ { // what is acknowledged must be borne as well as can be: the copies and witnesses that are to be had come first
+		if !m.change(true) {
+			return fault.New(fault.Unready, "copies or witnesses are missing")
+		}
+	}
 	e, err := check()
 	if err != nil || e == nil {
 		return err
@@ -546,20 +579,23 @@
 	m.mu.Lock()
 	c := m.reg.Chart
 	m.mu.Unlock()
-	far := make(chan bool, 1)
-	go func() {
-		if c.Backup.ID == 0 {
-			far <- true
-			return
-		}
-		a, err := m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, plate.CallWait)
-		if err == nil && a.Chart != nil {
-			m.learn(a.Chart)
-		}
-		far <- err == nil && a.OK
-	}()
+	far := make(chan bool, len(c.Backups))
+	for _, b := range c.Backups {
+		go func() {
+			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, plate.CallWait)
+			if err != nil {
+				m.mark(b.ID, func(p *peer) { p.missed = true })
+			} else if a.Chart != nil {
+				m.learn(a.Chart)
+			}
+			far <- err == nil && a.OK
+		}()
+	}
 	near := m.appendDisk(e)
-	there := <-far
+	there := true
+	for range c.Backups {
+		there = <-far && there
+	}
 	if near != nil {
 		m.stepDown("own disk failed")
 		go m.yield(c)
@@ -581,7 +617,7 @@
 	return nil
 }
 
-// commit applies the tail, which both of the pair have on disk.
+// commit applies the tail, which all copies have on disk.
 func (m *Member) commit() {
 	m.mu.Lock()
 	t := m.tail
@@ -592,7 +628,7 @@
 	}
 }
 
-// Confirmed tells whether this member is still primary: its backup says so now.
+// Confirmed tells whether this member is still primary: most witnesses say now that they have accepted no later chart.
 func (m *Member) Confirmed() bool {
 	m.mu.Lock()
 	c, ok, ep := m.reg.Chart, m.active, m.epoch
@@ -600,21 +636,24 @@
 	if !ok || c == nil || c.Epoch != ep {
 		return false
 	}
-	if c.Backup.ID == 0 {
-		return m.cf.Solo
-	}
-	a, err := m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Confirm, From: m.self, To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark}, plate.CallWait)
-	return err == nil && a.OK
+	as := m.ask(c.Witnesses, &crew.Note{Kind: crew.Confirm, Epoch: c.Epoch, Ballot: c.Mark}, plate.CallWait)
+	return oks(as) > len(c.Witnesses)/2
 }
 
+// yield asks the backups in turn to take over, until one will.
 func (m *Member) yield(c *crew.Chart) {
-	if c == nil || c.Backup.ID == 0 {
+	if c == nil {
 		return
 	}
-	_, _ = m.cf.Caller.Call(c.Backup.Addr, &crew.Note{Kind: crew.Yield, From: m.self, To: c.Backup.ID, Epoch: c.Epoch}, plate.CallWait)
+	for _, b := range c.Backups {
+		a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Yield, From: m.self, To: b.ID, Epoch: c.Epoch}, plate.CallWait)
+		if err == nil && a.OK {
+			return
+		}
+	}
 }
 
-// Leave hands the primacy over, if held, and keeps this member out of the pair from now on.
+// Leave hands the primacy over, if held, and keeps this member from being a copy from now on.
 func (m *Member) Leave() {
 	m.mu.Lock()
 	m.leaving = true
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,14 +29,16 @@
 func (l *lines) Checkpoint() []byte     { l.mu.Lock(); defer l.mu.Unlock(); return []byte(l.s) }
 func (l *lines) Restore(b []byte) error { l.mu.Lock(); l.s = string(b); l.mu.Unlock(); return nil }
 
-// memory is a store that never fails.
+// memory is a store that fails only when it is full.
 type memory struct {
 	id   uint64
+	late bool // made after the first start
+	full bool
 	reg  Register
 	held Held
 }
 
-func (m *memory) Identity() (uint64, bool)      { return m.id, true }
+func (m *memory) Identity() (uint64, bool)      { return m.id, !m.late }
 func (m *memory) LoadRegister() Register        { return m.reg }
 func (m *memory) SaveRegister(r Register) error { m.reg = r; return nil }
 func (m *memory) Load() Held                    { return m.held }
@@ -47,12 +51,13 @@
 	mu   sync.Mutex
 	m    map[string]*Member
 	off  map[string]bool
+	cut  map[[2]string]bool // one way
 	drop func(addr string, n *crew.Note) bool
 }
 
 func (h *hall) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
 	h.mu.Lock()
-	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr], h.drop
+	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
 	h.mu.Unlock()
 	time.Sleep(time.Millisecond)
 	if m == nil || off || drop != nil && drop(addr, n) {
@@ -61,22 +66,67 @@
 	}
 	x := *n
 	a, _ := m.Handle(&x)
+	h.mu.Lock()
+	lost := h.off[addr] || h.cut[[2]string{addr, n.From.Addr}] || h.m[addr] != m
+	h.mu.Unlock()
+	if lost {
+		time.Sleep(d)
+		return nil, fault.New(fault.Unready, "the answer is lost")
+	}
 	return a, nil
 }
 
-type trio struct {
-	h  *hall
-	sc []*scope.Scope
-	m  []*Member
-	l  []*lines
-	st []*memory
+// life fences what a stopped member still tries to do.
+type life struct {
+	*memory
+	h    *hall
+	dead atomic.Bool
+}
+
+var errDead = fault.New(fault.Unready, "this life is over")
+
+func (l *life) write(f func() error) error {
+	if l.dead.Load() {
+		return errDead
+	}
+	if l.full {
+		return fault.New(fault.Unready, "the disk is full")
+	}
+	return f()
+}
+
+func (l *life) SaveRegister(r Register) error {
+	return l.write(func() error { return l.memory.SaveRegister(r) })
+}
+func (l *life) Reset(h Held) error    { return l.write(func() error { return l.memory.Reset(h) }) }
+func (l *life) Append(e []byte) error { return l.write(func() error { return l.memory.Append(e) }) }
+
+func (l *life) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
+	if l.dead.Load() {
+		return nil, errDead
+	}
+	return l.h.Call(addr, n, d)
+}
+
+// crowd is a number of members; three of them are the seeds.
+type crowd struct {
+	h      *hall
+	losses int
+	zone   []string
+	sc     []*scope.Scope
+	m      []*Member
+	l      []*lines
+	st     []*memory
+	lf     []*life
+	ids    uint64
 }
 
-func (t *trio) start(i int) {
+func (t *crowd) start(i int) {
 	addr := fmt.Sprint("m", i)
 	t.sc[i] = scope.New(slog.New(slog.DiscardHandler))
 	t.l[i] = &lines{}
-	m, err := New(t.sc[i], Config{Addr: addr, Seeds: []string{"m0", "m1", "m2"}, Store: t.st[i], Machine: t.l[i], Caller: t.h})
+	t.lf[i] = &life{memory: t.st[i], h: t.h}
+	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Zones: 1, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
 	if err != nil {
 		panic(err)
 	}
@@ -87,30 +137,49 @@
 	go m.Run()
 }
 
-func (t *trio) stop(i int) {
+func (t *crowd) stop(i int) {
 	t.h.mu.Lock()
 	t.h.off[fmt.Sprint("m", i)] = true
 	t.h.mu.Unlock()
+	t.lf[i].dead.Store(true)
 	t.sc[i].Stop()
 }
 
-func newTrio() *trio {
-	t := &trio{h: &hall{m: map[string]*Member{}, off: map[string]bool{}}, sc: make([]*scope.Scope, 3), m: make([]*Member, 3), l: make([]*lines, 3), st: []*memory{{id: 11}, {id: 22}, {id: 33}}}
-	for i := range 3 {
+// wipe gives a stopped member an empty disk.
+func (t *crowd) wipe(i int) {
+	t.ids += 11
+	t.st[i] = &memory{id: t.ids, late: true}
+}
+
+// newCrowd starts members in the localities named and waits until they serve.
+func newCrowd(losses int, zones ...string) *crowd {
+	t := startCrowd(losses, zones...)
+	time.Sleep(2 * time.Second)
+	return t
+}
+
+// startCrowd starts members in the localities named, all at once.
+func startCrowd(losses int, zones ...string) *crowd {
+	n := len(zones)
+	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses, zone: zones, sc: make([]*scope.Scope, n), m: make([]*Member, n), l: make([]*lines, n), st: make([]*memory, n), lf: make([]*life, n)}
+	for i := range n {
+		t.ids += 11
+		t.st[i] = &memory{id: t.ids}
 		t.start(i)
 	}
-	time.Sleep(2 * time.Second)
 	return t
 }
 
-func (t *trio) end() {
+func newTrio() *crowd { return newCrowd(1, "a", "b", "c") }
+
+func (t *crowd) end() {
 	for _, s := range t.sc {
 		s.Stop()
 	}
 	time.Sleep(5 * time.Second)
 }
 
-func (t *trio) primary() int {
+func (t *crowd) primary() int {
 	for i, m := range t.m {
 		if _, ok := m.Active(); ok && !t.sc[i].Ended() {
 			return i
@@ -119,10 +188,15 @@
 	return -1
 }
 
-func (t *trio) propose(i int, s string) error {
+func (t *crowd) propose(i int, s string) error {
 	return t.m[i].Propose(func() ([]byte, error) { return []byte(s), nil })
 }
 
+// at is the place of a member in the crowd.
+func (t *crowd) at(s crew.Seat) int {
+	return slices.IndexFunc(t.m, func(m *Member) bool { return m.Self().ID == s.ID })
+}
+
 // TestTakeoverAtEveryStepOfAWrite loses the primary at each step of a write: what was acknowledged is held by the next one, what was not is held or is not.
 func TestTakeoverAtEveryStepOfAWrite(t *testing.T) {
 	for _, step := range []string{"before append", "append lost", "answer lost", "after answer"} {
@@ -227,11 +301,11 @@
 		c := tr.m[p].Chart()
 		b := -1
 		for i, m := range tr.m {
-			if m.Self().ID == c.Backup.ID {
+			if m.Self().ID == c.Backups[0].ID {
 				b = i
 			}
 		}
-		entry := &crew.Note{Kind: crew.Append, From: tr.m[p].Self(), To: c.Backup.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
+		entry := &crew.Note{Kind: crew.Append, From: tr.m[p].Self(), To: c.Backups[0].ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
 		a, _ := tr.m[b].Handle(entry)
 		require.True(t, a.OK)
 		tr.stop(b)
@@ -315,7 +389,7 @@
 	h := &hall{m: map[string]*Member{}, off: map[string]bool{}}
 	ready := make(chan uint64, 1)
 	text := &lines{}
-	m, err := New(sc, Config{Addr: "only", Seeds: []string{"only"}, Solo: true, Store: &memory{id: 7}, Machine: text, Caller: h, OnActive: func(e uint64) { ready <- e }})
+	m, err := New(sc, Config{Addr: "only", Seeds: []string{"only"}, Store: &memory{id: 7}, Machine: text, Caller: h, OnActive: func(e uint64) { ready <- e }})
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/tally/view.go
+++ b/tally/view.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -30,7 +31,7 @@
 			}
 			m.saw(a.From, a.OK)
 			m.learn(a.Chart)
-			if a.From.ID == c.Backup.ID && a.Number == 0 {
+			if index(c.Backups, a.From.ID) >= 0 && a.Number == 0 {
 				m.urge(c.Epoch)
 			}
 		}()
@@ -40,20 +41,17 @@
 		return
 	}
 	m.mu.Lock()
-	var lost bool
-	if p := m.peers[c.Backup.ID]; c.Backup.ID != 0 && m.active && (p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit) {
-		lost = true
-	}
-	if c.Backup.ID == 0 && len(m.peers) > 0 && m.anyFit() {
-		lost = true
+	lost := false
+	for _, b := range c.Backups {
+		p := m.peers[b.ID]
+		lost = lost || p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit
 	}
 	m.mu.Unlock()
-	if !lost && m.swap(c) != nil {
-		lost = true
-	}
-	if lost {
+	if lost || m.short() || m.narrow(c) || m.panel(c) != nil {
 		m.urge(c.Epoch)
+		return
 	}
+	m.warn(c)
 }
 
 // alone tells whether most witnesses have not been heard for a while: another may be primary by now, and this one's news are old.
@@ -69,15 +67,6 @@
 	return near <= len(c.Witnesses)/2
 }
 
-func (m *Member) anyFit() bool {
-	for _, p := range m.peers {
-		if p.fit && tick.Since(p.seen) < plate.BeatLost {
-			return true
-		}
-	}
-	return false
-}
-
 // urge asks for a new view at the next step if the epoch is still the one meant.
 func (m *Member) urge(epoch uint64) {
 	m.mu.Lock()
@@ -87,53 +76,18 @@
 	m.mu.Unlock()
 }
 
-// swap gives the witnesses with one lost member replaced by a learner, nil if all is well or none is to be had.
-func (m *Member) swap(c *crew.Chart) []crew.Seat {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	in := func(id uint64) bool {
-		return slices.ContainsFunc(c.Witnesses, func(s crew.Seat) bool { return s.ID == id })
-	}
-	var free []crew.Seat
-	for _, p := range m.peers {
-		if !in(p.seat.ID) && p.fit && tick.Since(p.seen) < plate.BeatLost {
-			free = append(free, p.seat)
-		}
-	}
-	if !in(m.self.ID) {
-		free = append(free, m.self)
-	}
-	if len(free) == 0 {
-		return nil
-	}
-	sort.Slice(free, func(i, j int) bool { return free[i].ID < free[j].ID })
-	for i, w := range c.Witnesses {
-		if w.ID == m.self.ID {
-			continue
-		}
-		p := m.peers[w.ID]
-		gone := p == nil && tick.Since(m.born) > plate.WitnessLost || p != nil && tick.Since(p.seen) > plate.WitnessLost
-		pick := free[0]
-		for _, f := range free { // another disk at the witness's own address: it was wiped
-			if f.Addr == w.Addr {
-				gone, pick = true, f
-			}
-		}
-		if gone {
-			ws := slices.Clone(c.Witnesses)
-			ws[i] = pick
-			return ws
-		}
-	}
-	return nil
-}
-
 // step is the member's clockwork: take over, find the others, make the first view.
 func (m *Member) step() {
 	m.mu.Lock()
 	c, act, urged, quiet, leaving := m.reg.Chart, m.active, m.urged, tick.Since(m.beat), m.leaving
-	tag, alone := m.tag, len(m.peers) == 0
+	tag, alone, vowed := m.tag, len(m.peers) == 0, tick.Since(m.vowed)
 	m.mu.Unlock()
+	rank, due := -1, plate.BeatLost
+	if c != nil {
+		if rank = index(c.Backups, m.self.ID); rank > 0 { // those before it go first
+			due += tick.Span(rank) * plate.RankWait
+		}
+	}
 	switch {
 	case leaving || m.stalled.Load():
 	case c == nil:
@@ -143,17 +97,17 @@
 		}
 		return
 	case act && urged, !act && c.Primary.ID == m.self.ID && quiet > plate.BeatEvery,
-		!act && c.Backup.ID == m.self.ID && tag.Covers(Tag{c.Epoch, c.Mark}) && (urged || quiet > plate.BeatLost):
+		!act && rank >= 0 && tag.Covers(Tag{c.Epoch, c.Mark}) && (urged || quiet > due && (rank == 0 || vowed > plate.RankWait)):
 		if m.wr.TryLock() {
 			if !m.change(act) && !act {
 				m.mu.Lock()
-				m.beat = tick.Now().Add(-plate.BeatLost + plate.BeatEvery) // not again at once
+				m.beat = tick.Now().Add(-due + plate.BeatEvery) // not again at once
 				m.mu.Unlock()
 			}
 			m.wr.Unlock()
 		}
 	}
-	if !act && (alone || quiet > plate.BeatLost) {
+	if !act && (alone || quiet > plate.BeatLost || rank >= 0 && quiet > plate.BeatLost/2) { // a backup that may soon take over looks who is there
 		m.helloOnce()
 	}
 }
@@ -178,7 +132,7 @@
 		at[p.seat.Addr] = true
 	}
 	if c := m.reg.Chart; c != nil {
-		for _, s := range append([]crew.Seat{c.Primary, c.Backup}, c.Witnesses...) {
+		for _, s := range append(c.Copies(), c.Witnesses...) {
 			at[s.Addr] = true
 		}
 	}
@@ -190,11 +144,12 @@
 	for a := range at {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			r, err := m.cf.Caller.Call(a, &crew.Note{Kind: crew.Hello, From: m.self, OK: m.fit(), Chart: c}, plate.CallWait)
+			r, err := m.cf.Caller.Call(a, &crew.Note{Kind: crew.Hello, From: m.self, OK: m.fit(), Word: m.word(), Chart: c}, plate.CallWait)
 			if err != nil {
 				return
 			}
 			m.saw(r.From, r.OK)
+			m.mark(r.From.ID, func(p *peer) { p.relay = r.Word == relayWord })
 			if m.learn(r.Chart) {
 				_ = m.saveRegister()
 			}
@@ -206,7 +161,7 @@
 	}
 }
 
-// bootstrap proposes view 1 once every seed is there with a first disk. The lowest goes first, the others after some seconds.
+// bootstrap proposes view 1 once every seed is there, with a first disk or without any. The lowest with a disk goes first, the others after some seconds.
 func (m *Member) bootstrap() {
 	seeds := slices.Clone(m.cf.Seeds)
 	sort.Strings(seeds)
@@ -215,20 +170,25 @@
 		return
 	}
 	var ws []crew.Seat
+	there := 0
 	for _, a := range seeds {
 		if a == m.self.Addr {
 			ws = append(ws, m.self)
+			there++
 			continue
 		}
 		m.mu.Lock()
 		for _, p := range m.peers {
 			if p.seat.Addr == a && tick.Since(p.seen) < plate.BeatLost {
-				ws = append(ws, p.seat)
+				there++
+				if !p.relay {
+					ws = append(ws, p.seat)
+				}
 			}
 		}
 		m.mu.Unlock()
 	}
-	if len(ws) != len(seeds) || !m.wr.TryLock() {
+	if there != len(seeds) || !m.wr.TryLock() {
 		return
 	}
 	defer m.wr.Unlock()
@@ -353,14 +313,14 @@
 	h := Held{Tag{e, bal}, nil, slices.Clone(m.tail)}
 	m.mu.Unlock()
 	h.Base = m.cf.Machine.Checkpoint()
-	b := m.handOver(c, h)
-	if b.ID == 0 && !m.cf.Solo {
-		return fail("no backup to be had")
+	bs := m.handOver(c, h)
+	if 1+len(bs) < m.fewest(c) {
+		return fail("too few backups to be had")
 	}
-	n := &crew.Chart{Epoch: e, Mark: bal, Witnesses: c.Witnesses, Primary: m.self, Backup: b}
+	n := &crew.Chart{Epoch: e, Mark: bal, Witnesses: c.Witnesses, Primary: m.self, Backups: bs}
 	moved := false
 	if c.Epoch > 0 {
-		if ws := m.swap(c); ws != nil {
+		if ws := m.panel(c); ws != nil {
 			n.Witnesses, moved = ws, true
 		}
 	}
@@ -388,7 +348,7 @@
 	m.mu.Unlock()
 	go func() { _ = m.saveRegister() }()
 	m.commit()
-	m.sc.Log().Info("primary", "epoch", e, "backup", b.Addr, "witnesses", len(n.Witnesses))
+	m.sc.Log().Info("primary", "epoch", e, "backups", addrs(bs), "witnesses", len(n.Witnesses))
 	if m.cf.OnActive != nil {
 		m.cf.OnActive(e)
 	}
@@ -396,49 +356,73 @@
 	return true
 }
 
-// handOver gives the whole state to the first member that takes it: the other of the pair, then the rest.
-func (m *Member) handOver(c *crew.Chart, h Held) crew.Seat {
-	m.mu.Lock()
-	var cand []crew.Seat
-	for _, p := range m.peers {
-		if p.fit && tick.Since(p.seen) < plate.BeatLost {
-			cand = append(cand, p.seat)
+// handOver gives the whole state to as many members as are wanted, all at once: other localities first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
+func (m *Member) handOver(c *crew.Chart, h Held) []crew.Seat {
+	body := packHeld(h)
+	held := c
+	if c.Epoch == 0 {
+		held = nil
+	}
+	type end struct {
+		seat crew.Seat
+		ok   bool
+	}
+	ends := make(chan end)
+	give := func(s crew.Seat) {
+		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, plate.TransferWait)
+		ok := err == nil && a.OK
+		if !ok {
+			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, tick.Now() })
+		}
+		if err == nil {
+			m.learn(a.Chart)
+		}
+		ends <- end{s, ok}
+	}
+	left, at := m.fitOnes(), map[string]int{m.self.Locality: 1}
+	var asked, out []crew.Seat
+	running := 0
+	for {
+		for running+len(out) < m.copies()-1 && len(left) > 0 {
+			s := slices.MinFunc(left, func(a, b crew.Seat) int { return m.before(c, at, a, b) })
+			left = slices.DeleteFunc(left, func(x crew.Seat) bool { return x.ID == s.ID })
+			at[s.Locality]++
+			asked = append(asked, s)
+			running++
+			go give(s)
+		}
+		if running == 0 {
+			sort.Slice(out, func(i, j int) bool { return index(asked, out[i].ID) < index(asked, out[j].ID) })
+			return out
+		}
+		x := <-ends
+		running--
+		if x.ok {
+			out = append(out, x.seat)
+		} else {
+			at[x.seat.Locality]--
 		}
 	}
-	m.mu.Unlock()
+}
+
+// before is the order in which members are asked to be copies.
+func (m *Member) before(c *crew.Chart, at map[string]int, a, b crew.Seat) int {
 	rank := func(s crew.Seat) int {
 		switch {
-		case s.ID == c.Backup.ID || s.ID == c.Primary.ID:
+		case index(c.Copies(), s.ID) >= 0:
 			return 0
-		case slices.ContainsFunc(c.Witnesses, func(w crew.Seat) bool { return w.ID == s.ID }):
+		case index(c.Witnesses, s.ID) >= 0:
 			return 1
 		}
 		return 2
 	}
-	sort.Slice(cand, func(i, j int) bool {
-		if a, b := rank(cand[i]), rank(cand[j]); a != b {
-			return a < b
-		}
-		return cand[i].ID < cand[j].ID
-	})
-	held := c
-	if c.Epoch == 0 {
-		held = nil
-	}
-	for _, s := range cand {
-		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: packHeld(h)}, plate.TransferWait)
-		if err == nil && a.OK {
-			return s
-		}
-		if err == nil {
-			m.learn(a.Chart)
-		} else {
-			m.mu.Lock()
-			if p := m.peers[s.ID]; p != nil {
-				p.fit = false
+	missed := func(s crew.Seat) (n int) {
+		m.mark(s.ID, func(p *peer) {
+			if p.missed || tick.Since(p.refused) < plate.RefusedFor {
+				n = 1
 			}
-			m.mu.Unlock()
-		}
+		})
+		return n
 	}
-	return crew.Seat{}
+	return cmp.Or(cmp.Compare(missed(a), missed(b)), cmp.Compare(at[a.Locality], at[b.Locality]), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 }
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -61,8 +61,12 @@
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: logbook.NewBook(false), news: logbook.NewBook(false), grantor: rota.NewGrantor(),
 		differ: roster.NewDiffer(), fleet: map[string]tick.Moment{}}
 	lines := crew.NewLines(sc, p.Net, h.handle)
+	losses, ok := p.Env.Losses()
+	if !ok {
+		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
+	}
 	m, err := tally.New(sc, tally.Config{
-		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Solo: p.Env.Tolerance.Machines == 0,
+		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Losses: losses, Zones: p.Env.Tolerance.Zones, Relay: !p.Env.Keeps(),
 		Store: p.Store, Machine: h.state, Caller: lines, OnActive: h.begin, OnIdle: h.idle,
 	})
 	if err != nil {
@@ -225,10 +229,10 @@
 	return e.Encode(), nil
 }
 
-// Read gives the newest view once the backup has confirmed that this is still the primary.
+// Read gives the newest view once most witnesses have confirmed that this is still the primary.
 func (h *House) Read(*scope.Scope) (*logbook.View, error) {
 	if !h.member.Confirmed() {
-		return nil, fault.New(fault.Unready, "the backup does not confirm")
+		return nil, fault.New(fault.Unready, "the witnesses do not confirm")
 	}
 	return h.state.View(), nil
 }
