--- a/sim/script.go
+++ b/sim/script.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"shaletrestle/crew"
 )
 
 // setupOf is the configuration of the scenarios at a revision; extra routes and flaws are asked for by name.
@@ -122,21 +125,28 @@
 		return ""
 	}
 	switch cmd {
-	case "fleet": // fleet houses=3 gates=2 zones=a,b,c
-		zones := []string{"a", "b", "c"}
+	case "fleet": // fleet houses=3 gates=2 zones=a,b,c losses=1 down=h4: houses lie in the zones by turns, the first three are the seeds; the losses are those to be borne; some don't come up
+		if z := a.kv["zones"]; z != "" {
+			w.zones = strings.Split(z, ",")
+		}
+		w.losses = a.num("losses", 1)
+		zones := w.zones
 		var hs, gs []string
 		for i := range a.num("houses", 3) {
 			n := fmt.Sprintf("h%d", i+1)
-			w.Add(n, fmt.Sprintf("10.%d.0.1", i+1), zones[i%3])
+			w.Add(n, fmt.Sprintf("10.%d.0.1", i+1), zones[i%len(zones)])
 			hs = append(hs, n)
 		}
 		for i := range a.num("gates", 2) {
 			n := fmt.Sprintf("g%d", i+1)
-			w.Add(n, fmt.Sprintf("10.%d.1.%d", i%3+1, i+1), zones[i%3])
+			w.Add(n, fmt.Sprintf("10.%d.1.%d", i%len(zones)+1, i+1), zones[i%len(zones)])
 			gs = append(gs, n)
 		}
 		w.Seeds(hs[:min(3, len(hs))]...)
 		for _, n := range append(hs, gs...) {
+			if strings.Contains(","+a.kv["down"]+",", ","+n+",") {
+				continue
+			}
 			if err := w.Start(n); err != nil {
 				return err
 			}
@@ -193,9 +203,9 @@
 				return err
 			}
 		}
-	case "add": // add h4 zone=a: a new machine at a new address, told of the living seeds
+	case "add": // add h4 zone=a disk=no: a new machine at a new address, told of the living seeds
 		w.Add(arg(0), fmt.Sprintf("10.5.0.%d", len(w.procs)+1), a.kv["zone"])
-		w.procs[arg(0)].first = false
+		w.procs[arg(0)].first, w.procs[arg(0)].relay = false, a.kv["disk"] == "no"
 	case "seeds":
 		w.Seeds(a.pos...)
 	case "disk": // disk h1 ok|full|stall|slow
@@ -300,6 +310,8 @@
 			return fmt.Errorf("it ran %d", r.got)
 		}
 		r.got = 0
+	case "chart": // chart copies=3 witnesses=5 none=h7 within=3s: what the primary's chart holds; none names a house that must not be in it
+		return s.chart(a)
 	case "primary": // primary not=h1 within=3s: exactly one member is primary
 		return s.primary(a)
 	case "calls": // calls max=20: the platform was asked so often since the last time
@@ -381,6 +393,29 @@
 	}
 }
 
+func (s *Script) chart(a args) error {
+	end := time.Now().Add(a.span("within", 3*time.Second))
+	for {
+		why := "nobody is primary"
+		for _, p := range s.w.procs {
+			if p.house == nil || p.life.dead.Load() || !p.house.Acting() {
+				continue
+			}
+			c := p.house.Chart()
+			all := append(c.Copies(), c.Witnesses...)
+			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x crew.Seat) bool { return strings.HasPrefix(x.Addr, s.w.procs[a.kv["none"]].ip+":") })
+			if !bad && len(c.Copies()) == a.num("copies", len(c.Copies())) && len(c.Witnesses) == a.num("witnesses", len(c.Witnesses)) {
+				return nil
+			}
+			why = fmt.Sprintf("%d copies, %d witnesses", len(c.Copies()), len(c.Witnesses))
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s", why)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func (s *Script) primary(a args) error {
 	end := time.Now().Add(a.span("within", 3*time.Second))
 	for {
--- a/sim/world.go
+++ b/sim/world.go
@@ -68,6 +68,7 @@
 	ip    string
 	zone  string
 	disk  *Disk
+	relay bool // it has no disk
 	life  *life
 	sc    *scope.Scope
 	house *tallyhouse.House
@@ -82,6 +83,8 @@
 	Log       *slog.Logger
 	procs     map[string]*Proc
 	seeds     []string
+	zones     []string
+	losses    int // control members that may be lost at once
 	ids       uint64
 	replicas  map[string]*Replica
 	runs      map[string]int  // by attempt id, at replicas
@@ -104,22 +107,21 @@
 node_name: %q
 ip: %q
 zone: %q
-zones: {a: "r", b: "r", c: "r"}
+zones: %[6]s
 bind_addresses: {front: "%[2]s:80", readiness: "%[2]s:81", control: "%[2]s:82"}
 internal_port_range: [7000, 7015]
 seed_nodes: %[4]s
 bootstrap: %[5]v
 limits: {memory_mb: 64}
-quorum_member: true
-data_dir: "/data"
-fault_tolerance: {machine_losses: 1}
+%[7]s
+fault_tolerance: {machine_losses: %[8]d, zones: 1}
 bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 3000, grace_s: 8, retry_budget_ratio: 0.2, retry_window_s: 10, retry_slack: 60, cold_overshoot: 1.5, cold_slack: 5}
 cloud_api: {address: "10.9.0.1:90", rate_per_s: 40, max_lag_ms: 100}
 `
 
 // NewWorld makes a world with a platform in it.
 func NewWorld(log *slog.Logger) *World {
-	w := &World{Net: NewNet(time.Millisecond), Log: log, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}}
+	w := &World{Net: NewNet(time.Millisecond), Log: log, zones: []string{"a", "b", "c"}, losses: 1, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}}
 	w.serve("10.9.0.1:90", http.HandlerFunc(w.platform))
 	return w
 }
@@ -166,7 +168,16 @@
 	boot := p.first
 	p.first = false
 	seeds, _ := json.Marshal(w.seeds)
-	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot)), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
+	places := map[string]string{}
+	for _, z := range w.zones {
+		places[z] = "r"
+	}
+	zones, _ := json.Marshal(places)
+	disk := "quorum_member: true\ndata_dir: \"/data\""
+	if p.relay {
+		disk = "quorum_member: false"
+	}
+	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot, zones, disk, w.losses)), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
 	if err != nil {
 		return err
 	}
@@ -179,7 +190,11 @@
 	p.life = &life{Host: w.Net.Host(p.ip), Disk: p.disk}
 	p.sc = scope.New(w.Log.With("node", name))
 	if name[0] == 'h' {
-		h, err := tallyhouse.New(p.sc, tallyhouse.Plan{Env: e, Net: p.life, Store: p.life})
+		var st tally.Store = p.life
+		if p.relay {
+			st = tally.NewNoDisk()
+		}
+		h, err := tallyhouse.New(p.sc, tallyhouse.Plan{Env: e, Net: p.life, Store: st})
 		if err != nil {
 			return err
 		}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -396,3 +396,6 @@
 
 // Acting tells whether this process is primary and tells the news.
 func (h *House) Acting() bool { return h.live.Load() }
+
+// Chart is the newest chart known here.
+func (h *House) Chart() *crew.Chart { return h.member.Chart() }
