lookout: a node's set is named only when the nodes changed, k x ln n looks a node

Every gatehouse weighed every node against every other one each round. Now the looks at a node's others end once k of them outweigh this node, and the set is kept until the list changes. Same sets (property test against the definition).

--- a/lookout/lookout.go
+++ b/lookout/lookout.go
@@ -2,6 +2,7 @@
 package lookout
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -24,6 +25,8 @@
 	tell  func(node string, alive bool)
 	every tick.Span
 	mu    sync.Mutex
+	known []string // the nodes that set was named for
+	set   []string
 	miss  map[string]int
 	said  map[string]bool
 }
@@ -33,18 +36,24 @@
 	return &Watcher{sc: sc.Part("lookout"), self: self, nodes: nodes, ping: ping, tell: tell, every: every, miss: map[string]int{}, said: map[string]bool{}}
 }
 
-func weight(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
-
 // Set names the nodes that self watches: for every node the k with the highest weight watch it, so each is watched by k others and a change of membership moves few of them.
+// A node's others are looked at only until k of them outweigh self, which is about k x ln n of them on average.
 func Set(self string, nodes []string, k int) []string {
 	var out []string
+	var buf []byte
 	for _, n := range nodes {
 		if n == self {
 			continue
 		}
-		mine, before := weight(n, self), 0
-		for _, o := range nodes {
-			if o != n && o != self && weight(n, o) > mine {
+		buf = append(append(buf[:0], n...), 0)
+		head := len(buf)
+		weight := func(o string) uint64 {
+			buf = append(buf[:head], o...)
+			return xxhash.Sum64(buf)
+		}
+		mine, before := weight(self), 0
+		for i := 0; i < len(nodes) && before < k; i++ {
+			if o := nodes[i]; o != n && o != self && weight(o) > mine {
 				before++
 			}
 		}
@@ -56,6 +65,17 @@
 	return out
 }
 
+// watched is the set for the nodes known now; it is named again only when they changed.
+func (w *Watcher) watched() []string {
+	ns := w.nodes()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !slices.Equal(ns, w.known) {
+		w.known, w.set = ns, Set(w.self, ns, plate.WatchersEach)
+	}
+	return w.set
+}
+
 // Run pings until the scope ends.
 func (w *Watcher) Run() {
 	tick.Every(w.sc, w.every, func() bool { w.Round(); return true })
@@ -63,7 +83,7 @@
 
 // Round pings the set once.
 func (w *Watcher) Round() {
-	set := Set(w.self, w.nodes(), plate.WatchersEach)
+	set := w.watched()
 	in := map[string]bool{}
 	var wg sync.WaitGroup
 	for _, n := range set {
--- a/lookout/lookout_test.go
+++ b/lookout/lookout_test.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/plate"
@@ -34,6 +38,67 @@
 	}
 }
 
+// plainSet is Set by its definition: every weight of every node against self's.
+func plainSet(self string, nodes []string, k int) (out []string) {
+	weight := func(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
+	for _, n := range nodes {
+		before := 0
+		for _, o := range nodes {
+			if o != n && o != self && weight(n, o) > weight(n, self) {
+				before++
+			}
+		}
+		if n != self && before < k {
+			out = append(out, n)
+		}
+	}
+	sort.Strings(out)
+	return
+}
+
+func TestSetEqualsItsDefinition(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	for range 60 {
+		all := names(1 + r.IntN(90))
+		r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		ns, k := all[:1+r.IntN(len(all))], r.IntN(5)
+		for _, s := range all { // one that isn't known yet too
+			require.Equal(t, plainSet(s, ns, k), Set(s, ns, k), "%s of %v, %d watchers", s, ns, k)
+		}
+	}
+}
+
+func TestTheSetFollowsTheNodes(t *testing.T) {
+	var mu sync.Mutex
+	known, asked := []string{"a", "b"}, map[string]bool{}
+	w := New(scope.New(slog.New(slog.DiscardHandler)), "a", tick.Seconds(1), func() []string { return known },
+		func(n string) bool { mu.Lock(); asked[n] = true; mu.Unlock(); return true }, func(string, bool) {})
+	w.Round()
+	require.Equal(t, map[string]bool{"b": true}, asked)
+	known = []string{"a", "c"}
+	clear(asked)
+	w.Round()
+	require.Equal(t, map[string]bool{"c": true}, asked)
+}
+
+func BenchmarkSet(b *testing.B) {
+	for _, n := range []int{11, 88, 390} {
+		ns := names(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Set(ns[0], ns, plate.WatchersEach)
+			}
+		})
+		b.Run(fmt.Sprint("definition-", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				plainSet(ns[0], ns, plate.WatchersEach)
+			}
+		})
+	}
+}
+
 func TestOneNodeGoingMovesFewWatches(t *testing.T) {
 	before, after := names(50), names(49)
 	moved := 0
