haul: a relay acknowledges a change once and lists its followers only when they changed

Every follower's acknowledgement made its relay acknowledge upwards, each time with all seats: bytes between zones and work at the primary grew with followers squared a change (60 followers under two relays: 60 lists of 30 seats; now at most 4 acknowledgements and no list, by test). A beat is encoded once, a checkpoint made once for all that need it. Reached stays right through cuts, leavers and newcomers (property test).

--- a/haul/feed.go
+++ b/haul/feed.go
@@ -42,6 +42,7 @@
 	fresh  tick.Moment // a relay: when its own source was last heard
 	source bool
 	kept   []change
+	point  []byte // the board as it is, once somebody needed it whole
 	subs   map[*crew.Channel]*listener
 	wake   chan struct{}
 	onAck  func(epoch, number uint64)
@@ -58,7 +59,7 @@
 func (f *Feed) Begin(epoch uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.epoch, f.number, f.kept, f.source = epoch, 0, nil, true
+	f.epoch, f.number, f.kept, f.point, f.source = epoch, 0, nil, nil, true
 	for _, l := range f.subs {
 		f.whole(l)
 	}
@@ -81,7 +82,7 @@
 	if err := f.board.Restore(body); err != nil {
 		return err
 	}
-	f.epoch, f.number, f.kept, f.source, f.fresh = epoch, number, nil, false, tick.Now()
+	f.epoch, f.number, f.kept, f.point, f.source, f.fresh = epoch, number, nil, nil, false, tick.Now()
 	for _, l := range f.subs {
 		f.whole(l)
 	}
@@ -114,7 +115,7 @@
 
 func (f *Feed) push(number uint64, body []byte) {
 	f.board.Fold(body)
-	f.number = number
+	f.number, f.point = number, nil
 	f.kept = append(f.kept, change{number, body})
 	if len(f.kept) > plate.NewsKeep {
 		f.kept = append([]change{}, f.kept[len(f.kept)/2:]...)
@@ -144,20 +145,24 @@
 func (f *Feed) whole(l *listener) {
 	l.heard = 0
 	l.sent = tick.Now()
-	l.ch.Send(&crew.Note{Kind: crew.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "whole", Body: f.board.Checkpoint()})
+	if f.point == nil {
+		f.point = f.board.Checkpoint()
+	}
+	l.ch.Send(&crew.Note{Kind: crew.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "whole", Body: f.point})
 }
 
 func (f *Feed) beat() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := &crew.Note{Kind: crew.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "beat"}
+	ok := f.alive()
+	n := (&crew.Note{Kind: crew.News, OK: ok, Epoch: f.epoch, Number: f.number, Word: "beat"}).Encode()
 	for _, l := range f.subs {
 		if l.ch.Quiet() > plate.NewsLost {
 			go l.ch.Close()
 			continue
 		}
-		if tick.Since(l.sent) >= plate.NewsBeat/2 || !n.OK {
-			l.ch.Send(n)
+		if tick.Since(l.sent) >= plate.NewsBeat/2 || !ok {
+			l.ch.SendRaw(n)
 		}
 	}
 }
@@ -196,7 +201,9 @@
 	f.mu.Lock()
 	l := f.subs[ch]
 	if l != nil {
-		l.seats = n.Seats
+		if n.Word == listed {
+			l.seats = n.Seats
+		}
 		if n.Epoch == f.epoch {
 			l.heard = n.Number
 		}
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -1,6 +1,10 @@
 package haul
 
 import (
+	"cmp"
+	"slices"
+	"sync"
+
 	"go.uber.org/atomic"
 
 	"shaletrestle/crew"
@@ -9,6 +13,9 @@
 	"shaletrestle/tick"
 )
 
+// listed marks an acknowledgement that lists all of a relay's followers; the others say nothing of them.
+const listed = "seats"
+
 // Sink is where a follower puts what it is told.
 type Sink interface {
 	Restore(epoch, number uint64, body []byte) error
@@ -29,6 +36,8 @@
 	now   atomic.String
 	fresh atomic.Bool
 	ch    atomic.Pointer[crew.Channel]
+	mu    sync.Mutex
+	said  said
 }
 
 // NewFollower makes a follower. pick names the next address to follow, given the one that failed; seats, for a relay, lists its own followers.
@@ -91,7 +100,7 @@
 			ch.Close()
 			return nil
 		}
-		f.ack(ch)
+		f.ack(ch, false)
 		return nil
 	})
 	defer ch.Close()
@@ -121,23 +130,44 @@
 	return ch != nil && ch.Send(n)
 }
 
-// Tell sends the acknowledgement again, after this relay's own followers moved on.
+// Tell sends the acknowledgement again if this relay's own followers have moved on or are others.
 func (f *Follower) Tell() {
 	if ch := f.ch.Load(); ch != nil {
-		f.ack(ch)
+		f.ack(ch, true)
 	}
 }
 
 type lower interface{ Acked() uint64 }
 
-func (f *Follower) ack(ch *crew.Channel) {
+// said is what a channel's other end was told last.
+type said struct {
+	ch            *crew.Channel
+	epoch, number uint64
+	seats         []crew.Seat
+}
+
+// ack acknowledges; a relay's followers are listed only if they are others than this channel was told before.
+func (f *Follower) ack(ch *crew.Channel, ifMoved bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	ep, num := f.sink.At()
 	if l, ok := f.sink.(lower); ok {
 		num = l.Acked()
 	}
 	n := &crew.Note{Kind: crew.Heard, From: f.self, Epoch: ep, Number: num}
+	was := f.said
+	f.said = said{ch, ep, num, nil}
 	if f.seats != nil {
-		n.Seats = f.seats()
+		f.said.seats = f.seats()
+		slices.SortFunc(f.said.seats, func(a, b crew.Seat) int {
+			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Locality, b.Locality))
+		})
+		if was.ch != ch || !slices.Equal(was.seats, f.said.seats) {
+			n.Word, n.Seats = listed, f.said.seats
+		}
+	}
+	if ifMoved && was.ch == ch && was.epoch == ep && was.number == num && n.Word == "" {
+		return
 	}
 	ch.Send(n)
 }
--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -96,6 +97,162 @@
 	})
 }
 
+// tree is a source, relays under it and ends under the relays, over in-memory connections that count what goes up.
+type tree struct {
+	sc    *scope.Scope
+	mu    sync.Mutex
+	feeds map[string]*Feed
+	held  []net.Conn
+	up    int // acknowledgements that reached the source
+	lists int // those that listed seats
+}
+
+func (p *tree) Dial(at string, _ tick.Span) (net.Conn, error) {
+	a, b := net.Pipe()
+	p.mu.Lock()
+	f := p.feeds[at]
+	p.held = append(p.held, b)
+	p.mu.Unlock()
+	crew.Open(p.sc, b, func(ch *crew.Channel, n *crew.Note) *crew.Note {
+		switch n.Kind {
+		case crew.Follow:
+			f.Follow(ch, n)
+		case crew.Heard:
+			if at == "source" {
+				p.mu.Lock()
+				p.up++
+				if len(n.Seats) > 0 {
+					p.lists++
+				}
+				p.mu.Unlock()
+			}
+			f.Ack(ch, n)
+		}
+		return nil
+	})
+	return a, nil
+}
+
+func (p *tree) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// grow puts relays and ends under a source; lives ends each end's follower.
+func (p *tree) grow(relays, ends int) (src *Feed, lives map[uint64]*scope.Scope) {
+	src = NewFeed(p.sc, &words{}, nil)
+	p.feeds = map[string]*Feed{"source": src}
+	for i := range relays {
+		var fo *Follower
+		f := NewFeed(p.sc, &words{}, func(uint64, uint64) { fo.Tell() })
+		p.feeds[fmt.Sprint("relay", i)] = f
+		fo = NewFollower(p.sc, p, f, crew.Seat{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
+		go fo.Run()
+	}
+	src.Begin(1)
+	lives = map[uint64]*scope.Scope{}
+	for i := range ends {
+		p.end(lives, uint64(i+1), fmt.Sprint("relay", i%relays))
+	}
+	return
+}
+
+func (p *tree) end(lives map[uint64]*scope.Scope, id uint64, at string) {
+	lives[id] = p.sc.Part("end")
+	go NewFollower(lives[id], p, NewCursor(&words{}), crew.Seat{ID: id, Addr: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
+}
+
+func TestReachedStaysRightThroughLosses(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			sc := scope.New(slog.New(slog.DiscardHandler))
+			defer func() { sc.Stop(); time.Sleep(time.Second) }()
+			p := &tree{sc: sc}
+			src, lives := p.grow(3, 12)
+			time.Sleep(plate.NewsBeat)
+			for range 15 {
+				for range r.IntN(6) {
+					switch r.IntN(4) {
+					case 0: // a connection breaks
+						p.mu.Lock()
+						_ = p.held[r.IntN(len(p.held))].Close()
+						p.mu.Unlock()
+					case 1: // an end goes for good
+						for id, l := range lives {
+							l.Stop()
+							delete(lives, id)
+							break
+						}
+					case 2: // a new one comes
+						p.end(lives, 100+r.Uint64N(1<<30), fmt.Sprint("relay", r.IntN(3)))
+					case 3:
+						src.Push([]byte("x"))
+					}
+					time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+				}
+				time.Sleep(3 * plate.NewsLost)
+				got := map[uint64]bool{}
+				for _, s := range src.Reached() {
+					require.False(t, got[s.ID], "%d is listed twice", s.ID)
+					got[s.ID] = true
+				}
+				require.Len(t, got, len(lives))
+				for id := range lives {
+					require.True(t, got[id])
+				}
+				require.Equal(t, src.Acked(), src.Push([]byte("y"))-1, "all had acknowledged")
+			}
+		})
+	}
+}
+
+func TestARelayTellsOnceOfAChangeAndListsSeatsOnlyWhenTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		p := &tree{sc: sc}
+		src, _ := p.grow(2, 60)
+		time.Sleep(3 * plate.NewsBeat)
+		p.up, p.lists = 0, 0
+		n := src.Push([]byte("x"))
+		have, of := src.Wait(sc, n, time.Second)
+		require.Equal(t, [2]int{2, 2}, [2]int{have, of})
+		require.LessOrEqual(t, p.up, 4, "of each of two relays one when it took the change, one when all its followers had")
+		time.Sleep(10 * plate.NewsBeat)
+		require.Zero(t, p.lists)
+		require.Len(t, src.Reached(), 60)
+	})
+}
+
+func TestACheckpointIsMadeOnceForAllThatNeedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		p := &tree{sc: sc, feeds: map[string]*Feed{}}
+		b := &counted{}
+		f := NewFeed(sc, b, nil)
+		p.feeds["x"] = f
+		f.Begin(1)
+		f.Push([]byte("a"))
+		lives := map[uint64]*scope.Scope{}
+		for i := range uint64(20) {
+			p.end(lives, i+1, "x")
+		}
+		time.Sleep(plate.NewsBeat)
+		require.Equal(t, 1, b.made)
+		f.Push([]byte("b"))
+		p.end(lives, 99, "x")
+		time.Sleep(plate.NewsBeat)
+		require.Equal(t, 2, b.made)
+		require.Equal(t, f.Acked(), uint64(2))
+	})
+}
+
+type counted struct {
+	words
+	made int
+}
+
+func (c *counted) Checkpoint() []byte { c.made++; return c.words.Checkpoint() }
+
 func TestASilentSourceIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sc := scope.New(slog.New(slog.DiscardHandler))
