--- a/lookout/lookout.go
+++ b/lookout/lookout.go
@@ -2,6 +2,7 @@
 package lookout
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -24,6 +25,8 @@
 	tell  func(node string, alive bool)
 	every tick.Span
 	mu    sync.Mutex
+	known []string // the nodes that set was named for
+	set   []string
 	miss  map[string]int
 	said  map[string]bool
 }
@@ -33,18 +36,24 @@
 	return &Watcher{sc: sc.Part("lookout"), self: self, nodes: nodes, ping: ping, tell: tell, every: every, miss: map[string]int{}, said: map[string]bool{}}
 }
 
-func weight(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
-
 // Set names the nodes that self watches: for every node the k with the highest weight watch it, so each is watched by k others and a change of membership moves few of them.
+// A node's others are looked at only until k of them outweigh self, which is about k x ln n of them on average.
 func Set(self string, nodes []string, k int) []string {
 	var out []string
+	var buf []byte
 	for _, n := range nodes {
 		if n == self {
 			continue
 		}
-		mine, before := weight(n, self), 0
-		for _, o := range nodes {
-			if o != n && o != self && weight(n, o) > mine {
+		buf = append(append(buf[:0], n...), 0)
+		head := len(buf)
+		weight := func(o string) uint64 {
+			buf = append(buf[:head], o...)
+			return xxhash.Sum64(buf)
+		}
+		mine, before := weight(self), 0
+		for i := 0; i < len(nodes) && before < k; i++ {
+			if o := nodes[i]; o != n && o != self && weight(o) > mine {
 				before++
 			}
 		}
@@ -56,18 +65,61 @@
 	return out
 }
 
-// Run pings until the scope ends.
+// watched is the set for the nodes known now; it is named again only when they changed.
+func (w *Watcher) watched() []string {
+	ns := w.nodes()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !slices.Equal(ns, w.known) {
+		w.known, w.set = ns, Set(w.self, ns, plate.WatchersEach)
+	}
+	return w.set
+}
+
+// Run pings until the scope ends. Between two rounds the nodes that missed a ping are asked again, so that a lost one is known soon.
 func (w *Watcher) Run() {
-	tick.Every(w.sc, w.every, func() bool { w.Round(); return true })
+	n := 0
+	tick.Every(w.sc, w.every/plate.AgainPart, func() bool {
+		if n%plate.AgainPart == 0 {
+			w.Round()
+		} else {
+			w.again()
+		}
+		n++
+		return true
+	})
 }
 
 // Round pings the set once.
 func (w *Watcher) Round() {
-	set := Set(w.self, w.nodes(), plate.WatchersEach)
-	in := map[string]bool{}
+	set := w.watched()
+	w.ask(set)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n := range w.miss {
+		if !slices.Contains(set, n) {
+			delete(w.miss, n)
+			delete(w.said, n)
+		}
+	}
+}
+
+// again pings those that missed, but are not suspected yet.
+func (w *Watcher) again() {
+	var set []string
+	w.mu.Lock()
+	for n := range w.miss {
+		if !w.said[n] {
+			set = append(set, n)
+		}
+	}
+	w.mu.Unlock()
+	w.ask(set)
+}
+
+func (w *Watcher) ask(set []string) {
 	var wg sync.WaitGroup
 	for _, n := range set {
-		in[n] = true
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -75,29 +127,24 @@
 		}()
 	}
 	wg.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for n := range w.miss {
-		if !in[n] {
-			delete(w.miss, n)
-			delete(w.said, n)
-		}
-	}
 }
 
+// heard notes a ping. A suspicion is told each round that it lasts: who was told may have gone too, or still have thought the node connected.
 func (w *Watcher) heard(n string, ok bool) {
 	w.mu.Lock()
-	say := false
+	was := w.said[n]
 	if ok {
-		say = w.said[n]
 		delete(w.said, n)
 		delete(w.miss, n)
-	} else if w.miss[n]++; w.miss[n] >= plate.MissesMost && !w.said[n] {
-		w.said[n], say = true, true
+	} else if w.miss[n]++; w.miss[n] >= plate.MissesMost {
+		w.said[n] = true
 	}
+	now := w.said[n]
 	w.mu.Unlock()
-	if say {
+	if now != was {
 		w.sc.Log().Info("watched node", "node", n, "alive", ok)
+	}
+	if now || was {
 		w.tell(n, ok)
 	}
 }
--- a/lookout/lookout_test.go
+++ b/lookout/lookout_test.go
@@ -3,8 +3,15 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/plate"
@@ -34,6 +41,67 @@
 	}
 }
 
+// plainSet is Set by its definition: every weight of every node against self's.
+func plainSet(self string, nodes []string, k int) (out []string) {
+	weight := func(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
+	for _, n := range nodes {
+		before := 0
+		for _, o := range nodes {
+			if o != n && o != self && weight(n, o) > weight(n, self) {
+				before++
+			}
+		}
+		if n != self && before < k {
+			out = append(out, n)
+		}
+	}
+	sort.Strings(out)
+	return
+}
+
+func TestSetEqualsItsDefinition(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	for range 60 {
+		all := names(1 + r.IntN(90))
+		r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		ns, k := all[:1+r.IntN(len(all))], r.IntN(5)
+		for _, s := range all { // one that isn't known yet too
+			require.Equal(t, plainSet(s, ns, k), Set(s, ns, k), "%s of %v, %d watchers", s, ns, k)
+		}
+	}
+}
+
+func TestTheSetFollowsTheNodes(t *testing.T) {
+	var mu sync.Mutex
+	known, asked := []string{"a", "b"}, map[string]bool{}
+	w := New(scope.New(slog.New(slog.DiscardHandler)), "a", tick.Seconds(1), func() []string { return known },
+		func(n string) bool { mu.Lock(); asked[n] = true; mu.Unlock(); return true }, func(string, bool) {})
+	w.Round()
+	require.Equal(t, map[string]bool{"b": true}, asked)
+	known = []string{"a", "c"}
+	clear(asked)
+	w.Round()
+	require.Equal(t, map[string]bool{"c": true}, asked)
+}
+
+func BenchmarkSet(b *testing.B) {
+	for _, n := range []int{11, 88, 390} {
+		ns := names(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Set(ns[0], ns, plate.WatchersEach)
+			}
+		})
+		b.Run(fmt.Sprint("definition-", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				plainSet(ns[0], ns, plate.WatchersEach)
+			}
+		})
+	}
+}
+
 func TestOneNodeGoingMovesFewWatches(t *testing.T) {
 	before, after := names(50), names(49)
 	moved := 0
@@ -65,14 +133,57 @@
 	w.Round()
 	require.Empty(t, told, "a few misses are chance")
 	up = false
-	for range plate.MissesMost + 3 {
+	for range plate.MissesMost - 1 {
 		w.Round()
 	}
-	require.Equal(t, []string{"bfalse"}, told)
+	require.Empty(t, told)
+	for i := range 4 { // once a round for as long as it lasts
+		w.Round()
+		require.Equal(t, slices.Repeat([]string{"bfalse"}, i+1), told)
+	}
 	require.Equal(t, []string{"b"}, w.Suspected())
 	up = true
 	w.Round()
-	require.Equal(t, []string{"bfalse", "btrue"}, told)
+	w.Round()
+	require.Equal(t, []string{"bfalse", "bfalse", "bfalse", "bfalse", "btrue"}, told)
+	require.Empty(t, w.Suspected())
+}
+
+func TestALostNodeIsKnownWithinContactAndToldEachRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(5 * time.Second) }()
+		up, every := true, 1200*time.Millisecond
+		var mu sync.Mutex
+		var told []time.Time
+		asked := map[string]int{}
+		w := New(sc, "a", every, func() []string { return []string{"a", "b", "c"} }, func(n string) bool {
+			mu.Lock()
+			asked[n]++
+			ok := up || n != "b"
+			mu.Unlock()
+			if !ok {
+				time.Sleep(plate.CallWait)
+			}
+			return ok
+		}, func(n string, alive bool) {
+			require.Equal(t, "bfalse", fmt.Sprint(n, alive))
+			told = append(told, time.Now())
+		})
+		go w.Run()
+		time.Sleep(8*every + 50*time.Millisecond) // just after a round: the longest way
+		mu.Lock()
+		require.LessOrEqual(t, asked["b"], 10, "a well one is asked once a round")
+		up = false
+		mu.Unlock()
+		lost := time.Now()
+		time.Sleep(20 * time.Second)
+		require.Less(t, told[0].Sub(lost)+plate.FleetEvery, 4*time.Second)
+		for i := 1; i < len(told); i++ {
+			require.Less(t, told[i].Sub(told[i-1]), 2*every)
+			require.Greater(t, told[i].Sub(told[i-1]), every/plate.AgainPart)
+		}
+	})
 }
 
 func ExampleSet() {
