--- a/berth/yard.go
+++ b/berth/yard.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -51,10 +52,6 @@
 	prefill  float64 // seconds per prompt token, learned
 	extra    float64 // seconds of delay beyond the predicted, learned
 	extraAt  tick.Moment
-	ejected  tick.Moment
-	fails    int
-	trial    bool // the next inquiry is the one trial after an ejection
-	trying   bool // it is out
 	wrong    bool // another replica is at its address
 	coldNext tick.Moment
 	coldTill tick.Moment // back from an evacuation: cold until the list has had time to say
@@ -64,6 +61,7 @@
 type Yard struct {
 	mu      sync.Mutex
 	index   *kerf.Index
+	health  *gauge.Gauge
 	b       map[string]*berth
 	pools   map[string][]*berth
 	evac    map[string]bool
@@ -76,14 +74,18 @@
 
 // NewYard makes an empty yard.
 func NewYard(x *kerf.Index) *Yard {
-	return &Yard{index: x, b: map[string]*berth{}, pools: map[string][]*berth{}, evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
+	return &Yard{index: x, health: gauge.New(), b: map[string]*berth{}, pools: map[string][]*berth{}, evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
 }
 
+// Health is the judgement of replicas that placing heeds.
+func (y *Yard) Health() *gauge.Gauge { return y.health }
+
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
 func (y *Yard) Set(rs map[string]*logbook.Replica, evac map[string]bool, back tick.Span) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	live := map[string]bool{}
+	of := make(map[string]string, len(rs))
 	pools := map[string][]*berth{}
 	for id, r := range rs {
 		b := y.b[id]
@@ -94,7 +96,7 @@
 		if y.evac[r.Locality] && !evac[r.Locality] {
 			b.coldTill = tick.Now().Add(back)
 		}
-		b.r, live[id] = r, true
+		b.r, live[id], of[id] = r, true, r.Pool
 		pools[r.Pool] = append(pools[r.Pool], b)
 	}
 	for id := range y.b {
@@ -107,6 +109,7 @@
 	}
 	y.pools, y.evac = pools, evac
 	y.index.Keep(live)
+	y.health.Keep(of)
 }
 
 // May tells whether a replica may be sent to at this moment.
@@ -143,10 +146,17 @@
 	defer y.mu.Unlock()
 	now := tick.Now()
 	var fit []*berth
-	var cold *berth
+	var cold, passed *berth
 	coldRate := 0.0
 	for _, b := range y.pools[a.Pool] {
-		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) || now.Before(b.ejected) || b.trial && b.trying {
+		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
+			continue
+		}
+		switch y.health.Fit(b.r.ID, now) {
+		case gauge.Out:
+			continue
+		case gauge.Passed:
+			passed = b
 			continue
 		}
 		if y.cold(b, now) {
@@ -157,6 +167,9 @@
 		}
 		fit = append(fit, b)
 	}
+	if len(fit) == 0 && cold == nil && passed != nil && !y.cold(passed, now) {
+		fit = append(fit, passed)
+	}
 	var b *berth
 	switch {
 	case len(fit) == 0 && cold == nil:
@@ -173,7 +186,7 @@
 		b.coldNext = now.Add(tick.Seconds(1 / coldRate))
 	}
 	c.Replica = b.r
-	b.trying = b.trial
+	y.health.Sent(b.r.ID)
 	y.placed++
 	b.inflight++
 	if a.Chain != nil {
@@ -324,6 +337,7 @@
 	Matched int
 	OutMost int
 	First   bool // an event or answer came
+	Overdue bool // its lateness was held against the replica already
 }
 
 // Began notes that the first event came, took long after sending, while expect was predicted.
@@ -335,7 +349,7 @@
 		return
 	}
 	e.First = true
-	b.fails, b.trial, b.trying = 0, false, false
+	y.health.Good(e.Replica, took, expect, e.Overdue, tick.Now())
 	if e.Chain == nil {
 		y.mu.Unlock()
 		return
@@ -379,7 +393,7 @@
 		return
 	}
 	b.inflight = max(0, b.inflight-1)
-	b.trying = false
+	y.health.Over(e.Replica)
 	if e.Chain != nil {
 		if !e.First {
 			b.tokens = max(0, b.tokens-float64(e.Chain.Tokens()-e.Matched))
@@ -400,21 +414,8 @@
 	}
 }
 
-// Failed ejects a replica for a bounded, growing time; one trial inquiry follows.
-func (y *Yard) Failed(id string) {
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	if b := y.b[id]; b != nil {
-		now := tick.Now()
-		if now.Before(b.ejected) {
-			return
-		}
-		d := plate.EjectFirst << min(b.fails, 4)
-		b.fails++
-		b.trial = true
-		b.ejected = now.Add(min(d, plate.EjectMost))
-	}
-}
+// Failed notes that a replica could not be reached or was silent: it is ejected for a bounded, growing time; one trial inquiry follows.
+func (y *Yard) Failed(id string) { y.health.Bad(id, gauge.Silent, tick.Now()) }
 
 // Wrong notes that another replica answers at this one's address.
 func (y *Yard) Wrong(id string) {
@@ -427,11 +428,12 @@
 
 // Stats is for the state page.
 type Stats struct {
-	Placed  int64                `json:"placed"`
-	Spills  int64                `json:"spills"`
-	Warmer  int64                `json:"warmer"`
-	Prefill float64              `json:"prefill_us_per_token"`
-	Berths  map[string]BerthStat `json:"replicas"`
+	Placed  int64                 `json:"placed"`
+	Spills  int64                 `json:"spills"`
+	Warmer  int64                 `json:"warmer"`
+	Prefill float64               `json:"prefill_us_per_token"`
+	Berths  map[string]BerthStat  `json:"replicas"`
+	Health  map[string]gauge.Stat `json:"health"`
 }
 
 // BerthStat is one replica on the state page.
@@ -440,7 +442,6 @@
 	Locality string `json:"locality"`
 	State    string `json:"state"`
 	Inflight int    `json:"inflight"`
-	Ejected  bool   `json:"ejected"`
 	Cold     bool   `json:"cold"`
 	Wrong    bool   `json:"address_reused"`
 }
@@ -450,9 +451,9 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := tick.Now()
-	s := Stats{y.placed, y.spills, y.warmer, y.prefill * 1e6, map[string]BerthStat{}}
+	s := Stats{y.placed, y.spills, y.warmer, y.prefill * 1e6, map[string]BerthStat{}, y.health.Stats(now)}
 	for id, b := range y.b {
-		s.Berths[id] = BerthStat{b.r.Pool, b.r.Locality, b.r.State, b.inflight, now.Before(b.ejected), y.cold(b, now), b.wrong}
+		s.Berths[id] = BerthStat{b.r.Pool, b.r.Locality, b.r.State, b.inflight, y.cold(b, now), b.wrong}
 	}
 	return s
 }
--- a/blade/channel.go
+++ b/blade/channel.go
@@ -4,12 +4,15 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"go.uber.org/atomic"
 
@@ -61,6 +64,7 @@
 	ID     int64 // of an event, -1 if it has none
 	Why    string
 	Lost   bool // the connection itself failed
+	Reset  bool // it ended before the first byte of an answer
 }
 
 // NotRun tells whether a head says that the replica did not run the inquiry.
@@ -84,6 +88,7 @@
 	dead    chan struct{}
 	killed  atomic.Bool
 	idle    tick.Moment
+	rested  tick.Span // how long it was idle before this use, 0 for a new one; set while the pool is held
 	expires tick.Moment
 	owner   string // who uses it now; guarded by the pool
 }
@@ -94,6 +99,15 @@
 	return ch
 }
 
+// Rested is how long the connection was idle before its present use, 0 for a new one.
+func (ch *Channel) Rested() tick.Span { return ch.rested }
+
+// Forgotten says that the replica no longer knew this connection when it was used again.
+func (ch *Channel) Forgotten() { ch.pool.forgot(ch.rested) }
+
+// Doubt closes the idle connections beside this one: after silence they are in doubt too, and the next inquiry dials before it sends.
+func (ch *Channel) Doubt() { ch.pool.flush() }
+
 // Kill closes the connection.
 func (ch *Channel) Kill() {
 	if ch.killed.CompareAndSwap(false, true) {
@@ -212,7 +226,7 @@
 			return
 		}
 		if err != nil {
-			j.tell(Part{Kind: Fail, Why: "no answer: " + err.Error(), Lost: true})
+			j.tell(Part{Kind: Fail, Why: "no answer: " + err.Error(), Lost: true, Reset: !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.ETIMEDOUT)})
 			return
 		}
 		if !ch.answer(br, j) {
@@ -251,6 +265,9 @@
 			return fail("an answer to something else")
 		}
 	}
+	if r.Close {
+		ch.pool.made.Closing.Inc()
+	}
 	keep = keep && !r.Close && r.ProtoAtLeast(1, 1)
 	if r.StatusCode < 300 && r.Header.Get(HeadSeal) == "" {
 		return fail("no seal")
--- /dev/null
+++ b/blade/keep.go
@@ -0,0 +1,48 @@
+package blade
+
+import (
+	"sync"
+
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// Keep is what this process knows of how long one service's replicas keep idle connections, beside what their answers say. A replica may forget one sooner, without a word.
+type Keep struct {
+	mu    sync.Mutex
+	limit tick.Span // idle time at the newest loss, less a margin; 0 if none was lost
+	at    tick.Moment
+}
+
+// Forgot notes that a connection idle that long was reset when it was used again.
+func (k *Keep) Forgot(idle tick.Span, now tick.Moment) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limit = max(plate.KeepLeast, min(k.most(now), tick.Span(float64(idle)*plate.KeepPart)))
+	k.at = now
+}
+
+// Most is how long a connection may have been idle to be used for what may be sent again. After a loss it grows back.
+func (k *Keep) Most(now tick.Moment) tick.Span {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.most(now)
+}
+
+func (k *Keep) most(now tick.Moment) tick.Span {
+	if k.limit == 0 {
+		return plate.KeepLongest
+	}
+	n := min(16, int(now.Sub(k.at)/plate.KeepRelax))
+	return min(plate.KeepLongest, k.limit<<n)
+}
+
+// Sure is the same for what may not be sent again: half of it while a loss was seen lately.
+func (k *Keep) Sure(now tick.Moment) tick.Span {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.limit > 0 && now.Sub(k.at) < plate.KeepDoubt {
+		return k.most(now) / 2
+	}
+	return k.most(now)
+}
--- /dev/null
+++ b/blade/keep_test.go
@@ -0,0 +1,29 @@
+package blade
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/plate"
+)
+
+func TestALossShortensTheIdleTimeAndItGrowsBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := &Keep{}
+	require.Equal(t, plate.KeepLongest, k.Most(now))
+	require.Equal(t, plate.KeepLongest, k.Sure(now))
+	k.Forgot(4*time.Second, now)
+	require.Less(t, k.Most(now), 4*time.Second)
+	require.Less(t, k.Sure(now), k.Most(now), "what may not be sent again takes younger ones")
+	k.Forgot(3*time.Second, now)
+	short := k.Most(now)
+	require.Less(t, short, 3*time.Second)
+	require.Equal(t, 2*short, k.Most(now.Add(plate.KeepRelax)))
+	require.Equal(t, plate.KeepLongest, k.Most(now.Add(time.Hour)))
+	for range 99 {
+		k.Forgot(0, now)
+	}
+	require.Equal(t, plate.KeepLeast, k.Most(now))
+}
--- a/blade/pool.go
+++ b/blade/pool.go
@@ -33,27 +33,57 @@
 	return x.DialContext(context.Background(), "tcp4", addr)
 }
 
+// Made counts why connections were opened.
+type Made struct {
+	All     atomic.Int64 `json:"all"`
+	First   atomic.Int64 `json:"first"`   // none was there
+	Crowded atomic.Int64 `json:"crowded"` // all were in use
+	Expired atomic.Int64 `json:"expired"` // the kept ones had been idle too long
+	Wary    atomic.Int64 `json:"wary"`    // a kept one was there and not trusted
+	Forgot  atomic.Int64 `json:"forgot"`  // kept ones that the replica had forgotten
+	Closing atomic.Int64 `json:"closing"` // answers that said Connection: close
+}
+
 // Pool holds the connections to one life of a replica.
 type Pool struct {
 	addr string
 	d    Dialer
+	keep *Keep
 	mu   sync.Mutex
 	free []*Channel
 	open int
 	most int
 	shut bool
 	wait []chan struct{}
-	made *atomic.Int64
+	made *Made
 	pie  *portion.Pie // channels in use, by owner
 }
 
-// NewPool makes a pool; most is this process's share of the replica's connections.
-func NewPool(addr string, d Dialer, most int, made *atomic.Int64) *Pool {
-	return &Pool{addr: addr, d: d, most: max(1, most), made: made, pie: portion.New(int64(max(1, most)), plate.CalmPart)}
+// NewPool makes a pool; most is this process's share of the replica's connections, keep what is known of how long the service's replicas keep idle ones.
+func NewPool(addr string, d Dialer, most int, keep *Keep, made *Made) *Pool {
+	return &Pool{addr: addr, d: d, most: most, keep: keep, made: made, pie: portion.New(int64(most), plate.CalmPart)}
+}
+
+// Limit changes the share. Idle connections over a smaller one are closed; those in use end with their answers.
+func (p *Pool) Limit(most int) {
+	p.mu.Lock()
+	if p.most == most {
+		p.mu.Unlock()
+		return
+	}
+	p.most = most
+	p.pie.Resize(int64(most))
+	n := min(max(0, p.open-most), len(p.free))
+	over := append([]*Channel{}, p.free[:n]...)
+	p.signal()
+	p.mu.Unlock()
+	for _, ch := range over {
+		ch.Kill()
+	}
 }
 
-// Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion.
-func (p *Pool) Get(owner string, d tick.Span) (*Channel, error) {
+// Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten.
+func (p *Pool) Get(owner string, d tick.Span, wary bool) (*Channel, error) {
 	end := tick.Now().Add(d)
 	for {
 		p.mu.Lock()
@@ -61,13 +91,28 @@
 			p.mu.Unlock()
 			return nil, fault.New(fault.Unready, "the replica is gone")
 		}
+		if p.most < 1 {
+			p.mu.Unlock()
+			return nil, fault.New(fault.Crowded, "no share of the replica's connections")
+		}
 		if p.pie.Take(owner, 1) {
-			if ch := p.idle(); ch != nil {
+			had := len(p.free)
+			if ch := p.idle(wary); ch != nil {
 				ch.owner = owner
 				p.mu.Unlock()
 				return ch, nil
 			}
 			if p.open < p.most {
+				switch {
+				case len(p.free) > 0:
+					p.made.Wary.Inc()
+				case had > 0:
+					p.made.Expired.Inc()
+				case p.open > 0:
+					p.made.Crowded.Inc()
+				default:
+					p.made.First.Inc()
+				}
 				p.open++
 				p.mu.Unlock()
 				return p.dial(owner, end)
@@ -85,19 +130,52 @@
 	}
 }
 
-func (p *Pool) idle() *Channel {
+// idle takes the connection used last, if it may still be used; the caller holds the pool.
+func (p *Pool) idle(wary bool) *Channel {
 	now := tick.Now()
 	for len(p.free) > 0 {
 		ch := p.free[len(p.free)-1]
-		p.free = p.free[:len(p.free)-1]
-		if now.Before(ch.expires) && !ch.killed.Load() {
+		idle := now.Sub(ch.idle)
+		if now.Before(ch.expires) && !ch.killed.Load() && idle < p.keep.Most(now) {
+			if wary && idle >= p.keep.Sure(now) && p.open < p.most {
+				return nil // it is left for one that may be sent again
+			}
+			p.free = p.free[:len(p.free)-1]
+			ch.rested = idle
 			return ch
 		}
+		p.free = p.free[:len(p.free)-1]
 		go ch.Kill()
 	}
 	return nil
 }
 
+// Idle tells whether a connection lies ready.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.free)
+	return n > 0 && tick.Now().Before(p.free[n-1].expires)
+}
+
+// forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long.
+func (p *Pool) forgot(rested tick.Span) {
+	p.made.Forgot.Inc()
+	now := tick.Now()
+	p.keep.Forgot(rested, now)
+	p.mu.Lock()
+	var old []*Channel
+	for _, ch := range p.free {
+		if now.Sub(ch.idle) >= rested {
+			old = append(old, ch)
+		}
+	}
+	p.mu.Unlock()
+	for _, ch := range old {
+		ch.Kill()
+	}
+}
+
 func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
 	c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
 	if err != nil {
@@ -108,7 +186,7 @@
 		p.mu.Unlock()
 		return nil, fault.Wrap(fault.Broken, err, "dial")
 	}
-	p.made.Inc()
+	p.made.All.Inc()
 	return open(p, c, owner), nil
 }
 
@@ -133,9 +211,9 @@
 func (p *Pool) put(ch *Channel) {
 	p.mu.Lock()
 	p.release(ch)
-	if p.shut {
+	if p.shut || p.open > p.most {
 		p.mu.Unlock()
-		go ch.Kill()
+		ch.Kill()
 		return
 	}
 	p.free = append(p.free, ch)
@@ -173,8 +251,7 @@
 	}
 }
 
-// Flush closes the idle connections: after one was lost the others are in doubt, and the next inquiry dials before it sends.
-func (p *Pool) Flush() {
+func (p *Pool) flush() {
 	p.mu.Lock()
 	free := append([]*Channel{}, p.free...)
 	p.mu.Unlock()
@@ -188,7 +265,7 @@
 	p.mu.Lock()
 	p.shut = true
 	p.mu.Unlock()
-	p.Flush()
+	p.flush()
 }
 
 // Back returns a channel that was got and not used.
--- /dev/null
+++ b/blade/pool_test.go
@@ -0,0 +1,139 @@
+package blade
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// server answers over pipes and forgets connections that were idle for a while.
+type server struct {
+	mu     sync.Mutex
+	forget time.Duration
+	open   int
+}
+
+func (s *server) DialReplica(string, tick.Span) (net.Conn, error) {
+	a, b := net.Pipe()
+	s.mu.Lock()
+	s.open++
+	s.mu.Unlock()
+	go func() {
+		defer func() {
+			_ = b.Close()
+			s.mu.Lock()
+			s.open--
+			s.mu.Unlock()
+		}()
+		br, last := bufio.NewReader(b), time.Now()
+		for {
+			q, err := http.ReadRequest(br)
+			if err != nil || s.forget > 0 && time.Since(last) > s.forget {
+				return
+			}
+			last = time.Now()
+			_, _ = b.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: " + q.Header.Get(HeadID) + "\r\nReplica-Seal: s\r\nContent-Length: 0\r\n\r\n"))
+		}
+	}()
+	return a, nil
+}
+
+func (s *server) now() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+func use(t *testing.T, p *Pool, wary bool) (*Channel, Part) {
+	ch, err := p.Get("o", time.Second, wary)
+	require.NoError(t, err)
+	a, _, err := ch.Send(&Shot{Method: "GET", Target: "/", Host: "h", Head: http.Header{HeadID: {"x"}}, ID: "x"}, time.Second)
+	require.NoError(t, err)
+	defer a.Drop()
+	for {
+		p, ok := a.Next(nil, nil)
+		require.True(t, ok)
+		if p.Kind == End || p.Kind == Fail {
+			return ch, p
+		}
+	}
+}
+
+func TestWhatMayNotBeSentAgainAvoidsConnectionsThatMayBeForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, made := &server{forget: 3 * time.Second}, &Made{}
+		p := NewPool("x", s, 4, &Keep{}, made)
+		defer p.Shut()
+		_, end := use(t, p, false)
+		require.Equal(t, End, end.Kind)
+		time.Sleep(4 * time.Second)
+		require.True(t, p.Idle())
+		ch, end := use(t, p, false)
+		require.Equal(t, Fail, end.Kind)
+		require.True(t, end.Reset)
+		require.Equal(t, 4*time.Second, ch.Rested())
+		ch.Forgotten()
+		require.EqualValues(t, 1, made.Forgot.Load())
+		ch, end = use(t, p, false)
+		require.Equal(t, End, end.Kind)
+		require.Zero(t, ch.Rested())
+		time.Sleep(2 * time.Second) // below what was learned, above half of it
+		n := made.All.Load()
+		ch, end = use(t, p, true)
+		require.Equal(t, End, end.Kind)
+		require.Zero(t, ch.Rested(), "a new one")
+		require.Equal(t, n+1, made.All.Load())
+		require.EqualValues(t, 1, made.Wary.Load())
+		ch, _ = use(t, p, false)
+		require.NotNil(t, ch)
+		require.Equal(t, n+1, made.All.Load(), "what may be sent again uses it")
+		time.Sleep(2900 * time.Millisecond)
+		_, end = use(t, p, false)
+		require.Equal(t, End, end.Kind, "those idle longer than was learned are not used")
+	})
+}
+
+func TestAPoolFollowsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := NewPool("x", s, 4, &Keep{}, &Made{})
+		defer p.Shut()
+		var chs []*Channel
+		for range 2 {
+			ch, err := p.Get("o", time.Second, false)
+			require.NoError(t, err)
+			chs = append(chs, ch)
+		}
+		for _, o := range []string{"a", "b"} {
+			ch, err := p.Get(o, time.Second, false)
+			require.NoError(t, err)
+			chs = append(chs, ch)
+		}
+		require.Equal(t, 4, s.now())
+		p.Limit(2)
+		for _, ch := range chs {
+			ch.Back()
+		}
+		synctest.Wait()
+		require.Equal(t, 2, s.now(), "those over the share are closed as they come back")
+		p.Limit(0)
+		synctest.Wait()
+		require.Zero(t, s.now())
+		_, err := p.Get("o", time.Hour, false)
+		require.Equal(t, fault.Crowded, fault.KindOf(err), "without a share it fails at once")
+		p.Limit(3)
+		ch, err := p.Get("o", plate.LumpWait, false)
+		require.NoError(t, err)
+		ch.Back()
+	})
+}
--- a/gatehouse/budget.go
+++ b/gatehouse/budget.go
@@ -3,14 +3,21 @@
 import (
 	"sync"
 
+	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
 
+type lump struct {
+	n    int64
+	till tick.Moment
+}
+
 type account struct {
 	asked, extra []tick.Moment
+	lumps        []lump
 }
 
-// Budget is this process's share of the further tries that the fleet may make, by service.
+// Budget is this process's part of the further tries that the fleet may make, by service: a share of its own requests, a small standing share of the slack, and lumps borrowed from the rest of it.
 type Budget struct {
 	mu     sync.Mutex
 	ratio  float64
@@ -31,7 +38,8 @@
 		a = &account{}
 		b.a[pool] = a
 	}
-	old := tick.Now().Add(-b.window)
+	now := tick.Now()
+	old := now.Add(-b.window)
 	trim := func(ms []tick.Moment) []tick.Moment {
 		i := 0
 		for i < len(ms) && ms[i].Before(old) {
@@ -40,6 +48,9 @@
 		return ms[i:]
 	}
 	a.asked, a.extra = trim(a.asked), trim(a.extra)
+	for len(a.lumps) > 0 && (a.lumps[0].n == 0 || !now.Before(a.lumps[0].till)) {
+		a.lumps = a.lumps[1:]
+	}
 	return a
 }
 
@@ -51,22 +62,40 @@
 	a.asked = append(a.asked, tick.Now())
 }
 
+// Lent adds borrowed tries; till is the end of the loan, counted from before it was asked for.
+func (b *Budget) Lent(pool string, n int64, till tick.Moment) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.get(pool)
+	a.lumps = append(a.lumps, lump{n, till})
+}
+
 // Left is how many further tries this process may still make now.
 func (b *Budget) Left(pool string, fleet int) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.left(b.get(pool), fleet)
+	a := b.get(pool)
+	n := b.left(a, fleet)
+	for _, l := range a.lumps {
+		n += float64(l.n)
+	}
+	return n
 }
 
+// left is what remains of the own shares.
 func (b *Budget) left(a *account, fleet int) float64 {
-	return b.margin*(b.ratio*float64(len(a.asked))+b.slack/float64(max(1, fleet))) - float64(len(a.extra))
+	return b.margin*(b.ratio*float64(len(a.asked))+(1-plate.BudgetPot)*b.slack/float64(max(1, fleet))) - float64(len(a.extra))
 }
 
-// Take draws one further try.
+// Take draws one further try, a borrowed one first: it runs out sooner.
 func (b *Budget) Take(pool string, fleet int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(pool)
+	if len(a.lumps) > 0 {
+		a.lumps[0].n--
+		return true
+	}
 	if b.left(a, fleet) < 1 {
 		return false
 	}
--- a/gatehouse/budget_test.go
+++ b/gatehouse/budget_test.go
@@ -1,11 +1,15 @@
 package gatehouse
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shaletrestle/plate"
+	"shaletrestle/portion"
 )
 
 func TestTheFleetsSharesStayInsideTheBudget(t *testing.T) {
@@ -42,3 +46,82 @@
 		require.False(t, NewBudget(ratio, slack, time.Second, 0.8).Take("p", 1000), "a share below one is none")
 	})
 }
+
+// Over random schedules of demand, lost answers, dying and new nodes, lagging fleet sizes and changes of the lender, no window holds more further tries than the rule allows.
+func TestSharesAndLumpsStayInsideTheBudgetOverRandomSchedules(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 77))
+			const ratio, window = 0.2, 10 * time.Second
+			fleet := []int{3, 12, 88, 390}[r.IntN(4)]
+			slack := float64(40 + r.IntN(300))
+			var nodes []*Budget
+			for range fleet {
+				nodes = append(nodes, NewBudget(ratio, slack, window, plate.BudgetMargin))
+			}
+			room := int64(plate.BudgetMargin * plate.BudgetPot * slack)
+			newLender := func() (*portion.Lender, time.Time) {
+				return portion.NewLender(room, window+plate.LumpSpan), time.Now()
+			}
+			lender, since := newLender()
+			known := fleet // what nodes believe
+			var asked, extra []time.Time
+			lent := 0
+			for range 600 { // 60 s
+				if r.IntN(120) == 0 {
+					lender, since = newLender() // another holds the duty, and knows of no loan
+				}
+				if r.IntN(50) == 0 { // a node dies, a new one takes its place with an empty account
+					nodes[r.IntN(fleet)] = NewBudget(ratio, slack, window, plate.BudgetMargin)
+				}
+				if r.IntN(40) == 0 {
+					known = fleet - r.IntN(1+fleet/plate.SuspectPart)
+				}
+				for range r.IntN(30) {
+					b := nodes[r.IntN(fleet)]
+					if r.IntN(3) == 0 {
+						b = nodes[0] // one sees more than the others
+					}
+					b.Asked("p")
+					asked = append(asked, time.Now())
+					for range r.IntN(4) {
+						if !b.Take("p", known) {
+							start := time.Now()
+							if n := lender.Lend("p", plate.LumpTries, since, time.Now()); n > 0 && r.IntN(4) > 0 { // else the answer is lost
+								lent++
+								b.Lent("p", n, start.Add(plate.LumpSpan))
+							}
+							if !b.Take("p", known) {
+								break
+							}
+						}
+						extra = append(extra, time.Now())
+					}
+				}
+				in := func(ms []time.Time) (n float64) {
+					for _, m := range ms {
+						if time.Since(m) <= window {
+							n++
+						}
+					}
+					return
+				}
+				require.LessOrEqual(t, in(extra), ratio*in(asked)+slack)
+				time.Sleep(100 * time.Millisecond)
+			}
+			require.NotEmpty(t, extra)
+			require.Positive(t, lent)
+		})
+	}
+}
+
+func TestALumpIsUsedFirstAndRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(0, 0, time.Second, 0.8)
+		b.Lent("p", 2, time.Now().Add(plate.LumpSpan))
+		require.Equal(t, 2.0, b.Left("p", 88))
+		require.True(t, b.Take("p", 88))
+		time.Sleep(plate.LumpSpan)
+		require.False(t, b.Take("p", 88))
+	})
+}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -2,8 +2,8 @@
 package gatehouse
 
 import (
+	"encoding/json"
 	"net/http"
-	"sort"
 	"strings"
 	"sync"
 
@@ -37,32 +37,36 @@
 
 // Gate is one traffic process.
 type Gate struct {
-	sc       *scope.Scope
-	env      atomic.Pointer[env.Env]
-	net      crew.Net
-	dialer   blade.Dialer
-	book     *logbook.Book
-	cursor   *haul.Cursor
-	follower *haul.Follower
-	front    *buyer.Front
-	watcher  *lookout.Watcher
-	index    *kerf.Index
-	yard     *berth.Yard
-	budget   *Budget
-	table    atomic.Pointer[sorting.Table]
-	ready    atomic.Bool
-	isReady  chan struct{}
-	leaving  atomic.Bool
-	inflight atomic.Int64
-	bodies   *portion.Pie
-	made     atomic.Int64
-	count    counts
-	mu       sync.Mutex
-	pools    map[string]*blade.Pool
-	roots    sync.Map
-	pickAt   int
-	bad      map[string]tick.Moment // tallyhouses and when they failed last
-	dropped  string                 // one that was left for a nearer one, not for failing
+	sc        *scope.Scope
+	env       atomic.Pointer[env.Env]
+	net       crew.Net
+	dialer    blade.Dialer
+	book      *logbook.Book
+	cursor    *haul.Cursor
+	follower  *haul.Follower
+	front     *buyer.Front
+	watcher   *lookout.Watcher
+	index     *kerf.Index
+	yard      *berth.Yard
+	budget    *Budget
+	table     atomic.Pointer[sorting.Table]
+	ready     atomic.Bool
+	isReady   chan struct{}
+	leaving   atomic.Bool
+	inflight  atomic.Int64
+	bodies    *portion.Pie
+	made      blade.Made
+	count     counts
+	mu        sync.Mutex
+	pools     map[string]*blade.Pool
+	keeps     map[string]*blade.Keep   // by service
+	asking    map[string]chan struct{} // services that a lump is being borrowed for
+	refusedAt map[string]tick.Moment   // when none was lent, by service
+	toldAt    tick.Moment              // when failures were told last
+	roots     sync.Map
+	pickAt    int
+	bad       map[string]tick.Moment // tallyhouses and when they failed last
+	dropped   string                 // one that was left for a nearer one, not for failing
 }
 
 type counts struct {
@@ -71,7 +75,7 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, keeps: map[string]*blade.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
@@ -89,6 +93,7 @@
 	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, ping, func(node string, alive bool) {
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
+	g.follower.Carry(g.words)
 	g.book.Watch(g.changed)
 	return g
 }
@@ -157,6 +162,9 @@
 // Reload takes new settings.
 func (g *Gate) Reload(e *env.Env) { g.env.Store(e) }
 
+// Takes tells whether a replica may be sent to, as this process knows it now.
+func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
+
 func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
 		if g.ready.Load() && !g.leaving.Load() {
@@ -234,6 +242,10 @@
 
 // changed brings everything that is derived up to date with a new view.
 func (g *Gate) changed(old, v *logbook.View, e *logbook.Event) {
+	if e != nil && e.Kind == logbook.Health {
+		g.yard.Health().Suspected(e.Suspects, tick.Now())
+		return
+	}
 	if old.Doc != v.Doc {
 		t := sorting.Compile(v.Doc)
 		g.table.Store(t)
@@ -251,6 +263,9 @@
 		}
 	}
 	g.mu.Unlock()
+	if old.Fleet != v.Fleet || old.Doc != v.Doc || e == nil {
+		g.share(v, g.table.Load())
+	}
 	if v.Doc.Epoch > 0 && v.Listed {
 		if g.ready.CompareAndSwap(false, true) {
 			close(g.isReady)
@@ -269,21 +284,66 @@
 	return plate.FleetGuess
 }
 
+// channels is this process's share of the connections that each replica of a service takes.
+func (g *Gate) channels(s *sorting.Pool, id string) int {
+	if s == nil || s.Channels <= 0 {
+		return plate.ChannelsGuess
+	}
+	v, n := g.book.View(), g.fleet()
+	if s.Channels >= n || len(v.Nodes) == 0 {
+		return s.Channels / n
+	}
+	// fewer connections than nodes: some nodes by rendezvous have one each, the others none
+	if rankOf(v.Nodes, id, g.env.Load().Port(plate.PortGate)) < s.Channels {
+		return 1
+	}
+	return 0
+}
+
+// rankOf is a node's place among all by rendezvous for a key; the number of nodes if it is not among them.
+func rankOf(nodes []string, key, self string) int {
+	mine, rank, in := xxhash.Sum64String(key+self), 0, false
+	for _, n := range nodes {
+		switch h := xxhash.Sum64String(key + n); {
+		case n == self:
+			in = true
+		case h > mine || h == mine && n < self:
+			rank++
+		}
+	}
+	if !in {
+		return len(nodes)
+	}
+	return rank
+}
+
 func (g *Gate) pool(r *logbook.Replica, t *sorting.Table) *blade.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pools[r.ID]
 	if p == nil {
-		most := plate.ChannelsGuess
-		if s := t.Pools[r.Pool]; s != nil && s.Channels > 0 {
-			most = s.Channels / g.fleet()
+		k := g.keeps[r.Pool]
+		if k == nil {
+			k = &blade.Keep{}
+			g.keeps[r.Pool] = k
 		}
-		p = blade.NewPool(r.Addr, g.dialer, most, &g.made)
+		p = blade.NewPool(r.Addr, g.dialer, g.channels(t.Pools[r.Pool], r.ID), k, &g.made)
 		g.pools[r.ID] = p
 	}
 	return p
 }
 
+// share gives every pool its share anew, after the fleet's size or the setup changed.
+func (g *Gate) share(v *logbook.View, t *sorting.Table) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, p := range g.pools {
+		if r := v.Replicas[id]; r != nil {
+			p.Limit(g.channels(t.Pools[r.Pool], id))
+		}
+	}
+}
+
 func (g *Gate) sweep() {
 	g.mu.Lock()
 	var ps []*blade.Pool
@@ -296,20 +356,76 @@
 	}
 }
 
+// words are the failures seen here since the last time, for the acknowledgement that is about to go; nil mostly.
+func (g *Gate) words() []byte {
+	now := tick.Now()
+	g.mu.Lock()
+	due := now.Sub(g.toldAt) >= plate.NewsBeat/2
+	if due {
+		g.toldAt = now
+	}
+	g.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(plate.PortGate)), now)
+	if len(ws) == 0 {
+		return nil
+	}
+	b, _ := json.Marshal(ws)
+	return b
+}
+
+// further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
+func (g *Gate) further(pool string, within tick.Span) bool {
+	if g.budget.Take(pool, g.fleet()) {
+		return true
+	}
+	now := tick.Now()
+	g.mu.Lock()
+	w := g.asking[pool]
+	if w == nil {
+		if now.Sub(g.refusedAt[pool]) < plate.LumpPause {
+			g.mu.Unlock()
+			return false
+		}
+		w = make(chan struct{})
+		g.asking[pool] = w
+		go g.borrow(pool, w)
+	}
+	g.mu.Unlock()
+	select {
+	case <-w:
+	case <-tick.After(min(within, plate.LumpWait)):
+	}
+	return g.budget.Take(pool, g.fleet())
+}
+
+func (g *Gate) borrow(pool string, w chan struct{}) {
+	start := tick.Now()
+	a, err := g.follower.Call(&crew.Note{Kind: crew.Lend, Word: pool, Number: plate.LumpTries}, plate.LumpWait)
+	ok := err == nil && a.OK && a.Number > 0 && a.Number <= plate.LumpTries
+	if ok {
+		g.budget.Lent(pool, int64(a.Number), start.Add(plate.LumpSpan))
+	}
+	g.mu.Lock()
+	if !ok {
+		g.refusedAt[pool] = tick.Now()
+	}
+	delete(g.asking, pool)
+	g.mu.Unlock()
+	close(w)
+}
+
 // coldRate is this process's share of what one cold replica bears: a few nodes by rendezvous, the others none.
 func (g *Gate) coldRate(perS float64, id string) float64 {
 	v := g.book.View()
 	if len(v.Nodes) == 0 {
 		return perS * plate.ColdMargin / plate.FleetGuess
 	}
-	self := g.env.Load().Port(plate.PortGate)
-	ns := append([]string{}, v.Nodes...)
-	sort.Slice(ns, func(i, j int) bool { return xxhash.Sum64String(id+ns[i]) > xxhash.Sum64String(id+ns[j]) })
-	k := min(plate.ColdNodes, len(ns))
-	for _, n := range ns[:k] {
-		if n == self {
-			return perS * plate.ColdMargin / float64(k)
-		}
+	k := min(plate.ColdNodes, len(v.Nodes))
+	if rankOf(v.Nodes, id, g.env.Load().Port(plate.PortGate)) < k {
+		return perS * plate.ColdMargin / float64(k)
 	}
 	return 0
 }
@@ -343,7 +459,7 @@
 		"news":  map[string]any{"epoch": ep, "number": num, "source": g.follower.Source(), "heard_ago_ms": g.cursor.Age().Milliseconds()},
 		"setup": map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths}, "evacuated": v.Evac, "fleet": v.Fleet,
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
-		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": g.made.Load(), "budget_left": left,
+		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": &g.made, "budget_left": left,
 		"index":  map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()},
 		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
 	})
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -12,8 +12,8 @@
 	"shaletrestle/blade"
 	"shaletrestle/buyer"
 	"shaletrestle/fault"
+	"shaletrestle/gauge"
 	"shaletrestle/kerf"
-	"shaletrestle/logbook"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/sorting"
@@ -295,11 +295,11 @@
 	id := c.Replica.ID
 	end := &berth.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
 	defer q.g.yard.Done(end)
-	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))))
+	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))), !q.path.Repeatable())
 	if err != nil {
 		q.ask.Not[id] = true
 		if fault.KindOf(err) == fault.Broken {
-			q.g.yard.Failed(id)
+			q.blame(id, gauge.Refused)
 		}
 		return true
 	}
@@ -308,7 +308,7 @@
 		return true
 	}
 	if q.sent > 0 {
-		if !q.g.budget.Take(q.pool.Name, q.g.fleet()) {
+		if !q.g.further(q.pool.Name, left) {
 			ch.Back()
 			q.giveUp(fault.Broken, "no further try is left")
 			return false
@@ -328,7 +328,7 @@
 	at := tick.Now()
 	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
 	if err != nil {
-		q.lost(c.Replica)
+		q.ended(c.Replica.ID, ch, gauge.Reset, true)
 		if !sent {
 			return true
 		}
@@ -341,7 +341,7 @@
 	if q.ask.Chain != nil {
 		q.g.index.Sent(id, q.ask.Capacity, q.ask.Chain, q.path.Name)
 	}
-	return q.listen(a, end, at, c, quit)
+	return q.listen(ch, a, end, at, c, quit)
 }
 
 // urgency is the class that a replica is told: by the path's priority, behind all others if the prompt alone takes longer than the aim.
@@ -353,11 +353,22 @@
 	return min(plate.UrgencyLate-1, int(part*7))
 }
 
-// lost notes that the way to a replica failed: its idle connections are in doubt too.
-func (q *inquiry) lost(r *logbook.Replica) {
-	q.ask.Not[r.ID] = true
-	q.g.yard.Failed(r.ID)
-	q.g.pool(r, q.table).Flush()
+// blame holds a failure against a replica; another one is tried next.
+func (q *inquiry) blame(id string, k gauge.Kind) {
+	q.ask.Not[id] = true
+	q.g.yard.Health().Bad(id, k, tick.Now())
+}
+
+// ended notes that a connection failed. One that had been idle and is reset before any answer was forgotten by the replica, which is no failure of it; after silence the other idle connections are in doubt too.
+func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
+	if reset && ch.Rested() >= plate.ForgotIdle {
+		ch.Forgotten()
+		return
+	}
+	q.blame(id, k)
+	if k == gauge.Silent {
+		ch.Doubt()
+	}
 }
 
 // again tells whether another replica may be tried after one that may have run the inquiry; if not, it is answered.
@@ -381,28 +392,41 @@
 }
 
 // listen takes an answer's parts; true means that another replica may be tried.
-func (q *inquiry) listen(a *blade.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
+func (q *inquiry) listen(ch *blade.Channel, a *blade.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
 	id := c.Replica.ID
 	var head blade.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
+	heard := at
+	due, known := q.g.yard.Health().Due(id, c.Expect)
 	for {
 		wait := tick.Until(q.deadline)
-		if p := q.patience(); p > 0 && p < wait {
-			wait = p
+		if p := q.patience(); p > 0 {
+			wait = min(wait, p-tick.Since(heard))
 		}
-		late := tick.NewTimer(wait)
+		watch := known && !end.First && !end.Overdue && due-tick.Since(at) < wait
+		if watch {
+			wait = due - tick.Since(at)
+		}
+		late := tick.NewTimer(max(0, wait))
 		p, ok := a.Next(late.C, quit)
 		late.Stop()
-		if !ok {
+		if ok {
+			heard = tick.Now()
+		} else {
 			if q.r.Context().Err() != nil {
 				return false
 			}
+			if watch { // it is waited for still
+				end.Overdue = true
+				q.g.yard.Health().Bad(id, gauge.Slow, tick.Now())
+				continue
+			}
 			q.mayRun = true
 			if tick.Until(q.deadline) <= 0 {
 				q.giveUp(fault.Late, "time ran out")
 				return false
 			}
-			q.lost(c.Replica)
+			q.ended(id, ch, gauge.Silent, false)
 			return q.again("silence")
 		}
 		switch p.Kind {
@@ -416,21 +440,25 @@
 		case blade.Event:
 			q.g.yard.Began(end, tick.Since(at), c.Expect)
 			if !q.event(&p, head.Head, &joined) {
-				q.ask.Not[id] = true
+				q.blame(id, gauge.Cut)
 				return q.again("events out of order")
 			}
 		case blade.Body:
 			head.Bytes = p.Bytes
 		case blade.End:
-			q.g.yard.Began(end, tick.Since(at), c.Expect)
+			if !head.NotRun() && head.Status < http.StatusInternalServerError {
+				q.g.yard.Began(end, tick.Since(at), c.Expect)
+			}
 			return q.whole(&head, id)
 		case blade.Fail:
 			q.mayRun = true
-			if p.Lost {
-				q.lost(c.Replica)
-			} else {
-				q.ask.Not[id] = true
-				q.g.yard.Failed(id)
+			switch {
+			case p.Reset:
+				q.ended(id, ch, gauge.Reset, true)
+			case p.Lost:
+				q.ended(id, ch, gauge.Silent, false)
+			default:
+				q.blame(id, gauge.Cut)
 			}
 			return q.again(p.Why)
 		}
@@ -438,19 +466,31 @@
 }
 
 func (q *inquiry) told(id, s string) {
+	if v, ok := loads(s); ok {
+		q.g.yard.Told(id, v[0], v[1], v[2])
+	}
+}
+
+// loads reads a replica's word on its load: running, waiting, slots.
+func loads(s string) (v [3]float64, ok bool) {
 	x := strings.Split(s, ",")
 	if len(x) != 3 {
-		return
+		return v, false
 	}
-	var v [3]float64
 	for i := range x {
 		f, err := strconv.ParseFloat(strings.TrimSpace(x[i]), 64)
-		if err != nil || f < 0 {
-			return
+		if err != nil || !(f >= 0) {
+			return v, false
 		}
 		v[i] = f
 	}
-	q.g.yard.Told(id, v[0], v[1], v[2])
+	return v, true
+}
+
+// full tells whether a replica that turned something away says that all its places are taken; one that says nothing of them is believed.
+func full(load string) bool {
+	v, ok := loads(load)
+	return !ok || v[0]+v[1] >= v[2]
 }
 
 // event passes one event on; false if it does not follow the last.
@@ -489,8 +529,11 @@
 func (q *inquiry) whole(p *blade.Part, id string) bool {
 	if p.NotRun() {
 		q.ask.Not[id] = true
-		if p.Status == http.StatusMisdirectedRequest {
+		switch {
+		case p.Status == http.StatusMisdirectedRequest:
 			q.g.yard.Wrong(id)
+		case p.Status != http.StatusBadRequest && !full(p.Head.Get(blade.HeadLoad)):
+			q.blame(id, gauge.Shed)
 		}
 		if p.Status == http.StatusBadRequest && !q.mayRun && !q.began {
 			q.answer(p)
@@ -503,6 +546,9 @@
 		return false
 	}
 	q.mayRun = true
+	if p.Status >= http.StatusInternalServerError && p.Status != http.StatusGatewayTimeout {
+		q.blame(id, gauge.Failed)
+	}
 	if q.began {
 		if p.Bytes != nil { // a resumed run answered with something else than events
 			return q.again("not resumed")
@@ -511,7 +557,6 @@
 	}
 	switch {
 	case p.Status >= 500 && q.path.Repeatable() && q.sent < q.path.Shots && p.Status != http.StatusGatewayTimeout:
-		q.ask.Not[id] = true
 		return true
 	case p.Status == http.StatusServiceUnavailable, p.Status == http.StatusTooManyRequests, p.Status == http.StatusRequestTimeout:
 		q.giveUp(fault.Broken, "the replica refused after it may have run")
--- /dev/null
+++ b/gauge/gauge.go
@@ -0,0 +1,310 @@
+// Package gauge judges the health of replicas by what they do: each node by its own shots, the control primary by what all nodes tell it. Neither the list's word nor a health answer ejects or acquits.
+package gauge
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"sync"
+
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// Kind is what went wrong with a shot.
+type Kind int
+
+// The kinds, by what they say of the replica.
+const (
+	Refused Kind = iota // no connection could be opened
+	Silent              // no answer in time
+	Reset               // the connection ended before an answer
+	Cut                 // an answer that broke off, or was none
+	Failed              // a 5xx of its own
+	Shed                // turned away though it told of free places
+	Slow                // overdue: far later than predicted
+)
+
+// weights are the parts of a whole failure.
+var weights = [...]float64{Refused: 1, Silent: 1, Reset: plate.BlameReset, Cut: plate.BlameCut, Failed: plate.BlameFailed, Shed: plate.BlameShed, Slow: plate.BlameSlow}
+
+// hard kinds pause a replica at once: nothing sent there now would arrive.
+func (k Kind) hard() bool { return k == Refused || k == Silent }
+
+// Fitness is whether a replica may be chosen.
+type Fitness int
+
+// The values of Fitness, best last.
+const (
+	Out    Fitness = iota // ejected, or its one trial is under way
+	Passed                // under suspicion and passed over this time: only if there is no other
+	Fit
+)
+
+// fading is a sum that halves with time.
+type fading struct {
+	n  float64
+	at tick.Moment
+}
+
+func (f *fading) now(now tick.Moment, half tick.Span) float64 {
+	if f.n != 0 && now.After(f.at) {
+		f.n *= math.Exp2(-now.Sub(f.at).Seconds() / half.Seconds())
+	}
+	f.at = now
+	return f.n
+}
+
+func (f *fading) add(x float64, now tick.Moment, half tick.Span) { f.n = f.now(now, half) + x }
+
+type record struct {
+	pool       string
+	bad        fading
+	episodes   fading // ejections of late
+	out        tick.Moment
+	judged     bool // the ejection is by judgement, not for a hard failure
+	trial      bool // the next shot is the one trial after an ejection
+	trying     bool // it is out
+	suspect    tick.Moment
+	good, fail float64 // not told yet
+}
+
+type service struct {
+	n    int
+	bad  fading  // over its replicas
+	took float64 // mean seconds of an answer
+	seen int
+}
+
+// Gauge is one node's judgement. Its methods take the service where a replica may be unknown yet.
+type Gauge struct {
+	mu sync.Mutex
+	r  map[string]*record
+	s  map[string]*service
+}
+
+// New makes a gauge that knows nobody.
+func New() *Gauge { return &Gauge{r: map[string]*record{}, s: map[string]*service{}} }
+
+// Keep takes the replicas of the moment, each with its service.
+func (g *Gauge) Keep(of map[string]string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.s {
+		s.n = 0
+	}
+	for id, pool := range of {
+		if g.r[id] == nil {
+			g.r[id] = &record{pool: pool}
+		}
+		if g.s[pool] == nil {
+			g.s[pool] = &service{}
+		}
+		g.s[pool].n++
+	}
+	for id := range g.r {
+		if _, ok := of[id]; !ok {
+			delete(g.r, id)
+		}
+	}
+}
+
+// room is how many of a service's replicas may be out by judgement at once: never all of them.
+func room(n int) int {
+	if n < 2 {
+		return 0
+	}
+	return max(1, n/plate.EjectPart)
+}
+
+// Fit tells whether a replica may be chosen now.
+func (g *Gauge) Fit(id string, now tick.Moment) Fitness {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.r[id]
+	switch {
+	case r == nil:
+		return Fit
+	case now.Before(r.out), r.trial && r.trying:
+		return Out
+	case now.Before(r.suspect) && rand.Float64() >= plate.SuspectPass:
+		return Passed
+	}
+	return Fit
+}
+
+// Sent notes that a shot goes to a replica; Over must follow.
+func (g *Gauge) Sent(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.r[id]; r != nil {
+		r.trying = r.trial
+	}
+}
+
+// Over notes that a shot has ended, whatever came of it.
+func (g *Gauge) Over(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.r[id]; r != nil {
+		r.trying = false
+	}
+}
+
+// Due is how long after sending a first word is overdue: far later than the prediction, or without one (0) than the service's answers take on average. ok is false while that isn't known.
+func (g *Gauge) Due(id string, expect tick.Span) (d tick.Span, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.r[id]
+	if r == nil {
+		return 0, false
+	}
+	if expect <= 0 {
+		s := g.s[r.pool]
+		if s.seen < plate.TookOver {
+			return 0, false
+		}
+		expect = tick.Seconds(s.took)
+	}
+	return tick.Span(plate.SlowTimes*float64(expect)) + plate.SlowLeast, true
+}
+
+// Good notes that a replica's first word came, took after sending. overdue says that it was held against it already that it came late.
+func (g *Gauge) Good(id string, took, expect tick.Span, overdue bool, now tick.Moment) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.r[id]
+	if r == nil {
+		return
+	}
+	r.trial, r.trying = false, false
+	s := g.s[r.pool]
+	if expect <= 0 {
+		s.seen++
+		s.took += (took.Seconds() - s.took) / float64(min(s.seen, plate.TookOver))
+	}
+	if !overdue {
+		r.good++
+	}
+}
+
+// Bad notes a failure of a replica.
+func (g *Gauge) Bad(id string, k Kind, now tick.Moment) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.r[id]; r != nil {
+		g.blame(r, k, now)
+	}
+}
+
+func (g *Gauge) blame(r *record, k Kind, now tick.Moment) {
+	s, w := g.s[r.pool], weights[k]
+	others := 0.0
+	if s.n > 1 {
+		others = max(0, s.bad.now(now, plate.BlameHalf)-r.bad.now(now, plate.BlameHalf)) / float64(s.n-1)
+	}
+	r.bad.add(w, now, plate.BlameHalf)
+	s.bad.add(w, now, plate.BlameHalf)
+	r.fail += w
+	if now.Before(r.out) {
+		return
+	}
+	need := plate.BlameNeed
+	if now.Before(r.suspect) {
+		need = plate.BlameNeedSuspect
+	}
+	judged := r.bad.n >= need && r.bad.n >= plate.PeerTimes*others || r.trial
+	if k.hard() || judged && g.judged(r.pool, now) < room(s.n) {
+		g.eject(r, !k.hard(), now)
+	}
+}
+
+func (g *Gauge) judged(pool string, now tick.Moment) (n int) {
+	for _, r := range g.r {
+		if r.pool == pool && r.judged && now.Before(r.out) {
+			n++
+		}
+	}
+	return
+}
+
+// eject keeps shots away for a time that grows with the episodes of late. Beyond the part of a service that may be out it doesn't grow.
+func (g *Gauge) eject(r *record, judged bool, now tick.Moment) {
+	out := 0
+	for _, x := range g.r {
+		if x.pool == r.pool && now.Before(x.out) {
+			out++
+		}
+	}
+	d := plate.EjectFirst
+	if out < room(g.s[r.pool].n) {
+		n := math.Floor(r.episodes.now(now, plate.EpisodeHalf) + 0.5)
+		d = min(plate.EjectMost, tick.Span(float64(d)*math.Exp2(min(n, 4))))
+	}
+	r.episodes.add(1, now, plate.EpisodeHalf)
+	r.out, r.judged, r.trial, r.trying = now.Add(d), judged, true, false
+}
+
+// Suspected takes what control says of the whole fleet's experience: these replicas, and no others, are under suspicion for a while. Suspicion alone ejects nobody; it passes most shots by and lowers the own evidence needed.
+func (g *Gauge) Suspected(ids []string, now tick.Moment) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	on := map[string]bool{}
+	for _, id := range ids {
+		on[id] = true
+	}
+	for id, r := range g.r {
+		switch {
+		case on[id]:
+			r.suspect = now.Add(plate.SuspectSpan)
+		default:
+			r.suspect = tick.Moment{}
+		}
+	}
+}
+
+// Word is what one node tells of one replica since the last time.
+type Word struct {
+	ID   string  `json:"r"`
+	Node uint64  `json:"n"`
+	Good float64 `json:"g"`
+	Bad  float64 `json:"b"`
+}
+
+// Words gives what is to be told and forgets it: failures, and for replicas under suspicion what went well too. In calm times there is none.
+func (g *Gauge) Words(node uint64, now tick.Moment) []Word {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ws []Word
+	for id, r := range g.r {
+		if r.fail > 0 || r.good > 0 && now.Before(r.suspect) {
+			ws = append(ws, Word{id, node, r.good, r.fail})
+		}
+		r.good, r.fail = 0, 0
+	}
+	sort.Slice(ws, func(i, j int) bool { return ws[i].Bad > ws[j].Bad || ws[i].Bad == ws[j].Bad && ws[i].ID < ws[j].ID })
+	return ws[:min(len(ws), plate.WordsMost)]
+}
+
+// Stat is one replica on the state page.
+type Stat struct {
+	Failures  float64 `json:"failures_faded"`
+	Ejected   bool    `json:"ejected"`
+	Trial     bool    `json:"trial"`
+	Suspected bool    `json:"suspected"`
+	Episodes  float64 `json:"episodes_faded"`
+}
+
+// Stats tells of the replicas that anything is held against.
+func (g *Gauge) Stats(now tick.Moment) map[string]Stat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := map[string]Stat{}
+	for id, r := range g.r {
+		s := Stat{r.bad.now(now, plate.BlameHalf), now.Before(r.out), r.trial, now.Before(r.suspect), r.episodes.now(now, plate.EpisodeHalf)}
+		if s.Failures > plate.StatLeast || s.Episodes > plate.StatLeast || s.Ejected || s.Suspected {
+			m[id] = s
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/gauge/gauge_test.go
@@ -0,0 +1,176 @@
+package gauge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/plate"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func of(n int) *Gauge {
+	g, m := New(), map[string]string{}
+	for i := range n {
+		m[fmt.Sprintf("r%d", i)] = "p"
+	}
+	g.Keep(m)
+	return g
+}
+
+func TestAHardFailureEjectsForATimeThatGrowsWithEpisodesAndFades(t *testing.T) {
+	g := of(9)
+	out := func(s float64) (d time.Duration) {
+		g.Bad("r1", Silent, at(s))
+		for d = 0; g.Fit("r1", at(s).Add(d)) == Out; d += 10 * time.Millisecond {
+		}
+		g.Good("r1", time.Millisecond, time.Second, false, at(s).Add(d))
+		return
+	}
+	first, second, third := out(0), out(2), out(5)
+	require.Equal(t, plate.EjectFirst, first)
+	require.Greater(t, second, first)
+	require.Greater(t, third, second)
+	require.LessOrEqual(t, out(10), plate.EjectMost)
+	require.Equal(t, plate.EjectFirst, out(200), "what was long ago is forgotten")
+}
+
+func TestAnEjectionEndsWithOneTrial(t *testing.T) {
+	g := of(9)
+	g.Bad("r1", Refused, at(0))
+	require.Equal(t, Out, g.Fit("r1", at(0.1)))
+	require.Equal(t, Fit, g.Fit("r1", at(1)))
+	g.Sent("r1")
+	require.Equal(t, Out, g.Fit("r1", at(1)), "one at a time")
+	g.Over("r1")
+	require.Equal(t, Fit, g.Fit("r1", at(1)))
+	g.Sent("r1")
+	g.Bad("r1", Shed, at(1.1))
+	require.Equal(t, Out, g.Fit("r1", at(1.2)), "a trial that fails ejects again, whatever the kind")
+	g.Sent("r1")
+	g.Good("r1", time.Millisecond, time.Second, false, at(3))
+	g.Sent("r1")
+	require.Equal(t, Fit, g.Fit("r1", at(3)))
+}
+
+func TestAGreyReplicaIsFoundAgainstItsPeers(t *testing.T) {
+	g := of(9)
+	for i := range 3 {
+		g.Bad("r1", Failed, at(float64(i)/10))
+	}
+	require.Equal(t, Out, g.Fit("r1", at(0.3)))
+	require.Equal(t, Fit, g.Fit("r2", at(0.3)))
+	all := of(9)
+	for i := range 90 {
+		all.Bad(fmt.Sprintf("r%d", i%9), Failed, at(float64(i)/100))
+	}
+	for i := range 9 {
+		require.Equal(t, Fit, all.Fit(fmt.Sprintf("r%d", i), at(1)), "all fail alike: nobody is worse than the others")
+	}
+}
+
+func TestJudgementEjectsAPartOnlyAndNeverTheLast(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 9, 60} {
+		g := of(n)
+		for i := range n {
+			for range 9 {
+				g.Bad(fmt.Sprintf("r%d", i), Failed, at(float64(i)*0.001))
+			}
+		}
+		out := 0
+		for i := range n {
+			if g.Fit(fmt.Sprintf("r%d", i), at(0.2)) == Out {
+				out++
+			}
+		}
+		require.LessOrEqual(t, out, max(1, n/plate.EjectPart))
+		require.Less(t, out, n)
+	}
+}
+
+func TestBeyondAPartOfTheServicePausesDoNotGrow(t *testing.T) {
+	g := of(6)
+	for round := range 8 {
+		for i := range 6 {
+			g.Bad(fmt.Sprintf("r%d", i), Refused, at(float64(round)*5+float64(i)*0.01))
+		}
+	}
+	back := 0
+	for i := range 6 {
+		if g.Fit(fmt.Sprintf("r%d", i), at(35.1).Add(plate.EjectFirst)) == Fit {
+			back++
+		}
+	}
+	require.GreaterOrEqual(t, back, 4)
+}
+
+func TestASuspicionEjectsNobodyButLowersTheEvidenceNeeded(t *testing.T) {
+	g := of(9)
+	g.Suspected([]string{"r1"}, at(0))
+	n := map[Fitness]int{}
+	for range 4000 {
+		n[g.Fit("r1", at(0.1))]++
+	}
+	require.Zero(t, n[Out])
+	require.InDelta(t, 4000*plate.SuspectPass, n[Fit], 150)
+	g.Bad("r2", Shed, at(0.2))
+	require.Equal(t, Fit, g.Fit("r2", at(0.2)))
+	g.Bad("r1", Shed, at(0.2))
+	require.Equal(t, Out, g.Fit("r1", at(0.3)))
+	h := of(9)
+	h.Suspected([]string{"r1"}, at(0))
+	require.Equal(t, Fit, h.Fit("r1", at(0).Add(plate.SuspectSpan)), "not repeated, it ends")
+	h.Suspected([]string{"r1"}, at(0))
+	h.Suspected(nil, at(0))
+	require.Equal(t, Fit, h.Fit("r1", at(0.1)))
+}
+
+func TestOverdueIsMeasuredAgainstThePredictionOrTheServicesMean(t *testing.T) {
+	g := of(9)
+	d, ok := g.Due("r1", 400*time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, 1600*time.Millisecond+plate.SlowLeast, d)
+	_, ok = g.Due("nobody", time.Second)
+	require.False(t, ok)
+	_, ok = g.Due("r1", 0)
+	require.False(t, ok, "no answers yet")
+	for i := range 200 {
+		g.Good(fmt.Sprintf("r%d", i%4), 40*time.Millisecond, 0, false, at(0))
+	}
+	d, ok = g.Due("r8", 0)
+	require.True(t, ok)
+	require.InDelta(t, 160*time.Millisecond+plate.SlowLeast, d, float64(time.Millisecond))
+	for range 2 {
+		g.Bad("r8", Slow, at(0))
+		g.Good("r8", time.Second, time.Millisecond, true, at(0))
+	}
+	require.Equal(t, Out, g.Fit("r8", at(0.1)))
+	require.Equal(t, []Word{{"r8", 1, 0, 2 * plate.BlameSlow}}, g.Words(1, at(0)), "an overdue answer is no good one")
+}
+
+func TestWordsAreToldOnceAndNoneInCalmTimes(t *testing.T) {
+	g := of(50)
+	g.Good("r1", time.Millisecond, time.Second, false, at(0))
+	require.Empty(t, g.Words(7, at(0)))
+	g.Bad("r1", Failed, at(0))
+	g.Good("r1", time.Millisecond, time.Second, false, at(0))
+	require.Equal(t, []Word{{"r1", 7, 1, plate.BlameFailed}}, g.Words(7, at(0)))
+	require.Empty(t, g.Words(7, at(0)))
+	g.Suspected([]string{"r2"}, at(0))
+	g.Good("r2", time.Millisecond, time.Second, false, at(0))
+	require.Equal(t, []Word{{"r2", 7, 1, 0}}, g.Words(7, at(0)), "what works is told of a suspect")
+	for i := range 50 {
+		g.Bad(fmt.Sprintf("r%d", i), Shed, at(0))
+	}
+	require.Len(t, g.Words(7, at(0)), plate.WordsMost)
+	require.NotEmpty(t, g.Stats(at(0)))
+	g.Keep(nil)
+	require.Empty(t, g.Stats(at(0)))
+	g.Bad("gone", Silent, at(0))
+	require.Equal(t, Fit, g.Fit("gone", at(0)))
+}
--- /dev/null
+++ b/gauge/jury.go
@@ -0,0 +1,132 @@
+package gauge
+
+import (
+	"sort"
+	"sync"
+
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+type hearing struct {
+	pool       string
+	bad        fading
+	tellers    map[uint64]tick.Moment
+	since      tick.Moment // of the suspicion; zero if there is none
+	good, fail float64     // since then
+	episodes   fading
+}
+
+// Jury is the control primary's: it adds up what the nodes tell. One node's word is never enough for a suspicion, a suspicion ends by answers that work, or by its time.
+type Jury struct {
+	mu   sync.Mutex
+	c    map[string]*hearing
+	told []string
+	at   tick.Moment
+}
+
+// NewJury makes a jury without a case.
+func NewJury() *Jury { return &Jury{c: map[string]*hearing{}} }
+
+// Hear takes words; pool gives a replica's service, empty if it isn't known.
+func (j *Jury) Hear(ws []Word, pool func(id string) string, now tick.Moment) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, w := range ws {
+		p := pool(w.ID)
+		if p == "" || !(w.Bad >= 0) || !(w.Good >= 0) || w.Bad+w.Good > plate.WordMost {
+			continue
+		}
+		c := j.c[w.ID]
+		if c == nil {
+			c = &hearing{pool: p, tellers: map[uint64]tick.Moment{}}
+			j.c[w.ID] = c
+		}
+		if w.Bad > 0 {
+			c.bad.add(w.Bad, now, plate.JuryHalf)
+			c.tellers[w.Node] = now
+		}
+		if !c.since.IsZero() {
+			c.good += w.Good
+			c.fail += w.Bad
+		}
+	}
+}
+
+// Verdict gives the replicas under suspicion; size tells how many a service has. News is true when it must be told: it changed, or the last telling runs out.
+func (j *Jury) Verdict(size map[string]int, now tick.Moment) (ids []string, news bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	sum, held := map[string]float64{}, map[string]int{}
+	var fresh []string
+	for id, c := range j.c {
+		if size[c.pool] == 0 {
+			delete(j.c, id)
+			continue
+		}
+		sum[c.pool] += c.bad.now(now, plate.JuryHalf)
+		for n, at := range c.tellers {
+			if now.Sub(at) > plate.TellerSpan {
+				delete(c.tellers, n)
+			}
+		}
+		if !c.since.IsZero() && (c.acquitted() || now.Sub(c.since) >= plate.SuspectMost) {
+			c.since, c.bad, c.tellers = tick.Moment{}, fading{}, map[uint64]tick.Moment{}
+		}
+		switch {
+		case !c.since.IsZero():
+			held[c.pool]++
+			ids = append(ids, id)
+		case c.bad.n < plate.StatLeast && c.episodes.now(now, plate.EpisodeHalf) < plate.StatLeast:
+			delete(j.c, id)
+		default:
+			fresh = append(fresh, id)
+		}
+	}
+	sort.Slice(fresh, func(a, b int) bool {
+		x, y := j.c[fresh[a]], j.c[fresh[b]]
+		return x.bad.n > y.bad.n || x.bad.n == y.bad.n && fresh[a] < fresh[b]
+	})
+	for _, id := range fresh {
+		c := j.c[id]
+		n := size[c.pool]
+		others := (sum[c.pool] - c.bad.n) / float64(max(1, n-1))
+		if c.bad.n >= plate.SuspectNeed && len(c.tellers) >= plate.TellersLeast && c.bad.n >= plate.PeerTimes*others && held[c.pool] < room(n) {
+			c.since, c.good, c.fail = now, 0, 0
+			c.episodes.add(1, now, plate.EpisodeHalf)
+			held[c.pool]++
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	news = !same(ids, j.told) || len(ids) > 0 && now.Sub(j.at) >= plate.SuspectSpan/2
+	if news {
+		j.told, j.at = ids, now
+	}
+	return ids, news
+}
+
+// acquitted tells whether enough answers worked since the suspicion; after several episodes more are wanted.
+func (c *hearing) acquitted() bool {
+	need := plate.AcquitGood * max(1, min(c.episodes.n, 3))
+	return c.good >= need && c.fail <= plate.AcquitPart*c.good
+}
+
+// Clear drops all cases: another primary has heard what came meanwhile.
+func (j *Jury) Clear() {
+	j.mu.Lock()
+	j.c, j.told = map[string]*hearing{}, nil
+	j.mu.Unlock()
+}
+
+func same(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -4,6 +4,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/crew"
+	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -28,6 +29,7 @@
 	seats func() []crew.Seat
 	now   atomic.String
 	fresh atomic.Bool
+	carry func() []byte
 	ch    atomic.Pointer[crew.Channel]
 }
 
@@ -36,6 +38,9 @@
 	return &Follower{sc: sc.Part("haul"), net: n, sink: s, self: self, relay: relay, pick: pick, seats: seats}
 }
 
+// Carry sets what acknowledgements carry along; f gives nil when there is nothing to tell. It is set before Run.
+func (f *Follower) Carry(c func() []byte) { f.carry = c }
+
 // Source is the address followed now, empty if none.
 func (f *Follower) Source() string { return f.now.Load() }
 
@@ -121,6 +126,15 @@
 	return ch != nil && ch.Send(n)
 }
 
+// Call asks the source followed now.
+func (f *Follower) Call(n *crew.Note, d tick.Span) (*crew.Note, error) {
+	ch := f.ch.Load()
+	if ch == nil {
+		return nil, fault.New(fault.Unready, "nobody is followed")
+	}
+	return ch.Call(n, d)
+}
+
 // Tell sends the acknowledgement again, after this relay's own followers moved on.
 func (f *Follower) Tell() {
 	if ch := f.ch.Load(); ch != nil {
@@ -139,6 +153,9 @@
 	if f.seats != nil {
 		n.Seats = f.seats()
 	}
+	if f.carry != nil {
+		n.Body = f.carry()
+	}
 	ch.Send(n)
 }
 
--- a/logbook/book.go
+++ b/logbook/book.go
@@ -20,6 +20,7 @@
 	List     = "list"     // changes of the platform's list
 	Fleet    = "fleet"    // how many gatehouses share the budgets
 	Houses   = "houses"   // where the control members are
+	Health   = "health"   // replicas that the fleet's experience makes suspect, for a while: no part of the view
 )
 
 const digestsKept = 64 // orders that an identical repeat is recognised among
@@ -35,6 +36,7 @@
 	Size     int             `json:"size,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
 	Houses   []House         `json:"houses,omitempty"`
+	Suspects []string        `json:"sus,omitempty"`
 }
 
 // Model is what a replica serves.
@@ -139,6 +141,7 @@
 		n.Fleet, n.Nodes = e.Size, e.Nodes
 	case Houses:
 		n.Houses = e.Houses
+	case Health:
 	default:
 		err = fault.New(fault.BadInput, "unknown event %q", e.Kind)
 	}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -139,3 +139,49 @@
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
+
+// Connections to replicas, shares and replica health.
+const (
+	KeepLongest = 10 * time.Minute       // idle time that no loss has shortened: the answers' Keep-Alive decides
+	KeepLeast   = 100 * time.Millisecond // no loss shortens the idle time below this: bursts still share connections
+	KeepPart    = 0.7                    // part of the idle time of a forgotten connection that the others are used up to
+	KeepRelax   = 10 * time.Second       // after a loss the allowed idle time doubles this often
+	KeepDoubt   = 30 * time.Second       // so long after a loss, what may not be sent again takes young connections only
+	BudgetPot   = 0.5                    // part of the slack that is lent in lumps; the rest stays with the nodes, for when nobody lends
+	LumpTries   = 4                      // further tries in one lump: what a burst of failures takes on one node
+	LumpSpan    = 2 * time.Second        // life of a lump: a borrower that doesn't use it keeps it from others only so long
+	LumpWait    = 100 * time.Millisecond // a request waits this long for a lump
+	LumpPause   = 400 * time.Millisecond // after a refusal no lump of that service is asked for
+	ForgotIdle  = 50 * time.Millisecond  // a connection idle less than this was not forgotten, its reset is the replica's
+)
+
+// Replica health: weights are parts of a whole failure.
+const (
+	BlameReset       = 0.5                    // a connection's end: one of a burst of resets says little
+	BlameCut         = 0.6                    // a spoiled answer
+	BlameFailed      = 0.6                    // a 5xx: some are the request's own fault
+	BlameShed        = 0.3                    // turned away: its neighbours may do so in the next moment
+	BlameSlow        = 0.5                    // overdue: predictions err, but what is not repeatable may wait for it to its deadline
+	BlameHalf        = 3 * time.Second        // own evidence halves: a node of a large fleet sees a replica every few seconds
+	BlameNeed        = 1.0                    // own evidence that ejects
+	BlameNeedSuspect = 0.25                   // the same for one that the fleet suspects: one failure of any kind
+	PeerTimes        = 3.0                    // and it must be this many times its peers' mean
+	EjectPart        = 3                      // at most one in so many of a service is out by judgement
+	EpisodeHalf      = 15 * time.Second       // earlier ejections lengthen the next less and less
+	SlowTimes        = 4.0                    // times the prediction that count as slow
+	SlowLeast        = 150 * time.Millisecond // and at least this much later
+	TookOver         = 50                     // answers that the mean time of a service runs over
+	WordsMost        = 32                     // replicas told of in one acknowledgement
+	WordsHeld        = 1024                   // replicas that a relay holds words of until it passes them on
+	WordMost         = 1e4                    // shots that one word can count, more is nonsense
+	JuryHalf         = 2 * time.Second        // what nodes told halves
+	TellerSpan       = 3 * time.Second        // a teller counts so long
+	TellersLeast     = 2                      // one node's word is never enough
+	SuspectNeed      = 2.0                    // whole failures told before a suspicion
+	SuspectSpan      = 3 * time.Second        // a suspicion not repeated ends at the nodes
+	SuspectMost      = 10 * time.Second       // a suspicion ends; a new one needs new failures
+	SuspectPass      = 0.125                  // part of the shots that a suspect still gets: the fleet's trial of it
+	AcquitGood       = 6.0                    // answers that work before a suspicion ends
+	AcquitPart       = 0.15                   // failures among them that are borne
+	StatLeast        = 0.05                   // less than this is not shown, and forgotten
+)
--- a/portion/portion.go
+++ b/portion/portion.go
@@ -21,6 +21,13 @@
 	return &Pie{room: room, calm: calm, used: map[string]int64{}, turn: map[string]int64{}}
 }
 
+// Resize changes the room; what is used over a smaller one stays until it is given back.
+func (p *Pie) Resize(room int64) {
+	p.mu.Lock()
+	p.room = room
+	p.mu.Unlock()
+}
+
 // Take lets a user have n more if there is room and, when it is crowded, if that stays inside a fair portion. One that holds nothing yet counts as a user, and a portion more is left for one that comes.
 func (p *Pie) Take(who string, n int64) bool {
 	p.mu.Lock()
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -63,6 +63,7 @@
 	local *Grantor
 	mu    sync.Mutex
 	until tick.Moment
+	since tick.Moment
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
@@ -77,6 +78,13 @@
 	return tick.Now().Before(h.until)
 }
 
+// Since tells since when the duty is held without a gap; ok is false if it isn't held now.
+func (h *Holder) Since() (m tick.Moment, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.since, tick.Now().Before(h.until)
+}
+
 // Run renews until the scope ends, then gives back.
 func (h *Holder) Run() {
 	tick.Every(h.sc, plate.LeaseRenew, func() bool { h.Renew(); return true })
@@ -104,6 +112,9 @@
 		return false
 	}
 	h.mu.Lock()
+	if !start.Before(h.until) {
+		h.since = tick.Now()
+	}
 	h.until = start.Add(plate.LeaseSpan - plate.LeaseMargin)
 	h.mu.Unlock()
 	return true
--- a/sim/net.go
+++ b/sim/net.go
@@ -18,13 +18,14 @@
 	delay time.Duration
 	hosts map[string]*Host
 	cuts  map[[2]string]bool
+	keeps map[string]time.Duration // hosts that forget connections idle longer, without a word
 	wake  chan struct{}
 	all   map[*conn]bool
 }
 
 // NewNet makes a network with one delay everywhere.
 func NewNet(delay time.Duration) *Net {
-	return &Net{delay: delay, hosts: map[string]*Host{}, cuts: map[[2]string]bool{}, wake: make(chan struct{}), all: map[*conn]bool{}}
+	return &Net{delay: delay, hosts: map[string]*Host{}, cuts: map[[2]string]bool{}, keeps: map[string]time.Duration{}, wake: make(chan struct{}), all: map[*conn]bool{}}
 }
 
 // Host is one address.
@@ -102,6 +103,31 @@
 	n.mu.Unlock()
 }
 
+// Forget makes a host forget connections that were idle longer than d: the next thing sent on one is reset. 0 ends that.
+func (n *Net) Forget(ip string, d time.Duration) {
+	n.mu.Lock()
+	n.keeps[ip] = d
+	n.mu.Unlock()
+}
+
+// Reset resets every so manieth connection that a host has taken.
+func (n *Net) Reset(ip string, each int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := 0
+	for c := range n.all {
+		if c.to != ip || c.name == ip {
+			continue
+		}
+		if i++; i%each == 0 {
+			c.broken, c.peer.broken = true, true
+			delete(n.all, c)
+			delete(n.all, c.peer)
+		}
+	}
+	n.changed()
+}
+
 // Close ends the world.
 func (n *Net) Close() {
 	n.mu.Lock()
@@ -222,6 +248,7 @@
 	unacked  time.Time // the first write after that
 	lost     bool      // its host or its peer's lost power
 	shut     bool
+	last     time.Time // something went either way
 	rd, wd   time.Time
 }
 
@@ -319,6 +346,13 @@
 		c.broken = true
 		return 0, syscall.EPIPE
 	}
+	now := time.Now()
+	if d := c.n.keeps[c.to]; d > 0 && !c.last.IsZero() && now.Sub(c.last) > d {
+		c.broken, c.peer.broken = true, true
+		c.n.changed()
+		return len(b), nil
+	}
+	c.last, c.peer.last = now, now
 	c.peer.in = append(c.peer.in, chunk{time.Now().Add(c.n.delay), append([]byte{}, b...)})
 	c.n.changed()
 	return len(b), nil
--- a/sim/script.go
+++ b/sim/script.go
@@ -28,6 +28,7 @@
 	}
 	rs := []string{
 		route("r-i", "/i/", "idempotent", pool, 2, weight),
+		route("r-f", "/f/", "idempotent", "few", 2, ""),
 		route("r-n", "/n/", "non_idempotent", "svc", 2, ""),
 		route("r-s", "/s/", "streaming", "lm", 1, `,"session_affinity":true,"target_gap_ms":200`),
 		route("r-t", "/t/", "streaming", "lm", 2, `,"session_affinity":true,"stream_resume":true,"target_gap_ms":200`),
@@ -35,7 +36,7 @@
 	if extra != "" {
 		rs = append(rs, route("r-"+extra, "/"+extra+"/", "idempotent", "svc", 2, ""))
 	}
-	b := fmt.Sprintf(`{"revision":%d,"route_table":[%s%s],"backend_pools":[{"name":"svc","health_check_path":"/health","max_connections":100},{"name":"lm","health_check_path":"/health","max_connections":100,"warmup_s":3,"warmup_per_s":20,"engine":{"slots":8,"kv_capacity_tokens":100000,"kv_token_bytes":1000,"link_mbps":1000,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
+	b := fmt.Sprintf(`{"revision":%d,"route_table":[%s%s],"backend_pools":[{"name":"svc","health_check_path":"/health","max_connections":100},{"name":"few","health_check_path":"/health","max_connections":2},{"name":"lm","health_check_path":"/health","max_connections":100,"warmup_s":3,"warmup_per_s":20,"engine":{"slots":8,"kv_capacity_tokens":100000,"kv_token_bytes":1000,"link_mbps":1000,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
 		rev, strings.Join(rs, ","), second)
 	if flaw == "cut_short" {
 		return b[:len(b)-10]
@@ -152,11 +153,42 @@
 		w.mu.Lock()
 		w.replicas[arg(0)].ID = arg(1)
 		w.mu.Unlock()
-	case "does": // does r1 ok|full|cut|... work=20ms only=/n/
-		r := w.replicas[arg(0)]
-		r.mu.Lock()
-		r.how, r.work, r.only = arg(1), a.span("work", r.work), a.kv["only"]
-		r.mu.Unlock()
+	case "does": // does r1,r2 ok|full|cut|... work=20ms only=/n/ part=45 from=g1: a part in a hundred, or one caller's only
+		for _, id := range strings.Split(arg(0), ",") {
+			r := w.replicas[id]
+			r.mu.Lock()
+			r.how, r.work, r.only, r.part, r.from = arg(1), a.span("work", r.work), a.kv["only"], a.num("part", 100), ""
+			if p := w.procs[a.kv["from"]]; p != nil {
+				r.from = p.ip
+			}
+			r.mu.Unlock()
+		}
+	case "health": // health r1 ill|well: what its health answer says, whatever it does
+		w.replicas[arg(0)].ill = arg(1) == "ill"
+	case "cold": // cold m3 0: what the list says of how long it stays cold
+		w.mu.Lock()
+		w.replicas[arg(0)].cold = float64(mustInt(arg(1)))
+		w.mu.Unlock()
+	case "flap": // flap r1 gap=700ms for=5s: it goes down and up by turns
+		r, end := w.replicas[arg(0)], time.Now().Add(a.span("for", time.Second))
+		s.bg.Add(1)
+		go func() {
+			defer s.bg.Done()
+			for time.Now().Before(end) {
+				r.Down()
+				time.Sleep(a.span("gap", time.Second) / 2)
+				r.Up()
+				time.Sleep(a.span("gap", time.Second) / 2)
+			}
+		}()
+	case "forgets": // forgets r1 2s: it forgets connections idle longer, without a word; 0s ends that
+		d, err := time.ParseDuration(arg(1))
+		if err != nil {
+			return err
+		}
+		w.Net.Forget(w.replicas[arg(0)].ip, d)
+	case "resets": // resets r1 each=2: every so manieth connection to it is reset
+		w.Net.Reset(w.replicas[arg(0)].ip, a.num("each", 2))
 	case "blackout": // blackout r1: its machine goes dark
 		w.Net.Kill(w.replicas[arg(0)].ip, true)
 	case "platform": // platform down|empty|up
--- a/sim/world.go
+++ b/sim/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"log/slog"
 	"net"
@@ -263,7 +264,11 @@
 	state   string
 	since   time.Time // of the state
 	cold    float64
-	how     string // what it does with inquiries: ok, full, cut, garble, late, noseal, slow, dark, error
+	how     string // what it does with inquiries: ok, full, busy, cut, garble, late, noseal, slow, dark, error, reset
+	part    int    // in a hundred of the inquiries it does so with
+	from    string // only with those of this caller
+	ill     bool   // what its health answer says
+	srv     *http.Server
 	work    time.Duration
 	only    string // the paths that take so long; the others are quick
 	mu      sync.Mutex
@@ -273,22 +278,39 @@
 	events  int
 	evacAt  time.Time
 	coldGot []time.Time
+	knew    map[string]time.Time // callers, and when they were first seen to know that it takes nothing more
 }
 
 // AddReplica puts up a replica.
 func (w *World) AddReplica(id, pool, ip, zone string) *Replica {
-	r := &Replica{w: w, ID: id, pool: pool, ip: ip, at: ip + ":9000", zone: zone, slots: 8, state: "ready", since: time.Now(), how: "ok", work: 20 * time.Millisecond, events: 6}
+	r := &Replica{w: w, part: 100, knew: map[string]time.Time{}, ID: id, pool: pool, ip: ip, at: ip + ":9000", zone: zone, slots: 8, state: "ready", since: time.Now(), how: "ok", work: 20 * time.Millisecond, events: 6}
 	w.mu.Lock()
 	w.replicas[id] = r
 	w.mu.Unlock()
-	w.serve(r.at, r)
+	r.srv = w.serve(r.at, r)
 	return r
 }
 
 const drainBound = 3 * time.Second
 
+// Down ends a replica's process; Up starts it again, under the same id.
+func (r *Replica) Down() {
+	_ = r.srv.Close()
+	r.w.Net.Kill(r.ip, false)
+}
+
+// Up starts a replica that is down.
+func (r *Replica) Up() { r.srv = r.w.serve(r.at, r) }
+
 // ServeHTTP is the replica's side.
 func (r *Replica) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
+	if q.Method == http.MethodGet && q.URL.Path == "/health" {
+		rw.Header().Set("Replica-Id", r.ID)
+		if r.ill {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -307,10 +329,16 @@
 	r.judge(q, id, string(body))
 	r.mu.Lock()
 	how, work, events := r.how, r.work, r.events
+	if r.from != "" && !strings.HasPrefix(q.RemoteAddr, r.from) || int(crc32.ChecksumIEEE([]byte(id))%100) >= r.part {
+		how = "ok"
+	}
 	if !strings.HasPrefix(q.URL.Path, r.only) {
 		work = 20 * time.Millisecond
 	}
-	full := how == "full" || r.busy >= r.slots
+	if how == "slow" {
+		work *= 8
+	}
+	full := how == "full" || how == "busy" || r.busy >= r.slots
 	if !full {
 		r.busy++
 		r.got++
@@ -319,6 +347,10 @@
 	r.mu.Unlock()
 	if full {
 		rw.Header().Set("Not-Executed", "1")
+		if how == "busy" {
+			rw.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -342,6 +374,8 @@
 	case "dark":
 		rest(q, time.Hour)
 		panic(http.ErrAbortHandler)
+	case "reset":
+		panic(http.ErrAbortHandler)
 	case "error":
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
@@ -428,6 +462,7 @@
 	want, known := w.bodies[id]
 	evac, state, since, cold := r.evacAt, r.state, r.since, r.cold
 	w.mu.Unlock()
+	r.late(q.RemoteAddr, id)
 	if !known {
 		w.Broke("UNASKED", "nobody sent %q", id)
 	} else if want != q.Method+" "+q.URL.RequestURI()+" "+body {
@@ -457,6 +492,24 @@
 	}
 }
 
+// late judges an arrival from a gatehouse that knew that the replica takes nothing more: what was on its way may still come, what waited may not.
+func (r *Replica) late(from, id string) {
+	for _, p := range r.w.procs {
+		if p.gate == nil || p.ip != from {
+			continue
+		}
+		r.mu.Lock()
+		if p.gate.Takes(r.ID) {
+			delete(r.knew, from)
+		} else if r.knew[from].IsZero() {
+			r.knew[from] = time.Now()
+		} else if time.Since(r.knew[from]) > 10*time.Millisecond {
+			r.w.Broke("DRAIN", "%s was sent to %s by %s, which knew better", id, r.ID, p.Name)
+		}
+		r.mu.Unlock()
+	}
+}
+
 // SetState changes what the list says of a replica.
 func (w *World) SetState(id, state string) {
 	w.mu.Lock()
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -2,6 +2,7 @@
 package tallyhouse
 
 import (
+	"encoding/json"
 	"net/http"
 	"sort"
 	"sync"
@@ -13,9 +14,11 @@
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/foreman"
+	"shaletrestle/gauge"
 	"shaletrestle/haul"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
+	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/roster"
 	"shaletrestle/rota"
@@ -46,6 +49,10 @@
 	follower *haul.Follower
 	reader   *roster.Reader
 	differ   *roster.Differ
+	lines    *crew.Lines
+	lender   *portion.Lender
+	jury     *gauge.Jury
+	words    []gauge.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
 	fails    atomic.Int64
@@ -61,6 +68,9 @@
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: logbook.NewBook(false), news: logbook.NewBook(false), grantor: rota.NewGrantor(),
 		differ: roster.NewDiffer(), fleet: map[string]tick.Moment{}}
 	lines := crew.NewLines(sc, p.Net, h.handle)
+	b := p.Env.Bounds
+	h.lines, h.jury = lines, gauge.NewJury()
+	h.lender = portion.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	m, err := tally.New(sc, tally.Config{
 		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Solo: p.Env.Tolerance.Machines == 0,
 		Store: p.Store, Machine: h.state, Caller: lines, OnActive: h.begin, OnIdle: h.idle,
@@ -76,6 +86,7 @@
 		}
 	})
 	h.follower = haul.NewFollower(sc, p.Net, h.feed, m.Self(), true, h.upstream, h.feed.Reached)
+	h.follower.Carry(h.carry)
 	h.duty = rota.NewHolder(sc, "list", m.Self(), lines, h.witnesses, h.live.Load, h.grantor)
 	h.state.Watch(func(_, _ *logbook.View, e *logbook.Event) {
 		if e != nil && h.live.Load() {
@@ -109,6 +120,7 @@
 	go h.duty.Run()
 	go h.read()
 	go tick.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
+	go tick.Every(h.sc, plate.NewsBeat, func() bool { h.judge(); return true })
 	h.sc.Log().Info("started", "part", "tallyhouse", "node", h.env.NodeName)
 	<-h.sc.Done()
 	_ = srv.Close()
@@ -133,9 +145,12 @@
 	case crew.Follow:
 		h.feed.Follow(ch, n)
 	case crew.Heard:
+		h.hear(n.Body)
 		h.feed.Ack(ch, n)
 	case crew.Suspect:
 		h.suspect(n)
+	case crew.Lend:
+		return h.lend(n)
 	}
 	return nil
 }
@@ -170,6 +185,7 @@
 func (h *House) idle() {
 	h.live.Store(false)
 	h.feed.End()
+	h.jury.Clear()
 }
 
 // Primary names who answers orders.
@@ -272,6 +288,79 @@
 	}
 }
 
+// hear takes what followers tell of replicas: the primary judges, others pass it on with their own acknowledgement.
+func (h *House) hear(body []byte) {
+	var ws []gauge.Word
+	if len(body) == 0 || json.Unmarshal(body, &ws) != nil {
+		return
+	}
+	if h.live.Load() {
+		rs := h.news.View().Replicas
+		h.jury.Hear(ws, func(id string) string {
+			if r := rs[id]; r != nil {
+				return r.Pool
+			}
+			return ""
+		}, tick.Now())
+		return
+	}
+	h.mu.Lock()
+	h.words = append(h.words, ws...)
+	h.words = h.words[max(0, len(h.words)-plate.WordsHeld):]
+	h.mu.Unlock()
+}
+
+func (h *House) carry() []byte {
+	h.mu.Lock()
+	ws := h.words
+	h.words = nil
+	h.mu.Unlock()
+	if len(ws) == 0 {
+		return nil
+	}
+	b, _ := json.Marshal(ws)
+	return b
+}
+
+// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out.
+func (h *House) judge() {
+	if !h.live.Load() {
+		return
+	}
+	size := map[string]int{}
+	for _, r := range h.news.View().Replicas {
+		size[r.Pool]++
+	}
+	if ids, news := h.jury.Verdict(size, tick.Now()); news {
+		h.feed.Push((&logbook.Event{Kind: logbook.Health, Suspects: ids}).Encode())
+	}
+}
+
+// lend gives further tries out of the common part of a service's budget. Only the holder of the list duty lends, of which there is one at a time; others ask it once.
+func (h *House) lend(n *crew.Note) *crew.Note {
+	if n.Call == 0 {
+		return nil
+	}
+	if !h.live.Load() {
+		s, ok := h.member.Primary()
+		if !ok || n.OK || s.ID == h.member.Self().ID {
+			return n.Reply(false)
+		}
+		a, err := h.lines.Call(s.Addr, &crew.Note{Kind: crew.Lend, OK: true, Word: n.Word, Number: n.Number}, plate.LumpWait)
+		if err != nil {
+			return n.Reply(false)
+		}
+		return a
+	}
+	since, held := h.duty.Since()
+	if !held {
+		return n.Reply(false)
+	}
+	a := n.Reply(true)
+	a.Number = uint64(h.lender.Lend(n.Word, int64(min(n.Number, plate.LumpTries)), since, tick.Now()))
+	return a
+}
+
 // count tells the fleet its size and where the control members are.
 func (h *House) count() {
 	if !h.live.Load() {
