A reset of a kept connection counts a little against the replica, relative to its peers

Cause: a grey replica that resets part of its requests looked like one that forgets idle connections, because at 88 nodes every connection has been idle; nothing was ever held against it.

--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -359,10 +359,11 @@
 	q.g.yard.Health().Bad(id, k, tick.Now())
 }
 
-// ended notes that a connection failed. One that had been idle and is reset before any answer was forgotten by the replica, which is no failure of it; after silence the other idle connections are in doubt too.
+// ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
 func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
 	if reset && ch.Rested() >= plate.ForgotIdle {
 		ch.Forgotten()
+		q.g.yard.Health().Bad(id, gauge.Stale, tick.Now())
 		return
 	}
 	q.blame(id, k)
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -23,10 +23,11 @@
 	Failed              // a 5xx of its own
 	Shed                // turned away though it told of free places
 	Slow                // overdue: far later than predicted
+	Stale               // a kept connection was reset when it was used again: forgotten, most likely
 )
 
 // weights are the parts of a whole failure.
-var weights = [...]float64{Refused: 1, Silent: 1, Reset: plate.BlameReset, Cut: plate.BlameCut, Failed: plate.BlameFailed, Shed: plate.BlameShed, Slow: plate.BlameSlow}
+var weights = [...]float64{Refused: 1, Silent: 1, Reset: plate.BlameReset, Cut: plate.BlameCut, Failed: plate.BlameFailed, Shed: plate.BlameShed, Slow: plate.BlameSlow, Stale: plate.BlameStale}
 
 // hard kinds pause a replica at once: nothing sent there now would arrive.
 func (k Kind) hard() bool { return k == Refused || k == Silent }
@@ -213,7 +214,10 @@
 	if now.Before(r.suspect) {
 		need = plate.BlameNeedSuspect
 	}
-	judged := r.bad.n >= need && r.bad.n >= plate.PeerTimes*others || r.trial
+	judged := r.bad.n >= need && r.bad.n >= plate.PeerTimes*others
+	if r.trial {
+		judged = k != Stale
+	}
 	if k.hard() || judged && g.judged(r.pool, now) < room(s.n) {
 		g.eject(r, !k.hard(), now)
 	}
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -174,3 +174,21 @@
 	g.Bad("gone", Silent, at(0))
 	require.Equal(t, Fit, g.Fit("gone", at(0)))
 }
+
+func TestForgottenConnectionsAreHeldAgainstAReplicaOnlyIfItsPeersForgetLess(t *testing.T) {
+	g, all := of(9), of(9)
+	for i := range 5 {
+		g.Bad("r1", Stale, at(float64(i)/10))
+		for k := range 9 {
+			all.Bad(fmt.Sprintf("r%d", k), Stale, at(float64(i)/10))
+		}
+	}
+	require.Equal(t, Out, g.Fit("r1", at(0.5)))
+	require.Equal(t, Fit, all.Fit("r1", at(0.5)))
+	h := of(9)
+	h.Bad("r1", Silent, at(0))
+	h.Sent("r1")
+	h.Bad("r1", Stale, at(1))
+	h.Over("r1")
+	require.Equal(t, Fit, h.Fit("r1", at(1)), "a trial on a forgotten connection tells nothing")
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -162,6 +162,7 @@
 	BlameFailed      = 0.6                    // a 5xx: some are the request's own fault
 	BlameShed        = 0.3                    // turned away: its neighbours may do so in the next moment
 	BlameSlow        = 0.5                    // overdue: predictions err, but what is not repeatable may wait for it to its deadline
+	BlameStale       = 0.25                   // a kept connection's reset: forgetting is no failure, but one that forgets more than its peers costs what may not be sent again
 	BlameHalf        = 3 * time.Second        // own evidence halves: a node of a large fleet sees a replica every few seconds
 	BlameNeed        = 1.0                    // own evidence that ejects
 	BlameNeedSuspect = 0.25                   // the same for one that the fleet suspects: one failure of any kind
