--- a/haul/follower.go
+++ b/haul/follower.go
@@ -8,6 +8,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/crew"
+	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -35,6 +36,7 @@
 	seats func() []crew.Seat
 	now   atomic.String
 	fresh atomic.Bool
+	carry func() []byte
 	ch    atomic.Pointer[crew.Channel]
 	mu    sync.Mutex
 	said  said
@@ -45,6 +47,9 @@
 	return &Follower{sc: sc.Part("haul"), net: n, sink: s, self: self, relay: relay, pick: pick, seats: seats}
 }
 
+// Carry sets what acknowledgements carry along; f gives nil when there is nothing to tell. It is set before Run.
+func (f *Follower) Carry(c func() []byte) { f.carry = c }
+
 // Source is the address followed now, empty if none.
 func (f *Follower) Source() string { return f.now.Load() }
 
@@ -130,6 +135,15 @@
 	return ch != nil && ch.Send(n)
 }
 
+// Call asks the source followed now.
+func (f *Follower) Call(n *crew.Note, d tick.Span) (*crew.Note, error) {
+	ch := f.ch.Load()
+	if ch == nil {
+		return nil, fault.New(fault.Unready, "nobody is followed")
+	}
+	return ch.Call(n, d)
+}
+
 // Tell sends the acknowledgement again if this relay's own followers have moved on or are others.
 func (f *Follower) Tell() {
 	if ch := f.ch.Load(); ch != nil {
@@ -166,7 +180,10 @@
 			n.Word, n.Seats = listed, f.said.seats
 		}
 	}
-	if ifMoved && was.ch == ch && was.epoch == ep && was.number == num && n.Word == "" {
+	if f.carry != nil {
+		n.Body = f.carry()
+	}
+	if ifMoved && was.ch == ch && was.epoch == ep && was.number == num && n.Word == "" && len(n.Body) == 0 {
 		return
 	}
 	ch.Send(n)
--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -210,7 +210,7 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc}
 		src, _ := p.grow(2, 60)
-		time.Sleep(3 * plate.NewsBeat)
+		time.Sleep(3*plate.NewsBeat + plate.NewsBeat/3) // between two beats: each of them is acknowledged too
 		p.up, p.lists = 0, 0
 		n := src.Push([]byte("x"))
 		have, of := src.Wait(sc, n, time.Second)
