--- /dev/null
+++ b/berth/candidates.go
@@ -0,0 +1,366 @@
+package berth
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shaletrestle/kerf"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// pool is the replicas of one service and what is kept ready for choosing among them.
+type pool struct {
+	all   []*berth // by id
+	open  []*berth // that take inquiries by the list
+	near  map[string][]*berth
+	homes [][]*berth // by bucket: the first in rendezvous order; nil until used
+	mean  float64    // part of their slots that replicas say are running, on average
+	hold  float64    // tokens that a request holds, on average
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank is a replica's place in the rendezvous order of a key: the highest comes first.
+func rank(key uint64, b *berth) uint64 { return mix(key*0x9e3779b97f4a7c15 ^ b.hash) }
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// members takes a new set of replicas; only buckets whose order it changes are made anew.
+func (p *pool) members(all []*berth) {
+	old := map[*berth]bool{}
+	for _, b := range p.all {
+		old[b] = true
+	}
+	var added []*berth
+	for _, b := range all {
+		if !old[b] {
+			added = append(added, b)
+		}
+		delete(old, b)
+	}
+	p.all = all
+	for k, l := range p.homes {
+		if l != nil && p.disturbed(k, l, added, old) {
+			p.homes[k] = nil
+		}
+	}
+}
+
+func (p *pool) disturbed(k int, l []*berth, added []*berth, gone map[*berth]bool) bool {
+	if len(gone) > 0 {
+		for _, b := range l {
+			if gone[b] {
+				return true
+			}
+		}
+	}
+	if len(l) == 0 {
+		return len(added) > 0
+	}
+	last := rank(uint64(k), l[len(l)-1])
+	for _, b := range added {
+		if len(l) < plate.GroupMost || rank(uint64(k), b) > last {
+			return true
+		}
+	}
+	return false
+}
+
+// bucket gives the first replicas in the rendezvous order of a key's bucket.
+func (p *pool) bucket(key kerf.Key) []*berth {
+	if p.homes == nil {
+		p.homes = make([][]*berth, plate.HomeBuckets)
+	}
+	k := int(mix(uint64(key)) % plate.HomeBuckets)
+	if l := p.homes[k]; l != nil {
+		return l
+	}
+	type ranked struct {
+		b *berth
+		r uint64
+	}
+	var top [plate.GroupMost]ranked
+	n := 0
+	for _, b := range p.all { // insertion into a short sorted list
+		x := ranked{b, rank(uint64(k), b)}
+		if n == len(top) && x.r < top[n-1].r {
+			continue
+		}
+		i := n
+		if n < len(top) {
+			n++
+		} else {
+			i = n - 1
+		}
+		for ; i > 0 && top[i-1].r < x.r; i-- {
+			top[i] = top[i-1]
+		}
+		top[i] = x
+	}
+	l := make([]*berth, n)
+	for i := range l {
+		l[i] = top[i].b
+	}
+	p.homes[k] = l
+	return l
+}
+
+// group is the replicas among which a chain's homes are: those of its first part, where that is a good piece of what is shared and not too large a piece of the traffic, else those of all that is shared.
+func (y *Yard) group(p *pool, c *kerf.Chain) []*berth {
+	if s := c.Shared(); y.opts.Group > 1 && s > 1 && float64(c.Upto[0]) >= plate.GroupTokens*float64(c.Upto[s-1]) {
+		n := len(p.all)
+		g := min(max(n/y.opts.Group, plate.GroupLeast), plate.GroupMost, n)
+		if share := y.index.Share(c.Keys[0]); share*float64(n)*plate.GroupShare <= float64(g) {
+			return p.bucket(c.Keys[0])[:g]
+		}
+	}
+	return p.bucket(c.Head())
+}
+
+// candidate is a replica that is weighed.
+type candidate struct {
+	b       *berth
+	matched int // tokens that the index says it keeps
+	expect  int // tokens that it is expected to keep for what other nodes sent there
+	cost    float64
+}
+
+// bunch is a few candidates, each replica once.
+type bunch struct {
+	n  int
+	at [plate.Homes + plate.HoldersMost + plate.Samples]candidate
+}
+
+func (s *bunch) add(b *berth) *candidate {
+	for i := range s.n {
+		if s.at[i].b == b {
+			return &s.at[i]
+		}
+	}
+	if s.n == len(s.at) {
+		return nil
+	}
+	s.at[s.n] = candidate{b: b}
+	s.n++
+	return &s.at[s.n-1]
+}
+
+// addHomes adds the first homes that may be used, the best first.
+func (y *Yard) addHomes(s *bunch, p *pool, a *Ask, now tick.Moment) {
+	var top [plate.Homes]*berth
+	var ranks [plate.Homes]uint64
+	n, head := 0, uint64(a.Chain.Head())
+	for _, b := range y.group(p, a.Chain) {
+		if !y.warm(a, b, now) {
+			continue
+		}
+		r := rank(head, b)
+		if n == len(top) && r < ranks[n-1] {
+			continue
+		}
+		i := n
+		if n < len(top) {
+			n++
+		} else {
+			i = n - 1
+		}
+		for ; i > 0 && ranks[i-1] < r; i-- {
+			top[i], ranks[i] = top[i-1], ranks[i-1]
+		}
+		top[i], ranks[i] = b, r
+	}
+	for i, b := range top[:n] {
+		c := s.add(b)
+		if s := a.Chain.Shared(); s > 0 && i == 0 {
+			c.expect = y.cut(a.Chain.Upto[s-1])
+		}
+	}
+}
+
+func (y *Yard) cut(tokens int) int { return tokens / y.opts.Block * y.opts.Block }
+
+// sample draws one that may be used from a list; nil if none was found in some draws.
+func (y *Yard) sample(a *Ask, bs []*berth, now tick.Moment) *berth {
+	for range min(plate.SampleTries, 4*len(bs)) {
+		if b := bs[rand.IntN(len(bs))]; y.warm(a, b, now) {
+			return b
+		}
+	}
+	return nil
+}
+
+// scan looks through a whole list, which only is needed when hardly any of it may be used, and draws one; a cold one counts only if no other may be used.
+func (y *Yard) scan(a *Ask, bs []*berth, now tick.Moment) (pick *berth) {
+	n := 0
+	for _, b := range bs {
+		if y.warm(a, b, now) {
+			if n++; rand.IntN(n) == 0 {
+				pick = b
+			}
+		}
+	}
+	return
+}
+
+// coldest is the cold replica that may be sent to and was sent to longest ago, with its rate.
+func (y *Yard) coldest(a *Ask, p *pool, now tick.Moment) (cold *berth, rate float64) {
+	for _, b := range p.open {
+		if !y.fits(a, b, now) || !y.cold(b, now) || now.Before(b.coldNext) || cold != nil && !b.coldNext.Before(cold.coldNext) {
+			continue
+		}
+		if r := a.ColdRate(b.r.ID); r > 0 {
+			cold, rate = b, r
+		}
+	}
+	return
+}
+
+// warm tells whether a replica may be used as one that is not cold.
+func (y *Yard) warm(a *Ask, b *berth, now tick.Moment) bool {
+	return y.fits(a, b, now) && !y.cold(b, now)
+}
+
+// gather finds the candidates of a prompt: homes, those that the index names, and a few at random.
+func (y *Yard) gather(s *bunch, p *pool, a *Ask, now tick.Moment) {
+	y.addHomes(s, p, a, now)
+	if len(p.open) <= len(s.at) { // so few that all are
+		for _, b := range p.open {
+			if y.warm(a, b, now) {
+				s.add(b)
+			}
+		}
+		return
+	}
+	var hits [plate.HoldersMost]string
+	for _, id := range y.index.Holders(a.Chain, hits[:0], func(id string) bool { b := y.b[id]; return b != nil && b.r.Pool == a.Pool && y.warm(a, b, now) }) {
+		s.add(y.b[id])
+	}
+	for i := range plate.Samples {
+		from := p.open
+		if near := p.near[a.Locality]; i%2 == 0 && len(near) > 0 {
+			from = near
+		}
+		if b := y.sample(a, from, now); b != nil {
+			s.add(b)
+		}
+	}
+	if s.n == 0 {
+		if b := y.scan(a, p.open, now); b != nil {
+			s.add(b)
+		}
+	}
+}
+
+// engine weighs the candidates: the least cost wins, and of equal ones the first.
+func (y *Yard) engine(a *Ask, p *pool, now tick.Moment) (*berth, Choice) {
+	var s bunch
+	a.weight = y.opts.shared(a, y.prefill)
+	y.gather(&s, p, a, now)
+	if s.n == 0 {
+		return nil, Choice{}
+	}
+	return y.choose(s.at[:s.n], p, a, now)
+}
+
+func (y *Yard) choose(cs []candidate, p *pool, a *Ask, now tick.Moment) (*berth, Choice) {
+	best := 0
+	y.index.Each(a.Chain, len(cs), func(i int) string { return cs[i].b.r.ID }, func(i, n int) { cs[i].matched = n })
+	for i := range cs {
+		c := &cs[i]
+		c.cost = y.cost(c, p, a, now)
+		if c.cost < cs[best].cost {
+			best = i
+		}
+	}
+	pick, home := &cs[best], &cs[0]
+	c := Choice{Matched: pick.matched}
+	if best > 0 {
+		c.Warmer = pick.matched > max(home.matched, home.expect)
+		c.Spilled = !c.Warmer
+	}
+	if c.Warmer {
+		y.warmer++
+	}
+	if c.Spilled {
+		y.spills++
+	}
+	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-pick.matched)*pick.b.prefill)
+	c.Expect = tick.Seconds(pick.b.delay(now, y.prompt*pick.b.prefill)) + c.Alone
+	return pick.b, c
+}
+
+// cost is what a candidate costs, its credit taken off.
+func (y *Yard) cost(c *candidate, p *pool, a *Ask, now tick.Moment) float64 {
+	var l Load
+	y.weigh(&l, c.b, p, a, now)
+	credit := y.opts.credit(a.Chain, max(c.matched, c.expect), a.weight)
+	l.OverlapCredit = y.opts.decayed(credit, l.ActivePrefill)
+	return l.Cost()
+}
+
+// plain takes the less busy of two random ones, the first of them from the own locality if it has any.
+func (y *Yard) plain(a *Ask, p *pool, now tick.Moment) *berth {
+	near := p.near[a.Locality]
+	first := y.sample(a, near, now)
+	if first == nil {
+		first = y.scan(a, near, now)
+	}
+	second := y.sample(a, p.open, now)
+	if second == nil {
+		second = y.scan(a, p.open, now)
+	}
+	if first == nil {
+		first, second = second, y.sample(a, p.open, now)
+	}
+	if first == nil || second == nil {
+		return first
+	}
+	lp, lq := first.load(now), second.load(now)
+	if first.r.Locality != second.r.Locality && first.r.Locality == a.Locality {
+		lq += plate.NearBonus
+	}
+	if lq < lp {
+		return second
+	}
+	return first
+}
+
+// arrange brings the pools up to date with the replicas of the moment.
+func (y *Yard) arrange(of map[string][]*berth) {
+	for name, p := range y.pools {
+		if len(of[name]) == 0 {
+			p.members(nil)
+			delete(y.pools, name)
+		}
+	}
+	for name, bs := range of {
+		p := y.pools[name]
+		if p == nil {
+			p = &pool{}
+			y.pools[name] = p
+		}
+		sort.Slice(bs, func(i, j int) bool { return bs[i].r.ID < bs[j].r.ID })
+		p.members(bs)
+		y.reopen(p)
+	}
+}
+
+// reopen lists anew which of a service's replicas take inquiries.
+func (y *Yard) reopen(p *pool) {
+	p.open, p.near = nil, map[string][]*berth{}
+	for _, b := range p.all {
+		if y.open(b) {
+			p.open = append(p.open, b)
+			p.near[b.r.Locality] = append(p.near[b.r.Locality], b)
+		}
+	}
+}
--- /dev/null
+++ b/berth/candidates_test.go
@@ -0,0 +1,337 @@
+package berth
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/kerf"
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// full is the choice that weighs every replica.
+func full(y *Yard, a *Ask, now tick.Moment) (best *candidate) {
+	p := y.pools[a.Pool]
+	var s bunch
+	y.addHomes(&s, p, a, now)
+	expect := map[*berth]int{}
+	for _, c := range s.at[:s.n] {
+		expect[c.b] = c.expect
+	}
+	for _, b := range p.all {
+		if !y.warm(a, b, now) {
+			continue
+		}
+		c := &candidate{b: b, matched: y.index.Matched(b.r.ID, a.Chain), expect: expect[b]}
+		if c.cost = y.cost(c, p, a, now); best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return
+}
+
+// drive plays traffic of a few thousand prompts over a yard and tells how often the choice was the full scan's, how much more it cost then on average, and the mean cost.
+func drive(t *testing.T, replicas, prompts int, gap time.Duration) (same, over, mean float64) {
+	r := rand.New(rand.NewPCG(uint64(replicas), 9))
+	synctest.Test(t, func(t *testing.T) {
+		x := kerf.NewIndex()
+		y := NewYard(x)
+		y.Set(fleet(replicas), nil, 0)
+		for _, b := range y.b {
+			b.prefill = 9e-6
+		}
+		y.prefill = 9e-6
+		var n, sum, extra float64
+		for i := range prompts {
+			first := 1 + r.Uint64N(20)
+			parts := []kerf.Part{{ID: first, Tokens: 300 + int(first)*8}, {ID: 100 + r.Uint64N(2000), Tokens: 100 + r.IntN(4000)}, {ID: 1e9 + uint64(i), Tokens: 200 + r.IntN(8000)}}
+			c := kerf.NewChain(kerf.Root("m", 1), parts)
+			a := ask(c)
+			a.Capacity, a.OutMost = 400000, 300
+			now := tick.Now()
+			y.mu.Lock()
+			a.weight = y.opts.shared(a, y.prefill)
+			best := full(y, a, now)
+			y.mu.Unlock()
+			got, ok := y.Place(a)
+			require.True(t, ok)
+			y.mu.Lock()
+			b := y.b[got.Replica.ID]
+			y.mu.Unlock()
+			if i > prompts/4 { // once the index knows something
+				n++
+				sum += best.cost
+				if b == best.b {
+					same++
+				}
+			}
+			if i > prompts/4 && b != best.b {
+				y.mu.Lock()
+				y.undo(a, b)
+				var h bunch
+				y.addHomes(&h, y.pools["p"], a, now)
+				cc := candidate{b: b, matched: got.Matched}
+				for _, o := range h.at[:h.n] {
+					if o.b == b {
+						cc.expect = o.expect
+					}
+				}
+				extra += y.cost(&cc, y.pools["p"], a, now) - best.cost
+				y.redo(a, b)
+				y.mu.Unlock()
+			}
+			x.Sent(got.Replica.ID, a.Capacity, c, "p")
+			e := &End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched, OutMost: a.OutMost}
+			read := plate.FirstBase + time.Duration(float64(c.Tokens()-got.Matched)*9e3)
+			hold := time.Duration(r.IntN(2000)) * time.Millisecond
+			go func() {
+				time.Sleep(read)
+				y.Told(e.Replica, float64(r.IntN(5)), 0, 8)
+				y.Began(e, read, got.Expect)
+				time.Sleep(hold)
+				y.Done(e)
+			}()
+			time.Sleep(time.Duration(float64(gap) * r.ExpFloat64()))
+		}
+		time.Sleep(10 * time.Second)
+		same, over, mean = same/n, extra/max(1, n-same), sum/n
+	})
+	return
+}
+
+// undo and redo take an inquiry's own weight off a replica and put it back, to weigh it as it was before.
+func (y *Yard) undo(a *Ask, b *berth) { y.shift(a, b, -1) }
+func (y *Yard) redo(a *Ask, b *berth) { y.shift(a, b, 1) }
+func (y *Yard) shift(a *Ask, b *berth, by int) {
+	n := float64(a.Chain.Tokens() - y.index.Matched(b.r.ID, a.Chain))
+	b.inflight += by
+	b.tokens += float64(by) * n
+	b.kv += float64(by) * float64(a.Chain.Tokens()+a.OutMost)
+}
+
+func TestTheFewCandidatesHoldTheFullScansChoiceNearlyAlways(t *testing.T) {
+	for _, x := range []struct {
+		replicas int
+		gap      time.Duration
+		least    float64
+	}{{9, 40 * time.Millisecond, 0.9}, {90, 4 * time.Millisecond, 0.9}, {90, 100 * time.Millisecond, 0.95}, {1500, time.Millisecond, 0.9}} {
+		same, over, mean := drive(t, x.replicas, 1500, x.gap)
+		t.Logf("%d replicas, a prompt each %v: same choice %.3f; else %.1f decode blocks dearer, of %.0f", x.replicas, x.gap, same, over, mean)
+		require.Greater(t, same, x.least)
+		require.Less(t, over*(1-same), 0.02*mean)
+	}
+}
+
+func TestBucketsKeepTheirOrderThroughChanges(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 3))
+	y := NewYard(kerf.NewIndex())
+	rs := fleet(200)
+	y.Set(rs, nil, 0)
+	for round := range 30 {
+		for k := range 50 {
+			y.pools["p"].bucket(kerf.Key(k))
+		}
+		next := map[string]*logbook.Replica{}
+		for id, x := range rs {
+			if r.IntN(20) > 0 {
+				next[id] = x
+			}
+		}
+		for i := range r.IntN(12) {
+			id := fmt.Sprintf("n%d-%d", round, i)
+			next[id] = &logbook.Replica{ID: id, Pool: "p", State: "ready", Locality: "a", Slots: 8}
+		}
+		rs = next
+		y.Set(rs, nil, 0)
+		fresh := NewYard(kerf.NewIndex())
+		fresh.Set(rs, nil, 0)
+		for k := range 50 {
+			var got, want []string
+			for _, b := range y.pools["p"].bucket(kerf.Key(k)) {
+				got = append(got, b.r.ID)
+			}
+			for _, b := range fresh.pools["p"].bucket(kerf.Key(k)) {
+				want = append(want, b.r.ID)
+			}
+			require.Equal(t, want, got)
+		}
+	}
+}
+
+func grouped(first, doc uint64) *kerf.Chain {
+	return kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: first, Tokens: 340}, {ID: 1000 + doc, Tokens: 220}, {ID: 1e6 + doc, Tokens: 1800}})
+}
+
+func TestAFirstPartsPromptsStayWithinAGroupUnlessTheyAreMuchOfTheTraffic(t *testing.T) {
+	x := kerf.NewIndex()
+	y := NewYard(x)
+	y.Set(fleet(90), nil, 0)
+	at := map[uint64]map[string]bool{}
+	place := func(first, doc uint64) {
+		c := grouped(first, doc)
+		got, ok := y.Place(ask(c))
+		require.True(t, ok)
+		x.Sent(got.Replica.ID, 100000, c, "p")
+		y.Done(&End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched})
+		if at[first] == nil {
+			at[first] = map[string]bool{}
+		}
+		at[first][got.Replica.ID] = true
+	}
+	for doc := range uint64(60) {
+		for first := range uint64(40) {
+			place(first, doc)
+		}
+	}
+	for first := range uint64(40) {
+		require.LessOrEqual(t, len(at[first]), 90/plate.GroupPart, "one in so many of them")
+		require.Greater(t, len(at[first]), 90/plate.GroupPart/2)
+	}
+	for doc := range uint64(2000) {
+		place(7, 100+doc)
+	}
+	require.Greater(t, len(at[7]), 60, "much of the traffic: all of them")
+}
+
+func TestWarmBeforeColdAlsoWhenHardlyAnyIsWarm(t *testing.T) {
+	y := NewYard(kerf.NewIndex())
+	rs := fleet(300)
+	for id, r := range rs {
+		if id != "r123" {
+			r.ColdMs = 1000
+		}
+	}
+	y.Set(rs, nil, 0)
+	for i := range 30 {
+		a := ask(nil)
+		if i%2 == 0 {
+			a = ask(chain(uint64(i), 50))
+		}
+		c, ok := y.Place(a)
+		require.True(t, ok)
+		require.Equal(t, "r123", c.Replica.ID)
+		require.False(t, c.Cold)
+	}
+	y.Failed("r123")
+	c, ok := y.Place(ask(chain(1, 50)))
+	require.True(t, ok)
+	require.True(t, c.Cold)
+}
+
+func TestAllOthersExcludedTheOneLeftIsFound(t *testing.T) {
+	y := NewYard(kerf.NewIndex())
+	y.Set(fleet(500), nil, 0)
+	for _, c := range []*kerf.Chain{nil, chain(3, 50)} {
+		a := ask(c)
+		for id := range fleet(500) {
+			if id != "r77" {
+				a.Not[id] = true
+			}
+		}
+		got, ok := y.Place(a)
+		require.True(t, ok)
+		require.Equal(t, "r77", got.Replica.ID)
+		a.Not["r77"] = true
+		_, ok = y.Place(a)
+		require.False(t, ok)
+		a.Not = nil
+		a.Regions = func(loc string) bool { return loc == "b" }
+		got, ok = y.Place(a)
+		require.True(t, ok)
+		require.Equal(t, "b", got.Replica.Locality)
+	}
+}
+
+func TestWhatAReplicaKeepsEndsWithItsLifeItsWeightsOrItsDrain(t *testing.T) {
+	x := kerf.NewIndex()
+	y := NewYard(x)
+	y.Set(fleet(3), nil, 0)
+	c := chain(7, 100)
+	keep := func(id string) {
+		for range plate.SecondSight {
+			x.Sent(id, 100000, c, "p")
+		}
+		require.NotZero(t, x.Matched(id, c))
+	}
+	for _, id := range []string{"r0", "r1", "r2"} {
+		keep(id)
+	}
+	rs := fleet(3)
+	rs["r0"].Models = []logbook.Model{{Name: "m", Revision: 2}}
+	rs["r1"].State = "draining"
+	y.Set(rs, map[string]bool{"c": true}, 0)
+	require.Zero(t, x.Matched("r0", c), "other weights")
+	require.Zero(t, x.Matched("r1", c), "it will not come back")
+	require.NotZero(t, x.Matched("r2", c), "an evacuated locality comes back with what it kept")
+	y.Failed("r2")
+	require.NotZero(t, x.Matched("r2", c), "a failure is no word on what is kept")
+	y.Wrong("r2")
+	require.Zero(t, x.Matched("r2", c), "another lives at its address")
+	require.Equal(t, 1, y.Count("p"))
+	keep("r0")
+	delete(rs, "r0")
+	rs["r0b"] = &logbook.Replica{ID: "r0b", Pool: "p", State: "ready", Locality: "a", Slots: 8}
+	y.Set(rs, nil, 0)
+	require.Zero(t, x.Matched("r0", c))
+	require.Zero(t, x.Matched("r0b", c), "a new life is an empty one")
+}
+
+func TestRunningRequestsPushKeptPartsOut(t *testing.T) {
+	x := kerf.NewIndex()
+	y := NewYard(x)
+	y.Set(fleet(1), nil, 0)
+	c := chain(7, 100)
+	for range plate.SecondSight {
+		_, _ = y.Place(ask(c))
+		x.Sent("r0", 4000, c, "p")
+	}
+	require.NotZero(t, x.Matched("r0", c))
+	y.mu.Lock()
+	y.pools["p"].hold = 600
+	y.mu.Unlock()
+	y.Told("r0", 2, 0, 8)
+	require.NotZero(t, x.Matched("r0", c))
+	y.Told("r0", 8, 0, 8)
+	require.Zero(t, x.Matched("r0", c))
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{90, 1500} {
+		for _, kind := range []string{"prompt", "plain"} {
+			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) {
+				x := kerf.NewIndex()
+				y := NewYard(x)
+				y.Set(fleet(n), nil, 0)
+				r := rand.New(rand.NewPCG(1, 2))
+				var as []*Ask
+				for i := range 4096 {
+					a := ask(nil)
+					if kind == "prompt" {
+						first := r.Uint64N(20)
+						a = ask(kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: first, Tokens: 340}, {ID: 100 + first*100 + r.Uint64N(100), Tokens: 500}, {ID: 1e9 + uint64(i), Tokens: 2000}}))
+					}
+					as = append(as, a)
+				}
+				for _, a := range as { // homes and index as they are after a while
+					if c, ok := y.Place(a); ok {
+						x.Sent(c.Replica.ID, 400000, a.Chain, "p")
+						y.Done(&End{Replica: c.Replica.ID, Chain: a.Chain, Matched: c.Matched, OutMost: a.OutMost})
+					}
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					a := as[i%len(as)]
+					c, _ := y.Place(a)
+					y.Done(&End{Replica: c.Replica.ID, Chain: a.Chain, Matched: c.Matched, OutMost: a.OutMost})
+				}
+			})
+		}
+	}
+}
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -1,14 +1,11 @@
-// Package berth places inquiries: homes by rendezvous, spill, the warmer-replica rule and letting in by predicted time to the first token for model replicas; least busy of two for the others.
+// Package berth places inquiries: the replica of least cost in blocks for prompts, by what is kept where and what is waiting there; least busy of two for the others.
 package berth
 
 import (
 	"math"
-	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -26,6 +23,7 @@
 	Not      map[string]bool
 	Regions  func(locality string) bool // nil: everywhere
 	ColdRate func(id string) float64    // inquiries a second that this process may send to a cold replica
+	weight   float64                    // of a shared block, when it is placed
 }
 
 // Choice is where an inquiry goes.
@@ -41,6 +39,8 @@
 
 type berth struct {
 	r        *logbook.Replica
+	hash     uint64
+	slow     float64 // by what part it reads slower than the service's mean
 	inflight int
 	tokens   float64 // prompt tokens sent by this process that have given no event yet
 	kv       float64 // tokens of memory that this process's inquiries hold
@@ -65,9 +65,11 @@
 	mu      sync.Mutex
 	index   *kerf.Index
 	b       map[string]*berth
-	pools   map[string][]*berth
+	pools   map[string]*pool
+	opts    Options
 	evac    map[string]bool
 	prefill float64
+	per     float64 // seconds a prompt token as seen, waiting included
 	prompt  float64 // tokens that a prompt leaves to be read, on average
 	spills  int64
 	warmer  int64
@@ -76,37 +78,46 @@
 
 // NewYard makes an empty yard.
 func NewYard(x *kerf.Index) *Yard {
-	return &Yard{index: x, b: map[string]*berth{}, pools: map[string][]*berth{}, evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
+	return &Yard{index: x, b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
 }
 
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
 func (y *Yard) Set(rs map[string]*logbook.Replica, evac map[string]bool, back tick.Span) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	live := map[string]bool{}
+	keeps := map[string]bool{}
 	pools := map[string][]*berth{}
 	for id, r := range rs {
 		b := y.b[id]
 		if b == nil {
-			b = &berth{prefill: y.prefill}
+			b = &berth{prefill: y.prefill, hash: hashID(id)}
 			y.b[id] = b
 		}
 		if y.evac[r.Locality] && !evac[r.Locality] {
 			b.coldTill = tick.Now().Add(back)
 		}
-		b.r, live[id] = r, true
+		if b.r != nil && b.r.Pool == r.Pool && !slices.Equal(b.r.Models, r.Models) {
+			y.index.Forget(id) // other weights: nothing of what it kept is of use
+		}
+		b.r, keeps[id] = r, r.State == "ready"
 		pools[r.Pool] = append(pools[r.Pool], b)
 	}
 	for id := range y.b {
-		if !live[id] {
+		if rs[id] == nil {
 			delete(y.b, id)
 		}
 	}
-	for _, bs := range pools {
-		sort.Slice(bs, func(i, j int) bool { return bs[i].r.ID < bs[j].r.ID })
-	}
-	y.pools, y.evac = pools, evac
-	y.index.Keep(live)
+	y.evac = evac
+	y.arrange(pools)
+	y.index.Keep(keeps)
+}
+
+// Use takes other options.
+func (y *Yard) Use(o Options) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.opts = o
+	y.index.Cut(o.Block)
 }
 
 // May tells whether a replica may be sent to at this moment.
@@ -125,10 +136,8 @@
 func (y *Yard) Count(pool string) (n int) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	for _, b := range y.pools[pool] {
-		if y.open(b) {
-			n++
-		}
+	if p := y.pools[pool]; p != nil {
+		n = len(p.open)
 	}
 	return
 }
@@ -142,31 +151,21 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := tick.Now()
-	var fit []*berth
-	var cold *berth
-	coldRate := 0.0
-	for _, b := range y.pools[a.Pool] {
-		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) || now.Before(b.ejected) || b.trial && b.trying {
-			continue
-		}
-		if y.cold(b, now) {
-			if r := a.ColdRate(b.r.ID); r > 0 && !now.Before(b.coldNext) && (cold == nil || b.coldNext.Before(cold.coldNext)) {
-				cold, coldRate = b, r
-			}
-			continue
-		}
-		fit = append(fit, b)
+	p := y.pools[a.Pool]
+	if p == nil {
+		return c, false
 	}
 	var b *berth
-	switch {
-	case len(fit) == 0 && cold == nil:
-		return c, false
-	case len(fit) == 0:
-		b = cold
-	case a.Chain != nil:
-		b, c = y.engine(a, fit, now)
-	default:
-		b = y.plain(a, fit, now)
+	coldRate := 0.0
+	if a.Chain != nil {
+		b, c = y.engine(a, p, now)
+	} else {
+		b = y.plain(a, p, now)
+	}
+	if b == nil { // a cold one only if no other may be used
+		if b, coldRate = y.coldest(a, p, now); b == nil {
+			return c, false
+		}
 	}
 	if y.cold(b, now) {
 		c.Cold = true
@@ -181,10 +180,16 @@
 		y.prompt += plate.LearnUp * (float64(n-c.Matched) - y.prompt)
 		b.tokens += float64(n - c.Matched)
 		b.kv += float64(n + a.OutMost)
+		p.hold += plate.HolderSlice * (float64(n+a.OutMost) - p.hold)
 	}
 	return c, true
 }
 
+// fits tells whether a replica may take an inquiry now.
+func (y *Yard) fits(a *Ask, b *berth, now tick.Moment) bool {
+	return y.open(b) && !a.Not[b.r.ID] && (a.Regions == nil || a.Regions(b.r.Locality)) && !now.Before(b.ejected) && !(b.trial && b.trying)
+}
+
 // delay is the predicted time before a new inquiry's own prompt is read.
 func (b *berth) delay(now tick.Moment, prompt float64) float64 {
 	d := b.tokens * b.prefill
@@ -197,92 +202,6 @@
 	return d
 }
 
-func (b *berth) occupancy(capacity int, now tick.Moment) float64 {
-	if capacity <= 0 {
-		return 0
-	}
-	own := b.kv / float64(capacity)
-	if b.slots > 0 && now.Sub(b.toldAt) < tick.Seconds(2) {
-		own = max(own, (b.running+b.waiting)/b.slots)
-	}
-	return own
-}
-
-func rank(key kerf.Key, id string) uint64 {
-	var k [8]byte
-	for i := range k {
-		k[i] = byte(key >> (8 * i))
-	}
-	return xxhash.Sum64String(string(k[:]) + id)
-}
-
-// engine follows the cache design: the first home below the spill mark, else the least busy; a warmer replica wins if what it saves is more than the extra wait there.
-func (y *Yard) engine(a *Ask, fit []*berth, now tick.Moment) (*berth, Choice) {
-	ids := make([]string, len(fit))
-	for i, b := range fit {
-		ids[i] = b.r.ID
-	}
-	match := y.index.Lookup(ids, a.Chain)
-	type option struct {
-		b     *berth
-		m     int
-		rank  uint64
-		delay float64
-		occ   float64
-	}
-	os := make([]option, len(fit))
-	least := 0
-	busy := func(o option) float64 { return o.delay + o.occ }
-	for i, b := range fit {
-		os[i] = option{b, match[i], rank(a.Chain.Head(), b.r.ID), b.delay(now, y.prompt*b.prefill), b.occupancy(a.Capacity, now)}
-		if busy(os[i]) < busy(os[least]) {
-			least = i
-		}
-	}
-	order := make([]int, len(os))
-	for i := range order {
-		order[i] = i
-	}
-	sort.Slice(order, func(i, j int) bool { return os[order[i]].rank > os[order[j]].rank })
-	pick, spilled := -1, false
-	for _, i := range order[:min(plate.Homes, len(order))] {
-		if os[i].occ < plate.Spill {
-			pick = i
-			break
-		}
-	}
-	if pick < 0 {
-		pick, spilled = least, true
-	}
-	// the smallest exception: a home that would miss the aim gives way to the least busy if that one would be much sooner
-	first := func(o option) float64 { return o.delay + float64(a.Chain.Tokens()-o.m)*o.b.prefill }
-	if f := first(os[pick]); pick != least && f > plate.SpillAim*a.Aim.Seconds() && first(os[least]) < f/2 {
-		pick, spilled = least, true
-	}
-	c := Choice{Spilled: spilled}
-	// every node sees its own part of the traffic only: what the first home keeps is credited with the shared parts, which the others have sent there too
-	kept := os[pick].m
-	if pick == order[0] && a.Chain.Shared() > 0 {
-		kept = max(kept, kerf.ToBlock(a.Chain.Upto[a.Chain.Shared()-1]))
-	}
-	for i, o := range os {
-		if saves := float64(o.m-kept) * o.b.prefill; o.m > kept && saves > o.delay-os[pick].delay && (spilled || o.occ < plate.Spill) {
-			pick, c.Warmer = i, true
-		}
-	}
-	if c.Spilled {
-		y.spills++
-	}
-	if c.Warmer {
-		y.warmer++
-	}
-	o := os[pick]
-	c.Matched = o.m
-	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-o.m)*o.b.prefill)
-	c.Expect = tick.Seconds(o.delay) + c.Alone
-	return o.b, c
-}
-
 func (b *berth) load(now tick.Moment) float64 {
 	n := float64(b.inflight)
 	if b.slots > 0 {
@@ -294,29 +213,6 @@
 	return n / float64(max(1, b.r.Slots))
 }
 
-// plain takes the less busy of two random ones, the first of them from the own locality if it has any.
-func (y *Yard) plain(a *Ask, fit []*berth, now tick.Moment) *berth {
-	var near []*berth
-	for _, b := range fit {
-		if b.r.Locality == a.Locality {
-			near = append(near, b)
-		}
-	}
-	if len(near) == 0 {
-		near = fit
-	}
-	p := near[rand.IntN(len(near))]
-	q := fit[rand.IntN(len(fit))]
-	lp, lq := p.load(now), q.load(now)
-	if p.r.Locality != q.r.Locality && p.r.Locality == a.Locality {
-		lq += plate.NearBonus
-	}
-	if lq < lp {
-		return q
-	}
-	return p
-}
-
 // End tells how a shot ended.
 type End struct {
 	Replica string
@@ -347,6 +243,7 @@
 	if n >= plate.LearnTokens {
 		per := max(0, took.Seconds()-plate.FirstBase.Seconds()) / n
 		learn(&b.prefill, per)
+		y.read(b, per)
 		learn(&y.prefill, per)
 	}
 	saved := float64(e.Matched) * b.prefill
@@ -397,6 +294,10 @@
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
 		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, tick.Now()
+		if p := y.pools[b.r.Pool]; p != nil && slots > 0 {
+			p.mean += plate.HolderSlice * (running/slots - p.mean)
+			y.index.Room(id, running*p.hold)
+		}
 	}
 }
 
@@ -422,6 +323,10 @@
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
 		b.wrong = true
+		y.index.Forget(id)
+		if p := y.pools[b.r.Pool]; p != nil {
+			y.reopen(p)
+		}
 	}
 }
 
--- a/env/env.go
+++ b/env/env.go
@@ -10,6 +10,7 @@
 
 	"gopkg.in/yaml.v3"
 
+	"shaletrestle/berth"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
@@ -36,6 +37,7 @@
 	Bounds    Bounds            `yaml:"bounds"`
 	Cloud     Cloud             `yaml:"cloud_api"`
 	Calendar  string            `yaml:"maintenance_calendar"`
+	Placement berth.Options     `yaml:"placement"`
 }
 
 // Bind holds the addresses to serve at.
@@ -107,7 +109,7 @@
 
 // Parse reads and checks settings.
 func Parse(b []byte, n Need) (*Env, error) {
-	e := &Env{}
+	e := &Env{Placement: berth.Defaults()}
 	if err := yaml.Unmarshal(b, e); err != nil {
 		return nil, fault.Wrap(fault.BadEnv, err, "settings file")
 	}
@@ -160,7 +162,7 @@
 	if e.Bounds.ContactMs == 0 {
 		return bad("bounds.contact_ms", "is missing")
 	}
-	return nil
+	return e.Placement.Check()
 }
 
 func firstBad(b Bounds) string {
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/berth"
 	"shaletrestle/fault"
 )
 
@@ -31,6 +32,17 @@
 	require.Equal(t, "10.2.0.30:83", e.ControlAddr("10.2.0.30:7720"))
 }
 
+func TestPlacementOptionsHaveDefaults(t *testing.T) {
+	e, err := Parse([]byte(good), Need{})
+	require.NoError(t, err)
+	require.Equal(t, berth.Defaults(), e.Placement)
+	e, err = Parse([]byte(good+"placement: {prefill_load_scale: 3, count_active: false}\n"), Need{})
+	require.NoError(t, err)
+	want := berth.Defaults()
+	want.PrefillScale, want.Active = 3, false
+	require.Equal(t, want, e.Placement)
+}
+
 func TestParseNamesWhatIsWrong(t *testing.T) {
 	for _, x := range []struct{ old, now, want string }{
 		{`node_name: "edge-1"`, ``, "node_name"},
@@ -43,6 +55,8 @@
 		{`contact_ms: 3000`, `contact_ms: -1`, "contact_ms"},
 		{`data_dir: "/data/x"`, ``, "data_dir"},
 		{`bounds:`, `bounds: [`, "settings file"},
+		{`a_later_field: 7`, `placement: {overlap_credit: -1}`, "placement.overlap_credit"},
+		{`a_later_field: 7`, `placement: {block_tokens: 0}`, "placement.block_tokens"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.old, x.now, 1)), Need{Front: true, Control: true})
 		require.Error(t, err, x.want)
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/http"
-	"sort"
 	"strings"
 	"sync"
 
@@ -50,6 +49,8 @@
 	yard     *berth.Yard
 	budget   *Budget
 	table    atomic.Pointer[sorting.Table]
+	weights  atomic.Pointer[weights]
+	cold     atomic.Pointer[coldShares]
 	ready    atomic.Bool
 	isReady  chan struct{}
 	leaving  atomic.Bool
@@ -79,6 +80,9 @@
 	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = haul.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
+	g.weights.Store(newWeights(nil))
+	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
+	g.yard.Use(p.Env.Placement)
 	at := p.Env.Port(plate.PortGate)
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	lines := crew.NewLines(sc, p.Net, g.handle)
@@ -155,7 +159,11 @@
 }
 
 // Reload takes new settings.
-func (g *Gate) Reload(e *env.Env) { g.env.Store(e) }
+func (g *Gate) Reload(e *env.Env) {
+	g.env.Store(e)
+	g.yard.Use(e.Placement)
+	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(plate.PortGate)))
+}
 
 func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
@@ -242,7 +250,13 @@
 		}
 	}
 	back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
-	g.yard.Set(v.Replicas, v.Evac, back)
+	if e == nil || e.Kind == logbook.List || e.Kind == logbook.Evacuate || e.Kind == logbook.Return {
+		g.yard.Set(v.Replicas, v.Evac, back)
+		g.weights.Store(newWeights(v.Replicas))
+	}
+	if e == nil || e.Kind == logbook.Fleet {
+		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(plate.PortGate)))
+	}
 	g.mu.Lock()
 	for id, p := range g.pools {
 		if r := v.Replicas[id]; r == nil {
@@ -296,40 +310,6 @@
 	}
 }
 
-// coldRate is this process's share of what one cold replica bears: a few nodes by rendezvous, the others none.
-func (g *Gate) coldRate(perS float64, id string) float64 {
-	v := g.book.View()
-	if len(v.Nodes) == 0 {
-		return perS * plate.ColdMargin / plate.FleetGuess
-	}
-	self := g.env.Load().Port(plate.PortGate)
-	ns := append([]string{}, v.Nodes...)
-	sort.Slice(ns, func(i, j int) bool { return xxhash.Sum64String(id+ns[i]) > xxhash.Sum64String(id+ns[j]) })
-	k := min(plate.ColdNodes, len(ns))
-	for _, n := range ns[:k] {
-		if n == self {
-			return perS * plate.ColdMargin / float64(k)
-		}
-	}
-	return 0
-}
-
-// weights gives the revision of a model that a service's replicas serve.
-func (g *Gate) weights(pool, model string) int64 {
-	rev := int64(0)
-	for _, r := range g.book.View().Replicas {
-		if r.Pool != pool {
-			continue
-		}
-		for _, m := range r.Models {
-			if m.Name == model {
-				rev = max(rev, m.Revision)
-			}
-		}
-	}
-	return rev
-}
-
 func (g *Gate) page(w http.ResponseWriter, _ *http.Request) {
 	v := g.book.View()
 	ep, num := g.cursor.At()
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -199,14 +199,14 @@
 	}
 	q.head = passOn(q.r.Header)
 	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{},
-		ColdRate: func(id string) float64 { return q.g.coldRate(q.pool.ColdPerS, id) }}
+		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) }}
 	if e := q.pool.Engine; e != nil {
 		model := q.r.Header.Get("Model")
 		in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
 		if len(parts) == 0 {
 			parts = []kerf.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
 		}
-		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights(name, model)), parts)
+		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights.Load().of(name, model)), parts)
 		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
 	}
 	q.g.budget.Asked(name)
--- /dev/null
+++ b/gatehouse/shares.go
@@ -0,0 +1,67 @@
+package gatehouse
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
+)
+
+// coldShares is this process's share of what cold replicas bear, for one set of nodes: a few nodes by rendezvous, the others none. What is found for a replica is kept.
+type coldShares struct {
+	nodes []string
+	self  string
+	part  sync.Map // by replica
+}
+
+func newColdShares(nodes []string, self string) *coldShares {
+	return &coldShares{nodes: nodes, self: self}
+}
+
+// rate is what this process may send a second to one cold replica that bears perS.
+func (c *coldShares) rate(perS float64, id string) float64 {
+	if len(c.nodes) == 0 {
+		return perS * plate.ColdMargin / plate.FleetGuess
+	}
+	part, ok := c.part.Load(id)
+	if !ok {
+		part, _ = c.part.LoadOrStore(id, c.find(id))
+	}
+	return perS * plate.ColdMargin * part.(float64)
+}
+
+// find is one in so many if this node is among the first for a replica.
+func (c *coldShares) find(id string) float64 {
+	k := min(plate.ColdNodes, len(c.nodes))
+	own, before, in := xxhash.Sum64String(id+c.self), 0, false
+	for _, n := range c.nodes {
+		switch {
+		case n == c.self:
+			in = true
+		case xxhash.Sum64String(id+n) > own:
+			before++
+		}
+	}
+	if !in || before >= k {
+		return 0
+	}
+	return 1 / float64(k)
+}
+
+// weights tells the revision of each model that a service's replicas serve, the newest of them.
+type weights map[[2]string]int64
+
+func newWeights(rs map[string]*logbook.Replica) *weights {
+	w := weights{}
+	for _, r := range rs {
+		for _, m := range r.Models {
+			k := [2]string{r.Pool, m.Name}
+			w[k] = max(w[k], m.Revision)
+		}
+	}
+	return &w
+}
+
+func (w weights) of(pool, model string) int64 { return w[[2]string{pool, model}] }
--- /dev/null
+++ b/gatehouse/shares_test.go
@@ -0,0 +1,58 @@
+package gatehouse
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
+)
+
+func TestColdSharesAreThoseOfTheFirstNodesByRendezvous(t *testing.T) {
+	for _, n := range []int{0, 1, 2, 3, 12, 88} {
+		var nodes []string
+		for i := range n {
+			nodes = append(nodes, fmt.Sprintf("10.0.0.%d:700", i))
+		}
+		for id := range 40 {
+			rep := fmt.Sprintf("i-%d", id)
+			order := append([]string{}, nodes...)
+			sort.Slice(order, func(i, j int) bool { return xxhash.Sum64String(rep+order[i]) > xxhash.Sum64String(rep+order[j]) })
+			k := min(plate.ColdNodes, n)
+			sum := 0.0
+			for i, self := range order {
+				c := newColdShares(nodes, self)
+				want := 0.0
+				if i < k {
+					want = 20 * plate.ColdMargin / float64(k)
+				}
+				require.InDelta(t, want, c.rate(20, rep), 1e-9)
+				require.InDelta(t, want, c.rate(20, rep), 1e-9, "as kept")
+				sum += want
+			}
+			require.LessOrEqual(t, sum, 20*plate.ColdMargin+1e-9)
+			if n > 0 {
+				require.Zero(t, newColdShares(nodes, "stranger").rate(20, rep))
+			} else {
+				require.Equal(t, 20*plate.ColdMargin/plate.FleetGuess, newColdShares(nil, "me").rate(20, rep))
+			}
+		}
+	}
+}
+
+func TestWeightsAreTheNewestThatAServiceServes(t *testing.T) {
+	w := newWeights(map[string]*logbook.Replica{
+		"a": {ID: "a", Pool: "p", Models: []logbook.Model{{Name: "m", Revision: 3}, {Name: "n", Revision: 1}}},
+		"b": {ID: "b", Pool: "p", Models: []logbook.Model{{Name: "m", Revision: 5}}},
+		"c": {ID: "c", Pool: "q", Models: []logbook.Model{{Name: "m", Revision: 9}}},
+	})
+	require.Equal(t, int64(5), w.of("p", "m"))
+	require.Equal(t, int64(1), w.of("p", "n"))
+	require.Equal(t, int64(9), w.of("q", "m"))
+	require.Zero(t, w.of("q", "n"))
+	require.Zero(t, newWeights(nil).of("p", "m"))
+}
--- a/kerf/chain.go
+++ b/kerf/chain.go
@@ -7,8 +7,6 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-
-	"shaletrestle/plate"
 )
 
 // Part is one named part of a prompt.
@@ -97,6 +95,3 @@
 	}
 	return 0
 }
-
-// ToBlock cuts a number of tokens to a block boundary.
-func ToBlock(n int) int { return n / plate.BlockTokens * plate.BlockTokens }
--- a/kerf/index.go
+++ b/kerf/index.go
@@ -17,10 +17,12 @@
 	shelf  *shelf
 	here   *list.Element // on its shelf
 	owned  *list.Element // among its owner's
+	place  int           // among those that hold the key
 }
 
 // shelf is what one life of a replica is believed to keep, oldest use last.
 type shelf struct {
+	id       string
 	capacity int
 	used     int
 	lru      *list.List
@@ -69,6 +71,9 @@
 	seq     int
 	room    *portion.Pie // runs, by owner: the node's memory for hints
 	owners  map[string]*list.List
+	holders map[Key][]*run // the reverse: who keeps a run
+	block   int
+	chains  int // sightings of chains, halved with the sketch
 	runs    int
 	hits    int64
 	asked   int64
@@ -79,7 +84,7 @@
 
 // SizedIndex makes an empty index that holds at most so many runs. When it is full, the owner that holds most gives way, so that a heavy one can't push the others' out.
 func SizedIndex(runs int) *Index {
-	return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}, room: portion.New(int64(runs), 1), owners: map[string]*list.List{}}
+	return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}, room: portion.New(int64(runs), 1), owners: map[string]*list.List{}, holders: map[Key][]*run{}, block: plate.BlockTokens}
 }
 
 // Matched is the number of tokens of a chain that a replica is believed to keep, cut to a block.
@@ -101,24 +106,7 @@
 		}
 		n = c.Upto[i]
 	}
-	return ToBlock(n)
-}
-
-// Lookup is Matched for many replicas at once.
-func (x *Index) Lookup(replicas []string, c *Chain) []int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := make([]int, len(replicas))
-	best := 0
-	for i, r := range replicas {
-		out[i] = x.matched(r, c)
-		best = max(best, out[i])
-	}
-	x.asked++
-	if best > 0 {
-		x.hits++
-	}
-	return out
+	return n / x.block * x.block
 }
 
 // Sent notes that an owner's chain was sent to a replica. A run is entered at its second sighting; what waits is entered by worth, matched length times count.
@@ -130,7 +118,7 @@
 	defer x.mu.Unlock()
 	s := x.shelves[replica]
 	if s == nil {
-		s = &shelf{lru: list.New(), at: map[Key]*list.Element{}}
+		s = &shelf{id: replica, lru: list.New(), at: map[Key]*list.Element{}}
 		x.shelves[replica] = s
 	}
 	s.capacity = capacity
@@ -139,11 +127,16 @@
 		need++ // thrash: be more selective
 	}
 	upto, count := 0, 0
+	x.chains++
+	adds := x.sketch.adds
 	for i, k := range c.Keys { // every part is counted, also behind one that is seen for the first time
 		if n := x.sketch.Add(k); n >= need && upto == i {
 			upto, count = i+1, n
 		}
 	}
+	if x.sketch.adds < adds {
+		x.chains /= 2
+	}
 	if upto == 0 {
 		return
 	}
@@ -193,6 +186,8 @@
 		r := &run{key: k, tokens: t, owner: owner, shelf: s}
 		r.here, r.owned = s.lru.PushFront(r), mine.PushFront(r)
 		s.at[k] = r.here
+		r.place = len(x.holders[k])
+		x.holders[k] = append(x.holders[k], r)
 		s.used += t
 		s.stores++
 		x.runs++
@@ -225,6 +220,14 @@
 		delete(x.owners, r.owner)
 	}
 	x.room.Give(r.owner, 1)
+	hs := x.holders[r.key]
+	last := len(hs) - 1
+	hs[r.place], hs[last].place = hs[last], r.place
+	if hs[last] = nil; last == 0 {
+		delete(x.holders, r.key)
+	} else {
+		x.holders[r.key] = hs[:last]
+	}
 	x.runs--
 }
 
@@ -265,12 +268,9 @@
 func (x *Index) Keep(live map[string]bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for id, s := range x.shelves {
+	for id := range x.shelves {
 		if !live[id] {
-			for e := s.lru.Front(); e != nil; e = e.Next() {
-				x.drop(e.Value.(*run))
-			}
-			delete(x.shelves, id)
+			x.forget(id)
 		}
 	}
 }
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -139,3 +139,32 @@
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
+
+// Placement of prompts: the cost's options and the search for candidates.
+const (
+	CreditHeld   = 1.0             // blocks of credit for a block that the index names (source)
+	RereadWeight = 8.0             // blocks that a shared block counts for: reading it where it is not kept costs its time, and room and wavering besides
+	PrefillScale = 64.0            // prefill_load_scale: decode blocks that weigh as much as one block to be read; memory held hardly slows a step, reading does
+	ActiveWeight = 64.0            // decode blocks that one active request counts for: about a block's reading, for its part of each step
+	AwayBlocks   = 16.0            // blocks to be read that another locality counts for: a way there and back takes about as long
+	DecayBlocks  = 0.0             // blocks in line at which credit is halved; 0: it does not decay, the line itself already weighs against it
+	GroupPart    = 4               // a first part's prompts stay within one in so many replicas of a service
+	GroupLeast   = 4               // and at least so many
+	GroupMost    = 32              // candidates that are ranked exactly for a home; a bucket keeps as many
+	GroupShare   = 3.0             // a first part with more than one in so many of its group's fair load has all replicas
+	GroupTokens  = 0.25            // and so has one that is less than this part of what its prompts share
+	GroupSight   = 64              // prompts seen before a first part's share is judged
+	HomeBuckets  = 4096            // buckets of keys with their replicas in rendezvous order, filled when first used
+	HoldersMost  = 6               // replicas named by the index that become candidates
+	HoldersSeen  = 24              // and entries looked at to find them
+	Samples      = 4               // random candidates, half of them from the own locality
+	SampleTries  = 12              // draws for one random candidate before all replicas are looked through
+	ToldSpan     = 2 * time.Second // a replica's own word on its load fades to the service's mean over this time
+	ToldWait     = 1 * time.Second // and its word on its waiting line to nothing over this
+	ExtraSpan    = 2 * time.Second // a delay seen at a replica is forgotten after this
+	ExtraFade    = 2.0             // and has faded by e at one in so many seconds
+	RateSlice    = 0.03            // weight of one observation in a replica's reading rate beside the mean; waiting is in it, so one says little
+	RateBand     = 0.1             // a difference from the mean up to this is taken for chance
+	RateMost     = 2.0             // a replica counts as at most this much slower or quicker than the service's mean
+	HolderSlice  = 0.02            // weight of one prompt in the mean of what a request holds
+)
