--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -53,6 +53,8 @@
 	yard      *berth.Yard
 	budget    *Budget
 	table     atomic.Pointer[sorting.Table]
+	weights   atomic.Pointer[weights]
+	cold      atomic.Pointer[coldShares]
 	ready     atomic.Bool
 	isReady   chan struct{}
 	leaving   atomic.Bool
@@ -86,6 +88,9 @@
 	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = haul.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
+	g.weights.Store(newWeights(nil))
+	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
+	g.yard.Use(p.Env.Placement)
 	at := p.Env.Port(plate.PortGate)
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	g.level = plumb.NewWatch(sc, p.Work)
@@ -153,7 +158,11 @@
 }
 
 // Reload takes new settings.
-func (g *Gate) Reload(e *env.Env) { g.env.Store(e) }
+func (g *Gate) Reload(e *env.Env) {
+	g.env.Store(e)
+	g.yard.Use(e.Placement)
+	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(plate.PortGate)))
+}
 
 // Takes tells whether a replica may be sent to, as this process knows it now.
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
@@ -237,6 +246,7 @@
 	if e.Places() {
 		back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
 		g.yard.Set(v.Replicas, v.Evac, back)
+		g.weights.Store(newWeights(v.Replicas))
 		g.mu.Lock()
 		for id, p := range g.pools {
 			if r := v.Replicas[id]; r == nil {
@@ -246,6 +256,9 @@
 		}
 		g.mu.Unlock()
 	}
+	if e == nil || e.Kind == logbook.Fleet {
+		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(plate.PortGate)))
+	}
 	if old.Fleet != v.Fleet || old.Doc != v.Doc || e == nil {
 		g.share(v, g.table.Load())
 	}
@@ -400,35 +413,6 @@
 	close(w)
 }
 
-// coldRate is this process's share of what one cold replica bears: a few nodes by rendezvous, the others none.
-func (g *Gate) coldRate(perS float64, id string) float64 {
-	v := g.book.View()
-	if len(v.Nodes) == 0 {
-		return perS * plate.ColdMargin / plate.FleetGuess
-	}
-	k := min(plate.ColdNodes, len(v.Nodes))
-	if rankOf(v.Nodes, id, g.env.Load().Port(plate.PortGate)) < k {
-		return perS * plate.ColdMargin / float64(k)
-	}
-	return 0
-}
-
-// weights gives the revision of a model that a service's replicas serve.
-func (g *Gate) weights(pool, model string) int64 {
-	rev := int64(0)
-	for _, r := range g.book.View().Replicas {
-		if r.Pool != pool {
-			continue
-		}
-		for _, m := range r.Models {
-			if m.Name == model {
-				rev = max(rev, m.Revision)
-			}
-		}
-	}
-	return rev
-}
-
 func (g *Gate) page(w http.ResponseWriter, _ *http.Request) {
 	v := g.book.View()
 	ep, num := g.cursor.At()
