A leaving primary is followed at once: fitness comes with each promise

Cause: a proposer took every member that answered its prepare for a fit one, and knew only those of the majority that answered first. With the leaving primary among them the hand-over found too few, and the next try came 0.25 s to 0.5 s later; this was so with one backup as well.

Change: a promise tells whether the member's disk takes writes; answers beyond the majority's count, and are waited for 50 ms where too few are known.

--- a/plate/plate.go
+++ b/plate/plate.go
@@ -41,6 +41,7 @@
 // Several backups.
 const (
 	RankWait   = 300 * time.Millisecond // each later backup takes over this much after the one before it, which needs tens of ms
+	LateAnswer = 50 * time.Millisecond  // a proposer that knows too few fit members waits so long for answers beyond the majority's
 	RefusedFor = 2 * time.Second        // a member that took no hand-over is not offered one for its own sake again before
 	LossesMost = 8                      // losses borne at once; more would need over 17 members
 )
--- a/tally/bearing_test.go
+++ b/tally/bearing_test.go
@@ -222,6 +222,19 @@
 	}
 }
 
+func TestALeavingPrimaryIsFollowedAtOnce(t *testing.T) {
+	eachLayout(t, func(t *testing.T, c *crowd) {
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		c.m[p].Leave()
+		time.Sleep(400 * time.Millisecond)
+		q := c.holds(t, "first;")
+		require.NotEqual(t, p, q)
+		require.NoError(t, c.propose(q, "second"))
+		require.Negative(t, index(c.m[q].Chart().Copies(), c.m[p].Self().ID))
+	})
+}
+
 // TestALossDuringTheFirstStart kills as many as must be borne while the first charts are made.
 func TestALossDuringTheFirstStart(t *testing.T) {
 	for at := 5 * time.Millisecond; at < 900*time.Millisecond; at += 35 * time.Millisecond {
--- a/tally/member.go
+++ b/tally/member.go
@@ -325,6 +325,9 @@
 	}
 	a := n.Reply(false)
 	a.From = m.self
+	if n.Kind == crew.Prepare && m.fit() { // it may be asked to be a copy, also if it is not the disk that was meant
+		a.Number = 1
+	}
 	if n.To != 0 && n.To != m.self.ID {
 		a.Word = "another disk is here"
 		return a, true
--- a/tally/view.go
+++ b/tally/view.go
@@ -209,6 +209,8 @@
 			a, err := m.cf.Caller.Call(s.Addr, &x, d)
 			if err != nil {
 				a = nil
+			} else if n.Kind == crew.Prepare { // it lives, and may be asked to be a copy
+				m.saw(a.From, a.Number == 1)
 			}
 			ch <- a
 		}()
@@ -286,7 +288,6 @@
 	as := m.ask(c.Witnesses, &crew.Note{Kind: crew.Prepare, Epoch: e, Ballot: bal, Held: c}, plate.CallWait)
 	var held *crew.Note
 	for _, a := range as {
-		m.saw(a.From, true)
 		if m.learn(a.Chart) {
 			return fail("a newer view is known")
 		}
@@ -381,7 +382,7 @@
 	}
 	left, at := m.fitOnes(), map[string]int{m.self.Locality: 1}
 	var asked, out []crew.Seat
-	running := 0
+	running, waited := 0, false
 	for {
 		for running+len(out) < m.copies()-1 && len(left) > 0 {
 			s := slices.MinFunc(left, func(a, b crew.Seat) int { return m.before(c, at, a, b) })
@@ -391,6 +392,14 @@
 			running++
 			go give(s)
 		}
+		if running == 0 && 1+len(out) < m.fewest(c) && !waited { // the others' promises may be under way still
+			waited = true
+			tick.Rest(m.sc, plate.LateAnswer)
+			left = slices.DeleteFunc(m.fitOnes(), func(s crew.Seat) bool { return index(asked, s.ID) >= 0 })
+			if len(left) > 0 {
+				continue
+			}
+		}
 		if running == 0 {
 			sort.Slice(out, func(i, j int) bool { return index(asked, out[i].ID) < index(asked, out[j].ID) })
 			return out
