Schedules play full disks too; the tests' fixtures are free of races

Cause: the random schedules had no disk that refuses writes, and the race detector named the fixtures that they use.

--- a/foreman/foreman.go
+++ b/foreman/foreman.go
@@ -23,7 +23,7 @@
 	Primary() (addr string, here bool)
 	// Take makes one order; nil means that it is in force for good.
 	Take(sc *scope.Scope, o *Order) error
-	// Read gives the newest view, confirmed by the backup in this call.
+	// Read gives the newest view, confirmed by the witnesses in this call.
 	Read(sc *scope.Scope) (*logbook.View, error)
 }
 
--- a/tally/bearing_test.go
+++ b/tally/bearing_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -297,13 +298,13 @@
 		require.NoError(t, c.propose(p, "first"))
 		require.Len(t, c.m[p].Chart().Copies(), 3)
 		b := c.at(c.m[p].Chart().Backups[1])
-		c.st[b].full = true
+		c.st[b].full.Store(true)
 		require.NoError(t, c.propose(p, "second"))
 		require.Len(t, c.m[p].Chart().Copies(), 2)
 		e := c.m[p].Chart().Epoch
 		time.Sleep(10 * time.Second)
 		require.LessOrEqual(t, c.m[p].Chart().Epoch-e, uint64(6))
-		c.st[b].full = false
+		c.st[b].full.Store(false)
 		time.Sleep(4 * time.Second)
 		require.Len(t, c.m[p].Chart().Copies(), 3)
 		c.holds(t, "first;second;")
@@ -346,11 +347,13 @@
 		require.NoError(t, c.propose(p, "first"))
 		ch := c.m[p].Chart()
 		b := c.at(ch.Backups[0])
-		tried := false
+		var tried atomic.Bool
 		c.h.mu.Lock()
 		c.h.drop = func(addr string, n *crew.Note) bool {
 			mine := n.From.ID == ch.Backups[0].ID
-			tried = tried || mine && n.Kind == crew.Accept
+			if mine && n.Kind == crew.Accept {
+				tried.Store(true)
+			}
 			return mine && n.Kind == crew.Accept || !mine && n.Kind == crew.Prepare || n.Kind == crew.Checkpoint && addr == ch.Primary.Addr
 		}
 		c.h.mu.Unlock()
@@ -441,7 +444,7 @@
 	})
 }
 
-// TestSchedules plays random kills, wipes, cuts, losses of notes and restarts, never more at once than must be borne, among proposals. A confirmed primary must hold all that was acknowledged before it was asked.
+// TestSchedules plays random kills, wipes, cuts, full disks, losses of notes and restarts, never more at once than must be borne, among proposals. A confirmed primary must hold all that was acknowledged before it was asked.
 func TestSchedules(t *testing.T) {
 	for name, x := range layouts {
 		for seed := range 60 {
@@ -469,18 +472,16 @@
 		}
 		return ""
 	}
-	judge := func(i int) bool {
-		m, l := c.m[i], c.l[i]
+	judge := func(m *Member, l *lines, f *life) bool {
 		mu.Lock()
 		n := len(acked)
 		mu.Unlock()
-		if c.sc[i].Ended() || !m.Confirmed() {
+		if f.dead.Load() || !m.Confirmed() {
 			return false
 		}
 		require.Empty(t, missing(string(l.Checkpoint()), n), "acknowledged, and not read")
 		return true
 	}
-	// the crowd changes only here, so that what a proposer or a reader uses belongs to one life
 	var busy sync.WaitGroup
 	span := func(most time.Duration) time.Duration { return time.Duration(r.Int63n(int64(most))) }
 	for round := range 3 {
@@ -495,7 +496,7 @@
 		plan := func(at time.Duration, f func()) { acts = append(acts, act{at, f}) }
 		for _, v := range victims {
 			from, long := span(2*time.Second), span(4*time.Second)
-			switch r.Intn(4) {
+			switch r.Intn(5) {
 			case 0:
 				plan(from, func() { c.stop(v) })
 			case 1, 2:
@@ -510,8 +511,11 @@
 					}
 					c.h.mu.Unlock()
 				})
+			case 4:
+				plan(from, func() { c.st[v].full.Store(true) })
 			}
 			plan(from+long, func() {
+				c.st[v].full.Store(false)
 				if c.sc[v].Ended() {
 					c.start(v)
 				}
@@ -538,11 +542,12 @@
 			name := fmt.Sprint(round, "-", at.Milliseconds())
 			plan(at, func() {
 				for i, m := range c.m {
-					if _, on := m.Active(); on && !c.sc[i].Ended() {
+					f := c.lf[i]
+					if _, on := m.Active(); on && !f.dead.Load() {
 						busy.Add(1)
 						go func() {
 							defer busy.Done()
-							if m.Propose(func() ([]byte, error) { return []byte(name), nil }) == nil && !c.lf[i].dead.Load() && c.m[i] == m {
+							if m.Propose(func() ([]byte, error) { return []byte(name), nil }) == nil && !f.dead.Load() {
 								mu.Lock()
 								acked = append(acked, name)
 								mu.Unlock()
@@ -552,9 +557,10 @@
 				}
 			})
 			plan(at, func() {
-				for i := range c.m {
+				for i, m := range c.m {
+					l, f := c.l[i], c.lf[i]
 					busy.Add(1)
-					go func() { defer busy.Done(); judge(i) }()
+					go func() { defer busy.Done(); judge(m, l, f) }()
 				}
 			})
 		}
@@ -587,7 +593,7 @@
 		time.Sleep(7 * time.Second) // they count as lost no more
 		p := c.primary()
 		require.GreaterOrEqual(t, p, 0, "nobody is primary")
-		require.True(t, judge(p))
+		require.True(t, judge(c.m[p], c.l[p], c.lf[p]))
 		require.Len(t, c.m[p].Chart().Copies(), c.losses+1)
 		require.Len(t, c.m[p].Chart().Witnesses, 2*c.losses+1)
 	}
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -31,20 +31,44 @@
 
 // memory is a store that fails only when it is full.
 type memory struct {
+	mu   sync.Mutex
 	id   uint64
 	late bool // made after the first start
-	full bool
+	full atomic.Bool
 	reg  Register
 	held Held
 }
 
-func (m *memory) Identity() (uint64, bool)      { return m.id, !m.late }
-func (m *memory) LoadRegister() Register        { return m.reg }
-func (m *memory) SaveRegister(r Register) error { m.reg = r; return nil }
-func (m *memory) Load() Held                    { return m.held }
-func (m *memory) Reset(h Held) error            { m.held = h; return nil }
-func (m *memory) Append(e []byte) error         { m.held.Tail = append(m.held.Tail, e); return nil }
-func (m *memory) Size() int                     { return 0 }
+func (m *memory) Identity() (uint64, bool) { return m.id, !m.late }
+func (m *memory) LoadRegister() Register {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reg
+}
+func (m *memory) SaveRegister(r Register) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reg = r
+	return nil
+}
+func (m *memory) Load() Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Held{m.held.Tag, m.held.Base, slices.Clone(m.held.Tail)}
+}
+func (m *memory) Reset(h Held) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = Held{h.Tag, h.Base, slices.Clone(h.Tail)}
+	return nil
+}
+func (m *memory) Append(e []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held.Tail = append(m.held.Tail, e)
+	return nil
+}
+func (m *memory) Size() int { return 0 }
 
 // hall carries notes between members of one process; some steps may be lost.
 type hall struct {
@@ -89,7 +113,7 @@
 	if l.dead.Load() {
 		return errDead
 	}
-	if l.full {
+	if l.full.Load() {
 		return fault.New(fault.Unready, "the disk is full")
 	}
 	return f()
