Copies and witnesses are spread over regions where these may go

Cause: the number of losses covered region_losses, the placing only zones: three seeds in one region stayed the witnesses.

Change: the area that a locality is lost with is what members are spread over, and an order waits for this as it does for missing copies.

Measured: the new test fails when localities count by themselves.

--- a/tally/bearing.go
+++ b/tally/bearing.go
@@ -75,25 +75,32 @@
 	})
 }
 
-// short tells whether the chart has fewer copies or witnesses than wanted while more are to be had.
+// short tells whether the chart has fewer copies or witnesses than wanted, or has them in too few areas, while others are to be had.
 func (m *Member) short() bool {
 	c := m.Chart()
 	if c == nil {
 		return false
 	}
-	return len(c.Copies()) < m.copies() && len(m.spare(c)) > 0 || m.grown(c) != nil
+	return len(c.Copies()) < m.copies() && len(m.spare(c)) > 0 || m.narrow(c) || m.grown(c) != nil || m.spread(c) != nil
 }
 
-// narrow tells whether the copies lie in so few localities that these may all be lost, while a member elsewhere could be one.
+// narrow tells whether the copies lie in so few areas that these may all be lost, while a member elsewhere could be one.
 func (m *Member) narrow(c *crew.Chart) bool {
-	at := places(c.Copies())
-	return len(at) <= m.cf.Zones && slices.ContainsFunc(m.spare(c), func(s crew.Seat) bool { return at[s.Locality] == 0 })
+	at := m.places(c.Copies())
+	return len(at) <= m.cf.Areas && slices.ContainsFunc(m.spare(c), func(s crew.Seat) bool { return at[m.area(s)] == 0 })
 }
 
-func places(ss []crew.Seat) map[string]int {
+func (m *Member) area(s crew.Seat) string {
+	if m.cf.Area == nil {
+		return s.Locality
+	}
+	return m.cf.Area(s.Locality)
+}
+
+func (m *Member) places(ss []crew.Seat) map[string]int {
 	at := map[string]int{}
 	for _, s := range ss {
-		at[s.Locality]++
+		at[m.area(s)]++
 	}
 	return at
 }
@@ -103,10 +110,10 @@
 	return slices.DeleteFunc(append(m.fitOnes(), m.self), func(s crew.Seat) bool { return index(c.Witnesses, s.ID) >= 0 })
 }
 
-// emptiest is the member whose locality holds the fewest of those placed.
-func emptiest(ss []crew.Seat, at map[string]int) crew.Seat {
+// emptiest is the member whose area holds the fewest of those placed.
+func (m *Member) emptiest(ss []crew.Seat, at map[string]int) crew.Seat {
 	return slices.MinFunc(ss, func(a, b crew.Seat) int {
-		return cmp.Or(cmp.Compare(at[a.Locality], at[b.Locality]), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(at[m.area(a)], at[m.area(b)]), cmp.Compare(a.ID, b.ID))
 	})
 }
 
@@ -116,17 +123,38 @@
 	if len(c.Witnesses) >= m.witnessesWanted() || len(free) < n {
 		return nil
 	}
-	ws, at := slices.Clone(c.Witnesses), places(c.Witnesses)
+	ws, at := slices.Clone(c.Witnesses), m.places(c.Witnesses)
 	for range n {
-		s := emptiest(free, at)
+		s := m.emptiest(free, at)
 		free = slices.DeleteFunc(free, func(x crew.Seat) bool { return x.ID == s.ID })
-		at[s.Locality]++
+		at[m.area(s)]++
 		ws = append(ws, s)
 	}
 	return ws
 }
 
-// panel gives the witnesses one step nearer to what is wanted, nil if all is well or nothing is to be had: more of them, a lost one replaced, or one moved out of a locality that holds too many.
+// spread gives the witnesses with one moved out of an area that holds too many, nil if all is well or nobody is elsewhere.
+func (m *Member) spread(c *crew.Chart) []crew.Seat {
+	free := m.learners(c)
+	if m.cf.Areas == 0 || len(free) == 0 {
+		return nil
+	}
+	at, most := m.places(c.Witnesses), max(1, m.cf.Losses/m.cf.Areas)
+	for i, w := range c.Witnesses {
+		if s := m.emptiest(free, at); at[m.area(w)] > most && at[m.area(s)] < most && w.ID != m.self.ID {
+			return with(c.Witnesses, i, s)
+		}
+	}
+	return nil
+}
+
+func with(ss []crew.Seat, i int, s crew.Seat) []crew.Seat {
+	ss = slices.Clone(ss)
+	ss[i] = s
+	return ss
+}
+
+// panel gives the witnesses one step nearer to what is wanted, nil if all is well or nothing is to be had: more of them, a lost one replaced, or one moved.
 func (m *Member) panel(c *crew.Chart) []crew.Seat {
 	if ws := m.grown(c); ws != nil {
 		return ws
@@ -135,33 +163,18 @@
 	if len(free) == 0 {
 		return nil
 	}
-	put := func(i int, s crew.Seat) []crew.Seat {
-		ws := slices.Clone(c.Witnesses)
-		ws[i] = s
-		return ws
-	}
 	for i, w := range c.Witnesses {
 		if w.ID == m.self.ID {
 			continue
 		}
-		at := places(put(i, crew.Seat{}))
 		if j := slices.IndexFunc(free, func(s crew.Seat) bool { return s.Addr == w.Addr }); j >= 0 { // another disk at the witness's own address: it was wiped
-			return put(i, free[j])
+			return with(c.Witnesses, i, free[j])
 		}
 		if m.gone(w) {
-			return put(i, emptiest(free, at))
+			return with(c.Witnesses, i, m.emptiest(free, m.places(slices.Delete(slices.Clone(c.Witnesses), i, i+1))))
 		}
 	}
-	if m.cf.Zones == 0 {
-		return nil
-	}
-	at, most := places(c.Witnesses), max(1, m.cf.Losses/m.cf.Zones)
-	for i, w := range c.Witnesses {
-		if s := emptiest(free, at); at[w.Locality] > most && at[s.Locality] < most && w.ID != m.self.ID {
-			return put(i, s)
-		}
-	}
-	return nil
+	return m.spread(c)
 }
 
 func (m *Member) gone(w crew.Seat) bool {
--- a/tally/bearing_test.go
+++ b/tally/bearing_test.go
@@ -58,13 +58,34 @@
 		ch := c.m[p].Chart()
 		require.Len(t, ch.Copies(), c.losses+1)
 		require.Len(t, ch.Witnesses, 2*c.losses+1)
-		require.Greater(t, len(places(ch.Copies())), 1, "the loss of a zone leaves a copy")
-		for z, n := range places(ch.Witnesses) {
+		require.Greater(t, len(c.m[p].places(ch.Copies())), 1, "the loss of a zone leaves a copy")
+		for z, n := range c.m[p].places(ch.Witnesses) {
 			require.LessOrEqual(t, n, c.losses, "the loss of zone %s leaves a majority", z)
 		}
 	})
 }
 
+// TestARegionIsLost spreads over regions where these may go: seeds and copies of one region give way.
+func TestARegionIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := makeCrowd(1, "a1", "a2", "a3", "b1", "c1")
+		c.area = func(z string) string { return z[:1] }
+		c.startAll()
+		defer c.end()
+		time.Sleep(700 * time.Millisecond)
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		require.Equal(t, map[string]int{"a": 1, "b": 1, "c": 1}, c.m[p].places(c.m[p].Chart().Witnesses))
+		for i, z := range c.zone {
+			if c.area(z) == c.area(c.zone[p]) {
+				c.stop(i)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		c.holds(t, "first;")
+	})
+}
+
 // TestAnyDisksLostAfterAnAcknowledgement loses every set of disks that must be borne, with and without the power of all others.
 func TestAnyDisksLostAfterAnAcknowledgement(t *testing.T) {
 	for name, x := range layouts {
@@ -271,9 +292,7 @@
 		down := c.at(c.m[p].Chart().Backups[0])
 		c.stop(p)
 		c.stop(down)
-		c.zone, c.sc, c.m, c.l, c.st, c.lf = append(c.zone, "a"), append(c.sc, nil), append(c.m, nil), append(c.l, nil), append(c.st, nil), append(c.lf, nil)
-		c.wipe(5)
-		c.start(5)
+		c.start(c.add("a"))
 		time.Sleep(6 * time.Second)
 		q := c.holds(t, "first;")
 		require.NoError(t, c.propose(q, "second"))
--- a/tally/member.go
+++ b/tally/member.go
@@ -32,10 +32,11 @@
 type Config struct {
 	Addr     string
 	Locality string
-	Seeds    []string // crew addresses; at the first start the same for all
-	Losses   int      // members that may be lost at once; 0: one member alone may be primary
-	Zones    int      // localities that may be lost at once
-	Relay    bool     // it has no disk: it holds nothing, witnesses nothing and only learns the chart
+	Seeds    []string                     // crew addresses; at the first start the same for all
+	Losses   int                          // members that may be lost at once; 0: one member alone may be primary
+	Areas    int                          // areas that may be lost at once
+	Area     func(locality string) string // what a locality is lost with; nil: each by itself
+	Relay    bool                         // it has no disk: it holds nothing, witnesses nothing and only learns the chart
 	Store    Store
 	Machine  Machine
 	Caller   Caller
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -137,6 +137,7 @@
 	h      *hall
 	losses int
 	zone   []string
+	area   func(string) string
 	sc     []*scope.Scope
 	m      []*Member
 	l      []*lines
@@ -150,7 +151,7 @@
 	t.sc[i] = scope.New(slog.New(slog.DiscardHandler))
 	t.l[i] = &lines{}
 	t.lf[i] = &life{memory: t.st[i], h: t.h}
-	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Zones: 1, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
+	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
 	if err != nil {
 		panic(err)
 	}
@@ -184,16 +185,33 @@
 
 // startCrowd starts members in the localities named, all at once.
 func startCrowd(losses int, zones ...string) *crowd {
-	n := len(zones)
-	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses, zone: zones, sc: make([]*scope.Scope, n), m: make([]*Member, n), l: make([]*lines, n), st: make([]*memory, n), lf: make([]*life, n)}
-	for i := range n {
-		t.ids += 11
-		t.st[i] = &memory{id: t.ids}
-		t.start(i)
+	t := makeCrowd(losses, zones...)
+	t.startAll()
+	return t
+}
+
+func makeCrowd(losses int, zones ...string) *crowd {
+	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses}
+	for _, z := range zones {
+		t.add(z)
+		t.st[len(t.st)-1].late = false
 	}
 	return t
 }
 
+// add puts up one more machine, with an empty disk; it is not started.
+func (t *crowd) add(zone string) int {
+	t.zone, t.sc, t.m, t.l, t.st, t.lf = append(t.zone, zone), append(t.sc, nil), append(t.m, nil), append(t.l, nil), append(t.st, nil), append(t.lf, nil)
+	t.wipe(len(t.st) - 1)
+	return len(t.st) - 1
+}
+
+func (t *crowd) startAll() {
+	for i := range t.st {
+		t.start(i)
+	}
+}
+
 func newTrio() *crowd { return newCrowd(1, "a", "b", "c") }
 
 func (t *crowd) end() {
--- a/tally/view.go
+++ b/tally/view.go
@@ -47,7 +47,7 @@
 		lost = lost || p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit
 	}
 	m.mu.Unlock()
-	if lost || m.short() || m.narrow(c) || m.panel(c) != nil {
+	if lost || m.short() || m.panel(c) != nil {
 		m.urge(c.Epoch)
 		return
 	}
@@ -357,7 +357,7 @@
 	return true
 }
 
-// handOver gives the whole state to as many members as are wanted, all at once: other localities first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
+// handOver gives the whole state to as many members as are wanted, all at once: other areas first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
 func (m *Member) handOver(c *crew.Chart, h Held) []crew.Seat {
 	body := packHeld(h)
 	held := c
@@ -380,14 +380,14 @@
 		}
 		ends <- end{s, ok}
 	}
-	left, at := m.fitOnes(), map[string]int{m.self.Locality: 1}
+	left, at := m.fitOnes(), m.places([]crew.Seat{m.self})
 	var asked, out []crew.Seat
 	running, waited := 0, false
 	for {
 		for running+len(out) < m.copies()-1 && len(left) > 0 {
 			s := slices.MinFunc(left, func(a, b crew.Seat) int { return m.before(c, at, a, b) })
 			left = slices.DeleteFunc(left, func(x crew.Seat) bool { return x.ID == s.ID })
-			at[s.Locality]++
+			at[m.area(s)]++
 			asked = append(asked, s)
 			running++
 			go give(s)
@@ -409,7 +409,7 @@
 		if x.ok {
 			out = append(out, x.seat)
 		} else {
-			at[x.seat.Locality]--
+			at[m.area(x.seat)]--
 		}
 	}
 }
@@ -433,5 +433,5 @@
 		})
 		return n
 	}
-	return cmp.Or(cmp.Compare(missed(a), missed(b)), cmp.Compare(at[a.Locality], at[b.Locality]), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(missed(a), missed(b)), cmp.Compare(at[m.area(a)], at[m.area(b)]), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 }
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -65,8 +65,12 @@
 	if !ok {
 		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
 	}
+	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
+	if p.Env.Tolerance.Regions > 0 {
+		areas, area = p.Env.Tolerance.Regions, func(zone string) string { return p.Env.Zones[zone] }
+	}
 	m, err := tally.New(sc, tally.Config{
-		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Losses: losses, Zones: p.Env.Tolerance.Zones, Relay: !p.Env.Keeps(),
+		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Losses: losses, Areas: areas, Area: area, Relay: !p.Env.Keeps(),
 		Store: p.Store, Machine: h.state, Caller: lines, OnActive: h.begin, OnIdle: h.idle,
 	})
 	if err != nil {
