Large entries and checkpoints are given the time that the link needs

Cause: a call to a backup ended after 0.5 s whatever its size; 4 MB to two backups over 100 Mbit/s need 0.7 s, so such an order changed the chart.

Change: the wait grows with the bytes sent to all backups at 8 MB/s.

Measured: the new test changes the chart without it.

--- a/plate/plate.go
+++ b/plate/plate.go
@@ -43,6 +43,7 @@
 	RankWait   = 300 * time.Millisecond // each later backup takes over this much after the one before it, which needs tens of ms
 	LateAnswer = 50 * time.Millisecond  // a proposer that knows too few fit members waits so long for answers beyond the majority's
 	RefusedFor = 2 * time.Second        // a member that took no hand-over is not offered one for its own sake again before
+	LinkBytes  = 8 << 20                // bytes a second that a call may count on: a link of 100 Mbit/s less a third
 	LossesMost = 8                      // losses borne at once; more would need over 17 members
 )
 
--- a/tally/bearing.go
+++ b/tally/bearing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"shaletrestle/crew"
 	"shaletrestle/plate"
@@ -32,6 +33,11 @@
 	return min(len(c.Backups), max(0, len(c.Witnesses)-1)/2)
 }
 
+// sending is a wait and the time that many bytes take to several members over one link.
+func sending(d tick.Span, bytes, times int) tick.Span {
+	return d + tick.Span(bytes*times)*time.Second/plate.LinkBytes
+}
+
 func (m *Member) word() string {
 	switch {
 	case m.cf.Relay:
--- a/tally/bearing_test.go
+++ b/tally/bearing_test.go
@@ -406,6 +406,23 @@
 	})
 }
 
+// TestALargeEntryIsGivenTime sends 4 MB to two backups over a link that needs 0.7 s for them: no chart is changed.
+func TestALargeEntryIsGivenTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(2, "a", "b", "c", "d", "e")
+		defer c.end()
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		e := c.m[p].Chart().Epoch
+		c.h.rate = 6 << 20
+		require.NoError(t, c.propose(p, strings.Repeat("x", 4<<20)))
+		require.Equal(t, e, c.m[p].Chart().Epoch)
+		c.stop(p)
+		time.Sleep(4 * time.Second)
+		require.GreaterOrEqual(t, c.primary(), 0)
+	})
+}
+
 func TestAMemberWithoutADiskOnlyRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCrowd(1, "a", "b", "c")
--- a/tally/member.go
+++ b/tally/member.go
@@ -586,7 +586,7 @@
 	far := make(chan bool, len(c.Backups))
 	for _, b := range c.Backups {
 		go func() {
-			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, plate.CallWait)
+			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, sending(plate.CallWait, len(e), len(c.Backups)))
 			if err != nil {
 				m.mark(b.ID, func(p *peer) { p.missed = true })
 			} else if a.Chart != nil {
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -77,6 +77,7 @@
 	off  map[string]bool
 	cut  map[[2]string]bool // one way
 	drop func(addr string, n *crew.Note) bool
+	rate int // bytes a second of one call; 0: no bound
 }
 
 func (h *hall) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
@@ -84,6 +85,11 @@
 	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
 	h.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	if h.rate > 0 {
+		took := time.Duration(len(n.Body)) * time.Second / time.Duration(h.rate)
+		off = off || took > d
+		time.Sleep(min(took, d))
+	}
 	if m == nil || off || drop != nil && drop(addr, n) {
 		time.Sleep(d)
 		return nil, fault.New(fault.Unready, "lost")
--- a/tally/view.go
+++ b/tally/view.go
@@ -370,7 +370,7 @@
 	}
 	ends := make(chan end)
 	give := func(s crew.Seat) {
-		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, plate.TransferWait)
+		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, sending(plate.TransferWait, len(body), m.copies()-1))
 		ok := err == nil && a.OK
 		if !ok {
 			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, tick.Now() })
