--- a/tally/bearing_test.go
+++ b/tally/bearing_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,13 +58,34 @@
 		ch := c.m[p].Chart()
 		require.Len(t, ch.Copies(), c.losses+1)
 		require.Len(t, ch.Witnesses, 2*c.losses+1)
-		require.Greater(t, len(places(ch.Copies())), 1, "the loss of a zone leaves a copy")
-		for z, n := range places(ch.Witnesses) {
+		require.Greater(t, len(c.m[p].places(ch.Copies())), 1, "the loss of a zone leaves a copy")
+		for z, n := range c.m[p].places(ch.Witnesses) {
 			require.LessOrEqual(t, n, c.losses, "the loss of zone %s leaves a majority", z)
 		}
 	})
 }
 
+// TestARegionIsLost spreads over regions where these may go: seeds and copies of one region give way.
+func TestARegionIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := makeCrowd(1, "a1", "a2", "a3", "b1", "c1")
+		c.area = func(z string) string { return z[:1] }
+		c.startAll()
+		defer c.end()
+		time.Sleep(700 * time.Millisecond)
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		require.Equal(t, map[string]int{"a": 1, "b": 1, "c": 1}, c.m[p].places(c.m[p].Chart().Witnesses))
+		for i, z := range c.zone {
+			if c.area(z) == c.area(c.zone[p]) {
+				c.stop(i)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		c.holds(t, "first;")
+	})
+}
+
 // TestAnyDisksLostAfterAnAcknowledgement loses every set of disks that must be borne, with and without the power of all others.
 func TestAnyDisksLostAfterAnAcknowledgement(t *testing.T) {
 	for name, x := range layouts {
@@ -222,6 +244,19 @@
 	}
 }
 
+func TestALeavingPrimaryIsFollowedAtOnce(t *testing.T) {
+	eachLayout(t, func(t *testing.T, c *crowd) {
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		c.m[p].Leave()
+		time.Sleep(400 * time.Millisecond)
+		q := c.holds(t, "first;")
+		require.NotEqual(t, p, q)
+		require.NoError(t, c.propose(q, "second"))
+		require.Negative(t, index(c.m[q].Chart().Copies(), c.m[p].Self().ID))
+	})
+}
+
 // TestALossDuringTheFirstStart kills as many as must be borne while the first charts are made.
 func TestALossDuringTheFirstStart(t *testing.T) {
 	for at := 5 * time.Millisecond; at < 900*time.Millisecond; at += 35 * time.Millisecond {
@@ -257,9 +292,7 @@
 		down := c.at(c.m[p].Chart().Backups[0])
 		c.stop(p)
 		c.stop(down)
-		c.zone, c.sc, c.m, c.l, c.st, c.lf = append(c.zone, "a"), append(c.sc, nil), append(c.m, nil), append(c.l, nil), append(c.st, nil), append(c.lf, nil)
-		c.wipe(5)
-		c.start(5)
+		c.start(c.add("a"))
 		time.Sleep(6 * time.Second)
 		q := c.holds(t, "first;")
 		require.NoError(t, c.propose(q, "second"))
@@ -284,13 +317,13 @@
 		require.NoError(t, c.propose(p, "first"))
 		require.Len(t, c.m[p].Chart().Copies(), 3)
 		b := c.at(c.m[p].Chart().Backups[1])
-		c.st[b].full = true
+		c.st[b].full.Store(true)
 		require.NoError(t, c.propose(p, "second"))
 		require.Len(t, c.m[p].Chart().Copies(), 2)
 		e := c.m[p].Chart().Epoch
 		time.Sleep(10 * time.Second)
 		require.LessOrEqual(t, c.m[p].Chart().Epoch-e, uint64(6))
-		c.st[b].full = false
+		c.st[b].full.Store(false)
 		time.Sleep(4 * time.Second)
 		require.Len(t, c.m[p].Chart().Copies(), 3)
 		c.holds(t, "first;second;")
@@ -333,11 +366,13 @@
 		require.NoError(t, c.propose(p, "first"))
 		ch := c.m[p].Chart()
 		b := c.at(ch.Backups[0])
-		tried := false
+		var tried atomic.Bool
 		c.h.mu.Lock()
 		c.h.drop = func(addr string, n *crew.Note) bool {
 			mine := n.From.ID == ch.Backups[0].ID
-			tried = tried || mine && n.Kind == crew.Accept
+			if mine && n.Kind == crew.Accept {
+				tried.Store(true)
+			}
 			return mine && n.Kind == crew.Accept || !mine && n.Kind == crew.Prepare || n.Kind == crew.Checkpoint && addr == ch.Primary.Addr
 		}
 		c.h.mu.Unlock()
@@ -371,6 +406,23 @@
 	})
 }
 
+// TestALargeEntryIsGivenTime sends 4 MB to two backups over a link that needs 0.7 s for them: no chart is changed.
+func TestALargeEntryIsGivenTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(2, "a", "b", "c", "d", "e")
+		defer c.end()
+		p := c.primary()
+		require.NoError(t, c.propose(p, "first"))
+		e := c.m[p].Chart().Epoch
+		c.h.rate = 6 << 20
+		require.NoError(t, c.propose(p, strings.Repeat("x", 4<<20)))
+		require.Equal(t, e, c.m[p].Chart().Epoch)
+		c.stop(p)
+		time.Sleep(4 * time.Second)
+		require.GreaterOrEqual(t, c.primary(), 0)
+	})
+}
+
 func TestAMemberWithoutADiskOnlyRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCrowd(1, "a", "b", "c")
@@ -428,7 +480,7 @@
 	})
 }
 
-// TestSchedules plays random kills, wipes, cuts, losses of notes and restarts, never more at once than must be borne, among proposals. A confirmed primary must hold all that was acknowledged before it was asked.
+// TestSchedules plays random kills, wipes, cuts, full disks, losses of notes and restarts, never more at once than must be borne, among proposals. A confirmed primary must hold all that was acknowledged before it was asked.
 func TestSchedules(t *testing.T) {
 	for name, x := range layouts {
 		for seed := range 60 {
@@ -456,18 +508,16 @@
 		}
 		return ""
 	}
-	judge := func(i int) bool {
-		m, l := c.m[i], c.l[i]
+	judge := func(m *Member, l *lines, f *life) bool {
 		mu.Lock()
 		n := len(acked)
 		mu.Unlock()
-		if c.sc[i].Ended() || !m.Confirmed() {
+		if f.dead.Load() || !m.Confirmed() {
 			return false
 		}
 		require.Empty(t, missing(string(l.Checkpoint()), n), "acknowledged, and not read")
 		return true
 	}
-	// the crowd changes only here, so that what a proposer or a reader uses belongs to one life
 	var busy sync.WaitGroup
 	span := func(most time.Duration) time.Duration { return time.Duration(r.Int63n(int64(most))) }
 	for round := range 3 {
@@ -482,7 +532,7 @@
 		plan := func(at time.Duration, f func()) { acts = append(acts, act{at, f}) }
 		for _, v := range victims {
 			from, long := span(2*time.Second), span(4*time.Second)
-			switch r.Intn(4) {
+			switch r.Intn(5) {
 			case 0:
 				plan(from, func() { c.stop(v) })
 			case 1, 2:
@@ -497,8 +547,11 @@
 					}
 					c.h.mu.Unlock()
 				})
+			case 4:
+				plan(from, func() { c.st[v].full.Store(true) })
 			}
 			plan(from+long, func() {
+				c.st[v].full.Store(false)
 				if c.sc[v].Ended() {
 					c.start(v)
 				}
@@ -525,11 +578,12 @@
 			name := fmt.Sprint(round, "-", at.Milliseconds())
 			plan(at, func() {
 				for i, m := range c.m {
-					if _, on := m.Active(); on && !c.sc[i].Ended() {
+					f := c.lf[i]
+					if _, on := m.Active(); on && !f.dead.Load() {
 						busy.Add(1)
 						go func() {
 							defer busy.Done()
-							if m.Propose(func() ([]byte, error) { return []byte(name), nil }) == nil && !c.lf[i].dead.Load() && c.m[i] == m {
+							if m.Propose(func() ([]byte, error) { return []byte(name), nil }) == nil && !f.dead.Load() {
 								mu.Lock()
 								acked = append(acked, name)
 								mu.Unlock()
@@ -539,9 +593,10 @@
 				}
 			})
 			plan(at, func() {
-				for i := range c.m {
+				for i, m := range c.m {
+					l, f := c.l[i], c.lf[i]
 					busy.Add(1)
-					go func() { defer busy.Done(); judge(i) }()
+					go func() { defer busy.Done(); judge(m, l, f) }()
 				}
 			})
 		}
@@ -574,7 +629,7 @@
 		time.Sleep(7 * time.Second) // they count as lost no more
 		p := c.primary()
 		require.GreaterOrEqual(t, p, 0, "nobody is primary")
-		require.True(t, judge(p))
+		require.True(t, judge(c.m[p], c.l[p], c.lf[p]))
 		require.Len(t, c.m[p].Chart().Copies(), c.losses+1)
 		require.Len(t, c.m[p].Chart().Witnesses, 2*c.losses+1)
 	}
--- a/tally/member.go
+++ b/tally/member.go
@@ -32,10 +32,11 @@
 type Config struct {
 	Addr     string
 	Locality string
-	Seeds    []string // crew addresses; at the first start the same for all
-	Losses   int      // members that may be lost at once; 0: one member alone may be primary
-	Zones    int      // localities that may be lost at once
-	Relay    bool     // it has no disk: it holds nothing, witnesses nothing and only learns the chart
+	Seeds    []string                     // crew addresses; at the first start the same for all
+	Losses   int                          // members that may be lost at once; 0: one member alone may be primary
+	Areas    int                          // areas that may be lost at once
+	Area     func(locality string) string // what a locality is lost with; nil: each by itself
+	Relay    bool                         // it has no disk: it holds nothing, witnesses nothing and only learns the chart
 	Store    Store
 	Machine  Machine
 	Caller   Caller
@@ -325,6 +326,9 @@
 	}
 	a := n.Reply(false)
 	a.From = m.self
+	if n.Kind == crew.Prepare && m.fit() { // it may be asked to be a copy, also if it is not the disk that was meant
+		a.Number = 1
+	}
 	if n.To != 0 && n.To != m.self.ID {
 		a.Word = "another disk is here"
 		return a, true
@@ -582,7 +586,7 @@
 	far := make(chan bool, len(c.Backups))
 	for _, b := range c.Backups {
 		go func() {
-			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, plate.CallWait)
+			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, sending(plate.CallWait, len(e), len(c.Backups)))
 			if err != nil {
 				m.mark(b.ID, func(p *peer) { p.missed = true })
 			} else if a.Chart != nil {
--- a/tally/member_test.go
+++ b/tally/member_test.go
@@ -31,20 +31,44 @@
 
 // memory is a store that fails only when it is full.
 type memory struct {
+	mu   sync.Mutex
 	id   uint64
 	late bool // made after the first start
-	full bool
+	full atomic.Bool
 	reg  Register
 	held Held
 }
 
-func (m *memory) Identity() (uint64, bool)      { return m.id, !m.late }
-func (m *memory) LoadRegister() Register        { return m.reg }
-func (m *memory) SaveRegister(r Register) error { m.reg = r; return nil }
-func (m *memory) Load() Held                    { return m.held }
-func (m *memory) Reset(h Held) error            { m.held = h; return nil }
-func (m *memory) Append(e []byte) error         { m.held.Tail = append(m.held.Tail, e); return nil }
-func (m *memory) Size() int                     { return 0 }
+func (m *memory) Identity() (uint64, bool) { return m.id, !m.late }
+func (m *memory) LoadRegister() Register {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reg
+}
+func (m *memory) SaveRegister(r Register) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reg = r
+	return nil
+}
+func (m *memory) Load() Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Held{m.held.Tag, m.held.Base, slices.Clone(m.held.Tail)}
+}
+func (m *memory) Reset(h Held) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = Held{h.Tag, h.Base, slices.Clone(h.Tail)}
+	return nil
+}
+func (m *memory) Append(e []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held.Tail = append(m.held.Tail, e)
+	return nil
+}
+func (m *memory) Size() int { return 0 }
 
 // hall carries notes between members of one process; some steps may be lost.
 type hall struct {
@@ -53,6 +77,7 @@
 	off  map[string]bool
 	cut  map[[2]string]bool // one way
 	drop func(addr string, n *crew.Note) bool
+	rate int // bytes a second of one call; 0: no bound
 }
 
 func (h *hall) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
@@ -60,6 +85,11 @@
 	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
 	h.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	if h.rate > 0 {
+		took := time.Duration(len(n.Body)) * time.Second / time.Duration(h.rate)
+		off = off || took > d
+		time.Sleep(min(took, d))
+	}
 	if m == nil || off || drop != nil && drop(addr, n) {
 		time.Sleep(d)
 		return nil, fault.New(fault.Unready, "lost")
@@ -89,7 +119,7 @@
 	if l.dead.Load() {
 		return errDead
 	}
-	if l.full {
+	if l.full.Load() {
 		return fault.New(fault.Unready, "the disk is full")
 	}
 	return f()
@@ -113,6 +143,7 @@
 	h      *hall
 	losses int
 	zone   []string
+	area   func(string) string
 	sc     []*scope.Scope
 	m      []*Member
 	l      []*lines
@@ -126,7 +157,7 @@
 	t.sc[i] = scope.New(slog.New(slog.DiscardHandler))
 	t.l[i] = &lines{}
 	t.lf[i] = &life{memory: t.st[i], h: t.h}
-	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Zones: 1, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
+	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
 	if err != nil {
 		panic(err)
 	}
@@ -160,16 +191,33 @@
 
 // startCrowd starts members in the localities named, all at once.
 func startCrowd(losses int, zones ...string) *crowd {
-	n := len(zones)
-	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses, zone: zones, sc: make([]*scope.Scope, n), m: make([]*Member, n), l: make([]*lines, n), st: make([]*memory, n), lf: make([]*life, n)}
-	for i := range n {
-		t.ids += 11
-		t.st[i] = &memory{id: t.ids}
-		t.start(i)
+	t := makeCrowd(losses, zones...)
+	t.startAll()
+	return t
+}
+
+func makeCrowd(losses int, zones ...string) *crowd {
+	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses}
+	for _, z := range zones {
+		t.add(z)
+		t.st[len(t.st)-1].late = false
 	}
 	return t
 }
 
+// add puts up one more machine, with an empty disk; it is not started.
+func (t *crowd) add(zone string) int {
+	t.zone, t.sc, t.m, t.l, t.st, t.lf = append(t.zone, zone), append(t.sc, nil), append(t.m, nil), append(t.l, nil), append(t.st, nil), append(t.lf, nil)
+	t.wipe(len(t.st) - 1)
+	return len(t.st) - 1
+}
+
+func (t *crowd) startAll() {
+	for i := range t.st {
+		t.start(i)
+	}
+}
+
 func newTrio() *crowd { return newCrowd(1, "a", "b", "c") }
 
 func (t *crowd) end() {
--- a/tally/view.go
+++ b/tally/view.go
@@ -47,7 +47,7 @@
 		lost = lost || p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit
 	}
 	m.mu.Unlock()
-	if lost || m.short() || m.narrow(c) || m.panel(c) != nil {
+	if lost || m.short() || m.panel(c) != nil {
 		m.urge(c.Epoch)
 		return
 	}
@@ -209,6 +209,8 @@
 			a, err := m.cf.Caller.Call(s.Addr, &x, d)
 			if err != nil {
 				a = nil
+			} else if n.Kind == crew.Prepare { // it lives, and may be asked to be a copy
+				m.saw(a.From, a.Number == 1)
 			}
 			ch <- a
 		}()
@@ -286,7 +288,6 @@
 	as := m.ask(c.Witnesses, &crew.Note{Kind: crew.Prepare, Epoch: e, Ballot: bal, Held: c}, plate.CallWait)
 	var held *crew.Note
 	for _, a := range as {
-		m.saw(a.From, true)
 		if m.learn(a.Chart) {
 			return fail("a newer view is known")
 		}
@@ -356,7 +357,7 @@
 	return true
 }
 
-// handOver gives the whole state to as many members as are wanted, all at once: other localities first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
+// handOver gives the whole state to as many members as are wanted, all at once: other areas first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
 func (m *Member) handOver(c *crew.Chart, h Held) []crew.Seat {
 	body := packHeld(h)
 	held := c
@@ -369,7 +370,7 @@
 	}
 	ends := make(chan end)
 	give := func(s crew.Seat) {
-		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, plate.TransferWait)
+		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, sending(plate.TransferWait, len(body), m.copies()-1))
 		ok := err == nil && a.OK
 		if !ok {
 			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, tick.Now() })
@@ -379,18 +380,26 @@
 		}
 		ends <- end{s, ok}
 	}
-	left, at := m.fitOnes(), map[string]int{m.self.Locality: 1}
+	left, at := m.fitOnes(), m.places([]crew.Seat{m.self})
 	var asked, out []crew.Seat
-	running := 0
+	running, waited := 0, false
 	for {
 		for running+len(out) < m.copies()-1 && len(left) > 0 {
 			s := slices.MinFunc(left, func(a, b crew.Seat) int { return m.before(c, at, a, b) })
 			left = slices.DeleteFunc(left, func(x crew.Seat) bool { return x.ID == s.ID })
-			at[s.Locality]++
+			at[m.area(s)]++
 			asked = append(asked, s)
 			running++
 			go give(s)
 		}
+		if running == 0 && 1+len(out) < m.fewest(c) && !waited { // the others' promises may be under way still
+			waited = true
+			tick.Rest(m.sc, plate.LateAnswer)
+			left = slices.DeleteFunc(m.fitOnes(), func(s crew.Seat) bool { return index(asked, s.ID) >= 0 })
+			if len(left) > 0 {
+				continue
+			}
+		}
 		if running == 0 {
 			sort.Slice(out, func(i, j int) bool { return index(asked, out[i].ID) < index(asked, out[j].ID) })
 			return out
@@ -400,7 +409,7 @@
 		if x.ok {
 			out = append(out, x.seat)
 		} else {
-			at[x.seat.Locality]--
+			at[m.area(x.seat)]--
 		}
 	}
 }
@@ -424,5 +433,5 @@
 		})
 		return n
 	}
-	return cmp.Or(cmp.Compare(missed(a), missed(b)), cmp.Compare(at[a.Locality], at[b.Locality]), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(missed(a), missed(b)), cmp.Compare(at[m.area(a)], at[m.area(b)]), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID))
 }
