Homes over all replicas, groups by first part taken out; shared blocks weigh 16

Groups of homes by a prompt's first part were to save its reading on every replica. Nodes judged its share of the traffic from too little and disagreed, so prompts had two homes; and the load was less even.

--- a/berth/candidates.go
+++ b/berth/candidates.go
@@ -68,7 +68,7 @@
 	}
 	last := rank(uint64(k), l[len(l)-1])
 	for _, b := range added {
-		if len(l) < plate.GroupMost || rank(uint64(k), b) > last {
+		if len(l) < plate.HomeDepth || rank(uint64(k), b) > last {
 			return true
 		}
 	}
@@ -88,7 +88,7 @@
 		b *berth
 		r uint64
 	}
-	var top [plate.GroupMost]ranked
+	var top [plate.HomeDepth]ranked
 	n := 0
 	for _, b := range p.all { // insertion into a short sorted list
 		x := ranked{b, rank(uint64(k), b)}
@@ -114,18 +114,6 @@
 	return l
 }
 
-// group is the replicas among which a chain's homes are: those of its first part, where that is a good piece of what is shared and not too large a piece of the traffic, else those of all that is shared.
-func (y *Yard) group(p *pool, c *kerf.Chain) []*berth {
-	if s := c.Shared(); y.opts.Group > 1 && s > 1 && float64(c.Upto[0]) >= plate.GroupTokens*float64(c.Upto[s-1]) {
-		n := len(p.all)
-		g := min(max(n/y.opts.Group, plate.GroupLeast), plate.GroupMost, n)
-		if share := y.index.Share(c.Keys[0]); share*float64(n)*plate.GroupShare <= float64(g) {
-			return p.bucket(c.Keys[0])[:g]
-		}
-	}
-	return p.bucket(c.Head())
-}
-
 // candidate is a replica that is weighed.
 type candidate struct {
 	b       *berth
@@ -159,7 +147,7 @@
 	var top [plate.Homes]*berth
 	var ranks [plate.Homes]uint64
 	n, head := 0, uint64(a.Chain.Head())
-	for _, b := range y.group(p, a.Chain) {
+	for _, b := range p.bucket(a.Chain.Head()) {
 		if !y.warm(a, b, now) {
 			continue
 		}
@@ -198,7 +186,7 @@
 	return nil
 }
 
-// scan looks through a whole list, which only is needed when hardly any of it may be used, and draws one; a cold one counts only if no other may be used.
+// scan looks through a whole list and draws one that may be used; it is needed only when hardly any may be.
 func (y *Yard) scan(a *Ask, bs []*berth, now tick.Moment) (pick *berth) {
 	n := 0
 	for _, b := range bs {
--- a/berth/candidates_test.go
+++ b/berth/candidates_test.go
@@ -164,39 +164,19 @@
 	}
 }
 
-func grouped(first, doc uint64) *kerf.Chain {
-	return kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: first, Tokens: 340}, {ID: 1000 + doc, Tokens: 220}, {ID: 1e6 + doc, Tokens: 1800}})
-}
-
-func TestAFirstPartsPromptsStayWithinAGroupUnlessTheyAreMuchOfTheTraffic(t *testing.T) {
-	x := kerf.NewIndex()
-	y := NewYard(x)
+func TestHomesSpreadEvenly(t *testing.T) {
+	y := NewYard(kerf.NewIndex())
 	y.Set(fleet(90), nil, 0)
-	at := map[uint64]map[string]bool{}
-	place := func(first, doc uint64) {
-		c := grouped(first, doc)
-		got, ok := y.Place(ask(c))
-		require.True(t, ok)
-		x.Sent(got.Replica.ID, 100000, c, "p")
-		y.Done(&End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched})
-		if at[first] == nil {
-			at[first] = map[string]bool{}
-		}
-		at[first][got.Replica.ID] = true
-	}
-	for doc := range uint64(60) {
-		for first := range uint64(40) {
-			place(first, doc)
-		}
-	}
-	for first := range uint64(40) {
-		require.LessOrEqual(t, len(at[first]), 90/plate.GroupPart, "one in so many of them")
-		require.Greater(t, len(at[first]), 90/plate.GroupPart/2)
+	at := map[string]int{}
+	for doc := range uint64(20000) {
+		var s bunch
+		y.addHomes(&s, y.pools["p"], ask(chain(10+doc, 50)), tick.Now())
+		require.Equal(t, plate.Homes, s.n)
+		at[s.at[0].b.r.ID]++
 	}
-	for doc := range uint64(2000) {
-		place(7, 100+doc)
+	for id := range y.b {
+		require.InDelta(t, 20000/90.0, at[id], 20000/90.0*0.4, id)
 	}
-	require.Greater(t, len(at[7]), 60, "much of the traffic: all of them")
 }
 
 func TestWarmBeforeColdAlsoWhenHardlyAnyIsWarm(t *testing.T) {
--- a/berth/cost_test.go
+++ b/berth/cost_test.go
@@ -89,7 +89,8 @@
 func TestAPromptInAHurryWeighsSharedBlocksOnce(t *testing.T) {
 	o := Defaults()
 	a := ask(chain(7, 10))
-	require.InDelta(t, o.Reread, o.shared(a, 35e-6), 0.6)
+	slack := 1 - (10*35e-6+plate.FirstBase.Seconds())/a.Aim.Seconds()
+	require.InDelta(t, 1+(o.Reread-1)*slack, o.shared(a, 35e-6), 1e-9)
 	a.Chain = chain(7, 100000)
 	require.Equal(t, 1.0, o.shared(a, 35e-6))
 }
@@ -147,7 +148,6 @@
 		func(o *Options) { o.PrefillScale = math.NaN() },
 		func(o *Options) { o.Reread = math.Inf(1) },
 		func(o *Options) { o.Block = 0 },
-		func(o *Options) { o.Group = 0 },
 	} {
 		o := Defaults()
 		f(&o)
--- a/berth/options.go
+++ b/berth/options.go
@@ -9,22 +9,21 @@
 
 // Options of the placement policy. Loads are counted in blocks.
 type Options struct {
-	Block        int     `yaml:"block_tokens"`         // tokens a block
-	Credit       float64 `yaml:"overlap_credit"`       // blocks of credit for a block that the index names
-	Reread       float64 `yaml:"reread_weight"`        // blocks that a shared block counts for where it must be read, and its credit where it need not
-	PrefillScale float64 `yaml:"prefill_load_scale"`   // decode blocks that weigh as much as one block to be read
-	Active       bool    `yaml:"count_active"`         // whether active requests count
-	ActiveWeight float64 `yaml:"active_weight"`        // decode blocks that one of them counts for
-	Decay        float64 `yaml:"credit_decay_blocks"`  // blocks in line at which credit is halved; 0: never
-	Away         float64 `yaml:"other_zone_blocks"`    // blocks to be read that another locality counts for
-	Full         float64 `yaml:"full_mark"`            // part of slots or memory beyond which requests wait or are read anew
-	Group        int     `yaml:"first_part_group_div"` // a first part's prompts stay within one in so many replicas; 1: no groups
+	Block        int     `yaml:"block_tokens"`        // tokens a block
+	Credit       float64 `yaml:"overlap_credit"`      // blocks of credit for a block that the index names
+	Reread       float64 `yaml:"reread_weight"`       // blocks that a shared block counts for where it must be read, and its credit where it need not
+	PrefillScale float64 `yaml:"prefill_load_scale"`  // decode blocks that weigh as much as one block to be read
+	Active       bool    `yaml:"count_active"`        // whether active requests count
+	ActiveWeight float64 `yaml:"active_weight"`       // decode blocks that one of them counts for
+	Decay        float64 `yaml:"credit_decay_blocks"` // blocks in line at which credit is halved; 0: never
+	Away         float64 `yaml:"other_zone_blocks"`   // blocks to be read that another locality counts for
+	Full         float64 `yaml:"full_mark"`           // part of slots or memory beyond which requests wait or are read anew
 }
 
 // Defaults are the options of a settings file that names none.
 func Defaults() Options {
 	return Options{Block: plate.BlockTokens, Credit: plate.CreditHeld, Reread: plate.RereadWeight, PrefillScale: plate.PrefillScale, Active: true,
-		ActiveWeight: plate.ActiveWeight, Decay: plate.DecayBlocks, Away: plate.AwayBlocks, Full: plate.Spill, Group: plate.GroupPart}
+		ActiveWeight: plate.ActiveWeight, Decay: plate.DecayBlocks, Away: plate.AwayBlocks, Full: plate.Spill}
 }
 
 // Check tells what is wrong with the options.
@@ -38,8 +37,8 @@
 			return fault.New(fault.BadEnv, "settings: placement.%s must be a number of 0 or more", x.f)
 		}
 	}
-	if o.Block < 1 || o.Group < 1 {
-		return fault.New(fault.BadEnv, "settings: placement.block_tokens and first_part_group_div must be 1 or more")
+	if o.Block < 1 {
+		return fault.New(fault.BadEnv, "settings: placement.block_tokens must be 1 or more")
 	}
 	return nil
 }
--- a/kerf/holders.go
+++ b/kerf/holders.go
@@ -54,16 +54,6 @@
 	}
 }
 
-// Share is the part of the chains seen of late that had a run; 0 before enough were seen to tell.
-func (x *Index) Share(k Key) float64 {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.chains < plate.GroupSight {
-		return 0
-	}
-	return float64(x.sketch.Count(k)) / float64(x.chains)
-}
-
 // Forget drops what one replica is believed to keep.
 func (x *Index) Forget(id string) {
 	x.mu.Lock()
--- a/kerf/holders_test.go
+++ b/kerf/holders_test.go
@@ -76,20 +76,6 @@
 	require.Len(t, x.Holders(c, make([]string, 0, 4), anyone), 4)
 }
 
-func TestShareIsThePartOfTheChainsThatHadARun(t *testing.T) {
-	x := NewIndex()
-	one := chain(Part{1, 100}, Part{2, 100})
-	require.Zero(t, x.Share(one.Keys[0]), "nothing seen yet")
-	for i := range 3 * plate.SketchDecay {
-		c := chain(Part{uint64(2 + i%9), 100}, Part{uint64(i), 10}, Part{uint64(i + 1), 10})
-		if i%10 == 0 {
-			c = one
-		}
-		x.Sent("r", 1<<20, c, "own")
-	}
-	require.InDelta(t, 0.1, x.Share(one.Keys[0]), 0.03)
-}
-
 func TestOtherBlockSizesCutElsewhere(t *testing.T) {
 	x := NewIndex()
 	x.Cut(64)
--- a/kerf/index.go
+++ b/kerf/index.go
@@ -73,7 +73,6 @@
 	owners  map[string]*list.List
 	holders map[Key][]*run // the reverse: who keeps a run
 	block   int
-	chains  int // sightings of chains, halved with the sketch
 	runs    int
 	hits    int64
 	asked   int64
@@ -127,16 +126,11 @@
 		need++ // thrash: be more selective
 	}
 	upto, count := 0, 0
-	x.chains++
-	adds := x.sketch.adds
 	for i, k := range c.Keys { // every part is counted, also behind one that is seen for the first time
 		if n := x.sketch.Add(k); n >= need && upto == i {
 			upto, count = i+1, n
 		}
 	}
-	if x.sketch.adds < adds {
-		x.chains /= 2
-	}
 	if upto == 0 {
 		return
 	}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -143,17 +143,12 @@
 // Placement of prompts: the cost's options and the search for candidates.
 const (
 	CreditHeld   = 1.0             // blocks of credit for a block that the index names (source)
-	RereadWeight = 8.0             // blocks that a shared block counts for: reading it where it is not kept costs its time, and room and wavering besides
+	RereadWeight = 16.0            // blocks that a shared block counts for: reading it where it is not kept costs its time, and room and wavering besides
 	PrefillScale = 64.0            // prefill_load_scale: decode blocks that weigh as much as one block to be read; memory held hardly slows a step, reading does
 	ActiveWeight = 64.0            // decode blocks that one active request counts for: about a block's reading, for its part of each step
 	AwayBlocks   = 16.0            // blocks to be read that another locality counts for: a way there and back takes about as long
 	DecayBlocks  = 0.0             // blocks in line at which credit is halved; 0: it does not decay, the line itself already weighs against it
-	GroupPart    = 4               // a first part's prompts stay within one in so many replicas of a service
-	GroupLeast   = 4               // and at least so many
-	GroupMost    = 32              // candidates that are ranked exactly for a home; a bucket keeps as many
-	GroupShare   = 3.0             // a first part with more than one in so many of its group's fair load has all replicas
-	GroupTokens  = 0.25            // and so has one that is less than this part of what its prompts share
-	GroupSight   = 64              // prompts seen before a first part's share is judged
+	HomeDepth    = 32              // replicas a bucket keeps, among which homes are ranked by the key itself: their number evens the load out
 	HomeBuckets  = 4096            // buckets of keys with their replicas in rendezvous order, filled when first used
 	HoldersMost  = 6               // replicas named by the index that become candidates
 	HoldersSeen  = 24              // and entries looked at to find them
