--- a/berth/candidates_test.go
+++ b/berth/candidates_test.go
@@ -89,10 +89,10 @@
 			x.Sent(got.Replica.ID, a.Capacity, c, "p")
 			e := &End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched, OutMost: a.OutMost}
 			read := plate.FirstBase + time.Duration(float64(c.Tokens()-got.Matched)*9e3)
-			hold := time.Duration(r.IntN(2000)) * time.Millisecond
+			hold, runs := time.Duration(r.IntN(2000))*time.Millisecond, float64(r.IntN(5))
 			go func() {
 				time.Sleep(read)
-				y.Told(e.Replica, float64(r.IntN(5)), 0, 8)
+				y.Told(e.Replica, runs, 0, 8)
 				y.Began(e, read, got.Expect)
 				time.Sleep(hold)
 				y.Done(e)
--- a/gatehouse/shares_test.go
+++ b/gatehouse/shares_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"sort"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/berth"
+	"shaletrestle/blade"
+	"shaletrestle/crew"
+	"shaletrestle/env"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
+	"shaletrestle/scope"
 )
 
 func TestColdSharesAreThoseOfTheFirstNodesByRendezvous(t *testing.T) {
@@ -56,3 +62,29 @@
 	require.Zero(t, w.of("q", "n"))
 	require.Zero(t, newWeights(nil).of("p", "m"))
 }
+
+func TestSharesAndWeightsFollowTheView(t *testing.T) {
+	sc := scope.New(slog.New(slog.DiscardHandler))
+	defer sc.Stop()
+	e := &env.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: berth.Defaults()}
+	e.Limits.MemoryMB = 100
+	g := New(sc, Plan{Env: e, Net: crew.TCP{}, Dialer: blade.TCP{}})
+	require.Equal(t, 20*plate.ColdMargin/plate.FleetGuess, g.cold.Load().rate(20, "r"))
+	self := e.Port(plate.PortGate)
+	fold := func(e *logbook.Event) { g.book.Fold(e.Encode()) }
+	fold(&logbook.Event{Kind: logbook.Fleet, Size: 2, Nodes: []string{self, "10.0.0.2:702"}})
+	require.Equal(t, 20*plate.ColdMargin/2, g.cold.Load().rate(20, "r"))
+	fold(&logbook.Event{Kind: logbook.List, Replicas: []*logbook.Replica{{ID: "r", Pool: "p", State: "ready", Models: []logbook.Model{{Name: "m", Revision: 4}}}}})
+	require.Equal(t, int64(4), g.weights.Load().of("p", "m"))
+	require.True(t, g.yard.May("r"))
+	require.Equal(t, 20*plate.ColdMargin/2, g.cold.Load().rate(20, "r"), "a list leaves the shares")
+	fold(&logbook.Event{Kind: logbook.Fleet, Size: 1, Nodes: []string{"10.0.0.2:702"}})
+	require.Zero(t, g.cold.Load().rate(20, "r"))
+	require.True(t, g.yard.May("r"), "a change of the fleet leaves the replicas")
+	fold(&logbook.Event{Kind: logbook.Evacuate, Locality: ""})
+	require.False(t, g.yard.May("r"))
+	o := *e
+	o.IP, o.Placement.PrefillScale = "10.0.0.2", 7
+	g.Reload(&o)
+	require.Equal(t, 20*plate.ColdMargin, g.cold.Load().rate(20, "r"))
+}
