--- a/berth/cost.go
+++ b/berth/cost.go
@@ -126,7 +126,7 @@
 	l.IncomingActive = math.Ceil(float64(a.Chain.Tokens()+a.OutMost) / block)
 	prompt := max(y.prompt/block, 0)
 	run, wait := b.busyness(p, now), b.queued(now)
-	l.ActivePrefill = max(b.tokens/block, wait*prompt, b.late(now)/max(y.prefill*block, 1e-9))
+	l.ActivePrefill = max((b.tokens+b.others(now))/block, wait*prompt, b.late(now)/max(y.prefill*block, 1e-9))
 	l.ActiveDecode = max(b.kv, run*p.hold) / block
 	// what is over the mark waits for a place or is put back and read anew: it counts as reading
 	if over := run + wait + 1 - y.opts.Full*b.places(); over > 0 {
--- /dev/null
+++ b/berth/waiting.go
@@ -0,0 +1,54 @@
+package berth
+
+import (
+	"cmp"
+	"slices"
+
+	"shaletrestle/deck"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// Waiting is what this process has sent to replicas that they have not read yet, to be told to the fleet.
+func (y *Yard) Waiting() []deck.Pile {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	var ps []deck.Pile
+	for _, b := range y.b {
+		if b.said = uint32(b.tokens); b.said > 0 {
+			ps = append(ps, deck.Pile{Key: b.key, Tokens: b.said})
+		}
+	}
+	slices.SortFunc(ps, func(a, b deck.Pile) int { return cmp.Compare(a.Key, b.Key) })
+	return ps
+}
+
+// Hear takes the fleet's sum of what waits. Only what stands out counts: the sum is some hundred ms old when it comes, and where all are busy alike a prompt is read soonest where its shared parts are.
+func (y *Yard) Hear(ps []deck.Pile) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	now := tick.Now()
+	of := make(map[uint32]uint32, len(ps))
+	for _, p := range ps {
+		of[p.Key] = p.Tokens
+	}
+	for _, p := range y.pools {
+		sum := 0.0
+		for _, b := range p.all {
+			sum += float64(of[b.key])
+		}
+		usual := plate.DeckMean*sum/float64(max(1, len(p.all))) + plate.DeckLeast
+		for _, b := range p.all {
+			b.fleet, b.fleetAt = max(0, float64(of[b.key])-float64(b.said)-usual), now
+		}
+	}
+}
+
+// others is what other nodes have waiting at a replica beyond the usual, in tokens, fading.
+func (b *berth) others(now tick.Moment) float64 {
+	age := now.Sub(b.fleetAt)
+	if age >= plate.DeckSpan {
+		return 0
+	}
+	return b.fleet * (1 - float64(age)/float64(plate.DeckSpan))
+}
--- /dev/null
+++ b/berth/waiting_test.go
@@ -0,0 +1,65 @@
+package berth
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/deck"
+	"shaletrestle/kerf"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+func TestAPromptPassesByAReplicaWhereOthersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sum := deck.NewSum()
+		here, there := NewYard(kerf.NewIndex()), NewYard(kerf.NewIndex())
+		here.Set(fleet(9), nil, 0)
+		there.Set(fleet(9), nil, 0)
+		short := func() *Ask { return ask(kerf.NewChain(kerf.Root("m", 1), chain(7, 50).Parts[:2])) }
+		home, ok := here.Place(short())
+		require.True(t, ok)
+		here.Done(&End{Replica: home.Replica.ID, Chain: short().Chain})
+		for range 40 { // another node's prompts, all for the same home
+			a := ask(chain(7, 6000))
+			a.Capacity = 1 << 30
+			y := there.b[home.Replica.ID]
+			y.tokens += float64(a.Chain.Tokens())
+		}
+		sum.Put(1, here.Waiting(), tick.Now())
+		sum.Put(2, there.Waiting(), tick.Now())
+		here.Hear(deck.Decode(deck.Encode(sum.Total(tick.Now()))))
+		next, ok := here.Place(short())
+		require.True(t, ok)
+		require.NotEqual(t, home.Replica.ID, next.Replica.ID)
+		here.Done(&End{Replica: next.Replica.ID, Chain: short().Chain})
+		time.Sleep(plate.DeckSpan)
+		again, _ := here.Place(short())
+		require.Equal(t, home.Replica.ID, again.Replica.ID, "what was heard has faded")
+	})
+}
+
+func TestOwnPromptsAreNotCountedTwiceAndTheUsualNotAtAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := NewYard(kerf.NewIndex())
+		y.Set(fleet(9), nil, 0)
+		b := y.b["r3"]
+		b.tokens = 50000
+		ps := y.Waiting()
+		require.Equal(t, []deck.Pile{{Key: deck.Key("r3"), Tokens: 50000}}, ps)
+		y.Hear(ps)
+		require.Zero(t, b.others(tick.Now()), "they are this process's own")
+		var all []deck.Pile
+		for id := range y.b {
+			all = append(all, deck.Pile{Key: deck.Key(id), Tokens: 90000})
+		}
+		y.Hear(all)
+		require.Zero(t, b.others(tick.Now()), "all are busy alike")
+		y.Hear([]deck.Pile{{Key: deck.Key("r4"), Tokens: 90000}, {Key: 12345, Tokens: 1}})
+		require.InDelta(t, 90000-plate.DeckMean*90000/9-plate.DeckLeast, y.b["r4"].others(tick.Now()), 1)
+		require.Zero(t, b.others(tick.Now()))
+	})
+}
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"shaletrestle/deck"
 	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
@@ -53,7 +54,11 @@
 	prefill  float64 // seconds per prompt token, learned
 	extra    float64 // seconds of delay beyond the predicted, learned
 	extraAt  tick.Moment
-	wrong    bool // another replica is at its address
+	wrong    bool    // another replica is at its address
+	key      uint32  // by which the fleet names it
+	said     uint32  // tokens that this process told the fleet of last
+	fleet    float64 // tokens of others that wait here beyond the usual, by the fleet's sum
+	fleetAt  tick.Moment
 	coldNext tick.Moment
 	coldTill tick.Moment // back from an evacuation: cold until the list has had time to say
 }
@@ -93,7 +98,7 @@
 	for id, r := range rs {
 		b := y.b[id]
 		if b == nil {
-			b = &berth{prefill: y.prefill, hash: hashID(id)}
+			b = &berth{prefill: y.prefill, hash: hashID(id), key: deck.Key(id)}
 			y.b[id] = b
 		}
 		if y.evac[r.Locality] && !evac[r.Locality] {
@@ -210,7 +215,7 @@
 
 // delay is the predicted time before a new inquiry's own prompt is read.
 func (b *berth) delay(now tick.Moment, prompt float64) float64 {
-	d := b.tokens * b.prefill
+	d := (b.tokens + b.others(now)) * b.prefill
 	if age := now.Sub(b.extraAt).Seconds(); age < 2 {
 		d = max(d, b.extra*math.Exp(-age*2))
 	}
--- a/crew/note.go
+++ b/crew/note.go
@@ -27,6 +27,7 @@
 	News                       // one numbered change or a checkpoint
 	Heard                      // news acknowledged up to a number
 	Suspect                    // a gatehouse suspects another
+	Deck                       // what waits at the replicas, as the sender knows it
 	Lend                       // a gatehouse asks for further tries out of the common part of a service's budget
 )
 
--- /dev/null
+++ b/gatehouse/deck.go
@@ -0,0 +1,32 @@
+package gatehouse
+
+import (
+	"slices"
+
+	"shaletrestle/crew"
+	"shaletrestle/deck"
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+// tellDeck tells the relay what this process has waiting at the replicas, when it changed or its last word grows old.
+func (g *Gate) tellDeck() {
+	var last []deck.Pile
+	var at tick.Moment
+	tick.Every(g.sc, plate.DeckTell, func() bool {
+		now, ps := tick.Now(), g.yard.Waiting()
+		if slices.Equal(ps, last) && (len(ps) == 0 || now.Sub(at) < plate.DeckAgain) {
+			return true
+		}
+		last, at = ps, now
+		g.follower.Send(&crew.Note{Kind: crew.Deck, From: g.follower.Self(), Body: deck.Encode(ps)})
+		return true
+	})
+}
+
+// hearDeck takes the fleet's sum.
+func (g *Gate) hearDeck(n *crew.Note) {
+	if n.Kind == crew.Deck {
+		g.yard.Hear(deck.Decode(n.Body))
+	}
+}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -99,6 +99,7 @@
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
 	g.follower.Carry(g.words)
+	g.follower.Others(g.hearDeck)
 	g.book.Watch(g.changed)
 	return g
 }
@@ -132,6 +133,7 @@
 	go g.follower.Run()
 	go g.watcher.Run()
 	go g.level.Run()
+	go g.tellDeck()
 	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
--- a/haul/feed.go
+++ b/haul/feed.go
@@ -250,6 +250,16 @@
 	}
 }
 
+// Spread sends a note that is no news to all followers: it has no number and may be lost.
+func (f *Feed) Spread(n *crew.Note) {
+	b := n.Encode()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.subs {
+		l.ch.SendRaw(b)
+	}
+}
+
 // Reached lists the end followers: those connected here and those that relays told of.
 func (f *Feed) Reached() []crew.Seat {
 	f.mu.Lock()
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -37,6 +37,7 @@
 	now   atomic.String
 	fresh atomic.Bool
 	carry func() []byte
+	other func(*crew.Note)
 	ch    atomic.Pointer[crew.Channel]
 	mu    sync.Mutex
 	said  said
@@ -50,6 +51,9 @@
 // Carry sets what acknowledgements carry along; f gives nil when there is nothing to tell. It is set before Run.
 func (f *Follower) Carry(c func() []byte) { f.carry = c }
 
+// Self is the seat that this follower tells of itself.
+func (f *Follower) Self() crew.Seat { return f.self }
+
 // Source is the address followed now, empty if none.
 func (f *Follower) Source() string { return f.now.Load() }
 
@@ -95,6 +99,9 @@
 	got := make(chan struct{}, 1)
 	ch := crew.Open(f.sc, c, func(ch *crew.Channel, n *crew.Note) *crew.Note {
 		if n.Kind != crew.News {
+			if f.other != nil {
+				f.other(n)
+			}
 			return nil
 		}
 		select {
@@ -129,6 +136,9 @@
 	}
 }
 
+// Others sets what takes the source's notes that are no news. Call it before Run.
+func (f *Follower) Others(take func(*crew.Note)) { f.other = take }
+
 // Send passes a note to the source followed now, if there is one.
 func (f *Follower) Send(n *crew.Note) bool {
 	ch := f.ch.Load()
--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -301,3 +302,35 @@
 	fmt.Println(f.Push([]byte("pine")), string(board.Checkpoint()))
 	// Output: 2 sal pine
 }
+
+func TestASpreadNoteReachesAllAndChangesNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		p := &tree{sc: sc}
+		f := NewFeed(sc, &words{}, nil)
+		p.feeds = map[string]*Feed{"x": f}
+		f.Begin(1)
+		n := f.Push([]byte("a"))
+		var got atomic.Int64
+		cs := make([]*Cursor, 5)
+		for i := range cs {
+			cs[i] = NewCursor(&words{})
+			fo := NewFollower(sc, p, cs[i], crew.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil)
+			fo.Others(func(n *crew.Note) {
+				if n.Kind == crew.Deck && string(n.Body) == "sum" {
+					got.Add(1)
+				}
+			})
+			go fo.Run()
+		}
+		time.Sleep(plate.NewsBeat)
+		f.Spread(&crew.Note{Kind: crew.Deck, Body: []byte("sum")})
+		time.Sleep(plate.NewsBeat / 2)
+		require.Equal(t, int64(len(cs)), got.Load())
+		for _, c := range cs {
+			_, at := c.At()
+			require.Equal(t, n, at)
+		}
+	})
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -237,3 +237,15 @@
 	RateMost     = 2.0             // a replica counts as at most this much slower or quicker than the service's mean
 	HolderSlice  = 0.02            // weight of one prompt in the mean of what a request holds
 )
+
+// What waits at the replicas, told through the fleet.
+const (
+	DeckTell  = 100 * time.Millisecond  // a node tells its relay this often, if anything changed: a prompt is read in some 100 ms
+	DeckPush  = 150 * time.Millisecond  // a relay or the primary passes sums on this often
+	DeckStale = 800 * time.Millisecond  // a source that has said nothing this long counts no more
+	DeckAgain = 400 * time.Millisecond  // what didn't change is told again after this
+	DeckSpan  = 1000 * time.Millisecond // a sum fades to nothing over this time
+	DeckMost  = 96                      // piles in one note, the heaviest: under 1 KB
+	DeckMean  = 2.0                     // times the service's mean, and
+	DeckLeast = 8000                    // tokens more: what waits beyond that counts
+)
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -11,6 +11,7 @@
 
 	"shaletrestle/calendar"
 	"shaletrestle/crew"
+	"shaletrestle/deck"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/foreman"
@@ -52,6 +53,7 @@
 	lines    *crew.Lines
 	lender   *portion.Lender
 	jury     *gauge.Jury
+	deck     *deck.Sum
 	words    []gauge.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
@@ -73,7 +75,7 @@
 		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
 	}
 	b := p.Env.Bounds
-	h.lines, h.jury = lines, gauge.NewJury()
+	h.lines, h.jury, h.deck = lines, gauge.NewJury(), deck.NewSum()
 	h.lender = portion.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
 	if p.Env.Tolerance.Regions > 0 {
@@ -95,6 +97,7 @@
 	})
 	h.follower = haul.NewFollower(sc, p.Net, h.feed, m.Self(), true, h.upstream, h.feed.Reached)
 	h.follower.Carry(h.carry)
+	h.follower.Others(h.spread)
 	h.duty = rota.NewHolder(sc, "list", m.Self(), lines, h.witnesses, h.live.Load, h.grantor)
 	h.state.Watch(func(_, _ *logbook.View, e *logbook.Event) {
 		if e != nil && h.live.Load() {
@@ -129,6 +132,7 @@
 	go h.read()
 	go tick.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
 	go tick.Every(h.sc, plate.NewsBeat, func() bool { h.judge(); return true })
+	go tick.Every(h.sc, plate.DeckPush, func() bool { h.addUp(); return true })
 	h.sc.Log().Info("started", "part", "tallyhouse", "node", h.env.NodeName)
 	<-h.sc.Done()
 	_ = srv.Close()
@@ -159,6 +163,8 @@
 		h.suspect(n)
 	case crew.Lend:
 		return h.lend(n)
+	case crew.Deck:
+		h.deck.Put(n.From.ID, deck.Decode(n.Body), tick.Now())
 	}
 	return nil
 }
