A machine of ours that turns slow notices by itself and leaves readiness; zone loss

Cause: a gatehouse on a machine five times slower stayed ready. The test that wanted it told once is replaced by one that counts it each round. Derived state of a gatehouse is remade only by events that place replicas.

--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -21,6 +21,7 @@
 	"shaletrestle/logbook"
 	"shaletrestle/lookout"
 	"shaletrestle/plate"
+	"shaletrestle/plumb"
 	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
@@ -33,6 +34,7 @@
 	Env    *env.Env
 	Net    crew.Net
 	Dialer blade.Dialer
+	Work   func() tick.Span // does and times the piece of work that shows a slow machine; nil for the usual one
 }
 
 // Gate is one traffic process.
@@ -46,6 +48,7 @@
 	follower *haul.Follower
 	front    *buyer.Front
 	watcher  *lookout.Watcher
+	level    *plumb.Watch
 	index    *kerf.Index
 	yard     *berth.Yard
 	budget   *Budget
@@ -81,12 +84,9 @@
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
 	at := p.Env.Port(plate.PortGate)
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
+	g.level = plumb.NewWatch(sc, p.Work)
 	lines := crew.NewLines(sc, p.Net, g.handle)
-	ping := func(node string) bool {
-		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello}, plate.CallWait)
-		return err == nil && a.OK
-	}
-	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, ping, func(node string, alive bool) {
+	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
 	g.book.Watch(g.changed)
@@ -121,6 +121,7 @@
 	go func() { _ = ps.Serve(pl) }()
 	go g.follower.Run()
 	go g.watcher.Run()
+	go g.level.Run()
 	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
@@ -136,14 +137,6 @@
 	return nil
 }
 
-// handle answers the pings of other gatehouses.
-func (g *Gate) handle(_ *crew.Channel, n *crew.Note) *crew.Note {
-	if n.Kind != crew.Hello || n.Call == 0 {
-		return nil
-	}
-	return n.Reply(true)
-}
-
 // Leave finishes what is held and returns when the process may end.
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
@@ -157,18 +150,6 @@
 // Reload takes new settings.
 func (g *Gate) Reload(e *env.Env) { g.env.Store(e) }
 
-func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
-		if g.ready.Load() && !g.leaving.Load() {
-			reply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
-		} else {
-			reply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
-		}
-		return
-	}
-	reply.Fault(w, fault.New(fault.NoPath, "no such call"))
-}
-
 // pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
 	e := g.env.Load()
@@ -241,16 +222,18 @@
 			g.front.Limit(t.Limits)
 		}
 	}
-	back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
-	g.yard.Set(v.Replicas, v.Evac, back)
-	g.mu.Lock()
-	for id, p := range g.pools {
-		if r := v.Replicas[id]; r == nil {
-			delete(g.pools, id)
-			go p.Shut()
+	if e.Places() {
+		back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
+		g.yard.Set(v.Replicas, v.Evac, back)
+		g.mu.Lock()
+		for id, p := range g.pools {
+			if r := v.Replicas[id]; r == nil {
+				delete(g.pools, id)
+				go p.Shut()
+			}
 		}
+		g.mu.Unlock()
 	}
-	g.mu.Unlock()
 	if v.Doc.Epoch > 0 && v.Listed {
 		if g.ready.CompareAndSwap(false, true) {
 			close(g.isReady)
@@ -345,7 +328,7 @@
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
 		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": g.made.Load(), "budget_left": left,
 		"index":  map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()},
-		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
+		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(), "machine": g.level.State(),
 	})
 }
 
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -50,7 +50,7 @@
 	g.inflight.Inc()
 	defer g.inflight.Dec()
 	g.count.inquiries.Inc()
-	if g.leaving.Load() {
+	if g.letsGo() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: tick.Now(), lastID: -1}
--- /dev/null
+++ b/gatehouse/readiness.go
@@ -0,0 +1,63 @@
+package gatehouse
+
+import (
+	"net/http"
+
+	"shaletrestle/crew"
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/reply"
+)
+
+// slowWord marks a ping or its answer of a node whose machine has turned slow.
+const slowWord = "slow"
+
+func (g *Gate) word() string {
+	if g.level.Slow() {
+		return slowWord
+	}
+	return ""
+}
+
+// pinger gives what asks another gatehouse whether it is there; both sides say whether they are slow.
+func (g *Gate) pinger(lines *crew.Lines, self string) func(node string) bool {
+	return func(node string) bool {
+		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello, From: crew.Seat{Addr: self}, Word: g.word()}, plate.CallWait)
+		if err != nil || !a.OK {
+			return false
+		}
+		g.level.Hear(node, a.Word == slowWord)
+		return true
+	}
+}
+
+// handle answers the pings of other gatehouses.
+func (g *Gate) handle(_ *crew.Channel, n *crew.Note) *crew.Note {
+	if n.Kind != crew.Hello || n.Call == 0 {
+		return nil
+	}
+	if n.From.Addr != "" {
+		g.level.Hear(n.From.Addr, n.Word == slowWord)
+	}
+	a := n.Reply(true)
+	a.Word = g.word()
+	return a
+}
+
+// takesNew tells whether the platform may send new connections here.
+func (g *Gate) takesNew() bool { return g.ready.Load() && !g.leaving.Load() && !g.level.Out() }
+
+// letsGo tells whether clients should take their open connections elsewhere.
+func (g *Gate) letsGo() bool { return g.leaving.Load() || g.level.Shed() }
+
+func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
+		if g.takesNew() {
+			reply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
+		} else {
+			reply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
+		}
+		return
+	}
+	reply.Fault(w, fault.New(fault.NoPath, "no such call"))
+}
--- a/logbook/book.go
+++ b/logbook/book.go
@@ -37,6 +37,11 @@
 	Houses   []House         `json:"houses,omitempty"`
 }
 
+// Places tells whether an event changes which replicas may be sent to; nil stands for a checkpoint, which may.
+func (e *Event) Places() bool {
+	return e == nil || e.Kind == List || e.Kind == Evacuate || e.Kind == Return
+}
+
 // Model is what a replica serves.
 type Model struct {
 	Name     string `json:"name"`
--- a/lookout/lookout.go
+++ b/lookout/lookout.go
@@ -76,18 +76,50 @@
 	return w.set
 }
 
-// Run pings until the scope ends.
+// Run pings until the scope ends. Between two rounds the nodes that missed a ping are asked again, so that a lost one is known soon.
 func (w *Watcher) Run() {
-	tick.Every(w.sc, w.every, func() bool { w.Round(); return true })
+	n := 0
+	tick.Every(w.sc, w.every/plate.AgainPart, func() bool {
+		if n%plate.AgainPart == 0 {
+			w.Round()
+		} else {
+			w.again()
+		}
+		n++
+		return true
+	})
 }
 
 // Round pings the set once.
 func (w *Watcher) Round() {
 	set := w.watched()
-	in := map[string]bool{}
+	w.ask(set)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n := range w.miss {
+		if !slices.Contains(set, n) {
+			delete(w.miss, n)
+			delete(w.said, n)
+		}
+	}
+}
+
+// again pings those that missed, but are not suspected yet.
+func (w *Watcher) again() {
+	var set []string
+	w.mu.Lock()
+	for n := range w.miss {
+		if !w.said[n] {
+			set = append(set, n)
+		}
+	}
+	w.mu.Unlock()
+	w.ask(set)
+}
+
+func (w *Watcher) ask(set []string) {
 	var wg sync.WaitGroup
 	for _, n := range set {
-		in[n] = true
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -95,29 +127,24 @@
 		}()
 	}
 	wg.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for n := range w.miss {
-		if !in[n] {
-			delete(w.miss, n)
-			delete(w.said, n)
-		}
-	}
 }
 
+// heard notes a ping. A suspicion is told each round that it lasts: who was told may have gone too, or still have thought the node connected.
 func (w *Watcher) heard(n string, ok bool) {
 	w.mu.Lock()
-	say := false
+	was := w.said[n]
 	if ok {
-		say = w.said[n]
 		delete(w.said, n)
 		delete(w.miss, n)
-	} else if w.miss[n]++; w.miss[n] >= plate.MissesMost && !w.said[n] {
-		w.said[n], say = true, true
+	} else if w.miss[n]++; w.miss[n] >= plate.MissesMost {
+		w.said[n] = true
 	}
+	now := w.said[n]
 	w.mu.Unlock()
-	if say {
+	if now != was {
 		w.sc.Log().Info("watched node", "node", n, "alive", ok)
+	}
+	if now || was {
 		w.tell(n, ok)
 	}
 }
--- a/lookout/lookout_test.go
+++ b/lookout/lookout_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
@@ -130,14 +133,57 @@
 	w.Round()
 	require.Empty(t, told, "a few misses are chance")
 	up = false
-	for range plate.MissesMost + 3 {
+	for range plate.MissesMost - 1 {
+		w.Round()
+	}
+	require.Empty(t, told)
+	for i := range 4 { // once a round for as long as it lasts
 		w.Round()
+		require.Equal(t, slices.Repeat([]string{"bfalse"}, i+1), told)
 	}
-	require.Equal(t, []string{"bfalse"}, told)
 	require.Equal(t, []string{"b"}, w.Suspected())
 	up = true
 	w.Round()
-	require.Equal(t, []string{"bfalse", "btrue"}, told)
+	w.Round()
+	require.Equal(t, []string{"bfalse", "bfalse", "bfalse", "bfalse", "btrue"}, told)
+	require.Empty(t, w.Suspected())
+}
+
+func TestALostNodeIsKnownWithinContactAndToldEachRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(5 * time.Second) }()
+		up, every := true, 1200*time.Millisecond
+		var mu sync.Mutex
+		var told []time.Time
+		asked := map[string]int{}
+		w := New(sc, "a", every, func() []string { return []string{"a", "b", "c"} }, func(n string) bool {
+			mu.Lock()
+			asked[n]++
+			ok := up || n != "b"
+			mu.Unlock()
+			if !ok {
+				time.Sleep(plate.CallWait)
+			}
+			return ok
+		}, func(n string, alive bool) {
+			require.Equal(t, "bfalse", fmt.Sprint(n, alive))
+			told = append(told, time.Now())
+		})
+		go w.Run()
+		time.Sleep(8*every + 50*time.Millisecond) // just after a round: the longest way
+		mu.Lock()
+		require.LessOrEqual(t, asked["b"], 10, "a well one is asked once a round")
+		up = false
+		mu.Unlock()
+		lost := time.Now()
+		time.Sleep(20 * time.Second)
+		require.Less(t, told[0].Sub(lost)+plate.FleetEvery, 4*time.Second)
+		for i := 1; i < len(told); i++ {
+			require.Less(t, told[i].Sub(told[i-1]), 2*every)
+			require.Greater(t, told[i].Sub(told[i-1]), every/plate.AgainPart)
+		}
+	})
 }
 
 func ExampleSet() {
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -58,6 +58,7 @@
 	FleetForget  = 30 * time.Second        // a gatehouse unseen this long leaves the fleet size
 	WatchersEach = 2                       // watchers of one gatehouse: one may be lost with it
 	MissesMost   = 3                       // pings missed before a node is suspected: one or two are lost by chance
+	AgainPart    = 3                       // parts of a round after which those that missed are asked again: three misses fit into contact_ms
 	SuspectPart  = 4                       // at most one in so many gatehouses leaves the fleet size by suspicion: BudgetMargin covers as many that still run
 )
 
@@ -139,3 +140,20 @@
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
+
+// A machine of our own that turns slow.
+const (
+	LevelEvery = 500 * time.Millisecond // between two looks at oneself; each costs a waking-up and some 10 us
+	LevelBytes = 8 << 10                // bytes hashed as the piece of work: long against the clock's grain
+	LevelTimes = 4                      // times it is done; the quickest counts, so that being busy isn't taken for being slow
+	LevelFirst = 8                      // looks before a usual time is known
+	LevelLearn = 1.0 / 16               // weight of a look in the usual time
+	LevelEnter = 3.0                    // times the usual that is evidence; machines that are well vary by 2
+	LevelLeave = 2.0                    // times the usual below which a look counts as well again
+	LevelLate  = 200 * time.Millisecond // a timer this late is evidence too; well ones are late by 1 ms
+	LevelBad   = 2                      // looks in a row with evidence: one is chance
+	LevelGood  = 4                      // looks in a row that are well: a machine by turns slow stays out
+	LevelAfter = 2                      // looks after having turned slow before another's word counts: what slows all shows at all by then
+	LevelHeard = 8                      // looks for which another node's word counts: three pings
+	LevelShed  = 6                      // looks out of readiness before answers close: the platform has noticed by then
+)
--- /dev/null
+++ b/plumb/level_test.go
@@ -0,0 +1,180 @@
+package plumb
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/plate"
+	"shaletrestle/tick"
+)
+
+const us = time.Microsecond
+
+// calm is a level that knows its usual time and has heard well nodes.
+func calm(peers int) *Level {
+	l := NewLevel()
+	for range plate.LevelFirst + 4 {
+		l.Step(10*us, time.Millisecond)
+	}
+	for i := range peers {
+		l.Hear(fmt.Sprint("n", i), false)
+	}
+	return l
+}
+
+func steps(l *Level, n int, work, late tick.Span) {
+	for range n {
+		l.Step(work, late)
+	}
+}
+
+// slowly steps a level that is slow until others may speak, and has so many of them say that they are well.
+func slowly(l *Level, well int) {
+	steps(l, plate.LevelBad+plate.LevelAfter, 50*us, 0)
+	for i := range well {
+		l.Hear(fmt.Sprint("n", i), false)
+	}
+	l.Step(50*us, 0)
+}
+
+func TestAMachineFiveTimesSlowerGoesOutAndComesBack(t *testing.T) {
+	l := calm(3)
+	steps(l, plate.LevelBad-1, 50*us, time.Millisecond)
+	require.False(t, l.Slow(), "one or two looks are chance")
+	l.Step(50*us, time.Millisecond)
+	require.True(t, l.Slow())
+	steps(l, plate.LevelAfter, 50*us, time.Millisecond)
+	require.False(t, l.Out(), "what the others said before doesn't count")
+	l.Hear("n1", false)
+	l.Step(50*us, time.Millisecond)
+	require.True(t, l.Out())
+	require.False(t, l.Shed(), "the platform must notice first")
+	steps(l, plate.LevelGood-1, 10*us, 0)
+	require.True(t, l.Out())
+	l.Step(10*us, 0)
+	require.False(t, l.Out())
+}
+
+func TestOpenConnectionsMoveOnceThePlatformHasNoticed(t *testing.T) {
+	l := calm(3)
+	slowly(l, 3)
+	for range plate.LevelShed {
+		require.False(t, l.Shed())
+		l.Hear("n1", false)
+		l.Step(50*us, 0)
+	}
+	require.True(t, l.Shed())
+	steps(l, plate.LevelGood, 10*us, 0)
+	require.False(t, l.Shed())
+}
+
+func TestUsualSpreadAndSingleLateTimersAreNoEvidence(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	l := calm(3)
+	for i := range 4000 {
+		l.Hear("n1", false)
+		late := tick.Span(r.IntN(3000)) * us
+		if i%10 == 0 {
+			late = time.Second
+		}
+		l.Step(tick.Span(6500+r.IntN(8500)), late)
+		require.False(t, l.Slow())
+	}
+}
+
+func TestTimersThatStayLateAreEvidence(t *testing.T) {
+	l := calm(3)
+	steps(l, plate.LevelBad, 10*us, 2*plate.LevelLate)
+	require.True(t, l.Slow())
+}
+
+func TestItStaysInWhenNobodyIsBetter(t *testing.T) {
+	l := calm(3)
+	slowly(l, 0)
+	require.True(t, l.Slow())
+	require.False(t, l.Out(), "nobody was heard")
+	for i := range 4 {
+		l.Hear(fmt.Sprint("n", i), i == 0)
+	}
+	l.Step(50*us, 0)
+	require.True(t, l.Out(), "three in four are well: %v", l.peers)
+	l.Hear("n1", true)
+	l.Hear("n2", true)
+	l.Step(50*us, 0)
+	require.False(t, l.Out(), "most are slow")
+	l.Hear("n1", false)
+	l.Step(50*us, 0)
+	require.True(t, l.Out(), "half are well")
+	steps(l, plate.LevelHeard, 50*us, 0)
+	require.False(t, l.Out(), "their word is old")
+}
+
+func TestAMachineByTurnsSlowStaysOut(t *testing.T) {
+	l := calm(3)
+	slowly(l, 3)
+	for range 30 {
+		l.Hear("n1", false)
+		steps(l, plate.LevelGood-2, 10*us, 0)
+		require.True(t, l.Out())
+		steps(l, 2, 50*us, 0)
+	}
+}
+
+func TestTheUsualIsLearnedAndNotFromSlowLooks(t *testing.T) {
+	l := calm(3)
+	steps(l, 400, 14*us, 0)
+	require.InDelta(t, 14, l.State().UsualUs, 0.1, "a machine may grow a little slower")
+	steps(l, 400, 70*us, 0)
+	require.InDelta(t, 14, l.State().UsualUs, 0.1)
+	require.True(t, l.Slow(), "it stays slow for as long as it is")
+	l = NewLevel()
+	steps(l, 50, 0, 0)
+	require.False(t, l.Slow(), "a clock that shows nothing is no evidence")
+}
+
+// fleet steps levels that hear two others each, as watchers' pings do; each notices up to a look later than the first. It gives the most that were out at a time.
+func fleet(r *rand.Rand, slow func(i int) bool) (most int) {
+	var ls []*Level
+	for range 88 {
+		ls = append(ls, calm(3))
+	}
+	lag := make([]int, len(ls))
+	for i := range lag {
+		lag[i] = r.IntN(2)
+	}
+	for s := range 80 {
+		out := 0
+		for i, l := range ls {
+			if (s+i)%3 == 0 {
+				for d := 1; d <= 2; d++ {
+					j := (i + d*5) % len(ls)
+					l.Hear(fmt.Sprint(j), ls[j].Slow())
+					ls[j].Hear(fmt.Sprint(i), l.Slow())
+				}
+			}
+			w := 10 * us
+			if slow(i) && s >= lag[i] {
+				w *= 5
+			}
+			l.Step(w, 0)
+			if l.Out() {
+				out++
+			}
+		}
+		most = max(most, out)
+	}
+	return
+}
+
+func TestAFleetTurnsAwayItsSlowPartAndNeverItself(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		require.Equal(t, 13, fleet(r, func(i int) bool { return i%7 == 0 }))
+		require.Zero(t, fleet(r, func(int) bool { return true }), "all are slow: all stay in")
+		require.Zero(t, fleet(r, func(int) bool { return false }))
+	}
+}
--- /dev/null
+++ b/plumb/watch.go
@@ -0,0 +1,95 @@
+package plumb
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// Watch steps a level on what this process measures of itself.
+type Watch struct {
+	sc    *scope.Scope
+	work  func() tick.Span
+	mu    sync.Mutex
+	level *Level
+}
+
+// NewWatch makes a watch; work does and times the piece of work, nil for the usual one.
+func NewWatch(sc *scope.Scope, work func() tick.Span) *Watch {
+	w := &Watch{sc: sc.Part("plumb"), work: work, level: NewLevel()}
+	if work == nil {
+		buf, sum := make([]byte, plate.LevelBytes), uint64(0)
+		w.work = func() tick.Span {
+			best := tick.Span(0)
+			for range plate.LevelTimes {
+				at := tick.Now()
+				sum ^= xxhash.Sum64(buf)
+				if d := tick.Since(at); best == 0 || d < best {
+					best = d
+				}
+			}
+			buf[0] = byte(sum)
+			return best
+		}
+	}
+	return w
+}
+
+// Run measures until the scope ends.
+func (w *Watch) Run() {
+	for {
+		at := tick.Now()
+		if !tick.Rest(w.sc, plate.LevelEvery) {
+			return
+		}
+		late := tick.Since(at) - plate.LevelEvery
+		work := w.work()
+		w.mu.Lock()
+		was := w.level.Out()
+		w.level.Step(work, late)
+		now, s := w.level.Out(), w.level.State()
+		w.mu.Unlock()
+		if now != was {
+			w.sc.Log().Info("own machine", "slow", s.Slow, "out", now, "work_us", work.Microseconds(), "usual_us", int64(s.UsualUs), "late_ms", late.Milliseconds())
+		}
+	}
+}
+
+// Hear takes what another node said of itself.
+func (w *Watch) Hear(node string, slow bool) {
+	w.mu.Lock()
+	w.level.Hear(node, slow)
+	w.mu.Unlock()
+}
+
+// Slow tells whether this machine is much slower than usual.
+func (w *Watch) Slow() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.level.Slow()
+}
+
+// Out tells whether new connections should go elsewhere.
+func (w *Watch) Out() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.level.Out()
+}
+
+// Shed tells whether open connections should move too.
+func (w *Watch) Shed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.level.Shed()
+}
+
+// State is for the state page.
+func (w *Watch) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.level.State()
+}
--- a/sim/script.go
+++ b/sim/script.go
@@ -185,6 +185,27 @@
 				w.Wipe(n)
 			}
 		}
+	case "slow": // slow g1 x=5: its machine runs so many times slower; x=1 ends it
+		for _, n := range a.pos {
+			w.procs[n].slow.Store(int64(a.num("x", 5)))
+		}
+	case "ready": // ready g1 g2 are=no within=3s: all of them come to answer so
+		want := a.kv["are"] != "no"
+		for _, n := range a.pos {
+			for end := time.Now().Add(a.span("within", 0)); w.Ready(n) != want; time.Sleep(100 * time.Millisecond) {
+				if time.Now().After(end) {
+					return fmt.Errorf("%s does not", n)
+				}
+			}
+		}
+	case "shares": // shares 6 g1 g2 within=4s: by these gatehouses the shares are made for so many
+		for _, n := range a.pos[1:] {
+			for end := time.Now().Add(a.span("within", 0)); w.Shares(n) != mustInt(arg(0)); time.Sleep(100 * time.Millisecond) {
+				if time.Now().After(end) {
+					return fmt.Errorf("%s says %d", n, w.Shares(n))
+				}
+			}
+		}
 	case "leave":
 		w.Leave(arg(0))
 	case "start":
--- a/sim/world.go
+++ b/sim/world.go
@@ -72,6 +72,7 @@
 	sc    *scope.Scope
 	house *tallyhouse.House
 	gate  *gatehouse.Gate
+	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
 }
 
@@ -111,6 +112,7 @@
 bootstrap: %[5]v
 limits: {memory_mb: 64}
 data_dir: "/data"
+heartbeat_ms: 1200
 fault_tolerance: {machine_losses: 1}
 bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 3000, grace_s: 8, retry_budget_ratio: 0.2, retry_window_s: 10, retry_slack: 60, cold_overshoot: 1.5, cold_slack: 5}
 cloud_api: {address: "10.9.0.1:90", rate_per_s: 40, max_lag_ms: 100}
@@ -186,12 +188,43 @@
 		go func() { _ = h.Run() }()
 		return nil
 	}
-	p.gate = gatehouse.New(p.sc, gatehouse.Plan{Env: e, Net: p.life, Dialer: p.life})
+	p.gate = gatehouse.New(p.sc, gatehouse.Plan{Env: e, Net: p.life, Dialer: p.life, Work: p.work})
 	g := p.gate
 	go func() { _ = g.Run() }()
 	return nil
 }
 
+// work is the time that a gatehouse's piece of work takes.
+func (p *Proc) work() time.Duration {
+	return 10 * time.Microsecond * time.Duration(max(1, p.slow.Load()))
+}
+
+// Ready asks a gatehouse as the platform does.
+func (w *World) Ready(name string) bool {
+	c := w.client("10.9.0.2")
+	c.Timeout = time.Second
+	a, err := c.Get("http://" + w.procs[name].ip + ":81/v1/readiness")
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// Shares is the fleet size that a gatehouse goes by; 0 if it does not answer.
+func (w *World) Shares(name string) int {
+	c := w.client("10.9.0.2")
+	c.Timeout = time.Second
+	a, err := c.Get("http://" + w.procs[name].ip + ":7003/")
+	if err != nil {
+		return 0
+	}
+	defer a.Body.Close()
+	var p struct{ Fleet int }
+	_ = json.NewDecoder(a.Body).Decode(&p)
+	return p.Fleet
+}
+
 // Kill ends a process; power: without a word to its peers.
 func (w *World) Kill(name string, power bool) {
 	p := w.procs[name]
