The fleet's list of nodes is told as what came and went

Every node that came or went sent all names to all nodes: at 390 nodes some 7 KB to each. Now an event holds the difference, or the whole where that is less; by test under 300 bytes where some four of 390 change at a time.

--- a/logbook/book.go
+++ b/logbook/book.go
@@ -34,9 +34,53 @@
 	Gone     []string        `json:"gone,omitempty"`
 	Size     int             `json:"size,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
+	Delta    bool            `json:"delta,omitempty"` // Nodes only came and Gone went, the others stayed
 	Houses   []House         `json:"houses,omitempty"`
 }
 
+// FleetEvent is the event that brings a view from one sorted list of nodes to another: whole, or what came and went if that says it with less.
+func FleetEvent(from, to []string) *Event {
+	e := &Event{Kind: Fleet, Size: len(to), Delta: true}
+	i, j := 0, 0
+	for i < len(from) || j < len(to) {
+		switch {
+		case j == len(to) || i < len(from) && from[i] < to[j]:
+			e.Gone = append(e.Gone, from[i])
+			i++
+		case i == len(from) || from[i] > to[j]:
+			e.Nodes = append(e.Nodes, to[j])
+			j++
+		default:
+			i, j = i+1, j+1
+		}
+	}
+	if len(e.Gone)+len(e.Nodes) >= len(to) {
+		return &Event{Kind: Fleet, Size: len(to), Nodes: to}
+	}
+	return e
+}
+
+// nodes gives the sorted list after a fleet event.
+func (e *Event) nodes(old []string) []string {
+	if !e.Delta {
+		return e.Nodes
+	}
+	out := make([]string, 0, len(old)+len(e.Nodes))
+	i, g := 0, 0
+	for _, n := range old {
+		for ; i < len(e.Nodes) && e.Nodes[i] < n; i++ {
+			out = append(out, e.Nodes[i])
+		}
+		for g < len(e.Gone) && e.Gone[g] < n {
+			g++
+		}
+		if g == len(e.Gone) || e.Gone[g] != n {
+			out = append(out, n)
+		}
+	}
+	return append(out, e.Nodes[i:]...)
+}
+
 // Places tells whether an event changes which replicas may be sent to; nil stands for a checkpoint, which may.
 func (e *Event) Places() bool {
 	return e == nil || e.Kind == List || e.Kind == Evacuate || e.Kind == Return
@@ -141,7 +185,7 @@
 		}
 		n.Listed = true
 	case Fleet:
-		n.Fleet, n.Nodes = e.Size, e.Nodes
+		n.Fleet, n.Nodes = e.Size, e.nodes(v.Nodes)
 	case Houses:
 		n.Houses = e.Houses
 	default:
--- a/logbook/book_test.go
+++ b/logbook/book_test.go
@@ -1,6 +1,9 @@
 package logbook
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -48,3 +51,45 @@
 	require.Equal(t, int64(5), now.View().Doc.Epoch)
 	require.Len(t, now.View().Replicas, 1, "a source that has no list yet empties nothing")
 }
+
+func TestFleetEventsCarryWhatChangedAndFoldToTheWhole(t *testing.T) {
+	r := rand.New(rand.NewPCG(4, 4))
+	b := NewBook(true)
+	have := map[string]bool{}
+	bytes := 0
+	for round := range 400 {
+		var to []string
+		for i := range 390 {
+			n := fmt.Sprintf("10.1.%d.%d:7722", i/200, i%200)
+			p := 0.01
+			if round%50 == 0 {
+				p = 0.7 // most at once
+			}
+			if r.Float64() < p {
+				have[n] = !have[n]
+			}
+			if have[n] {
+				to = append(to, n)
+			}
+		}
+		sort.Strings(to)
+		e := FleetEvent(b.View().Nodes, to).Encode()
+		if round%50 != 0 {
+			bytes += len(e)
+		}
+		b.Fold(e)
+		require.Equal(t, to, b.View().Nodes)
+		require.Equal(t, len(to), b.View().Fleet)
+	}
+	require.Less(t, bytes/400, 300, "some four of 390 change at a time")
+}
+
+func TestOnlyEventsThatPlaceReplicasRemakeWhatIsDerivedFromThem(t *testing.T) {
+	for _, k := range []string{Put, Patch, Fleet, Houses} {
+		require.False(t, (&Event{Kind: k}).Places(), k)
+	}
+	for _, k := range []string{List, Evacuate, Return} {
+		require.True(t, (&Event{Kind: k}).Places(), k)
+	}
+	require.True(t, (*Event)(nil).Places(), "a checkpoint")
+}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -297,7 +297,7 @@
 	sort.Strings(nodes)
 	v := h.news.View()
 	if !equal(nodes, v.Nodes) && len(nodes) > 0 {
-		h.feed.Push((&logbook.Event{Kind: logbook.Fleet, Size: len(nodes), Nodes: nodes}).Encode())
+		h.feed.Push(logbook.FleetEvent(v.Nodes, nodes).Encode())
 	}
 	var hs []logbook.House
 	for _, s := range h.member.Members() {
