Scenarios: weighted splits, affinity keys and home regions under load

Weights of 70 and 30 give each service its share within four standard deviations, a key of a sticky split keeps its service, a service whose weight is gone gets nothing, and a route with a home never leaves its region, also when the home is full, dark or evacuated.

--- a/sim/script.go
+++ b/sim/script.go
@@ -32,10 +32,15 @@
 		route("r-s", "/s/", "streaming", "lm", 1, `,"session_affinity":true,"target_gap_ms":200`),
 		route("r-t", "/t/", "streaming", "lm", 2, `,"session_affinity":true,"stream_resume":true,"target_gap_ms":200`),
 	}
-	if extra != "" {
+	switch alt, ok := map[string]int{"split": 30, "unsplit": 0}[extra]; {
+	case ok: // two splits, one that holds to its affinity key, and a route that stays in region s
+		parts := fmt.Sprintf(`,"weighted_backends":[{"backend_pool":"svc","weight":%d},{"backend_pool":"alt","weight":%d}]`, 100-alt, alt)
+		rs = append(rs, route("r-w", "/w/", "idempotent", "svc", 2, parts), route("r-k", "/k/", "idempotent", "svc", 2, parts+`,"session_affinity":true`),
+			route("r-h", "/h/", "idempotent", "svc", 2, `,"allowed_regions":["s"]`))
+	case extra != "":
 		rs = append(rs, route("r-"+extra, "/"+extra+"/", "idempotent", "svc", 2, ""))
 	}
-	b := fmt.Sprintf(`{"revision":%d,"route_table":[%s%s],"backend_pools":[{"name":"svc","health_check_path":"/health","max_connections":100},{"name":"lm","health_check_path":"/health","max_connections":100,"warmup_s":3,"warmup_per_s":20,"engine":{"slots":8,"kv_capacity_tokens":100000,"kv_token_bytes":1000,"link_mbps":1000,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
+	b := fmt.Sprintf(`{"revision":%d,"route_table":[%s%s],"backend_pools":[{"name":"svc","health_check_path":"/health","max_connections":100},{"name":"alt","health_check_path":"/health","max_connections":100},{"name":"lm","health_check_path":"/health","max_connections":100,"warmup_s":3,"warmup_per_s":20,"engine":{"slots":8,"kv_capacity_tokens":100000,"kv_token_bytes":1000,"link_mbps":1000,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
 		rev, strings.Join(rs, ","), second)
 	if flaw == "cut_short" {
 		return b[:len(b)-10]
@@ -146,6 +151,16 @@
 		w.mu.Lock()
 		r.cold, r.slots = float64(a.num("cold", 0)), a.num("slots", 8)
 		w.mu.Unlock()
+	case "keys": // keys 20: as many affinity keys were split between services, each held to one
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		both := map[string]bool{}
+		for _, pool := range w.keys {
+			both[pool] = true
+		}
+		if len(w.keys) != mustInt(arg(0)) || len(both) != 2 {
+			return fmt.Errorf("%v", w.keys)
+		}
 	case "state": // state r1 draining|gone|ready
 		w.SetState(arg(0), arg(1))
 	case "reuse": // reuse r1 r9: another replica answers at r1's address
@@ -274,7 +289,7 @@
 		}
 	case "read": // read 5 at=h1: the newest configuration as it was sent
 		return s.read(arg(0), a)
-	case "load": // load gate=g1 path=/i/x rate=50 for=2s once=true
+	case "load": // load gate=g1 path=/i/x rate=50 for=2s once=true keys=20
 		n, gap := int(a.span("for", time.Second)/time.Second)*a.num("rate", 50), time.Second/time.Duration(a.num("rate", 50))
 		s.bg.Add(1)
 		go func() {
@@ -337,9 +352,12 @@
 }
 
 func prefixOf(a args, i int) string {
-	if a.kv["prefix"] == "" {
+	if a.kv["prefix"] == "" && a.kv["keys"] == "" {
 		return ""
 	}
+	if n := a.num("keys", 0); n > 0 {
+		return fmt.Sprintf("%x:64,%x:64", i%n+1, 0xf000+i)
+	}
 	return strings.ReplaceAll(a.kv["prefix"], ";", ",") + fmt.Sprintf(",%x:64", 0xf000+i)
 }
 
--- a/sim/world.go
+++ b/sim/world.go
@@ -88,6 +88,7 @@
 	runs      map[string]int  // by attempt id, at replicas
 	unsafe    map[string]bool // attempt ids that may run once
 	bodies    map[string]string
+	keys      map[string]string // the service that ran an affinity key of a split
 	broken    []string
 	list      func() []*logbook.Replica
 	listDown  bool
@@ -105,7 +106,7 @@
 node_name: %q
 ip: %q
 zone: %q
-zones: {a: "r", b: "r", c: "r"}
+zones: {a: "r", b: "r", c: "r", d: "s"}
 bind_addresses: {front: "%[2]s:80", readiness: "%[2]s:81", control: "%[2]s:82"}
 internal_port_range: [7000, 7015]
 seed_nodes: %[4]s
@@ -120,7 +121,7 @@
 
 // NewWorld makes a world with a platform in it.
 func NewWorld(log *slog.Logger) *World {
-	w := &World{Net: NewNet(time.Millisecond), Log: log, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}}
+	w := &World{Net: NewNet(time.Millisecond), Log: log, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}, keys: map[string]string{}}
 	w.serve("10.9.0.1:90", http.HandlerFunc(w.platform))
 	return w
 }
@@ -469,6 +470,19 @@
 	if q.Header.Get("Time-Budget-Ms") == "" {
 		w.Broke("BUDGET-MS", "%s came without what is left", id)
 	}
+	if strings.HasPrefix(q.URL.Path, "/h/") && r.zone != "d" {
+		w.Broke("HOME", "%s reached %s in another region", id, r.ID)
+	}
+	if strings.HasPrefix(q.URL.Path, "/k/") {
+		key, _, _ := strings.Cut(q.Header.Get("Prompt-Prefix"), ",")
+		w.mu.Lock()
+		was, again := w.keys[key]
+		w.keys[key] = r.pool
+		w.mu.Unlock()
+		if again && was != r.pool {
+			w.Broke("SPLIT", "key %s went to %s and to %s", key, was, r.pool)
+		}
+	}
 	if state != "ready" && time.Since(since) > drainBound {
 		w.Broke("DRAIN", "%s reached %s, which is %s", id, r.ID, state)
 	}
