Tests of haul and lookout share their variables under locks

The race detector found the tests, not the packages, to read what other goroutines write. No check changed; the one that counts acknowledgements now looks between two beats, where a beat's own can't fall into the count.

--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -33,11 +33,14 @@
 type pipes struct {
 	sc   *scope.Scope
 	feed *Feed
+	mu   sync.Mutex
 	last net.Conn
 	off  bool
 }
 
 func (p *pipes) Dial(string, tick.Span) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.off {
 		return nil, net.ErrClosed
 	}
@@ -75,12 +78,16 @@
 		require.Equal(t, 1, have)
 		require.Equal(t, 1, of)
 		require.Equal(t, "old+a", string(got.Checkpoint()))
+		p.mu.Lock()
 		_ = p.last.Close()
 		p.off = true
+		p.mu.Unlock()
 		time.Sleep(50 * time.Millisecond)
 		f.Push([]byte("+b"))
 		f.Push([]byte("+c"))
+		p.mu.Lock()
 		p.off = false
+		p.mu.Unlock()
 		time.Sleep(time.Second)
 		require.Equal(t, "old+a+b+c", string(got.Checkpoint()))
 		f.Begin(2)
@@ -138,6 +145,8 @@
 // grow puts relays and ends under a source; lives ends each end's follower.
 func (p *tree) grow(relays, ends int) (src *Feed, lives map[uint64]*scope.Scope) {
 	src = NewFeed(p.sc, &words{}, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.feeds = map[string]*Feed{"source": src}
 	for i := range relays {
 		var fo *Follower
@@ -210,13 +219,17 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc}
 		src, _ := p.grow(2, 60)
-		time.Sleep(3 * plate.NewsBeat)
+		time.Sleep(3*plate.NewsBeat + plate.NewsBeat/2) // between two beats
+		p.mu.Lock()
 		p.up, p.lists = 0, 0
+		p.mu.Unlock()
 		n := src.Push([]byte("x"))
 		have, of := src.Wait(sc, n, time.Second)
 		require.Equal(t, [2]int{2, 2}, [2]int{have, of})
+		synctest.Wait()
 		require.LessOrEqual(t, p.up, 4, "of each of two relays one when it took the change, one when all its followers had")
 		time.Sleep(10 * plate.NewsBeat)
+		synctest.Wait()
 		require.Zero(t, p.lists)
 		require.Len(t, src.Reached(), 60)
 	})
@@ -237,10 +250,12 @@
 			p.end(lives, i+1, "x")
 		}
 		time.Sleep(plate.NewsBeat)
+		synctest.Wait()
 		require.Equal(t, 1, b.made)
 		f.Push([]byte("b"))
 		p.end(lives, 99, "x")
 		time.Sleep(plate.NewsBeat)
+		synctest.Wait()
 		require.Equal(t, 2, b.made)
 		require.Equal(t, f.Acked(), uint64(2))
 	})
@@ -264,9 +279,11 @@
 		fo := NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
 		go fo.Run()
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		require.Len(t, tried, 1)
 		f.End() // a relay that hears nothing says so after a while
 		time.Sleep(plate.RelayStale + plate.NewsLost)
+		synctest.Wait()
 		require.Greater(t, len(tried), 1)
 		require.True(t, strings.HasPrefix(tried[1], "at1"))
 	})
--- a/lookout/lookout_test.go
+++ b/lookout/lookout_test.go
@@ -168,7 +168,9 @@
 			return ok
 		}, func(n string, alive bool) {
 			require.Equal(t, "bfalse", fmt.Sprint(n, alive))
+			mu.Lock()
 			told = append(told, time.Now())
+			mu.Unlock()
 		})
 		go w.Run()
 		time.Sleep(8*every + 50*time.Millisecond) // just after a round: the longest way
@@ -178,6 +180,8 @@
 		mu.Unlock()
 		lost := time.Now()
 		time.Sleep(20 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		require.Less(t, told[0].Sub(lost)+plate.FleetEvery, 4*time.Second)
 		for i := 1; i < len(told); i++ {
 			require.Less(t, told[i].Sub(told[i-1]), 2*every)
