--- a/buyer/front.go
+++ b/buyer/front.go
@@ -16,39 +16,6 @@
 	"shaletrestle/tick"
 )
 
-// tap remembers the first bytes of the inquiry being read, so that a doubtful framing can be looked at as it was sent.
-type tap struct {
-	net.Conn
-	mu  sync.Mutex
-	buf []byte
-}
-
-const tapMost = 4 << 10
-
-func (t *tap) Read(b []byte) (int, error) {
-	n, err := t.Conn.Read(b)
-	t.mu.Lock()
-	if k := min(n, tapMost-len(t.buf)); k > 0 {
-		t.buf = append(t.buf, b[:k]...)
-	}
-	t.mu.Unlock()
-	return n, err
-}
-
-func (t *tap) reset() {
-	t.mu.Lock()
-	t.buf = t.buf[:0]
-	t.mu.Unlock()
-}
-
-// doubtful tells whether a head in chunks also named a length, or can't be seen whole.
-func (t *tap) doubtful() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	head, _, whole := strings.Cut(strings.ToLower(string(t.buf)), "\r\n\r\n")
-	return !whole || strings.Contains(head, "\ncontent-length")
-}
-
 type tapKey struct{}
 
 // Doubtful tells whether an inquiry's framing could be read in two ways.
--- /dev/null
+++ b/gatehouse/derived_test.go
@@ -0,0 +1,42 @@
+package gatehouse
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/logbook"
+)
+
+func TestAmongEqualsTheSortedOrder(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 5))
+	for range 300 {
+		var ns []string
+		for i := range r.IntN(60) {
+			ns = append(ns, fmt.Sprintf("10.0.0.%d:7002", i))
+		}
+		k, id := min(1+r.IntN(4), len(ns)), fmt.Sprint("i-", r.Uint32())
+		by := slices.Clone(ns)
+		sort.Slice(by, func(i, j int) bool { return xxhash.Sum64String(id+by[i]) > xxhash.Sum64String(id+by[j]) })
+		for _, n := range ns {
+			require.Equal(t, slices.Contains(by[:k], n), among(n, id, ns, k))
+		}
+		require.False(t, among("unknown", id, ns, k))
+	}
+}
+
+func TestRevisionsAreTheNewestOfEachServiceAndModel(t *testing.T) {
+	rs := map[string]*logbook.Replica{
+		"a": {Pool: "p", Models: []logbook.Model{{Name: "m", Revision: 3}, {Name: "n", Revision: 1}}},
+		"b": {Pool: "p", Models: []logbook.Model{{Name: "m", Revision: 5}}},
+		"c": {Pool: "q", Models: []logbook.Model{{Name: "m", Revision: 9}}},
+		"d": {Pool: "q"},
+	}
+	require.Equal(t, &map[served]int64{{"p", "m"}: 5, {"p", "n"}: 1, {"q", "m"}: 9}, revisions(rs))
+	require.Zero(t, (*revisions(nil))[served{"p", "m"}])
+}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/http"
-	"sort"
 	"strings"
 	"sync"
 
@@ -53,6 +52,7 @@
 	yard     *berth.Yard
 	budget   *Budget
 	table    atomic.Pointer[sorting.Table]
+	revs     atomic.Pointer[map[served]int64]
 	ready    atomic.Bool
 	isReady  chan struct{}
 	leaving  atomic.Bool
@@ -82,6 +82,7 @@
 	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = haul.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
+	g.revs.Store(revisions(nil))
 	at := p.Env.Port(plate.PortGate)
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	g.level = plumb.NewWatch(sc, p.Work)
@@ -223,6 +224,7 @@
 		}
 	}
 	if e.Places() {
+		g.revs.Store(revisions(v.Replicas))
 		back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
 		g.yard.Set(v.Replicas, v.Evac, back)
 		g.mu.Lock()
@@ -285,33 +287,15 @@
 	if len(v.Nodes) == 0 {
 		return perS * plate.ColdMargin / plate.FleetGuess
 	}
-	self := g.env.Load().Port(plate.PortGate)
-	ns := append([]string{}, v.Nodes...)
-	sort.Slice(ns, func(i, j int) bool { return xxhash.Sum64String(id+ns[i]) > xxhash.Sum64String(id+ns[j]) })
-	k := min(plate.ColdNodes, len(ns))
-	for _, n := range ns[:k] {
-		if n == self {
-			return perS * plate.ColdMargin / float64(k)
-		}
+	k := min(plate.ColdNodes, len(v.Nodes))
+	if !among(g.env.Load().Port(plate.PortGate), id, v.Nodes, k) {
+		return 0
 	}
-	return 0
+	return perS * plate.ColdMargin / float64(k)
 }
 
 // weights gives the revision of a model that a service's replicas serve.
-func (g *Gate) weights(pool, model string) int64 {
-	rev := int64(0)
-	for _, r := range g.book.View().Replicas {
-		if r.Pool != pool {
-			continue
-		}
-		for _, m := range r.Models {
-			if m.Name == model {
-				rev = max(rev, m.Revision)
-			}
-		}
-	}
-	return rev
-}
+func (g *Gate) weights(pool, model string) int64 { return (*g.revs.Load())[served{pool, model}] }
 
 func (g *Gate) page(w http.ResponseWriter, _ *http.Request) {
 	v := g.book.View()
