--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -122,8 +122,7 @@
 	go func() { _ = ps.Serve(pl) }()
 	go g.follower.Run()
 	go g.watcher.Run()
-	go g.level.Run()
-	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
+	go g.keep()
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
 	<-g.sc.Done()
@@ -269,6 +268,18 @@
 	return p
 }
 
+// keep looks at this process's own machine again and again, and through its idle connections now and then: one waking-up does for both.
+func (g *Gate) keep() {
+	n := 0
+	tick.Every(g.sc, plate.LevelEvery, func() bool {
+		g.level.Look()
+		if n++; n%plate.SweepLooks == 0 {
+			g.sweep()
+		}
+		return true
+	})
+}
+
 func (g *Gate) sweep() {
 	g.mu.Lock()
 	var ps []*blade.Pool
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -107,7 +107,6 @@
 	FleetGuess    = 16                      // nodes, until control has told
 	ColdNodes     = 3                       // nodes that share one cold replica
 	PlaceAgain    = 25 * time.Millisecond   // pause while no replica can be used
-	SweepEvery    = 1 * time.Second         // idle connections are looked through
 	ChannelsGuess = 8                       // connections to a replica whose service names no limit
 	GraceMargin   = 700 * time.Millisecond  // a leaving process ends this long before its grace does
 	BodyWait      = 10 * time.Second        // a client may take this long over its body
@@ -144,8 +143,9 @@
 // A machine of our own that turns slow.
 const (
 	LevelEvery = 500 * time.Millisecond // between two looks at oneself; each costs a waking-up and some 10 us
+	SweepLooks = 2                      // looks after which idle connections are looked through: each second
 	LevelBytes = 8 << 10                // bytes hashed as the piece of work: long against the clock's grain
-	LevelTimes = 4                      // times it is done; the quickest counts, so that being busy isn't taken for being slow
+	LevelTimes = 3                      // times it is done; the quickest counts, so that being busy isn't taken for being slow
 	LevelFirst = 8                      // looks before a usual time is known
 	LevelLearn = 1.0 / 16               // weight of a look in the usual time
 	LevelEnter = 3.0                    // times the usual that is evidence; machines that are well vary by 2
--- a/plumb/watch.go
+++ b/plumb/watch.go
@@ -16,6 +16,7 @@
 	work  func() tick.Span
 	mu    sync.Mutex
 	level *Level
+	last  tick.Moment // of the look before
 }
 
 // NewWatch makes a watch; work does and times the piece of work, nil for the usual one.
@@ -39,23 +40,22 @@
 	return w
 }
 
-// Run measures until the scope ends.
-func (w *Watch) Run() {
-	for {
-		at := tick.Now()
-		if !tick.Rest(w.sc, plate.LevelEvery) {
-			return
-		}
-		late := tick.Since(at) - plate.LevelEvery
-		work := w.work()
-		w.mu.Lock()
-		was := w.level.Out()
-		w.level.Step(work, late)
-		now, s := w.level.Out(), w.level.State()
-		w.mu.Unlock()
-		if now != was {
-			w.sc.Log().Info("own machine", "slow", s.Slow, "out", now, "work_us", work.Microseconds(), "usual_us", int64(s.UsualUs), "late_ms", late.Milliseconds())
-		}
+// Look measures once. It is to be called each LevelEvery, and how much later it is called is part of what is seen.
+func (w *Watch) Look() {
+	now := tick.Now()
+	work := w.work()
+	w.mu.Lock()
+	late := tick.Span(0)
+	if !w.last.IsZero() {
+		late = now.Sub(w.last) - plate.LevelEvery
+	}
+	w.last = now
+	was := w.level.Out()
+	w.level.Step(work, late)
+	out, s := w.level.Out(), w.level.State()
+	w.mu.Unlock()
+	if out != was {
+		w.sc.Log().Info("own machine", "slow", s.Slow, "out", out, "work_us", work.Microseconds(), "usual_us", int64(s.UsualUs), "late_ms", late.Milliseconds())
 	}
 }
 
--- /dev/null
+++ b/plumb/watch_test.go
@@ -0,0 +1,48 @@
+package plumb
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+func TestAWatchSeesLateLooksAndSlowWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		work := 10 * us
+		w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), func() tick.Span { return work })
+		look := func(n int, every time.Duration) {
+			for range n {
+				w.Hear("n1", false)
+				w.Look()
+				time.Sleep(every)
+			}
+		}
+		look(plate.LevelFirst+4, plate.LevelEvery)
+		require.False(t, w.Slow())
+		look(plate.LevelBad+1, plate.LevelEvery+2*plate.LevelLate) // the first was on time
+		require.True(t, w.Slow())
+		look(plate.LevelGood+1, plate.LevelEvery)
+		require.False(t, w.Slow())
+		work *= 5
+		look(plate.LevelBad+plate.LevelAfter+1, plate.LevelEvery)
+		require.True(t, w.Out())
+		require.False(t, w.Shed())
+		look(plate.LevelShed, plate.LevelEvery)
+		require.True(t, w.Shed())
+		require.InDelta(t, 10, w.State().UsualUs, 0.01)
+	})
+}
+
+func TestTheUsualPieceOfWorkTakesTime(t *testing.T) {
+	w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), nil)
+	require.Positive(t, w.work())
+	w.Look()
+	require.False(t, w.Slow())
+}
