--- a/lookout/lookout.go
+++ b/lookout/lookout.go
@@ -78,16 +78,23 @@
 
 // Run pings until the scope ends. Between two rounds the nodes that missed a ping are asked again, so that a lost one is known soon.
 func (w *Watcher) Run() {
-	n := 0
-	tick.Every(w.sc, w.every/plate.AgainPart, func() bool {
-		if n%plate.AgainPart == 0 {
-			w.Round()
-		} else {
-			w.again()
+	part := w.every / plate.AgainPart
+	for next := tick.Now(); ; {
+		next = next.Add(w.every)
+		for len(w.doubted()) > 0 && tick.Until(next) > part {
+			if !tick.Rest(w.sc, part) {
+				return
+			}
+			w.ask(w.doubted())
+		}
+		if !tick.Rest(w.sc, tick.Until(next)) {
+			return
 		}
-		n++
-		return true
-	})
+		if tick.Until(next) < -w.every { // this process stood still
+			next = tick.Now()
+		}
+		w.Round()
+	}
 }
 
 // Round pings the set once.
@@ -104,17 +111,16 @@
 	}
 }
 
-// again pings those that missed, but are not suspected yet.
-func (w *Watcher) again() {
-	var set []string
+// doubted lists those that missed, but are not suspected yet.
+func (w *Watcher) doubted() (out []string) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	for n := range w.miss {
 		if !w.said[n] {
-			set = append(set, n)
+			out = append(out, n)
 		}
 	}
-	w.mu.Unlock()
-	w.ask(set)
+	return
 }
 
 func (w *Watcher) ask(set []string) {
