--- a/sim/world.go
+++ b/sim/world.go
@@ -92,6 +92,7 @@
 	runs      map[string]int  // by attempt id, at replicas
 	unsafe    map[string]bool // attempt ids that may run once
 	bodies    map[string]string
+	keys      map[string]string // the service that ran an affinity key of a split
 	broken    []string
 	list      func() []*logbook.Replica
 	listDown  bool
@@ -124,7 +125,7 @@
 
 // NewWorld makes a world with a platform in it.
 func NewWorld(log *slog.Logger) *World {
-	w := &World{Net: NewNet(time.Millisecond), Log: log, zones: []string{"a", "b", "c"}, losses: 1, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}}
+	w := &World{Net: NewNet(time.Millisecond), Log: log, zones: []string{"a", "b", "c"}, losses: 1, procs: map[string]*Proc{}, replicas: map[string]*Replica{}, runs: map[string]int{}, unsafe: map[string]bool{}, bodies: map[string]string{}, keys: map[string]string{}}
 	w.serve("10.9.0.1:90", http.HandlerFunc(w.platform))
 	return w
 }
@@ -174,6 +175,9 @@
 	places := map[string]string{}
 	for _, z := range w.zones {
 		places[z] = "r"
+		if z == "d" { // the one locality of another region
+			places[z] = "s"
+		}
 	}
 	zones, _ := json.Marshal(places)
 	disk := "quorum_member: true\ndata_dir: \"/data\""
@@ -520,6 +524,19 @@
 	if q.Header.Get("Time-Budget-Ms") == "" {
 		w.Broke("BUDGET-MS", "%s came without what is left", id)
 	}
+	if strings.HasPrefix(q.URL.Path, "/h/") && r.zone != "d" {
+		w.Broke("HOME", "%s reached %s in another region", id, r.ID)
+	}
+	if strings.HasPrefix(q.URL.Path, "/k/") {
+		key, _, _ := strings.Cut(q.Header.Get("Prompt-Prefix"), ",")
+		w.mu.Lock()
+		was, again := w.keys[key]
+		w.keys[key] = r.pool
+		w.mu.Unlock()
+		if again && was != r.pool {
+			w.Broke("SPLIT", "key %s went to %s and to %s", key, was, r.pool)
+		}
+	}
 	if state != "ready" && time.Since(since) > drainBound {
 		w.Broke("DRAIN", "%s reached %s, which is %s", id, r.ID, state)
 	}
