--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -16,6 +16,7 @@
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
+	"shaletrestle/gauge"
 	"shaletrestle/haul"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
@@ -165,6 +166,9 @@
 // Takes tells whether a replica may be sent to, as this process knows it now.
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
 
+// Health tells what is held against replicas here.
+func (g *Gate) Health() map[string]gauge.Stat { return g.yard.Health().Stats(tick.Now()) }
+
 func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
 		if g.ready.Load() && !g.leaving.Load() {
--- a/gauge/jury.go
+++ b/gauge/jury.go
@@ -112,6 +112,13 @@
 	return c.good >= need && c.fail <= plate.AcquitPart*c.good
 }
 
+// Told gives the replicas under suspicion as they were told last.
+func (j *Jury) Told() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.told
+}
+
 // Clear drops all cases: another primary has heard what came meanwhile.
 func (j *Jury) Clear() {
 	j.mu.Lock()
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -178,7 +178,7 @@
 	JuryHalf         = 2 * time.Second        // what nodes told halves
 	TellerSpan       = 3 * time.Second        // a teller counts so long
 	TellersLeast     = 2                      // one node's word is never enough
-	SuspectNeed      = 2.0                    // whole failures told before a suspicion
+	SuspectNeed      = 1.2                    // whole failures told before a suspicion: two 500s seen by two nodes
 	SuspectSpan      = 3 * time.Second        // a suspicion not repeated ends at the nodes
 	SuspectMost      = 10 * time.Second       // a suspicion ends; a new one needs new failures
 	SuspectPass      = 0.125                  // part of the shots that a suspect still gets: the fleet's trial of it
--- a/sim/script.go
+++ b/sim/script.go
@@ -187,6 +187,16 @@
 			return err
 		}
 		w.Net.Forget(w.replicas[arg(0)].ip, d)
+	case "suspected": // suspected r1 at=g1,g6 within=2s: these gates hold it under suspicion; no=1: they don't
+		end := time.Now().Add(a.span("within", time.Second))
+		for _, n := range strings.Split(a.kv["at"], ",") {
+			for w.procs[n].gate.Health()[arg(0)].Suspected == (a.kv["no"] != "") {
+				if time.Now().After(end) {
+					return fmt.Errorf("%s holds %v", n, w.procs[n].gate.Health())
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
 	case "resets": // resets r1 each=2: every so manieth connection to it is reset
 		w.Net.Reset(w.replicas[arg(0)].ip, a.num("each", 2))
 	case "blackout": // blackout r1: its machine goes dark
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -472,7 +472,7 @@
 		"program":     "tallyhouse", "version": plate.Version, "node": h.env.NodeName, "tally": h.member.State(),
 		"news":           map[string]any{"epoch": ep, "number": num, "acked": h.feed.Acked(), "source": h.follower.Source(), "live": h.live.Load()},
 		"setup_revision": h.state.View().Doc.Epoch, "evacuated": h.state.View().Evac, "replicas": len(v.Replicas), "fleet": v.Fleet,
-		"list_duty": h.duty.Held(), "list_calls": h.polls.Load(), "list_failures": h.fails.Load(),
+		"list_duty": h.duty.Held(), "suspects": h.jury.Told(), "list_calls": h.polls.Load(), "list_failures": h.fails.Load(),
 	})
 }
 
