Suspects are tried with what may be sent again; failures are told at once; forgetting needs proof

Change: inquiries that may be repeated are passed by less, four good answers end a suspicion, a failure is told when nothing was told for a beat. A reset after a rest that other connections of the service bore lately is not taken for forgetting.

--- a/berth/yard.go
+++ b/berth/yard.go
@@ -25,6 +25,7 @@
 	OutMost  int         // most tokens that may come out
 	Aim      tick.Span   // time within which the first token is wanted
 	Not      map[string]bool
+	Bold     bool // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
 	ColdRate func(id string) float64    // inquiries a second that this process may send to a cold replica
 }
@@ -152,7 +153,7 @@
 		if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
 			continue
 		}
-		switch y.health.Fit(b.r.ID, now) {
+		switch y.health.Fit(b.r.ID, a.Bold, now) {
 		case gauge.Out:
 			continue
 		case gauge.Passed:
--- a/blade/channel.go
+++ b/blade/channel.go
@@ -99,11 +99,10 @@
 	return ch
 }
 
-// Rested is how long the connection was idle before its present use, 0 for a new one.
-func (ch *Channel) Rested() tick.Span { return ch.rested }
-
-// Forgotten says that the replica no longer knew this connection when it was used again.
-func (ch *Channel) Forgotten() { ch.pool.forgot(ch.rested) }
+// Forgotten tells whether a connection that was reset when it was used again had been forgotten by the replica, as far as the idle time says; it is learned from.
+func (ch *Channel) Forgotten() bool {
+	return ch.rested >= plate.ForgotIdle && ch.pool.forgot(ch.rested)
+}
 
 // Doubt closes the idle connections beside this one: after silence they are in doubt too, and the next inquiry dials before it sends.
 func (ch *Channel) Doubt() { ch.pool.flush() }
@@ -295,6 +294,9 @@
 		}
 	}
 	keep = keep && br.Buffered() == 0
+	if ch.rested > 0 {
+		ch.pool.keep.Kept(ch.rested, tick.Now())
+	}
 	if keep {
 		ch.job.Store(nil)
 		ch.idle, ch.expires = tick.Now(), tick.Now().Add(keepFor(r.Header))
--- a/blade/keep.go
+++ b/blade/keep.go
@@ -12,14 +12,29 @@
 	mu    sync.Mutex
 	limit tick.Span // idle time at the newest loss, less a margin; 0 if none was lost
 	at    tick.Moment
+	proof tick.Span // longest idle time of late after which a connection worked
+	shown tick.Moment
 }
 
-// Forgot notes that a connection idle that long was reset when it was used again.
-func (k *Keep) Forgot(idle tick.Span, now tick.Moment) {
+// Kept notes that a connection worked after it was idle that long.
+func (k *Keep) Kept(idle tick.Span, now tick.Moment) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if idle >= k.proof || now.Sub(k.shown) > plate.KeepProof {
+		k.proof, k.shown = idle, now
+	}
+}
+
+// Forgot notes that a connection idle that long was reset when it was used again. It is false if others of the service worked lately after as long: then this one was not forgotten.
+func (k *Keep) Forgot(idle tick.Span, now tick.Moment) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if idle < k.proof && now.Sub(k.shown) <= plate.KeepProof {
+		return false
+	}
 	k.limit = max(plate.KeepLeast, min(k.most(now), tick.Span(float64(idle)*plate.KeepPart)))
 	k.at = now
+	return true
 }
 
 // Most is how long a connection may have been idle to be used for what may be sent again. After a loss it grows back.
--- a/blade/keep_test.go
+++ b/blade/keep_test.go
@@ -23,7 +23,13 @@
 	require.Equal(t, 2*short, k.Most(now.Add(plate.KeepRelax)))
 	require.Equal(t, plate.KeepLongest, k.Most(now.Add(time.Hour)))
 	for range 99 {
-		k.Forgot(0, now)
+		require.True(t, k.Forgot(0, now))
 	}
 	require.Equal(t, plate.KeepLeast, k.Most(now))
+	p := &Keep{}
+	p.Kept(2*time.Second, now)
+	p.Kept(time.Second, now)
+	require.False(t, p.Forgot(time.Second, now), "others worked after a longer rest")
+	require.Equal(t, plate.KeepLongest, p.Most(now))
+	require.True(t, p.Forgot(time.Second, now.Add(plate.KeepProof+1)), "but not of late")
 }
--- a/blade/pool.go
+++ b/blade/pool.go
@@ -158,11 +158,13 @@
 	return n > 0 && tick.Now().Before(p.free[n-1].expires)
 }
 
-// forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long.
-func (p *Pool) forgot(rested tick.Span) {
-	p.made.Forgot.Inc()
+// forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
+func (p *Pool) forgot(rested tick.Span) bool {
 	now := tick.Now()
-	p.keep.Forgot(rested, now)
+	if !p.keep.Forgot(rested, now) {
+		return false
+	}
+	p.made.Forgot.Inc()
 	p.mu.Lock()
 	var old []*Channel
 	for _, ch := range p.free {
@@ -174,6 +176,7 @@
 	for _, ch := range old {
 		ch.Kill()
 	}
+	return true
 }
 
 func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -380,6 +380,18 @@
 	return b
 }
 
+// blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
+func (g *Gate) blame(id string, k gauge.Kind) {
+	now := tick.Now()
+	g.yard.Health().Bad(id, k, now)
+	g.mu.Lock()
+	due := now.Sub(g.toldAt) >= plate.NewsBeat
+	g.mu.Unlock()
+	if due {
+		g.follower.Tell()
+	}
+}
+
 // further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
 func (g *Gate) further(pool string, within tick.Span) bool {
 	if g.budget.Take(pool, g.fleet()) {
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -198,7 +198,7 @@
 		return false
 	}
 	q.head = passOn(q.r.Header)
-	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{},
+	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
 		ColdRate: func(id string) float64 { return q.g.coldRate(q.pool.ColdPerS, id) }}
 	if e := q.pool.Engine; e != nil {
 		model := q.r.Header.Get("Model")
@@ -356,14 +356,13 @@
 // blame holds a failure against a replica; another one is tried next.
 func (q *inquiry) blame(id string, k gauge.Kind) {
 	q.ask.Not[id] = true
-	q.g.yard.Health().Bad(id, k, tick.Now())
+	q.g.blame(id, k)
 }
 
 // ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
 func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
-	if reset && ch.Rested() >= plate.ForgotIdle {
-		ch.Forgotten()
-		q.g.yard.Health().Bad(id, gauge.Stale, tick.Now())
+	if reset && ch.Forgotten() {
+		q.g.blame(id, gauge.Stale)
 		return
 	}
 	q.blame(id, k)
@@ -419,7 +418,7 @@
 			}
 			if watch { // it is waited for still
 				end.Overdue = true
-				q.g.yard.Health().Bad(id, gauge.Slow, tick.Now())
+				q.g.blame(id, gauge.Slow)
 				continue
 			}
 			q.mayRun = true
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -118,8 +118,8 @@
 	return max(1, n/plate.EjectPart)
 }
 
-// Fit tells whether a replica may be chosen now.
-func (g *Gauge) Fit(id string, now tick.Moment) Fitness {
+// Fit tells whether a replica may be chosen now. A bold inquiry may be sent again if it fails: most trials of suspects are made with these.
+func (g *Gauge) Fit(id string, bold bool, now tick.Moment) Fitness {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.r[id]
@@ -128,7 +128,7 @@
 		return Fit
 	case now.Before(r.out), r.trial && r.trying:
 		return Out
-	case now.Before(r.suspect) && rand.Float64() >= plate.SuspectPass:
+	case now.Before(r.suspect) && (bold && rand.Float64() >= plate.SuspectBold || !bold && rand.Float64() >= plate.SuspectPass):
 		return Passed
 	}
 	return Fit
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -27,7 +27,7 @@
 	g := of(9)
 	out := func(s float64) (d time.Duration) {
 		g.Bad("r1", Silent, at(s))
-		for d = 0; g.Fit("r1", at(s).Add(d)) == Out; d += 10 * time.Millisecond {
+		for d = 0; g.Fit("r1", false, at(s).Add(d)) == Out; d += 10 * time.Millisecond {
 		}
 		g.Good("r1", time.Millisecond, time.Second, false, at(s).Add(d))
 		return
@@ -43,19 +43,19 @@
 func TestAnEjectionEndsWithOneTrial(t *testing.T) {
 	g := of(9)
 	g.Bad("r1", Refused, at(0))
-	require.Equal(t, Out, g.Fit("r1", at(0.1)))
-	require.Equal(t, Fit, g.Fit("r1", at(1)))
+	require.Equal(t, Out, g.Fit("r1", false, at(0.1)))
+	require.Equal(t, Fit, g.Fit("r1", false, at(1)))
 	g.Sent("r1")
-	require.Equal(t, Out, g.Fit("r1", at(1)), "one at a time")
+	require.Equal(t, Out, g.Fit("r1", false, at(1)), "one at a time")
 	g.Over("r1")
-	require.Equal(t, Fit, g.Fit("r1", at(1)))
+	require.Equal(t, Fit, g.Fit("r1", false, at(1)))
 	g.Sent("r1")
 	g.Bad("r1", Shed, at(1.1))
-	require.Equal(t, Out, g.Fit("r1", at(1.2)), "a trial that fails ejects again, whatever the kind")
+	require.Equal(t, Out, g.Fit("r1", false, at(1.2)), "a trial that fails ejects again, whatever the kind")
 	g.Sent("r1")
 	g.Good("r1", time.Millisecond, time.Second, false, at(3))
 	g.Sent("r1")
-	require.Equal(t, Fit, g.Fit("r1", at(3)))
+	require.Equal(t, Fit, g.Fit("r1", false, at(3)))
 }
 
 func TestAGreyReplicaIsFoundAgainstItsPeers(t *testing.T) {
@@ -63,14 +63,14 @@
 	for i := range 3 {
 		g.Bad("r1", Failed, at(float64(i)/10))
 	}
-	require.Equal(t, Out, g.Fit("r1", at(0.3)))
-	require.Equal(t, Fit, g.Fit("r2", at(0.3)))
+	require.Equal(t, Out, g.Fit("r1", false, at(0.3)))
+	require.Equal(t, Fit, g.Fit("r2", false, at(0.3)))
 	all := of(9)
 	for i := range 90 {
 		all.Bad(fmt.Sprintf("r%d", i%9), Failed, at(float64(i)/100))
 	}
 	for i := range 9 {
-		require.Equal(t, Fit, all.Fit(fmt.Sprintf("r%d", i), at(1)), "all fail alike: nobody is worse than the others")
+		require.Equal(t, Fit, all.Fit(fmt.Sprintf("r%d", i), false, at(1)), "all fail alike: nobody is worse than the others")
 	}
 }
 
@@ -84,7 +84,7 @@
 		}
 		out := 0
 		for i := range n {
-			if g.Fit(fmt.Sprintf("r%d", i), at(0.2)) == Out {
+			if g.Fit(fmt.Sprintf("r%d", i), false, at(0.2)) == Out {
 				out++
 			}
 		}
@@ -102,7 +102,7 @@
 	}
 	back := 0
 	for i := range 6 {
-		if g.Fit(fmt.Sprintf("r%d", i), at(35.1).Add(plate.EjectFirst)) == Fit {
+		if g.Fit(fmt.Sprintf("r%d", i), false, at(35.1).Add(plate.EjectFirst)) == Fit {
 			back++
 		}
 	}
@@ -114,20 +114,26 @@
 	g.Suspected([]string{"r1"}, at(0))
 	n := map[Fitness]int{}
 	for range 4000 {
-		n[g.Fit("r1", at(0.1))]++
+		n[g.Fit("r1", false, at(0.1))]++
 	}
 	require.Zero(t, n[Out])
 	require.InDelta(t, 4000*plate.SuspectPass, n[Fit], 150)
+	clear(n)
+	for range 4000 {
+		n[g.Fit("r1", true, at(0.1))]++
+	}
+	require.Zero(t, n[Out])
+	require.InDelta(t, 4000*plate.SuspectBold, n[Fit], 200)
 	g.Bad("r2", Shed, at(0.2))
-	require.Equal(t, Fit, g.Fit("r2", at(0.2)))
+	require.Equal(t, Fit, g.Fit("r2", false, at(0.2)))
 	g.Bad("r1", Shed, at(0.2))
-	require.Equal(t, Out, g.Fit("r1", at(0.3)))
+	require.Equal(t, Out, g.Fit("r1", false, at(0.3)))
 	h := of(9)
 	h.Suspected([]string{"r1"}, at(0))
-	require.Equal(t, Fit, h.Fit("r1", at(0).Add(plate.SuspectSpan)), "not repeated, it ends")
+	require.Equal(t, Fit, h.Fit("r1", false, at(0).Add(plate.SuspectSpan)), "not repeated, it ends")
 	h.Suspected([]string{"r1"}, at(0))
 	h.Suspected(nil, at(0))
-	require.Equal(t, Fit, h.Fit("r1", at(0.1)))
+	require.Equal(t, Fit, h.Fit("r1", false, at(0.1)))
 }
 
 func TestOverdueIsMeasuredAgainstThePredictionOrTheServicesMean(t *testing.T) {
@@ -149,7 +155,7 @@
 		g.Bad("r8", Slow, at(0))
 		g.Good("r8", time.Second, time.Millisecond, true, at(0))
 	}
-	require.Equal(t, Out, g.Fit("r8", at(0.1)))
+	require.Equal(t, Out, g.Fit("r8", false, at(0.1)))
 	require.Equal(t, []Word{{"r8", 1, 0, 2 * plate.BlameSlow}}, g.Words(1, at(0)), "an overdue answer is no good one")
 }
 
@@ -172,7 +178,7 @@
 	g.Keep(nil)
 	require.Empty(t, g.Stats(at(0)))
 	g.Bad("gone", Silent, at(0))
-	require.Equal(t, Fit, g.Fit("gone", at(0)))
+	require.Equal(t, Fit, g.Fit("gone", false, at(0)))
 }
 
 func TestForgottenConnectionsAreHeldAgainstAReplicaOnlyIfItsPeersForgetLess(t *testing.T) {
@@ -183,12 +189,12 @@
 			all.Bad(fmt.Sprintf("r%d", k), Stale, at(float64(i)/10))
 		}
 	}
-	require.Equal(t, Out, g.Fit("r1", at(0.5)))
-	require.Equal(t, Fit, all.Fit("r1", at(0.5)))
+	require.Equal(t, Out, g.Fit("r1", false, at(0.5)))
+	require.Equal(t, Fit, all.Fit("r1", false, at(0.5)))
 	h := of(9)
 	h.Bad("r1", Silent, at(0))
 	h.Sent("r1")
 	h.Bad("r1", Stale, at(1))
 	h.Over("r1")
-	require.Equal(t, Fit, h.Fit("r1", at(1)), "a trial on a forgotten connection tells nothing")
+	require.Equal(t, Fit, h.Fit("r1", false, at(1)), "a trial on a forgotten connection tells nothing")
 }
--- a/gauge/jury_test.go
+++ b/gauge/jury_test.go
@@ -112,7 +112,7 @@
 			g := gs[r.IntN(nodes)]
 			id := ""
 			for id == "" {
-				if x := fmt.Sprintf("r%d", r.IntN(reps)); g.Fit(x, now) == Fit {
+				if x := fmt.Sprintf("r%d", r.IntN(reps)); g.Fit(x, r.IntN(8) == 0, now) == Fit {
 					id = x
 				}
 			}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -146,6 +146,7 @@
 	KeepLeast   = 100 * time.Millisecond // no loss shortens the idle time below this: bursts still share connections
 	KeepPart    = 0.7                    // part of the idle time of a forgotten connection that the others are used up to
 	KeepRelax   = 10 * time.Second       // after a loss the allowed idle time doubles this often
+	KeepProof   = 5 * time.Second        // so long a connection that worked shows that a shorter rest is not forgotten
 	KeepDoubt   = 30 * time.Second       // so long after a loss, what may not be sent again takes young connections only
 	BudgetPot   = 0.5                    // part of the slack that is lent in lumps; the rest stays with the nodes, for when nobody lends
 	LumpTries   = 4                      // further tries in one lump: what a burst of failures takes on one node
@@ -181,8 +182,9 @@
 	SuspectNeed      = 1.2                    // whole failures told before a suspicion: two 500s seen by two nodes
 	SuspectSpan      = 3 * time.Second        // a suspicion not repeated ends at the nodes
 	SuspectMost      = 10 * time.Second       // a suspicion ends; a new one needs new failures
-	SuspectPass      = 0.125                  // part of the shots that a suspect still gets: the fleet's trial of it
-	AcquitGood       = 6.0                    // answers that work before a suspicion ends
+	SuspectPass      = 0.1                    // part of the shots that a suspect still gets, of those that may not be sent again
+	SuspectBold      = 0.6                    // and of those that may: the fleet's trial of it
+	AcquitGood       = 4.0                    // answers that work before a suspicion ends
 	AcquitPart       = 0.15                   // failures among them that are borne
 	StatLeast        = 0.05                   // less than this is not shown, and forgotten
 )
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -52,6 +52,7 @@
 	lines    *crew.Lines
 	lender   *portion.Lender
 	jury     *gauge.Jury
+	judged   tick.Moment  // when the words were last weighed
 	words    []gauge.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
@@ -302,6 +303,7 @@
 			}
 			return ""
 		}, tick.Now())
+		h.judge()
 		return
 	}
 	h.mu.Lock()
@@ -322,16 +324,23 @@
 	return b
 }
 
-// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out.
+// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out, at most once a beat.
 func (h *House) judge() {
-	if !h.live.Load() {
+	now := tick.Now()
+	h.mu.Lock()
+	due := now.Sub(h.judged) >= plate.NewsBeat
+	if due {
+		h.judged = now
+	}
+	h.mu.Unlock()
+	if !due || !h.live.Load() {
 		return
 	}
 	size := map[string]int{}
 	for _, r := range h.news.View().Replicas {
 		size[r.Pool]++
 	}
-	if ids, news := h.jury.Verdict(size, tick.Now()); news {
+	if ids, news := h.jury.Verdict(size, now); news {
 		h.feed.Push((&logbook.Event{Kind: logbook.Health, Suspects: ids}).Encode())
 	}
 }
