--- a/blade/pool.go
+++ b/blade/pool.go
@@ -150,14 +150,6 @@
 	return nil
 }
 
-// Idle tells whether a connection lies ready.
-func (p *Pool) Idle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.free)
-	return n > 0 && tick.Now().Before(p.free[n-1].expires)
-}
-
 // forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
 func (p *Pool) forgot(rested tick.Span) bool {
 	now := tick.Now()
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -303,10 +303,6 @@
 		}
 		return true
 	}
-	if !q.g.yard.May(id) {
-		ch.Back()
-		return true
-	}
 	if q.sent > 0 {
 		if !q.g.further(q.pool.Name, left) {
 			ch.Back()
@@ -315,6 +311,10 @@
 		}
 		q.g.count.further.Inc()
 	}
+	if !q.g.yard.May(id) { // asked last: there may have been waits for a connection and for a further try
+		ch.Back()
+		return true
+	}
 	left = tick.Until(q.deadline)
 	h := q.head.Clone()
 	h.Set(blade.HeadExpect, id)
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -7,6 +7,8 @@
 	"sort"
 	"sync"
 
+	"go.uber.org/atomic"
+
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -84,6 +86,8 @@
 	s  map[string]*service
 	// draw gives a number from 0 to 1
 	draw func() float64
+	// cases is how many replicas anything is decided about, or more; while it is 0 all are fit
+	cases atomic.Int64
 }
 
 // New makes a gauge that knows nobody.
@@ -124,6 +128,9 @@
 
 // Fit tells whether a replica may be chosen now. A bold inquiry may be sent again if it fails: most trials of suspects are made with these.
 func (g *Gauge) Fit(id string, bold bool, now tick.Moment) Fitness {
+	if g.cases.Load() == 0 {
+		return Fit
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.r[id]
@@ -249,6 +256,7 @@
 		n := math.Floor(r.episodes.now(now, plate.EpisodeHalf) + 0.5)
 		d = min(plate.EjectMost, tick.Span(float64(d)*math.Exp2(min(n, 4))))
 	}
+	g.cases.Inc()
 	r.episodes.add(1, now, plate.EpisodeHalf)
 	r.out, r.judged, r.trial, r.trying = now.Add(d), judged, true, false
 }
@@ -265,6 +273,7 @@
 		switch {
 		case on[id]:
 			r.suspect = now.Add(plate.SuspectSpan)
+			g.cases.Inc()
 		default:
 			r.suspect = tick.Moment{}
 		}
@@ -284,12 +293,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ws []Word
+	cases := int64(0)
 	for id, r := range g.r {
+		if r.trial || now.Before(r.suspect) {
+			cases++
+		}
 		if r.fail > 0 || r.good > 0 && now.Before(r.suspect) {
 			ws = append(ws, Word{id, node, r.good, r.fail})
 		}
 		r.good, r.fail = 0, 0
 	}
+	g.cases.Store(cases)
 	sort.Slice(ws, func(i, j int) bool { return ws[i].Bad > ws[j].Bad || ws[i].Bad == ws[j].Bad && ws[i].ID < ws[j].ID })
 	return ws[:min(len(ws), plate.WordsMost)]
 }
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -180,6 +180,9 @@
 	}
 	require.Len(t, g.Words(7, at(0)), plate.WordsMost)
 	require.NotEmpty(t, g.Stats(at(0)))
+	g.Bad("r3", Silent, at(0))
+	g.Words(7, at(0))
+	require.Equal(t, Out, g.Fit("r3", false, at(0.1)), "telling forgets no ejection")
 	g.Keep(nil)
 	require.Empty(t, g.Stats(at(0)))
 	g.Bad("gone", Silent, at(0))
