--- a/blade/pool.go
+++ b/blade/pool.go
@@ -36,7 +36,8 @@
 // Made counts why connections were opened.
 type Made struct {
 	All     atomic.Int64 `json:"all"`
-	First   atomic.Int64 `json:"first"`   // none was there
+	First   atomic.Int64 `json:"first"`   // the first to that replica
+	Again   atomic.Int64 `json:"again"`   // earlier ones were closed
 	Crowded atomic.Int64 `json:"crowded"` // all were in use
 	Expired atomic.Int64 `json:"expired"` // the kept ones had been idle too long
 	Wary    atomic.Int64 `json:"wary"`    // a kept one was there and not trusted
@@ -54,6 +55,7 @@
 	open int
 	most int
 	shut bool
+	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
 	pie  *portion.Pie // channels in use, by owner
@@ -110,9 +112,12 @@
 					p.made.Expired.Inc()
 				case p.open > 0:
 					p.made.Crowded.Inc()
+				case p.used:
+					p.made.Again.Inc()
 				default:
 					p.made.First.Inc()
 				}
+				p.used = true
 				p.open++
 				p.mu.Unlock()
 				return p.dial(owner, end)
