--- a/berth/yard.go
+++ b/berth/yard.go
@@ -415,6 +415,14 @@
 	}
 }
 
+// Queued tells whether a replica said lately that requests wait there.
+func (y *Yard) Queued(id string) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	b := y.b[id]
+	return b != nil && b.waiting > 0 && tick.Since(b.toldAt) < plate.QueueSpan
+}
+
 // Failed notes that a replica could not be reached or was silent: it is ejected for a bounded, growing time; one trial inquiry follows.
 func (y *Yard) Failed(id string) { y.health.Bad(id, gauge.Silent, tick.Now()) }
 
--- a/berth/yard_test.go
+++ b/berth/yard_test.go
@@ -174,3 +174,16 @@
 	}
 	require.Less(t, r, 25.0)
 }
+
+func TestAReplicasWordOfItsQueueAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := NewYard(kerf.NewIndex())
+		y.Set(fleet(2), nil, 0)
+		y.Told("r0", 8, 3, 8)
+		y.Told("r1", 8, 0, 8)
+		require.True(t, y.Queued("r0"))
+		require.False(t, y.Queued("r1") || y.Queued("nobody"))
+		time.Sleep(plate.QueueSpan)
+		require.False(t, y.Queued("r0"))
+	})
+}
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -418,7 +418,9 @@
 			}
 			if watch { // it is waited for still
 				end.Overdue = true
-				q.g.blame(id, gauge.Slow)
+				if !q.g.yard.Queued(id) {
+					q.g.blame(id, gauge.Slow)
+				}
 				continue
 			}
 			q.mayRun = true
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -224,6 +224,8 @@
 	need := plate.BlameNeed
 	if now.Before(r.suspect) {
 		need = plate.BlameNeedSuspect
+	} else if k == Slow && !r.trial {
+		return // a line at a busy replica looks the same from one node: the fleet's word is wanted too
 	}
 	judged := r.bad.n >= need && r.bad.n >= plate.PeerTimes*others
 	if r.trial {
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -172,6 +172,7 @@
 	EpisodeHalf      = 15 * time.Second       // earlier ejections lengthen the next less and less
 	SlowTimes        = 4.0                    // times the prediction that count as slow
 	SlowAims         = 1.5                    // and not before this many aims: lines at busy replicas are common
+	QueueSpan        = 2 * time.Second        // a replica's word that requests wait there excuses overdue ones so long
 	SlowLeast        = 150 * time.Millisecond // and at least this much later
 	TookOver         = 50                     // answers that the mean time of a service runs over
 	WordsMost        = 32                     // replicas told of in one acknowledgement
