--- a/berth/yard.go
+++ b/berth/yard.go
@@ -23,6 +23,7 @@
 	OutMost  int         // most tokens that may come out
 	Aim      tick.Span   // time within which the first token is wanted
 	Not      map[string]bool
+	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
 	ColdRate func(id string) float64    // inquiries a second that this process may send to a cold replica
 	weight   float64                    // of a shared block, when it is placed
@@ -209,7 +210,7 @@
 	if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
 		return false
 	}
-	f := y.health.Fit(b.r.ID, now)
+	f := y.health.Fit(b.r.ID, a.Bold, now)
 	return f == gauge.Fit || f == gauge.Passed && a.last
 }
 
@@ -325,6 +326,14 @@
 	}
 }
 
+// Queued tells whether a replica said lately that requests wait there.
+func (y *Yard) Queued(id string) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	b := y.b[id]
+	return b != nil && b.waiting > 0 && tick.Since(b.toldAt) < plate.QueueSpan
+}
+
 // Failed notes that a replica could not be reached or was silent: it is ejected for a bounded, growing time; one trial inquiry follows.
 func (y *Yard) Failed(id string) { y.health.Bad(id, gauge.Silent, tick.Now()) }
 
--- a/blade/pool.go
+++ b/blade/pool.go
@@ -36,7 +36,8 @@
 // Made counts why connections were opened.
 type Made struct {
 	All     atomic.Int64 `json:"all"`
-	First   atomic.Int64 `json:"first"`   // none was there
+	First   atomic.Int64 `json:"first"`   // the first to that replica
+	Again   atomic.Int64 `json:"again"`   // earlier ones were closed
 	Crowded atomic.Int64 `json:"crowded"` // all were in use
 	Expired atomic.Int64 `json:"expired"` // the kept ones had been idle too long
 	Wary    atomic.Int64 `json:"wary"`    // a kept one was there and not trusted
@@ -54,6 +55,7 @@
 	open int
 	most int
 	shut bool
+	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
 	pie  *portion.Pie // channels in use, by owner
@@ -110,9 +112,12 @@
 					p.made.Expired.Inc()
 				case p.open > 0:
 					p.made.Crowded.Inc()
+				case p.used:
+					p.made.Again.Inc()
 				default:
 					p.made.First.Inc()
 				}
+				p.used = true
 				p.open++
 				p.mu.Unlock()
 				return p.dial(owner, end)
@@ -150,19 +155,13 @@
 	return nil
 }
 
-// Idle tells whether a connection lies ready.
-func (p *Pool) Idle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.free)
-	return n > 0 && tick.Now().Before(p.free[n-1].expires)
-}
-
-// forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long.
-func (p *Pool) forgot(rested tick.Span) {
-	p.made.Forgot.Inc()
+// forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
+func (p *Pool) forgot(rested tick.Span) bool {
 	now := tick.Now()
-	p.keep.Forgot(rested, now)
+	if !p.keep.Forgot(rested, now) {
+		return false
+	}
+	p.made.Forgot.Inc()
 	p.mu.Lock()
 	var old []*Channel
 	for _, ch := range p.free {
@@ -174,6 +173,7 @@
 	for _, ch := range old {
 		ch.Kill()
 	}
+	return true
 }
 
 func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -16,6 +16,7 @@
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
+	"shaletrestle/gauge"
 	"shaletrestle/haul"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
@@ -168,6 +169,9 @@
 // Takes tells whether a replica may be sent to, as this process knows it now.
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
 
+// Health tells what is held against replicas here.
+func (g *Gate) Health() map[string]gauge.Stat { return g.yard.Health().Stats(tick.Now()) }
+
 // pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
 	e := g.env.Load()
@@ -385,6 +389,18 @@
 	return b
 }
 
+// blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
+func (g *Gate) blame(id string, k gauge.Kind) {
+	now := tick.Now()
+	g.yard.Health().Bad(id, k, now)
+	g.mu.Lock()
+	due := now.Sub(g.toldAt) >= plate.NewsBeat
+	g.mu.Unlock()
+	if due {
+		g.follower.Tell()
+	}
+}
+
 // further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
 func (g *Gate) further(pool string, within tick.Span) bool {
 	if g.budget.Take(pool, g.fleet()) {
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -198,7 +198,7 @@
 		return false
 	}
 	q.head = passOn(q.r.Header)
-	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{},
+	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
 		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) }}
 	if e := q.pool.Engine; e != nil {
 		model := q.r.Header.Get("Model")
@@ -303,10 +303,6 @@
 		}
 		return true
 	}
-	if !q.g.yard.May(id) {
-		ch.Back()
-		return true
-	}
 	if q.sent > 0 {
 		if !q.g.further(q.pool.Name, left) {
 			ch.Back()
@@ -315,6 +311,10 @@
 		}
 		q.g.count.further.Inc()
 	}
+	if !q.g.yard.May(id) { // asked last: there may have been waits for a connection and for a further try
+		ch.Back()
+		return true
+	}
 	left = tick.Until(q.deadline)
 	h := q.head.Clone()
 	h.Set(blade.HeadExpect, id)
@@ -356,14 +356,13 @@
 // blame holds a failure against a replica; another one is tried next.
 func (q *inquiry) blame(id string, k gauge.Kind) {
 	q.ask.Not[id] = true
-	q.g.yard.Health().Bad(id, k, tick.Now())
+	q.g.blame(id, k)
 }
 
 // ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
 func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
-	if reset && ch.Rested() >= plate.ForgotIdle {
-		ch.Forgotten()
-		q.g.yard.Health().Bad(id, gauge.Stale, tick.Now())
+	if reset && ch.Forgotten() {
+		q.g.blame(id, gauge.Stale)
 		return
 	}
 	q.blame(id, k)
@@ -398,7 +397,7 @@
 	var head blade.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
 	heard := at
-	due, known := q.g.yard.Health().Due(id, c.Expect)
+	due, known := q.g.yard.Health().Due(id, c.Expect, q.path.Aim)
 	for {
 		wait := tick.Until(q.deadline)
 		if p := q.patience(); p > 0 {
@@ -419,7 +418,9 @@
 			}
 			if watch { // it is waited for still
 				end.Overdue = true
-				q.g.yard.Health().Bad(id, gauge.Slow, tick.Now())
+				if !q.g.yard.Queued(id) {
+					q.g.blame(id, gauge.Slow)
+				}
 				continue
 			}
 			q.mayRun = true
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -7,6 +7,8 @@
 	"sort"
 	"sync"
 
+	"go.uber.org/atomic"
+
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -82,10 +84,16 @@
 	mu sync.Mutex
 	r  map[string]*record
 	s  map[string]*service
+	// draw gives a number from 0 to 1
+	draw func() float64
+	// cases is how many replicas anything is decided about, or more; while it is 0 all are fit
+	cases atomic.Int64
 }
 
 // New makes a gauge that knows nobody.
-func New() *Gauge { return &Gauge{r: map[string]*record{}, s: map[string]*service{}} }
+func New() *Gauge {
+	return &Gauge{r: map[string]*record{}, s: map[string]*service{}, draw: rand.Float64}
+}
 
 // Keep takes the replicas of the moment, each with its service.
 func (g *Gauge) Keep(of map[string]string) {
@@ -118,8 +126,11 @@
 	return max(1, n/plate.EjectPart)
 }
 
-// Fit tells whether a replica may be chosen now.
-func (g *Gauge) Fit(id string, now tick.Moment) Fitness {
+// Fit tells whether a replica may be chosen now. A bold inquiry may be sent again if it fails: most trials of suspects are made with these.
+func (g *Gauge) Fit(id string, bold bool, now tick.Moment) Fitness {
+	if g.cases.Load() == 0 {
+		return Fit
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.r[id]
@@ -128,7 +139,7 @@
 		return Fit
 	case now.Before(r.out), r.trial && r.trying:
 		return Out
-	case now.Before(r.suspect) && rand.Float64() >= plate.SuspectPass:
+	case now.Before(r.suspect) && (bold && g.draw() >= plate.SuspectBold || !bold && g.draw() >= plate.SuspectPass):
 		return Passed
 	}
 	return Fit
@@ -152,8 +163,8 @@
 	}
 }
 
-// Due is how long after sending a first word is overdue: far later than the prediction, or without one (0) than the service's answers take on average. ok is false while that isn't known.
-func (g *Gauge) Due(id string, expect tick.Span) (d tick.Span, ok bool) {
+// Due is how long after sending a first word is overdue: far later than the prediction, or without one (0) than the service's answers take on average, and well after the aim: before it a busy replica may just have a line. ok is false while that isn't known.
+func (g *Gauge) Due(id string, expect, aim tick.Span) (d tick.Span, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.r[id]
@@ -167,7 +178,7 @@
 		}
 		expect = tick.Seconds(s.took)
 	}
-	return tick.Span(plate.SlowTimes*float64(expect)) + plate.SlowLeast, true
+	return max(tick.Span(plate.SlowTimes*float64(expect))+plate.SlowLeast, tick.Span(plate.SlowAims*float64(aim))), true
 }
 
 // Good notes that a replica's first word came, took after sending. overdue says that it was held against it already that it came late.
@@ -213,6 +224,8 @@
 	need := plate.BlameNeed
 	if now.Before(r.suspect) {
 		need = plate.BlameNeedSuspect
+	} else if k == Slow && !r.trial {
+		return // a line at a busy replica looks the same from one node: the fleet's word is wanted too
 	}
 	judged := r.bad.n >= need && r.bad.n >= plate.PeerTimes*others
 	if r.trial {
@@ -245,6 +258,7 @@
 		n := math.Floor(r.episodes.now(now, plate.EpisodeHalf) + 0.5)
 		d = min(plate.EjectMost, tick.Span(float64(d)*math.Exp2(min(n, 4))))
 	}
+	g.cases.Inc()
 	r.episodes.add(1, now, plate.EpisodeHalf)
 	r.out, r.judged, r.trial, r.trying = now.Add(d), judged, true, false
 }
@@ -261,6 +275,7 @@
 		switch {
 		case on[id]:
 			r.suspect = now.Add(plate.SuspectSpan)
+			g.cases.Inc()
 		default:
 			r.suspect = tick.Moment{}
 		}
@@ -280,12 +295,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ws []Word
+	cases := int64(0)
 	for id, r := range g.r {
+		if r.trial || now.Before(r.suspect) {
+			cases++
+		}
 		if r.fail > 0 || r.good > 0 && now.Before(r.suspect) {
 			ws = append(ws, Word{id, node, r.good, r.fail})
 		}
 		r.good, r.fail = 0, 0
 	}
+	g.cases.Store(cases)
 	sort.Slice(ws, func(i, j int) bool { return ws[i].Bad > ws[j].Bad || ws[i].Bad == ws[j].Bad && ws[i].ID < ws[j].ID })
 	return ws[:min(len(ws), plate.WordsMost)]
 }
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -173,6 +173,7 @@
 	KeepLeast   = 100 * time.Millisecond // no loss shortens the idle time below this: bursts still share connections
 	KeepPart    = 0.7                    // part of the idle time of a forgotten connection that the others are used up to
 	KeepRelax   = 10 * time.Second       // after a loss the allowed idle time doubles this often
+	KeepProof   = 5 * time.Second        // so long a connection that worked shows that a shorter rest is not forgotten
 	KeepDoubt   = 30 * time.Second       // so long after a loss, what may not be sent again takes young connections only
 	BudgetPot   = 0.5                    // part of the slack that is lent in lumps; the rest stays with the nodes, for when nobody lends
 	LumpTries   = 4                      // further tries in one lump: what a burst of failures takes on one node
@@ -188,7 +189,7 @@
 	BlameCut         = 0.6                    // a spoiled answer
 	BlameFailed      = 0.6                    // a 5xx: some are the request's own fault
 	BlameShed        = 0.3                    // turned away: its neighbours may do so in the next moment
-	BlameSlow        = 0.5                    // overdue: predictions err, but what is not repeatable may wait for it to its deadline
+	BlameSlow        = 0.4                    // overdue: predictions err, but what is not repeatable may wait for it to its deadline
 	BlameStale       = 0.25                   // a kept connection's reset: forgetting is no failure, but one that forgets more than its peers costs what may not be sent again
 	BlameHalf        = 3 * time.Second        // own evidence halves: a node of a large fleet sees a replica every few seconds
 	BlameNeed        = 1.0                    // own evidence that ejects
@@ -197,6 +198,8 @@
 	EjectPart        = 3                      // at most one in so many of a service is out by judgement
 	EpisodeHalf      = 15 * time.Second       // earlier ejections lengthen the next less and less
 	SlowTimes        = 4.0                    // times the prediction that count as slow
+	SlowAims         = 1.5                    // and not before this many aims: lines at busy replicas are common
+	QueueSpan        = 2 * time.Second        // a replica's word that requests wait there excuses overdue ones so long
 	SlowLeast        = 150 * time.Millisecond // and at least this much later
 	TookOver         = 50                     // answers that the mean time of a service runs over
 	WordsMost        = 32                     // replicas told of in one acknowledgement
@@ -205,11 +208,12 @@
 	JuryHalf         = 2 * time.Second        // what nodes told halves
 	TellerSpan       = 3 * time.Second        // a teller counts so long
 	TellersLeast     = 2                      // one node's word is never enough
-	SuspectNeed      = 2.0                    // whole failures told before a suspicion
+	SuspectNeed      = 1.2                    // whole failures told before a suspicion: two 500s seen by two nodes
 	SuspectSpan      = 3 * time.Second        // a suspicion not repeated ends at the nodes
 	SuspectMost      = 10 * time.Second       // a suspicion ends; a new one needs new failures
-	SuspectPass      = 0.125                  // part of the shots that a suspect still gets: the fleet's trial of it
-	AcquitGood       = 6.0                    // answers that work before a suspicion ends
+	SuspectPass      = 0.1                    // part of the shots that a suspect still gets, of those that may not be sent again
+	SuspectBold      = 0.6                    // and of those that may: the fleet's trial of it
+	AcquitGood       = 5.0                    // answers that work before a suspicion ends
 	AcquitPart       = 0.15                   // failures among them that are borne
 	StatLeast        = 0.05                   // less than this is not shown, and forgotten
 )
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -54,6 +54,7 @@
 	lender   *portion.Lender
 	jury     *gauge.Jury
 	deck     *deck.Sum
+	judged   tick.Moment  // when the words were last weighed
 	words    []gauge.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
@@ -316,6 +317,7 @@
 			}
 			return ""
 		}, tick.Now())
+		h.judge()
 		return
 	}
 	h.mu.Lock()
@@ -336,16 +338,23 @@
 	return b
 }
 
-// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out.
+// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out, at most once a beat.
 func (h *House) judge() {
-	if !h.live.Load() {
+	now := tick.Now()
+	h.mu.Lock()
+	due := now.Sub(h.judged) >= plate.NewsBeat
+	if due {
+		h.judged = now
+	}
+	h.mu.Unlock()
+	if !due || !h.live.Load() {
 		return
 	}
 	size := map[string]int{}
 	for _, r := range h.news.View().Replicas {
 		size[r.Pool]++
 	}
-	if ids, news := h.jury.Verdict(size, tick.Now()); news {
+	if ids, news := h.jury.Verdict(size, now); news {
 		h.feed.Push((&logbook.Event{Kind: logbook.Health, Suspects: ids}).Encode())
 	}
 }
@@ -486,7 +495,7 @@
 		"program":     "tallyhouse", "version": plate.Version, "node": h.env.NodeName, "tally": h.member.State(),
 		"news":           map[string]any{"epoch": ep, "number": num, "acked": h.feed.Acked(), "source": h.follower.Source(), "live": h.live.Load()},
 		"setup_revision": h.state.View().Doc.Epoch, "evacuated": h.state.View().Evac, "replicas": len(v.Replicas), "fleet": v.Fleet,
-		"list_duty": h.duty.Held(), "list_calls": h.polls.Load(), "list_failures": h.fails.Load(),
+		"list_duty": h.duty.Held(), "suspects": h.jury.Told(), "list_calls": h.polls.Load(), "list_failures": h.fails.Load(),
 	})
 }
 
