--- /dev/null
+++ b/sledge/model_test.go
@@ -0,0 +1,439 @@
+package sledge
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/tick"
+)
+
+// The model explores every order of one job between two nodes over the real machines. A message is delivered within its step of
+// time and in the order of sending, as a channel does. Each fault either keeps one back for any time (for ever: it is lost; past
+// others: they change order) or adds a copy that is kept back. One node may die or freeze once, at any point, and thaws at any
+// point. Moments are relative in a state, so that the exploration has an end though time has none.
+const (
+	modelTurns = 2
+	modelParts = 1
+)
+
+var (
+	modelFaults   = flag.Int("model.faults", 0, "explore so many faults beside one death or freeze, instead of the usual sizes")
+	modelDeadline = tick.Span(3)
+	modelBounds   = Bounds{Answer: 1, Accept: 1, Renew: 1, Lease: 2, Graves: 1}
+)
+
+type flight struct {
+	m       Message
+	toOwner bool
+	late    bool
+	fresh   bool // its fate is not decided yet
+}
+
+type runState struct {
+	ticket Ticket // zero: run by the owner
+	open   bool   // it may still begin work
+	ran    bool
+	parts  uint64
+}
+
+type model struct {
+	now       tick.Span
+	again     bool
+	owner     *Owner
+	taker     *Taker
+	ownerDead bool
+	frozen    [2]bool
+	trouble   bool
+	faults    int
+	net       []flight
+	held      bool
+	turns     int
+	runs      []runState
+	outcome   Outcome
+	left      bool
+	lastFrom  Ticket
+	delivered uint64
+	wrong     string
+}
+
+func (m *model) clone() *model {
+	c := *m
+	o, t := *m.owner, *m.taker
+	o.jobs, t.entries = slices.Clone(o.jobs), slices.Clone(t.entries)
+	for i, j := range o.jobs {
+		k := *j
+		o.jobs[i] = &k
+	}
+	for i, e := range t.entries {
+		k := *e
+		t.entries[i] = &k
+	}
+	t.graves = slices.Clone(t.graves)
+	c.owner, c.taker = &o, &t
+	c.net = append([]flight{}, m.net...)
+	c.runs = append([]runState{}, m.runs...)
+	return &c
+}
+
+func bits(bs ...bool) (x byte) {
+	for _, b := range bs {
+		x <<= 1
+		if b {
+			x |= 1
+		}
+	}
+	return x
+}
+
+// key tells states apart; moments count from now, and not beyond what can still matter.
+func (m *model) key() uint64 {
+	rel := func(x tick.Span) byte { return byte(max(-4, min(x-m.now, 12)) + 4) }
+	b := []byte{bits(m.ownerDead, m.frozen[0], m.frozen[1], m.trouble, m.held), byte(m.faults), byte(m.turns), byte(m.outcome),
+		byte(m.lastFrom.Life), byte(m.lastFrom.Number), byte(m.delivered), byte(m.taker.life), byte(m.taker.next)}
+	for _, j := range m.owner.jobs {
+		b = append(b, byte(j.shots), byte(j.lent), bits(j.lost), byte(j.stage), byte(j.turn), byte(j.ticket.Life), byte(j.ticket.Number), byte(j.parts), rel(j.deadline))
+		switch j.stage {
+		case offered:
+			b = append(b, rel(j.until))
+		case gone:
+			b = append(b, rel(j.heard), rel(j.told))
+		}
+	}
+	for _, e := range m.taker.entries {
+		b = append(b, byte(e.ticket), byte(e.place.turn), byte(e.status), byte(e.parts), byte(e.last.Kind), byte(e.last.Number))
+		switch e.status {
+		case accepted:
+			b = append(b, rel(e.until))
+		case running:
+			b = append(b, rel(e.heard))
+		}
+	}
+	for _, e := range m.taker.graves {
+		b = append(b, byte(e))
+	}
+	b = append(b, 254)
+	for _, r := range m.runs {
+		b = append(b, byte(r.ticket.Life), byte(r.ticket.Number), bits(r.open, r.ran), byte(r.parts))
+	}
+	b = append(b, 254)
+	fs := make([][7]byte, len(m.net))
+	for i, f := range m.net {
+		fs[i] = [7]byte{bits(f.late, f.toOwner, f.fresh), byte(f.m.Kind), byte(f.m.Turn), byte(f.m.Ticket.Life), byte(f.m.Ticket.Number), byte(f.m.Number), byte(f.m.Shots)}
+	}
+	slices.SortStableFunc(fs, func(x, y [7]byte) int { // late ones are a set, the others keep their order by direction
+		if x[0]>>1 != y[0]>>1 || x[0]>>2 == 0 {
+			return int(x[0]>>1) - int(y[0]>>1)
+		}
+		return bytes.Compare(x[:], y[:])
+	})
+	for _, f := range fs {
+		b = append(b, f[:]...)
+	}
+	return xxhash.Sum64(b)
+}
+
+func (m *model) fail(why string) { m.wrong = why }
+
+func (m *model) begin(t Ticket) {
+	for _, r := range m.runs {
+		if !m.again && (r.open || r.ran) {
+			m.fail("a second run")
+		}
+		if t != (Ticket{}) && r.ticket == t {
+			m.fail("one ticket run twice")
+		}
+	}
+	if m.outcome == Refused {
+		m.fail("run after the promise")
+	}
+	m.runs = append(m.runs, runState{ticket: t, open: true, ran: t == Ticket{}})
+}
+
+func (m *model) end(as Outcome) {
+	if m.outcome != 0 {
+		m.fail("two final answers")
+	}
+	m.outcome = as
+	if as == Refused {
+		for _, r := range m.runs {
+			if r.open || r.ran {
+				m.fail("a promise that does not hold")
+			}
+		}
+	}
+}
+
+func (m *model) do(fx []Effect, byOwner bool) {
+	for _, f := range fx {
+		switch f.Do {
+		case Send:
+			if byOwner || !m.ownerDead {
+				m.net = append(m.net, flight{m: f.Message, toOwner: !byOwner, fresh: m.faults > 0})
+			}
+		case Begin:
+			m.begin(f.Ticket)
+		case Stop:
+			for i := range m.runs {
+				if m.runs[i].ticket == f.Ticket {
+					m.runs[i].open, m.runs[i].ran = false, true // it may have begun
+				}
+			}
+		case Back:
+			m.held = true
+		case Deliver:
+			if m.outcome != 0 {
+				m.fail("a part after the end")
+			}
+			if m.lastFrom != f.Message.Ticket {
+				if m.lastFrom != (Ticket{}) && !m.again {
+					m.fail("parts of two runs")
+				}
+				m.lastFrom, m.delivered = f.Message.Ticket, 0
+			}
+			m.delivered++
+			if f.Message.Number != m.delivered {
+				m.fail("a part out of order")
+			}
+		case End:
+			if f.Outcome == Whole && (m.lastFrom != f.Message.Ticket || m.delivered != modelParts) {
+				m.fail("a whole answer with a part missing")
+			}
+			m.end(f.Outcome)
+		}
+	}
+}
+
+// settle decides the fate of what is under way once no fault is left.
+func (m *model) settle() {
+	for i := range m.net {
+		m.net[i].fresh = m.net[i].fresh && m.faults > 0
+	}
+}
+
+// tidy leaves out what can have no effect in any state that follows: messages to nobody or about what is over for good, and
+// what the judge no longer asks for.
+func (m *model) tidy() {
+	_, j := m.owner.find(1)
+	if j == nil {
+		m.lastFrom, m.delivered, m.turns, m.held = Ticket{}, 0, 0, false
+	}
+	m.net = slices.DeleteFunc(m.net, func(f flight) bool {
+		if f.toOwner {
+			drops := f.m.Kind == Accept || f.m.Kind == Begun || f.m.Kind == Part
+			return m.ownerDead || !drops && (j == nil || f.m.Turn < j.turn)
+		}
+		if f.m.Kind != Drop || f.m.Ticket == (Ticket{}) {
+			return false
+		}
+		e := m.taker.find(f.m.Ticket.Number)
+		return f.m.Ticket.Life != m.taker.life || e == nil || e.status == over
+	})
+}
+
+// over tells that nothing can happen any more.
+func (m *model) over() bool {
+	w, r := m.taker.Jobs()
+	return len(m.net) == 0 && w+r == 0 && (m.ownerDead || m.outcome != 0)
+}
+
+// next lists every state that may follow, with what happened.
+func (m *model) next() (out []*model) {
+	try := func(f func(c *model)) {
+		c := m.clone()
+		f(c)
+		c.tidy()
+		out = append(out, c)
+	}
+	reach := func(f flight) bool {
+		if f.toOwner {
+			return !m.ownerDead && !m.frozen[0]
+		}
+		return !m.frozen[1]
+	}
+	for i, f := range m.net {
+		if f.fresh {
+			try(func(c *model) { c.net[i].fresh = false })
+			try(func(c *model) { c.net[i].fresh, c.net[i].late = false, true; c.faults--; c.settle() })
+			try(func(c *model) {
+				c.net = append(c.net, flight{m: f.m, toOwner: f.toOwner, late: true, fresh: c.faults > 1})
+				c.net[i].fresh = false
+				c.faults--
+				c.settle()
+			})
+			return out
+		}
+	}
+	if m.over() {
+		return nil
+	}
+	prompt, first := false, [2]bool{}
+	for i, f := range m.net {
+		d := bits(f.toOwner)
+		if reach(f) && (f.late || !first[d]) {
+			prompt = prompt || !f.late
+			first[d] = first[d] || !f.late
+			try(func(c *model) {
+				c.net = append(c.net[:i:i], c.net[i+1:]...)
+				if f.toOwner {
+					c.do(c.owner.Step(c.now, f.m), true)
+				} else {
+					c.do(c.taker.Step(c.now, f.m), false)
+				}
+			})
+		}
+	}
+	if m.held && !m.ownerDead && !m.frozen[0] && m.outcome == 0 {
+		if m.turns < modelTurns {
+			try(func(c *model) { c.held = false; c.turns++; c.do(c.owner.Offer(c.now, 1, "taker", nil), true) })
+		}
+		try(func(c *model) {
+			c.held = false
+			lost, _, ok := c.owner.Here(1)
+			if !ok {
+				c.do(c.owner.GiveUp(1), true)
+				return
+			}
+			if lost && !c.again {
+				c.fail("run here after a loss")
+			}
+			c.begin(Ticket{})
+			c.lastFrom = Ticket{}
+			c.end(Whole)
+		})
+		try(func(c *model) { c.held = false; c.do(c.owner.GiveUp(1), true) })
+	}
+	for i, r := range m.runs {
+		if !r.open || r.ticket == (Ticket{}) || r.ticket.Life != m.taker.life || m.frozen[1] {
+			continue
+		}
+		if r.parts < modelParts {
+			try(func(c *model) {
+				c.runs[i].parts++
+				c.runs[i].ran = true
+				c.do(c.taker.Piece(r.ticket.Number, nil), false)
+			})
+		} else {
+			try(func(c *model) {
+				c.runs[i].open = false
+				c.do(c.taker.Ended(r.ticket.Number, Done, 1), false)
+			})
+		}
+		if !r.ran {
+			try(func(c *model) {
+				c.runs[i].open = false
+				c.do(c.taker.Ended(r.ticket.Number, Returned, 1), false)
+			})
+		}
+	}
+	if !m.trouble {
+		if m.outcome == 0 {
+			try(func(c *model) {
+				c.trouble, c.ownerDead = true, true
+				c.owner.jobs, c.held = nil, false
+			})
+		}
+		try(func(c *model) {
+			c.trouble = true
+			c.taker = NewTaker(c.taker.life+1, modelBounds)
+			c.taker.Room(1)
+			for i := range c.runs {
+				if c.runs[i].open { // its replica may go on
+					c.runs[i].open, c.runs[i].ran = false, true
+				}
+			}
+		})
+		for i := range m.frozen {
+			if i == 1 || m.outcome == 0 { // an owner without a job has nothing left to miss
+				try(func(c *model) { c.trouble, c.frozen[i] = true, true })
+			}
+		}
+	}
+	for i := range m.frozen {
+		if m.frozen[i] {
+			try(func(c *model) { c.frozen[i] = false })
+		}
+	}
+	if !m.frozen[0] && !m.ownerDead {
+		try(func(c *model) { c.do(c.owner.Tick(c.now), true) })
+	}
+	if !m.frozen[1] {
+		try(func(c *model) { c.do(c.taker.Tick(c.now), false) })
+	}
+	if !prompt {
+		try(func(c *model) {
+			c.now++
+			if !c.frozen[0] && !c.ownerDead {
+				c.do(c.owner.Tick(c.now), true)
+				if c.now >= modelDeadline && c.outcome == 0 {
+					c.fail("a job without a final answer at its deadline")
+				}
+			}
+			if !c.frozen[1] {
+				c.do(c.taker.Tick(c.now), false)
+				for _, e := range c.taker.entries {
+					if e.status == accepted && c.now >= e.until || e.status == running && c.now-e.heard >= modelBounds.Lease {
+						c.fail("a job is kept beyond its lease")
+					}
+				}
+				if len(c.taker.graves) > modelBounds.Graves || len(c.taker.entries) > modelBounds.Graves+c.taker.room {
+					c.fail("more is remembered than the bound")
+				}
+			}
+		})
+	}
+	return out
+}
+
+// explore judges every state that can be reached.
+func explore(t *testing.T, again bool, faults int, trouble bool) {
+	first := &model{again: again, owner: NewOwner(7, modelBounds), taker: NewTaker(100, modelBounds), faults: faults, trouble: !trouble, held: true}
+	first.taker.Room(1)
+	require.Equal(t, uint64(1), first.owner.Take(modelDeadline, again, 2))
+	seen := map[uint64]bool{first.key(): true}
+	ends := map[Outcome]int{}
+	todo := []*model{first}
+	for len(todo) > 0 {
+		m := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for _, c := range m.next() {
+			k := c.key()
+			if seen[k] {
+				continue
+			}
+			seen[k] = true
+			if c.wrong != "" {
+				t.Fatalf("%s: %+v", c.wrong, *c)
+			}
+			if c.outcome != m.outcome {
+				ends[c.outcome]++
+			}
+			todo = append(todo, c)
+		}
+	}
+	t.Logf("again=%v faults=%d trouble=%v: %d states, ends %v", again, faults, trouble, len(seen), ends)
+	for _, o := range []Outcome{Whole, Refused, Broken, Late} {
+		require.NotZero(t, ends[o], "outcome %d is never reached", o)
+	}
+}
+
+// TestEveryOrder explores three faults alone and two beside a death or freeze; -model.faults=3 explores three beside it, which
+// takes minutes.
+func TestEveryOrder(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprintf("again=%v", again), func(t *testing.T) {
+			t.Parallel()
+			if *modelFaults > 0 {
+				explore(t, again, *modelFaults, true)
+				return
+			}
+			explore(t, again, 3, false)
+			explore(t, again, 2, true)
+		})
+	}
+}
--- /dev/null
+++ b/sledge/queue.go
@@ -0,0 +1,101 @@
+package sledge
+
+import (
+	"sort"
+
+	"shaletrestle/tick"
+)
+
+// Shares are what the queue learns with: by measurement of prompt work, never by a fixed part of the slots.
+type Shares struct {
+	Waiting int       // long jobs that may wait at once
+	Late    float64   // prompt work is late if its first event took more than this part of its aim
+	Cut     float64   // the room for long work is cut to this part when prompt work is late
+	Grow    float64   // and grows by so much for each prompt answer in time
+	Pause   tick.Span // between two cuts: what a cut does is seen only after it
+}
+
+type waiter struct {
+	number uint64
+	until  tick.Span
+}
+
+// Queue lets long work of this process go to replicas: as much at once as leaves prompt work in time, the rest waits shortly.
+type Queue struct {
+	s       Shares
+	next    uint64
+	room    float64 // long jobs that may run at once, learned
+	runs    int
+	waiting []waiter // by until
+	cutAt   tick.Span
+	cuts    int
+}
+
+// NewQueue makes a queue that starts with room for so many jobs.
+func NewQueue(room float64, s Shares) *Queue { return &Queue{s: s, room: room} }
+
+// Join asks for a place until a moment. now true: it may run at once. ok false: the queue is full.
+func (q *Queue) Join(until tick.Span, idle bool) (number uint64, now, ok bool) {
+	if len(q.waiting) == 0 && (idle || float64(q.runs+1) <= q.room) {
+		q.runs++
+		return 0, true, true
+	}
+	if len(q.waiting) >= q.s.Waiting {
+		return 0, false, false
+	}
+	q.next++
+	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].until > until })
+	q.waiting = append(q.waiting, waiter{})
+	copy(q.waiting[at+1:], q.waiting[at:])
+	q.waiting[at] = waiter{q.next, until}
+	return q.next, false, true
+}
+
+// Leave takes a waiting job out.
+func (q *Queue) Leave(number uint64) {
+	for i, w := range q.waiting {
+		if w.number == number {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Ended notes that a job that ran has ended.
+func (q *Queue) Ended() { q.runs = max(0, q.runs-1) }
+
+// Next names the jobs that may run now, those whose time ends first before others; what waited too long is given too, as late.
+func (q *Queue) Next(now tick.Span, idle bool) (run, late []uint64) {
+	for len(q.waiting) > 0 {
+		w := q.waiting[0]
+		switch {
+		case idle || float64(q.runs+1) <= q.room:
+			q.runs++
+			run = append(run, w.number)
+		case now >= w.until:
+			late = append(late, w.number)
+		default:
+			return run, late
+		}
+		q.waiting = q.waiting[1:]
+	}
+	return run, late
+}
+
+// Prompt takes what was measured of one prompt answer: the part of its aim that the first event took.
+func (q *Queue) Prompt(now tick.Span, part float64) {
+	if part <= q.s.Late {
+		if float64(q.runs) >= q.room-1 { // room that nobody uses is not known to be there
+			q.room += q.s.Grow
+		}
+		return
+	}
+	if q.cuts == 0 || now-q.cutAt >= q.s.Pause {
+		q.cutAt = now
+		q.cuts++
+		q.room = max(1, min(q.room, float64(max(1, q.runs)))*q.s.Cut)
+	}
+}
+
+// Seen tells what runs, what waits, and the learned room.
+func (q *Queue) Seen() (runs, waiting int, room float64) { return q.runs, len(q.waiting), q.room }
--- /dev/null
+++ b/sledge/queue_test.go
@@ -0,0 +1,75 @@
+package sledge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var shares = Shares{Waiting: 2, Late: 0.5, Cut: 0.7, Grow: 0.1, Pause: time.Second}
+
+func TestQueueIsBounded(t *testing.T) {
+	q := NewQueue(1, shares)
+	_, now, ok := q.Join(10, false)
+	require.True(t, now && ok)
+	a, now, ok := q.Join(30, false)
+	require.True(t, !now && ok)
+	b, now, ok := q.Join(20, false)
+	require.True(t, !now && ok)
+	_, _, ok = q.Join(40, false)
+	require.False(t, ok, "a third waits")
+	run, late := q.Next(15, false)
+	require.Empty(t, run)
+	require.Empty(t, late)
+	run, late = q.Next(20, false)
+	require.Empty(t, run)
+	require.Equal(t, []uint64{b}, late, "what can't run in time is told at once")
+	q.Ended()
+	run, _ = q.Next(21, false)
+	require.Equal(t, []uint64{a}, run)
+}
+
+func TestQueueLetsAllInWhileIdle(t *testing.T) {
+	q := NewQueue(1, shares)
+	for range 50 {
+		_, now, ok := q.Join(10, true)
+		require.True(t, now && ok)
+	}
+	n, _, _ := q.Join(10, false)
+	require.NotZero(t, n)
+	run, _ := q.Next(5, true)
+	require.Equal(t, []uint64{n}, run, "idle replicas run what waits")
+}
+
+func TestQueueLearnsFromPromptWork(t *testing.T) {
+	q := NewQueue(20, shares)
+	for range 20 {
+		q.Join(0, false)
+	}
+	q.Prompt(time.Second, 0.9)
+	_, _, room := q.Seen()
+	require.InDelta(t, 14, room, 1e-9)
+	q.Prompt(time.Second+1, 0.9)
+	_, _, room = q.Seen()
+	require.InDelta(t, 14, room, 1e-9, "a cut has time to work")
+	for range 10 {
+		q.Prompt(2*time.Second, 0.2)
+	}
+	_, _, room = q.Seen()
+	require.InDelta(t, 15, room, 1e-9)
+	for i := range 40 {
+		q.Prompt(time.Duration(i+3)*2*time.Second, 2)
+	}
+	_, _, room = q.Seen()
+	require.GreaterOrEqual(t, room, 1.0, "long work never starves")
+}
+
+func TestQueueGrowsOnlyWhereUsed(t *testing.T) {
+	q := NewQueue(20, shares)
+	for i := range 100 {
+		q.Prompt(time.Duration(i), 0.1)
+	}
+	_, _, room := q.Seen()
+	require.InDelta(t, 20, room, 1e-9)
+}
