Long work is handed to idle neighbours and held back by measured prompt delay; off by default

Cause: requests that people can wait for should fill idle nodes without delaying prompt answers. Off by default: then nothing of it is in the path but one look at the setting.

--- a/crew/note.go
+++ b/crew/note.go
@@ -27,6 +27,7 @@
 	News                       // one numbered change or a checkpoint
 	Heard                      // news acknowledged up to a number
 	Suspect                    // a gatehouse suspects another
+	Job                        // long work between gatehouses
 )
 
 // Seat names a member: its id belongs to its disk, the address is only where it lives.
--- a/env/env.go
+++ b/env/env.go
@@ -36,6 +36,39 @@
 	Bounds    Bounds            `yaml:"bounds"`
 	Cloud     Cloud             `yaml:"cloud_api"`
 	Calendar  string            `yaml:"maintenance_calendar"`
+	LongWork  LongWork          `yaml:"long_work"`
+}
+
+// LongWork is the optional section on long work between nodes; what is 0 takes its usual value.
+type LongWork struct {
+	Enabled    bool    `yaml:"enabled"`
+	Patient    float64 `yaml:"patient"`     // aims
+	Heavy      float64 `yaml:"heavy"`       // aims
+	Takes      int     `yaml:"takes"`       // jobs of others at once
+	Always     bool    `yaml:"always"`      // hand over whenever a neighbour has room, not only when crowded
+	OtherZones bool    `yaml:"other_zones"` // also to neighbours of other localities
+}
+
+func (l *LongWork) check() string {
+	for _, x := range []struct {
+		f   string
+		v   *float64
+		def float64
+	}{{"patient", &l.Patient, plate.LongPatient}, {"heavy", &l.Heavy, plate.LongHeavy}} {
+		if *x.v < 0 || math.IsNaN(*x.v) || math.IsInf(*x.v, 0) {
+			return x.f
+		}
+		if *x.v == 0 {
+			*x.v = x.def
+		}
+	}
+	if l.Takes < 0 || l.Takes > plate.LongTakeMost {
+		return "takes"
+	}
+	if l.Takes == 0 {
+		l.Takes = plate.LongTakes
+	}
+	return ""
 }
 
 // Bind holds the addresses to serve at.
@@ -157,6 +190,9 @@
 	if f := firstBad(e.Bounds); f != "" {
 		return bad("bounds."+f, "must be a number of 0 or more")
 	}
+	if f := e.LongWork.check(); f != "" {
+		return bad("long_work."+f, "is out of bounds")
+	}
 	if e.Bounds.ContactMs == 0 {
 		return bad("bounds.contact_ms", "is missing")
 	}
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/fault"
+	"shaletrestle/plate"
 )
 
 const good = `
@@ -31,6 +32,15 @@
 	require.Equal(t, "10.2.0.30:83", e.ControlAddr("10.2.0.30:7720"))
 }
 
+func TestLongWorkIsOffUnlessAskedFor(t *testing.T) {
+	e, err := Parse([]byte(good), Need{Front: true})
+	require.NoError(t, err)
+	require.Equal(t, LongWork{Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: plate.LongTakes}, e.LongWork)
+	e, err = Parse([]byte(good+"long_work: {enabled: true, takes: 9, other_zones: true}\n"), Need{Front: true})
+	require.NoError(t, err)
+	require.Equal(t, LongWork{Enabled: true, Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: 9, OtherZones: true}, e.LongWork)
+}
+
 func TestParseNamesWhatIsWrong(t *testing.T) {
 	for _, x := range []struct{ old, now, want string }{
 		{`node_name: "edge-1"`, ``, "node_name"},
@@ -43,6 +53,9 @@
 		{`contact_ms: 3000`, `contact_ms: -1`, "contact_ms"},
 		{`data_dir: "/data/x"`, ``, "data_dir"},
 		{`bounds:`, `bounds: [`, "settings file"},
+		{`a_later_field: 7`, `long_work: {heavy: -1}`, "long_work.heavy"},
+		{`a_later_field: 7`, `long_work: {patient: .inf}`, "long_work.patient"},
+		{`a_later_field: 7`, `long_work: {takes: 9999}`, "long_work.takes"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.old, x.now, 1)), Need{Front: true, Control: true})
 		require.Error(t, err, x.want)
--- a/env/program.go
+++ b/env/program.go
@@ -34,6 +34,10 @@
 	p.ShowHelpOnUnexpected = true
 	level := "info"
 	p.String(&level, "l", "log-level", "debug, info, warn or error")
+	long := ""
+	if n.Front {
+		p.String(&long, "", "long-work", "on or off, whatever long_work.enabled says in the settings")
+	}
 	check := flaggy.NewSubcommand("check-env")
 	check.Description = "Check a settings file without starting."
 	file := ""
@@ -55,7 +59,18 @@
 		fmt.Fprintf(os.Stderr, "%s: %s is not set\n", name, plate.EnvVar)
 		return 1
 	}
-	e, err := LoadFile(file, n)
+	if long != "" && long != "on" && long != "off" {
+		fmt.Fprintln(os.Stderr, name+": --long-work takes on or off")
+		return 2
+	}
+	load := func() (*Env, error) {
+		e, err := LoadFile(file, n)
+		if err == nil && long != "" {
+			e.LongWork.Enabled = long == "on"
+		}
+		return e, err
+	}
+	e, err := load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		return 1
@@ -73,7 +88,7 @@
 		log.Error("can't start", "part", name, "err", err.Error())
 		return 1
 	}
-	go hearSignals(sc, d, file, n)
+	go hearSignals(sc, d, file, load)
 	if err := d.Run(); err != nil {
 		log.Error("ended", "part", name, "err", err.Error())
 		return 1
@@ -81,14 +96,14 @@
 	return 0
 }
 
-func hearSignals(sc *scope.Scope, d Daemon, file string, n Need) {
+func hearSignals(sc *scope.Scope, d Daemon, file string, load func() (*Env, error)) {
 	c := make(chan os.Signal, 4)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log := sc.Part("env").Log()
 	last := stamp(file)
 	reload := func() {
 		last = stamp(file)
-		e, err := LoadFile(file, n)
+		e, err := load()
 		if err != nil {
 			log.Error("settings kept as they were", "err", err.Error())
 			return
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -63,6 +63,7 @@
 	pickAt   int
 	bad      map[string]tick.Moment // tallyhouses and when they failed last
 	dropped  string                 // one that was left for a nearer one, not for failing
+	long     *longWork
 }
 
 type counts struct {
@@ -84,8 +85,12 @@
 	lines := crew.NewLines(sc, p.Net, g.handle)
 	ping := func(node string) bool {
 		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello}, plate.CallWait)
+		if err == nil {
+			g.long.roomOf(node, a)
+		}
 		return err == nil && a.OK
 	}
+	g.long = newLongWork(g)
 	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, ping, func(node string, alive bool) {
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
@@ -121,6 +126,7 @@
 	go func() { _ = ps.Serve(pl) }()
 	go g.follower.Run()
 	go g.watcher.Run()
+	go g.long.run()
 	go tick.Every(g.sc, plate.SweepEvery, func() bool { g.sweep(); return true })
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
@@ -137,21 +143,27 @@
 }
 
 // handle answers the pings of other gatehouses.
-func (g *Gate) handle(_ *crew.Channel, n *crew.Note) *crew.Note {
+func (g *Gate) handle(ch *crew.Channel, n *crew.Note) *crew.Note {
+	if n.Kind == crew.Job {
+		g.long.note(ch, n)
+		return nil
+	}
 	if n.Kind != crew.Hello || n.Call == 0 {
 		return nil
 	}
-	return n.Reply(true)
+	return g.long.tellRoom(n.Reply(true))
 }
 
 // Leave finishes what is held and returns when the process may end.
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
+	g.long.leave()
 	grace := tick.Seconds(g.env.Load().Bounds.GraceS)
 	start := tick.Now()
 	linger := min(plate.LingerReady, grace/2)
 	tick.Rest(g.sc, linger)
 	g.front.Finish(grace - plate.GraceMargin - tick.Since(start))
+	g.long.finish(grace - plate.GraceMargin - tick.Since(start))
 }
 
 // Reload takes new settings.
@@ -345,7 +357,7 @@
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
 		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": g.made.Load(), "budget_left": left,
 		"index":  map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()},
-		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(),
+		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(), "long_work": g.long.seen(),
 	})
 }
 
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -44,6 +44,9 @@
 	held   int64
 	status int         // of the newest promise
 	notRun http.Header // heads of the newest promise
+	long   bool        // long work (longwork.go)
+	taken  bool        // it is run for another gatehouse
+	place  string      // the service among whose long work it runs
 }
 
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
@@ -167,6 +170,7 @@
 }
 
 func (q *inquiry) release() {
+	q.leavePlace()
 	if q.held > 0 {
 		q.g.bodies.Give(q.path.Name, q.held)
 	}
@@ -209,7 +213,9 @@
 		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights(name, model)), parts)
 		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
 	}
-	q.g.budget.Asked(name)
+	if !q.taken {
+		q.g.budget.Asked(name)
+	}
 	return true
 }
 
@@ -246,6 +252,9 @@
 
 // fire sends the inquiry to replicas until one has answered or nothing more may be tried.
 func (q *inquiry) fire() {
+	if q.isLong() && q.haul() {
+		return
+	}
 	quit := q.r.Context().Done()
 	for {
 		left := tick.Until(q.deadline)
@@ -300,6 +309,8 @@
 		q.ask.Not[id] = true
 		if fault.KindOf(err) == fault.Broken {
 			q.g.yard.Failed(id)
+		} else {
+			q.g.long.short()
 		}
 		return true
 	}
@@ -346,6 +357,9 @@
 
 // urgency is the class that a replica is told: by the path's priority, behind all others if the prompt alone takes longer than the aim.
 func (q *inquiry) urgency(alone tick.Span) int {
+	if q.long {
+		return plate.UrgencyLong
+	}
 	if alone > q.path.Aim {
 		return plate.UrgencyLate
 	}
@@ -451,6 +465,7 @@
 		v[i] = f
 	}
 	q.g.yard.Told(id, v[0], v[1], v[2])
+	q.g.long.load(q.ask.Pool, id, v)
 }
 
 // event passes one event on; false if it does not follow the last.
@@ -472,6 +487,7 @@
 	*joined = true
 	if !q.began {
 		q.began = true
+		q.promptCame()
 		passBack(q.w.Header(), h)
 		q.w.WriteHeader(http.StatusOK)
 	}
--- /dev/null
+++ b/gatehouse/longwork.go
@@ -0,0 +1,676 @@
+package gatehouse
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/blade"
+	"shaletrestle/crew"
+	"shaletrestle/fault"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+	"shaletrestle/sledge"
+	"shaletrestle/sorting"
+	"shaletrestle/tick"
+)
+
+// longWork drives the machines of package sledge: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
+type longWork struct {
+	g      *Gate
+	sc     *scope.Scope
+	self   string
+	lines  *crew.Lines
+	start  tick.Moment
+	late   atomic.Duration // how late this process's timers are
+	mu     sync.Mutex
+	owner  *sledge.Owner
+	taker  *sledge.Taker
+	inbox  map[uint64]chan sledge.Effect
+	stops  map[uint64]context.CancelFunc // runs for others, by ticket
+	back   map[string]*crew.Channel      // the channel on which an owner spoke last
+	rooms  map[string]neighbour
+	lacked atomic.Time // when a connection could not be had
+	queues map[string]*longQueue
+	held   map[*inquiry]struct{} // long work of our clients, from its body to its end
+	count  longCounts
+}
+
+type longCounts struct {
+	offered, taken, here, elsewhere, returned, lost, refused, broken int64
+}
+
+// neighbour is what a node said of itself with its answer to a ping.
+type neighbour struct {
+	room     int
+	locality string
+	at       tick.Moment
+}
+
+type longLoad struct {
+	running, waiting, slots float64
+	at                      tick.Moment
+}
+
+type longQueue struct {
+	q     *sledge.Queue
+	wake  map[uint64]chan bool
+	loads map[string]longLoad
+}
+
+func newLongWork(g *Gate) *longWork {
+	life := rand.Uint64() | 1
+	b := sledge.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
+	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: sledge.NewOwner(life, b), taker: sledge.NewTaker(life, b),
+		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*crew.Channel{}, rooms: map[string]neighbour{},
+		queues: map[string]*longQueue{}, held: map[*inquiry]struct{}{}}
+	h.lines = crew.NewLines(h.sc, g.net, g.handle)
+	return h
+}
+
+func (h *longWork) on() bool       { return h.g.env.Load().LongWork.Enabled }
+func (h *longWork) now() tick.Span { return tick.Since(h.start) }
+
+// run does what falls due; how late it is woken tells how crowded the processor is.
+func (h *longWork) run() {
+	for {
+		span := plate.LongOff
+		if h.on() {
+			span = plate.LongTick
+		}
+		at := tick.Now()
+		if !tick.Rest(h.sc, span) {
+			return
+		}
+		if !h.on() && span == plate.LongOff {
+			continue
+		}
+		h.late.Store(max(tick.Since(at)-span, tick.Span(float64(h.late.Load())*plate.LongFade)))
+		h.mu.Lock()
+		h.taker.Room(h.room())
+		h.do(h.owner.Tick(h.now()))
+		h.do(h.taker.Tick(h.now()))
+		for _, x := range h.queues {
+			h.pump(x)
+		}
+		h.mu.Unlock()
+	}
+}
+
+// crowded tells whether this node should hand long work on.
+func (h *longWork) crowded() bool {
+	if h.late.Load() >= plate.LongLag || tick.Since(h.lacked.Load()) < plate.LongShort {
+		return true
+	}
+	used := int64(0)
+	for _, s := range h.g.bodies.Slices() {
+		used += s.Used
+	}
+	return float64(used) > plate.CalmPart*plate.BodyMemory*h.g.env.Load().Limits.MemoryMB*(1<<20)
+}
+
+// room is how many jobs of others this node would hold; the caller holds the lock.
+func (h *longWork) room() int {
+	if !h.on() || !h.g.ready.Load() || h.g.leaving.Load() || h.crowded() {
+		return 0
+	}
+	return h.g.env.Load().LongWork.Takes
+}
+
+// tellRoom puts the room left into the answer to a ping.
+func (h *longWork) tellRoom(a *crew.Note) *crew.Note {
+	if h.on() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		w, r := h.taker.Jobs()
+		a.Span, a.From.Locality = uint64(max(0, h.room()-w-r)), h.g.env.Load().Locality
+	}
+	return a
+}
+
+// roomOf takes it from there.
+func (h *longWork) roomOf(node string, a *crew.Note) {
+	if h.on() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.rooms[node] = neighbour{int(min(a.Span, plate.LongTakeMost)), a.From.Locality, tick.Now()}
+	}
+}
+
+// neighbour chooses the node with most room that may have the request.
+func (h *longWork) neighbour(path *sorting.Path) string {
+	e := h.g.env.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	best, most := "", 0
+	for n, x := range h.rooms {
+		switch {
+		case tick.Since(x.at) > plate.LongKnown:
+			delete(h.rooms, n)
+		case x.locality != e.Locality && (!e.LongWork.OtherZones || path.Regions != nil && !path.Regions[e.Zones[x.locality]]):
+		case x.room > most || x.room == most && most > 0 && n < best:
+			best, most = n, x.room
+		}
+	}
+	if best != "" {
+		x := h.rooms[best]
+		x.room--
+		h.rooms[best] = x
+	}
+	return best
+}
+
+// note takes a message of another gatehouse.
+func (h *longWork) note(ch *crew.Channel, n *crew.Note) {
+	m := sledge.Message{Kind: sledge.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
+		Ticket: sledge.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, plate.LongTakeMost)), Body: n.Body}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case m.Kind == 0 || m.Peer == "":
+	case m.Kind <= sledge.Drop:
+		if h.back[m.Peer] != ch {
+			h.back[m.Peer] = ch
+			ch.OnClose(func() { go h.closed(m.Peer, ch) })
+		}
+		h.taker.Room(h.room())
+		h.do(h.taker.Step(h.now(), m))
+	default:
+		if m.Kind == sledge.Returned {
+			h.count.returned++
+		}
+		h.do(h.owner.Step(h.now(), m))
+	}
+}
+
+func (h *longWork) closed(peer string, ch *crew.Channel) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.back[peer] == ch {
+		delete(h.back, peer)
+	}
+}
+
+// do carries out effects in their order; the caller holds the lock, and nothing here waits.
+func (h *longWork) do(fx []sledge.Effect) {
+	for _, f := range fx {
+		switch f.Do {
+		case sledge.Send:
+			h.send(f.Message)
+		case sledge.Begin:
+			h.count.taken++
+			ctx, stop := context.WithCancel(h.sc.Context())
+			h.stops[f.Ticket.Number] = stop
+			go h.runTaken(ctx, f)
+		case sledge.Stop:
+			if stop := h.stops[f.Ticket.Number]; stop != nil {
+				stop()
+			}
+		default:
+			h.tell(f)
+		}
+	}
+}
+
+func (h *longWork) send(m sledge.Message) {
+	n := &crew.Note{Kind: crew.Job, From: crew.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
+		Ballot: m.Ticket.Life, To: m.Ticket.Number, Span: m.Number, HeldBallot: uint64(max(0, m.Shots)), Body: m.Body}
+	if m.Kind > sledge.Drop { // the answers go back on the channel on which the owner spoke, in order
+		if ch := h.back[m.Peer]; ch != nil {
+			ch.Send(n)
+		}
+		return
+	}
+	go func() { // a dial may wait; what is lost is said again
+		if ch, err := h.lines.Get(m.Peer); err == nil {
+			ch.Send(n)
+		}
+	}()
+}
+
+// tell hands an effect to the inquiry whose job it is; one that lags too far loses its job.
+func (h *longWork) tell(f sledge.Effect) {
+	in := h.inbox[f.Job]
+	if in == nil {
+		return
+	}
+	if f.Do == sledge.Deliver && len(in) >= cap(in)-2 {
+		fx := h.owner.Leave(f.Job)
+		in <- sledge.Effect{Do: sledge.End, Job: f.Job, Outcome: sledge.Broken}
+		delete(h.inbox, f.Job)
+		h.do(fx)
+		return
+	}
+	in <- f
+}
+
+// short notes that a connection to a replica could not be had.
+func (h *longWork) short() {
+	if h.on() {
+		h.lacked.Store(tick.Now())
+	}
+}
+
+func (h *longWork) queue(pool string) *longQueue {
+	x := h.queues[pool]
+	if x == nil {
+		x = &longQueue{q: sledge.NewQueue(plate.LongRoom, sledge.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
+			wake: map[uint64]chan bool{}, loads: map[string]longLoad{}}
+		h.queues[pool] = x
+	}
+	return x
+}
+
+// load takes a replica's word on its load.
+func (h *longWork) load(pool, id string, v [3]float64) {
+	if h.on() {
+		h.mu.Lock()
+		h.queue(pool).loads[id] = longLoad{v[0], v[1], v[2], tick.Now()}
+		h.mu.Unlock()
+	}
+}
+
+// idle tells whether the replicas that spoke lately have slots free and nothing waiting; nothing is held back while none has spoken.
+func (x *longQueue) idle() bool {
+	running, waiting, slots := 0.0, 0.0, 0.0
+	for id, l := range x.loads {
+		if tick.Since(l.at) > plate.LongTold {
+			delete(x.loads, id)
+			continue
+		}
+		running, waiting, slots = running+l.running, waiting+l.waiting, slots+l.slots
+	}
+	return waiting == 0 && running <= plate.LongHalf*slots
+}
+
+func (h *longWork) pump(x *longQueue) {
+	run, late := x.q.Next(h.now(), x.idle())
+	for i, ns := range [][]uint64{run, late} {
+		for _, n := range ns {
+			x.wake[n] <- i == 0
+			delete(x.wake, n)
+		}
+	}
+}
+
+// leave takes no more from others and gives back what was not begun.
+func (h *longWork) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.do(h.taker.Empty())
+}
+
+// finish waits for what runs for others, at most d.
+func (h *longWork) finish(d tick.Span) {
+	end := tick.Now().Add(d)
+	for tick.Until(end) > 0 {
+		h.mu.Lock()
+		n := len(h.stops)
+		h.mu.Unlock()
+		if n == 0 || !tick.Rest(h.sc, plate.LongTick) {
+			return
+		}
+	}
+}
+
+// seen is the section of the state page.
+func (h *longWork) seen() map[string]any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held, out, away := h.owner.Jobs()
+	kept, runs := h.taker.Jobs()
+	oldest := tick.Span(0)
+	for q := range h.held {
+		oldest = max(oldest, tick.Since(q.arrived))
+	}
+	qs := map[string]any{}
+	for n, x := range h.queues {
+		r, w, room := x.q.Seen()
+		qs[n] = map[string]any{"running": r, "waiting": w, "room": room, "idle": x.idle()}
+	}
+	c := h.count
+	return map[string]any{"enabled": h.on(), "held": held, "offered_now": out, "elsewhere_now": away, "accepted_now": kept, "taken_now": runs, "oldest_ms": oldest.Milliseconds(),
+		"late_ms": h.late.Load().Milliseconds(), "services": qs, "offered": c.offered, "taken": c.taken, "run_here": c.here, "run_elsewhere": c.elsewhere, "returned": c.returned,
+		"lost": c.lost, "refused": c.refused, "broken": c.broken}
+}
+
+// isLong tells whether an inquiry is long work, once.
+func (q *inquiry) isLong() bool {
+	e := q.pool.Engine
+	if !q.g.long.on() || e == nil {
+		return false
+	}
+	l := q.g.env.Load().LongWork
+	in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
+	q.long = sledge.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(sledge.Ask{Stream: q.path.Kind == sorting.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
+		Gap: q.path.Gap, Stride: e.Stride, In: in, Out: out, PerToken: plate.PrefillToken})
+	return q.long
+}
+
+// promptCame measures prompt work: what its first event took of its aim.
+func (q *inquiry) promptCame() {
+	h := q.g.long
+	if q.long || q.taken || q.path.Aim <= 0 || q.ask.Chain == nil || !h.on() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x := h.queue(q.ask.Pool)
+	x.q.Prompt(h.now(), float64(tick.Since(q.arrived))/float64(q.path.Aim))
+	h.pump(x)
+}
+
+// haul places long work: with a neighbour if this node is crowded, else among what runs here. true: it is answered.
+func (q *inquiry) haul() bool {
+	h := q.g.long
+	h.mu.Lock()
+	h.held[q] = struct{}{}
+	h.mu.Unlock()
+	if !q.taken && (q.g.env.Load().LongWork.Always || h.crowded()) {
+		if n := h.neighbour(q.path); n != "" && q.away(n) {
+			return true
+		}
+	}
+	return !q.enter()
+}
+
+// enter waits shortly for a place among the long work that runs here; if there is none the inquiry is refused.
+func (q *inquiry) enter() bool {
+	h := q.g.long
+	h.mu.Lock()
+	x := h.queue(q.ask.Pool)
+	until := h.now() + min(tick.Until(q.refuseAt()), tick.Until(q.deadline))
+	n, now, ok := x.q.Join(until, x.idle())
+	wake := make(chan bool, 1)
+	if ok && !now {
+		x.wake[n] = wake
+	}
+	h.mu.Unlock()
+	if ok && !now {
+		select {
+		case ok = <-wake:
+		case <-q.r.Context().Done():
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			x.q.Leave(n)
+			delete(x.wake, n)
+			select {
+			case now = <-wake: // it was woken all the same
+				if now {
+					x.q.Ended()
+				}
+			default:
+			}
+			return false
+		}
+	}
+	h.mu.Lock()
+	if ok {
+		if !q.taken {
+			h.count.here++
+		}
+		q.place = q.ask.Pool
+	} else {
+		h.count.refused++
+	}
+	h.mu.Unlock()
+	if !ok {
+		q.giveUp(fault.Crowded, "no place for long work")
+	}
+	return ok
+}
+
+// leavePlace ends an inquiry's part in the long work.
+func (q *inquiry) leavePlace() {
+	if !q.long {
+		return
+	}
+	h := q.g.long
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.held, q)
+	if q.place == "" {
+		return
+	}
+	x := h.queue(q.place)
+	x.q.Ended()
+	h.pump(x)
+}
+
+// pack writes the inquiry as its taker is to send it.
+func (q *inquiry) pack() []byte {
+	hd := q.head.Clone()
+	hd.Set(blade.HeadBudget, strconv.FormatInt(max(1, (tick.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
+	if q.lastID >= 0 {
+		hd.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+	}
+	r := &http.Request{Method: q.r.Method, URL: &url.URL{Scheme: "http", Opaque: q.r.RequestURI}, Host: q.r.Host, Header: hd, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(q.body)), Body: http.NoBody}
+	if len(q.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(q.body))
+	}
+	var b bytes.Buffer
+	if r.Write(&b) != nil {
+		return nil
+	}
+	return b.Bytes()
+}
+
+// away lets a neighbour run the inquiry; false if it came back and may be run here.
+func (q *inquiry) away(to string) bool {
+	h := q.g.long
+	body := q.pack()
+	if body == nil {
+		return false
+	}
+	in := make(chan sledge.Effect, plate.LongInbox)
+	h.mu.Lock()
+	job := h.owner.Take(h.now()+tick.Until(q.deadline)-plate.BudgetReserve, q.path.Repeatable(), q.path.Shots)
+	h.inbox[job] = in
+	h.count.offered++
+	h.do(h.owner.Offer(h.now(), job, to, body))
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.do(h.owner.Leave(job)) // if anything of it is left
+		delete(h.inbox, job)
+	}()
+	var head *awayHead
+	var whole []byte
+	joined := !q.began
+	for {
+		select {
+		case f := <-in:
+			switch f.Do {
+			case sledge.Deliver:
+				switch {
+				case head == nil:
+					head = &awayHead{}
+					if json.Unmarshal(f.Message.Body, head) != nil {
+						q.mayRun = true
+						q.giveUp(fault.Broken, "head can't be read")
+						return true
+					}
+				case head.Events:
+					if !q.event(&blade.Part{Kind: blade.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
+						q.mayRun = true
+						q.giveUp(fault.Broken, "events out of order")
+						return true
+					}
+				default:
+					whole = append(whole, f.Message.Body...)
+				}
+			case sledge.Back:
+				h.mu.Lock()
+				lost, shots, ok := h.owner.Here(job)
+				if lost {
+					h.count.lost++
+				}
+				h.mu.Unlock()
+				if lost {
+					h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", to, "inquiry", q.id)
+				}
+				q.mayRun, q.sent = q.mayRun || lost, q.path.Shots-shots
+				if !ok || q.sent >= q.path.Shots {
+					q.giveUp(fault.Broken, "the neighbour failed")
+					return true
+				}
+				return false
+			case sledge.End:
+				q.mayRun = f.Outcome != sledge.Refused
+				switch f.Outcome {
+				case sledge.Whole:
+					h.mu.Lock()
+					h.count.elsewhere++
+					h.mu.Unlock()
+					if head != nil && !head.Events && !q.began {
+						q.answer(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole})
+					} else if !q.began {
+						q.giveUp(fault.Broken, "an answer without events")
+					}
+				case sledge.Refused:
+					q.giveUp(fault.Crowded, "no time for long work")
+				case sledge.Late:
+					q.giveUp(fault.Late, "time ran out")
+				default:
+					h.mu.Lock()
+					h.count.broken++
+					h.mu.Unlock()
+					h.sc.Log().Warn("a neighbour was lost with a job that may have begun", "node", to, "inquiry", q.id)
+					q.giveUp(fault.Broken, "the neighbour was lost")
+				}
+				return true
+			}
+		case <-q.r.Context().Done():
+			return true
+		}
+	}
+}
+
+// eventID reads the id of an event; -1 if it has none.
+func eventID(b []byte) int64 {
+	for _, l := range strings.Split(string(b), "\n") {
+		if v, ok := strings.CutPrefix(l, "id:"); ok {
+			if n, err := strconv.ParseInt(strings.TrimSpace(v), 10, 64); err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
+// awayHead is the first part of an answer that comes from a neighbour.
+type awayHead struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Events bool        `json:"events"`
+}
+
+// awayWriter is where the inquiry of a taken job writes its answer. Our own refusals and faults are not sent: the owner says what is to be said.
+type awayWriter struct {
+	h      *longWork
+	ticket uint64
+	head   http.Header
+	status int
+	own    bool
+}
+
+// Header is the answer's.
+func (w *awayWriter) Header() http.Header { return w.head }
+
+// WriteHeader sends the head, if it is a replica's.
+func (w *awayWriter) WriteHeader(status int) {
+	if w.status != 0 {
+		return
+	}
+	w.status = status
+	if w.own = w.head.Get(blade.HeadID) == ""; w.own {
+		return
+	}
+	b, err := json.Marshal(awayHead{status, w.head, w.head.Get("Content-Length") == ""})
+	if err == nil {
+		w.piece(b)
+	}
+}
+
+// Write sends one event, or a whole body.
+func (w *awayWriter) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if !w.own {
+		w.piece(bytes.Clone(b))
+	}
+	return len(b), nil
+}
+
+func (w *awayWriter) piece(b []byte) {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	w.h.do(w.h.taker.Piece(w.ticket, b))
+}
+
+// FlushError, SetReadDeadline and SetWriteDeadline are there for the response controller: pieces are sent at once.
+func (w *awayWriter) FlushError() error                  { return nil }
+func (w *awayWriter) SetReadDeadline(tick.Moment) error  { return nil }
+func (w *awayWriter) SetWriteDeadline(tick.Moment) error { return nil }
+
+// runTaken runs a job for its owner, as an inquiry of our own.
+func (h *longWork) runTaken(ctx context.Context, f sledge.Effect) {
+	g, w := h.g, &awayWriter{h: h, ticket: f.Ticket.Number, head: http.Header{}}
+	g.inflight.Inc()
+	defer g.inflight.Dec()
+	var q *inquiry
+	as, shots := sledge.Returned, 0
+	defer func() {
+		if x := recover(); x != nil {
+			if x != http.ErrAbortHandler {
+				panic(x)
+			}
+			as = sledge.Failed
+		}
+		if q != nil {
+			q.release()
+			shots = q.sent
+			switch {
+			case as == sledge.Failed:
+			case w.status != 0 && !w.own:
+				as = sledge.Done
+			case q.mayRun:
+				as = sledge.Failed
+			}
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.stops[w.ticket]()
+		delete(h.stops, w.ticket)
+		h.do(h.taker.Ended(w.ticket, as, shots))
+	}()
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(f.Message.Body)))
+	if err != nil {
+		return
+	}
+	r = r.WithContext(ctx)
+	t := g.table.Load()
+	path := t.Match(r.Host, r.RequestURI)
+	if path == nil {
+		return
+	}
+	own := *path
+	own.Shots = min(own.Shots, f.Message.Shots)
+	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: tick.Now(), lastID: -1, taken: true}
+	for _, op := range q.path.Steps {
+		if !q.do(op) {
+			return
+		}
+	}
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -139,3 +139,32 @@
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
+
+// Long work between nodes (package sledge, docs/long-work.md).
+const (
+	LongPatient  = 8.0                    // aims; a route whose timeout is this long has people who can wait
+	LongHeavy    = 4.0                    // aims; a request that runs this long is long work
+	LongTakes    = 4                      // jobs of others at once: each holds a body and a stream
+	LongTakeMost = 256                    // jobs; no setting may allow more
+	LongTick     = 50 * time.Millisecond  // what has fallen due is looked for; a late tick shows a late processor
+	LongOff      = 2 * time.Second        // the same while it is switched off: only a reload is looked for
+	LongAnswer   = 120 * time.Millisecond // an offer is void after this: a few round trips, and inside the part of an aim in which a refusal is early
+	LongAccept   = 500 * time.Millisecond // room kept for a go-ahead: two repeats of it fit
+	LongRenew    = 200 * time.Millisecond // go-aheads are repeated: five fit into a lease
+	LongLease    = 1 * time.Second        // silence after which the other side counts as lost
+	LongGraves   = 64                     // ended jobs that a taker can still answer for; each is some hundred bytes
+	LongInbox    = 256                    // pieces that wait for a slow client before its job is dropped
+	LongWaiting  = 16                     // long jobs of a service that wait at once: each waits a fifth of its aim at most
+	LongRoom     = 32.0                   // long jobs of a service that may run at once, until it is learned
+	LongLate     = 0.9                    // part of the aim above which the first event of prompt work counts as late
+	LongCut      = 0.8                    // the learned bound is cut to this part when prompt work is late
+	LongGrow     = 0.05                   // and grows by this for each prompt answer in time: one job for twenty
+	LongPause    = 500 * time.Millisecond // between two cuts: what a cut does shows in the next answers
+	LongHalf     = 0.5                    // part of the slots taken below which nothing is held back
+	LongTold     = 1 * time.Second        // a replica's word on its load counts for so long
+	LongLag      = 40 * time.Millisecond  // ticks this late show a crowded processor
+	LongFade     = 0.8                    // part of the lateness that stays from tick to tick
+	LongShort    = 1 * time.Second        // a connection that could not be had shows a crowded node for so long
+	LongKnown    = 2 * time.Second        // a neighbour's room is believed for so long: some beats
+	UrgencyLong  = 9                      // class of long work at replicas: the last
+)
--- a/sim/script.go
+++ b/sim/script.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
@@ -141,6 +142,10 @@
 				return err
 			}
 		}
+	case "long": // long work between nodes is on: handed to any neighbour that has room
+		w.more = "long_work: {enabled: true, patient: 4, heavy: 1, always: true, other_zones: true}\n"
+	case "page": // page g1 run_elsewhere min=3 max=9: a count of the state page's section on long work
+		return s.page(arg(0), arg(1), a)
 	case "replica": // replica r1 pool=svc zone=a cold=0 slots=8
 		r := w.AddReplica(arg(0), a.kv["pool"], fmt.Sprintf("10.7.0.%d", len(w.replicas)+1), a.kv["zone"])
 		w.mu.Lock()
@@ -381,6 +386,24 @@
 	}
 }
 
+func (s *Script) page(node, name string, a args) error {
+	r, err := s.w.client("10.8.0.2").Get("http://" + s.w.procs[node].ip + ":7003/")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	var p struct {
+		Long map[string]any `json:"long_work"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		return err
+	}
+	if n, ok := p.Long[name].(float64); !ok || int(n) < a.num("min", 0) || int(n) > a.num("max", 1<<30) {
+		return fmt.Errorf("%s is %v", name, p.Long[name])
+	}
+	return nil
+}
+
 func (s *Script) primary(a args) error {
 	end := time.Now().Add(a.span("within", 3*time.Second))
 	for {
--- a/sim/world.go
+++ b/sim/world.go
@@ -97,6 +97,7 @@
 	acked     []string // orders acknowledged, newest last
 	down      []*http.Server
 	sent      int64
+	more      string // further settings of every process
 }
 
 // Bounds and settings of every simulated process.
@@ -165,7 +166,7 @@
 	boot := p.first
 	p.first = false
 	seeds, _ := json.Marshal(w.seeds)
-	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot)), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
+	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot)+w.more), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
 	if err != nil {
 		return err
 	}
@@ -496,6 +497,9 @@
 		q.Header.Set("Prompt-Prefix", prefix)
 		q.Header.Set("Model", "m")
 	}
+	if strings.HasSuffix(path, "/long") { // long work by its counts
+		q.Header.Set("Token-Counts", "100,6")
+	}
 	at := time.Now()
 	c := w.client("10.8.0.1")
 	c.Timeout = 4 * time.Second
