--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -272,7 +272,7 @@
 func (h *longWork) queue(pool string) *longQueue {
 	x := h.queues[pool]
 	if x == nil {
-		x = &longQueue{q: sledge.NewQueue(plate.LongRoom, sledge.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
+		x = &longQueue{q: sledge.NewQueue(plate.LongRoom, sledge.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Most: plate.LongMost, Weight: plate.LongWeight, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
 			wake: map[uint64]chan bool{}, loads: map[string]longLoad{}}
 		h.queues[pool] = x
 	}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -157,6 +157,8 @@
 	LongWaiting  = 16                     // long jobs of a service that wait at once: each waits a fifth of its aim at most
 	LongRoom     = 32.0                   // long jobs of a service that may run at once, until it is learned
 	LongLate     = 0.9                    // part of the aim above which the first event of prompt work counts as late
+	LongMost     = 0.03                   // share of prompt answers that may be late before long work gives way: burst and bad luck give some hundredths
+	LongWeight   = 0.01                   // of the newest answer in that share: the last hundred count
 	LongCut      = 0.8                    // the learned bound is cut to this part when prompt work is late
 	LongGrow     = 0.05                   // and grows by this for each prompt answer in time: one job for twenty
 	LongPause    = 500 * time.Millisecond // between two cuts: what a cut does shows in the next answers
--- a/sledge/queue.go
+++ b/sledge/queue.go
@@ -9,8 +9,10 @@
 // Shares are what the queue learns with: by measurement of prompt work, never by a fixed part of the slots.
 type Shares struct {
 	Waiting int       // long jobs that may wait at once
-	Late    float64   // prompt work is late if its first event took more than this part of its aim
-	Cut     float64   // the room for long work is cut to this part when prompt work is late
+	Late    float64   // a prompt answer is late if its first event took more than this part of its aim
+	Most    float64   // so many of them may be late: some are, whatever long work does
+	Weight  float64   // of the newest in that share
+	Cut     float64   // the room for long work is cut to this part when more are late
 	Grow    float64   // and grows by so much for each prompt answer in time
 	Pause   tick.Span // between two cuts: what a cut does is seen only after it
 }
@@ -27,6 +29,7 @@
 	room    float64 // long jobs that may run at once, learned
 	runs    int
 	waiting []waiter // by until
+	late    float64  // share of the latest prompt answers that were late
 	cutAt   tick.Span
 	cuts    int
 }
@@ -88,11 +91,16 @@
 // Prompt takes what was measured of one prompt answer: the part of its aim that the first event took.
 func (q *Queue) Prompt(now tick.Span, part float64) {
 	if part <= q.s.Late {
+		q.late -= q.s.Weight * q.late
 		if float64(q.runs) >= q.room-1 { // room that nobody uses is not known to be there
 			q.room += q.s.Grow
 		}
 		return
 	}
+	q.late += q.s.Weight * (1 - q.late)
+	if q.late <= q.s.Most {
+		return
+	}
 	if q.cuts == 0 || now-q.cutAt >= q.s.Pause {
 		q.cutAt = now
 		q.cuts++
--- a/sledge/queue_test.go
+++ b/sledge/queue_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var shares = Shares{Waiting: 2, Late: 0.5, Cut: 0.7, Grow: 0.1, Pause: time.Second}
+var shares = Shares{Waiting: 2, Late: 0.5, Most: 0.15, Weight: 0.1, Cut: 0.7, Grow: 0.1, Pause: time.Second}
 
 func TestQueueIsBounded(t *testing.T) {
 	q := NewQueue(1, shares)
@@ -53,6 +53,9 @@
 	}
 	q.Prompt(time.Second, 0.9)
 	_, _, room := q.Seen()
+	require.InDelta(t, 20, room, 1e-9, "a single late one proves nothing")
+	q.Prompt(time.Second, 0.9)
+	_, _, room = q.Seen()
 	require.InDelta(t, 14, room, 1e-9)
 	q.Prompt(time.Second+1, 0.9)
 	_, _, room = q.Seen()
