Long work: a taker lets nothing wait, and an offer is made only where its time is left

Cause: an offer, the taker's wait and the owner's together could outlast the part of an aim in which a refusal is early. Change: a taker without a place returns the job at once; offers take 60 ms at most and are not made with less left. Test: without a place a taker refuses at once, an owner's request at a fifth of its aim with Retry-After.

--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -384,7 +384,7 @@
 	h.mu.Lock()
 	h.held[q] = struct{}{}
 	h.mu.Unlock()
-	if !q.taken && (q.g.env.Load().LongWork.Always || h.crowded()) {
+	if !q.taken && tick.Until(q.refuseAt()) >= plate.LongAnswer && (q.g.env.Load().LongWork.Always || h.crowded()) {
 		if n := h.neighbour(q.path); n != "" && q.away(n) {
 			return true
 		}
@@ -405,7 +405,11 @@
 		n, now, ok = x.q.Join(until, x.idle())
 	}
 	wake := make(chan bool, 1)
-	if ok && !now {
+	switch {
+	case ok && !now && q.taken: // its owner waits, not the taker
+		x.q.Leave(n)
+		ok = false
+	case ok && !now:
 		x.wake[n] = wake
 	}
 	h.mu.Unlock()
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/berth"
 	"shaletrestle/env"
 	"shaletrestle/plate"
 	"shaletrestle/sledge"
@@ -61,3 +64,41 @@
 	require.Equal(t, int64(-1), eventID([]byte("data: x\n\n")))
 	require.Equal(t, int64(-1), eventID([]byte("id: x\n\n")))
 }
+
+func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := longOf(&env.Env{LongWork: env.LongWork{Enabled: true}})
+			h.g.long, h.start, h.queues, h.held = h, tick.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			x := h.queue("p")
+			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: tick.Now()}
+			for range int(plate.LongRoom) {
+				x.q.Join(0, false)
+			}
+			w := httptest.NewRecorder()
+			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &berth.Ask{Pool: "p"}, path: &sorting.Path{Aim: tick.Seconds(1)},
+				arrived: tick.Now(), deadline: tick.Now().Add(tick.Seconds(9)), taken: taken, long: true}
+			var pumps sync.WaitGroup
+			defer pumps.Wait()
+			pumps.Go(func() {
+				for range 10 {
+					<-tick.After(plate.LongTick)
+					h.mu.Lock()
+					h.pump(x)
+					h.mu.Unlock()
+				}
+			})
+			require.False(t, q.enter())
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			if took := tick.Since(q.arrived); taken {
+				require.Zero(t, took)
+			} else {
+				require.Equal(t, tick.Seconds(plate.RefusePart), took)
+			}
+			runs, waiting, _ := x.q.Seen()
+			require.Equal(t, int(plate.LongRoom), runs)
+			require.Zero(t, waiting)
+		})
+	}
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -148,7 +148,7 @@
 	LongTakeMost = 256                    // jobs; no setting may allow more
 	LongTick     = 50 * time.Millisecond  // what has fallen due is looked for; a late tick shows a late processor
 	LongOff      = 2 * time.Second        // the same while it is switched off: only a reload is looked for
-	LongAnswer   = 120 * time.Millisecond // an offer is void after this: a few round trips, and inside the part of an aim in which a refusal is early
+	LongAnswer   = 60 * time.Millisecond  // an offer is void after this: a few round trips; a request that must be refused sooner is not offered
 	LongAccept   = 500 * time.Millisecond // room kept for a go-ahead: two repeats of it fit
 	LongRenew    = 200 * time.Millisecond // go-aheads are repeated: five fit into a lease
 	LongLease    = 1 * time.Second        // silence after which the other side counts as lost
