--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -33,6 +33,7 @@
 	lines  *crew.Lines
 	start  tick.Moment
 	late   atomic.Duration // how late this process's timers are
+	kick   chan struct{}
 	mu     sync.Mutex
 	owner  *sledge.Owner
 	taker  *sledge.Taker
@@ -73,7 +74,7 @@
 	b := sledge.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
 	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: sledge.NewOwner(life, b), taker: sledge.NewTaker(life, b),
 		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*crew.Channel{}, rooms: map[string]neighbour{},
-		queues: map[string]*longQueue{}, held: map[*inquiry]struct{}{}}
+		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
 	h.lines = crew.NewLines(h.sc, g.net, g.handle)
 	return h
 }
@@ -85,14 +86,23 @@
 func (h *longWork) run() {
 	for {
 		span := plate.LongOff
-		if h.on() || h.busy() { // what was begun while it was on is seen through
+		switch {
+		case h.busy(): // also what was begun before it was switched off
 			span = plate.LongTick
+		case h.on():
+			span = plate.LongCalm
 		}
-		at := tick.Now()
-		if !tick.Rest(h.sc, span) {
+		at, due := tick.Now(), tick.NewTimer(span)
+		select {
+		case <-due.C:
+			h.late.Store(max(tick.Since(at)-span, tick.Span(float64(h.late.Load())*plate.LongFade)))
+		case <-h.kick:
+			due.Stop()
+			h.late.Store(tick.Span(float64(h.late.Load()) * plate.LongFade))
+		case <-h.sc.Done():
+			due.Stop()
 			return
 		}
-		h.late.Store(max(tick.Since(at)-span, tick.Span(float64(h.late.Load())*plate.LongFade)))
 		h.mu.Lock()
 		h.taker.Room(h.room())
 		h.do(h.owner.Tick(h.now()))
@@ -108,11 +118,24 @@
 	}
 }
 
+// busy tells whether anything may soon fall due.
 func (h *longWork) busy() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	n := len(h.inbox)
+	for _, x := range h.queues {
+		n += len(x.wake)
+	}
 	w, r := h.taker.Jobs()
-	return len(h.held)+w+r > 0
+	return n+w+r > 0
+}
+
+// stir wakes the task that looks for what falls due.
+func (h *longWork) stir() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
 }
 
 // crowded tells whether this node should hand long work on.
@@ -193,6 +216,7 @@
 		}
 		h.taker.Room(h.room())
 		h.do(h.taker.Step(h.now(), m))
+		h.stir()
 	default:
 		if m.Kind == sledge.Returned {
 			h.count.returned++
@@ -411,6 +435,7 @@
 		ok = false
 	case ok && !now:
 		x.wake[n] = wake
+		h.stir()
 	}
 	h.mu.Unlock()
 	if ok && !now {
@@ -496,6 +521,7 @@
 	h.inbox[job] = in
 	h.count.offered++
 	h.do(h.owner.Offer(h.now(), job, to, body))
+	h.stir()
 	h.mu.Unlock()
 	defer func() {
 		h.mu.Lock()
