Long work: a cut of its bound uses up the late answers that it was made for

One spell of late answers kept its mark for a hundred answers and cut the bound every half second. Change: the share of late ones starts over at each cut.

--- a/sledge/queue.go
+++ b/sledge/queue.go
@@ -103,6 +103,7 @@
 	}
 	if q.cuts == 0 || now-q.cutAt >= q.s.Pause {
 		q.cutAt = now
+		q.late = 0 // what was seen is answered: the next cut needs new late ones
 		q.cuts++
 		q.room = max(1, min(q.room, float64(max(1, q.runs)))*q.s.Cut)
 	}
