Long work: an answer from a neighbour ends whole only in the form in which it began

Cause: a run that answered other than with events could have ended a stream as complete; a 500 from a neighbour's replica was not tried elsewhere where that is allowed. Not reachable so far, as nothing is offered midway. Change: forms must agree; whole answers go the way of every whole answer, with the shots that the neighbour used.

--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -577,10 +577,12 @@
 					h.mu.Lock()
 					h.count.elsewhere++
 					h.mu.Unlock()
-					if head != nil && !head.Events && !q.began {
-						q.answer(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole})
-					} else if !q.began {
-						q.giveUp(fault.Broken, "an answer without events")
+					q.sent += f.Message.Shots
+					switch {
+					case head == nil || head.Events != q.began:
+						q.giveUp(fault.Broken, "no whole answer")
+					case !head.Events:
+						return !q.whole(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
 					}
 				case sledge.Refused:
 					q.giveUp(fault.Crowded, "no time for long work")
