--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -84,6 +84,8 @@
 
 // run does what falls due; how late it is woken tells how crowded the processor is.
 func (h *longWork) run() {
+	var said longCounts
+	saidAt := tick.Now()
 	for {
 		span := plate.LongOff
 		switch {
@@ -114,7 +116,12 @@
 				delete(h.queues, n)
 			}
 		}
+		c := h.count
 		h.mu.Unlock()
+		if c != said && tick.Since(saidAt) >= plate.LongReport {
+			said, saidAt = c, tick.Now()
+			h.sc.Log().Info("long work", "here", c.here, "offered", c.offered, "elsewhere", c.elsewhere, "taken", c.taken, "returned", c.returned, "lost", c.lost, "broken", c.broken, "refused", c.refused)
+		}
 	}
 }
 
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -148,6 +148,7 @@
 	LongTakeMost = 256                    // jobs; no setting may allow more
 	LongTick     = 50 * time.Millisecond  // what has fallen due is looked for; a late tick shows a late processor
 	LongCalm     = 250 * time.Millisecond // the same while nothing can fall due: lateness is looked for
+	LongReport   = 10 * time.Second       // the counters are logged this often at most, if they changed
 	LongOff      = 2 * time.Second        // the same while it is switched off: only a reload is looked for
 	LongAnswer   = 60 * time.Millisecond  // an offer is void after this: a few round trips; a request that must be refused sooner is not offered
 	LongAccept   = 500 * time.Millisecond // room kept for a go-ahead: two repeats of it fit
