--- a/crew/note.go
+++ b/crew/note.go
@@ -29,6 +29,7 @@
 	Suspect                    // a gatehouse suspects another
 	Deck                       // what waits at the replicas, as the sender knows it
 	Lend                       // a gatehouse asks for further tries out of the common part of a service's budget
+	Job                        // long work between gatehouses
 )
 
 // Seat names a member: its id belongs to its disk, the address is only where it lives.
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -8,6 +8,7 @@
 
 	"shaletrestle/berth"
 	"shaletrestle/fault"
+	"shaletrestle/plate"
 )
 
 const good = `
@@ -44,6 +45,15 @@
 	require.Equal(t, want, e.Placement)
 }
 
+func TestLongWorkIsOffUnlessAskedFor(t *testing.T) {
+	e, err := Parse([]byte(good), Need{Front: true})
+	require.NoError(t, err)
+	require.Equal(t, LongWork{Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: plate.LongTakes}, e.LongWork)
+	e, err = Parse([]byte(good+"long_work: {enabled: true, takes: 9, other_zones: true}\n"), Need{Front: true})
+	require.NoError(t, err)
+	require.Equal(t, LongWork{Enabled: true, Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: 9, OtherZones: true}, e.LongWork)
+}
+
 func TestParseNamesWhatIsWrong(t *testing.T) {
 	for _, x := range []struct{ old, now, want string }{
 		{`node_name: "edge-1"`, ``, "node_name"},
@@ -60,6 +70,9 @@
 		{`bounds:`, `bounds: [`, "settings file"},
 		{`a_later_field: 7`, `placement: {overlap_credit: -1}`, "placement.overlap_credit"},
 		{`a_later_field: 7`, `placement: {block_tokens: 0}`, "placement.block_tokens"},
+		{`a_later_field: 7`, `long_work: {heavy: -1}`, "long_work.heavy"},
+		{`a_later_field: 7`, `long_work: {patient: .inf}`, "long_work.patient"},
+		{`a_later_field: 7`, `long_work: {takes: 9999}`, "long_work.takes"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.old, x.now, 1)), Need{Front: true, Control: true})
 		require.Error(t, err, x.want)
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -73,6 +73,7 @@
 	pickAt    int
 	bad       map[string]tick.Moment // tallyhouses and when they failed last
 	dropped   string                 // one that was left for a nearer one, not for failing
+	long      *longWork
 }
 
 type counts struct {
@@ -96,6 +97,7 @@
 	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	g.level = plumb.NewWatch(sc, p.Work)
 	lines := crew.NewLines(sc, p.Net, g.handle)
+	g.long = newLongWork(g)
 	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
@@ -135,6 +137,7 @@
 	go g.watcher.Run()
 	go g.tellDeck()
 	go g.keep()
+	go g.long.run()
 	go g.front.Run()
 	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
 	<-g.sc.Done()
@@ -152,11 +155,13 @@
 // Leave finishes what is held and returns when the process may end.
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
+	g.long.leave()
 	grace := tick.Seconds(g.env.Load().Bounds.GraceS)
 	start := tick.Now()
 	linger := min(plate.LingerReady, grace/2)
 	tick.Rest(g.sc, linger)
 	g.front.Finish(grace - plate.GraceMargin - tick.Since(start))
+	g.long.finish(grace - plate.GraceMargin - tick.Since(start))
 }
 
 // Reload takes new settings.
@@ -457,7 +462,7 @@
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
 		"further_tries": g.count.further.Load(), "resumed": g.count.resumed.Load(), "channels_made": &g.made, "budget_left": left,
 		"index":  map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()},
-		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(), "machine": g.level.State(),
+		"bodies": g.bodies.Slices(), "yard": g.yard.Stats(), "suspected": g.watcher.Suspected(), "machine": g.level.State(), "long_work": g.long.seen(),
 	})
 }
 
--- a/gatehouse/readiness.go
+++ b/gatehouse/readiness.go
@@ -27,12 +27,17 @@
 			return false
 		}
 		g.level.Hear(node, a.Word == slowWord)
+		g.long.roomOf(node, a)
 		return true
 	}
 }
 
-// handle answers the pings of other gatehouses.
-func (g *Gate) handle(_ *crew.Channel, n *crew.Note) *crew.Note {
+// handle answers the pings of other gatehouses and takes their notes on long work.
+func (g *Gate) handle(ch *crew.Channel, n *crew.Note) *crew.Note {
+	if n.Kind == crew.Job {
+		g.long.note(ch, n)
+		return nil
+	}
 	if n.Kind != crew.Hello || n.Call == 0 {
 		return nil
 	}
@@ -41,7 +46,7 @@
 	}
 	a := n.Reply(true)
 	a.Word = g.word()
-	return a
+	return g.long.tellRoom(a)
 }
 
 // takesNew tells whether the platform may send new connections here.
