What a home is expected to keep is taken off in predictions too

Urgency, learned rates and the tokens that wait at a replica counted shared parts as unread where only the index's silence said so; on a large fleet it seldom speaks. A late first event now speaks against a hint only if the index named all that was taken off.

--- a/berth/candidates.go
+++ b/berth/candidates.go
@@ -270,7 +270,7 @@
 		}
 	}
 	pick, home := &cs[best], &cs[0]
-	c := Choice{Matched: pick.matched}
+	c := Choice{Matched: max(pick.matched, pick.expect)}
 	if best > 0 {
 		c.Warmer = pick.matched > max(home.matched, home.expect)
 		c.Spilled = !c.Warmer
@@ -281,7 +281,7 @@
 	if c.Spilled {
 		y.spills++
 	}
-	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-pick.matched)*pick.b.prefill)
+	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-c.Matched)*pick.b.prefill)
 	c.Expect = tick.Seconds(pick.b.delay(now, y.prompt*pick.b.prefill)) + c.Alone
 	return pick.b, c
 }
--- a/berth/cost_test.go
+++ b/berth/cost_test.go
@@ -154,3 +154,39 @@
 		require.Error(t, o.Check(), fmt.Sprint(i))
 	}
 }
+
+func TestAHomesExpectedPartIsInThePrediction(t *testing.T) {
+	x := kerf.NewIndex()
+	y := NewYard(x)
+	y.Set(fleet(9), nil, 0)
+	c := chain(7, 50)
+	got, ok := y.Place(ask(c))
+	require.True(t, ok)
+	require.Equal(t, 2096, got.Matched)
+	require.Equal(t, plate.FirstBase+tick.Seconds(float64(c.Tokens()-2096)*plate.PrefillToken.Seconds()), got.Alone)
+	b := y.b[got.Replica.ID]
+	require.Equal(t, float64(c.Tokens()-2096), b.tokens)
+	y.Done(&End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched})
+	require.Zero(t, b.tokens)
+}
+
+func TestAnExpectationThatFailsIsNoWordAgainstAHint(t *testing.T) {
+	x := kerf.NewIndex()
+	y := NewYard(x)
+	y.Set(fleet(9), nil, 0)
+	c := chain(7, 50)
+	home, _ := y.Place(ask(c))
+	first := kerf.NewChain(kerf.Root("m", 1), c.Parts[:1])
+	for range plate.SecondSight {
+		x.Sent(home.Replica.ID, 100000, first, "p") // the preamble only
+	}
+	slow := func(c *kerf.Chain, matched int) {
+		for range plate.HintContra {
+			y.Began(&End{Replica: home.Replica.ID, Chain: c, Matched: matched}, time.Minute, 0)
+		}
+	}
+	slow(c, home.Matched)
+	require.Equal(t, 96, x.Matched(home.Replica.ID, first))
+	slow(c, 96)
+	require.Zero(t, x.Matched(home.Replica.ID, first), "one that the index gave is contradicted")
+}
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -248,7 +248,8 @@
 	}
 	saved := float64(e.Matched) * b.prefill
 	y.mu.Unlock()
-	if e.Matched == 0 || !quiet {
+	// what a home was only expected to keep is no hint of the index, and tells nothing against one
+	if e.Matched == 0 || !quiet || y.index.Matched(e.Replica, e.Chain) < e.Matched {
 		return
 	}
 	if over := (took - expect).Seconds(); over > 0.8*saved && saved > 0.01 {
