millyard: emulator and load tool; demo and experiments on loopback sockets

Change: cmd/millyard with package millyard (replicas, list, operator, clients, judge, JSON lines, histograms, plots) and package kiln, the model of a replica.

--- /dev/null
+++ b/cmd/millyard/main.go
@@ -0,0 +1,119 @@
+// Command millyard emulates what the fleet serves, on loopback addresses, and loads and measures it.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"shaletrestle/fault"
+	"shaletrestle/millyard"
+	"shaletrestle/plate"
+	"shaletrestle/scope"
+)
+
+// Exit codes.
+const (
+	fine        = 0
+	notAll      = 1 // something was not served, or could not be done
+	badUse      = 2 // the experiment or the command line is wrong, or could not be put up
+	interrupted = 130
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is main without the process around it.
+func run(args []string, out, errs io.Writer) int {
+	p := flaggy.NewParser("millyard")
+	p.Description = "Emulates replicas, the platform's list, the operator and clients on loopback addresses, starts real daemons beside them in this process, loads them and measures. Exit code 0: all was served, 1: not all, 2: could not be done as asked, 130: interrupted."
+	p.Version = plate.Version
+	p.ShowHelpOnUnexpected = false
+	var file, lines, plots string
+	verbose := false
+	p.Bool(&verbose, "v", "verbose", "the daemons' logs on standard error")
+	demo := flaggy.NewSubcommand("demo")
+	demo.Description = "Start a small fleet, send a few hundred requests, print what came of them."
+	exp := flaggy.NewSubcommand("run")
+	exp.Description = "Run an experiment file (docs/millyard.md)."
+	exp.AddPositionalValue(&file, "file", 1, true, "the experiment")
+	for _, c := range []*flaggy.Subcommand{demo, exp} {
+		c.String(&lines, "j", "json", "file for the results as JSON lines")
+		c.String(&plots, "p", "plots", "folder for plots (SVG and PNG)")
+		p.AttachSubcommand(c, 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintln(errs, "millyard:", err)
+		return badUse
+	}
+	level := slog.LevelError + 1
+	if verbose {
+		level = slog.LevelInfo
+	}
+	sc := scope.New(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
+	defer sc.Stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(stop)
+	go func() {
+		select {
+		case <-stop:
+			sc.Stop()
+		case <-sc.Done():
+		}
+	}()
+	switch {
+	case demo.Used:
+		x, err := millyard.Demo()
+		return experiment(sc, x, err, lines, plots, out, errs)
+	case exp.Used:
+		x, err := millyard.Load(file)
+		return experiment(sc, x, err, lines, plots, out, errs)
+	}
+	fmt.Fprintln(errs, "millyard: name a subcommand: demo or run; --help tells more")
+	return badUse
+}
+
+func experiment(sc *scope.Scope, x *millyard.Experiment, err error, lines, plots string, out, errs io.Writer) int {
+	if err != nil {
+		fmt.Fprintln(errs, "millyard:", err)
+		return badUse
+	}
+	o := millyard.Output{Progress: out, Plots: plots}
+	if lines != "" {
+		f, err := os.Create(lines)
+		if err != nil {
+			fmt.Fprintln(errs, "millyard:", err)
+			return badUse
+		}
+		defer func() { _ = f.Close() }()
+		o.Lines = f
+	}
+	s, err := millyard.Run(sc, x, o)
+	switch {
+	case sc.Ended() && s == nil:
+		fmt.Fprintln(errs, "millyard: interrupted")
+		return interrupted
+	case err != nil:
+		fmt.Fprintln(errs, "millyard:", err)
+		if k := fault.KindOf(err); k == fault.BadEnv || k == fault.Unready {
+			return badUse
+		}
+		return notAll
+	}
+	if err := s.Write(out); err != nil {
+		fmt.Fprintln(errs, "millyard:", err)
+		return notAll
+	}
+	switch {
+	case s.Interrupted:
+		return interrupted
+	case !s.Whole():
+		return notAll
+	}
+	return fine
+}
--- /dev/null
+++ b/millyard/engine.go
@@ -0,0 +1,84 @@
+package millyard
+
+import (
+	"sync"
+
+	"shaletrestle/kiln"
+	"shaletrestle/scope"
+	"shaletrestle/tick"
+)
+
+// engine runs the model of a replica in real time.
+type engine struct {
+	sc   *scope.Scope
+	mu   sync.Mutex
+	k    *kiln.Kiln
+	born tick.Moment
+	wake chan struct{}
+	to   map[string]chan kiln.Token
+}
+
+func newEngine(sc *scope.Scope, s *Service, slower float64) *engine {
+	e := s.Engine
+	step := func(ms float64) tick.Span { return tick.Millis(ms * slower) }
+	g := &engine{sc: sc, born: tick.Now(), wake: make(chan struct{}, 1), to: map[string]chan kiln.Token{},
+		k: kiln.New(kiln.Spec{Slots: s.Slots, Queue: s.Queue, Step: step(e.StepMs), Each: step(e.EachMs), Prefill: e.Prefill / slower, Chunk: e.Chunk, Memory: e.Memory})}
+	go g.run()
+	return g
+}
+
+func (g *engine) run() {
+	for {
+		g.mu.Lock()
+		at, busy := g.k.Next()
+		g.mu.Unlock()
+		if !busy {
+			select {
+			case <-g.wake:
+				continue
+			case <-g.sc.Done():
+				return
+			}
+		}
+		if !tick.Rest(g.sc, tick.Until(g.born.Add(at))) {
+			return
+		}
+		g.mu.Lock()
+		for _, t := range g.k.Step() {
+			if c := g.to[t.ID]; c != nil {
+				c <- t // it has room for all tokens of the request
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// offer takes a request; its tokens come over the channel. False if the replica is full.
+func (g *engine) offer(j kiln.Job) (<-chan kiln.Token, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.k.Offer(tick.Since(g.born), j) {
+		return nil, false
+	}
+	c := make(chan kiln.Token, j.Out+1)
+	g.to[j.ID] = c
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+	return c, true
+}
+
+// done forgets a request, whether it ended or its caller left.
+func (g *engine) done(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.k.Drop(id)
+	delete(g.to, id)
+}
+
+func (g *engine) load() kiln.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.k.Load()
+}
--- /dev/null
+++ b/millyard/experiment_test.go
@@ -0,0 +1,59 @@
+package millyard
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/fault"
+)
+
+const good = `
+name: small
+duration_s: 1
+services:
+  - {name: desk, replicas: 2}
+  - {name: model, replicas: 1, engine: {memory_tokens: 1000}}
+kinds:
+  - {name: lookup, service: desk, type: idempotent, per_s: 10}
+troubles:
+  - {at_s: 0.1, for_s: 0.2, replica: desk-1, how: grey}
+`
+
+func TestAnExperimentGetsItsDefaults(t *testing.T) {
+	x, err := Parse([]byte(good))
+	require.NoError(t, err)
+	require.Equal(t, 1, x.Fleet.Gatehouses)
+	require.Positive(t, x.Services[1].Engine.Prefill)
+	require.Equal(t, 10, x.requests())
+	_, err = Demo()
+	require.NoError(t, err)
+}
+
+func TestABadExperimentNamesWhatIsWrong(t *testing.T) {
+	for _, c := range []struct{ old, now, want string }{
+		{"name: small", "nmae: small", "field nmae not found"},
+		{"engine: {memory_tokens", "engine: {memory", "field memory not found"},
+		{"replicas: 2", "replicas: -2", "services[desk].replicas must be 0 or more"},
+		{"per_s: 10", "per_s: -1", "kinds[lookup].per_s must be 0 or more"},
+		{"per_s: 10", "per_s: .nan", "kinds[lookup].per_s must be 0 or more"},
+		{"per_s: 10", "per_s: 1e9", "must be at most"},
+		{"per_s: 10", "count: -3", "kinds[lookup].count must be 0 or more"},
+		{"service: desk", "service: disk", "is not among the services: disk"},
+		{"type: idempotent", "type: twice", "kinds[lookup].type"},
+		{"replica: desk-1", "replica: desk-3", "troubles.replica names none: desk-3"},
+		{"how: grey", "how: blue", "troubles.how"},
+		{"name: model", "name: desk", "names desk twice"},
+		{"duration_s: 1", "duration_s: one", "cannot unmarshal"},
+		{"duration_s: 1", "address: 10.0.0.1", "must be a loopback address"},
+		{"duration_s: 1", "fleet: {machine_losses: 1}", "needs three tallyhouses"},
+		{good, "", "is empty"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.now, 1)))
+		require.Error(t, err, c.want)
+		require.Contains(t, err.Error(), c.want)
+		require.Equal(t, fault.BadEnv, fault.KindOf(err))
+		require.NotContains(t, err.Error(), "\n", "one clear line")
+	}
+}
--- /dev/null
+++ b/millyard/platform_test.go
@@ -0,0 +1,95 @@
+package millyard
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/logbook"
+)
+
+type listing struct {
+	Replicas []*logbook.Replica `json:"replicas"`
+	Next     *string            `json:"next_token"`
+}
+
+func ask(t *testing.T, p *platform, query string) (listing, int) {
+	w := httptest.NewRecorder()
+	p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/replicas"+query, nil))
+	var l listing
+	if w.Code == http.StatusOK {
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &l))
+	}
+	return l, w.Code
+}
+
+func TestTheListRunsBehindComesInPagesAndHasARate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := quiet()
+		defer sc.Stop()
+		var n atomic.Int64
+		n.Store(5)
+		p := newPlatform(sc, ListSpec{LagMs: 400, Rate: 3, Page: 2}, func() (out []*logbook.Replica) {
+			for i := range int(n.Load()) {
+				out = append(out, &logbook.Replica{ID: fmt.Sprint(i), Locality: []string{"a", "b"}[i%2]})
+			}
+			return
+		})
+		time.Sleep(time.Second)
+		n.Store(6)
+		time.Sleep(300 * time.Millisecond)
+		l, _ := ask(t, p, "?page_token=4")
+		require.Len(t, l.Replicas, 1, "the sixth is not told yet")
+		require.Nil(t, l.Next)
+		time.Sleep(300 * time.Millisecond)
+		l, _ = ask(t, p, "")
+		require.Len(t, l.Replicas, 2)
+		require.Equal(t, "2", *l.Next)
+		l, _ = ask(t, p, "?page_token=4")
+		require.Len(t, l.Replicas, 2)
+		_, code := ask(t, p, "")
+		require.Equal(t, http.StatusTooManyRequests, code)
+		time.Sleep(1100 * time.Millisecond)
+		l, code = ask(t, p, "?zone=b&page_token=2")
+		require.Equal(t, http.StatusOK, code)
+		require.Len(t, l.Replicas, 1)
+		asked, over := p.turned()
+		require.Equal(t, []int{5, 1}, []int{asked, over})
+	})
+}
+
+func TestASlowConnectionDelaysBothWaysInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		s := newSlow(a, 50*time.Millisecond)
+		start := time.Now()
+		go func() {
+			buf := make([]byte, 3)
+			for range 2 {
+				_, _ = b.Read(buf)
+				_, _ = b.Write(buf)
+			}
+		}()
+		for i, w := range []string{"one", "two"} {
+			_, err := s.Write([]byte(w))
+			require.NoError(t, err)
+			buf := make([]byte, 8)
+			n, err := s.Read(buf)
+			require.NoError(t, err)
+			require.Equal(t, w, string(buf[:n]))
+			require.Equal(t, time.Duration(i+1)*100*time.Millisecond, time.Since(start))
+		}
+		require.NoError(t, s.Close())
+		_, err := s.Read(make([]byte, 1))
+		require.Error(t, err)
+		_ = b.Close()
+	})
+}
--- /dev/null
+++ b/millyard/run_test.go
@@ -0,0 +1,170 @@
+package millyard
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/fault"
+	"shaletrestle/scope"
+)
+
+func quiet() *scope.Scope { return scope.New(slog.New(slog.DiscardHandler)) }
+
+// leftovers lists what experiments left in the temporary folder.
+func leftovers(t *testing.T) []string {
+	m, err := filepath.Glob(filepath.Join(os.TempDir(), "millyard-*"))
+	require.NoError(t, err)
+	return m
+}
+
+func TestDemoServesAllAndLeavesNothing(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	x, err := Demo()
+	require.NoError(t, err)
+	x.Duration = 1
+	g, err := newGround("", 0)
+	require.NoError(t, err)
+	x.Address, x.Port = g.ip(0), g.port
+	var lines, progress bytes.Buffer
+	plots := t.TempDir()
+	s, err := Run(quiet(), x, Output{Lines: &lines, Progress: &progress, Plots: plots})
+	require.NoError(t, err)
+	require.Empty(t, s.Rules)
+	require.True(t, s.Whole(), "%+v\n%s", s, lines.String())
+	require.Len(t, s.Rows, 3)
+	require.Equal(t, x.requests(), strings.Count(lines.String(), `"is":"request"`))
+	require.FileExists(t, filepath.Join(plots, "latency.svg"))
+	require.FileExists(t, filepath.Join(plots, "outcomes.png"))
+	var table bytes.Buffer
+	require.NoError(t, s.Write(&table))
+	require.Contains(t, table.String(), "p99 ms")
+	require.Empty(t, leftovers(t))
+	for n := range uint32(9) { // platform, five replicas, three daemons
+		for off := range 8 {
+			ln, err := listen(g.at(g.ip(n), off))
+			require.NoError(t, err, "everything was closed")
+			_ = ln.Close()
+		}
+	}
+}
+
+func TestTroublesBreakNoRule(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	x, err := Parse([]byte(`
+duration_s: 2
+fleet: {tallyhouses: 3, gatehouses: 2, zones: [a, b, c], machine_losses: 1, zone_delay_ms: 2}
+changes_per_minute: 120
+services:
+  - {name: desk, replicas: 5}
+  - {name: model, replicas: 3, engine: {}}
+kinds:
+  - {name: lookup, service: desk, type: idempotent, per_s: 40, timeout_ms: 2000}
+  - {name: order, service: desk, type: non_idempotent, per_s: 30, timeout_ms: 2000}
+  - {name: chat, service: model, type: streaming, per_s: 8, timeout_ms: 2000, tokens_in: 400, tokens_out: 12, prefixes: 3}
+  - {name: tale, service: model, type: streaming, resume: true, per_s: 8, timeout_ms: 2000, tokens_in: 400, tokens_out: 12}
+troubles:
+  - {at_s: 0.2, for_s: 1, replica: desk-1, how: grey}
+  - {at_s: 0.3, for_s: 1, replica: desk-2, how: reset}
+  - {at_s: 0.4, for_s: 1, replica: desk-3, how: lying}
+  - {at_s: 0.5, for_s: 0.5, replica: desk-4, how: dark}
+  - {at_s: 0.3, for_s: 0.5, replica: model-1, how: crash}
+  - {at_s: 0.6, for_s: 1, replica: model-2, how: drain}
+  - {at_s: 0.1, for_s: 0.4, replica: model-3, how: cold}
+  - {at_s: 0.9, for_s: 1, replica: desk-5, how: flap}
+`))
+	require.NoError(t, err)
+	var lines bytes.Buffer
+	s, err := Run(quiet(), x, Output{Lines: &lines})
+	require.NoError(t, err)
+	require.Empty(t, s.Rules)
+	all, served := 0, 0
+	for _, r := range s.Rows {
+		all += r.Sent
+		served += r.Served
+		require.Equal(t, r.Sent, r.Served+r.Refused+r.Failed)
+	}
+	require.Equal(t, x.requests(), all)
+	require.Positive(t, served)
+	require.Equal(t, 8, strings.Count(lines.String(), `"is":"trouble"`))
+	require.Empty(t, leftovers(t))
+}
+
+func TestAnInterruptedRunTellsWhatItHasAndCleansUp(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	x, err := Demo()
+	require.NoError(t, err)
+	x.Duration, x.Kinds[0].Count = 300, 0
+	sc := quiet()
+	got := make(chan struct{}, 1)
+	go func() { <-got; sc.Stop() }()
+	s, err := Run(sc, x, Output{Lines: firstRequest(got)})
+	require.NoError(t, err)
+	require.True(t, s.Interrupted)
+	require.False(t, s.Whole())
+	require.Empty(t, leftovers(t))
+}
+
+// firstRequest tells when the first result was written.
+type firstRequest chan struct{}
+
+func (f firstRequest) Write(b []byte) (int, error) {
+	select {
+	case f <- struct{}{}:
+	default:
+	}
+	return len(b), nil
+}
+
+func TestWhatCannotBePutUpIsOneClearError(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	g, err := newGround("", 0)
+	require.NoError(t, err)
+	ln, err := listen(g.at(g.ip(1), portReplica))
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	x, err := Parse([]byte(good))
+	require.NoError(t, err)
+	x.Address, x.Port = g.ip(0), g.port
+	_, err = Run(quiet(), x, Output{})
+	require.ErrorContains(t, err, g.at(g.ip(1), portReplica)+" is taken")
+	require.Equal(t, fault.BadEnv, fault.KindOf(err))
+
+	x, err = Parse([]byte(good))
+	require.NoError(t, err)
+	x.Services[1].StartS, x.Ready = 3600, 0.05
+	_, err = Run(quiet(), x, Output{})
+	require.ErrorContains(t, err, "replica model-1 did not start within 50ms")
+	require.Empty(t, leftovers(t))
+}
+
+func TestJudgeSeesWhatIsBroken(t *testing.T) {
+	for want, f := range map[string]func(*judge){
+		"TWICE":   func(j *judge) { j.runs("a", "s1"); j.runs("a", "s2") },
+		"MIXED":   func(j *judge) { j.runs("a", "s1"); j.success("a", "s2", true) },
+		"REFUSED": func(j *judge) { j.runs("a", "s1"); j.refused("a") },
+		"UNASKED": func(j *judge) { j.arrives("a", "POST /y changed") },
+	} {
+		j := newJudge()
+		j.sends("a", true, "POST /x body")
+		j.arrives("a", "POST /x body")
+		n, _ := j.rules()
+		require.Zero(t, n)
+		f(j)
+		n, what := j.rules()
+		require.Equal(t, 1, n)
+		require.Contains(t, what[0], want)
+	}
+	j := newJudge()
+	j.sends("a", false, "")
+	j.runs("a", "s1")
+	j.runs("a", "s2")
+	j.success("a", "s2", true)
+	n, _ := j.rules()
+	require.Zero(t, n, "what may be repeated may run again")
+}
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -139,3 +139,45 @@
 	LearnUp      = 0.02                  // weight of one above: it holds waiting too
 	FirstBase    = 45 * time.Millisecond // time to a first token that no prompt token explains
 )
+
+// The emulator and load tool (millyard). Values marked (default) can be set in an experiment.
+const (
+	YardMemoryMB    = 244                    // memory_mb told to the daemons
+	YardPorts       = 8                      // ports that every emulated machine needs: six are used
+	YardFind        = 64                     // tries to find free addresses
+	YardHosts       = 4000                   // emulated machines at most
+	YardDuration    = 600                    // s; longest experiment
+	YardRequests    = 200000                 // requests of one experiment at most
+	YardRate        = 5000                   // requests a second of one kind at most
+	YardReplicas    = 2000                   // replicas at most
+	YardNodes       = 400                    // daemons at most
+	YardReadyWait   = 10 * time.Second       // (default) replicas and daemons must be up by then
+	YardLook        = 10 * time.Millisecond  // pause between looks at something that is awaited
+	YardLag         = 300 * time.Millisecond // (default) the platform's list runs this much behind
+	YardListRate    = 40                     // (default) calls a second that the platform takes
+	YardPage        = 50                     // (default) entries of a page of its list
+	YardCrashSeen   = 2 * time.Second        // a crashed replica stays on the list this long
+	YardDrain       = 3 * time.Second        // a draining replica serves on this long
+	YardReportLag   = 200 * time.Millisecond // a replica's report is this old
+	YardKeepIdle    = 15 * time.Second       // a replica closes an idle connection after this
+	YardSlots       = 16                     // (default) requests a replica runs at once
+	YardQueue       = 16                     // (default) requests it queues beyond
+	YardWork        = 15 * time.Millisecond  // (default) work of a request without an engine
+	YardStep        = 8 * time.Millisecond   // (default) batch step: a small model's on one accelerator, about 120 tokens a second
+	YardEach        = 150 * time.Microsecond // (default) what a further request adds to it
+	YardPrefill     = 12000                  // (default) prompt tokens a second: of the order of 1/PrefillToken
+	YardChunk       = 1024                   // (default) prompt tokens between two tokens of the others
+	YardMemory      = 60000                  // (default) tokens of memory
+	YardChannels    = 200                    // (default) connections that a replica takes
+	YardTries       = 4                      // tries of a client within its deadline
+	YardDial        = 1 * time.Second        // a client gives a new connection this long
+	YardTimeout     = 10 * time.Second       // (default) deadline of a request
+	YardAim         = 1 * time.Second        // (default) time within which an answer is in time
+	YardGap         = 500 * time.Millisecond // (default) pause between events that is still in time
+	YardGrey        = 3                      // a grey replica fails one request in so many, one with resets likewise
+	YardFlap        = 700 * time.Millisecond // a flapping replica is up and down in turn for this long
+	YardSlow        = 8                      // a lying replica works so many times slower than it says
+	YardLatencyMost = 10 * 60 * 1000000      // µs; largest value of a histogram
+	YardDigits      = 3                      // its significant digits
+	YardProgress    = 1 * time.Second        // progress is printed this often
+)
