millyard slopes: hollow nodes grown one quantity at a time, slopes with their error

Cause: nothing told what a node or a tallyhouse costs as the fleet grows. Change: real gatehouses without clients in one process, real tallyhouses each in its own, over loopback; processor time, live heap, bytes and the time until a change is in force everywhere, by role; least-squares slopes; JSON data.

--- a/cmd/millyard/main.go
+++ b/cmd/millyard/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -46,6 +47,16 @@
 		c.String(&plots, "p", "plots", "folder for plots (SVG and PNG)")
 		p.AttachSubcommand(c, 1)
 	}
+	dir, names := "docs/capacity", []string{}
+	slopes := flaggy.NewSubcommand("slopes")
+	slopes.Description = "Grow one quantity of a fleet of hollow nodes at a time and write what it costs as JSON."
+	slopes.String(&dir, "o", "out", "folder for the data")
+	slopes.StringSlice(&names, "s", "series", "only these; may be given more than once: "+strings.Join(millyard.SeriesNames(), ", "))
+	p.AttachSubcommand(slopes, 1)
+	held := flaggy.NewSubcommand("cell")
+	held.Description = "Hold daemons for slopes; told what to do on standard input."
+	held.Hidden = true
+	p.AttachSubcommand(held, 1)
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(errs, "millyard:", err)
 		return badUse
@@ -56,6 +67,14 @@
 	}
 	sc := scope.New(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
 	defer sc.Stop()
+	if held.Used { // it ends with its input; whoever started it hears the signals
+		signal.Ignore(syscall.SIGINT)
+		if err := millyard.Cell(sc, os.Stdin, out); err != nil {
+			fmt.Fprintln(errs, "millyard:", err)
+			return notAll
+		}
+		return fine
+	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(stop)
@@ -74,7 +93,11 @@
 		x, err := millyard.Load(file)
 		return experiment(sc, x, err, lines, plots, out, errs)
 	}
-	fmt.Fprintln(errs, "millyard: name a subcommand: demo or run; --help tells more")
+	if slopes.Used {
+		err := millyard.Slopes(sc, names, dir, millyard.Output{Progress: out})
+		return said(sc, err, errs)
+	}
+	fmt.Fprintln(errs, "millyard: name a subcommand: demo, run or slopes; --help tells more")
 	return badUse
 }
 
@@ -94,16 +117,8 @@
 		o.Lines = f
 	}
 	s, err := millyard.Run(sc, x, o)
-	switch {
-	case sc.Ended() && s == nil:
-		fmt.Fprintln(errs, "millyard: interrupted")
-		return interrupted
-	case err != nil:
-		fmt.Fprintln(errs, "millyard:", err)
-		if k := fault.KindOf(err); k == fault.BadEnv || k == fault.Unready {
-			return badUse
-		}
-		return notAll
+	if err != nil {
+		return said(sc, err, errs)
 	}
 	if err := s.Write(out); err != nil {
 		fmt.Fprintln(errs, "millyard:", err)
@@ -117,3 +132,19 @@
 	}
 	return fine
 }
+
+// said prints an error and gives the exit code that belongs to it.
+func said(sc *scope.Scope, err error, errs io.Writer) int {
+	switch k := fault.KindOf(err); {
+	case err == nil:
+		return fine
+	case sc.Ended():
+		fmt.Fprintln(errs, "millyard: interrupted")
+		return interrupted
+	case k == fault.BadEnv || k == fault.Unready:
+		fmt.Fprintln(errs, "millyard:", err)
+		return badUse
+	}
+	fmt.Fprintln(errs, "millyard:", err)
+	return notAll
+}
--- /dev/null
+++ b/millyard/alone.go
@@ -0,0 +1,140 @@
+package millyard
+
+import (
+	"fmt"
+	"runtime"
+
+	"shaletrestle/berth"
+	"shaletrestle/kerf"
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
+	"shaletrestle/portion"
+	"shaletrestle/tick"
+)
+
+// What one part of a node holds and takes, measured by itself in this process.
+
+func heapNow() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// taken measures the heap that f's result holds and the processor time that f takes.
+func taken(f func() any) (heap, cpu float64) {
+	h, c := heapNow(), cpuNow()
+	held := f()
+	cpu = cpuNow() - c
+	heap = heapNow() - h
+	runtime.KeepAlive(held)
+	return heap, cpu
+}
+
+// chainOf is a prompt of two shared parts and one of its own.
+func chainOf(shared, own int) *kerf.Chain {
+	return kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: uint64(shared / 8), Tokens: 512}, {ID: 1<<32 + uint64(shared), Tokens: 512}, {ID: 1<<40 + uint64(own), Tokens: 256}})
+}
+
+const (
+	aloneReplicas = 58 // of one service at the size to come: 1,500 over 26
+	aloneLooks    = 2000
+)
+
+// prefixes enters so many runs into one index and looks prompts up in it.
+func prefixes(x float64) values {
+	var ix *kerf.Index
+	heap, cpu := taken(func() any {
+		ix = kerf.SizedIndex(int(x))
+		for i := 0; ; i++ {
+			c := chainOf(i/2, i) // every shared part is seen twice
+			ix.Sent(fmt.Sprintf("i-%d", i/2%aloneReplicas), 1<<30, c, fmt.Sprintf("r-%d", i/2%100))
+			if n, _, _ := ix.Stats(); n >= int(x)-8 || i > 4*int(x) {
+				return ix
+			}
+		}
+	})
+	runs, _, _ := ix.Stats()
+	var ids []string
+	for i := range aloneReplicas {
+		ids = append(ids, fmt.Sprintf("i-%d", i))
+	}
+	_, look := taken(func() any {
+		n := 0
+		for i := range aloneLooks {
+			n += ix.Lookup(ids, chainOf(i*7, i))[0]
+		}
+		return n
+	})
+	return values{"runs": float64(runs), "heap_mb": heap / (1 << 20), "bytes_per_run": heap / max(1, float64(runs)), "fill_us_per_request": cpu / x * 1e6, "lookup_us": look / aloneLooks * 1e6}
+}
+
+// owners enters the same number of runs for more and more routes.
+func owners(x float64) values {
+	n := int(x)
+	heap, _ := taken(func() any {
+		ix := kerf.SizedIndex(plate.IndexRuns)
+		for i := range plate.IndexRuns {
+			ix.Sent("i-1", 1<<30, chainOf(i/2, i), fmt.Sprintf("r-%d", i%n))
+		}
+		return ix
+	})
+	pie, _ := taken(func() any {
+		p := portion.New(1<<30, plate.CalmPart)
+		for i := range n {
+			p.Add(fmt.Sprintf("r-%d", i), 1)
+		}
+		return p
+	})
+	full := kerf.SizedIndex(plate.IndexRuns / 4)
+	fill := func(from, to int) {
+		for i := from; i < to; i++ {
+			full.Sent("i-1", 1<<30, chainOf(i/2, i), fmt.Sprintf("r-%d", i%n))
+		}
+	}
+	fill(0, plate.IndexRuns)
+	_, cpu := taken(func() any { fill(plate.IndexRuns, plate.IndexRuns+aloneLooks); return nil })
+	return values{"index_heap_kb": heap / 1024, "pie_heap_kb": pie / 1024, "enter_when_full_us": cpu / aloneLooks * 1e6}
+}
+
+// sessions lets so many sessions send one prompt that nobody else sends: nothing but the sketch should remember them.
+func sessions(x float64) values {
+	heap, cpu := taken(func() any {
+		ix := kerf.SizedIndex(plate.IndexRuns)
+		for i := range int(x) {
+			c := kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: 1 << 33, Tokens: 512}, {ID: 1<<41 + uint64(i)*2654435761, Tokens: 256}})
+			ix.Sent(fmt.Sprintf("i-%d", i%aloneReplicas), 1<<30, c, "r")
+		}
+		return ix
+	})
+	return values{"heap_kb": heap / 1024, "us_per_request": cpu / x * 1e6}
+}
+
+// placing places prompts on more and more replicas of one service.
+func placing(x float64) values {
+	ix := kerf.NewIndex()
+	y := berth.NewYard(ix)
+	rs := map[string]*logbook.Replica{}
+	for i := range int(x) {
+		id := fmt.Sprintf("i-%d", i)
+		rs[id] = &logbook.Replica{ID: id, Pool: "p", Addr: "10.0.0.1:1", Locality: fmt.Sprint(i % 3), Slots: 128, State: "ready", Models: []logbook.Model{{Name: "m", Revision: 1}}}
+	}
+	y.Set(rs, map[string]bool{}, 0)
+	bad := 0
+	_, cpu := taken(func() any {
+		for i := range aloneLooks {
+			c := chainOf(i%64, i)
+			a := &berth.Ask{Pool: "p", Locality: "0", Chain: c, Capacity: 729140, OutMost: 100, Aim: tick.Seconds(1), Not: map[string]bool{}}
+			ch, ok := y.Place(a)
+			if !ok {
+				bad++
+				continue
+			}
+			ix.Sent(ch.Replica.ID, a.Capacity, c, "r")
+			y.Done(&berth.End{Replica: ch.Replica.ID, Chain: c, Matched: ch.Matched, OutMost: a.OutMost})
+		}
+		return nil
+	})
+	return values{"place_us": cpu / aloneLooks * 1e6, "not_placed": float64(bad)}
+}
--- a/millyard/run.go
+++ b/millyard/run.go
@@ -26,7 +26,7 @@
 // Run puts up an experiment's fleet and stand-ins, loads it, and takes everything down again. It ends early, with what was measured so far, when the scope does.
 func Run(sc *scope.Scope, x *Experiment, o Output) (*Summary, error) {
 	o.say("%s: %d replicas, %d tallyhouses, %d gatehouses in this process", x.Name, x.replicas(), x.Fleet.Tallyhouses, x.Fleet.Gatehouses)
-	y, err := newYard(sc, x)
+	y, err := newYard(sc, x, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 			n := 0
 			tick.Every(beside, tick.Seconds(60/x.Changes), func() bool {
 				n++
-				rep.change(y.operator.order(beside, "PATCH", x.change(n), tick.Seconds(x.Ready)))
+				rep.change(y.operator.order(y.sc, "PATCH", x.change(n), tick.Seconds(x.Ready)))
 				return true
 			})
 		})
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -51,8 +51,8 @@
 	operator *operator
 }
 
-// newYard puts up the stand-ins and writes the settings. Whatever it returns is to be ended by close.
-func newYard(sc *scope.Scope, x *Experiment) (*yard, error) {
+// newYard puts up the stand-ins and writes the settings; list is what the platform tells, that of the experiment's replicas if it is nil. Whatever it returns is to be ended by close.
+func newYard(sc *scope.Scope, x *Experiment, list func() []*logbook.Replica) (*yard, error) {
 	g, err := newGround(x.Address, x.Port)
 	if err != nil {
 		return nil, err
@@ -62,7 +62,10 @@
 		return nil, fault.Wrap(fault.Internal, err, "temporary folder")
 	}
 	y := &yard{sc: sc.Part("millyard"), x: x, dir: dir, ground: g, judge: newJudge(), replicas: map[string]*Replica{}}
-	if err := y.put(); err != nil {
+	if list == nil {
+		list = y.list
+	}
+	if err := y.put(list); err != nil {
 		y.close()
 		return nil, err
 	}
@@ -71,7 +74,7 @@
 
 func (y *yard) zone(i int) string { return y.x.Fleet.Zones[i%len(y.x.Fleet.Zones)] }
 
-func (y *yard) put() error {
+func (y *yard) put(list func() []*logbook.Replica) error {
 	ip, err := y.ground.machine("")
 	if err != nil {
 		return err
@@ -92,7 +95,7 @@
 			}
 		}
 	}
-	y.platform = newPlatform(y.sc, y.x.Platform, y.list)
+	y.platform = newPlatform(y.sc, y.x.Platform, list)
 	ln, err := listen(y.listAt)
 	if err != nil {
 		return err
@@ -257,7 +260,7 @@
 func (y *yard) awaitGates(gs []*daemon) error {
 	for _, g := range gs {
 		select {
-		case err := <-g.done:
+		case err := <-g.done: // nothing comes of a daemon in another process
 			g.done <- err
 			return fault.Wrap(fault.BadEnv, err, g.name+" ended")
 		default:
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -54,6 +54,7 @@
 	RelayStale   = 1200 * time.Millisecond // a relay without its primary this long says so
 	AckWait      = 300 * time.Millisecond  // an order's answer waits this long for gatehouses
 	NewsKeep     = 512                     // deltas kept for those that come back
+	SeatsAgain   = 5 * time.Second         // a relay tells who follows it again after this, if nothing changed
 	FleetEvery   = 500 * time.Millisecond  // how often fleet size and control members are told, if they changed
 	FleetForget  = 30 * time.Second        // a gatehouse unseen this long leaves the fleet size
 	WatchersEach = 2                       // watchers of one gatehouse: one may be lost with it
@@ -179,5 +180,8 @@
 	YardSlow        = 8                      // a lying replica works so many times slower than it says
 	YardLatencyMost = 10 * 60 * 1000000      // µs; largest value of a histogram
 	YardDigits      = 3                      // its significant digits
+	YardWindow      = 8 * time.Second        // a hollow fleet is measured this long, some twenty beats of the news, after it was left alone for half of it
+	YardTimed       = 8                      // changes whose way to every node is timed
+	YardLine        = 1 << 20                // bytes of a line from a cell
 	YardProgress    = 1 * time.Second        // progress is printed this often
 )
