Watches and a relay's acknowledgements no longer grow with the square of the nodes

Cause: each watcher weighed all pairs of nodes at every round, and each beat of each follower made its relay pass the whole list of its seats to the primary.

--- a/haul/feed.go
+++ b/haul/feed.go
@@ -196,7 +196,9 @@
 	f.mu.Lock()
 	l := f.subs[ch]
 	if l != nil {
-		l.seats = n.Seats
+		if n.Word != seatsAsBefore {
+			l.seats = n.Seats
+		}
 		if n.Epoch == f.epoch {
 			l.heard = n.Number
 		}
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -1,6 +1,10 @@
 package haul
 
 import (
+	"cmp"
+	"slices"
+	"sync"
+
 	"go.uber.org/atomic"
 
 	"shaletrestle/crew"
@@ -17,6 +21,9 @@
 	At() (epoch, number uint64)
 }
 
+// seatsAsBefore in an acknowledgement says that a relay's followers are those it told last.
+const seatsAsBefore = "as before"
+
 // Follower keeps a sink up to date from one source at a time.
 type Follower struct {
 	sc    *scope.Scope
@@ -29,6 +36,16 @@
 	now   atomic.String
 	fresh atomic.Bool
 	ch    atomic.Pointer[crew.Channel]
+	mu    sync.Mutex
+	told  told
+}
+
+// told is the newest acknowledgement that was sent.
+type told struct {
+	ch            *crew.Channel
+	epoch, number uint64
+	seats         []crew.Seat
+	at            tick.Moment // when the seats were last sent
 }
 
 // NewFollower makes a follower. pick names the next address to follow, given the one that failed; seats, for a relay, lists its own followers.
@@ -121,24 +138,45 @@
 	return ch != nil && ch.Send(n)
 }
 
-// Tell sends the acknowledgement again, after this relay's own followers moved on.
+// Tell sends the acknowledgement again if this relay's own followers have moved on. Who they are waits for the next beat: with many of them, each one's word would else be passed on with the whole list of seats.
 func (f *Follower) Tell() {
 	if ch := f.ch.Load(); ch != nil {
-		f.ack(ch)
+		f.mu.Lock()
+		ep, num := f.at()
+		moved := f.told.ch != ch || f.told.epoch != ep || f.told.number != num
+		f.mu.Unlock()
+		if moved {
+			f.ack(ch)
+		}
 	}
 }
 
 type lower interface{ Acked() uint64 }
 
-func (f *Follower) ack(ch *crew.Channel) {
-	ep, num := f.sink.At()
+func (f *Follower) at() (ep, num uint64) {
+	ep, num = f.sink.At()
 	if l, ok := f.sink.(lower); ok {
 		num = l.Acked()
 	}
-	n := &crew.Note{Kind: crew.Heard, From: f.self, Epoch: ep, Number: num}
+	return
+}
+
+// ack acknowledges; the seats go along when they have changed and again after a while.
+func (f *Follower) ack(ch *crew.Channel) {
+	var seats []crew.Seat
 	if f.seats != nil {
-		n.Seats = f.seats()
+		seats = f.seats()
+		slices.SortFunc(seats, func(a, b crew.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ep, num := f.at()
+	n := &crew.Note{Kind: crew.Heard, From: f.self, Epoch: ep, Number: num, Word: seatsAsBefore}
+	if f.told.ch != ch || tick.Since(f.told.at) >= plate.SeatsAgain || !slices.Equal(seats, f.told.seats) {
+		n.Word, n.Seats = "", seats
+		f.told.at, f.told.seats = tick.Now(), seats
 	}
+	f.told.ch, f.told.epoch, f.told.number = ch, ep, num
 	ch.Send(n)
 }
 
--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,10 +31,11 @@
 
 // pipes is a network of in-memory connections to one feed.
 type pipes struct {
-	sc   *scope.Scope
-	feed *Feed
-	last net.Conn
-	off  bool
+	sc           *scope.Scope
+	feed         *Feed
+	last         net.Conn
+	off          bool
+	heard, seats atomic.Int64 // acknowledgements, and the seats in them
 }
 
 func (p *pipes) Dial(string, tick.Span) (net.Conn, error) {
@@ -47,6 +49,8 @@
 		case crew.Follow:
 			p.feed.Follow(ch, n)
 		case crew.Heard:
+			p.heard.Add(1)
+			p.seats.Add(int64(len(n.Seats)))
 			p.feed.Ack(ch, n)
 		}
 		return nil
@@ -134,6 +138,39 @@
 	})
 }
 
+// TestARelaysWordDoesNotGrowWithTheSquareOfItsFollowers: each beat of each follower once made the relay pass the whole list of its seats on.
+func TestARelaysWordDoesNotGrowWithTheSquareOfItsFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := scope.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		src := NewFeed(sc, &words{}, nil)
+		src.Begin(1)
+		up := &pipes{sc: sc, feed: src}
+		var relay *Follower
+		mid := NewFeed(sc, &words{}, func(uint64, uint64) { relay.Tell() })
+		relay = NewFollower(sc, up, mid, crew.Seat{ID: 1, Addr: "relay"}, true, func(string) string { return "src" }, mid.Reached)
+		go relay.Run()
+		time.Sleep(time.Second)
+		const many = 30
+		for i := range many {
+			p := &pipes{sc: sc, feed: mid}
+			go NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: uint64(10 + i), Addr: fmt.Sprint("n", i)}, false, func(string) string { return "mid" }, nil).Run()
+		}
+		time.Sleep(5 * time.Second)
+		require.Len(t, src.Reached(), many)
+		notes, seats := up.heard.Load(), up.seats.Load()
+		const beats = 50
+		time.Sleep(beats * plate.NewsBeat)
+		require.LessOrEqual(t, up.heard.Load()-notes, int64(beats+2))
+		require.LessOrEqual(t, up.seats.Load()-seats, int64(many*(beats*plate.NewsBeat/plate.SeatsAgain+1)))
+		n := src.Push([]byte("+"))
+		have, of := src.Wait(sc, n, time.Second)
+		require.Equal(t, []int{1, 1}, []int{have, of})
+		require.Equal(t, n, mid.Acked())
+		require.Len(t, src.Reached(), many, "seats as before are kept")
+	})
+}
+
 func ExampleFeed() {
 	sc := scope.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
--- a/lookout/lookout.go
+++ b/lookout/lookout.go
@@ -2,6 +2,7 @@
 package lookout
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -17,15 +18,16 @@
 
 // Watcher pings its set of nodes.
 type Watcher struct {
-	sc    *scope.Scope
-	self  string
-	nodes func() []string
-	ping  Pinger
-	tell  func(node string, alive bool)
-	every tick.Span
-	mu    sync.Mutex
-	miss  map[string]int
-	said  map[string]bool
+	sc             *scope.Scope
+	self           string
+	nodes          func() []string
+	ping           Pinger
+	tell           func(node string, alive bool)
+	every          tick.Span
+	mu             sync.Mutex
+	miss           map[string]int
+	said           map[string]bool
+	known, watched []string // the nodes as they were last, and those of them that are watched
 }
 
 // New makes a watcher. nodes lists all known ones, tell hears of a node that became suspected or came back.
@@ -33,18 +35,29 @@
 	return &Watcher{sc: sc.Part("lookout"), self: self, nodes: nodes, ping: ping, tell: tell, every: every, miss: map[string]int{}, said: map[string]bool{}}
 }
 
-func weight(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
+// weight mixes the hashes of two names, so that each name is hashed once and not once for every other.
+func weight(a, b uint64) uint64 {
+	x := a ^ (b<<32 | b>>32)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
 
 // Set names the nodes that self watches: for every node the k with the highest weight watch it, so each is watched by k others and a change of membership moves few of them.
 func Set(self string, nodes []string, k int) []string {
+	h := make([]uint64, len(nodes))
+	me := xxhash.Sum64String(self)
+	for i, n := range nodes {
+		h[i] = xxhash.Sum64String(n)
+	}
 	var out []string
-	for _, n := range nodes {
+	for i, n := range nodes {
 		if n == self {
 			continue
 		}
-		mine, before := weight(n, self), 0
-		for _, o := range nodes {
-			if o != n && o != self && weight(n, o) > mine {
+		mine, before := weight(h[i], me), 0
+		for j := 0; j < len(h) && before < k; j++ {
+			if j != i && h[j] != me && weight(h[i], h[j]) > mine {
 				before++
 			}
 		}
@@ -56,6 +69,17 @@
 	return out
 }
 
+// set is Set for the nodes known now, worked out again only when they have changed.
+func (w *Watcher) set() []string {
+	now := w.nodes()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !slices.Equal(now, w.known) || w.watched == nil {
+		w.known, w.watched = now, Set(w.self, now, plate.WatchersEach)
+	}
+	return w.watched
+}
+
 // Run pings until the scope ends.
 func (w *Watcher) Run() {
 	tick.Every(w.sc, w.every, func() bool { w.Round(); return true })
@@ -63,7 +87,7 @@
 
 // Round pings the set once.
 func (w *Watcher) Round() {
-	set := Set(w.self, w.nodes(), plate.WatchersEach)
+	set := w.set()
 	in := map[string]bool{}
 	var wg sync.WaitGroup
 	for _, n := range set {
--- a/lookout/lookout_test.go
+++ b/lookout/lookout_test.go
@@ -75,6 +75,30 @@
 	require.Equal(t, []string{"bfalse", "btrue"}, told)
 }
 
+func TestTheSetIsWorkedOutOnlyWhenTheNodesChanged(t *testing.T) {
+	known := names(40)
+	w := New(scope.New(slog.New(slog.DiscardHandler)), "node-7", tick.Seconds(1), func() []string { return known }, nil, nil)
+	first := w.set()
+	require.Equal(t, Set("node-7", known, plate.WatchersEach), first)
+	require.NotEmpty(t, first)
+	known = names(40)
+	again := w.set()
+	require.Same(t, &first[0], &again[0], "nothing changed, nothing is worked out")
+	known = names(60)
+	require.Equal(t, Set("node-7", known, plate.WatchersEach), w.set())
+}
+
+func TestWatchesAreSpreadOverTheNodes(t *testing.T) {
+	ns := names(390)
+	total := 0
+	for _, s := range ns {
+		n := len(Set(s, ns, plate.WatchersEach))
+		total += n
+		require.Less(t, n, 12, "%s", s)
+	}
+	require.Equal(t, 390*plate.WatchersEach, total)
+}
+
 func ExampleSet() {
 	nodes := []string{"yard", "saw", "kiln", "dock"}
 	watched := map[string]int{}
