--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -163,9 +163,12 @@
 		time.Sleep(beats * plate.NewsBeat)
 		require.LessOrEqual(t, up.heard.Load()-notes, int64(beats+2))
 		require.LessOrEqual(t, up.seats.Load()-seats, int64(many*(beats*plate.NewsBeat/plate.SeatsAgain+1)))
+		time.Sleep(plate.NewsBeat / 3) // between two beats
+		at := time.Now()
 		n := src.Push([]byte("+"))
 		have, of := src.Wait(sc, n, time.Second)
 		require.Equal(t, []int{1, 1}, []int{have, of})
+		require.Zero(t, time.Since(at), "a change that was taken waits for no beat")
 		require.Equal(t, n, mid.Acked())
 		require.Len(t, src.Reached(), many, "seats as before are kept")
 	})
--- a/millyard/plant.go
+++ b/millyard/plant.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 
 	"shaletrestle/fault"
@@ -269,7 +272,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := values{}
+	v := values{"machine_load": machineLoad()}
 	n := float64(len(p.gates))
 	v.add("node", a[0], b[0], n)
 	for role, i := range roles {
@@ -287,6 +290,17 @@
 	return v, nil
 }
 
+// machineLoad is what else the machine does: times measured on a full one are too long.
+func machineLoad() float64 {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	one, _, _ := strings.Cut(string(b), " ")
+	f, _ := strconv.ParseFloat(one, 64)
+	return f
+}
+
 func mean(xs []float64) (s float64) {
 	for _, x := range xs {
 		s += x / float64(len(xs))
