--- /dev/null
+++ b/gatehouse/figures.go
@@ -0,0 +1,42 @@
+package gatehouse
+
+import "shaletrestle/meter"
+
+// figures are what the state port tells under meter.Path.
+func (g *Gate) figures() []meter.Figure {
+	v := g.book.View()
+	_, num := g.cursor.At()
+	runs, asked, hits := g.index.Stats()
+	count := func(name, help string, n int64) meter.Figure {
+		return meter.Figure{Name: "gatehouse_" + name, Help: help, Count: true, Value: float64(n)}
+	}
+	gauge := func(name, help string, x float64) meter.Figure {
+		return meter.Figure{Name: "gatehouse_" + name, Help: help, Value: x}
+	}
+	ready := 0.0
+	if g.ready.Load() && !g.leaving.Load() {
+		ready = 1
+	}
+	out := []meter.Figure{
+		count("requests_total", "Requests read from clients.", g.count.inquiries.Load()),
+		count("refused_total", "Requests answered with a promise that nothing ran.", g.count.refused.Load()),
+		count("failed_total", "Requests that ended without a replica's whole answer and without such a promise.", g.count.failed.Load()),
+		count("further_tries_total", "Sends to a second or later replica.", g.count.further.Load()),
+		count("connections_made_total", "Connections opened to replicas.", g.made.Load()),
+		count("index_lookups_total", "Prompts looked up in the hint index.", asked),
+		count("index_hits_total", "Lookups that found a kept prefix.", hits),
+		gauge("index_runs", "Runs held in the hint index.", float64(runs)),
+		gauge("inflight_requests", "Requests being served.", float64(g.inflight.Load())),
+		gauge("ready", "1 if the node calls itself ready.", ready),
+		gauge("setup_revision", "Revision of the configuration in force.", float64(v.Doc.Epoch)),
+		gauge("news_number", "Newest change taken in this life of the news.", float64(num)),
+		gauge("news_heard_ago_seconds", "Time since control was last heard.", g.cursor.Age().Seconds()),
+		gauge("fleet_nodes", "Gatehouses that share the budgets.", float64(v.Fleet)),
+		gauge("replicas", "Replicas on the list.", float64(len(v.Replicas))),
+		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(g.watcher.Suspected()))),
+	}
+	for pool := range g.table.Load().Pools {
+		out = append(out, meter.Figure{Name: "gatehouse_retry_budget_left", Help: "Further tries that this node may still make, by service.", Value: g.budget.Left(pool, g.fleet()), Label: pool})
+	}
+	return out
+}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -20,6 +20,7 @@
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/lookout"
+	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/portion"
 	"shaletrestle/reply"
@@ -330,7 +331,11 @@
 	return rev
 }
 
-func (g *Gate) page(w http.ResponseWriter, _ *http.Request) {
+func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == meter.Path {
+		meter.Serve(w, g.figures())
+		return
+	}
 	v := g.book.View()
 	ep, num := g.cursor.At()
 	runs, asked, hits := g.index.Stats()
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,66 @@
+// Package meter gives a daemon's counts in the Prometheus text form. Nothing is collected until somebody asks: the daemons keep the counts that they keep anyway.
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"shaletrestle/fault"
+	"shaletrestle/reply"
+)
+
+// Path is where metrics are served on a state port.
+const Path = "/metrics"
+
+// Figure is one metric. A count only rises within one life of the process; others go both ways.
+type Figure struct {
+	Name  string // with its unit, as in _total, _seconds, _bytes
+	Help  string
+	Count bool
+	Value float64
+	Label string // of its label "service"; empty: it has none
+}
+
+type figures []Figure
+
+// Describe is the collector's; nothing is described in advance.
+func (figures) Describe(chan<- *prometheus.Desc) {}
+
+// Collect is the collector's.
+func (fs figures) Collect(to chan<- prometheus.Metric) {
+	for _, f := range fs {
+		var names, values []string
+		if f.Label != "" {
+			names, values = []string{"service"}, []string{f.Label}
+		}
+		kind := prometheus.GaugeValue
+		if f.Count {
+			kind = prometheus.CounterValue
+		}
+		to <- prometheus.MustNewConstMetric(prometheus.NewDesc(f.Name, f.Help, names, nil), kind, f.Value, values...)
+	}
+}
+
+// Serve writes the figures of the moment.
+func Serve(w http.ResponseWriter, fs []Figure) {
+	r := prometheus.NewRegistry()
+	if err := r.Register(figures(fs)); err != nil {
+		reply.Fault(w, fault.Wrap(fault.Internal, err, "metrics"))
+		return
+	}
+	all, err := r.Gather()
+	if err != nil {
+		reply.Fault(w, fault.Wrap(fault.Internal, err, "metrics"))
+		return
+	}
+	form := expfmt.NewFormat(expfmt.TypeTextPlain)
+	w.Header().Set("Content-Type", string(form))
+	e := expfmt.NewEncoder(w, form)
+	for _, m := range all {
+		if e.Encode(m) != nil {
+			return
+		}
+	}
+}
--- a/millyard/run_test.go
+++ b/millyard/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/fault"
+	"shaletrestle/plate"
 	"shaletrestle/scope"
 )
 
@@ -143,6 +145,37 @@
 	require.Empty(t, leftovers(t))
 }
 
+func TestDaemonsTellTheirMetricsAtTheStatePorts(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	x, err := Demo()
+	require.NoError(t, err)
+	y, err := newYard(quiet(), x, nil)
+	require.NoError(t, err)
+	defer y.close()
+	require.NoError(t, y.startAll())
+	_, err = y.operator.order(y.sc, "PUT", x.setup(), plate.YardReadyWait)
+	require.NoError(t, err)
+	require.NoError(t, y.awaitGates(y.gates))
+	page, err := os.ReadFile("../docs/metrics.md")
+	require.NoError(t, err)
+	for at, want := range map[string]string{
+		y.ground.at(y.gates[0].ip, plate.PortGatePage):   "gatehouse_setup_revision 1\n",
+		y.ground.at(y.houses[0].ip, plate.PortTallyPage): "tallyhouse_primary 1\n",
+	} {
+		a, err := probes.Get("http://" + at + "/metrics")
+		require.NoError(t, err)
+		b, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		_ = a.Body.Close()
+		require.Contains(t, string(b), want)
+		for line := range strings.Lines(string(b)) {
+			if f := strings.Fields(line); f[0] == "#" {
+				require.Contains(t, string(page), "`"+f[2]+"`", "listed on the page")
+			}
+		}
+	}
+}
+
 func TestJudgeSeesWhatIsBroken(t *testing.T) {
 	for want, f := range map[string]func(*judge){
 		"TWICE":   func(j *judge) { j.runs("a", "s1"); j.runs("a", "s2") },
--- /dev/null
+++ b/tallyhouse/figures.go
@@ -0,0 +1,32 @@
+package tallyhouse
+
+import "shaletrestle/meter"
+
+// figures are what the state port tells under meter.Path.
+func (h *House) figures() []meter.Figure {
+	ep, num := h.feed.At()
+	is := func(so bool) float64 {
+		if so {
+			return 1
+		}
+		return 0
+	}
+	gauge := func(name, help string, x float64) meter.Figure {
+		return meter.Figure{Name: "tallyhouse_" + name, Help: help, Value: x}
+	}
+	v := h.news.View()
+	return []meter.Figure{
+		{Name: "tallyhouse_list_calls_total", Help: "Readings of the platform's list.", Count: true, Value: float64(h.polls.Load())},
+		{Name: "tallyhouse_list_failures_total", Help: "Readings that failed.", Count: true, Value: float64(h.fails.Load())},
+		gauge("primary", "1 if this member is primary and tells the news.", is(h.live.Load())),
+		gauge("list_duty", "1 if this member holds the duty of reading the list.", is(h.duty.Held())),
+		gauge("members", "Control members known.", float64(len(h.member.Members()))),
+		gauge("news_epoch", "Life of the news.", float64(ep)),
+		gauge("news_number", "Newest change of this life.", float64(num)),
+		gauge("news_acked_number", "Newest change that every follower has taken.", float64(h.feed.Acked())),
+		gauge("setup_revision", "Revision of the configuration held.", float64(h.state.View().Doc.Epoch)),
+		gauge("evacuated_zones", "Zones that take nothing more.", float64(len(h.state.View().Evac))),
+		gauge("replicas", "Replicas on the list.", float64(len(v.Replicas))),
+		gauge("fleet_nodes", "Gatehouses that share the budgets.", float64(v.Fleet)),
+	}
+}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -15,6 +15,7 @@
 	"shaletrestle/foreman"
 	"shaletrestle/haul"
 	"shaletrestle/logbook"
+	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/roster"
@@ -366,6 +367,10 @@
 
 // page is the state page: all of it, or at /fleet the view of the fleet that the checker reads.
 func (h *House) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == meter.Path {
+		meter.Serve(w, h.figures())
+		return
+	}
 	if r.URL.Path == "/fleet" {
 		v := *h.news.View()
 		if _, primary := h.member.Active(); primary {
