--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -1,6 +1,7 @@
 package millyard
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 
@@ -9,6 +10,7 @@
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
 	"shaletrestle/portion"
+	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -138,3 +140,57 @@
 	})
 	return values{"place_us": cpu / aloneLooks * 1e6, "not_placed": float64(bad)}
 }
+
+// folding folds changes into the book of a node and compiles its table, for more and more routes.
+func folding(x float64) values {
+	z := aim
+	z.Routes = int(x)
+	b := logbook.NewBook(true)
+	b.Watch(func(old, now *logbook.View, _ *logbook.Event) {
+		if old.Doc != now.Doc {
+			sorting.Compile(now.Doc)
+		}
+	})
+	first := z.setup()
+	first["revision"] = 1
+	whole, _ := json.Marshal(first)
+	var size int
+	heap, _ := taken(func() any {
+		b.Fold((&logbook.Event{Kind: logbook.Put, Body: whole}).Encode())
+		return b
+	})
+	const changes = 40
+	_, cpu := taken(func() any {
+		for i := range changes {
+			body, _ := json.Marshal(map[string]any{"revision": i + 2, "upsert": map[string]any{"route_table": []any{z.route(i%z.Routes, 11000+i)}}})
+			e := (&logbook.Event{Kind: logbook.Patch, Base: int64(i + 1), Body: body}).Encode()
+			size = len(e)
+			b.Fold(e)
+		}
+		return nil
+	})
+	return values{"fold_ms": cpu / changes * 1e3, "heap_kb": heap / 1024, "checkpoint_kb": float64(len(b.Checkpoint())) / 1024, "change_bytes": float64(size), "revision": float64(b.View().Doc.Epoch)}
+}
+
+// listing folds a list of more and more replicas, then changes of one of them, with the places kept for traffic brought up to date.
+func listing(x float64) values {
+	b := logbook.NewBook(true)
+	y := berth.NewYard(kerf.NewIndex())
+	b.Watch(func(_, now *logbook.View, _ *logbook.Event) { y.Set(now.Replicas, now.Evac, 0) })
+	all := madeList(int(x), aim.Models, aim.Houses)
+	first := (&logbook.Event{Kind: logbook.List, Replicas: all}).Encode()
+	heap, cpu := taken(func() any { b.Fold(first); return []any{b, y} })
+	const changes = 40
+	var size int
+	_, one := taken(func() any {
+		for i := range changes {
+			r := *all[i%len(all)]
+			r.ColdMs = float64(i + 1)
+			e := (&logbook.Event{Kind: logbook.List, Replicas: []*logbook.Replica{&r}}).Encode()
+			size = len(e)
+			b.Fold(e)
+		}
+		return nil
+	})
+	return values{"whole_ms": cpu * 1e3, "change_ms": one / changes * 1e3, "heap_kb": heap / 1024, "checkpoint_kb": float64(len(b.Checkpoint())) / 1024, "change_bytes": float64(size)}
+}
--- a/millyard/plant.go
+++ b/millyard/plant.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,15 @@
 
 func modelName(i int) string { return fmt.Sprintf("model-%02d", i) }
 
+// madeList is a list of replicas that do not exist, spread over models and zones.
+func madeList(n, models, zones int) (out []*logbook.Replica) {
+	for i := range n {
+		out = append(out, &logbook.Replica{ID: fmt.Sprintf("i-%08x", i*2654435761), Pool: modelName(i % models), Addr: fmt.Sprintf("10.%d.%d.%d:8080", i/40000, i/200%200, i%200+1),
+			Locality: zoneName(i % zones), Software: "v1", Slots: 128, State: "ready", Stage: "dual", Models: []logbook.Model{{Name: modelName(i % models), Revision: 1}}})
+	}
+	return
+}
+
 func newPlant(sc *scope.Scope, s size, hold func() (*cell, error), window tick.Span) (*plant, error) {
 	x := &Experiment{Name: "plant", Duration: plate.YardDuration, Ready: 4 * plate.YardReadyWait.Seconds(),
 		Fleet: FleetSpec{Tallyhouses: s.Houses, Gatehouses: s.Nodes, MachineLosses: min(1, s.Houses/3)}, Platform: ListSpec{Page: 200}}
@@ -54,10 +64,7 @@
 	}
 	x.fill()
 	p := &plant{s: s, hold: hold, window: window}
-	for i := range s.Replicas {
-		p.list = append(p.list, &logbook.Replica{ID: fmt.Sprintf("i-%08x", i*2654435761), Pool: modelName(i % s.Models), Addr: fmt.Sprintf("10.%d.%d.%d:8080", i/40000, i/200%200, i%200+1),
-			Locality: zoneName(i % s.Houses), Software: "v1", Slots: 128, State: "ready", Stage: "dual", Models: []logbook.Model{{Name: modelName(i % s.Models), Revision: 1}}})
-	}
+	p.list = madeList(s.Replicas, s.Models, s.Houses)
 	y, err := newYard(sc, x, p.listed)
 	if err != nil {
 		return nil, err
@@ -286,7 +293,8 @@
 		}
 		took = append(took, millis(d))
 	}
-	v["in_force_ms_mean"], v["in_force_ms_most"] = mean(took), most(took)
+	sort.Float64s(took)
+	v["in_force_ms_least"], v["in_force_ms_median"], v["in_force_ms_mean"], v["in_force_ms_most"] = took[0], took[len(took)/2], mean(took), most(took)
 	return v, nil
 }
 
--- a/millyard/platform_test.go
+++ b/millyard/platform_test.go
@@ -16,15 +16,15 @@
 	"shaletrestle/logbook"
 )
 
-type listing struct {
+type listPage struct {
 	Replicas []*logbook.Replica `json:"replicas"`
 	Next     *string            `json:"next_token"`
 }
 
-func ask(t *testing.T, p *platform, query string) (listing, int) {
+func ask(t *testing.T, p *platform, query string) (listPage, int) {
 	w := httptest.NewRecorder()
 	p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/replicas"+query, nil))
-	var l listing
+	var l listPage
 	if w.Code == http.StatusOK {
 		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &l))
 	}
--- a/millyard/slopes.go
+++ b/millyard/slopes.go
@@ -60,6 +60,8 @@
 	{name: "owners", grows: "routes that share one index and one pie", at: []float64{10, 60, 120, 250}, alone: owners},
 	{name: "sessions", grows: "sessions that send one request each", at: []float64{20000, 50000, 100000, 200000}, alone: sessions},
 	{name: "placing", grows: "replicas of one service", at: []float64{10, 58, 200, 600, 1500}, alone: placing},
+	{name: "folding", grows: "routes in one node's book", at: []float64{50, 150, 500, 1000, 2000}, alone: folding},
+	{name: "listing", grows: "replicas in one node's book", at: []float64{100, 400, 800, 1500}, alone: listing},
 	{name: "aim", grows: "nothing: the size to come, measured whole", run: atAim},
 }
 
