--- a/millyard/aim.go
+++ b/millyard/aim.go
@@ -11,6 +11,13 @@
 	return whole(sc, aim, hold, o, plate.YardWindow)
 }
 
+// withFive is the same with five tallyhouses, as for five machines set aside.
+func withFive(sc *scope.Scope, hold func() (*cell, error), o Output) (*Series, error) {
+	z := aim
+	z.Houses, z.Zones = 5, aim.Houses
+	return whole(sc, z, hold, o, plate.YardWindow)
+}
+
 func whole(sc *scope.Scope, z size, hold func() (*cell, error), o Output, window tick.Span) (*Series, error) {
 	at := tick.Now()
 	p, err := newPlant(sc, z, hold, window)
@@ -26,7 +33,11 @@
 	v["start_of_everything_ms"] = millis(start)
 	o.say("aim: %v", v.text())
 	zone := len(p.houses) - 1
-	if roles, _, err := p.roles(); err == nil && roles["primary"] == zone {
+	roles, err := p.settled()
+	if err != nil {
+		return nil, err
+	}
+	if roles["primary"] == zone {
 		zone-- // a zone without the primary; the primary's is measured by itself
 	}
 	in := func(zones ...int) (ds []*daemon, hs []int) {
@@ -101,7 +112,7 @@
 	if !tick.Rest(p.sc, p.window/2) {
 		return 0, errInterrupted
 	}
-	roles, _, err := p.roles()
+	roles, err := p.settled()
 	if err != nil {
 		return 0, err
 	}
--- a/millyard/plant.go
+++ b/millyard/plant.go
@@ -21,7 +21,8 @@
 // size is what a plant is built to, and what a slope grows.
 type size struct {
 	Nodes    int     `json:"nodes"`
-	Houses   int     `json:"tallyhouses"` // one a zone
+	Houses   int     `json:"tallyhouses"`     // one a zone, in the first zones
+	Zones    int     `json:"zones,omitempty"` // 0: as many as tallyhouses
 	Replicas int     `json:"replicas"`
 	Models   int     `json:"models"` // one service each
 	Routes   int     `json:"routes"`
@@ -59,12 +60,12 @@
 func newPlant(sc *scope.Scope, s size, hold func() (*cell, error), window tick.Span) (*plant, error) {
 	x := &Experiment{Name: "plant", Duration: plate.YardDuration, Ready: 4 * plate.YardReadyWait.Seconds(),
 		Fleet: FleetSpec{Tallyhouses: s.Houses, Gatehouses: s.Nodes, MachineLosses: min(1, s.Houses/3)}, Platform: ListSpec{Page: 200}}
-	for i := range s.Houses {
+	for i := range max(s.Houses, s.Zones) {
 		x.Fleet.Zones = append(x.Fleet.Zones, zoneName(i))
 	}
 	x.fill()
 	p := &plant{s: s, hold: hold, window: window}
-	p.list = madeList(s.Replicas, s.Models, s.Houses)
+	p.list = madeList(s.Replicas, s.Models, max(s.Houses, s.Zones))
 	y, err := newYard(sc, x, p.listed)
 	if err != nil {
 		return nil, err
@@ -217,6 +218,16 @@
 	return nil, nil, fault.New(fault.Unready, "no primary")
 }
 
+// settled waits until there is a primary and tells who is what.
+func (p *plant) settled() (roles map[string]int, err error) {
+	err = await(p.sc, tick.Seconds(p.x.Ready), "there was no primary", func() bool {
+		r, _, err := p.roles()
+		roles = r
+		return err == nil
+	})
+	return
+}
+
 // force makes one change and gives the time until every connected node has it in force.
 func (p *plant) force(n int) (tick.Span, error) {
 	at := tick.Now()
@@ -239,7 +250,7 @@
 	if !tick.Rest(p.sc, p.window/2) {
 		return nil, errInterrupted
 	}
-	roles, _, err := p.roles()
+	roles, err := p.settled()
 	if err != nil {
 		return nil, err
 	}
--- a/millyard/slopes.go
+++ b/millyard/slopes.go
@@ -63,6 +63,7 @@
 	{name: "folding", grows: "routes in one node's book", at: []float64{50, 150, 500, 1000, 2000}, alone: folding},
 	{name: "listing", grows: "replicas in one node's book", at: []float64{100, 400, 800, 1500}, alone: listing},
 	{name: "aim", grows: "nothing: the size to come, measured whole", run: atAim},
+	{name: "five", grows: "nothing: the size to come with five tallyhouses for its 15 zones", run: withFive},
 }
 
 // SeriesNames lists what Slopes can measure.
--- a/millyard/wire.go
+++ b/millyard/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 
 	"go.uber.org/atomic"
@@ -22,13 +23,19 @@
 
 // Dial is crew.Net's.
 func (w *wire) Dial(at string, d tick.Span) (net.Conn, error) {
+	ip, _, _ := net.SplitHostPort(at)
+	far := w.delay > 0 && w.zoneOf(ip) != w.zone
+	if far && 2*w.delay > d {
+		<-tick.After(d)
+		return nil, os.ErrDeadlineExceeded
+	}
 	c, err := crew.TCP{}.Dial(at, d)
 	if err != nil {
 		return nil, err
 	}
 	w.made.Inc()
 	c = &counted{c, w}
-	if ip, _, _ := net.SplitHostPort(at); w.delay > 0 && w.zoneOf(ip) != w.zone {
+	if far {
 		<-tick.After(2 * w.delay) // the handshake's way there and back
 		return newSlow(c, w.delay), nil
 	}
