--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -33,17 +33,17 @@
 type pipes struct {
 	sc           *scope.Scope
 	feed         *Feed
-	last         net.Conn
-	off          bool
+	last         atomic.Pointer[net.Conn]
+	off          atomic.Bool
 	heard, seats atomic.Int64 // acknowledgements, and the seats in them
 }
 
 func (p *pipes) Dial(string, tick.Span) (net.Conn, error) {
-	if p.off {
+	if p.off.Load() {
 		return nil, net.ErrClosed
 	}
 	a, b := net.Pipe()
-	p.last = b
+	p.last.Store(&b)
 	crew.Open(p.sc, b, func(ch *crew.Channel, n *crew.Note) *crew.Note {
 		switch n.Kind {
 		case crew.Follow:
@@ -78,12 +78,12 @@
 		require.Equal(t, 1, have)
 		require.Equal(t, 1, of)
 		require.Equal(t, "old+a", string(got.Checkpoint()))
-		_ = p.last.Close()
-		p.off = true
+		_ = (*p.last.Load()).Close()
+		p.off.Store(true)
 		time.Sleep(50 * time.Millisecond)
 		f.Push([]byte("+b"))
 		f.Push([]byte("+c"))
-		p.off = false
+		p.off.Store(false)
 		time.Sleep(time.Second)
 		require.Equal(t, "old+a+b+c", string(got.Checkpoint()))
 		f.Begin(2)
@@ -111,9 +111,11 @@
 		fo := NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
 		go fo.Run()
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		require.Len(t, tried, 1)
 		f.End() // a relay that hears nothing says so after a while
 		time.Sleep(plate.RelayStale + plate.NewsLost)
+		synctest.Wait()
 		require.Greater(t, len(tried), 1)
 		require.True(t, strings.HasPrefix(tried[1], "at1"))
 	})
