--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -21,6 +21,7 @@
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/lookout"
+	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/plumb"
 	"shaletrestle/portion"
@@ -447,7 +448,11 @@
 	close(w)
 }
 
-func (g *Gate) page(w http.ResponseWriter, _ *http.Request) {
+func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == meter.Path {
+		meter.Serve(w, g.figures())
+		return
+	}
 	v := g.book.View()
 	ep, num := g.cursor.At()
 	runs, asked, hits := g.index.Stats()
