The primary spreads only what stands out in the fleet's sum, told more often

Cause: every node was sent the whole sum to find what is beyond the usual in it, up to 0.8 KB nine times a second, over the 3 KB/s that control may take at a node.

Change: the primary takes the usual off (1.3 times the service's mean and 4,000 tokens, 2 and 8,000 before) and spreads at most 32 replicas; nodes tell each 80 ms and the sum goes out each 110 ms (100 and 150 before).

--- a/berth/waiting.go
+++ b/berth/waiting.go
@@ -23,7 +23,7 @@
 	return ps
 }
 
-// Hear takes the fleet's sum of what waits. Only what stands out counts: the sum is some hundred ms old when it comes, and where all are busy alike a prompt is read soonest where its shared parts are.
+// Hear takes what stands out in the fleet's sum of what waits; elsewhere nothing does. It is some hundred ms old when it comes, and where all are busy alike a prompt is read soonest where its shared parts are.
 func (y *Yard) Hear(ps []deck.Pile) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
@@ -32,15 +32,9 @@
 	for _, p := range ps {
 		of[p.Key] = p.Tokens
 	}
-	for _, p := range y.pools {
-		sum := 0.0
-		for _, b := range p.all {
-			sum += float64(of[b.key])
-		}
-		usual := plate.DeckMean*sum/float64(max(1, len(p.all))) + plate.DeckLeast
-		for _, b := range p.all {
-			b.fleet, b.fleetAt = max(0, float64(of[b.key])-float64(b.said)-usual), now
-		}
+	for _, b := range y.b {
+		n := of[b.key]
+		b.fleet, b.fleetAt = float64(n-min(n, b.said)), now
 	}
 }
 
--- a/berth/waiting_test.go
+++ b/berth/waiting_test.go
@@ -31,7 +31,11 @@
 		}
 		sum.Put(1, here.Waiting(), tick.Now())
 		sum.Put(2, there.Waiting(), tick.Now())
-		here.Hear(deck.Decode(deck.Encode(sum.Total(tick.Now()))))
+		all := &deck.Services{Of: map[uint32]string{}, Size: map[string]int{"p": 9}}
+		for id := range here.b {
+			all.Of[deck.Key(id)] = "p"
+		}
+		here.Hear(deck.Decode(deck.Encode(deck.Excess(sum.Total(tick.Now()), all))))
 		next, ok := here.Place(short())
 		require.True(t, ok)
 		require.NotEqual(t, home.Replica.ID, next.Replica.ID)
@@ -42,7 +46,7 @@
 	})
 }
 
-func TestOwnPromptsAreNotCountedTwiceAndTheUsualNotAtAll(t *testing.T) {
+func TestOwnPromptsAreNotCountedTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := NewYard(kerf.NewIndex())
 		y.Set(fleet(9), nil, 0)
@@ -52,14 +56,12 @@
 		require.Equal(t, []deck.Pile{{Key: deck.Key("r3"), Tokens: 50000}}, ps)
 		y.Hear(ps)
 		require.Zero(t, b.others(tick.Now()), "they are this process's own")
-		var all []deck.Pile
-		for id := range y.b {
-			all = append(all, deck.Pile{Key: deck.Key(id), Tokens: 90000})
-		}
-		y.Hear(all)
-		require.Zero(t, b.others(tick.Now()), "all are busy alike")
-		y.Hear([]deck.Pile{{Key: deck.Key("r4"), Tokens: 90000}, {Key: 12345, Tokens: 1}})
-		require.InDelta(t, 90000-plate.DeckMean*90000/9-plate.DeckLeast, y.b["r4"].others(tick.Now()), 1)
-		require.Zero(t, b.others(tick.Now()))
+		y.Hear([]deck.Pile{{Key: deck.Key("r4"), Tokens: 70000}, {Key: deck.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
+		require.InDelta(t, 70000, y.b["r4"].others(tick.Now()), 1)
+		require.InDelta(t, 10000, b.others(tick.Now()), 1)
+		time.Sleep(plate.DeckSpan / 2)
+		require.InDelta(t, 35000, y.b["r4"].others(tick.Now()), 1)
+		y.Hear(nil)
+		require.Zero(t, y.b["r4"].others(tick.Now()))
 	})
 }
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -244,14 +244,15 @@
 
 // What waits at the replicas, told through the fleet.
 const (
-	DeckTell  = 100 * time.Millisecond  // a node tells its relay this often, if anything changed: a prompt is read in some 100 ms
-	DeckPush  = 150 * time.Millisecond  // a relay or the primary passes sums on this often
-	DeckStale = 800 * time.Millisecond  // a source that has said nothing this long counts no more
-	DeckAgain = 400 * time.Millisecond  // what didn't change is told again after this
-	DeckSpan  = 1000 * time.Millisecond // a sum fades to nothing over this time
-	DeckMost  = 96                      // piles in one note, the heaviest: under 1 KB
-	DeckMean  = 2.0                     // times the service's mean, and
-	DeckLeast = 8000                    // tokens more: what waits beyond that counts
+	DeckTell   = 80 * time.Millisecond   // a node tells its relay this often, if anything changed: a prompt is read in some 100 ms
+	DeckPush   = 110 * time.Millisecond  // a relay or the primary passes sums on this often
+	DeckStale  = 800 * time.Millisecond  // a source that has said nothing this long counts no more
+	DeckAgain  = 400 * time.Millisecond  // what didn't change is told again after this
+	DeckSpan   = 1000 * time.Millisecond // a sum fades to nothing over this time
+	DeckMost   = 96                      // piles in a note on its way up, the heaviest: under 1 KB
+	DeckSpread = 32                      // and in one to all: 2.3 KB/s at a node
+	DeckMean   = 1.3                     // times the service's mean, and
+	DeckLeast  = 4000                    // tokens more: what waits beyond that counts
 )
 
 // Long work between nodes (package sledge, docs/long-work.md).
--- a/tallyhouse/deck.go
+++ b/tallyhouse/deck.go
@@ -3,24 +3,50 @@
 import (
 	"shaletrestle/crew"
 	"shaletrestle/deck"
+	"shaletrestle/logbook"
+	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
 
-// addUp passes on what waits at the replicas: a relay tells the primary of its own followers, the primary tells everybody of all.
+// addUp passes on what waits at the replicas, again and again: a relay tells the primary the sum of its own followers' words, the primary tells everybody what stands out in the sum of all.
 func (h *House) addUp() {
-	ps := h.deck.Total(tick.Now())
-	if len(ps) == 0 {
-		return
-	}
-	n := &crew.Note{Kind: crew.Deck, From: h.member.Self(), Body: deck.Encode(ps)}
-	if h.live.Load() {
-		h.feed.Spread(n)
-		return
+	var seen *logbook.View
+	var s *deck.Services
+	told := false // something was spread the last time: an end of it is told too
+	tick.Every(h.sc, plate.DeckPush, func() bool {
+		ps := h.deck.Total(tick.Now())
+		if !h.live.Load() {
+			if told = false; len(ps) > 0 {
+				h.follower.Send(h.deckNote(ps))
+			}
+			return true
+		}
+		if v := h.news.View(); v != seen {
+			seen, s = v, services(v)
+		}
+		ps = deck.Excess(ps, s)
+		if len(ps) > 0 || told {
+			h.feed.Spread(h.deckNote(ps))
+		}
+		told = len(ps) > 0
+		return true
+	})
+}
+
+func (h *House) deckNote(ps []deck.Pile) *crew.Note {
+	return &crew.Note{Kind: crew.Deck, From: h.member.Self(), Body: deck.Encode(ps)}
+}
+
+func services(v *logbook.View) *deck.Services {
+	s := &deck.Services{Of: make(map[uint32]string, len(v.Replicas)), Size: map[string]int{}}
+	for id, r := range v.Replicas {
+		s.Of[deck.Key(id)] = r.Pool
+		s.Size[r.Pool]++
 	}
-	h.follower.Send(n)
+	return s
 }
 
-// spread passes the primary's sum on to this relay's followers.
+// spread passes the primary's word on to this relay's followers.
 func (h *House) spread(n *crew.Note) {
 	if n.Kind == crew.Deck {
 		h.feed.Spread(n)
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -134,7 +134,7 @@
 	go h.read()
 	go tick.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
 	go tick.Every(h.sc, plate.NewsBeat, func() bool { h.judge(); return true })
-	go tick.Every(h.sc, plate.DeckPush, func() bool { h.addUp(); return true })
+	go h.addUp()
 	h.sc.Log().Info("started", "part", "tallyhouse", "node", h.env.NodeName)
 	<-h.sc.Done()
 	_ = srv.Close()
