--- a/env/env_test.go
+++ b/env/env_test.go
@@ -120,3 +120,12 @@
 		require.Equal(t, x.ok, ok, "%+v", x)
 	}
 }
+
+func TestTheExampleSettingsServeAsTheyAre(t *testing.T) {
+	e, err := LoadFile("../docs/example/node.yaml", Need{Front: true, Control: true})
+	require.NoError(t, err)
+	require.True(t, e.Keeps(), "one member that keeps the state")
+	n, ok := e.Losses()
+	require.True(t, ok)
+	require.Zero(t, n)
+}
