--- a/berth/candidates.go
+++ b/berth/candidates.go
@@ -75,6 +75,30 @@
 	return false
 }
 
+// ranked is a replica with its place in a rendezvous order.
+type ranked struct {
+	b *berth
+	r uint64
+}
+
+// enter puts one into a short list, highest rank first, of which n places are taken; it gives how many are then. Where the list is full the lowest falls out.
+func enter(top []ranked, n int, x ranked) int {
+	if n == len(top) && x.r < top[n-1].r {
+		return n
+	}
+	i := n
+	if n < len(top) {
+		n++
+	} else {
+		i = n - 1
+	}
+	for ; i > 0 && top[i-1].r < x.r; i-- {
+		top[i] = top[i-1]
+	}
+	top[i] = x
+	return n
+}
+
 // bucket gives the first replicas in the rendezvous order of a key's bucket.
 func (p *pool) bucket(key kerf.Key) []*berth {
 	if p.homes == nil {
@@ -84,27 +108,10 @@
 	if l := p.homes[k]; l != nil {
 		return l
 	}
-	type ranked struct {
-		b *berth
-		r uint64
-	}
 	var top [plate.HomeDepth]ranked
 	n := 0
-	for _, b := range p.all { // insertion into a short sorted list
-		x := ranked{b, rank(uint64(k), b)}
-		if n == len(top) && x.r < top[n-1].r {
-			continue
-		}
-		i := n
-		if n < len(top) {
-			n++
-		} else {
-			i = n - 1
-		}
-		for ; i > 0 && top[i-1].r < x.r; i-- {
-			top[i] = top[i-1]
-		}
-		top[i] = x
+	for _, b := range p.all {
+		n = enter(top[:], n, ranked{b, rank(uint64(k), b)})
 	}
 	l := make([]*berth, n)
 	for i := range l {
@@ -144,30 +151,15 @@
 
 // addHomes adds the first homes that may be used, the best first.
 func (y *Yard) addHomes(s *bunch, p *pool, a *Ask, now tick.Moment) {
-	var top [plate.Homes]*berth
-	var ranks [plate.Homes]uint64
+	var top [plate.Homes]ranked
 	n, head := 0, uint64(a.Chain.Head())
 	for _, b := range p.bucket(a.Chain.Head()) {
-		if !y.warm(a, b, now) {
-			continue
-		}
-		r := rank(head, b)
-		if n == len(top) && r < ranks[n-1] {
-			continue
-		}
-		i := n
-		if n < len(top) {
-			n++
-		} else {
-			i = n - 1
-		}
-		for ; i > 0 && ranks[i-1] < r; i-- {
-			top[i], ranks[i] = top[i-1], ranks[i-1]
+		if y.warm(a, b, now) {
+			n = enter(top[:], n, ranked{b, rank(head, b)})
 		}
-		top[i], ranks[i] = b, r
 	}
-	for i, b := range top[:n] {
-		c := s.add(b)
+	for i, x := range top[:n] {
+		c := s.add(x.b)
 		if s := a.Chain.Shared(); s > 0 && i == 0 {
 			c.expect = y.cut(a.Chain.Upto[s-1])
 		}
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -335,9 +335,6 @@
 	return b != nil && b.waiting > 0 && tick.Since(b.toldAt) < plate.QueueSpan
 }
 
-// Failed notes that a replica could not be reached or was silent: it is ejected for a bounded, growing time; one trial inquiry follows.
-func (y *Yard) Failed(id string) { y.health.Bad(id, gauge.Silent, tick.Now()) }
-
 // Wrong notes that another replica answers at this one's address.
 func (y *Yard) Wrong(id string) {
 	y.mu.Lock()
--- a/berth/yard_test.go
+++ b/berth/yard_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
+	"shaletrestle/tick"
 )
 
 func fleet(n int) map[string]*logbook.Replica {
@@ -97,7 +99,7 @@
 			require.True(t, y.May("r3"))
 			require.False(t, y.May("r0") || y.May("r1") || y.May("r2"))
 		}
-		y.Failed("r3")
+		y.Health().Bad("r3", gauge.Silent, tick.Now())
 		_, ok := y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.False(t, ok)
 		time.Sleep(plate.EjectFirst)
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -70,7 +70,6 @@
 	asking    map[string]chan struct{} // services that a lump is being borrowed for
 	refusedAt map[string]tick.Moment   // when none was lent, by service
 	toldAt    tick.Moment              // when failures were told last
-	roots     sync.Map
 	pickAt    int
 	bad       map[string]tick.Moment // tallyhouses and when they failed last
 	dropped   string                 // one that was left for a nearer one, not for failing
--- a/gauge/jury.go
+++ b/gauge/jury.go
@@ -1,6 +1,7 @@
 package gauge
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -99,7 +100,7 @@
 		}
 	}
 	sort.Strings(ids)
-	news = !same(ids, j.told) || len(ids) > 0 && now.Sub(j.at) >= plate.SuspectSpan/2
+	news = !slices.Equal(ids, j.told) || len(ids) > 0 && now.Sub(j.at) >= plate.SuspectSpan/2
 	if news {
 		j.told, j.at = ids, now
 	}
@@ -125,15 +126,3 @@
 	j.c, j.told = map[string]*hearing{}, nil
 	j.mu.Unlock()
 }
-
-func same(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/haul/follower.go
+++ b/haul/follower.go
@@ -35,7 +35,6 @@
 	pick  func(failed string) string
 	seats func() []crew.Seat
 	now   atomic.String
-	fresh atomic.Bool
 	carry func() []byte
 	other func(*crew.Note)
 	ch    atomic.Pointer[crew.Channel]
@@ -96,7 +95,6 @@
 	if err != nil {
 		return
 	}
-	got := make(chan struct{}, 1)
 	ch := crew.Open(f.sc, c, func(ch *crew.Channel, n *crew.Note) *crew.Note {
 		if n.Kind != crew.News {
 			if f.other != nil {
@@ -104,10 +102,6 @@
 			}
 			return nil
 		}
-		select {
-		case got <- struct{}{}:
-		default:
-		}
 		if !f.take(n) || !n.OK {
 			ch.Close()
 			return nil
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 
@@ -409,39 +410,18 @@
 	h.mu.Unlock()
 	sort.Strings(nodes)
 	v := h.news.View()
-	if !equal(nodes, v.Nodes) && len(nodes) > 0 {
+	if !slices.Equal(nodes, v.Nodes) && len(nodes) > 0 {
 		h.feed.Push(logbook.FleetEvent(v.Nodes, nodes).Encode())
 	}
 	var hs []logbook.House
 	for _, s := range h.member.Members() {
 		hs = append(hs, logbook.House{Addr: s.Addr, Locality: s.Locality})
 	}
-	if len(hs) != len(v.Houses) || !sameHouses(hs, v.Houses) {
+	if !slices.Equal(hs, v.Houses) {
 		h.feed.Push((&logbook.Event{Kind: logbook.Houses, Houses: hs}).Encode())
 	}
 }
 
-func sameHouses(a, b []logbook.House) bool {
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // suspect hears from watchers that a gatehouse does not answer. The primary takes it out of the fleet size if it isn't reached any more, at most a part of the fleet at a time: one that still runs keeps using its old share.
 func (h *House) suspect(n *crew.Note) {
 	if !h.live.Load() {
