--- a/haul/haul_test.go
+++ b/haul/haul_test.go
@@ -232,10 +232,16 @@
 		have, of := src.Wait(sc, n, time.Second)
 		require.Equal(t, [2]int{2, 2}, [2]int{have, of})
 		synctest.Wait()
-		require.LessOrEqual(t, p.up, 4, "of each of two relays one when it took the change, one when all its followers had")
+		p.mu.Lock()
+		up := p.up
+		p.mu.Unlock()
+		require.LessOrEqual(t, up, 4, "of each of two relays one when it took the change, one when all its followers had")
 		time.Sleep(10 * plate.NewsBeat)
 		synctest.Wait()
-		require.Zero(t, p.lists)
+		p.mu.Lock()
+		lists := p.lists
+		p.mu.Unlock()
+		require.Zero(t, lists)
 		require.Len(t, src.Reached(), 60)
 	})
 }
--- a/rota/rota_test.go
+++ b/rota/rota_test.go
@@ -116,6 +116,7 @@
 		a, b := f.holder(1), f.holder(2)
 		f.down[2] = true
 		require.True(t, a.Renew())
+		synctest.Wait()
 		f.g[0] = NewGrantor() // forgot what it gave
 		f.down[2] = false
 		require.False(t, b.Renew() && a.Held())
