--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -2,19 +2,19 @@
 package main
 
 import (
+	"shaletrestle/coord/replication"
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/scope"
-	"shaletrestle/tally"
 	"shaletrestle/tallyhouse"
 )
 
 func main() {
 	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
 		if !e.Keeps() {
-			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: tally.NewNoDisk()})
+			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: replication.NewNoDisk()})
 		}
-		st, err := tally.OpenDisk(e.DataDir, e.Bootstrap)
+		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
 		if err != nil {
 			return nil, err
 		}
--- a/tally/bearing_test.go
+++ b/coord/replication/bearing_test.go
@@ -1,4 +1,4 @@
-package tally
+package replication
 
 import (
 	"fmt"
--- a/tally/member.go
+++ b/coord/replication/member.go
@@ -1,5 +1,5 @@
-// Package tally keeps a small state on a primary and its backups. A change counts only when all of them have synced it; a register at the witnesses, decided by prepare and accept, says who they are. Nothing else is replicated by majority.
-package tally
+// Package replication keeps a small state on a primary and its backups. A change counts only when all of them have synced it; a register at the witnesses, decided by prepare and accept, says who they are. Nothing else is replicated by majority.
+package replication
 
 import (
 	"encoding/binary"
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -10,6 +10,7 @@
 
 	"gopkg.in/yaml.v3"
 
+	"shaletrestle/coord/replication"
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
@@ -17,7 +18,6 @@
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tally"
 	"shaletrestle/tallyhouse"
 	"shaletrestle/tick"
 )
@@ -191,7 +191,7 @@
 	}
 	d.wire, d.sc = w, sc.Part(d.name)
 	if house {
-		st, err := tally.OpenDisk(e.DataDir, e.Bootstrap)
+		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
 		if err != nil {
 			return err
 		}
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -5,7 +5,7 @@
 	"syscall"
 	"time"
 
-	"shaletrestle/tally"
+	"shaletrestle/coord/replication"
 )
 
 // Disk is a tally.Store in memory, with faults. What a method returned for is synced; a power loss takes nothing else away.
@@ -13,8 +13,8 @@
 	mu    sync.Mutex
 	id    uint64
 	boot  bool
-	reg   tally.Register
-	held  tally.Held
+	reg   replication.Register
+	held  replication.Held
 	size  int
 	full  bool
 	slow  time.Duration
@@ -59,14 +59,14 @@
 func (d *Disk) Identity() (uint64, bool) { return d.id, d.boot }
 
 // LoadRegister is tally.Store's.
-func (d *Disk) LoadRegister() tally.Register {
+func (d *Disk) LoadRegister() replication.Register {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.reg
 }
 
 // SaveRegister is tally.Store's.
-func (d *Disk) SaveRegister(r tally.Register) error {
+func (d *Disk) SaveRegister(r replication.Register) error {
 	if err := d.write(); err != nil {
 		return err
 	}
@@ -77,14 +77,14 @@
 }
 
 // Load is tally.Store's.
-func (d *Disk) Load() tally.Held {
+func (d *Disk) Load() replication.Held {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.held
 }
 
 // Reset is tally.Store's.
-func (d *Disk) Reset(h tally.Held) error {
+func (d *Disk) Reset(h replication.Held) error {
 	if err := d.write(); err != nil {
 		return err
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -17,11 +17,11 @@
 	"sync/atomic"
 	"time"
 
+	"shaletrestle/coord/replication"
 	"shaletrestle/env"
 	"shaletrestle/gatehouse"
 	"shaletrestle/logbook"
 	"shaletrestle/scope"
-	"shaletrestle/tally"
 	"shaletrestle/tallyhouse"
 )
 
@@ -57,11 +57,13 @@
 	return f()
 }
 
-func (l *life) SaveRegister(r tally.Register) error {
+func (l *life) SaveRegister(r replication.Register) error {
 	return l.alive(func() error { return l.Disk.SaveRegister(r) })
 }
-func (l *life) Reset(h tally.Held) error { return l.alive(func() error { return l.Disk.Reset(h) }) }
-func (l *life) Append(e []byte) error    { return l.alive(func() error { return l.Disk.Append(e) }) }
+func (l *life) Reset(h replication.Held) error {
+	return l.alive(func() error { return l.Disk.Reset(h) })
+}
+func (l *life) Append(e []byte) error { return l.alive(func() error { return l.Disk.Append(e) }) }
 
 // Proc is one of our processes.
 type Proc struct {
@@ -198,9 +200,9 @@
 	p.life = &life{Host: w.Net.Host(p.ip), Disk: p.disk}
 	p.sc = scope.New(w.Log.With("node", name))
 	if name[0] == 'h' {
-		var st tally.Store = p.life
+		var st replication.Store = p.life
 		if p.relay {
-			st = tally.NewNoDisk()
+			st = replication.NewNoDisk()
 		}
 		h, err := tallyhouse.New(p.sc, tallyhouse.Plan{Env: e, Net: p.life, Store: st})
 		if err != nil {
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -11,6 +11,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/calendar"
+	"shaletrestle/coord/replication"
 	"shaletrestle/crew"
 	"shaletrestle/deck"
 	"shaletrestle/env"
@@ -27,7 +28,6 @@
 	"shaletrestle/rota"
 	"shaletrestle/scope"
 	"shaletrestle/setup"
-	"shaletrestle/tally"
 	"shaletrestle/tick"
 )
 
@@ -35,7 +35,7 @@
 type Plan struct {
 	Env   *env.Env
 	Net   crew.Net
-	Store tally.Store
+	Store replication.Store
 }
 
 // House is one control process.
@@ -45,7 +45,7 @@
 	net      crew.Net
 	state    *logbook.Book
 	news     *logbook.Book
-	member   *tally.Member
+	member   *replication.Member
 	grantor  *rota.Grantor
 	duty     *rota.Holder
 	feed     *haul.Feed
@@ -84,7 +84,7 @@
 	if p.Env.Tolerance.Regions > 0 {
 		areas, area = p.Env.Tolerance.Regions, func(zone string) string { return p.Env.Zones[zone] }
 	}
-	m, err := tally.New(sc, tally.Config{
+	m, err := replication.New(sc, replication.Config{
 		Addr: p.Env.Port(plate.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Losses: losses, Areas: areas, Area: area, Relay: !p.Env.Keeps(),
 		Store: p.Store, Machine: h.state, Caller: lines, OnActive: h.begin, OnIdle: h.idle,
 	})
