--- a/rota/rota.go
+++ b/coord/lease/rota.go
@@ -1,5 +1,5 @@
-// Package rota gives duties to one process at a time: a lease granted by a majority of grantors, counted on the steady clock from before it was asked for, and given up before it ends.
-package rota
+// Package lease gives duties to one process at a time: a lease granted by a majority of grantors, counted on the steady clock from before it was asked for, and given up before it ends.
+package lease
 
 import (
 	"sync"
--- a/rota/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import (
 	"fmt"
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -11,6 +11,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/calendar"
+	"shaletrestle/coord/lease"
 	"shaletrestle/coord/replication"
 	"shaletrestle/crew"
 	"shaletrestle/deck"
@@ -25,7 +26,6 @@
 	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/roster"
-	"shaletrestle/rota"
 	"shaletrestle/scope"
 	"shaletrestle/setup"
 	"shaletrestle/tick"
@@ -46,8 +46,8 @@
 	state    *logbook.Book
 	news     *logbook.Book
 	member   *replication.Member
-	grantor  *rota.Grantor
-	duty     *rota.Holder
+	grantor  *lease.Grantor
+	duty     *lease.Holder
 	feed     *haul.Feed
 	follower *haul.Follower
 	reader   *roster.Reader
@@ -70,7 +70,7 @@
 
 // New builds a tallyhouse.
 func New(sc *scope.Scope, p Plan) (*House, error) {
-	h := &House{sc: sc, env: p.Env, net: p.Net, state: logbook.NewBook(false), news: logbook.NewBook(false), grantor: rota.NewGrantor(),
+	h := &House{sc: sc, env: p.Env, net: p.Net, state: logbook.NewBook(false), news: logbook.NewBook(false), grantor: lease.NewGrantor(),
 		differ: roster.NewDiffer(), fleet: map[string]tick.Moment{}}
 	lines := crew.NewLines(sc, p.Net, h.handle)
 	losses, ok := p.Env.Losses()
@@ -101,7 +101,7 @@
 	h.follower = haul.NewFollower(sc, p.Net, h.feed, m.Self(), true, h.upstream, h.feed.Reached)
 	h.follower.Carry(h.carry)
 	h.follower.Others(h.spread)
-	h.duty = rota.NewHolder(sc, "list", m.Self(), lines, h.witnesses, h.live.Load, h.grantor)
+	h.duty = lease.NewHolder(sc, "list", m.Self(), lines, h.witnesses, h.live.Load, h.grantor)
 	h.state.Watch(func(_, _ *logbook.View, e *logbook.Event) {
 		if e != nil && h.live.Load() {
 			h.feed.Push(e.Encode())
