--- a/haul/feed.go
+++ b/coord/distribution/feed.go
@@ -1,5 +1,5 @@
-// Package haul pushes numbered changes down held connections, from the primary through relays to the followers, and counts who has taken them.
-package haul
+// Package distribution pushes numbered changes down held connections, from the primary through relays to the followers, and counts who has taken them.
+package distribution
 
 import (
 	"sync"
--- a/haul/haul_test.go
+++ b/coord/distribution/haul_test.go
@@ -1,4 +1,4 @@
-package haul
+package distribution
 
 import (
 	"fmt"
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -13,11 +13,11 @@
 	"shaletrestle/berth"
 	"shaletrestle/blade"
 	"shaletrestle/buyer"
+	"shaletrestle/coord/distribution"
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/gauge"
-	"shaletrestle/haul"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/lookout"
@@ -46,8 +46,8 @@
 	net       crew.Net
 	dialer    blade.Dialer
 	book      *logbook.Book
-	cursor    *haul.Cursor
-	follower  *haul.Follower
+	cursor    *distribution.Cursor
+	follower  *distribution.Follower
 	front     *buyer.Front
 	watcher   *lookout.Watcher
 	level     *plumb.Watch
@@ -88,13 +88,13 @@
 	b := p.Env.Bounds
 	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
 	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
-	g.cursor = haul.NewCursor(g.book)
+	g.cursor = distribution.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
 	g.weights.Store(newWeights(nil))
 	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
 	g.yard.Use(p.Env.Placement)
 	at := p.Env.Port(plate.PortGate)
-	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
+	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	g.level = plumb.NewWatch(sc, p.Work)
 	lines := crew.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -11,6 +11,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/calendar"
+	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/lease"
 	"shaletrestle/coord/replication"
 	"shaletrestle/crew"
@@ -19,7 +20,6 @@
 	"shaletrestle/fault"
 	"shaletrestle/foreman"
 	"shaletrestle/gauge"
-	"shaletrestle/haul"
 	"shaletrestle/logbook"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
@@ -48,8 +48,8 @@
 	member   *replication.Member
 	grantor  *lease.Grantor
 	duty     *lease.Holder
-	feed     *haul.Feed
-	follower *haul.Follower
+	feed     *distribution.Feed
+	follower *distribution.Follower
 	reader   *roster.Reader
 	differ   *roster.Differ
 	lines    *crew.Lines
@@ -93,12 +93,12 @@
 	}
 	h.member = m
 	h.reader = roster.NewReader(p.Env.Cloud.Address, p.Net.Dial)
-	h.feed = haul.NewFeed(sc, h.news, func(uint64, uint64) {
+	h.feed = distribution.NewFeed(sc, h.news, func(uint64, uint64) {
 		if h.follower != nil {
 			h.follower.Tell()
 		}
 	})
-	h.follower = haul.NewFollower(sc, p.Net, h.feed, m.Self(), true, h.upstream, h.feed.Reached)
+	h.follower = distribution.NewFollower(sc, p.Net, h.feed, m.Self(), true, h.upstream, h.feed.Reached)
 	h.follower.Carry(h.carry)
 	h.follower.Others(h.spread)
 	h.duty = lease.NewHolder(sc, "list", m.Self(), lines, h.witnesses, h.live.Load, h.grantor)
