--- a/lookout/lookout.go
+++ b/coord/failuredetector/lookout.go
@@ -1,5 +1,5 @@
-// Package lookout lets many nodes watch each other cheaply: rendezvous hashing names for each node the few that it pings, and a node that misses several pings is reported as suspected.
-package lookout
+// Package failuredetector lets many nodes watch each other cheaply: rendezvous hashing names for each node the few that it pings, and a node that misses several pings is reported as suspected.
+package failuredetector
 
 import (
 	"slices"
--- a/lookout/lookout_test.go
+++ b/coord/failuredetector/lookout_test.go
@@ -1,4 +1,4 @@
-package lookout
+package failuredetector
 
 import (
 	"fmt"
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -14,13 +14,13 @@
 	"shaletrestle/blade"
 	"shaletrestle/buyer"
 	"shaletrestle/coord/distribution"
+	"shaletrestle/coord/failuredetector"
 	"shaletrestle/crew"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
-	"shaletrestle/lookout"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/plumb"
@@ -49,7 +49,7 @@
 	cursor    *distribution.Cursor
 	follower  *distribution.Follower
 	front     *buyer.Front
-	watcher   *lookout.Watcher
+	watcher   *failuredetector.Watcher
 	level     *plumb.Watch
 	index     *kerf.Index
 	yard      *berth.Yard
@@ -98,7 +98,7 @@
 	g.level = plumb.NewWatch(sc, p.Work)
 	lines := crew.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
-	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
+	g.watcher = failuredetector.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
 		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
 	})
 	g.follower.Carry(g.words)
