--- a/cmd/gatehouse/main.go
+++ b/cmd/gatehouse/main.go
@@ -3,7 +3,7 @@
 
 import (
 	"shaletrestle/blade"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/gatehouse"
 	"shaletrestle/scope"
@@ -11,6 +11,6 @@
 
 func main() {
 	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
-		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: crew.TCP{}, Dialer: blade.TCP{}}), nil
+		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: blade.TCP{}}), nil
 	})
 }
--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -3,7 +3,7 @@
 
 import (
 	"shaletrestle/coord/replication"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/scope"
 	"shaletrestle/tallyhouse"
@@ -12,7 +12,7 @@
 func main() {
 	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
 		if !e.Keeps() {
-			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: replication.NewNoDisk()})
+			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
 		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
 		if err != nil {
@@ -24,6 +24,6 @@
 		if n := st.Cut(); n > 0 {
 			sc.Part("tally").Log().Warn("torn tail cut at its last whole record", "bytes", n)
 		}
-		return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: crew.TCP{}, Store: st})
+		return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: st})
 	})
 }
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -4,7 +4,7 @@
 import (
 	"sync"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
@@ -24,11 +24,11 @@
 }
 
 type listener struct {
-	ch    *crew.Channel
-	seat  crew.Seat
+	ch    *rpc.Channel
+	seat  rpc.Seat
 	heard uint64
 	relay bool
-	seats []crew.Seat
+	seats []rpc.Seat
 	sent  tick.Moment
 }
 
@@ -43,14 +43,14 @@
 	source bool
 	kept   []change
 	point  []byte // the board as it is, once somebody needed it whole
-	subs   map[*crew.Channel]*listener
+	subs   map[*rpc.Channel]*listener
 	wake   chan struct{}
 	onAck  func(epoch, number uint64)
 }
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
 func NewFeed(sc *scope.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
-	f := &Feed{sc: sc.Part("haul"), board: b, fresh: tick.Now(), subs: map[*crew.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
+	f := &Feed{sc: sc.Part("haul"), board: b, fresh: tick.Now(), subs: map[*rpc.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
 	go tick.Every(f.sc, plate.NewsBeat, func() bool { f.beat(); return true })
 	return f
 }
@@ -120,7 +120,7 @@
 	if len(f.kept) > plate.NewsKeep {
 		f.kept = append([]change{}, f.kept[len(f.kept)/2:]...)
 	}
-	b := (&crew.Note{Kind: crew.News, OK: true, Epoch: f.epoch, Number: number, Base: number - 1, Body: body}).Encode()
+	b := (&rpc.Note{Kind: rpc.News, OK: true, Epoch: f.epoch, Number: number, Base: number - 1, Body: body}).Encode()
 	for _, l := range f.subs {
 		l.sent = tick.Now()
 		l.ch.SendRaw(b)
@@ -148,14 +148,14 @@
 	if f.point == nil {
 		f.point = f.board.Checkpoint()
 	}
-	l.ch.Send(&crew.Note{Kind: crew.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "whole", Body: f.point})
+	l.ch.Send(&rpc.Note{Kind: rpc.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "whole", Body: f.point})
 }
 
 func (f *Feed) beat() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ok := f.alive()
-	n := (&crew.Note{Kind: crew.News, OK: ok, Epoch: f.epoch, Number: f.number, Word: "beat"}).Encode()
+	n := (&rpc.Note{Kind: rpc.News, OK: ok, Epoch: f.epoch, Number: f.number, Word: "beat"}).Encode()
 	for _, l := range f.subs {
 		if l.ch.Quiet() > plate.NewsLost {
 			go l.ch.Close()
@@ -168,7 +168,7 @@
 }
 
 // Follow takes on a follower: what it lacks is sent, then every change.
-func (f *Feed) Follow(ch *crew.Channel, n *crew.Note) {
+func (f *Feed) Follow(ch *rpc.Channel, n *rpc.Note) {
 	l := &listener{ch: ch, seat: n.From, relay: n.Word == "relay"}
 	f.mu.Lock()
 	f.subs[ch] = l
@@ -188,7 +188,7 @@
 	if epoch == f.epoch && number <= f.number && (number == f.number || len(f.kept) > 0 && f.kept[0].number <= number+1) {
 		for _, c := range f.kept {
 			if c.number > number {
-				l.ch.Send(&crew.Note{Kind: crew.News, OK: true, Epoch: f.epoch, Number: c.number, Base: c.number - 1, Body: c.body})
+				l.ch.Send(&rpc.Note{Kind: rpc.News, OK: true, Epoch: f.epoch, Number: c.number, Base: c.number - 1, Body: c.body})
 			}
 		}
 		return
@@ -197,7 +197,7 @@
 }
 
 // Ack takes a follower's word that it has taken all up to a number.
-func (f *Feed) Ack(ch *crew.Channel, n *crew.Note) {
+func (f *Feed) Ack(ch *rpc.Channel, n *rpc.Note) {
 	f.mu.Lock()
 	l := f.subs[ch]
 	if l != nil {
@@ -251,7 +251,7 @@
 }
 
 // Spread sends a note that is no news to all followers: it has no number and may be lost.
-func (f *Feed) Spread(n *crew.Note) {
+func (f *Feed) Spread(n *rpc.Note) {
 	b := n.Encode()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,10 +261,10 @@
 }
 
 // Reached lists the end followers: those connected here and those that relays told of.
-func (f *Feed) Reached() []crew.Seat {
+func (f *Feed) Reached() []rpc.Seat {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []crew.Seat
+	var out []rpc.Seat
 	for _, l := range f.subs {
 		if l.relay {
 			out = append(out, l.seats...)
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
@@ -28,22 +28,22 @@
 // Follower keeps a sink up to date from one source at a time.
 type Follower struct {
 	sc    *scope.Scope
-	net   crew.Net
+	net   rpc.Net
 	sink  Sink
-	self  crew.Seat
+	self  rpc.Seat
 	relay bool
 	pick  func(failed string) string
-	seats func() []crew.Seat
+	seats func() []rpc.Seat
 	now   atomic.String
 	carry func() []byte
-	other func(*crew.Note)
-	ch    atomic.Pointer[crew.Channel]
+	other func(*rpc.Note)
+	ch    atomic.Pointer[rpc.Channel]
 	mu    sync.Mutex
 	said  said
 }
 
 // NewFollower makes a follower. pick names the next address to follow, given the one that failed; seats, for a relay, lists its own followers.
-func NewFollower(sc *scope.Scope, n crew.Net, s Sink, self crew.Seat, relay bool, pick func(string) string, seats func() []crew.Seat) *Follower {
+func NewFollower(sc *scope.Scope, n rpc.Net, s Sink, self rpc.Seat, relay bool, pick func(string) string, seats func() []rpc.Seat) *Follower {
 	return &Follower{sc: sc.Part("haul"), net: n, sink: s, self: self, relay: relay, pick: pick, seats: seats}
 }
 
@@ -51,7 +51,7 @@
 func (f *Follower) Carry(c func() []byte) { f.carry = c }
 
 // Self is the seat that this follower tells of itself.
-func (f *Follower) Self() crew.Seat { return f.self }
+func (f *Follower) Self() rpc.Seat { return f.self }
 
 // Source is the address followed now, empty if none.
 func (f *Follower) Source() string { return f.now.Load() }
@@ -95,8 +95,8 @@
 	if err != nil {
 		return
 	}
-	ch := crew.Open(f.sc, c, func(ch *crew.Channel, n *crew.Note) *crew.Note {
-		if n.Kind != crew.News {
+	ch := rpc.Open(f.sc, c, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+		if n.Kind != rpc.News {
 			if f.other != nil {
 				f.other(n)
 			}
@@ -112,7 +112,7 @@
 	defer ch.Close()
 	f.ch.Store(ch)
 	ep, num := f.sink.At()
-	ch.Send(&crew.Note{Kind: crew.Follow, From: f.self, Epoch: ep, Number: num, Word: f.word()})
+	ch.Send(&rpc.Note{Kind: rpc.Follow, From: f.self, Epoch: ep, Number: num, Word: f.word()})
 	f.now.Store(at)
 	t := tick.After(plate.NewsLost)
 	for {
@@ -131,16 +131,16 @@
 }
 
 // Others sets what takes the source's notes that are no news. Call it before Run.
-func (f *Follower) Others(take func(*crew.Note)) { f.other = take }
+func (f *Follower) Others(take func(*rpc.Note)) { f.other = take }
 
 // Send passes a note to the source followed now, if there is one.
-func (f *Follower) Send(n *crew.Note) bool {
+func (f *Follower) Send(n *rpc.Note) bool {
 	ch := f.ch.Load()
 	return ch != nil && ch.Send(n)
 }
 
 // Call asks the source followed now.
-func (f *Follower) Call(n *crew.Note, d tick.Span) (*crew.Note, error) {
+func (f *Follower) Call(n *rpc.Note, d tick.Span) (*rpc.Note, error) {
 	ch := f.ch.Load()
 	if ch == nil {
 		return nil, fault.New(fault.Unready, "nobody is followed")
@@ -159,25 +159,25 @@
 
 // said is what a channel's other end was told last.
 type said struct {
-	ch            *crew.Channel
+	ch            *rpc.Channel
 	epoch, number uint64
-	seats         []crew.Seat
+	seats         []rpc.Seat
 }
 
 // ack acknowledges; a relay's followers are listed only if they are others than this channel was told before.
-func (f *Follower) ack(ch *crew.Channel, ifMoved bool) {
+func (f *Follower) ack(ch *rpc.Channel, ifMoved bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ep, num := f.sink.At()
 	if l, ok := f.sink.(lower); ok {
 		num = l.Acked()
 	}
-	n := &crew.Note{Kind: crew.Heard, From: f.self, Epoch: ep, Number: num}
+	n := &rpc.Note{Kind: rpc.Heard, From: f.self, Epoch: ep, Number: num}
 	was := f.said
 	f.said = said{ch, ep, num, nil}
 	if f.seats != nil {
 		f.said.seats = f.seats()
-		slices.SortFunc(f.said.seats, func(a, b crew.Seat) int {
+		slices.SortFunc(f.said.seats, func(a, b rpc.Seat) int {
 			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Locality, b.Locality))
 		})
 		if was.ch != ch || !slices.Equal(was.seats, f.said.seats) {
@@ -193,7 +193,7 @@
 	ch.Send(n)
 }
 
-func (f *Follower) take(n *crew.Note) bool {
+func (f *Follower) take(n *rpc.Note) bool {
 	ep, num := f.sink.At()
 	switch n.Word {
 	case "beat":
--- a/coord/distribution/haul_test.go
+++ b/coord/distribution/haul_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -49,11 +49,11 @@
 	}
 	a, b := net.Pipe()
 	p.last = b
-	crew.Open(p.sc, b, func(ch *crew.Channel, n *crew.Note) *crew.Note {
+	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
 		switch n.Kind {
-		case crew.Follow:
+		case rpc.Follow:
 			p.feed.Follow(ch, n)
-		case crew.Heard:
+		case rpc.Heard:
 			p.heard.Add(1)
 			p.seats.Add(int64(len(n.Seats)))
 			p.feed.Ack(ch, n)
@@ -74,7 +74,7 @@
 		p := &pipes{sc: sc, feed: f}
 		got := &words{}
 		c := NewCursor(got)
-		go NewFollower(sc, p, c, crew.Seat{ID: 1, Addr: "n1"}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, c, rpc.Seat{ID: 1, Addr: "n1"}, false, func(string) string { return "x" }, nil).Run()
 		f.Begin(1)
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, "old", string(got.Checkpoint()))
@@ -125,11 +125,11 @@
 	f := p.feeds[at]
 	p.held = append(p.held, b)
 	p.mu.Unlock()
-	crew.Open(p.sc, b, func(ch *crew.Channel, n *crew.Note) *crew.Note {
+	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
 		switch n.Kind {
-		case crew.Follow:
+		case rpc.Follow:
 			f.Follow(ch, n)
-		case crew.Heard:
+		case rpc.Heard:
 			if at == "source" {
 				p.mu.Lock()
 				p.up++
@@ -157,7 +157,7 @@
 		var fo *Follower
 		f := NewFeed(p.sc, &words{}, func(uint64, uint64) { fo.Tell() })
 		p.feeds[fmt.Sprint("relay", i)] = f
-		fo = NewFollower(p.sc, p, f, crew.Seat{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
+		fo = NewFollower(p.sc, p, f, rpc.Seat{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
 		go fo.Run()
 	}
 	src.Begin(1)
@@ -170,7 +170,7 @@
 
 func (p *tree) end(lives map[uint64]*scope.Scope, id uint64, at string) {
 	lives[id] = p.sc.Part("end")
-	go NewFollower(lives[id], p, NewCursor(&words{}), crew.Seat{ID: id, Addr: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
+	go NewFollower(lives[id], p, NewCursor(&words{}), rpc.Seat{ID: id, Addr: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
 }
 
 func TestReachedStaysRightThroughLosses(t *testing.T) {
@@ -287,7 +287,7 @@
 		f.Begin(1)
 		p := &pipes{sc: sc, feed: f}
 		var tried []string
-		fo := NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
+		fo := NewFollower(sc, p, NewCursor(&words{}), rpc.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
 		go fo.Run()
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
@@ -329,13 +329,13 @@
 		up := &pipes{sc: sc, feed: src}
 		var relay *Follower
 		mid := NewFeed(sc, &words{}, func(uint64, uint64) { relay.Tell() })
-		relay = NewFollower(sc, up, mid, crew.Seat{ID: 1, Addr: "relay"}, true, func(string) string { return "src" }, mid.Reached)
+		relay = NewFollower(sc, up, mid, rpc.Seat{ID: 1, Addr: "relay"}, true, func(string) string { return "src" }, mid.Reached)
 		go relay.Run()
 		time.Sleep(time.Second)
 		const many = 30
 		for i := range many {
 			p := &pipes{sc: sc, feed: mid}
-			go NewFollower(sc, p, NewCursor(&words{}), crew.Seat{ID: uint64(10 + i), Addr: fmt.Sprint("n", i)}, false, func(string) string { return "mid" }, nil).Run()
+			go NewFollower(sc, p, NewCursor(&words{}), rpc.Seat{ID: uint64(10 + i), Addr: fmt.Sprint("n", i)}, false, func(string) string { return "mid" }, nil).Run()
 		}
 		time.Sleep(5 * time.Second)
 		require.Len(t, src.Reached(), many)
@@ -379,16 +379,16 @@
 		cs := make([]*Cursor, 5)
 		for i := range cs {
 			cs[i] = NewCursor(&words{})
-			fo := NewFollower(sc, p, cs[i], crew.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil)
-			fo.Others(func(n *crew.Note) {
-				if n.Kind == crew.Deck && string(n.Body) == "sum" {
+			fo := NewFollower(sc, p, cs[i], rpc.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil)
+			fo.Others(func(n *rpc.Note) {
+				if n.Kind == rpc.Deck && string(n.Body) == "sum" {
 					got.Add(1)
 				}
 			})
 			go fo.Run()
 		}
 		time.Sleep(plate.NewsBeat)
-		f.Spread(&crew.Note{Kind: crew.Deck, Body: []byte("sum")})
+		f.Spread(&rpc.Note{Kind: rpc.Deck, Body: []byte("sum")})
 		time.Sleep(plate.NewsBeat / 2)
 		require.Equal(t, int64(len(cs)), got.Load())
 		for _, c := range cs {
--- a/coord/lease/rota.go
+++ b/coord/lease/rota.go
@@ -4,7 +4,7 @@
 import (
 	"sync"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -26,7 +26,7 @@
 func NewGrantor() *Grantor { return &Grantor{born: tick.Now(), given: map[string]grant{}} }
 
 // Handle answers a lease request.
-func (g *Grantor) Handle(n *crew.Note) *crew.Note {
+func (g *Grantor) Handle(n *rpc.Note) *rpc.Note {
 	a := n.Reply(false)
 	now := tick.Now()
 	g.mu.Lock()
@@ -49,16 +49,16 @@
 
 // Asker asks one grantor.
 type Asker interface {
-	Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error)
+	Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error)
 }
 
 // Holder keeps one duty's lease while it is wanted.
 type Holder struct {
 	sc    *scope.Scope
 	duty  string
-	self  crew.Seat
+	self  rpc.Seat
 	ask   Asker
-	from  func() []crew.Seat
+	from  func() []rpc.Seat
 	want  func() bool
 	local *Grantor
 	mu    sync.Mutex
@@ -67,7 +67,7 @@
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
-func NewHolder(sc *scope.Scope, duty string, self crew.Seat, ask Asker, from func() []crew.Seat, want func() bool, local *Grantor) *Holder {
+func NewHolder(sc *scope.Scope, duty string, self rpc.Seat, ask Asker, from func() []rpc.Seat, want func() bool, local *Grantor) *Holder {
 	return &Holder{sc: sc.Part("rota"), duty: duty, self: self, ask: ask, from: from, want: want, local: local}
 }
 
@@ -124,7 +124,7 @@
 	seats := h.from()
 	ch := make(chan bool, len(seats))
 	for _, s := range seats {
-		n := &crew.Note{Kind: crew.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span}
+		n := &rpc.Note{Kind: rpc.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span}
 		go func() {
 			if s.ID == h.self.ID {
 				ch <- h.local.Handle(n).OK
--- a/coord/lease/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
@@ -23,7 +23,7 @@
 	lag  time.Duration
 }
 
-func (f *fleet) Call(addr string, n *crew.Note, _ tick.Span) (*crew.Note, error) {
+func (f *fleet) Call(addr string, n *rpc.Note, _ tick.Span) (*rpc.Note, error) {
 	var i int
 	_, _ = fmt.Sscan(addr, &i)
 	time.Sleep(f.lag)
@@ -33,9 +33,9 @@
 	return f.g[i].Handle(n), nil
 }
 
-func (f *fleet) seats() (out []crew.Seat) {
+func (f *fleet) seats() (out []rpc.Seat) {
 	for i := range f.g {
-		out = append(out, crew.Seat{ID: uint64(100 + i), Addr: fmt.Sprint(i)})
+		out = append(out, rpc.Seat{ID: uint64(100 + i), Addr: fmt.Sprint(i)})
 	}
 	return
 }
@@ -49,7 +49,7 @@
 }
 
 func (f *fleet) holder(id uint64) *Holder {
-	return NewHolder(scope.New(slog.New(slog.DiscardHandler)), "list", crew.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
+	return NewHolder(scope.New(slog.New(slog.DiscardHandler)), "list", rpc.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
 }
 
 func TestOneHolderAtATime(t *testing.T) {
--- a/coord/replication/bearing.go
+++ b/coord/replication/bearing.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -14,11 +14,11 @@
 
 const relayWord, bootWord = "relay", "boot"
 
-func index(ss []crew.Seat, id uint64) int {
-	return slices.IndexFunc(ss, func(s crew.Seat) bool { return s.ID == id })
+func index(ss []rpc.Seat, id uint64) int {
+	return slices.IndexFunc(ss, func(s rpc.Seat) bool { return s.ID == id })
 }
 
-func addrs(ss []crew.Seat) (out []string) {
+func addrs(ss []rpc.Seat) (out []string) {
 	for _, s := range ss {
 		out = append(out, s.Addr)
 	}
@@ -26,7 +26,7 @@
 }
 
 // borne is the number of members that may be lost at once under a chart.
-func borne(c *crew.Chart) int {
+func borne(c *rpc.Chart) int {
 	if c == nil {
 		return 0
 	}
@@ -52,7 +52,7 @@
 func (m *Member) copies() int { return max(m.cf.Losses, 1) + 1 }
 
 // fewest is the number of copies below which no chart is made: what its witnesses bear, and one more.
-func (m *Member) fewest(c *crew.Chart) int {
+func (m *Member) fewest(c *rpc.Chart) int {
 	if m.cf.Losses == 0 {
 		return 1
 	}
@@ -62,7 +62,7 @@
 func (m *Member) witnessesWanted() int { return 2*max(m.cf.Losses, 1) + 1 }
 
 // fitOnes are the other members that were seen lately and whose disks take writes.
-func (m *Member) fitOnes() (out []crew.Seat) {
+func (m *Member) fitOnes() (out []rpc.Seat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
@@ -74,8 +74,8 @@
 }
 
 // spare are the fit members that are no copies and have not refused to be one lately.
-func (m *Member) spare(c *crew.Chart) []crew.Seat {
-	return slices.DeleteFunc(m.fitOnes(), func(s crew.Seat) (no bool) {
+func (m *Member) spare(c *rpc.Chart) []rpc.Seat {
+	return slices.DeleteFunc(m.fitOnes(), func(s rpc.Seat) (no bool) {
 		m.mark(s.ID, func(p *peer) { no = tick.Since(p.refused) < plate.RefusedFor })
 		return no || index(c.Copies(), s.ID) >= 0
 	})
@@ -91,19 +91,19 @@
 }
 
 // narrow tells whether the copies lie in so few areas that these may all be lost, while a member elsewhere could be one.
-func (m *Member) narrow(c *crew.Chart) bool {
+func (m *Member) narrow(c *rpc.Chart) bool {
 	at := m.places(c.Copies())
-	return len(at) <= m.cf.Areas && slices.ContainsFunc(m.spare(c), func(s crew.Seat) bool { return at[m.area(s)] == 0 })
+	return len(at) <= m.cf.Areas && slices.ContainsFunc(m.spare(c), func(s rpc.Seat) bool { return at[m.area(s)] == 0 })
 }
 
-func (m *Member) area(s crew.Seat) string {
+func (m *Member) area(s rpc.Seat) string {
 	if m.cf.Area == nil {
 		return s.Locality
 	}
 	return m.cf.Area(s.Locality)
 }
 
-func (m *Member) places(ss []crew.Seat) map[string]int {
+func (m *Member) places(ss []rpc.Seat) map[string]int {
 	at := map[string]int{}
 	for _, s := range ss {
 		at[m.area(s)]++
@@ -112,19 +112,19 @@
 }
 
 // learners are the fit members, this one too, that are no witnesses.
-func (m *Member) learners(c *crew.Chart) []crew.Seat {
-	return slices.DeleteFunc(append(m.fitOnes(), m.self), func(s crew.Seat) bool { return index(c.Witnesses, s.ID) >= 0 })
+func (m *Member) learners(c *rpc.Chart) []rpc.Seat {
+	return slices.DeleteFunc(append(m.fitOnes(), m.self), func(s rpc.Seat) bool { return index(c.Witnesses, s.ID) >= 0 })
 }
 
 // emptiest is the member whose area holds the fewest of those placed.
-func (m *Member) emptiest(ss []crew.Seat, at map[string]int) crew.Seat {
-	return slices.MinFunc(ss, func(a, b crew.Seat) int {
+func (m *Member) emptiest(ss []rpc.Seat, at map[string]int) rpc.Seat {
+	return slices.MinFunc(ss, func(a, b rpc.Seat) int {
 		return cmp.Or(cmp.Compare(at[m.area(a)], at[m.area(b)]), cmp.Compare(a.ID, b.ID))
 	})
 }
 
 // grown gives the witnesses with learners added while there are fewer than wanted, nil if nothing is to be added. An odd number stays odd: one more would bear no more losses.
-func (m *Member) grown(c *crew.Chart) []crew.Seat {
+func (m *Member) grown(c *rpc.Chart) []rpc.Seat {
 	n, free := 1+len(c.Witnesses)%2, m.learners(c)
 	if len(c.Witnesses) >= m.witnessesWanted() || len(free) < n {
 		return nil
@@ -132,7 +132,7 @@
 	ws, at := slices.Clone(c.Witnesses), m.places(c.Witnesses)
 	for range n {
 		s := m.emptiest(free, at)
-		free = slices.DeleteFunc(free, func(x crew.Seat) bool { return x.ID == s.ID })
+		free = slices.DeleteFunc(free, func(x rpc.Seat) bool { return x.ID == s.ID })
 		at[m.area(s)]++
 		ws = append(ws, s)
 	}
@@ -140,7 +140,7 @@
 }
 
 // spread gives the witnesses with one moved out of an area that holds too many, nil if all is well or nobody is elsewhere.
-func (m *Member) spread(c *crew.Chart) []crew.Seat {
+func (m *Member) spread(c *rpc.Chart) []rpc.Seat {
 	free := m.learners(c)
 	if m.cf.Areas == 0 || len(free) == 0 {
 		return nil
@@ -154,14 +154,14 @@
 	return nil
 }
 
-func with(ss []crew.Seat, i int, s crew.Seat) []crew.Seat {
+func with(ss []rpc.Seat, i int, s rpc.Seat) []rpc.Seat {
 	ss = slices.Clone(ss)
 	ss[i] = s
 	return ss
 }
 
 // panel gives the witnesses one step nearer to what is wanted, nil if all is well or nothing is to be had: more of them, a lost one replaced, or one moved.
-func (m *Member) panel(c *crew.Chart) []crew.Seat {
+func (m *Member) panel(c *rpc.Chart) []rpc.Seat {
 	if ws := m.grown(c); ws != nil {
 		return ws
 	}
@@ -173,7 +173,7 @@
 		if w.ID == m.self.ID {
 			continue
 		}
-		if j := slices.IndexFunc(free, func(s crew.Seat) bool { return s.Addr == w.Addr }); j >= 0 { // another disk at the witness's own address: it was wiped
+		if j := slices.IndexFunc(free, func(s rpc.Seat) bool { return s.Addr == w.Addr }); j >= 0 { // another disk at the witness's own address: it was wiped
 			return with(c.Witnesses, i, free[j])
 		}
 		if m.gone(w) {
@@ -183,7 +183,7 @@
 	return m.spread(c)
 }
 
-func (m *Member) gone(w crew.Seat) bool {
+func (m *Member) gone(w rpc.Seat) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[w.ID]
@@ -191,7 +191,7 @@
 }
 
 // warn says once in an epoch that the chart bears fewer losses than it should and nobody is there to mend it.
-func (m *Member) warn(c *crew.Chart) {
+func (m *Member) warn(c *rpc.Chart) {
 	m.mu.Lock()
 	late := m.warned != c.Epoch && tick.Since(m.born) > plate.WitnessLost
 	if late && borne(c) < m.cf.Losses {
--- a/coord/replication/bearing_test.go
+++ b/coord/replication/bearing_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/scope"
 )
 
@@ -159,8 +159,8 @@
 				last := c.m[p].Chart().Backups[c.losses-1]
 				var once sync.Once
 				c.h.mu.Lock()
-				c.h.drop = func(addr string, n *crew.Note) (lost bool) {
-					if n.Kind == crew.Append && addr == last.Addr {
+				c.h.drop = func(addr string, n *rpc.Note) (lost bool) {
+					if n.Kind == rpc.Append && addr == last.Addr {
 						once.Do(func() {
 							lost = true
 							if step != "append lost" {
@@ -195,7 +195,7 @@
 
 // TestALossAtEveryStepOfATakeover kills the primary, and the one that follows it when it sends a note of each kind: with two losses to bear the third copy ends it.
 func TestALossAtEveryStepOfATakeover(t *testing.T) {
-	for _, k := range []crew.Kind{crew.Prepare, crew.Checkpoint, crew.Accept, crew.Install} {
+	for _, k := range []rpc.Kind{rpc.Prepare, rpc.Checkpoint, rpc.Accept, rpc.Install} {
 		for _, after := range []bool{false, true} {
 			t.Run(fmt.Sprint(k, after), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -207,7 +207,7 @@
 					var once sync.Once
 					c.stop(p)
 					c.h.mu.Lock()
-					c.h.drop = func(addr string, n *crew.Note) (lost bool) {
+					c.h.drop = func(addr string, n *rpc.Note) (lost bool) {
 						if n.Kind != k || n.From.ID != next.ID {
 							return false
 						}
@@ -220,7 +220,7 @@
 					}
 					c.h.mu.Unlock()
 					c.wipe(p)
-					if k == crew.Install { // the new disk is taken for a witness on the way
+					if k == rpc.Install { // the new disk is taken for a witness on the way
 						c.start(p)
 					}
 					time.Sleep(6 * time.Second)
@@ -231,7 +231,7 @@
 					c.h.mu.Lock()
 					c.h.drop = nil
 					c.h.mu.Unlock()
-					if k != crew.Install {
+					if k != rpc.Install {
 						c.start(p)
 					}
 					c.start(c.at(next))
@@ -339,8 +339,8 @@
 		require.NoError(t, c.propose(p, "first"))
 		backups := c.m[p].Chart().Backups
 		c.h.mu.Lock()
-		c.h.drop = func(addr string, n *crew.Note) bool {
-			return n.Kind == crew.Append && addr == backups[1].Addr || n.Kind == crew.Checkpoint && addr != backups[0].Addr && addr != c.m[p].Self().Addr
+		c.h.drop = func(addr string, n *rpc.Note) bool {
+			return n.Kind == rpc.Append && addr == backups[1].Addr || n.Kind == rpc.Checkpoint && addr != backups[0].Addr && addr != c.m[p].Self().Addr
 		}
 		c.h.mu.Unlock()
 		require.Error(t, c.propose(p, "second"))
@@ -368,15 +368,15 @@
 		b := c.at(ch.Backups[0])
 		var tried atomic.Bool
 		c.h.mu.Lock()
-		c.h.drop = func(addr string, n *crew.Note) bool {
+		c.h.drop = func(addr string, n *rpc.Note) bool {
 			mine := n.From.ID == ch.Backups[0].ID
-			if mine && n.Kind == crew.Accept {
+			if mine && n.Kind == rpc.Accept {
 				tried.Store(true)
 			}
-			return mine && n.Kind == crew.Accept || !mine && n.Kind == crew.Prepare || n.Kind == crew.Checkpoint && addr == ch.Primary.Addr
+			return mine && n.Kind == rpc.Accept || !mine && n.Kind == rpc.Prepare || n.Kind == rpc.Checkpoint && addr == ch.Primary.Addr
 		}
 		c.h.mu.Unlock()
-		a, _ := c.m[b].Handle(&crew.Note{Kind: crew.Yield, From: ch.Primary, Epoch: ch.Epoch})
+		a, _ := c.m[b].Handle(&rpc.Note{Kind: rpc.Yield, From: ch.Primary, Epoch: ch.Epoch})
 		require.True(t, a.OK)
 		time.Sleep(400 * time.Millisecond)
 		for !c.m[b].wr.TryLock() { // between two tries
@@ -384,7 +384,7 @@
 		}
 		c.m[b].wr.Unlock()
 		require.Equal(t, ch.Epoch, c.m[b].Chart().Epoch)
-		a, _ = c.m[b].Handle(&crew.Note{Kind: crew.Append, From: ch.Primary, To: ch.Backups[0].ID, Epoch: ch.Epoch, Ballot: ch.Mark, Body: []byte("x")})
+		a, _ = c.m[b].Handle(&rpc.Note{Kind: rpc.Append, From: ch.Primary, To: ch.Backups[0].ID, Epoch: ch.Epoch, Ballot: ch.Mark, Body: []byte("x")})
 		require.False(t, a.OK)
 	})
 }
@@ -397,7 +397,7 @@
 		ch := c.m[p].Chart()
 		m := c.m[c.at(ch.Backups[0])]
 		give := func(mark uint64) bool {
-			a, _ := m.Handle(&crew.Note{Kind: crew.Checkpoint, From: ch.Primary, To: m.Self().ID, Epoch: ch.Epoch + 1, Ballot: mark, Held: ch, Body: packHeld(Held{Base: []byte("x")})})
+			a, _ := m.Handle(&rpc.Note{Kind: rpc.Checkpoint, From: ch.Primary, To: m.Self().ID, Epoch: ch.Epoch + 1, Ballot: mark, Held: ch, Body: packHeld(Held{Base: []byte("x")})})
 			return a.OK
 		}
 		require.True(t, give(900<<20))
@@ -445,8 +445,8 @@
 		time.Sleep(6 * time.Second)
 		ch := c.m[c.primary()].Chart()
 		require.Negative(t, index(append(ch.Copies(), ch.Witnesses...), m.Self().ID))
-		for _, k := range []crew.Kind{crew.Prepare, crew.Accept, crew.Install, crew.Checkpoint, crew.Append, crew.Confirm} {
-			a, _ := m.Handle(&crew.Note{Kind: k, Epoch: ch.Epoch + 1, Ballot: 9 << 20, Held: ch, Chart: ch, Body: packHeld(Held{})})
+		for _, k := range []rpc.Kind{rpc.Prepare, rpc.Accept, rpc.Install, rpc.Checkpoint, rpc.Append, rpc.Confirm} {
+			a, _ := m.Handle(&rpc.Note{Kind: k, Epoch: ch.Epoch + 1, Ballot: 9 << 20, Held: ch, Chart: ch, Body: packHeld(Held{})})
 			require.False(t, a.OK)
 		}
 	})
@@ -604,7 +604,7 @@
 		if lossy {
 			lr, lm := rand.New(rand.NewSource(seed)), sync.Mutex{}
 			c.h.mu.Lock()
-			c.h.drop = func(string, *crew.Note) bool {
+			c.h.drop = func(string, *rpc.Note) bool {
 				lm.Lock()
 				defer lm.Unlock()
 				return lr.Intn(25) == 0
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
@@ -25,7 +25,7 @@
 
 // Caller asks another member.
 type Caller interface {
-	Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error)
+	Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error)
 }
 
 // Config is what a member needs.
@@ -45,7 +45,7 @@
 }
 
 type peer struct {
-	seat    crew.Seat
+	seat    rpc.Seat
 	seen    tick.Moment
 	fit     bool        // its disk takes writes and it isn't leaving
 	relay   bool        // it has no disk
@@ -57,7 +57,7 @@
 type Member struct {
 	sc   *scope.Scope
 	cf   Config
-	self crew.Seat
+	self rpc.Seat
 	boot bool
 	disk chan func()
 
@@ -72,7 +72,7 @@
 	active  bool
 	epoch   uint64
 	beat    tick.Moment
-	beatBy  crew.Seat
+	beatBy  rpc.Seat
 	urged   bool
 	warned  uint64      // epoch for which the tolerance was said to be out of reach
 	vowed   tick.Moment // when a promise was last given to another member
@@ -87,7 +87,7 @@
 // New makes a member from its store; Run starts it.
 func New(sc *scope.Scope, cf Config) (*Member, error) {
 	id, boot := cf.Store.Identity()
-	m := &Member{sc: sc.Part("tally"), cf: cf, self: crew.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
+	m := &Member{sc: sc.Part("tally"), cf: cf, self: rpc.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
 		disk: make(chan func(), 64), wr: tick.NewLatch(), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
 	if c := m.reg.Chart; c != nil && c.Primary.ID == id {
 		m.beat = m.beat.Add(-2 * plate.BeatEvery) // a primary that comes back asks at once; the witnesses know better if it was followed
@@ -155,10 +155,10 @@
 }
 
 // Self is this member's seat.
-func (m *Member) Self() crew.Seat { return m.self }
+func (m *Member) Self() rpc.Seat { return m.self }
 
 // Chart is the newest chart known, nil before the first.
-func (m *Member) Chart() *crew.Chart {
+func (m *Member) Chart() *rpc.Chart {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.reg.Chart
@@ -172,7 +172,7 @@
 }
 
 // Primary is the seat that was last heard to be primary, if it was heard lately.
-func (m *Member) Primary() (crew.Seat, bool) {
+func (m *Member) Primary() (rpc.Seat, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.active {
@@ -181,14 +181,14 @@
 	if m.beatBy.ID != 0 && tick.Since(m.beat) < plate.BeatLost {
 		return m.beatBy, true
 	}
-	return crew.Seat{}, false
+	return rpc.Seat{}, false
 }
 
 // Members are all seats known, this one too.
-func (m *Member) Members() []crew.Seat {
+func (m *Member) Members() []rpc.Seat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := []crew.Seat{m.self}
+	out := []rpc.Seat{m.self}
 	for _, p := range m.peers {
 		out = append(out, p.seat)
 	}
@@ -198,16 +198,16 @@
 
 // State is for the state page.
 type State struct {
-	Self      crew.Seat   `json:"self"`
-	Relay     bool        `json:"relay"`
-	Losses    int         `json:"losses_borne"` // by the chart: copies left and a majority of witnesses
-	Wanted    int         `json:"losses_wanted"`
-	Chart     *crew.Chart `json:"chart"`
-	Active    bool        `json:"active"`
-	Joined    bool        `json:"joined"`
-	Stalled   bool        `json:"stalled"`
-	BeatAgoMs int64       `json:"beat_ago_ms"`
-	Members   []crew.Seat `json:"members"`
+	Self      rpc.Seat   `json:"self"`
+	Relay     bool       `json:"relay"`
+	Losses    int        `json:"losses_borne"` // by the chart: copies left and a majority of witnesses
+	Wanted    int        `json:"losses_wanted"`
+	Chart     *rpc.Chart `json:"chart"`
+	Active    bool       `json:"active"`
+	Joined    bool       `json:"joined"`
+	Stalled   bool       `json:"stalled"`
+	BeatAgoMs int64      `json:"beat_ago_ms"`
+	Members   []rpc.Seat `json:"members"`
 }
 
 // State tells what this member knows.
@@ -224,7 +224,7 @@
 	return !m.cf.Relay && !m.leaving && !m.stalled.Load()
 }
 
-func (m *Member) saw(s crew.Seat, fit bool) {
+func (m *Member) saw(s rpc.Seat, fit bool) {
 	if s.ID == 0 || s.ID == m.self.ID || s.Addr == "" {
 		return
 	}
@@ -253,7 +253,7 @@
 }
 
 // hearsay takes seats that others know. It never displaces what was seen at an address: a disk may have been replaced since.
-func (m *Member) hearsay(ss []crew.Seat) {
+func (m *Member) hearsay(ss []rpc.Seat) {
 	for _, s := range ss {
 		m.mu.Lock()
 		known := s.Addr == m.self.Addr
@@ -268,7 +268,7 @@
 }
 
 // learn takes a chosen chart; it tells whether it was new.
-func (m *Member) learn(c *crew.Chart) bool {
+func (m *Member) learn(c *rpc.Chart) bool {
 	if c == nil || c.Epoch == 0 {
 		return false
 	}
@@ -318,15 +318,15 @@
 }
 
 // Handle answers the notes that belong to this package; others give false.
-func (m *Member) Handle(n *crew.Note) (*crew.Note, bool) {
+func (m *Member) Handle(n *rpc.Note) (*rpc.Note, bool) {
 	switch n.Kind {
-	case crew.Hello, crew.Beat, crew.Prepare, crew.Accept, crew.Install, crew.Checkpoint, crew.Append, crew.Confirm, crew.Yield:
+	case rpc.Hello, rpc.Beat, rpc.Prepare, rpc.Accept, rpc.Install, rpc.Checkpoint, rpc.Append, rpc.Confirm, rpc.Yield:
 	default:
 		return nil, false
 	}
 	a := n.Reply(false)
 	a.From = m.self
-	if n.Kind == crew.Prepare && m.fit() { // it may be asked to be a copy, also if it is not the disk that was meant
+	if n.Kind == rpc.Prepare && m.fit() { // it may be asked to be a copy, also if it is not the disk that was meant
 		a.Number = 1
 	}
 	if n.To != 0 && n.To != m.self.ID {
@@ -334,38 +334,38 @@
 		return a, true
 	}
 	switch n.Kind {
-	case crew.Hello:
+	case rpc.Hello:
 		m.saw(n.From, n.OK)
 		m.learn(n.Chart)
 		a.OK, a.Chart, a.Seats = m.fit(), m.Chart(), m.Members()
 		a.Word = m.word()
-	case crew.Beat:
+	case rpc.Beat:
 		m.onBeat(n, a)
-	case crew.Prepare, crew.Accept, crew.Install, crew.Checkpoint, crew.Append, crew.Confirm:
+	case rpc.Prepare, rpc.Accept, rpc.Install, rpc.Checkpoint, rpc.Append, rpc.Confirm:
 		if m.cf.Relay {
 			a.Word = "no disk is here"
 			return a, true
 		}
 	}
 	switch n.Kind {
-	case crew.Prepare, crew.Accept:
+	case rpc.Prepare, rpc.Accept:
 		m.onBallot(n, a)
-	case crew.Install:
+	case rpc.Install:
 		m.learn(n.Chart)
 		if c := m.Chart(); c != nil && c.Epoch >= n.Chart.Epoch {
 			a.OK = m.saveRegister() == nil
 		}
-	case crew.Checkpoint:
+	case rpc.Checkpoint:
 		m.onCheckpoint(n, a)
-	case crew.Append:
+	case rpc.Append:
 		m.onAppend(n, a)
-	case crew.Confirm:
+	case rpc.Confirm:
 		m.mu.Lock()
 		c := m.reg.Chart
 		a.OK = c != nil && c.Epoch == n.Epoch && c.Mark == n.Ballot && m.reg.Accepted == nil
 		a.Chart = c
 		m.mu.Unlock()
-	case crew.Yield:
+	case rpc.Yield:
 		m.mu.Lock()
 		c := m.reg.Chart
 		a.OK = c != nil && c.Epoch == n.Epoch && index(c.Backups, m.self.ID) >= 0
@@ -375,7 +375,7 @@
 	return a, true
 }
 
-func (m *Member) onBeat(n, a *crew.Note) {
+func (m *Member) onBeat(n, a *rpc.Note) {
 	m.saw(n.From, true)
 	fresh := m.learn(n.Chart)
 	m.hearsay(n.Seats)
@@ -397,7 +397,7 @@
 }
 
 // onBallot is the witness: one compare-and-set register for the epoch after the newest chosen chart.
-func (m *Member) onBallot(n, a *crew.Note) {
+func (m *Member) onBallot(n, a *rpc.Note) {
 	base := n.Held
 	if base == nil || base.Epoch+1 != n.Epoch {
 		return
@@ -429,7 +429,7 @@
 		m.vowed = tick.Now()
 	}
 	a.Held, a.HeldBallot = m.reg.Accepted, m.reg.Ballot
-	if n.Kind == crew.Accept {
+	if n.Kind == rpc.Accept {
 		m.reg.Accepted, m.reg.Ballot = n.Chart, n.Ballot
 	}
 	m.mu.Unlock()
@@ -462,7 +462,7 @@
 }
 
 // onCheckpoint takes over a whole state for an epoch that is being proposed.
-func (m *Member) onCheckpoint(n, a *crew.Note) {
+func (m *Member) onCheckpoint(n, a *rpc.Note) {
 	h, ok := unpackHeld(n.Body)
 	if !ok || !m.fit() {
 		return
@@ -509,7 +509,7 @@
 	a.OK = true
 }
 
-func (m *Member) onAppend(n, a *crew.Note) {
+func (m *Member) onAppend(n, a *rpc.Note) {
 	if !m.wr.TryLock() {
 		return
 	}
@@ -586,7 +586,7 @@
 	far := make(chan bool, len(c.Backups))
 	for _, b := range c.Backups {
 		go func() {
-			a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, sending(plate.CallWait, len(e), len(c.Backups)))
+			a, err := m.cf.Caller.Call(b.Addr, &rpc.Note{Kind: rpc.Append, From: m.self, To: b.ID, Epoch: c.Epoch, Ballot: c.Mark, Body: e}, sending(plate.CallWait, len(e), len(c.Backups)))
 			if err != nil {
 				m.mark(b.ID, func(p *peer) { p.missed = true })
 			} else if a.Chart != nil {
@@ -640,17 +640,17 @@
 	if !ok || c == nil || c.Epoch != ep {
 		return false
 	}
-	as := m.ask(c.Witnesses, &crew.Note{Kind: crew.Confirm, Epoch: c.Epoch, Ballot: c.Mark}, plate.CallWait)
+	as := m.ask(c.Witnesses, &rpc.Note{Kind: rpc.Confirm, Epoch: c.Epoch, Ballot: c.Mark}, plate.CallWait)
 	return oks(as) > len(c.Witnesses)/2
 }
 
 // yield asks the backups in turn to take over, until one will.
-func (m *Member) yield(c *crew.Chart) {
+func (m *Member) yield(c *rpc.Chart) {
 	if c == nil {
 		return
 	}
 	for _, b := range c.Backups {
-		a, err := m.cf.Caller.Call(b.Addr, &crew.Note{Kind: crew.Yield, From: m.self, To: b.ID, Epoch: c.Epoch}, plate.CallWait)
+		a, err := m.cf.Caller.Call(b.Addr, &rpc.Note{Kind: rpc.Yield, From: m.self, To: b.ID, Epoch: c.Epoch}, plate.CallWait)
 		if err == nil && a.OK {
 			return
 		}
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -76,11 +76,11 @@
 	m    map[string]*Member
 	off  map[string]bool
 	cut  map[[2]string]bool // one way
-	drop func(addr string, n *crew.Note) bool
+	drop func(addr string, n *rpc.Note) bool
 	rate int // bytes a second of one call; 0: no bound
 }
 
-func (h *hall) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
+func (h *hall) Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error) {
 	h.mu.Lock()
 	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
 	h.mu.Unlock()
@@ -131,7 +131,7 @@
 func (l *life) Reset(h Held) error    { return l.write(func() error { return l.memory.Reset(h) }) }
 func (l *life) Append(e []byte) error { return l.write(func() error { return l.memory.Append(e) }) }
 
-func (l *life) Call(addr string, n *crew.Note, d tick.Span) (*crew.Note, error) {
+func (l *life) Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error) {
 	if l.dead.Load() {
 		return nil, errDead
 	}
@@ -241,7 +241,7 @@
 }
 
 // at is the place of a member in the crowd.
-func (t *crowd) at(s crew.Seat) int {
+func (t *crowd) at(s rpc.Seat) int {
 	return slices.IndexFunc(t.m, func(m *Member) bool { return m.Self().ID == s.ID })
 }
 
@@ -259,8 +259,8 @@
 				switch step {
 				case "append lost", "answer lost":
 					tr.h.mu.Lock()
-					tr.h.drop = func(addr string, n *crew.Note) bool {
-						if n.Kind != crew.Append {
+					tr.h.drop = func(addr string, n *rpc.Note) bool {
+						if n.Kind != rpc.Append {
 							return false
 						}
 						if step == "answer lost" {
@@ -353,7 +353,7 @@
 				b = i
 			}
 		}
-		entry := &crew.Note{Kind: crew.Append, From: tr.m[p].Self(), To: c.Backups[0].ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
+		entry := &rpc.Note{Kind: rpc.Append, From: tr.m[p].Self(), To: c.Backups[0].ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
 		a, _ := tr.m[b].Handle(entry)
 		require.True(t, a.OK)
 		tr.stop(b)
@@ -388,7 +388,7 @@
 		tr := newTrio()
 		defer tr.end()
 		m := tr.m[0]
-		m.hearsay([]crew.Seat{{ID: 5, Addr: "m1"}, {ID: 6, Addr: "m0"}, {ID: 7, Addr: "new"}})
+		m.hearsay([]rpc.Seat{{ID: 5, Addr: "m1"}, {ID: 6, Addr: "m0"}, {ID: 7, Addr: "new"}})
 		got := map[string]uint64{}
 		for _, s := range m.Members() {
 			got[s.Addr] = s.ID
@@ -403,11 +403,11 @@
 		defer tr.end()
 		p := tr.primary()
 		c := tr.m[p].Chart()
-		var half *crew.Chart
+		var half *rpc.Chart
 		accepts := 0
 		tr.h.mu.Lock()
-		tr.h.drop = func(addr string, n *crew.Note) bool {
-			if n.Kind != crew.Accept || half != nil && accepts >= 2 {
+		tr.h.drop = func(addr string, n *rpc.Note) bool {
+			if n.Kind != rpc.Accept || half != nil && accepts >= 2 {
 				return false
 			}
 			x := *n
--- a/coord/replication/store.go
+++ b/coord/replication/store.go
@@ -14,7 +14,7 @@
 
 	"github.com/tidwall/wal"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 )
@@ -32,10 +32,10 @@
 
 // Register is what a witness keeps: the newest chosen chart, and promise and acceptance for the epoch after it.
 type Register struct {
-	Chart    *crew.Chart `json:"chart"`
-	Promised uint64      `json:"promised"`
-	Ballot   uint64      `json:"ballot"`
-	Accepted *crew.Chart `json:"accepted"`
+	Chart    *rpc.Chart `json:"chart"`
+	Promised uint64     `json:"promised"`
+	Ballot   uint64     `json:"ballot"`
+	Accepted *rpc.Chart `json:"accepted"`
 }
 
 // Held is the state that a store holds: a base and the entries after it.
--- a/coord/replication/store_test.go
+++ b/coord/replication/store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 )
 
 func reopen(t *testing.T, dir string) *DiskStore {
@@ -25,7 +25,7 @@
 	for _, e := range []string{"one", "two", "three"} {
 		require.NoError(t, s.Append([]byte(e)))
 	}
-	require.NoError(t, s.SaveRegister(Register{Chart: &crew.Chart{Epoch: 3, Mark: 9, Primary: crew.Seat{ID: 5, Addr: "a"}}, Promised: 77}))
+	require.NoError(t, s.SaveRegister(Register{Chart: &rpc.Chart{Epoch: 3, Mark: 9, Primary: rpc.Seat{ID: 5, Addr: "a"}}, Promised: 77}))
 	return s
 }
 
--- a/coord/replication/view.go
+++ b/coord/replication/view.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sort"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -25,7 +25,7 @@
 			continue
 		}
 		go func() {
-			a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Beat, From: m.self, Epoch: c.Epoch, Chart: c, Seats: all}, plate.CallWait)
+			a, err := m.cf.Caller.Call(s.Addr, &rpc.Note{Kind: rpc.Beat, From: m.self, Epoch: c.Epoch, Chart: c, Seats: all}, plate.CallWait)
 			if err != nil {
 				return
 			}
@@ -55,7 +55,7 @@
 }
 
 // alone tells whether most witnesses have not been heard for a while: another may be primary by now, and this one's news are old.
-func (m *Member) alone(c *crew.Chart) bool {
+func (m *Member) alone(c *rpc.Chart) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	near := 0
@@ -144,7 +144,7 @@
 	for a := range at {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			r, err := m.cf.Caller.Call(a, &crew.Note{Kind: crew.Hello, From: m.self, OK: m.fit(), Word: m.word(), Chart: c}, plate.CallWait)
+			r, err := m.cf.Caller.Call(a, &rpc.Note{Kind: rpc.Hello, From: m.self, OK: m.fit(), Word: m.word(), Chart: c}, plate.CallWait)
 			if err != nil {
 				return
 			}
@@ -169,7 +169,7 @@
 	if i < 0 || tick.Since(m.born) < tick.Span(i)*plate.WitnessLost {
 		return
 	}
-	var ws []crew.Seat
+	var ws []rpc.Seat
 	there := 0
 	for _, a := range seeds {
 		if a == m.self.Addr {
@@ -192,11 +192,11 @@
 		return
 	}
 	defer m.wr.Unlock()
-	m.changeFrom(&crew.Chart{Witnesses: ws}, false)
+	m.changeFrom(&rpc.Chart{Witnesses: ws}, false)
 }
 
-func (m *Member) ask(to []crew.Seat, n *crew.Note, d tick.Span) []*crew.Note {
-	ch := make(chan *crew.Note, len(to))
+func (m *Member) ask(to []rpc.Seat, n *rpc.Note, d tick.Span) []*rpc.Note {
+	ch := make(chan *rpc.Note, len(to))
 	for _, s := range to {
 		x := *n
 		x.From, x.To = m.self, s.ID
@@ -209,14 +209,14 @@
 			a, err := m.cf.Caller.Call(s.Addr, &x, d)
 			if err != nil {
 				a = nil
-			} else if n.Kind == crew.Prepare { // it lives, and may be asked to be a copy
+			} else if n.Kind == rpc.Prepare { // it lives, and may be asked to be a copy
 				m.saw(a.From, a.Number == 1)
 			}
 			ch <- a
 		}()
 	}
 	need := len(to)/2 + 1
-	var out []*crew.Note
+	var out []*rpc.Note
 	for range to {
 		a := <-ch
 		if a == nil {
@@ -233,7 +233,7 @@
 	return out
 }
 
-func oks(as []*crew.Note) (n int) {
+func oks(as []*rpc.Note) (n int) {
 	for _, a := range as {
 		if a.OK {
 			n++
@@ -251,7 +251,7 @@
 	return m.changeFrom(c, was)
 }
 
-func (m *Member) changeFrom(c *crew.Chart, was bool) bool {
+func (m *Member) changeFrom(c *rpc.Chart, was bool) bool {
 	fail := func(why string) bool {
 		if was {
 			m.stepDown(why)
@@ -285,8 +285,8 @@
 	m.mu.Unlock()
 	e := c.Epoch + 1
 	most := len(c.Witnesses)/2 + 1
-	as := m.ask(c.Witnesses, &crew.Note{Kind: crew.Prepare, Epoch: e, Ballot: bal, Held: c}, plate.CallWait)
-	var held *crew.Note
+	as := m.ask(c.Witnesses, &rpc.Note{Kind: rpc.Prepare, Epoch: e, Ballot: bal, Held: c}, plate.CallWait)
+	var held *rpc.Note
 	for _, a := range as {
 		if m.learn(a.Chart) {
 			return fail("a newer view is known")
@@ -303,7 +303,7 @@
 		return fail("no majority of witnesses")
 	}
 	if held != nil { // somebody was here before: its choice is finished first
-		as = m.ask(c.Witnesses, &crew.Note{Kind: crew.Accept, Epoch: e, Ballot: bal, Held: c, Chart: held.Held}, plate.CallWait)
+		as = m.ask(c.Witnesses, &rpc.Note{Kind: rpc.Accept, Epoch: e, Ballot: bal, Held: c, Chart: held.Held}, plate.CallWait)
 		if oks(as) >= most {
 			m.learn(held.Held)
 			_ = m.saveRegister()
@@ -318,19 +318,19 @@
 	if 1+len(bs) < m.fewest(c) {
 		return fail("too few backups to be had")
 	}
-	n := &crew.Chart{Epoch: e, Mark: bal, Witnesses: c.Witnesses, Primary: m.self, Backups: bs}
+	n := &rpc.Chart{Epoch: e, Mark: bal, Witnesses: c.Witnesses, Primary: m.self, Backups: bs}
 	moved := false
 	if c.Epoch > 0 {
 		if ws := m.panel(c); ws != nil {
 			n.Witnesses, moved = ws, true
 		}
 	}
-	as = m.ask(c.Witnesses, &crew.Note{Kind: crew.Accept, Epoch: e, Ballot: bal, Held: c, Chart: n}, plate.CallWait)
+	as = m.ask(c.Witnesses, &rpc.Note{Kind: rpc.Accept, Epoch: e, Ballot: bal, Held: c, Chart: n}, plate.CallWait)
 	if oks(as) < most {
 		return fail("not accepted by a majority")
 	}
 	if moved {
-		as = m.ask(n.Witnesses, &crew.Note{Kind: crew.Install, Chart: n}, plate.CallWait)
+		as = m.ask(n.Witnesses, &rpc.Note{Kind: rpc.Install, Chart: n}, plate.CallWait)
 		if oks(as) < len(n.Witnesses)/2+1 {
 			return fail("not stored by the new witnesses")
 		}
@@ -358,19 +358,19 @@
 }
 
 // handOver gives the whole state to as many members as are wanted, all at once: other areas first, then the old copies, then witnesses, then the rest. Where one fails, the next is asked.
-func (m *Member) handOver(c *crew.Chart, h Held) []crew.Seat {
+func (m *Member) handOver(c *rpc.Chart, h Held) []rpc.Seat {
 	body := packHeld(h)
 	held := c
 	if c.Epoch == 0 {
 		held = nil
 	}
 	type end struct {
-		seat crew.Seat
+		seat rpc.Seat
 		ok   bool
 	}
 	ends := make(chan end)
-	give := func(s crew.Seat) {
-		a, err := m.cf.Caller.Call(s.Addr, &crew.Note{Kind: crew.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, sending(plate.TransferWait, len(body), m.copies()-1))
+	give := func(s rpc.Seat) {
+		a, err := m.cf.Caller.Call(s.Addr, &rpc.Note{Kind: rpc.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, sending(plate.TransferWait, len(body), m.copies()-1))
 		ok := err == nil && a.OK
 		if !ok {
 			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, tick.Now() })
@@ -380,13 +380,13 @@
 		}
 		ends <- end{s, ok}
 	}
-	left, at := m.fitOnes(), m.places([]crew.Seat{m.self})
-	var asked, out []crew.Seat
+	left, at := m.fitOnes(), m.places([]rpc.Seat{m.self})
+	var asked, out []rpc.Seat
 	running, waited := 0, false
 	for {
 		for running+len(out) < m.copies()-1 && len(left) > 0 {
-			s := slices.MinFunc(left, func(a, b crew.Seat) int { return m.before(c, at, a, b) })
-			left = slices.DeleteFunc(left, func(x crew.Seat) bool { return x.ID == s.ID })
+			s := slices.MinFunc(left, func(a, b rpc.Seat) int { return m.before(c, at, a, b) })
+			left = slices.DeleteFunc(left, func(x rpc.Seat) bool { return x.ID == s.ID })
 			at[m.area(s)]++
 			asked = append(asked, s)
 			running++
@@ -395,7 +395,7 @@
 		if running == 0 && 1+len(out) < m.fewest(c) && !waited { // the others' promises may be under way still
 			waited = true
 			tick.Rest(m.sc, plate.LateAnswer)
-			left = slices.DeleteFunc(m.fitOnes(), func(s crew.Seat) bool { return index(asked, s.ID) >= 0 })
+			left = slices.DeleteFunc(m.fitOnes(), func(s rpc.Seat) bool { return index(asked, s.ID) >= 0 })
 			if len(left) > 0 {
 				continue
 			}
@@ -415,8 +415,8 @@
 }
 
 // before is the order in which members are asked to be copies.
-func (m *Member) before(c *crew.Chart, at map[string]int, a, b crew.Seat) int {
-	rank := func(s crew.Seat) int {
+func (m *Member) before(c *rpc.Chart, at map[string]int, a, b rpc.Seat) int {
+	rank := func(s rpc.Seat) int {
 		switch {
 		case index(c.Copies(), s.ID) >= 0:
 			return 0
@@ -425,7 +425,7 @@
 		}
 		return 2
 	}
-	missed := func(s crew.Seat) (n int) {
+	missed := func(s rpc.Seat) (n int) {
 		m.mark(s.ID, func(p *peer) {
 			if p.missed || tick.Since(p.refused) < plate.RefusedFor {
 				n = 1
--- a/crew/net_test.go
+++ b/coord/rpc/net_test.go
@@ -1,4 +1,4 @@
-package crew
+package rpc
 
 import (
 	"log/slog"
--- a/crew/note.go
+++ b/coord/rpc/note.go
@@ -1,10 +1,10 @@
-// Package crew is how the project's own processes talk: FlatBuffers notes in frames over held channels.
-package crew
+// Package rpc is how the project's own processes talk: FlatBuffers notes in frames over held channels.
+package rpc
 
 import (
 	flatbuffers "github.com/google/flatbuffers/go"
 
-	"shaletrestle/crew/crewfb"
+	"shaletrestle/coord/rpc/crewfb"
 	"shaletrestle/fault"
 )
 
--- a/gatehouse/deck.go
+++ b/gatehouse/deck.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/deck"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
@@ -19,14 +19,14 @@
 			return true
 		}
 		last, at = ps, now
-		g.follower.Send(&crew.Note{Kind: crew.Deck, From: g.follower.Self(), Body: deck.Encode(ps)})
+		g.follower.Send(&rpc.Note{Kind: rpc.Deck, From: g.follower.Self(), Body: deck.Encode(ps)})
 		return true
 	})
 }
 
 // hearDeck takes the fleet's sum.
-func (g *Gate) hearDeck(n *crew.Note) {
-	if n.Kind == crew.Deck {
+func (g *Gate) hearDeck(n *rpc.Note) {
+	if n.Kind == rpc.Deck {
 		g.yard.Hear(deck.Decode(n.Body))
 	}
 }
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -15,7 +15,7 @@
 	"shaletrestle/buyer"
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/gauge"
@@ -34,7 +34,7 @@
 // Plan is what a gatehouse is built from.
 type Plan struct {
 	Env    *env.Env
-	Net    crew.Net
+	Net    rpc.Net
 	Dialer blade.Dialer
 	Work   func() tick.Span // does and times the piece of work that shows a slow machine; nil for the usual one
 }
@@ -43,7 +43,7 @@
 type Gate struct {
 	sc        *scope.Scope
 	env       atomic.Pointer[env.Env]
-	net       crew.Net
+	net       rpc.Net
 	dialer    blade.Dialer
 	book      *logbook.Book
 	cursor    *distribution.Cursor
@@ -94,12 +94,12 @@
 	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
 	g.yard.Use(p.Env.Placement)
 	at := p.Env.Port(plate.PortGate)
-	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
+	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, rpc.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
 	g.level = plumb.NewWatch(sc, p.Work)
-	lines := crew.NewLines(sc, p.Net, g.handle)
+	lines := rpc.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
 	g.watcher = failuredetector.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
-		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
+		g.follower.Send(&rpc.Note{Kind: rpc.Suspect, OK: alive, Word: node})
 	})
 	g.follower.Carry(g.words)
 	g.follower.Others(g.hearDeck)
@@ -126,7 +126,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "crew port")
 	}
-	go crew.Serve(g.sc, cl, g.handle)
+	go rpc.Serve(g.sc, cl, g.handle)
 	g.front = buyer.New(g.sc, fl, http.HandlerFunc(g.serve))
 	g.front.Limit(g.table.Load().Limits)
 	rs := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
@@ -433,7 +433,7 @@
 
 func (g *Gate) borrow(pool string, w chan struct{}) {
 	start := tick.Now()
-	a, err := g.follower.Call(&crew.Note{Kind: crew.Lend, Word: pool, Number: plate.LumpTries}, plate.LumpWait)
+	a, err := g.follower.Call(&rpc.Note{Kind: rpc.Lend, Word: pool, Number: plate.LumpTries}, plate.LumpWait)
 	ok := err == nil && a.OK && a.Number > 0 && a.Number <= plate.LumpTries
 	if ok {
 		g.budget.Lent(pool, int64(a.Number), start.Add(plate.LumpSpan))
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -16,7 +16,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/blade"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
@@ -30,7 +30,7 @@
 	g      *Gate
 	sc     *scope.Scope
 	self   string
-	lines  *crew.Lines
+	lines  *rpc.Lines
 	start  tick.Moment
 	late   atomic.Duration // how late this process's timers are
 	kick   chan struct{}
@@ -39,7 +39,7 @@
 	taker  *sledge.Taker
 	inbox  map[uint64]chan sledge.Effect
 	stops  map[uint64]context.CancelFunc // runs for others, by ticket
-	back   map[string]*crew.Channel      // the channel on which an owner spoke last
+	back   map[string]*rpc.Channel       // the channel on which an owner spoke last
 	rooms  map[string]neighbour
 	lacked atomic.Time // when a connection could not be had
 	queues map[string]*longQueue
@@ -73,9 +73,9 @@
 	life := rand.Uint64() | 1
 	b := sledge.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
 	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: sledge.NewOwner(life, b), taker: sledge.NewTaker(life, b),
-		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*crew.Channel{}, rooms: map[string]neighbour{},
+		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
 		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
-	h.lines = crew.NewLines(h.sc, g.net, g.handle)
+	h.lines = rpc.NewLines(h.sc, g.net, g.handle)
 	return h
 }
 
@@ -166,7 +166,7 @@
 }
 
 // tellRoom puts the room left into the answer to a ping.
-func (h *longWork) tellRoom(a *crew.Note) *crew.Note {
+func (h *longWork) tellRoom(a *rpc.Note) *rpc.Note {
 	if h.on() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -177,7 +177,7 @@
 }
 
 // roomOf takes it from there.
-func (h *longWork) roomOf(node string, a *crew.Note) {
+func (h *longWork) roomOf(node string, a *rpc.Note) {
 	if h.on() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -209,7 +209,7 @@
 }
 
 // note takes a message of another gatehouse.
-func (h *longWork) note(ch *crew.Channel, n *crew.Note) {
+func (h *longWork) note(ch *rpc.Channel, n *rpc.Note) {
 	m := sledge.Message{Kind: sledge.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
 		Ticket: sledge.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, plate.LongTakeMost)), Body: n.Body}
 	h.mu.Lock()
@@ -232,7 +232,7 @@
 	}
 }
 
-func (h *longWork) closed(peer string, ch *crew.Channel) {
+func (h *longWork) closed(peer string, ch *rpc.Channel) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.back[peer] == ch {
@@ -262,7 +262,7 @@
 }
 
 func (h *longWork) send(m sledge.Message) {
-	n := &crew.Note{Kind: crew.Job, From: crew.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
+	n := &rpc.Note{Kind: rpc.Job, From: rpc.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
 		Ballot: m.Ticket.Life, To: m.Ticket.Number, Span: m.Number, HeldBallot: uint64(max(0, m.Shots)), Body: m.Body}
 	if m.Kind > sledge.Drop { // the answers go back on the channel on which the owner spoke, in order
 		if ch := h.back[m.Peer]; ch != nil {
--- a/gatehouse/readiness.go
+++ b/gatehouse/readiness.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
@@ -20,9 +20,9 @@
 }
 
 // pinger gives what asks another gatehouse whether it is there; both sides say whether they are slow.
-func (g *Gate) pinger(lines *crew.Lines, self string) func(node string) bool {
+func (g *Gate) pinger(lines *rpc.Lines, self string) func(node string) bool {
 	return func(node string) bool {
-		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello, From: crew.Seat{Addr: self}, Word: g.word()}, plate.CallWait)
+		a, err := lines.Call(node, &rpc.Note{Kind: rpc.Hello, From: rpc.Seat{Addr: self}, Word: g.word()}, plate.CallWait)
 		if err != nil || !a.OK {
 			return false
 		}
@@ -33,12 +33,12 @@
 }
 
 // handle answers the pings of other gatehouses and takes their notes on long work.
-func (g *Gate) handle(ch *crew.Channel, n *crew.Note) *crew.Note {
-	if n.Kind == crew.Job {
+func (g *Gate) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	if n.Kind == rpc.Job {
 		g.long.note(ch, n)
 		return nil
 	}
-	if n.Kind != crew.Hello || n.Call == 0 {
+	if n.Kind != rpc.Hello || n.Call == 0 {
 		return nil
 	}
 	if n.From.Addr != "" {
--- a/millyard/wire.go
+++ b/millyard/wire.go
@@ -8,7 +8,7 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/blade"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/tick"
 )
 
@@ -29,7 +29,7 @@
 		<-tick.After(d)
 		return nil, os.ErrDeadlineExceeded
 	}
-	c, err := crew.TCP{}.Dial(at, d)
+	c, err := rpc.TCP{}.Dial(at, d)
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +44,7 @@
 
 // Listen is crew.Net's.
 func (w *wire) Listen(at string) (net.Listener, error) {
-	ln, err := crew.TCP{}.Listen(at)
+	ln, err := rpc.TCP{}.Listen(at)
 	if err != nil {
 		return nil, err
 	}
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -11,7 +11,7 @@
 	"gopkg.in/yaml.v3"
 
 	"shaletrestle/coord/replication"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/gatehouse"
@@ -305,4 +305,4 @@
 	_ = os.RemoveAll(y.dir)
 }
 
-var _ crew.Net = (*wire)(nil)
+var _ rpc.Net = (*wire)(nil)
--- a/sim/script.go
+++ b/sim/script.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 )
 
 // setupOf is the configuration of the scenarios at a revision; extra routes and flaws are asked for by name.
@@ -489,7 +489,7 @@
 			}
 			c := p.house.Chart()
 			all := append(c.Copies(), c.Witnesses...)
-			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x crew.Seat) bool { return strings.HasPrefix(x.Addr, s.w.procs[a.kv["none"]].ip+":") })
+			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x rpc.Seat) bool { return strings.HasPrefix(x.Addr, s.w.procs[a.kv["none"]].ip+":") })
 			if !bad && len(c.Copies()) == a.num("copies", len(c.Copies())) && len(c.Witnesses) == a.num("witnesses", len(c.Witnesses)) {
 				return nil
 			}
--- a/tallyhouse/deck.go
+++ b/tallyhouse/deck.go
@@ -1,7 +1,7 @@
 package tallyhouse
 
 import (
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/deck"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -33,8 +33,8 @@
 	})
 }
 
-func (h *House) deckNote(ps []deck.Pile) *crew.Note {
-	return &crew.Note{Kind: crew.Deck, From: h.member.Self(), Body: deck.Encode(ps)}
+func (h *House) deckNote(ps []deck.Pile) *rpc.Note {
+	return &rpc.Note{Kind: rpc.Deck, From: h.member.Self(), Body: deck.Encode(ps)}
 }
 
 func services(v *logbook.View) *deck.Services {
@@ -47,8 +47,8 @@
 }
 
 // spread passes the primary's word on to this relay's followers.
-func (h *House) spread(n *crew.Note) {
-	if n.Kind == crew.Deck {
+func (h *House) spread(n *rpc.Note) {
+	if n.Kind == rpc.Deck {
 		h.feed.Spread(n)
 	}
 }
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -14,7 +14,7 @@
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/lease"
 	"shaletrestle/coord/replication"
-	"shaletrestle/crew"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/deck"
 	"shaletrestle/env"
 	"shaletrestle/fault"
@@ -34,7 +34,7 @@
 // Plan is what a tallyhouse is built from.
 type Plan struct {
 	Env   *env.Env
-	Net   crew.Net
+	Net   rpc.Net
 	Store replication.Store
 }
 
@@ -42,7 +42,7 @@
 type House struct {
 	sc       *scope.Scope
 	env      *env.Env
-	net      crew.Net
+	net      rpc.Net
 	state    *logbook.Book
 	news     *logbook.Book
 	member   *replication.Member
@@ -52,7 +52,7 @@
 	follower *distribution.Follower
 	reader   *roster.Reader
 	differ   *roster.Differ
-	lines    *crew.Lines
+	lines    *rpc.Lines
 	lender   *portion.Lender
 	jury     *gauge.Jury
 	deck     *deck.Sum
@@ -72,7 +72,7 @@
 func New(sc *scope.Scope, p Plan) (*House, error) {
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: logbook.NewBook(false), news: logbook.NewBook(false), grantor: lease.NewGrantor(),
 		differ: roster.NewDiffer(), fleet: map[string]tick.Moment{}}
-	lines := crew.NewLines(sc, p.Net, h.handle)
+	lines := rpc.NewLines(sc, p.Net, h.handle)
 	losses, ok := p.Env.Losses()
 	if !ok {
 		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
@@ -124,7 +124,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "state page")
 	}
-	go crew.Serve(h.sc, ln, h.handle)
+	go rpc.Serve(h.sc, ln, h.handle)
 	srv := &http.Server{Handler: foreman.New(h.sc, h), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
 	page := &http.Server{Handler: http.HandlerFunc(h.page), ReadHeaderTimeout: plate.HeadWait}
 	go func() { _ = srv.Serve(cl) }()
@@ -150,29 +150,29 @@
 	h.member.Leave()
 }
 
-func (h *House) handle(ch *crew.Channel, n *crew.Note) *crew.Note {
+func (h *House) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
 	if a, ok := h.member.Handle(n); ok {
 		return a
 	}
 	switch n.Kind {
-	case crew.Lease:
+	case rpc.Lease:
 		return h.grantor.Handle(n)
-	case crew.Follow:
+	case rpc.Follow:
 		h.feed.Follow(ch, n)
-	case crew.Heard:
+	case rpc.Heard:
 		h.hear(n.Body)
 		h.feed.Ack(ch, n)
-	case crew.Suspect:
+	case rpc.Suspect:
 		h.suspect(n)
-	case crew.Lend:
+	case rpc.Lend:
 		return h.lend(n)
-	case crew.Deck:
+	case rpc.Deck:
 		h.deck.Put(n.From.ID, deck.Decode(n.Body), tick.Now())
 	}
 	return nil
 }
 
-func (h *House) witnesses() []crew.Seat {
+func (h *House) witnesses() []rpc.Seat {
 	if c := h.member.Chart(); c != nil {
 		return c.Witnesses
 	}
@@ -362,7 +362,7 @@
 }
 
 // lend gives further tries out of the common part of a service's budget. Only the holder of the list duty lends, of which there is one at a time; others ask it once.
-func (h *House) lend(n *crew.Note) *crew.Note {
+func (h *House) lend(n *rpc.Note) *rpc.Note {
 	if n.Call == 0 {
 		return nil
 	}
@@ -371,7 +371,7 @@
 		if !ok || n.OK || s.ID == h.member.Self().ID {
 			return n.Reply(false)
 		}
-		a, err := h.lines.Call(s.Addr, &crew.Note{Kind: crew.Lend, OK: true, Word: n.Word, Number: n.Number}, plate.LumpWait)
+		a, err := h.lines.Call(s.Addr, &rpc.Note{Kind: rpc.Lend, OK: true, Word: n.Word, Number: n.Number}, plate.LumpWait)
 		if err != nil {
 			return n.Reply(false)
 		}
@@ -423,7 +423,7 @@
 }
 
 // suspect hears from watchers that a gatehouse does not answer. The primary takes it out of the fleet size if it isn't reached any more, at most a part of the fleet at a time: one that still runs keeps using its old share.
-func (h *House) suspect(n *crew.Note) {
+func (h *House) suspect(n *rpc.Note) {
 	if !h.live.Load() {
 		h.follower.Send(n)
 		return
@@ -491,4 +491,4 @@
 func (h *House) Acting() bool { return h.live.Load() }
 
 // Chart is the newest chart known here.
-func (h *House) Chart() *crew.Chart { return h.member.Chart() }
+func (h *House) Chart() *rpc.Chart { return h.member.Chart() }
