--- a/blade/pool.go
+++ b/blade/pool.go
@@ -9,9 +9,9 @@
 	"go.uber.org/atomic"
 	"golang.org/x/sys/unix"
 
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
-	"shaletrestle/portion"
 	"shaletrestle/tick"
 )
 
@@ -58,12 +58,12 @@
 	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
-	pie  *portion.Pie // channels in use, by owner
+	pie  *fairshare.Pie // channels in use, by owner
 }
 
 // NewPool makes a pool; most is this process's share of the replica's connections, keep what is known of how long the service's replicas keep idle ones.
 func NewPool(addr string, d Dialer, most int, keep *Keep, made *Made) *Pool {
-	return &Pool{addr: addr, d: d, most: most, keep: keep, made: made, pie: portion.New(int64(most), plate.CalmPart)}
+	return &Pool{addr: addr, d: d, most: most, keep: keep, made: made, pie: fairshare.New(int64(most), plate.CalmPart)}
 }
 
 // Limit changes the share. Idle connections over a smaller one are closed; those in use end with their answers.
--- a/portion/lender.go
+++ b/coord/fairshare/lender.go
@@ -1,4 +1,4 @@
-package portion
+package fairshare
 
 import (
 	"sync"
--- a/portion/portion.go
+++ b/coord/fairshare/portion.go
@@ -1,5 +1,5 @@
-// Package portion divides something bounded among its users: while there is plenty anybody may take it, when it is crowded nobody takes more than a fair portion, so that a heavy user can't push a light one out.
-package portion
+// Package fairshare divides something bounded among its users: while there is plenty anybody may take it, when it is crowded nobody takes more than a fair portion, so that a heavy user can't push a light one out.
+package fairshare
 
 import (
 	"sort"
--- a/gatehouse/budget_test.go
+++ b/gatehouse/budget_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/plate"
-	"shaletrestle/portion"
 )
 
 func TestTheFleetsSharesStayInsideTheBudget(t *testing.T) {
@@ -60,8 +60,8 @@
 				nodes = append(nodes, NewBudget(ratio, slack, window, plate.BudgetMargin))
 			}
 			room := int64(plate.BudgetMargin * plate.BudgetPot * slack)
-			newLender := func() (*portion.Lender, time.Time) {
-				return portion.NewLender(room, window+plate.LumpSpan), time.Now()
+			newLender := func() (*fairshare.Lender, time.Time) {
+				return fairshare.NewLender(room, window+plate.LumpSpan), time.Now()
 			}
 			lender, since := newLender()
 			known := fleet // what nodes believe
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -15,6 +15,7 @@
 	"shaletrestle/buyer"
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
@@ -24,7 +25,6 @@
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/plumb"
-	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
 	"shaletrestle/sorting"
@@ -61,7 +61,7 @@
 	isReady   chan struct{}
 	leaving   atomic.Bool
 	inflight  atomic.Int64
-	bodies    *portion.Pie
+	bodies    *fairshare.Pie
 	made      blade.Made
 	count     counts
 	mu        sync.Mutex
@@ -87,7 +87,7 @@
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
 	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
-	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
+	g.bodies = fairshare.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = distribution.NewCursor(g.book)
 	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
 	g.weights.Store(newWeights(nil))
--- a/kerf/index.go
+++ b/kerf/index.go
@@ -5,8 +5,8 @@
 	"container/list"
 	"sync"
 
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/plate"
-	"shaletrestle/portion"
 )
 
 type run struct {
@@ -69,7 +69,7 @@
 	shelves map[string]*shelf
 	store   queue
 	seq     int
-	room    *portion.Pie // runs, by owner: the node's memory for hints
+	room    *fairshare.Pie // runs, by owner: the node's memory for hints
 	owners  map[string]*list.List
 	holders map[Key][]*run // the reverse: who keeps a run
 	block   int
@@ -83,7 +83,7 @@
 
 // SizedIndex makes an empty index that holds at most so many runs. When it is full, the owner that holds most gives way, so that a heavy one can't push the others' out.
 func SizedIndex(runs int) *Index {
-	return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}, room: portion.New(int64(runs), 1), owners: map[string]*list.List{}, holders: map[Key][]*run{}, block: plate.BlockTokens}
+	return &Index{sketch: &Sketch{}, shelves: map[string]*shelf{}, room: fairshare.New(int64(runs), 1), owners: map[string]*list.List{}, holders: map[Key][]*run{}, block: plate.BlockTokens}
 }
 
 // Matched is the number of tokens of a chain that a replica is believed to keep, cut to a block.
@@ -277,7 +277,7 @@
 }
 
 // Portions lists how many runs each owner holds.
-func (x *Index) Portions() []portion.Slice { return x.room.Slices() }
+func (x *Index) Portions() []fairshare.Slice { return x.room.Slices() }
 
 // FetchPays is the break-even of the source: importing a run from a peer pays if the link carries its bytes faster than they are computed anew.
 func FetchPays(tokenBytes, linkMbps float64, prefillPerToken float64) bool {
--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -6,10 +6,10 @@
 	"runtime"
 
 	"shaletrestle/berth"
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
-	"shaletrestle/portion"
 	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
@@ -82,7 +82,7 @@
 		return ix
 	})
 	pie, _ := taken(func() any {
-		p := portion.New(1<<30, plate.CalmPart)
+		p := fairshare.New(1<<30, plate.CalmPart)
 		for i := range n {
 			p.Add(fmt.Sprintf("r-%d", i), 1)
 		}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -12,6 +12,7 @@
 
 	"shaletrestle/calendar"
 	"shaletrestle/coord/distribution"
+	"shaletrestle/coord/fairshare"
 	"shaletrestle/coord/lease"
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
@@ -23,7 +24,6 @@
 	"shaletrestle/logbook"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
-	"shaletrestle/portion"
 	"shaletrestle/reply"
 	"shaletrestle/roster"
 	"shaletrestle/scope"
@@ -53,7 +53,7 @@
 	reader   *roster.Reader
 	differ   *roster.Differ
 	lines    *rpc.Lines
-	lender   *portion.Lender
+	lender   *fairshare.Lender
 	jury     *gauge.Jury
 	deck     *deck.Sum
 	judged   tick.Moment  // when the words were last weighed
@@ -79,7 +79,7 @@
 	}
 	b := p.Env.Bounds
 	h.lines, h.jury, h.deck = lines, gauge.NewJury(), deck.NewSum()
-	h.lender = portion.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
+	h.lender = fairshare.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
 	if p.Env.Tolerance.Regions > 0 {
 		areas, area = p.Env.Tolerance.Regions, func(zone string) string { return p.Env.Zones[zone] }
