--- a/berth/waiting.go
+++ b/berth/waiting.go
@@ -4,27 +4,27 @@
 	"cmp"
 	"slices"
 
-	"shaletrestle/deck"
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
 
 // Waiting is what this process has sent to replicas that they have not read yet, to be told to the fleet.
-func (y *Yard) Waiting() []deck.Pile {
+func (y *Yard) Waiting() []loadsum.Pile {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	var ps []deck.Pile
+	var ps []loadsum.Pile
 	for _, b := range y.b {
 		if b.said = uint32(b.tokens); b.said > 0 {
-			ps = append(ps, deck.Pile{Key: b.key, Tokens: b.said})
+			ps = append(ps, loadsum.Pile{Key: b.key, Tokens: b.said})
 		}
 	}
-	slices.SortFunc(ps, func(a, b deck.Pile) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(ps, func(a, b loadsum.Pile) int { return cmp.Compare(a.Key, b.Key) })
 	return ps
 }
 
 // Hear takes what stands out in the fleet's sum of what waits; elsewhere nothing does. It is some hundred ms old when it comes, and where all are busy alike a prompt is read soonest where its shared parts are.
-func (y *Yard) Hear(ps []deck.Pile) {
+func (y *Yard) Hear(ps []loadsum.Pile) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := tick.Now()
--- a/berth/waiting_test.go
+++ b/berth/waiting_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/deck"
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
@@ -15,7 +15,7 @@
 
 func TestAPromptPassesByAReplicaWhereOthersWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sum := deck.NewSum()
+		sum := loadsum.NewSum()
 		here, there := NewYard(kerf.NewIndex()), NewYard(kerf.NewIndex())
 		here.Set(fleet(9), nil, 0)
 		there.Set(fleet(9), nil, 0)
@@ -31,11 +31,11 @@
 		}
 		sum.Put(1, here.Waiting(), tick.Now())
 		sum.Put(2, there.Waiting(), tick.Now())
-		all := &deck.Services{Of: map[uint32]string{}, Size: map[string]int{"p": 9}}
+		all := &loadsum.Services{Of: map[uint32]string{}, Size: map[string]int{"p": 9}}
 		for id := range here.b {
-			all.Of[deck.Key(id)] = "p"
+			all.Of[loadsum.Key(id)] = "p"
 		}
-		here.Hear(deck.Decode(deck.Encode(deck.Excess(sum.Total(tick.Now()), all))))
+		here.Hear(loadsum.Decode(loadsum.Encode(loadsum.Excess(sum.Total(tick.Now()), all))))
 		next, ok := here.Place(short())
 		require.True(t, ok)
 		require.NotEqual(t, home.Replica.ID, next.Replica.ID)
@@ -53,10 +53,10 @@
 		b := y.b["r3"]
 		b.tokens = 50000
 		ps := y.Waiting()
-		require.Equal(t, []deck.Pile{{Key: deck.Key("r3"), Tokens: 50000}}, ps)
+		require.Equal(t, []loadsum.Pile{{Key: loadsum.Key("r3"), Tokens: 50000}}, ps)
 		y.Hear(ps)
 		require.Zero(t, b.others(tick.Now()), "they are this process's own")
-		y.Hear([]deck.Pile{{Key: deck.Key("r4"), Tokens: 70000}, {Key: deck.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
+		y.Hear([]loadsum.Pile{{Key: loadsum.Key("r4"), Tokens: 70000}, {Key: loadsum.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
 		require.InDelta(t, 70000, y.b["r4"].others(tick.Now()), 1)
 		require.InDelta(t, 10000, b.others(tick.Now()), 1)
 		time.Sleep(plate.DeckSpan / 2)
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"shaletrestle/deck"
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
@@ -99,7 +99,7 @@
 	for id, r := range rs {
 		b := y.b[id]
 		if b == nil {
-			b = &berth{prefill: y.prefill, hash: hashID(id), key: deck.Key(id)}
+			b = &berth{prefill: y.prefill, hash: hashID(id), key: loadsum.Key(id)}
 			y.b[id] = b
 		}
 		if y.evac[r.Locality] && !evac[r.Locality] {
--- a/deck/excess.go
+++ b/coord/loadsum/excess.go
@@ -1,4 +1,4 @@
-package deck
+package loadsum
 
 import (
 	"math"
--- a/deck/pile.go
+++ b/coord/loadsum/pile.go
@@ -1,5 +1,5 @@
-// Package deck tells every node how much work waits at each replica, summed over the fleet: nodes tell their relay what they have sent and not yet heard of, relays add it up, and the sum comes back. It is a hint that ages in a second; nothing waits for it and nothing is numbered.
-package deck
+// Package loadsum tells every node how much work waits at each replica, summed over the fleet: nodes tell their relay what they have sent and not yet heard of, relays add it up, and the sum comes back. It is a hint that ages in a second; nothing waits for it and nothing is numbered.
+package loadsum
 
 import (
 	"encoding/binary"
--- a/deck/sum_test.go
+++ b/coord/loadsum/sum_test.go
@@ -1,4 +1,4 @@
-package deck
+package loadsum
 
 import (
 	"math/rand/v2"
--- a/gatehouse/deck.go
+++ b/gatehouse/deck.go
@@ -3,15 +3,15 @@
 import (
 	"slices"
 
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/deck"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
 
 // tellDeck tells the relay what this process has waiting at the replicas, when it changed or its last word grows old.
 func (g *Gate) tellDeck() {
-	var last []deck.Pile
+	var last []loadsum.Pile
 	var at tick.Moment
 	tick.Every(g.sc, plate.DeckTell, func() bool {
 		now, ps := tick.Now(), g.yard.Waiting()
@@ -19,7 +19,7 @@
 			return true
 		}
 		last, at = ps, now
-		g.follower.Send(&rpc.Note{Kind: rpc.Deck, From: g.follower.Self(), Body: deck.Encode(ps)})
+		g.follower.Send(&rpc.Note{Kind: rpc.Deck, From: g.follower.Self(), Body: loadsum.Encode(ps)})
 		return true
 	})
 }
@@ -27,6 +27,6 @@
 // hearDeck takes the fleet's sum.
 func (g *Gate) hearDeck(n *rpc.Note) {
 	if n.Kind == rpc.Deck {
-		g.yard.Hear(deck.Decode(n.Body))
+		g.yard.Hear(loadsum.Decode(n.Body))
 	}
 }
--- a/tallyhouse/deck.go
+++ b/tallyhouse/deck.go
@@ -1,8 +1,8 @@
 package tallyhouse
 
 import (
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/deck"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
@@ -11,7 +11,7 @@
 // addUp passes on what waits at the replicas, again and again: a relay tells the primary the sum of its own followers' words, the primary tells everybody what stands out in the sum of all.
 func (h *House) addUp() {
 	var seen *logbook.View
-	var s *deck.Services
+	var s *loadsum.Services
 	told := false // something was spread the last time: an end of it is told too
 	tick.Every(h.sc, plate.DeckPush, func() bool {
 		ps := h.deck.Total(tick.Now())
@@ -24,7 +24,7 @@
 		if v := h.news.View(); v != seen {
 			seen, s = v, services(v)
 		}
-		ps = deck.Excess(ps, s)
+		ps = loadsum.Excess(ps, s)
 		if len(ps) > 0 || told {
 			h.feed.Spread(h.deckNote(ps))
 		}
@@ -33,14 +33,14 @@
 	})
 }
 
-func (h *House) deckNote(ps []deck.Pile) *rpc.Note {
-	return &rpc.Note{Kind: rpc.Deck, From: h.member.Self(), Body: deck.Encode(ps)}
+func (h *House) deckNote(ps []loadsum.Pile) *rpc.Note {
+	return &rpc.Note{Kind: rpc.Deck, From: h.member.Self(), Body: loadsum.Encode(ps)}
 }
 
-func services(v *logbook.View) *deck.Services {
-	s := &deck.Services{Of: make(map[uint32]string, len(v.Replicas)), Size: map[string]int{}}
+func services(v *logbook.View) *loadsum.Services {
+	s := &loadsum.Services{Of: make(map[uint32]string, len(v.Replicas)), Size: map[string]int{}}
 	for id, r := range v.Replicas {
-		s.Of[deck.Key(id)] = r.Pool
+		s.Of[loadsum.Key(id)] = r.Pool
 		s.Size[r.Pool]++
 	}
 	return s
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -14,9 +14,9 @@
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/fairshare"
 	"shaletrestle/coord/lease"
+	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/deck"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/foreman"
@@ -55,7 +55,7 @@
 	lines    *rpc.Lines
 	lender   *fairshare.Lender
 	jury     *gauge.Jury
-	deck     *deck.Sum
+	deck     *loadsum.Sum
 	judged   tick.Moment  // when the words were last weighed
 	words    []gauge.Word // of followers, on their way to the primary
 	live     atomic.Bool
@@ -78,7 +78,7 @@
 		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
 	}
 	b := p.Env.Bounds
-	h.lines, h.jury, h.deck = lines, gauge.NewJury(), deck.NewSum()
+	h.lines, h.jury, h.deck = lines, gauge.NewJury(), loadsum.NewSum()
 	h.lender = fairshare.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
 	if p.Env.Tolerance.Regions > 0 {
@@ -167,7 +167,7 @@
 	case rpc.Lend:
 		return h.lend(n)
 	case rpc.Deck:
-		h.deck.Put(n.From.ID, deck.Decode(n.Body), tick.Now())
+		h.deck.Put(n.From.ID, loadsum.Decode(n.Body), tick.Now())
 	}
 	return nil
 }
