--- a/berth/candidates_test.go
+++ b/berth/candidates_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/gauge"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -199,7 +199,7 @@
 		require.Equal(t, "r123", c.Replica.ID)
 		require.False(t, c.Cold)
 	}
-	y.Health().Bad("r123", gauge.Silent, tick.Now())
+	y.Health().Bad("r123", outlier.Silent, tick.Now())
 	c, ok := y.Place(ask(chain(1, 50)))
 	require.True(t, ok)
 	require.True(t, c.Cold)
@@ -250,7 +250,7 @@
 	require.Zero(t, x.Matched("r0", c), "other weights")
 	require.Zero(t, x.Matched("r1", c), "it will not come back")
 	require.NotZero(t, x.Matched("r2", c), "an evacuated locality comes back with what it kept")
-	y.Health().Bad("r2", gauge.Silent, tick.Now())
+	y.Health().Bad("r2", outlier.Silent, tick.Now())
 	require.NotZero(t, x.Matched("r2", c), "a failure is no word on what is kept")
 	y.Wrong("r2")
 	require.Zero(t, x.Matched("r2", c), "another lives at its address")
--- a/berth/yard.go
+++ b/berth/yard.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"shaletrestle/coord/loadsum"
-	"shaletrestle/gauge"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -68,7 +68,7 @@
 type Yard struct {
 	mu      sync.Mutex
 	index   *kerf.Index
-	health  *gauge.Gauge
+	health  *outlier.Gauge
 	b       map[string]*berth
 	pools   map[string]*pool
 	opts    Options
@@ -83,11 +83,11 @@
 
 // NewYard makes an empty yard.
 func NewYard(x *kerf.Index) *Yard {
-	return &Yard{index: x, health: gauge.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
+	return &Yard{index: x, health: outlier.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
 }
 
 // Health is the judgement of replicas that placing heeds.
-func (y *Yard) Health() *gauge.Gauge { return y.health }
+func (y *Yard) Health() *outlier.Gauge { return y.health }
 
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
 func (y *Yard) Set(rs map[string]*logbook.Replica, evac map[string]bool, back tick.Span) {
@@ -211,7 +211,7 @@
 		return false
 	}
 	f := y.health.Fit(b.r.ID, a.Bold, now)
-	return f == gauge.Fit || f == gauge.Passed && a.last
+	return f == outlier.Fit || f == outlier.Passed && a.last
 }
 
 // delay is the predicted time before a new inquiry's own prompt is read.
@@ -350,12 +350,12 @@
 
 // Stats is for the state page.
 type Stats struct {
-	Placed  int64                 `json:"placed"`
-	Spills  int64                 `json:"spills"`
-	Warmer  int64                 `json:"warmer"`
-	Prefill float64               `json:"prefill_us_per_token"`
-	Berths  map[string]BerthStat  `json:"replicas"`
-	Health  map[string]gauge.Stat `json:"health"`
+	Placed  int64                   `json:"placed"`
+	Spills  int64                   `json:"spills"`
+	Warmer  int64                   `json:"warmer"`
+	Prefill float64                 `json:"prefill_us_per_token"`
+	Berths  map[string]BerthStat    `json:"replicas"`
+	Health  map[string]outlier.Stat `json:"health"`
 }
 
 // BerthStat is one replica on the state page.
--- a/berth/yard_test.go
+++ b/berth/yard_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/gauge"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/plate"
@@ -99,7 +99,7 @@
 			require.True(t, y.May("r3"))
 			require.False(t, y.May("r0") || y.May("r1") || y.May("r2"))
 		}
-		y.Health().Bad("r3", gauge.Silent, tick.Now())
+		y.Health().Bad("r3", outlier.Silent, tick.Now())
 		_, ok := y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.False(t, ok)
 		time.Sleep(plate.EjectFirst)
--- a/gauge/gauge.go
+++ b/coord/outlier/gauge.go
@@ -1,5 +1,5 @@
-// Package gauge judges the health of replicas by what they do: each node by its own shots, the control primary by what all nodes tell it. Neither the list's word nor a health answer ejects or acquits.
-package gauge
+// Package outlier judges the health of replicas by what they do: each node by its own shots, the control primary by what all nodes tell it. Neither the list's word nor a health answer ejects or acquits.
+package outlier
 
 import (
 	"math"
--- a/gauge/gauge_test.go
+++ b/coord/outlier/gauge_test.go
@@ -1,4 +1,4 @@
-package gauge
+package outlier
 
 import (
 	"fmt"
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -16,10 +16,10 @@
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
-	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/meter"
@@ -175,7 +175,7 @@
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
 
 // Health tells what is held against replicas here.
-func (g *Gate) Health() map[string]gauge.Stat { return g.yard.Health().Stats(tick.Now()) }
+func (g *Gate) Health() map[string]outlier.Stat { return g.yard.Health().Stats(tick.Now()) }
 
 // pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
@@ -395,7 +395,7 @@
 }
 
 // blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
-func (g *Gate) blame(id string, k gauge.Kind) {
+func (g *Gate) blame(id string, k outlier.Kind) {
 	now := tick.Now()
 	g.yard.Health().Bad(id, k, now)
 	g.mu.Lock()
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -11,8 +11,8 @@
 	"shaletrestle/berth"
 	"shaletrestle/blade"
 	"shaletrestle/buyer"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
-	"shaletrestle/gauge"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
@@ -308,7 +308,7 @@
 	if err != nil {
 		q.ask.Not[id] = true
 		if fault.KindOf(err) == fault.Broken {
-			q.blame(id, gauge.Refused)
+			q.blame(id, outlier.Refused)
 		} else {
 			q.g.long.short()
 		}
@@ -339,7 +339,7 @@
 	at := tick.Now()
 	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
 	if err != nil {
-		q.ended(c.Replica.ID, ch, gauge.Reset, true)
+		q.ended(c.Replica.ID, ch, outlier.Reset, true)
 		if !sent {
 			return true
 		}
@@ -368,19 +368,19 @@
 }
 
 // blame holds a failure against a replica; another one is tried next.
-func (q *inquiry) blame(id string, k gauge.Kind) {
+func (q *inquiry) blame(id string, k outlier.Kind) {
 	q.ask.Not[id] = true
 	q.g.blame(id, k)
 }
 
 // ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
-func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
+func (q *inquiry) ended(id string, ch *blade.Channel, k outlier.Kind, reset bool) {
 	if reset && ch.Forgotten() {
-		q.g.blame(id, gauge.Stale)
+		q.g.blame(id, outlier.Stale)
 		return
 	}
 	q.blame(id, k)
-	if k == gauge.Silent {
+	if k == outlier.Silent {
 		ch.Doubt()
 	}
 }
@@ -433,7 +433,7 @@
 			if watch { // it is waited for still
 				end.Overdue = true
 				if !q.g.yard.Queued(id) {
-					q.g.blame(id, gauge.Slow)
+					q.g.blame(id, outlier.Slow)
 				}
 				continue
 			}
@@ -442,7 +442,7 @@
 				q.giveUp(fault.Late, "time ran out")
 				return false
 			}
-			q.ended(id, ch, gauge.Silent, false)
+			q.ended(id, ch, outlier.Silent, false)
 			return q.again("silence")
 		}
 		switch p.Kind {
@@ -456,7 +456,7 @@
 		case blade.Event:
 			q.g.yard.Began(end, tick.Since(at), c.Expect)
 			if !q.event(&p, head.Head, &joined) {
-				q.blame(id, gauge.Cut)
+				q.blame(id, outlier.Cut)
 				return q.again("events out of order")
 			}
 		case blade.Body:
@@ -470,11 +470,11 @@
 			q.mayRun = true
 			switch {
 			case p.Reset:
-				q.ended(id, ch, gauge.Reset, true)
+				q.ended(id, ch, outlier.Reset, true)
 			case p.Lost:
-				q.ended(id, ch, gauge.Silent, false)
+				q.ended(id, ch, outlier.Silent, false)
 			default:
-				q.blame(id, gauge.Cut)
+				q.blame(id, outlier.Cut)
 			}
 			return q.again(p.Why)
 		}
@@ -551,7 +551,7 @@
 		case p.Status == http.StatusMisdirectedRequest:
 			q.g.yard.Wrong(id)
 		case p.Status != http.StatusBadRequest && !full(p.Head.Get(blade.HeadLoad)):
-			q.blame(id, gauge.Shed)
+			q.blame(id, outlier.Shed)
 		}
 		if p.Status == http.StatusBadRequest && !q.mayRun && !q.began {
 			q.answer(p)
@@ -565,7 +565,7 @@
 	}
 	q.mayRun = true
 	if p.Status >= http.StatusInternalServerError && p.Status != http.StatusGatewayTimeout {
-		q.blame(id, gauge.Failed)
+		q.blame(id, outlier.Failed)
 	}
 	if q.began {
 		if p.Bytes != nil { // a resumed run answered with something else than events
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -15,12 +15,12 @@
 	"shaletrestle/coord/fairshare"
 	"shaletrestle/coord/lease"
 	"shaletrestle/coord/loadsum"
+	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/foreman"
-	"shaletrestle/gauge"
 	"shaletrestle/logbook"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
@@ -54,10 +54,10 @@
 	differ   *roster.Differ
 	lines    *rpc.Lines
 	lender   *fairshare.Lender
-	jury     *gauge.Jury
+	jury     *outlier.Jury
 	deck     *loadsum.Sum
-	judged   tick.Moment  // when the words were last weighed
-	words    []gauge.Word // of followers, on their way to the primary
+	judged   tick.Moment    // when the words were last weighed
+	words    []outlier.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
 	fails    atomic.Int64
@@ -78,7 +78,7 @@
 		sc.Part("tallyhouse").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(p.Env.Zones), "borne", losses)
 	}
 	b := p.Env.Bounds
-	h.lines, h.jury, h.deck = lines, gauge.NewJury(), loadsum.NewSum()
+	h.lines, h.jury, h.deck = lines, outlier.NewJury(), loadsum.NewSum()
 	h.lender = fairshare.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
 	if p.Env.Tolerance.Regions > 0 {
@@ -307,7 +307,7 @@
 
 // hear takes what followers tell of replicas: the primary judges, others pass it on with their own acknowledgement.
 func (h *House) hear(body []byte) {
-	var ws []gauge.Word
+	var ws []outlier.Word
 	if len(body) == 0 || json.Unmarshal(body, &ws) != nil {
 		return
 	}
