--- a/plumb/level.go
+++ b/coord/slowness/level.go
@@ -1,5 +1,5 @@
-// Package plumb tells whether this machine has turned slow: by a small fixed piece of work against its usual time and by how late own timers come, held against what other nodes say of themselves.
-package plumb
+// Package slowness tells whether this machine has turned slow: by a small fixed piece of work against its usual time and by how late own timers come, held against what other nodes say of themselves.
+package slowness
 
 import (
 	"sort"
--- a/plumb/watch_test.go
+++ b/coord/slowness/watch_test.go
@@ -1,4 +1,4 @@
-package plumb
+package slowness
 
 import (
 	"log/slog"
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -18,13 +18,13 @@
 	"shaletrestle/coord/fairshare"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/rpc"
+	"shaletrestle/coord/slowness"
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/kerf"
 	"shaletrestle/logbook"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
-	"shaletrestle/plumb"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
 	"shaletrestle/sorting"
@@ -50,7 +50,7 @@
 	follower  *distribution.Follower
 	front     *buyer.Front
 	watcher   *failuredetector.Watcher
-	level     *plumb.Watch
+	level     *slowness.Watch
 	index     *kerf.Index
 	yard      *berth.Yard
 	budget    *Budget
@@ -95,7 +95,7 @@
 	g.yard.Use(p.Env.Placement)
 	at := p.Env.Port(plate.PortGate)
 	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, rpc.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
-	g.level = plumb.NewWatch(sc, p.Work)
+	g.level = slowness.NewWatch(sc, p.Work)
 	lines := rpc.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
 	g.watcher = failuredetector.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
