--- a/sledge/class.go
+++ b/coord/handoff/class.go
@@ -1,4 +1,4 @@
-package sledge
+package handoff
 
 import "shaletrestle/tick"
 
--- a/sledge/message.go
+++ b/coord/handoff/message.go
@@ -1,5 +1,5 @@
-// Package sledge hauls long work between nodes: who owns a job, who may run it, and what is known of a run when messages are lost, repeated or late and nodes freeze or die. Its machines step on messages and on the steady clock and do no input or output of their own.
-package sledge
+// Package handoff hauls long work between nodes: who owns a job, who may run it, and what is known of a run when messages are lost, repeated or late and nodes freeze or die. Its machines step on messages and on the steady clock and do no input or output of their own.
+package handoff
 
 import "shaletrestle/tick"
 
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -16,11 +16,11 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/blade"
+	"shaletrestle/coord/handoff"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/sledge"
 	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
@@ -35,9 +35,9 @@
 	late   atomic.Duration // how late this process's timers are
 	kick   chan struct{}
 	mu     sync.Mutex
-	owner  *sledge.Owner
-	taker  *sledge.Taker
-	inbox  map[uint64]chan sledge.Effect
+	owner  *handoff.Owner
+	taker  *handoff.Taker
+	inbox  map[uint64]chan handoff.Effect
 	stops  map[uint64]context.CancelFunc // runs for others, by ticket
 	back   map[string]*rpc.Channel       // the channel on which an owner spoke last
 	rooms  map[string]neighbour
@@ -64,16 +64,16 @@
 }
 
 type longQueue struct {
-	q     *sledge.Queue
+	q     *handoff.Queue
 	wake  map[uint64]chan bool
 	loads map[string]longLoad
 }
 
 func newLongWork(g *Gate) *longWork {
 	life := rand.Uint64() | 1
-	b := sledge.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
-	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: sledge.NewOwner(life, b), taker: sledge.NewTaker(life, b),
-		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
+	b := handoff.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
+	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: handoff.NewOwner(life, b), taker: handoff.NewTaker(life, b),
+		inbox: map[uint64]chan handoff.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
 		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
 	h.lines = rpc.NewLines(h.sc, g.net, g.handle)
 	return h
@@ -210,13 +210,13 @@
 
 // note takes a message of another gatehouse.
 func (h *longWork) note(ch *rpc.Channel, n *rpc.Note) {
-	m := sledge.Message{Kind: sledge.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
-		Ticket: sledge.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, plate.LongTakeMost)), Body: n.Body}
+	m := handoff.Message{Kind: handoff.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
+		Ticket: handoff.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, plate.LongTakeMost)), Body: n.Body}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
 	case m.Kind == 0 || m.Peer == "":
-	case m.Kind <= sledge.Drop:
+	case m.Kind <= handoff.Drop:
 		if h.back[m.Peer] != ch {
 			h.back[m.Peer] = ch
 			ch.OnClose(func() { go h.closed(m.Peer, ch) })
@@ -225,7 +225,7 @@
 		h.do(h.taker.Step(h.now(), m))
 		h.stir()
 	default:
-		if m.Kind == sledge.Returned {
+		if m.Kind == handoff.Returned {
 			h.count.returned++
 		}
 		h.do(h.owner.Step(h.now(), m))
@@ -241,17 +241,17 @@
 }
 
 // do carries out effects in their order; the caller holds the lock, and nothing here waits.
-func (h *longWork) do(fx []sledge.Effect) {
+func (h *longWork) do(fx []handoff.Effect) {
 	for _, f := range fx {
 		switch f.Do {
-		case sledge.Send:
+		case handoff.Send:
 			h.send(f.Message)
-		case sledge.Begin:
+		case handoff.Begin:
 			h.count.taken++
 			ctx, stop := context.WithCancel(h.sc.Context())
 			h.stops[f.Ticket.Number] = stop
 			go h.runTaken(ctx, f)
-		case sledge.Stop:
+		case handoff.Stop:
 			if stop := h.stops[f.Ticket.Number]; stop != nil {
 				stop()
 			}
@@ -261,10 +261,10 @@
 	}
 }
 
-func (h *longWork) send(m sledge.Message) {
+func (h *longWork) send(m handoff.Message) {
 	n := &rpc.Note{Kind: rpc.Job, From: rpc.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
 		Ballot: m.Ticket.Life, To: m.Ticket.Number, Span: m.Number, HeldBallot: uint64(max(0, m.Shots)), Body: m.Body}
-	if m.Kind > sledge.Drop { // the answers go back on the channel on which the owner spoke, in order
+	if m.Kind > handoff.Drop { // the answers go back on the channel on which the owner spoke, in order
 		if ch := h.back[m.Peer]; ch != nil {
 			ch.Send(n)
 		}
@@ -278,14 +278,14 @@
 }
 
 // tell hands an effect to the inquiry whose job it is; one that lags too far loses its job.
-func (h *longWork) tell(f sledge.Effect) {
+func (h *longWork) tell(f handoff.Effect) {
 	in := h.inbox[f.Job]
 	if in == nil {
 		return
 	}
-	if f.Do == sledge.Deliver && len(in) >= cap(in)-2 {
+	if f.Do == handoff.Deliver && len(in) >= cap(in)-2 {
 		fx := h.owner.Leave(f.Job)
-		in <- sledge.Effect{Do: sledge.End, Job: f.Job, Outcome: sledge.Broken}
+		in <- handoff.Effect{Do: handoff.End, Job: f.Job, Outcome: handoff.Broken}
 		delete(h.inbox, f.Job)
 		h.do(fx)
 		return
@@ -303,7 +303,7 @@
 func (h *longWork) queue(pool string) *longQueue {
 	x := h.queues[pool]
 	if x == nil {
-		x = &longQueue{q: sledge.NewQueue(plate.LongRoom, sledge.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Most: plate.LongMost, Weight: plate.LongWeight, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
+		x = &longQueue{q: handoff.NewQueue(plate.LongRoom, handoff.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Most: plate.LongMost, Weight: plate.LongWeight, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
 			wake: map[uint64]chan bool{}, loads: map[string]longLoad{}}
 		h.queues[pool] = x
 	}
@@ -391,7 +391,7 @@
 	}
 	l := q.g.env.Load().LongWork
 	in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
-	q.long = sledge.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(sledge.Ask{Stream: q.path.Kind == sorting.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
+	q.long = handoff.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(handoff.Ask{Stream: q.path.Kind == sorting.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
 		Gap: q.path.Gap, Stride: e.Stride, In: in, Out: out, PerToken: plate.PrefillToken})
 	return q.long
 }
@@ -522,7 +522,7 @@
 	if body == nil {
 		return false
 	}
-	in := make(chan sledge.Effect, plate.LongInbox)
+	in := make(chan handoff.Effect, plate.LongInbox)
 	h.mu.Lock()
 	job := h.owner.Take(h.now()+tick.Until(q.deadline)-plate.BudgetReserve, q.path.Repeatable(), q.path.Shots)
 	h.inbox[job] = in
@@ -543,7 +543,7 @@
 		select {
 		case f := <-in:
 			switch f.Do {
-			case sledge.Deliver:
+			case handoff.Deliver:
 				switch {
 				case head == nil:
 					head = &awayHead{}
@@ -561,7 +561,7 @@
 				default:
 					whole = append(whole, f.Message.Body...)
 				}
-			case sledge.Back:
+			case handoff.Back:
 				h.mu.Lock()
 				lost, shots, ok := h.owner.Here(job)
 				if lost {
@@ -577,10 +577,10 @@
 					return true
 				}
 				return false
-			case sledge.End:
-				q.mayRun = f.Outcome != sledge.Refused
+			case handoff.End:
+				q.mayRun = f.Outcome != handoff.Refused
 				switch f.Outcome {
-				case sledge.Whole:
+				case handoff.Whole:
 					h.mu.Lock()
 					h.count.elsewhere++
 					if x, ok := h.rooms[to]; ok { // its place is free again: known sooner than by the next ping
@@ -595,9 +595,9 @@
 					case !head.Events:
 						return !q.whole(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
 					}
-				case sledge.Refused:
+				case handoff.Refused:
 					q.giveUp(fault.Crowded, "no time for long work")
-				case sledge.Late:
+				case handoff.Late:
 					q.giveUp(fault.Late, "time ran out")
 				default:
 					h.mu.Lock()
@@ -681,28 +681,28 @@
 func (w *awayWriter) SetWriteDeadline(tick.Moment) error { return nil }
 
 // runTaken runs a job for its owner, as an inquiry of our own.
-func (h *longWork) runTaken(ctx context.Context, f sledge.Effect) {
+func (h *longWork) runTaken(ctx context.Context, f handoff.Effect) {
 	g, w := h.g, &awayWriter{h: h, ticket: f.Ticket.Number, head: http.Header{}}
 	g.inflight.Inc()
 	defer g.inflight.Dec()
 	var q *inquiry
-	as, shots := sledge.Returned, 0
+	as, shots := handoff.Returned, 0
 	defer func() {
 		if x := recover(); x != nil {
 			if x != http.ErrAbortHandler {
 				panic(x)
 			}
-			as = sledge.Failed
+			as = handoff.Failed
 		}
 		if q != nil {
 			q.release()
 			shots = q.sent
 			switch {
-			case as == sledge.Failed:
+			case as == handoff.Failed:
 			case w.status != 0 && !w.own:
-				as = sledge.Done
+				as = handoff.Done
 			case q.mayRun:
-				as = sledge.Failed
+				as = handoff.Failed
 			}
 		}
 		h.mu.Lock()
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/berth"
+	"shaletrestle/coord/handoff"
 	"shaletrestle/env"
 	"shaletrestle/plate"
-	"shaletrestle/sledge"
 	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
@@ -45,18 +45,18 @@
 }
 
 func TestOwnAnswersOfATakerAreNotSent(t *testing.T) {
-	h := &longWork{taker: sledge.NewTaker(5, sledge.Bounds{Accept: 10, Lease: 10, Graves: 1})}
+	h := &longWork{taker: handoff.NewTaker(5, handoff.Bounds{Accept: 10, Lease: 10, Graves: 1})}
 	h.taker.Room(1)
-	h.taker.Step(0, sledge.Message{Kind: sledge.Offer, Owner: 1, Job: 1, Turn: 1})
-	h.taker.Step(0, sledge.Message{Kind: sledge.Go, Owner: 1, Job: 1, Turn: 1, Ticket: sledge.Ticket{Life: 5, Number: 1}})
+	h.taker.Step(0, handoff.Message{Kind: handoff.Offer, Owner: 1, Job: 1, Turn: 1})
+	h.taker.Step(0, handoff.Message{Kind: handoff.Go, Owner: 1, Job: 1, Turn: 1, Ticket: handoff.Ticket{Life: 5, Number: 1}})
 	w := &awayWriter{h: h, ticket: 1, head: http.Header{}}
 	w.WriteHeader(http.StatusServiceUnavailable)
 	n, err := w.Write([]byte("crowded"))
 	require.NoError(t, err)
 	require.Equal(t, 7, n)
 	require.True(t, w.own)
-	fx := h.taker.Ended(1, sledge.Returned, 0)
-	require.Equal(t, sledge.Returned, fx[0].Message.Kind, "no part was sent, so the promise may be passed on")
+	fx := h.taker.Ended(1, handoff.Returned, 0)
+	require.Equal(t, handoff.Returned, fx[0].Message.Kind, "no part was sent, so the promise may be passed on")
 }
 
 func TestEventIDs(t *testing.T) {
