--- a/foreman/foreman.go
+++ b/internal/adminapi/foreman.go
@@ -1,5 +1,5 @@
-// Package foreman answers the operator.
-package foreman
+// Package adminapi answers the operator.
+package adminapi
 
 import (
 	"io"
--- a/foreman/foreman_test.go
+++ b/internal/adminapi/foreman_test.go
@@ -1,4 +1,4 @@
-package foreman
+package adminapi
 
 import (
 	"log/slog"
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -20,7 +20,7 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/fault"
-	"shaletrestle/foreman"
+	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/state"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
@@ -125,7 +125,7 @@
 		return fault.Wrap(fault.Internal, err, "state page")
 	}
 	go rpc.Serve(h.sc, ln, h.handle)
-	srv := &http.Server{Handler: foreman.New(h.sc, h), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
+	srv := &http.Server{Handler: adminapi.New(h.sc, h), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
 	page := &http.Server{Handler: http.HandlerFunc(h.page), ReadHeaderTimeout: plate.HeadWait}
 	go func() { _ = srv.Serve(cl) }()
 	go func() { _ = page.Serve(pl) }()
@@ -215,7 +215,7 @@
 }
 
 // Take makes one order.
-func (h *House) Take(sc *scope.Scope, o *foreman.Order) error {
+func (h *House) Take(sc *scope.Scope, o *adminapi.Order) error {
 	e := &state.Event{Kind: o.Kind, Base: o.Base, Body: o.Body, Locality: o.Locality}
 	done := make(chan error, 1)
 	go func() {
