--- a/roster/roster.go
+++ b/internal/discovery/roster.go
@@ -1,5 +1,5 @@
-// Package roster reads the platform's list of replicas.
-package roster
+// Package discovery reads the platform's list of replicas.
+package discovery
 
 import (
 	"encoding/json"
--- a/roster/roster_test.go
+++ b/internal/discovery/roster_test.go
@@ -1,4 +1,4 @@
-package roster
+package discovery
 
 import (
 	"log/slog"
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -21,11 +21,11 @@
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/internal/adminapi"
+	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/state"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/roster"
 	"shaletrestle/scope"
 	"shaletrestle/setup"
 	"shaletrestle/tick"
@@ -50,8 +50,8 @@
 	duty     *lease.Holder
 	feed     *distribution.Feed
 	follower *distribution.Follower
-	reader   *roster.Reader
-	differ   *roster.Differ
+	reader   *discovery.Reader
+	differ   *discovery.Differ
 	lines    *rpc.Lines
 	lender   *fairshare.Lender
 	jury     *outlier.Jury
@@ -71,7 +71,7 @@
 // New builds a tallyhouse.
 func New(sc *scope.Scope, p Plan) (*House, error) {
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: state.NewBook(false), news: state.NewBook(false), grantor: lease.NewGrantor(),
-		differ: roster.NewDiffer(), fleet: map[string]tick.Moment{}}
+		differ: discovery.NewDiffer(), fleet: map[string]tick.Moment{}}
 	lines := rpc.NewLines(sc, p.Net, h.handle)
 	losses, ok := p.Env.Losses()
 	if !ok {
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	h.member = m
-	h.reader = roster.NewReader(p.Env.Cloud.Address, p.Net.Dial)
+	h.reader = discovery.NewReader(p.Env.Cloud.Address, p.Net.Dial)
 	h.feed = distribution.NewFeed(sc, h.news, func(uint64, uint64) {
 		if h.follower != nil {
 			h.follower.Tell()
