--- a/buyer/front.go
+++ b/buyer/front.go
@@ -10,9 +10,9 @@
 
 	"github.com/labstack/echo/v4"
 
+	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -63,7 +63,7 @@
 	mu  sync.Mutex
 	now *server
 	old []*server
-	lim sorting.Limits
+	lim routing.Limits
 }
 
 // New makes the front over a listener.
@@ -81,12 +81,12 @@
 	e.RouteNotFound("/*", all)
 	e.Any("/*", all)
 	f := &Front{sc: sc.Part("buyer"), ln: ln, h: e}
-	f.Limit(sorting.Limits{})
+	f.Limit(routing.Limits{})
 	return f
 }
 
 // Limit puts the limits of a setup in force for new connections.
-func (f *Front) Limit(l sorting.Limits) {
+func (f *Front) Limit(l routing.Limits) {
 	if l.Head <= 0 {
 		l.Head = plate.HeadBytes
 	}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -21,13 +21,13 @@
 	"shaletrestle/coord/slowness"
 	"shaletrestle/env"
 	"shaletrestle/fault"
+	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/kerf"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -54,7 +54,7 @@
 	index     *kerf.Index
 	yard      *berth.Yard
 	budget    *Budget
-	table     atomic.Pointer[sorting.Table]
+	table     atomic.Pointer[routing.Table]
 	weights   atomic.Pointer[weights]
 	cold      atomic.Pointer[coldShares]
 	ready     atomic.Bool
@@ -89,7 +89,7 @@
 	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
 	g.bodies = fairshare.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = distribution.NewCursor(g.book)
-	g.table.Store(sorting.Compile(state.EmptyView().Doc))
+	g.table.Store(routing.Compile(state.EmptyView().Doc))
 	g.weights.Store(newWeights(nil))
 	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
 	g.yard.Use(p.Env.Placement)
@@ -247,7 +247,7 @@
 		return
 	}
 	if old.Doc != v.Doc {
-		t := sorting.Compile(v.Doc)
+		t := routing.Compile(v.Doc)
 		g.table.Store(t)
 		if g.front != nil {
 			g.front.Limit(t.Limits)
@@ -291,7 +291,7 @@
 }
 
 // channels is this process's share of the connections that each replica of a service takes.
-func (g *Gate) channels(s *sorting.Pool, id string) int {
+func (g *Gate) channels(s *routing.Pool, id string) int {
 	if s == nil || s.Channels <= 0 {
 		return plate.ChannelsGuess
 	}
@@ -323,7 +323,7 @@
 	return rank
 }
 
-func (g *Gate) pool(r *state.Replica, t *sorting.Table) *blade.Pool {
+func (g *Gate) pool(r *state.Replica, t *routing.Table) *blade.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pools[r.ID]
@@ -340,7 +340,7 @@
 }
 
 // share gives every pool its share anew, after the fleet's size or the setup changed.
-func (g *Gate) share(v *state.View, t *sorting.Table) {
+func (g *Gate) share(v *state.View, t *routing.Table) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.pools {
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -13,10 +13,10 @@
 	"shaletrestle/buyer"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
+	"shaletrestle/internal/routing"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -26,9 +26,9 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	rc       *http.ResponseController
-	table    *sorting.Table
-	path     *sorting.Path
-	pool     *sorting.Pool
+	table    *routing.Table
+	path     *routing.Path
+	pool     *routing.Pool
 	id       string
 	arrived  tick.Moment
 	deadline tick.Moment
@@ -102,18 +102,18 @@
 }
 
 // do is the interpreter: one step of a path; false ends it.
-func (q *inquiry) do(op sorting.Op) bool {
+func (q *inquiry) do(op routing.Op) bool {
 	switch op {
-	case sorting.TakeBody:
+	case routing.TakeBody:
 		return q.takeBody()
-	case sorting.SetClock:
+	case routing.SetClock:
 		return q.setClock()
-	case sorting.Split:
+	case routing.Split:
 		return q.split()
-	case sorting.Fence:
+	case routing.Fence:
 		q.ask.Regions = func(loc string) bool { return q.path.Regions[q.g.env.Load().Zones[loc]] }
 		return true
-	case sorting.Whole, sorting.Events:
+	case routing.Whole, routing.Events:
 		q.fire()
 	}
 	return false
@@ -337,7 +337,7 @@
 		h.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
 	at := tick.Now()
-	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
+	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == routing.Stream}, left)
 	if err != nil {
 		q.ended(c.Replica.ID, ch, outlier.Reset, true)
 		if !sent {
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -19,9 +19,9 @@
 	"shaletrestle/coord/handoff"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -186,7 +186,7 @@
 }
 
 // neighbour chooses the node with most room that may have the request.
-func (h *longWork) neighbour(path *sorting.Path) string {
+func (h *longWork) neighbour(path *routing.Path) string {
 	e := h.g.env.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -391,7 +391,7 @@
 	}
 	l := q.g.env.Load().LongWork
 	in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
-	q.long = handoff.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(handoff.Ask{Stream: q.path.Kind == sorting.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
+	q.long = handoff.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(handoff.Ask{Stream: q.path.Kind == routing.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
 		Gap: q.path.Gap, Stride: e.Stride, In: in, Out: out, PerToken: plate.PrefillToken})
 	return q.long
 }
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -12,8 +12,8 @@
 	"shaletrestle/berth"
 	"shaletrestle/coord/handoff"
 	"shaletrestle/env"
+	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -31,16 +31,16 @@
 			h.rooms = map[string]neighbour{"near": {1, "a", tick.Now()}, "far": {3, "b", tick.Now()}, "full": {0, "a", tick.Now()}}
 		}
 		fill()
-		require.Equal(t, "near", h.neighbour(&sorting.Path{}))
-		require.Empty(t, h.neighbour(&sorting.Path{}), "its room is used up until it speaks again")
+		require.Equal(t, "near", h.neighbour(&routing.Path{}))
+		require.Empty(t, h.neighbour(&routing.Path{}), "its room is used up until it speaks again")
 		e.LongWork.OtherZones = true
 		fill()
-		require.Equal(t, "far", h.neighbour(&sorting.Path{}))
-		require.Equal(t, "near", h.neighbour(&sorting.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
-		require.Empty(t, h.neighbour(&sorting.Path{Regions: map[string]bool{"north": true}}))
+		require.Equal(t, "far", h.neighbour(&routing.Path{}))
+		require.Equal(t, "near", h.neighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
+		require.Empty(t, h.neighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
 		fill()
 		<-tick.After(plate.LongKnown + 1)
-		require.Empty(t, h.neighbour(&sorting.Path{}), "what is not heard of any more has no room")
+		require.Empty(t, h.neighbour(&routing.Path{}), "what is not heard of any more has no room")
 	})
 }
 
@@ -76,7 +76,7 @@
 				x.q.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &berth.Ask{Pool: "p"}, path: &sorting.Path{Aim: tick.Seconds(1)},
+			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &berth.Ask{Pool: "p"}, path: &routing.Path{Aim: tick.Seconds(1)},
 				arrived: tick.Now(), deadline: tick.Now().Add(tick.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
--- a/sorting/table.go
+++ b/internal/routing/table.go
@@ -1,5 +1,5 @@
-// Package sorting compiles the operator's configuration into rules: which path an inquiry takes and the steps it goes through.
-package sorting
+// Package routing compiles the operator's configuration into rules: which path an inquiry takes and the steps it goes through.
+package routing
 
 import (
 	"sort"
--- a/sorting/table_test.go
+++ b/internal/routing/table_test.go
@@ -1,4 +1,4 @@
-package sorting
+package routing
 
 import (
 	"fmt"
--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -7,10 +7,10 @@
 
 	"shaletrestle/berth"
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
-	"shaletrestle/sorting"
 	"shaletrestle/tick"
 )
 
@@ -147,7 +147,7 @@
 	b := state.NewBook(true)
 	b.Watch(func(old, now *state.View, _ *state.Event) {
 		if old.Doc != now.Doc {
-			sorting.Compile(now.Doc)
+			routing.Compile(now.Doc)
 		}
 	})
 	first := z.setup()
