--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -12,7 +12,6 @@
 
 	"shaletrestle/berth"
 	"shaletrestle/blade"
-	"shaletrestle/buyer"
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
 	"shaletrestle/coord/fairshare"
@@ -21,6 +20,7 @@
 	"shaletrestle/coord/slowness"
 	"shaletrestle/env"
 	"shaletrestle/fault"
+	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/kerf"
@@ -48,7 +48,7 @@
 	book      *state.Book
 	cursor    *distribution.Cursor
 	follower  *distribution.Follower
-	front     *buyer.Front
+	front     *frontend.Front
 	watcher   *failuredetector.Watcher
 	level     *slowness.Watch
 	index     *kerf.Index
@@ -127,7 +127,7 @@
 		return fault.Wrap(fault.Internal, err, "crew port")
 	}
 	go rpc.Serve(g.sc, cl, g.handle)
-	g.front = buyer.New(g.sc, fl, http.HandlerFunc(g.serve))
+	g.front = frontend.New(g.sc, fl, http.HandlerFunc(g.serve))
 	g.front.Limit(g.table.Load().Limits)
 	rs := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
 	ps := &http.Server{Handler: http.HandlerFunc(g.page), ReadHeaderTimeout: plate.HeadWait}
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -10,9 +10,9 @@
 
 	"shaletrestle/berth"
 	"shaletrestle/blade"
-	"shaletrestle/buyer"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
+	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/routing"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
@@ -69,7 +69,7 @@
 			return
 		}
 	}
-	if buyer.Doubtful(r) {
+	if frontend.Doubtful(r) {
 		w.Header().Set("Connection", "close")
 		reply.Fault(w, fault.New(fault.BadInput, "both a length and chunks"))
 		return
--- a/buyer/front.go
+++ b/internal/frontend/front.go
@@ -1,5 +1,5 @@
-// Package buyer serves clients: one catch-all handler behind net/http, with the limits of the setup in force.
-package buyer
+// Package frontend serves clients: one catch-all handler behind net/http, with the limits of the setup in force.
+package frontend
 
 import (
 	"context"
--- a/buyer/log.go
+++ b/internal/frontend/log.go
@@ -1,4 +1,4 @@
-package buyer
+package frontend
 
 import (
 	"log"
