--- a/cmd/gatehouse/main.go
+++ b/cmd/gatehouse/main.go
@@ -2,15 +2,15 @@
 package main
 
 import (
-	"shaletrestle/blade"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/scope"
 )
 
 func main() {
 	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
-		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: blade.TCP{}}), nil
+		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
 	})
 }
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -11,7 +11,6 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/berth"
-	"shaletrestle/blade"
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
 	"shaletrestle/coord/fairshare"
@@ -23,6 +22,7 @@
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/kerf"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
@@ -35,7 +35,7 @@
 type Plan struct {
 	Env    *env.Env
 	Net    rpc.Net
-	Dialer blade.Dialer
+	Dialer upstream.Dialer
 	Work   func() tick.Span // does and times the piece of work that shows a slow machine; nil for the usual one
 }
 
@@ -44,7 +44,7 @@
 	sc        *scope.Scope
 	env       atomic.Pointer[env.Env]
 	net       rpc.Net
-	dialer    blade.Dialer
+	dialer    upstream.Dialer
 	book      *state.Book
 	cursor    *distribution.Cursor
 	follower  *distribution.Follower
@@ -62,14 +62,14 @@
 	leaving   atomic.Bool
 	inflight  atomic.Int64
 	bodies    *fairshare.Pie
-	made      blade.Made
+	made      upstream.Made
 	count     counts
 	mu        sync.Mutex
-	pools     map[string]*blade.Pool
-	keeps     map[string]*blade.Keep   // by service
-	asking    map[string]chan struct{} // services that a lump is being borrowed for
-	refusedAt map[string]tick.Moment   // when none was lent, by service
-	toldAt    tick.Moment              // when failures were told last
+	pools     map[string]*upstream.Pool
+	keeps     map[string]*upstream.Keep // by service
+	asking    map[string]chan struct{}  // services that a lump is being borrowed for
+	refusedAt map[string]tick.Moment    // when none was lent, by service
+	toldAt    tick.Moment               // when failures were told last
 	pickAt    int
 	bad       map[string]tick.Moment // tallyhouses and when they failed last
 	dropped   string                 // one that was left for a nearer one, not for failing
@@ -82,7 +82,7 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, keeps: map[string]*blade.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: kerf.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = berth.NewYard(g.index)
 	b := p.Env.Bounds
@@ -323,17 +323,17 @@
 	return rank
 }
 
-func (g *Gate) pool(r *state.Replica, t *routing.Table) *blade.Pool {
+func (g *Gate) pool(r *state.Replica, t *routing.Table) *upstream.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pools[r.ID]
 	if p == nil {
 		k := g.keeps[r.Pool]
 		if k == nil {
-			k = &blade.Keep{}
+			k = &upstream.Keep{}
 			g.keeps[r.Pool] = k
 		}
-		p = blade.NewPool(r.Addr, g.dialer, g.channels(t.Pools[r.Pool], r.ID), k, &g.made)
+		p = upstream.NewPool(r.Addr, g.dialer, g.channels(t.Pools[r.Pool], r.ID), k, &g.made)
 		g.pools[r.ID] = p
 	}
 	return p
@@ -364,7 +364,7 @@
 
 func (g *Gate) sweep() {
 	g.mu.Lock()
-	var ps []*blade.Pool
+	var ps []*upstream.Pool
 	for _, p := range g.pools {
 		ps = append(ps, p)
 	}
@@ -484,7 +484,7 @@
 		}
 	}
 	for k, v := range h {
-		if !hop[k] && (!named[k] || k == blade.HeadID || k == blade.HeadBudget) {
+		if !hop[k] && (!named[k] || k == upstream.HeadID || k == upstream.HeadBudget) {
 			o[k] = v
 		}
 	}
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -9,11 +9,11 @@
 	"strings"
 
 	"shaletrestle/berth"
-	"shaletrestle/blade"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
@@ -177,9 +177,9 @@
 }
 
 func (q *inquiry) setClock() bool {
-	q.id = q.r.Header.Get(blade.HeadID)
+	q.id = q.r.Header.Get(upstream.HeadID)
 	left := plate.DefaultBudget
-	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(blade.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
+	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(upstream.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
 		left = min(tick.Millis(min(ms, 1e9)), 24*plate.DefaultBudget)
 	}
 	q.deadline = q.arrived.Add(min(left, q.path.Timeout))
@@ -328,16 +328,16 @@
 	}
 	left = tick.Until(q.deadline)
 	h := q.head.Clone()
-	h.Set(blade.HeadExpect, id)
-	h.Set(blade.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
+	h.Set(upstream.HeadExpect, id)
+	h.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
 	if q.ask.Chain != nil {
-		h.Set(blade.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
+		h.Set(upstream.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
 	}
 	if q.lastID >= 0 {
-		h.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+		h.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
 	at := tick.Now()
-	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == routing.Stream}, left)
+	a, sent, err := ch.Send(&upstream.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == routing.Stream}, left)
 	if err != nil {
 		q.ended(c.Replica.ID, ch, outlier.Reset, true)
 		if !sent {
@@ -374,7 +374,7 @@
 }
 
 // ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
-func (q *inquiry) ended(id string, ch *blade.Channel, k outlier.Kind, reset bool) {
+func (q *inquiry) ended(id string, ch *upstream.Channel, k outlier.Kind, reset bool) {
 	if reset && ch.Forgotten() {
 		q.g.blame(id, outlier.Stale)
 		return
@@ -406,9 +406,9 @@
 }
 
 // listen takes an answer's parts; true means that another replica may be tried.
-func (q *inquiry) listen(ch *blade.Channel, a *blade.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
+func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
 	id := c.Replica.ID
-	var head blade.Part
+	var head upstream.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
 	heard := at
 	due, known := q.g.yard.Health().Due(id, c.Expect, q.path.Aim)
@@ -446,27 +446,27 @@
 			return q.again("silence")
 		}
 		switch p.Kind {
-		case blade.Head:
-			q.told(id, p.Head.Get(blade.HeadLoad))
+		case upstream.Head:
+			q.told(id, p.Head.Get(upstream.HeadLoad))
 			head = p
 			if p.NotRun() {
 				continue // the rest of it comes, then it is known whole
 			}
 			q.mayRun = true
-		case blade.Event:
+		case upstream.Event:
 			q.g.yard.Began(end, tick.Since(at), c.Expect)
 			if !q.event(&p, head.Head, &joined) {
 				q.blame(id, outlier.Cut)
 				return q.again("events out of order")
 			}
-		case blade.Body:
+		case upstream.Body:
 			head.Bytes = p.Bytes
-		case blade.End:
+		case upstream.End:
 			if !head.NotRun() && head.Status < http.StatusInternalServerError {
 				q.g.yard.Began(end, tick.Since(at), c.Expect)
 			}
 			return q.whole(&head, id)
-		case blade.Fail:
+		case upstream.Fail:
 			q.mayRun = true
 			switch {
 			case p.Reset:
@@ -511,7 +511,7 @@
 }
 
 // event passes one event on; false if it does not follow the last.
-func (q *inquiry) event(p *blade.Part, h http.Header, joined *bool) bool {
+func (q *inquiry) event(p *upstream.Part, h http.Header, joined *bool) bool {
 	if p.ID >= 0 {
 		if q.lastID >= 0 {
 			d := p.ID - q.lastID
@@ -544,13 +544,13 @@
 }
 
 // whole ends an inquiry with an answer that came whole; true means that another replica may be tried.
-func (q *inquiry) whole(p *blade.Part, id string) bool {
+func (q *inquiry) whole(p *upstream.Part, id string) bool {
 	if p.NotRun() {
 		q.ask.Not[id] = true
 		switch {
 		case p.Status == http.StatusMisdirectedRequest:
 			q.g.yard.Wrong(id)
-		case p.Status != http.StatusBadRequest && !full(p.Head.Get(blade.HeadLoad)):
+		case p.Status != http.StatusBadRequest && !full(p.Head.Get(upstream.HeadLoad)):
 			q.blame(id, outlier.Shed)
 		}
 		if p.Status == http.StatusBadRequest && !q.mayRun && !q.began {
@@ -584,7 +584,7 @@
 	return false
 }
 
-func (q *inquiry) answer(p *blade.Part) {
+func (q *inquiry) answer(p *upstream.Part) {
 	passBack(q.w.Header(), p.Head)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(p.Bytes)))
 	q.w.WriteHeader(p.Status)
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -15,11 +15,11 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/blade"
 	"shaletrestle/coord/handoff"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -499,9 +499,9 @@
 // pack writes the inquiry as its taker is to send it.
 func (q *inquiry) pack() []byte {
 	hd := q.head.Clone()
-	hd.Set(blade.HeadBudget, strconv.FormatInt(max(1, (tick.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
+	hd.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (tick.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
 	if q.lastID >= 0 {
-		hd.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+		hd.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
 	r := &http.Request{Method: q.r.Method, URL: &url.URL{Scheme: "http", Opaque: q.r.RequestURI}, Host: q.r.Host, Header: hd, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(q.body)), Body: http.NoBody}
@@ -553,7 +553,7 @@
 						return true
 					}
 				case head.Events:
-					if !q.event(&blade.Part{Kind: blade.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
+					if !q.event(&upstream.Part{Kind: upstream.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
 						q.mayRun = true
 						q.giveUp(fault.Broken, "events out of order")
 						return true
@@ -593,7 +593,7 @@
 					case head == nil || head.Events != q.began:
 						q.giveUp(fault.Broken, "no whole answer")
 					case !head.Events:
-						return !q.whole(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
+						return !q.whole(&upstream.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
 					}
 				case handoff.Refused:
 					q.giveUp(fault.Crowded, "no time for long work")
@@ -651,7 +651,7 @@
 		return
 	}
 	w.status = status
-	if w.own = w.head.Get(blade.HeadID) == ""; w.own {
+	if w.own = w.head.Get(upstream.HeadID) == ""; w.own {
 		return
 	}
 	b, err := json.Marshal(awayHead{status, w.head, w.head.Get("Content-Length") == ""})
--- a/gatehouse/shares_test.go
+++ b/gatehouse/shares_test.go
@@ -10,10 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/berth"
-	"shaletrestle/blade"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 )
@@ -68,7 +68,7 @@
 	defer sc.Stop()
 	e := &env.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: berth.Defaults()}
 	e.Limits.MemoryMB = 100
-	g := New(sc, Plan{Env: e, Net: rpc.TCP{}, Dialer: blade.TCP{}})
+	g := New(sc, Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}})
 	require.Equal(t, 20*plate.ColdMargin/plate.FleetGuess, g.cold.Load().rate(20, "r"))
 	self := e.Port(plate.PortGate)
 	fold := func(e *state.Event) { g.book.Fold(e.Encode()) }
--- a/blade/channel.go
+++ b/internal/upstream/channel.go
@@ -1,5 +1,5 @@
-// Package blade talks to replicas over connections that it owns. A task reads each socket; whoever holds the channel writes. Nothing is ever sent twice by itself.
-package blade
+// Package upstream talks to replicas over connections that it owns. A task reads each socket; whoever holds the channel writes. Nothing is ever sent twice by itself.
+package upstream
 
 import (
 	"bufio"
--- a/blade/pool.go
+++ b/internal/upstream/pool.go
@@ -1,4 +1,4 @@
-package blade
+package upstream
 
 import (
 	"context"
--- a/millyard/load.go
+++ b/millyard/load.go
@@ -12,7 +12,7 @@
 	"strings"
 	"sync"
 
-	"shaletrestle/blade"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
@@ -175,8 +175,8 @@
 	}
 	r.ContentLength = int64(len(q.body))
 	r.Host = yardHost
-	r.Header.Set(blade.HeadID, id)
-	r.Header.Set(blade.HeadBudget, strconv.FormatInt(max(1, tick.Until(q.end).Milliseconds()), 10))
+	r.Header.Set(upstream.HeadID, id)
+	r.Header.Set(upstream.HeadBudget, strconv.FormatInt(max(1, tick.Until(q.end).Milliseconds()), 10))
 	if q.prefix != "" {
 		r.Header.Set("Prompt-Prefix", q.prefix)
 	}
@@ -187,7 +187,7 @@
 	if k.Type == "streaming" {
 		r.Header.Set("Accept", "text/event-stream")
 		if q.got > 0 {
-			r.Header.Set(blade.HeadLastID, strconv.Itoa(q.got))
+			r.Header.Set(upstream.HeadLastID, strconv.Itoa(q.got))
 		}
 	}
 	c := l.held
@@ -199,7 +199,7 @@
 		return verdict{again: repeatable, wait: plate.YardLook, why: short(err)}
 	}
 	defer a.Body.Close()
-	seal := a.Header.Get(blade.HeadSeal)
+	seal := a.Header.Get(upstream.HeadSeal)
 	if a.StatusCode == http.StatusOK && k.Type == "streaming" {
 		if err := q.events(a.Body); err != nil {
 			return verdict{again: repeatable, wait: plate.YardLook, why: short(err)}
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -9,8 +9,8 @@
 	"strings"
 	"sync"
 
-	"shaletrestle/blade"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/kerf"
 	"shaletrestle/kiln"
 	"shaletrestle/plate"
@@ -213,7 +213,7 @@
 		<-q.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(blade.HeadLoad, fmt.Sprintf("%d,%d,%d", l.Active, l.Queued, r.s.Slots))
+	w.Header().Set(upstream.HeadLoad, fmt.Sprintf("%d,%d,%d", l.Active, l.Queued, r.s.Slots))
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
@@ -232,9 +232,9 @@
 	if err != nil {
 		return
 	}
-	attempt := q.Header.Get(blade.HeadID)
-	w.Header().Set(blade.HeadID, attempt)
-	if x := q.Header.Get(blade.HeadExpect); x != "" && x != id {
+	attempt := q.Header.Get(upstream.HeadID)
+	w.Header().Set(upstream.HeadID, attempt)
+	if x := q.Header.Get(upstream.HeadExpect); x != "" && x != id {
 		w.Header().Set("Replica-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -304,9 +304,9 @@
 // generate runs a request on the engine and sends its tokens as events, or as one answer if no stream was asked for.
 func (r *Replica) generate(w http.ResponseWriter, q *http.Request, eng *engine, attempt, seal string) {
 	in, out := tokens(q.Header.Get("Token-Counts"))
-	from, _ := strconv.Atoi(q.Header.Get(blade.HeadLastID))
+	from, _ := strconv.Atoi(q.Header.Get(upstream.HeadLastID))
 	urgency := 5
-	if u, err := strconv.Atoi(q.Header.Get(blade.HeadUrgency)); err == nil {
+	if u, err := strconv.Atoi(q.Header.Get(upstream.HeadUrgency)); err == nil {
 		urgency = u
 	}
 	var parts []kiln.Part
--- a/millyard/wire.go
+++ b/millyard/wire.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/blade"
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/upstream"
 	"shaletrestle/tick"
 )
 
@@ -53,7 +53,7 @@
 
 // DialReplica is blade.Dialer's.
 func (w *wire) DialReplica(at string, d tick.Span) (net.Conn, error) {
-	return blade.TCP{}.DialReplica(at, d)
+	return upstream.TCP{}.DialReplica(at, d)
 }
 
 type countedListener struct {
