--- a/env/env.go
+++ b/env/env.go
@@ -10,8 +10,8 @@
 
 	"gopkg.in/yaml.v3"
 
-	"shaletrestle/berth"
 	"shaletrestle/fault"
+	"shaletrestle/internal/placement"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -37,7 +37,7 @@
 	Bounds    Bounds            `yaml:"bounds"`
 	Cloud     Cloud             `yaml:"cloud_api"`
 	Calendar  string            `yaml:"maintenance_calendar"`
-	Placement berth.Options     `yaml:"placement"`
+	Placement placement.Options `yaml:"placement"`
 	LongWork  LongWork          `yaml:"long_work"`
 }
 
@@ -142,7 +142,7 @@
 
 // Parse reads and checks settings.
 func Parse(b []byte, n Need) (*Env, error) {
-	e := &Env{Placement: berth.Defaults()}
+	e := &Env{Placement: placement.Defaults()}
 	if err := yaml.Unmarshal(b, e); err != nil {
 		return nil, fault.Wrap(fault.BadEnv, err, "settings file")
 	}
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/berth"
 	"shaletrestle/fault"
+	"shaletrestle/internal/placement"
 	"shaletrestle/plate"
 )
 
@@ -37,10 +37,10 @@
 func TestPlacementOptionsHaveDefaults(t *testing.T) {
 	e, err := Parse([]byte(good), Need{})
 	require.NoError(t, err)
-	require.Equal(t, berth.Defaults(), e.Placement)
+	require.Equal(t, placement.Defaults(), e.Placement)
 	e, err = Parse([]byte(good+"placement: {prefill_load_scale: 3, count_active: false}\n"), Need{})
 	require.NoError(t, err)
-	want := berth.Defaults()
+	want := placement.Defaults()
 	want.PrefillScale, want.Active = 3, false
 	require.Equal(t, want, e.Placement)
 }
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/atomic"
 
-	"shaletrestle/berth"
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
 	"shaletrestle/coord/fairshare"
@@ -20,6 +19,7 @@
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/upstream"
@@ -52,7 +52,7 @@
 	watcher   *failuredetector.Watcher
 	level     *slowness.Watch
 	index     *kerf.Index
-	yard      *berth.Yard
+	yard      *placement.Yard
 	budget    *Budget
 	table     atomic.Pointer[routing.Table]
 	weights   atomic.Pointer[weights]
@@ -84,7 +84,7 @@
 func New(sc *scope.Scope, p Plan) *Gate {
 	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: kerf.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
 	g.env.Store(p.Env)
-	g.yard = berth.NewYard(g.index)
+	g.yard = placement.NewYard(g.index)
 	b := p.Env.Bounds
 	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
 	g.bodies = fairshare.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"strings"
 
-	"shaletrestle/berth"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
 	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/kerf"
@@ -34,7 +34,7 @@
 	deadline tick.Moment
 	body     []byte
 	head     http.Header
-	ask      *berth.Ask
+	ask      *placement.Ask
 	// what may be said
 	sent   int  // replicas that it was sent to
 	mayRun bool // one of them may have run it, or did
@@ -202,7 +202,7 @@
 		return false
 	}
 	q.head = passOn(q.r.Header)
-	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
+	q.ask = &placement.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
 		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) }}
 	if e := q.pool.Engine; e != nil {
 		model := q.r.Header.Get("Model")
@@ -281,7 +281,7 @@
 			continue
 		}
 		if q.sent == 0 && !letIn(c, left) {
-			q.g.yard.Done(&berth.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost})
+			q.g.yard.Done(&placement.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost})
 			q.refuse(fault.Crowded)
 			return
 		}
@@ -292,7 +292,7 @@
 }
 
 // letIn tells whether an inquiry is worth sending: not if the line before it alone is predicted to outlast what is left of its time. The length of its own prompt never counts against it.
-func letIn(c berth.Choice, left tick.Span) bool { return c.Expect-c.Alone < left }
+func letIn(c placement.Choice, left tick.Span) bool { return c.Expect-c.Alone < left }
 
 // refuseAt is when an inquiry that could be sent nowhere is refused.
 func (q *inquiry) refuseAt() tick.Moment {
@@ -300,9 +300,9 @@
 }
 
 // shoot sends to one replica; true means that another may be tried.
-func (q *inquiry) shoot(c berth.Choice, left tick.Span, quit <-chan struct{}) bool {
+func (q *inquiry) shoot(c placement.Choice, left tick.Span, quit <-chan struct{}) bool {
 	id := c.Replica.ID
-	end := &berth.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
+	end := &placement.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
 	defer q.g.yard.Done(end)
 	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))), !q.path.Repeatable())
 	if err != nil {
@@ -406,7 +406,7 @@
 }
 
 // listen takes an answer's parts; true means that another replica may be tried.
-func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
+func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *placement.End, at tick.Moment, c placement.Choice, quit <-chan struct{}) bool {
 	id := c.Replica.ID
 	var head upstream.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/berth"
 	"shaletrestle/coord/handoff"
 	"shaletrestle/env"
+	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
@@ -76,7 +76,7 @@
 				x.q.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &berth.Ask{Pool: "p"}, path: &routing.Path{Aim: tick.Seconds(1)},
+			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: tick.Seconds(1)},
 				arrived: tick.Now(), deadline: tick.Now().Add(tick.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
--- a/berth/waiting.go
+++ b/internal/placement/waiting.go
@@ -1,4 +1,4 @@
-package berth
+package placement
 
 import (
 	"cmp"
--- a/berth/yard.go
+++ b/internal/placement/yard.go
@@ -1,5 +1,5 @@
-// Package berth places inquiries: the replica of least cost in blocks for prompts, by what is kept where and what is waiting there; least busy of two for the others.
-package berth
+// Package placement places inquiries: the replica of least cost in blocks for prompts, by what is kept where and what is waiting there; least busy of two for the others.
+package placement
 
 import (
 	"math"
--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"runtime"
 
-	"shaletrestle/berth"
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/kerf"
@@ -115,7 +115,7 @@
 // placing places prompts on more and more replicas of one service.
 func placing(x float64) values {
 	ix := kerf.NewIndex()
-	y := berth.NewYard(ix)
+	y := placement.NewYard(ix)
 	rs := map[string]*state.Replica{}
 	for i := range int(x) {
 		id := fmt.Sprintf("i-%d", i)
@@ -126,14 +126,14 @@
 	_, cpu := taken(func() any {
 		for i := range aloneLooks {
 			c := chainOf(i%64, i)
-			a := &berth.Ask{Pool: "p", Locality: "0", Chain: c, Capacity: 729140, OutMost: 100, Aim: tick.Seconds(1), Not: map[string]bool{}}
+			a := &placement.Ask{Pool: "p", Locality: "0", Chain: c, Capacity: 729140, OutMost: 100, Aim: tick.Seconds(1), Not: map[string]bool{}}
 			ch, ok := y.Place(a)
 			if !ok {
 				bad++
 				continue
 			}
 			ix.Sent(ch.Replica.ID, a.Capacity, c, "r")
-			y.Done(&berth.End{Replica: ch.Replica.ID, Chain: c, Matched: ch.Matched, OutMost: a.OutMost})
+			y.Done(&placement.End{Replica: ch.Replica.ID, Chain: c, Matched: ch.Matched, OutMost: a.OutMost})
 		}
 		return nil
 	})
@@ -174,7 +174,7 @@
 // listing folds a list of more and more replicas, then changes of one of them, with the places kept for traffic brought up to date.
 func listing(x float64) values {
 	b := state.NewBook(true)
-	y := berth.NewYard(kerf.NewIndex())
+	y := placement.NewYard(kerf.NewIndex())
 	b.Watch(func(_, now *state.View, _ *state.Event) { y.Set(now.Replicas, now.Evac, 0) })
 	all := madeList(int(x), aim.Models, aim.Houses)
 	first := (&state.Event{Kind: state.List, Replicas: all}).Encode()
