--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -20,10 +20,10 @@
 	"shaletrestle/fault"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/kerf"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
@@ -51,7 +51,7 @@
 	front     *frontend.Front
 	watcher   *failuredetector.Watcher
 	level     *slowness.Watch
-	index     *kerf.Index
+	index     *prefixindex.Index
 	yard      *placement.Yard
 	budget    *Budget
 	table     atomic.Pointer[routing.Table]
@@ -82,7 +82,7 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: kerf.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: prefixindex.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = placement.NewYard(g.index)
 	b := p.Env.Bounds
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -12,9 +12,9 @@
 	"shaletrestle/fault"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/tick"
@@ -187,7 +187,7 @@
 }
 
 func (q *inquiry) split() bool {
-	parts := kerf.ParseParts(q.r.Header.Get("Prompt-Prefix"))
+	parts := prefixindex.ParseParts(q.r.Header.Get("Prompt-Prefix"))
 	key := q.id
 	if q.path.Sticky && len(parts) > 0 {
 		key = ""
@@ -208,9 +208,9 @@
 		model := q.r.Header.Get("Model")
 		in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
 		if len(parts) == 0 {
-			parts = []kerf.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
+			parts = []prefixindex.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
 		}
-		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights.Load().of(name, model)), parts)
+		q.ask.Chain = prefixindex.NewChain(prefixindex.Root(model, q.g.weights.Load().of(name, model)), parts)
 		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
 	}
 	if !q.taken {
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"shaletrestle/kerf"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -100,7 +100,7 @@
 }
 
 // bucket gives the first replicas in the rendezvous order of a key's bucket.
-func (p *pool) bucket(key kerf.Key) []*berth {
+func (p *pool) bucket(key prefixindex.Key) []*berth {
 	if p.homes == nil {
 		p.homes = make([][]*berth, plate.HomeBuckets)
 	}
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
-	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -41,7 +41,7 @@
 func drive(t *testing.T, replicas, prompts int, gap time.Duration) (same, over, mean float64) {
 	r := rand.New(rand.NewPCG(uint64(replicas), 9))
 	synctest.Test(t, func(t *testing.T) {
-		x := kerf.NewIndex()
+		x := prefixindex.NewIndex()
 		y := NewYard(x)
 		y.Set(fleet(replicas), nil, 0)
 		for _, b := range y.b {
@@ -51,8 +51,8 @@
 		var n, sum, extra float64
 		for i := range prompts {
 			first := 1 + r.Uint64N(20)
-			parts := []kerf.Part{{ID: first, Tokens: 300 + int(first)*8}, {ID: 100 + r.Uint64N(2000), Tokens: 100 + r.IntN(4000)}, {ID: 1e9 + uint64(i), Tokens: 200 + r.IntN(8000)}}
-			c := kerf.NewChain(kerf.Root("m", 1), parts)
+			parts := []prefixindex.Part{{ID: first, Tokens: 300 + int(first)*8}, {ID: 100 + r.Uint64N(2000), Tokens: 100 + r.IntN(4000)}, {ID: 1e9 + uint64(i), Tokens: 200 + r.IntN(8000)}}
+			c := prefixindex.NewChain(prefixindex.Root("m", 1), parts)
 			a := ask(c)
 			a.Capacity, a.OutMost = 400000, 300
 			now := tick.Now()
@@ -131,12 +131,12 @@
 
 func TestBucketsKeepTheirOrderThroughChanges(t *testing.T) {
 	r := rand.New(rand.NewPCG(2, 3))
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	rs := fleet(200)
 	y.Set(rs, nil, 0)
 	for round := range 30 {
 		for k := range 50 {
-			y.pools["p"].bucket(kerf.Key(k))
+			y.pools["p"].bucket(prefixindex.Key(k))
 		}
 		next := map[string]*state.Replica{}
 		for id, x := range rs {
@@ -150,14 +150,14 @@
 		}
 		rs = next
 		y.Set(rs, nil, 0)
-		fresh := NewYard(kerf.NewIndex())
+		fresh := NewYard(prefixindex.NewIndex())
 		fresh.Set(rs, nil, 0)
 		for k := range 50 {
 			var got, want []string
-			for _, b := range y.pools["p"].bucket(kerf.Key(k)) {
+			for _, b := range y.pools["p"].bucket(prefixindex.Key(k)) {
 				got = append(got, b.r.ID)
 			}
-			for _, b := range fresh.pools["p"].bucket(kerf.Key(k)) {
+			for _, b := range fresh.pools["p"].bucket(prefixindex.Key(k)) {
 				want = append(want, b.r.ID)
 			}
 			require.Equal(t, want, got)
@@ -166,7 +166,7 @@
 }
 
 func TestHomesSpreadEvenly(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(90), nil, 0)
 	at := map[string]int{}
 	for doc := range uint64(20000) {
@@ -181,7 +181,7 @@
 }
 
 func TestWarmBeforeColdAlsoWhenHardlyAnyIsWarm(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	rs := fleet(300)
 	for id, r := range rs {
 		if id != "r123" {
@@ -206,9 +206,9 @@
 }
 
 func TestAllOthersExcludedTheOneLeftIsFound(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(500), nil, 0)
-	for _, c := range []*kerf.Chain{nil, chain(3, 50)} {
+	for _, c := range []*prefixindex.Chain{nil, chain(3, 50)} {
 		a := ask(c)
 		for id := range fleet(500) {
 			if id != "r77" {
@@ -230,7 +230,7 @@
 }
 
 func TestWhatAReplicaKeepsEndsWithItsLifeItsWeightsOrItsDrain(t *testing.T) {
-	x := kerf.NewIndex()
+	x := prefixindex.NewIndex()
 	y := NewYard(x)
 	y.Set(fleet(3), nil, 0)
 	c := chain(7, 100)
@@ -264,7 +264,7 @@
 }
 
 func TestRunningRequestsPushKeptPartsOut(t *testing.T) {
-	x := kerf.NewIndex()
+	x := prefixindex.NewIndex()
 	y := NewYard(x)
 	y.Set(fleet(1), nil, 0)
 	c := chain(7, 100)
@@ -286,7 +286,7 @@
 	for _, n := range []int{90, 1500} {
 		for _, kind := range []string{"prompt", "plain"} {
 			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) {
-				x := kerf.NewIndex()
+				x := prefixindex.NewIndex()
 				y := NewYard(x)
 				y.Set(fleet(n), nil, 0)
 				r := rand.New(rand.NewPCG(1, 2))
@@ -295,7 +295,7 @@
 					a := ask(nil)
 					if kind == "prompt" {
 						first := r.Uint64N(20)
-						a = ask(kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: first, Tokens: 340}, {ID: 100 + first*100 + r.Uint64N(100), Tokens: 500}, {ID: 1e9 + uint64(i), Tokens: 2000}}))
+						a = ask(prefixindex.NewChain(prefixindex.Root("m", 1), []prefixindex.Part{{ID: first, Tokens: 340}, {ID: 100 + first*100 + r.Uint64N(100), Tokens: 500}, {ID: 1e9 + uint64(i), Tokens: 2000}}))
 					}
 					as = append(as, a)
 				}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"shaletrestle/kerf"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -36,13 +36,13 @@
 }
 
 // incoming is a prompt in blocks, the shared ones weighed.
-func (o *Options) incoming(c *kerf.Chain, weight float64) float64 {
+func (o *Options) incoming(c *prefixindex.Chain, weight float64) float64 {
 	shared, all := o.blocks(c)
 	return all + (weight-1)*shared
 }
 
 // blocks tells how many full blocks of a chain are shared, and how many there are in all, a started one included.
-func (o *Options) blocks(c *kerf.Chain) (shared, all float64) {
+func (o *Options) blocks(c *prefixindex.Chain) (shared, all float64) {
 	if n := c.Shared(); n > 0 {
 		shared = float64(c.Upto[n-1] / o.Block)
 	}
@@ -50,7 +50,7 @@
 }
 
 // credit is what so many kept tokens take off a prompt.
-func (o *Options) credit(c *kerf.Chain, kept int, weight float64) float64 {
+func (o *Options) credit(c *prefixindex.Chain, kept int, weight float64) float64 {
 	shared, _ := o.blocks(c)
 	held := float64(kept / o.Block)
 	return o.Credit * (held + (weight-1)*min(held, shared))
--- a/internal/placement/cost_test.go
+++ b/internal/placement/cost_test.go
@@ -10,13 +10,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/kerf"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
 
 // reference counts a prompt's blocks one token after the other and adds the source's terms up as they are written there.
-func reference(parts []kerf.Part, block, kept int, weight, scale, active, decode, out, requests float64) float64 {
+func reference(parts []prefixindex.Part, block, kept int, weight, scale, active, decode, out, requests float64) float64 {
 	total, shared := 0, 0
 	for i, p := range parts {
 		for range p.Tokens {
@@ -53,14 +53,14 @@
 		o.Reread = 1 + 8*r.Float64()
 		o.PrefillScale = 100 * r.Float64()
 		o.Away = 0
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		y.Use(o)
 		y.Set(fleet(1), nil, 0)
-		var parts []kerf.Part
+		var parts []prefixindex.Part
 		for range 1 + r.IntN(5) {
-			parts = append(parts, kerf.Part{ID: r.Uint64(), Tokens: r.IntN(500)})
+			parts = append(parts, prefixindex.Part{ID: r.Uint64(), Tokens: r.IntN(500)})
 		}
-		c := kerf.NewChain(kerf.Root("m", 1), parts)
+		c := prefixindex.NewChain(prefixindex.Root("m", 1), parts)
 		a := ask(c)
 		a.OutMost, a.Capacity, a.weight = r.IntN(300), 0, 1+r.Float64()*(o.Reread-1)
 		b := y.b["r0"]
@@ -97,7 +97,7 @@
 
 func TestAReplicasWordFadesToTheMean(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		y.Set(fleet(2), nil, 0)
 		p := y.pools["p"]
 		y.Told("r0", 8, 4, 8)
@@ -117,7 +117,7 @@
 }
 
 func TestAReplicasRateIsJudgedBesideTheMean(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(10), nil, 0)
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range 5000 {
@@ -156,7 +156,7 @@
 }
 
 func TestAHomesExpectedPartIsInThePrediction(t *testing.T) {
-	x := kerf.NewIndex()
+	x := prefixindex.NewIndex()
 	y := NewYard(x)
 	y.Set(fleet(9), nil, 0)
 	c := chain(7, 50)
@@ -171,16 +171,16 @@
 }
 
 func TestAnExpectationThatFailsIsNoWordAgainstAHint(t *testing.T) {
-	x := kerf.NewIndex()
+	x := prefixindex.NewIndex()
 	y := NewYard(x)
 	y.Set(fleet(9), nil, 0)
 	c := chain(7, 50)
 	home, _ := y.Place(ask(c))
-	first := kerf.NewChain(kerf.Root("m", 1), c.Parts[:1])
+	first := prefixindex.NewChain(prefixindex.Root("m", 1), c.Parts[:1])
 	for range plate.SecondSight {
 		x.Sent(home.Replica.ID, 100000, first, "p") // the preamble only
 	}
-	slow := func(c *kerf.Chain, matched int) {
+	slow := func(c *prefixindex.Chain, matched int) {
 		for range plate.HintContra {
 			y.Began(&End{Replica: home.Replica.ID, Chain: c, Matched: matched}, time.Minute, 0)
 		}
--- a/internal/placement/waiting_test.go
+++ b/internal/placement/waiting_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/loadsum"
-	"shaletrestle/kerf"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -16,10 +16,10 @@
 func TestAPromptPassesByAReplicaWhereOthersWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sum := loadsum.NewSum()
-		here, there := NewYard(kerf.NewIndex()), NewYard(kerf.NewIndex())
+		here, there := NewYard(prefixindex.NewIndex()), NewYard(prefixindex.NewIndex())
 		here.Set(fleet(9), nil, 0)
 		there.Set(fleet(9), nil, 0)
-		short := func() *Ask { return ask(kerf.NewChain(kerf.Root("m", 1), chain(7, 50).Parts[:2])) }
+		short := func() *Ask { return ask(prefixindex.NewChain(prefixindex.Root("m", 1), chain(7, 50).Parts[:2])) }
 		home, ok := here.Place(short())
 		require.True(t, ok)
 		here.Done(&End{Replica: home.Replica.ID, Chain: short().Chain})
@@ -48,7 +48,7 @@
 
 func TestOwnPromptsAreNotCountedTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		y.Set(fleet(9), nil, 0)
 		b := y.b["r3"]
 		b.tokens = 50000
--- a/internal/placement/yard.go
+++ b/internal/placement/yard.go
@@ -8,8 +8,8 @@
 
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
-	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -18,10 +18,10 @@
 type Ask struct {
 	Pool     string
 	Locality string
-	Chain    *kerf.Chain // nil for services without an engine
-	Capacity int         // tokens of memory of one replica
-	OutMost  int         // most tokens that may come out
-	Aim      tick.Span   // time within which the first token is wanted
+	Chain    *prefixindex.Chain // nil for services without an engine
+	Capacity int                // tokens of memory of one replica
+	OutMost  int                // most tokens that may come out
+	Aim      tick.Span          // time within which the first token is wanted
 	Not      map[string]bool
 	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
@@ -67,7 +67,7 @@
 // Yard knows the replicas and how busy they seem from here.
 type Yard struct {
 	mu      sync.Mutex
-	index   *kerf.Index
+	index   *prefixindex.Index
 	health  *outlier.Gauge
 	b       map[string]*berth
 	pools   map[string]*pool
@@ -82,7 +82,7 @@
 }
 
 // NewYard makes an empty yard.
-func NewYard(x *kerf.Index) *Yard {
+func NewYard(x *prefixindex.Index) *Yard {
 	return &Yard{index: x, health: outlier.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
 }
 
@@ -240,7 +240,7 @@
 // End tells how a shot ended.
 type End struct {
 	Replica string
-	Chain   *kerf.Chain
+	Chain   *prefixindex.Chain
 	Matched int
 	OutMost int
 	First   bool // an event or answer came
--- a/internal/placement/yard_test.go
+++ b/internal/placement/yard_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
-	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -24,11 +24,11 @@
 	return m
 }
 
-func chain(doc uint64, own int) *kerf.Chain {
-	return kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: 1, Tokens: 100}, {ID: doc, Tokens: 2000}, {ID: uint64(time.Now().UnixNano()), Tokens: own}})
+func chain(doc uint64, own int) *prefixindex.Chain {
+	return prefixindex.NewChain(prefixindex.Root("m", 1), []prefixindex.Part{{ID: 1, Tokens: 100}, {ID: doc, Tokens: 2000}, {ID: uint64(time.Now().UnixNano()), Tokens: own}})
 }
 
-func ask(c *kerf.Chain) *Ask {
+func ask(c *prefixindex.Chain) *Ask {
 	return &Ask{Pool: "p", Locality: "a", Chain: c, Capacity: 100000, Aim: 800 * time.Millisecond, Not: map[string]bool{}, ColdRate: func(string) float64 { return 2 }}
 }
 
@@ -36,7 +36,7 @@
 	for doc := range uint64(20) {
 		var at string
 		for range 4 {
-			y := NewYard(kerf.NewIndex())
+			y := NewYard(prefixindex.NewIndex())
 			y.Set(fleet(9), nil, 0)
 			c, ok := y.Place(ask(chain(doc+10, 50)))
 			require.True(t, ok)
@@ -49,7 +49,7 @@
 }
 
 func TestAFullHomeIsPassedOver(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(9), nil, 0)
 	a := ask(chain(7, 50))
 	home, _ := y.Place(a)
@@ -62,7 +62,7 @@
 }
 
 func TestAWarmerReplicaWinsOnlyIfItSavesMoreThanTheWait(t *testing.T) {
-	x := kerf.NewIndex()
+	x := prefixindex.NewIndex()
 	y := NewYard(x)
 	y.Set(fleet(9), nil, 0)
 	c := chain(7, 4000)
@@ -87,7 +87,7 @@
 
 func TestClosedReplicasGetNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		rs := fleet(4)
 		rs["r0"].State = "draining"
 		y.Set(rs, map[string]bool{"b": true}, 0)
@@ -115,7 +115,7 @@
 
 func TestColdReplicasGetTheirRateOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		rs := fleet(1)
 		rs["r0"].ColdMs = 3000
 		y.Set(rs, nil, 0)
@@ -133,7 +133,7 @@
 
 func TestALocalityThatComesBackIsColdForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		y.Set(fleet(1), map[string]bool{"a": true}, time.Second)
 		y.Set(fleet(1), nil, time.Second)
 		c, ok := y.Place(ask(chain(3, 10)))
@@ -146,7 +146,7 @@
 }
 
 func TestTheOwnLocalityIsPreferredWhileItIsNotBusier(t *testing.T) {
-	y := NewYard(kerf.NewIndex())
+	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(3), nil, 0)
 	for range 50 {
 		c, _ := y.Place(&Ask{Pool: "p", Locality: "a"})
@@ -179,7 +179,7 @@
 
 func TestAReplicasWordOfItsQueueAges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(kerf.NewIndex())
+		y := NewYard(prefixindex.NewIndex())
 		y.Set(fleet(2), nil, 0)
 		y.Told("r0", 8, 3, 8)
 		y.Told("r1", 8, 0, 8)
--- a/kerf/chain.go
+++ b/internal/prefixindex/chain.go
@@ -1,5 +1,5 @@
-// Package kerf is the hint index of the cache design: which replicas are believed to keep which prefix blocks. Keys chain over the parts of the prompt from the model and its exact weights; the client is not in the key.
-package kerf
+// Package prefixindex is the hint index of the cache design: which replicas are believed to keep which prefix blocks. Keys chain over the parts of the prompt from the model and its exact weights; the client is not in the key.
+package prefixindex
 
 import (
 	"encoding/binary"
--- a/kerf/holders.go
+++ b/internal/prefixindex/holders.go
@@ -1,4 +1,4 @@
-package kerf
+package prefixindex
 
 import "shaletrestle/plate"
 
--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -7,9 +7,9 @@
 
 	"shaletrestle/coord/fairshare"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
-	"shaletrestle/kerf"
 	"shaletrestle/plate"
 	"shaletrestle/tick"
 )
@@ -35,8 +35,8 @@
 }
 
 // chainOf is a prompt of two shared parts and one of its own.
-func chainOf(shared, own int) *kerf.Chain {
-	return kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: uint64(shared / 8), Tokens: 512}, {ID: 1<<32 + uint64(shared), Tokens: 512}, {ID: 1<<40 + uint64(own), Tokens: 256}})
+func chainOf(shared, own int) *prefixindex.Chain {
+	return prefixindex.NewChain(prefixindex.Root("m", 1), []prefixindex.Part{{ID: uint64(shared / 8), Tokens: 512}, {ID: 1<<32 + uint64(shared), Tokens: 512}, {ID: 1<<40 + uint64(own), Tokens: 256}})
 }
 
 const (
@@ -46,9 +46,9 @@
 
 // prefixes enters so many runs into one index and looks prompts up in it.
 func prefixes(x float64) values {
-	var ix *kerf.Index
+	var ix *prefixindex.Index
 	heap, cpu := taken(func() any {
-		ix = kerf.SizedIndex(int(x))
+		ix = prefixindex.SizedIndex(int(x))
 		for i := 0; ; i++ {
 			c := chainOf(i/2, i) // every shared part is seen twice
 			ix.Sent(fmt.Sprintf("i-%d", i/2%aloneReplicas), 1<<30, c, fmt.Sprintf("r-%d", i/2%100))
@@ -75,7 +75,7 @@
 func owners(x float64) values {
 	n := int(x)
 	heap, _ := taken(func() any {
-		ix := kerf.SizedIndex(plate.IndexRuns)
+		ix := prefixindex.SizedIndex(plate.IndexRuns)
 		for i := range plate.IndexRuns {
 			ix.Sent("i-1", 1<<30, chainOf(i/2, i), fmt.Sprintf("r-%d", i%n))
 		}
@@ -88,7 +88,7 @@
 		}
 		return p
 	})
-	full := kerf.SizedIndex(plate.IndexRuns / 4)
+	full := prefixindex.SizedIndex(plate.IndexRuns / 4)
 	fill := func(from, to int) {
 		for i := from; i < to; i++ {
 			full.Sent("i-1", 1<<30, chainOf(i/2, i), fmt.Sprintf("r-%d", i%n))
@@ -102,9 +102,9 @@
 // sessions lets so many sessions send one prompt that nobody else sends: nothing but the sketch should remember them.
 func sessions(x float64) values {
 	heap, cpu := taken(func() any {
-		ix := kerf.SizedIndex(plate.IndexRuns)
+		ix := prefixindex.SizedIndex(plate.IndexRuns)
 		for i := range int(x) {
-			c := kerf.NewChain(kerf.Root("m", 1), []kerf.Part{{ID: 1 << 33, Tokens: 512}, {ID: 1<<41 + uint64(i)*2654435761, Tokens: 256}})
+			c := prefixindex.NewChain(prefixindex.Root("m", 1), []prefixindex.Part{{ID: 1 << 33, Tokens: 512}, {ID: 1<<41 + uint64(i)*2654435761, Tokens: 256}})
 			ix.Sent(fmt.Sprintf("i-%d", i%aloneReplicas), 1<<30, c, "r")
 		}
 		return ix
@@ -114,7 +114,7 @@
 
 // placing places prompts on more and more replicas of one service.
 func placing(x float64) values {
-	ix := kerf.NewIndex()
+	ix := prefixindex.NewIndex()
 	y := placement.NewYard(ix)
 	rs := map[string]*state.Replica{}
 	for i := range int(x) {
@@ -174,7 +174,7 @@
 // listing folds a list of more and more replicas, then changes of one of them, with the places kept for traffic brought up to date.
 func listing(x float64) values {
 	b := state.NewBook(true)
-	y := placement.NewYard(kerf.NewIndex())
+	y := placement.NewYard(prefixindex.NewIndex())
 	b.Watch(func(_, now *state.View, _ *state.Event) { y.Set(now.Replicas, now.Evac, 0) })
 	all := madeList(int(x), aim.Models, aim.Houses)
 	first := (&state.Event{Kind: state.List, Replicas: all}).Encode()
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -9,9 +9,9 @@
 	"strings"
 	"sync"
 
+	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/kerf"
 	"shaletrestle/kiln"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
@@ -310,7 +310,7 @@
 		urgency = u
 	}
 	var parts []kiln.Part
-	for _, p := range kerf.ParseParts(q.Header.Get("Prompt-Prefix")) {
+	for _, p := range prefixindex.ParseParts(q.Header.Get("Prompt-Prefix")) {
 		parts = append(parts, kiln.Part{ID: p.ID, Tokens: p.Tokens})
 	}
 	if len(parts) == 0 {
