--- a/kiln/desk.go
+++ b/internal/replicamodel/desk.go
@@ -1,4 +1,4 @@
-package kiln
+package replicamodel
 
 import (
 	"sort"
--- a/kiln/kiln.go
+++ b/internal/replicamodel/kiln.go
@@ -1,5 +1,5 @@
-// Package kiln is the model of a replica: slots, a queue, batch steps, the reading of prompts in pieces, and a memory of prompt parts in which those unused longest give way. It does no input or output and knows no clock: the caller tells the time and asks what happens next.
-package kiln
+// Package replicamodel is the model of a replica: slots, a queue, batch steps, the reading of prompts in pieces, and a memory of prompt parts in which those unused longest give way. It does no input or output and knows no clock: the caller tells the time and asks what happens next.
+package replicamodel
 
 import (
 	"container/list"
--- a/millyard/engine.go
+++ b/millyard/engine.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"shaletrestle/kiln"
+	"shaletrestle/internal/replicamodel"
 	"shaletrestle/scope"
 	"shaletrestle/tick"
 )
@@ -12,17 +12,17 @@
 type engine struct {
 	sc   *scope.Scope
 	mu   sync.Mutex
-	k    *kiln.Kiln
+	k    *replicamodel.Kiln
 	born tick.Moment
 	wake chan struct{}
-	to   map[string]chan kiln.Token
+	to   map[string]chan replicamodel.Token
 }
 
 func newEngine(sc *scope.Scope, s *Service, slower float64) *engine {
 	e := s.Engine
 	step := func(ms float64) tick.Span { return tick.Millis(ms * slower) }
-	g := &engine{sc: sc, born: tick.Now(), wake: make(chan struct{}, 1), to: map[string]chan kiln.Token{},
-		k: kiln.New(kiln.Spec{Slots: s.Slots, Queue: s.Queue, Step: step(e.StepMs), Each: step(e.EachMs), Prefill: e.Prefill / slower, Chunk: e.Chunk, Memory: e.Memory})}
+	g := &engine{sc: sc, born: tick.Now(), wake: make(chan struct{}, 1), to: map[string]chan replicamodel.Token{},
+		k: replicamodel.New(replicamodel.Spec{Slots: s.Slots, Queue: s.Queue, Step: step(e.StepMs), Each: step(e.EachMs), Prefill: e.Prefill / slower, Chunk: e.Chunk, Memory: e.Memory})}
 	go g.run()
 	return g
 }
@@ -54,13 +54,13 @@
 }
 
 // offer takes a request; its tokens come over the channel. False if the replica is full.
-func (g *engine) offer(j kiln.Job) (<-chan kiln.Token, bool) {
+func (g *engine) offer(j replicamodel.Job) (<-chan replicamodel.Token, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.k.Offer(tick.Since(g.born), j) {
 		return nil, false
 	}
-	c := make(chan kiln.Token, j.Out+1)
+	c := make(chan replicamodel.Token, j.Out+1)
 	g.to[j.ID] = c
 	select {
 	case g.wake <- struct{}{}:
@@ -77,7 +77,7 @@
 	delete(g.to, id)
 }
 
-func (g *engine) load() kiln.Load {
+func (g *engine) load() replicamodel.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.k.Load()
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -10,9 +10,9 @@
 	"sync"
 
 	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/replicamodel"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/kiln"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
@@ -39,12 +39,12 @@
 	up    tick.Moment // it answers from then on
 	cold  tick.Moment
 	eng   *engine
-	desk  *kiln.Desk
+	desk  *replicamodel.Desk
 	born  tick.Moment
 	srv   *http.Server
 	conns int
 	heads int // requests taken, for what fails in part
-	told  kiln.Load
+	told  replicamodel.Load
 	toldA tick.Moment
 }
 
@@ -78,7 +78,7 @@
 
 // fresh gives an empty memory; slower than it says if it lies.
 func (r *Replica) fresh(slower float64) {
-	r.desk = kiln.NewDesk(r.s.Slots, r.s.Queue)
+	r.desk = replicamodel.NewDesk(r.s.Slots, r.s.Queue)
 	if r.s.Engine != nil {
 		r.eng = newEngine(r.sc, r.s, slower)
 	}
@@ -192,9 +192,9 @@
 	}
 }
 
-func (r *Replica) load() kiln.Load {
+func (r *Replica) load() replicamodel.Load {
 	if r.how == Lying {
-		return kiln.Load{}
+		return replicamodel.Load{}
 	}
 	if r.eng != nil {
 		return r.eng.load()
@@ -309,17 +309,17 @@
 	if u, err := strconv.Atoi(q.Header.Get(upstream.HeadUrgency)); err == nil {
 		urgency = u
 	}
-	var parts []kiln.Part
+	var parts []replicamodel.Part
 	for _, p := range prefixindex.ParseParts(q.Header.Get("Prompt-Prefix")) {
-		parts = append(parts, kiln.Part{ID: p.ID, Tokens: p.Tokens})
+		parts = append(parts, replicamodel.Part{ID: p.ID, Tokens: p.Tokens})
 	}
 	if len(parts) == 0 {
-		parts = []kiln.Part{{ID: uint64(tick.Now().UnixNano()), Tokens: in}}
+		parts = []replicamodel.Part{{ID: uint64(tick.Now().UnixNano()), Tokens: in}}
 	}
 	if from > 0 { // what came already is read like a part of the prompt
-		parts = append(parts, kiln.Part{ID: uint64(tick.Now().UnixNano()), Tokens: from})
+		parts = append(parts, replicamodel.Part{ID: uint64(tick.Now().UnixNano()), Tokens: from})
 	}
-	c, ok := eng.offer(kiln.Job{ID: attempt, Parts: parts, Out: max(1, out-from), Urgency: urgency})
+	c, ok := eng.offer(replicamodel.Job{ID: attempt, Parts: parts, Out: max(1, out-from), Urgency: urgency})
 	if !ok {
 		full(w)
 		return
