--- a/coord/distribution/cursor.go
+++ b/coord/distribution/cursor.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"shaletrestle/fault"
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 // Cursor is the sink of an end follower: a board and how far it has come.
@@ -13,7 +13,7 @@
 	board  Board
 	epoch  uint64
 	number uint64
-	heard  tick.Moment
+	heard  clock.Moment
 }
 
 // NewCursor makes a cursor over a board.
@@ -29,7 +29,7 @@
 	if err := c.board.Restore(body); err != nil {
 		return err
 	}
-	c.epoch, c.number, c.heard = epoch, number, tick.Now()
+	c.epoch, c.number, c.heard = epoch, number, clock.Now()
 	return nil
 }
 
@@ -44,14 +44,14 @@
 		c.board.Fold(body)
 		c.number = number
 	}
-	c.heard = tick.Now()
+	c.heard = clock.Now()
 	return true
 }
 
 // Heard marks that the source lives.
 func (c *Cursor) Heard() {
 	c.mu.Lock()
-	c.heard = tick.Now()
+	c.heard = clock.Now()
 	c.mu.Unlock()
 }
 
@@ -63,8 +63,8 @@
 }
 
 // Age is how long ago the source was last heard.
-func (c *Cursor) Age() tick.Span {
+func (c *Cursor) Age() clock.Span {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return tick.Since(c.heard)
+	return clock.Since(c.heard)
 }
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -6,9 +6,9 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Board is the view that changes are folded into. Its methods are never called at the same time.
@@ -29,7 +29,7 @@
 	heard uint64
 	relay bool
 	seats []rpc.Seat
-	sent  tick.Moment
+	sent  clock.Moment
 }
 
 // Feed holds a board and pushes what changes it to the followers of this process.
@@ -39,7 +39,7 @@
 	board  Board
 	epoch  uint64
 	number uint64
-	fresh  tick.Moment // a relay: when its own source was last heard
+	fresh  clock.Moment // a relay: when its own source was last heard
 	source bool
 	kept   []change
 	point  []byte // the board as it is, once somebody needed it whole
@@ -50,8 +50,8 @@
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
 func NewFeed(sc *scope.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
-	f := &Feed{sc: sc.Part("haul"), board: b, fresh: tick.Now(), subs: map[*rpc.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
-	go tick.Every(f.sc, plate.NewsBeat, func() bool { f.beat(); return true })
+	f := &Feed{sc: sc.Part("haul"), board: b, fresh: clock.Now(), subs: map[*rpc.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
+	go clock.Every(f.sc, plate.NewsBeat, func() bool { f.beat(); return true })
 	return f
 }
 
@@ -82,7 +82,7 @@
 	if err := f.board.Restore(body); err != nil {
 		return err
 	}
-	f.epoch, f.number, f.kept, f.point, f.source, f.fresh = epoch, number, nil, nil, false, tick.Now()
+	f.epoch, f.number, f.kept, f.point, f.source, f.fresh = epoch, number, nil, nil, false, clock.Now()
 	for _, l := range f.subs {
 		f.whole(l)
 	}
@@ -105,7 +105,7 @@
 	if f.source {
 		return false
 	}
-	f.fresh = tick.Now()
+	f.fresh = clock.Now()
 	if epoch != f.epoch || number != f.number+1 {
 		return epoch == f.epoch && number <= f.number
 	}
@@ -122,7 +122,7 @@
 	}
 	b := (&rpc.Note{Kind: rpc.News, OK: true, Epoch: f.epoch, Number: number, Base: number - 1, Body: body}).Encode()
 	for _, l := range f.subs {
-		l.sent = tick.Now()
+		l.sent = clock.Now()
 		l.ch.SendRaw(b)
 	}
 	f.signal()
@@ -136,15 +136,15 @@
 // Heard marks that the source lives.
 func (f *Feed) Heard() {
 	f.mu.Lock()
-	f.fresh = tick.Now()
+	f.fresh = clock.Now()
 	f.mu.Unlock()
 }
 
-func (f *Feed) alive() bool { return f.source || tick.Since(f.fresh) < plate.RelayStale }
+func (f *Feed) alive() bool { return f.source || clock.Since(f.fresh) < plate.RelayStale }
 
 func (f *Feed) whole(l *listener) {
 	l.heard = 0
-	l.sent = tick.Now()
+	l.sent = clock.Now()
 	if f.point == nil {
 		f.point = f.board.Checkpoint()
 	}
@@ -161,7 +161,7 @@
 			go l.ch.Close()
 			continue
 		}
-		if tick.Since(l.sent) >= plate.NewsBeat/2 || !ok {
+		if clock.Since(l.sent) >= plate.NewsBeat/2 || !ok {
 			l.ch.SendRaw(n)
 		}
 	}
@@ -225,8 +225,8 @@
 }
 
 // Wait waits until all connected followers have taken a number, at most d. It tells how many have and how many there are.
-func (f *Feed) Wait(sc *scope.Scope, number uint64, d tick.Span) (have, of int) {
-	end := tick.After(d)
+func (f *Feed) Wait(sc *scope.Scope, number uint64, d clock.Span) (have, of int) {
+	end := clock.After(d)
 	for {
 		f.mu.Lock()
 		have, of = 0, len(f.subs)
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -9,9 +9,9 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // listed marks an acknowledgement that lists all of a relay's followers; the others say nothing of them.
@@ -77,7 +77,7 @@
 		if at == "" {
 			pause = plate.LookAgain
 		}
-		if !tick.Rest(f.sc, pause) {
+		if !clock.Rest(f.sc, pause) {
 			return
 		}
 	}
@@ -114,7 +114,7 @@
 	ep, num := f.sink.At()
 	ch.Send(&rpc.Note{Kind: rpc.Follow, From: f.self, Epoch: ep, Number: num, Word: f.word()})
 	f.now.Store(at)
-	t := tick.After(plate.NewsLost)
+	t := clock.After(plate.NewsLost)
 	for {
 		select {
 		case <-ch.Done():
@@ -125,7 +125,7 @@
 			if ch.Quiet() >= plate.NewsLost {
 				return
 			}
-			t = tick.After(plate.NewsLost - ch.Quiet())
+			t = clock.After(plate.NewsLost - ch.Quiet())
 		}
 	}
 }
@@ -140,7 +140,7 @@
 }
 
 // Call asks the source followed now.
-func (f *Follower) Call(n *rpc.Note, d tick.Span) (*rpc.Note, error) {
+func (f *Follower) Call(n *rpc.Note, d clock.Span) (*rpc.Note, error) {
 	ch := f.ch.Load()
 	if ch == nil {
 		return nil, fault.New(fault.Unready, "nobody is followed")
--- a/coord/distribution/haul_test.go
+++ b/coord/distribution/haul_test.go
@@ -15,9 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // words is a board that joins its changes.
@@ -41,7 +41,7 @@
 	heard, seats atomic.Int64 // acknowledgements, and the seats in them
 }
 
-func (p *pipes) Dial(string, tick.Span) (net.Conn, error) {
+func (p *pipes) Dial(string, clock.Span) (net.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.off {
@@ -119,7 +119,7 @@
 	lists int // those that listed seats
 }
 
-func (p *tree) Dial(at string, _ tick.Span) (net.Conn, error) {
+func (p *tree) Dial(at string, _ clock.Span) (net.Conn, error) {
 	a, b := net.Pipe()
 	p.mu.Lock()
 	f := p.feeds[at]
--- a/coord/failuredetector/lookout.go
+++ b/coord/failuredetector/lookout.go
@@ -8,9 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Pinger asks one node whether it is there.
@@ -23,7 +23,7 @@
 	nodes func() []string
 	ping  Pinger
 	tell  func(node string, alive bool)
-	every tick.Span
+	every clock.Span
 	mu    sync.Mutex
 	known []string // the nodes that set was named for
 	set   []string
@@ -32,7 +32,7 @@
 }
 
 // New makes a watcher. nodes lists all known ones, tell hears of a node that became suspected or came back.
-func New(sc *scope.Scope, self string, every tick.Span, nodes func() []string, ping Pinger, tell func(string, bool)) *Watcher {
+func New(sc *scope.Scope, self string, every clock.Span, nodes func() []string, ping Pinger, tell func(string, bool)) *Watcher {
 	return &Watcher{sc: sc.Part("lookout"), self: self, nodes: nodes, ping: ping, tell: tell, every: every, miss: map[string]int{}, said: map[string]bool{}}
 }
 
@@ -79,19 +79,19 @@
 // Run pings until the scope ends. Between two rounds the nodes that missed a ping are asked again, so that a lost one is known soon.
 func (w *Watcher) Run() {
 	part := w.every / plate.AgainPart
-	for next := tick.Now(); ; {
+	for next := clock.Now(); ; {
 		next = next.Add(w.every)
-		for len(w.doubted()) > 0 && tick.Until(next) > part {
-			if !tick.Rest(w.sc, part) {
+		for len(w.doubted()) > 0 && clock.Until(next) > part {
+			if !clock.Rest(w.sc, part) {
 				return
 			}
 			w.ask(w.doubted())
 		}
-		if !tick.Rest(w.sc, tick.Until(next)) {
+		if !clock.Rest(w.sc, clock.Until(next)) {
 			return
 		}
-		if tick.Until(next) < -w.every { // this process stood still
-			next = tick.Now()
+		if clock.Until(next) < -w.every { // this process stood still
+			next = clock.Now()
 		}
 		w.Round()
 	}
--- a/coord/handoff/class.go
+++ b/coord/handoff/class.go
@@ -1,6 +1,6 @@
 package handoff
 
-import "shaletrestle/tick"
+import "shaletrestle/internal/clock"
 
 // Marks draw the line between long work and prompt work, in aims of the route.
 type Marks struct {
@@ -10,13 +10,13 @@
 
 // Ask is what the configuration and a request's own heads tell of it.
 type Ask struct {
-	Stream   bool      // the route answers with events
-	Aim      tick.Span // target_latency_ms
-	Timeout  tick.Span // timeout_ms
-	Gap      tick.Span // target_gap_ms: the longest pause between events
-	Stride   float64   // tokens an event may carry
-	In, Out  int       // Token-Counts
-	PerToken tick.Span // time to read one token of a prompt
+	Stream   bool       // the route answers with events
+	Aim      clock.Span // target_latency_ms
+	Timeout  clock.Span // timeout_ms
+	Gap      clock.Span // target_gap_ms: the longest pause between events
+	Stride   float64    // tokens an event may carry
+	In, Out  int        // Token-Counts
+	PerToken clock.Span // time to read one token of a prompt
 }
 
 // Long tells whether a request is long work: people can wait for it, and it runs long. Where the configuration or the request does not say enough, it is prompt work.
--- a/coord/handoff/message.go
+++ b/coord/handoff/message.go
@@ -1,7 +1,7 @@
 // Package handoff hauls long work between nodes: who owns a job, who may run it, and what is known of a run when messages are lost, repeated or late and nodes freeze or die. Its machines step on messages and on the steady clock and do no input or output of their own.
 package handoff
 
-import "shaletrestle/tick"
+import "shaletrestle/internal/clock"
 
 // Kind tells what a message says.
 type Kind uint8
@@ -93,9 +93,9 @@
 
 // Bounds are the spans and counts that owner and taker keep to.
 type Bounds struct {
-	Answer tick.Span // an offer not answered for so long is void
-	Accept tick.Span // an accepted job waits so long for its go-ahead
-	Renew  tick.Span // the go-ahead is repeated this often
-	Lease  tick.Span // so long without a word, and the other side counts as lost
-	Graves int       // ended jobs that a taker remembers, so as to answer for them
+	Answer clock.Span // an offer not answered for so long is void
+	Accept clock.Span // an accepted job waits so long for its go-ahead
+	Renew  clock.Span // the go-ahead is repeated this often
+	Lease  clock.Span // so long without a word, and the other side counts as lost
+	Graves int        // ended jobs that a taker remembers, so as to answer for them
 }
--- a/coord/handoff/model_test.go
+++ b/coord/handoff/model_test.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 // The model explores every order of one job between two nodes over the real machines. A message is delivered within its step of
@@ -24,7 +24,7 @@
 
 var (
 	modelFaults   = flag.Int("model.faults", 0, "explore so many faults beside one death or freeze, instead of the usual sizes")
-	modelDeadline = tick.Span(3)
+	modelDeadline = clock.Span(3)
 	modelBounds   = Bounds{Answer: 1, Accept: 1, Renew: 1, Lease: 2, Graves: 1}
 )
 
@@ -43,7 +43,7 @@
 }
 
 type model struct {
-	now       tick.Span
+	now       clock.Span
 	again     bool
 	owner     *Owner
 	taker     *Taker
@@ -93,7 +93,7 @@
 
 // key tells states apart; moments count from now, and not beyond what can still matter.
 func (m *model) key() uint64 {
-	rel := func(x tick.Span) byte { return byte(max(-4, min(x-m.now, 12)) + 4) }
+	rel := func(x clock.Span) byte { return byte(max(-4, min(x-m.now, 12)) + 4) }
 	b := []byte{bits(m.ownerDead, m.frozen[0], m.frozen[1], m.trouble, m.held), byte(m.faults), byte(m.turns), byte(m.outcome),
 		byte(m.lastFrom.Life), byte(m.lastFrom.Number), byte(m.delivered), byte(m.taker.life), byte(m.taker.next)}
 	for _, j := range m.owner.jobs {
--- a/coord/handoff/owner.go
+++ b/coord/handoff/owner.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 type stage uint8
@@ -17,7 +17,7 @@
 
 type job struct {
 	number   uint64
-	deadline tick.Span
+	deadline clock.Span
 	again    bool // may run more than once
 	shots    int  // replicas that it may still be sent to
 	lent     int  // of these, lent with the offer
@@ -26,10 +26,10 @@
 	to       string
 	turn     uint64
 	ticket   Ticket
-	until    tick.Span // offered: the offer's end
-	heard    tick.Span // gone: the taker's last word
-	told     tick.Span // gone: the newest go-ahead
-	parts    uint64    // passed on under this ticket
+	until    clock.Span // offered: the offer's end
+	heard    clock.Span // gone: the taker's last word
+	told     clock.Span // gone: the newest go-ahead
+	parts    uint64     // passed on under this ticket
 }
 
 // Owner holds the jobs that this process took from clients. It alone answers them.
@@ -60,14 +60,14 @@
 }
 
 // Take holds a new job and numbers it. again tells that it may run more than once, shots to how many replicas it may be sent.
-func (o *Owner) Take(deadline tick.Span, again bool, shots int) uint64 {
+func (o *Owner) Take(deadline clock.Span, again bool, shots int) uint64 {
 	o.next++
 	o.jobs = append(o.jobs, &job{number: o.next, deadline: deadline, again: again, shots: shots})
 	return o.next
 }
 
 // Offer offers a held job to a node. Of the shots left one stays here, if it may be needed.
-func (o *Owner) Offer(now tick.Span, number uint64, to string, body []byte) []Effect {
+func (o *Owner) Offer(now clock.Span, number uint64, to string, body []byte) []Effect {
 	_, j := o.find(number)
 	if j == nil || j.stage != held || j.shots < 1 {
 		return nil
@@ -114,7 +114,7 @@
 }
 
 // Step takes a message from a taker.
-func (o *Owner) Step(now tick.Span, m Message) []Effect {
+func (o *Owner) Step(now clock.Span, m Message) []Effect {
 	if m.Owner != o.life {
 		return nil
 	}
@@ -172,7 +172,7 @@
 }
 
 // Tick does what has fallen due.
-func (o *Owner) Tick(now tick.Span) (fx []Effect) {
+func (o *Owner) Tick(now clock.Span) (fx []Effect) {
 	for _, j := range append([]*job{}, o.jobs...) {
 		switch {
 		case now >= j.deadline:
--- a/coord/handoff/schedule_test.go
+++ b/coord/handoff/schedule_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 var townBounds = Bounds{Answer: 20, Accept: 30, Renew: 15, Lease: 50, Graves: 4}
@@ -145,7 +145,7 @@
 
 func (w *town) step() {
 	w.now++
-	now := tick.Span(w.now)
+	now := clock.Span(w.now)
 	for k := 0; k < len(w.mail); k++ {
 		x := w.mail[k]
 		if n := w.nodes[x.to]; x.at <= w.now && !n.frozen {
@@ -246,7 +246,7 @@
 				i := w.r.IntN(len(w.nodes))
 				if n := w.nodes[i]; !n.frozen {
 					j := &townJob{again: w.r.IntN(2) == 0, owner: i, life: n.life, held: true}
-					j.number = n.owner.Take(tick.Span(w.now+40+w.r.IntN(250)), j.again, 1+w.r.IntN(3))
+					j.number = n.owner.Take(clock.Span(w.now+40+w.r.IntN(250)), j.again, 1+w.r.IntN(3))
 					n.jobs[j.number] = j
 					w.jobs = append(w.jobs, j)
 				}
--- a/coord/handoff/taker.go
+++ b/coord/handoff/taker.go
@@ -4,7 +4,7 @@
 	"slices"
 	"sort"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 type status uint8
@@ -24,8 +24,8 @@
 	peer   string
 	ticket uint64
 	status status
-	until  tick.Span // accepted: the go-ahead must come before
-	heard  tick.Span // running: the owner's last word
+	until  clock.Span // accepted: the go-ahead must come before
+	heard  clock.Span // running: the owner's last word
 	parts  uint64
 	offer  Message // what was offered, until it runs
 	last   Message // over: what its owner is told
@@ -80,7 +80,7 @@
 }
 
 // Step takes a message from an owner.
-func (t *Taker) Step(now tick.Span, m Message) []Effect {
+func (t *Taker) Step(now clock.Span, m Message) []Effect {
 	if m.Kind == Offer {
 		return t.offer(now, m)
 	}
@@ -107,7 +107,7 @@
 	return nil
 }
 
-func (t *Taker) offer(now tick.Span, m Message) []Effect {
+func (t *Taker) offer(now clock.Span, m Message) []Effect {
 	at := place{m.Owner, m.Job, m.Turn}
 	e := t.at(at)
 	if e == nil {
@@ -123,7 +123,7 @@
 	return []Effect{{Do: Send, Message: t.message(e, Accept)}}
 }
 
-func (t *Taker) goAhead(now tick.Span, e *entry) []Effect {
+func (t *Taker) goAhead(now clock.Span, e *entry) []Effect {
 	switch e.status {
 	case accepted:
 		if now >= e.until {
@@ -188,7 +188,7 @@
 }
 
 // Tick does what has fallen due.
-func (t *Taker) Tick(now tick.Span) (fx []Effect) {
+func (t *Taker) Tick(now clock.Span) (fx []Effect) {
 	for _, e := range append([]*entry{}, t.entries...) {
 		switch {
 		case e.status == accepted && now >= e.until:
--- a/coord/lease/rota.go
+++ b/coord/lease/rota.go
@@ -5,30 +5,30 @@
 	"sync"
 
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 type grant struct {
 	holder uint64
-	until  tick.Moment
+	until  clock.Moment
 }
 
 // Grantor answers lease requests. It keeps nothing on disk: a new one refuses until any lease that its forerunner gave has ended.
 type Grantor struct {
 	mu    sync.Mutex
-	born  tick.Moment
+	born  clock.Moment
 	given map[string]grant
 }
 
 // NewGrantor makes a grantor.
-func NewGrantor() *Grantor { return &Grantor{born: tick.Now(), given: map[string]grant{}} }
+func NewGrantor() *Grantor { return &Grantor{born: clock.Now(), given: map[string]grant{}} }
 
 // Handle answers a lease request.
 func (g *Grantor) Handle(n *rpc.Note) *rpc.Note {
 	a := n.Reply(false)
-	now := tick.Now()
+	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.born) < plate.LeaseSpan {
@@ -41,7 +41,7 @@
 	if n.Span == 0 { // given back
 		delete(g.given, n.Word)
 	} else {
-		g.given[n.Word] = grant{n.From.ID, now.Add(min(tick.Span(n.Span), plate.LeaseSpan))}
+		g.given[n.Word] = grant{n.From.ID, now.Add(min(clock.Span(n.Span), plate.LeaseSpan))}
 	}
 	a.OK = true
 	return a
@@ -49,7 +49,7 @@
 
 // Asker asks one grantor.
 type Asker interface {
-	Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error)
+	Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error)
 }
 
 // Holder keeps one duty's lease while it is wanted.
@@ -62,8 +62,8 @@
 	want  func() bool
 	local *Grantor
 	mu    sync.Mutex
-	until tick.Moment
-	since tick.Moment
+	until clock.Moment
+	since clock.Moment
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
@@ -75,26 +75,26 @@
 func (h *Holder) Held() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return tick.Now().Before(h.until)
+	return clock.Now().Before(h.until)
 }
 
 // Since tells since when the duty is held without a gap; ok is false if it isn't held now.
-func (h *Holder) Since() (m tick.Moment, ok bool) {
+func (h *Holder) Since() (m clock.Moment, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.since, tick.Now().Before(h.until)
+	return h.since, clock.Now().Before(h.until)
 }
 
 // Run renews until the scope ends, then gives back.
 func (h *Holder) Run() {
-	tick.Every(h.sc, plate.LeaseRenew, func() bool { h.Renew(); return true })
+	clock.Every(h.sc, plate.LeaseRenew, func() bool { h.Renew(); return true })
 	h.giveBack()
 }
 
 func (h *Holder) giveBack() {
 	h.mu.Lock()
 	had := !h.until.IsZero()
-	h.until = tick.Moment{}
+	h.until = clock.Moment{}
 	h.mu.Unlock()
 	if had {
 		h.round(0)
@@ -107,13 +107,13 @@
 		h.giveBack()
 		return false
 	}
-	start := tick.Now()
+	start := clock.Now()
 	if !h.round(uint64(plate.LeaseSpan)) {
 		return false
 	}
 	h.mu.Lock()
 	if !start.Before(h.until) {
-		h.since = tick.Now()
+		h.since = clock.Now()
 	}
 	h.until = start.Add(plate.LeaseSpan - plate.LeaseMargin)
 	h.mu.Unlock()
--- a/coord/lease/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -11,9 +11,9 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // fleet is grantors in one process, some of them out of reach.
@@ -23,7 +23,7 @@
 	lag  time.Duration
 }
 
-func (f *fleet) Call(addr string, n *rpc.Note, _ tick.Span) (*rpc.Note, error) {
+func (f *fleet) Call(addr string, n *rpc.Note, _ clock.Span) (*rpc.Note, error) {
 	var i int
 	_, _ = fmt.Sscan(addr, &i)
 	time.Sleep(f.lag)
--- a/coord/loadsum/sum.go
+++ b/coord/loadsum/sum.go
@@ -4,13 +4,13 @@
 	"math"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 type told struct {
 	piles []Pile
-	at    tick.Moment
+	at    clock.Moment
 }
 
 // Sum adds up what several sources tell. A source that has said nothing for a while counts no more.
@@ -23,7 +23,7 @@
 func NewSum() *Sum { return &Sum{by: map[uint64]told{}} }
 
 // Put takes a source's newest word in place of its last.
-func (s *Sum) Put(source uint64, ps []Pile, now tick.Moment) {
+func (s *Sum) Put(source uint64, ps []Pile, now clock.Moment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(ps) == 0 {
@@ -34,7 +34,7 @@
 }
 
 // Total gives the sum by replica, the heaviest piles only where there are many.
-func (s *Sum) Total(now tick.Moment) []Pile {
+func (s *Sum) Total(now clock.Moment) []Pile {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := map[uint32]int{}
--- a/coord/outlier/jury.go
+++ b/coord/outlier/jury.go
@@ -5,16 +5,16 @@
 	"sort"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 type hearing struct {
 	pool       string
 	bad        fading
-	tellers    map[uint64]tick.Moment
-	since      tick.Moment // of the suspicion; zero if there is none
-	good, fail float64     // since then
+	tellers    map[uint64]clock.Moment
+	since      clock.Moment // of the suspicion; zero if there is none
+	good, fail float64      // since then
 	episodes   fading
 }
 
@@ -23,14 +23,14 @@
 	mu   sync.Mutex
 	c    map[string]*hearing
 	told []string
-	at   tick.Moment
+	at   clock.Moment
 }
 
 // NewJury makes a jury without a case.
 func NewJury() *Jury { return &Jury{c: map[string]*hearing{}} }
 
 // Hear takes words; pool gives a replica's service, empty if it isn't known.
-func (j *Jury) Hear(ws []Word, pool func(id string) string, now tick.Moment) {
+func (j *Jury) Hear(ws []Word, pool func(id string) string, now clock.Moment) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, w := range ws {
@@ -40,7 +40,7 @@
 		}
 		c := j.c[w.ID]
 		if c == nil {
-			c = &hearing{pool: p, tellers: map[uint64]tick.Moment{}}
+			c = &hearing{pool: p, tellers: map[uint64]clock.Moment{}}
 			j.c[w.ID] = c
 		}
 		if w.Bad > 0 {
@@ -55,7 +55,7 @@
 }
 
 // Verdict gives the replicas under suspicion; size tells how many a service has. News is true when it must be told: it changed, or the last telling runs out.
-func (j *Jury) Verdict(size map[string]int, now tick.Moment) (ids []string, news bool) {
+func (j *Jury) Verdict(size map[string]int, now clock.Moment) (ids []string, news bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	sum, held := map[string]float64{}, map[string]int{}
@@ -72,7 +72,7 @@
 			}
 		}
 		if !c.since.IsZero() && (c.acquitted() || now.Sub(c.since) >= plate.SuspectMost) {
-			c.since, c.bad, c.tellers = tick.Moment{}, fading{}, map[uint64]tick.Moment{}
+			c.since, c.bad, c.tellers = clock.Moment{}, fading{}, map[uint64]clock.Moment{}
 		}
 		switch {
 		case !c.since.IsZero():
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -11,9 +11,9 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Machine is the state that is kept. Apply, Checkpoint and Restore are never called at the same time.
@@ -25,7 +25,7 @@
 
 // Caller asks another member.
 type Caller interface {
-	Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error)
+	Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error)
 }
 
 // Config is what a member needs.
@@ -46,11 +46,11 @@
 
 type peer struct {
 	seat    rpc.Seat
-	seen    tick.Moment
-	fit     bool        // its disk takes writes and it isn't leaving
-	relay   bool        // it has no disk
-	missed  bool        // it did not answer a write since it was last seen
-	refused tick.Moment // when it last took no hand-over
+	seen    clock.Moment
+	fit     bool         // its disk takes writes and it isn't leaving
+	relay   bool         // it has no disk
+	missed  bool         // it did not answer a write since it was last seen
+	refused clock.Moment // when it last took no hand-over
 }
 
 // Member is one control process.
@@ -61,7 +61,7 @@
 	boot bool
 	disk chan func()
 
-	wr tick.Latch // held through a write or a change of view
+	wr clock.Latch // held through a write or a change of view
 
 	mu      sync.Mutex
 	reg     Register
@@ -71,24 +71,24 @@
 	tail    [][]byte
 	active  bool
 	epoch   uint64
-	beat    tick.Moment
+	beat    clock.Moment
 	beatBy  rpc.Seat
 	urged   bool
-	warned  uint64      // epoch for which the tolerance was said to be out of reach
-	vowed   tick.Moment // when a promise was last given to another member
+	warned  uint64       // epoch for which the tolerance was said to be out of reach
+	vowed   clock.Moment // when a promise was last given to another member
 	leaving bool
 	peers   map[uint64]*peer
 	stalled atomic.Bool
 	broken  atomic.Bool
 	asking  atomic.Bool
-	born    tick.Moment
+	born    clock.Moment
 }
 
 // New makes a member from its store; Run starts it.
 func New(sc *scope.Scope, cf Config) (*Member, error) {
 	id, boot := cf.Store.Identity()
 	m := &Member{sc: sc.Part("tally"), cf: cf, self: rpc.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
-		disk: make(chan func(), 64), wr: tick.NewLatch(), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: tick.Now(), beat: tick.Now()}
+		disk: make(chan func(), 64), wr: clock.NewLatch(), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: clock.Now(), beat: clock.Now()}
 	if c := m.reg.Chart; c != nil && c.Primary.ID == id {
 		m.beat = m.beat.Add(-2 * plate.BeatEvery) // a primary that comes back asks at once; the witnesses know better if it was followed
 	}
@@ -118,14 +118,14 @@
 			}
 		}
 	}()
-	go tick.Every(m.sc, plate.BeatEvery, func() bool { m.beats(); return true })
-	pause := plate.StepPause + tick.Span(m.self.ID%8)*20*time.Millisecond
+	go clock.Every(m.sc, plate.BeatEvery, func() bool { m.beats(); return true })
+	pause := plate.StepPause + clock.Span(m.self.ID%8)*20*time.Millisecond
 	m.step()
-	tick.Every(m.sc, pause, func() bool { m.step(); return true })
+	clock.Every(m.sc, pause, func() bool { m.step(); return true })
 }
 
 // onDisk runs a job in the disk's own task and waits for it at most d.
-func (m *Member) onDisk(d tick.Span, f func() error) error {
+func (m *Member) onDisk(d clock.Span, f func() error) error {
 	if m.stalled.Load() {
 		return fault.New(fault.Unready, "the disk is stalled")
 	}
@@ -139,7 +139,7 @@
 	select {
 	case err := <-done:
 		return err
-	case <-tick.After(d):
+	case <-clock.After(d):
 		m.stalled.Store(true)
 		select {
 		case err := <-done: // it ended in between
@@ -178,7 +178,7 @@
 	if m.active {
 		return m.self, true
 	}
-	if m.beatBy.ID != 0 && tick.Since(m.beat) < plate.BeatLost {
+	if m.beatBy.ID != 0 && clock.Since(m.beat) < plate.BeatLost {
 		return m.beatBy, true
 	}
 	return rpc.Seat{}, false
@@ -215,7 +215,7 @@
 	ms := m.Members()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return State{m.self, m.cf.Relay, borne(m.reg.Chart), m.cf.Losses, m.reg.Chart, m.active, m.joined.Epoch != 0, m.stalled.Load(), tick.Since(m.beat).Milliseconds(), ms}
+	return State{m.self, m.cf.Relay, borne(m.reg.Chart), m.cf.Losses, m.reg.Chart, m.active, m.joined.Epoch != 0, m.stalled.Load(), clock.Since(m.beat).Milliseconds(), ms}
 }
 
 func (m *Member) fit() bool {
@@ -240,7 +240,7 @@
 		p = &peer{}
 		m.peers[s.ID] = p
 	}
-	p.seat, p.seen, p.fit, p.missed = s, tick.Now(), fit, false
+	p.seat, p.seen, p.fit, p.missed = s, clock.Now(), fit, false
 }
 
 // mark notes something about a member that is known.
@@ -298,7 +298,7 @@
 	m.mu.Lock()
 	was := m.active
 	m.active = false
-	m.beat = tick.Now()
+	m.beat = clock.Now()
 	m.mu.Unlock()
 	if was {
 		m.sc.Log().Warn("stepping down", "why", why)
@@ -382,7 +382,7 @@
 	m.mu.Lock()
 	c := m.reg.Chart
 	if c != nil && n.Chart != nil && n.Chart.Epoch == c.Epoch {
-		m.beat, m.beatBy = tick.Now(), n.From
+		m.beat, m.beatBy = clock.Now(), n.From
 	}
 	a.Chart = c
 	a.Number = 0
@@ -426,7 +426,7 @@
 	}
 	m.reg.Promised = n.Ballot
 	if n.From.ID != m.self.ID {
-		m.vowed = tick.Now()
+		m.vowed = clock.Now()
 	}
 	a.Held, a.HeldBallot = m.reg.Accepted, m.reg.Ballot
 	if n.Kind == rpc.Accept {
@@ -504,7 +504,7 @@
 	}
 	m.mu.Lock()
 	m.tag, m.joined, m.tail = h.Tag, h.Tag, nil
-	m.beat, m.beatBy = tick.Now(), n.From
+	m.beat, m.beatBy = clock.Now(), n.From
 	m.mu.Unlock()
 	a.OK = true
 }
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -15,8 +15,8 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // lines is a machine that keeps a text.
@@ -80,7 +80,7 @@
 	rate int // bytes a second of one call; 0: no bound
 }
 
-func (h *hall) Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error) {
+func (h *hall) Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error) {
 	h.mu.Lock()
 	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
 	h.mu.Unlock()
@@ -131,7 +131,7 @@
 func (l *life) Reset(h Held) error    { return l.write(func() error { return l.memory.Reset(h) }) }
 func (l *life) Append(e []byte) error { return l.write(func() error { return l.memory.Append(e) }) }
 
-func (l *life) Call(addr string, n *rpc.Note, d tick.Span) (*rpc.Note, error) {
+func (l *life) Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error) {
 	if l.dead.Load() {
 		return nil, errDead
 	}
--- a/coord/replication/view.go
+++ b/coord/replication/view.go
@@ -6,8 +6,8 @@
 	"sort"
 
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // beats tells all members that the primary lives, and looks for lost ones.
@@ -44,7 +44,7 @@
 	lost := false
 	for _, b := range c.Backups {
 		p := m.peers[b.ID]
-		lost = lost || p == nil || tick.Since(p.seen) > plate.BeatLost || !p.fit
+		lost = lost || p == nil || clock.Since(p.seen) > plate.BeatLost || !p.fit
 	}
 	m.mu.Unlock()
 	if lost || m.short() || m.panel(c) != nil {
@@ -60,7 +60,7 @@
 	defer m.mu.Unlock()
 	near := 0
 	for _, w := range c.Witnesses {
-		if p := m.peers[w.ID]; w.ID == m.self.ID || p != nil && tick.Since(p.seen) <= plate.BeatLost+plate.BeatEvery {
+		if p := m.peers[w.ID]; w.ID == m.self.ID || p != nil && clock.Since(p.seen) <= plate.BeatLost+plate.BeatEvery {
 			near++
 		}
 	}
@@ -79,13 +79,13 @@
 // step is the member's clockwork: take over, find the others, make the first view.
 func (m *Member) step() {
 	m.mu.Lock()
-	c, act, urged, quiet, leaving := m.reg.Chart, m.active, m.urged, tick.Since(m.beat), m.leaving
-	tag, alone, vowed := m.tag, len(m.peers) == 0, tick.Since(m.vowed)
+	c, act, urged, quiet, leaving := m.reg.Chart, m.active, m.urged, clock.Since(m.beat), m.leaving
+	tag, alone, vowed := m.tag, len(m.peers) == 0, clock.Since(m.vowed)
 	m.mu.Unlock()
 	rank, due := -1, plate.BeatLost
 	if c != nil {
 		if rank = index(c.Backups, m.self.ID); rank > 0 { // those before it go first
-			due += tick.Span(rank) * plate.RankWait
+			due += clock.Span(rank) * plate.RankWait
 		}
 	}
 	switch {
@@ -101,7 +101,7 @@
 		if m.wr.TryLock() {
 			if !m.change(act) && !act {
 				m.mu.Lock()
-				m.beat = tick.Now().Add(-due + plate.BeatEvery) // not again at once
+				m.beat = clock.Now().Add(-due + plate.BeatEvery) // not again at once
 				m.mu.Unlock()
 			}
 			m.wr.Unlock()
@@ -166,7 +166,7 @@
 	seeds := slices.Clone(m.cf.Seeds)
 	sort.Strings(seeds)
 	i := slices.Index(seeds, m.self.Addr)
-	if i < 0 || tick.Since(m.born) < tick.Span(i)*plate.WitnessLost {
+	if i < 0 || clock.Since(m.born) < clock.Span(i)*plate.WitnessLost {
 		return
 	}
 	var ws []rpc.Seat
@@ -179,7 +179,7 @@
 		}
 		m.mu.Lock()
 		for _, p := range m.peers {
-			if p.seat.Addr == a && tick.Since(p.seen) < plate.BeatLost {
+			if p.seat.Addr == a && clock.Since(p.seen) < plate.BeatLost {
 				there++
 				if !p.relay {
 					ws = append(ws, p.seat)
@@ -195,7 +195,7 @@
 	m.changeFrom(&rpc.Chart{Witnesses: ws}, false)
 }
 
-func (m *Member) ask(to []rpc.Seat, n *rpc.Note, d tick.Span) []*rpc.Note {
+func (m *Member) ask(to []rpc.Seat, n *rpc.Note, d clock.Span) []*rpc.Note {
 	ch := make(chan *rpc.Note, len(to))
 	for _, s := range to {
 		x := *n
@@ -345,7 +345,7 @@
 	}
 	m.reg = Register{Chart: n}
 	m.tag = h.Tag
-	m.active, m.epoch, m.urged, m.beat, m.beatBy = true, e, false, tick.Now(), m.self
+	m.active, m.epoch, m.urged, m.beat, m.beatBy = true, e, false, clock.Now(), m.self
 	m.mu.Unlock()
 	go func() { _ = m.saveRegister() }()
 	m.commit()
@@ -373,7 +373,7 @@
 		a, err := m.cf.Caller.Call(s.Addr, &rpc.Note{Kind: rpc.Checkpoint, From: m.self, To: s.ID, Epoch: h.Tag.Epoch, Ballot: h.Tag.Mark, Held: held, Body: body}, sending(plate.TransferWait, len(body), m.copies()-1))
 		ok := err == nil && a.OK
 		if !ok {
-			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, tick.Now() })
+			m.mark(s.ID, func(p *peer) { p.fit, p.refused = p.fit && err == nil, clock.Now() })
 		}
 		if err == nil {
 			m.learn(a.Chart)
@@ -394,7 +394,7 @@
 		}
 		if running == 0 && 1+len(out) < m.fewest(c) && !waited { // the others' promises may be under way still
 			waited = true
-			tick.Rest(m.sc, plate.LateAnswer)
+			clock.Rest(m.sc, plate.LateAnswer)
 			left = slices.DeleteFunc(m.fitOnes(), func(s rpc.Seat) bool { return index(asked, s.ID) >= 0 })
 			if len(left) > 0 {
 				continue
@@ -427,7 +427,7 @@
 	}
 	missed := func(s rpc.Seat) (n int) {
 		m.mark(s.ID, func(p *peer) {
-			if p.missed || tick.Since(p.refused) < plate.RefusedFor {
+			if p.missed || clock.Since(p.refused) < plate.RefusedFor {
 				n = 1
 			}
 		})
--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -10,9 +10,9 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Handler takes a note that came in; a non-nil result is sent back.
@@ -34,7 +34,7 @@
 // Open starts the tasks of a channel over a connection. Calls are handled each in a task of its own, other notes in order.
 func Open(sc *scope.Scope, c net.Conn, h Handler) *Channel {
 	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan []byte, plate.OutboxLen), wait: map[uint64]chan *Note{}}
-	ch.heard.Store(tick.Now().UnixNano())
+	ch.heard.Store(clock.Now().UnixNano())
 	go ch.write()
 	go ch.read(h)
 	return ch
@@ -97,7 +97,7 @@
 		if err != nil {
 			return
 		}
-		ch.heard.Store(tick.Now().UnixNano())
+		ch.heard.Store(clock.Now().UnixNano())
 		switch {
 		case n.Answer:
 			ch.mu.Lock()
@@ -135,7 +135,7 @@
 }
 
 // Call sends a note and waits for its answer.
-func (ch *Channel) Call(n *Note, d tick.Span) (*Note, error) {
+func (ch *Channel) Call(n *Note, d clock.Span) (*Note, error) {
 	w := make(chan *Note, 1)
 	ch.mu.Lock()
 	ch.next++
@@ -156,13 +156,13 @@
 		return a, nil
 	case <-ch.sc.Done():
 		return nil, fault.New(fault.Unready, "channel closed")
-	case <-tick.After(d):
+	case <-clock.After(d):
 		return nil, fault.New(fault.Unready, "no answer from %s", ch.c.RemoteAddr())
 	}
 }
 
 // Quiet is how long nothing was heard.
-func (ch *Channel) Quiet() tick.Span { return tick.Span(tick.Now().UnixNano() - ch.heard.Load()) }
+func (ch *Channel) Quiet() clock.Span { return clock.Span(clock.Now().UnixNano() - ch.heard.Load()) }
 
 // OnClose adds what is to be done when the channel closes.
 func (ch *Channel) OnClose(f func()) {
--- a/coord/rpc/net.go
+++ b/coord/rpc/net.go
@@ -9,14 +9,14 @@
 	"golang.org/x/sys/unix"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Net is what a process reaches others through; tests put a simulated one here.
 type Net interface {
-	Dial(addr string, d tick.Span) (net.Conn, error)
+	Dial(addr string, d clock.Span) (net.Conn, error)
 	Listen(addr string) (net.Listener, error)
 }
 
@@ -24,7 +24,7 @@
 type TCP struct{}
 
 // Dial connects, with a bound on how long unacknowledged bytes may wait.
-func (TCP) Dial(addr string, d tick.Span) (net.Conn, error) {
+func (TCP) Dial(addr string, d clock.Span) (net.Conn, error) {
 	x := net.Dialer{Timeout: d, KeepAlive: -1, Control: UserTimeout}
 	return x.Dial("tcp4", addr)
 }
@@ -52,7 +52,7 @@
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			if sc.Ended() || !tick.Rest(sc, plate.BeatEvery) {
+			if sc.Ended() || !clock.Rest(sc, plate.BeatEvery) {
 				return
 			}
 			continue
@@ -119,7 +119,7 @@
 }
 
 // Call asks one address. A channel on which nothing came during a failed call is closed, so that the next call dials anew.
-func (l *Lines) Call(addr string, n *Note, d tick.Span) (*Note, error) {
+func (l *Lines) Call(addr string, n *Note, d clock.Span) (*Note, error) {
 	if addr == "" {
 		return nil, fault.New(fault.Unready, "no address")
 	}
--- a/coord/rpc/net_test.go
+++ b/coord/rpc/net_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // silent is a network in which every dial hangs until its time is up.
 type silent struct{ dials int }
 
-func (s *silent) Dial(_ string, d tick.Span) (net.Conn, error) {
+func (s *silent) Dial(_ string, d clock.Span) (net.Conn, error) {
 	s.dials++
 	time.Sleep(d)
 	return nil, os.ErrDeadlineExceeded
--- a/coord/slowness/level.go
+++ b/coord/slowness/level.go
@@ -4,8 +4,8 @@
 import (
 	"sort"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 type peer struct {
@@ -30,7 +30,7 @@
 func NewLevel() *Level { return &Level{peers: map[string]peer{}} }
 
 // Step takes one observation: how long the piece of work took and how late the timer before it came.
-func (l *Level) Step(work, late tick.Span) {
+func (l *Level) Step(work, late clock.Span) {
 	l.n++
 	for k, p := range l.peers {
 		if l.n-p.at > plate.LevelHeard {
--- a/coord/slowness/level_test.go
+++ b/coord/slowness/level_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 const us = time.Microsecond
@@ -26,7 +26,7 @@
 	return l
 }
 
-func steps(l *Level, n int, work, late tick.Span) {
+func steps(l *Level, n int, work, late clock.Span) {
 	for range n {
 		l.Step(work, late)
 	}
@@ -77,11 +77,11 @@
 	l := calm(3)
 	for i := range 4000 {
 		l.Hear("n1", false)
-		late := tick.Span(r.IntN(3000)) * us
+		late := clock.Span(r.IntN(3000)) * us
 		if i%10 == 0 {
 			late = time.Second
 		}
-		l.Step(tick.Span(6500+r.IntN(8500)), late)
+		l.Step(clock.Span(6500+r.IntN(8500)), late)
 		require.False(t, l.Slow())
 	}
 }
--- a/coord/slowness/watch.go
+++ b/coord/slowness/watch.go
@@ -5,31 +5,31 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Watch steps a level on what this process measures of itself.
 type Watch struct {
 	sc    *scope.Scope
-	work  func() tick.Span
+	work  func() clock.Span
 	mu    sync.Mutex
 	level *Level
-	last  tick.Moment // of the look before
+	last  clock.Moment // of the look before
 }
 
 // NewWatch makes a watch; work does and times the piece of work, nil for the usual one.
-func NewWatch(sc *scope.Scope, work func() tick.Span) *Watch {
+func NewWatch(sc *scope.Scope, work func() clock.Span) *Watch {
 	w := &Watch{sc: sc.Part("plumb"), work: work, level: NewLevel()}
 	if work == nil {
 		buf, sum := make([]byte, plate.LevelBytes), uint64(0)
-		w.work = func() tick.Span {
-			best := tick.Span(0)
+		w.work = func() clock.Span {
+			best := clock.Span(0)
 			for range plate.LevelTimes {
-				at := tick.Now()
+				at := clock.Now()
 				sum ^= xxhash.Sum64(buf)
-				if d := tick.Since(at); best == 0 || d < best {
+				if d := clock.Since(at); best == 0 || d < best {
 					best = d
 				}
 			}
@@ -42,10 +42,10 @@
 
 // Look measures once. It is to be called each LevelEvery, and how much later it is called is part of what is seen.
 func (w *Watch) Look() {
-	now := tick.Now()
+	now := clock.Now()
 	work := w.work()
 	w.mu.Lock()
-	late := tick.Span(0)
+	late := clock.Span(0)
 	if !w.last.IsZero() {
 		late = now.Sub(w.last) - plate.LevelEvery
 	}
--- a/coord/slowness/watch_test.go
+++ b/coord/slowness/watch_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 func TestAWatchSeesLateLooksAndSlowWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		work := 10 * us
-		w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), func() tick.Span { return work })
+		w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), func() clock.Span { return work })
 		look := func(n int, every time.Duration) {
 			for range n {
 				w.Hear("n1", false)
--- a/env/env.go
+++ b/env/env.go
@@ -11,9 +11,9 @@
 	"gopkg.in/yaml.v3"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/placement"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Env is the settings file. Unknown fields are ignored.
@@ -268,4 +268,4 @@
 }
 
 // Contact is contact_ms as a span.
-func (e *Env) Contact() tick.Span { return tick.Millis(e.Bounds.ContactMs) }
+func (e *Env) Contact() clock.Span { return clock.Millis(e.Bounds.ContactMs) }
--- a/env/program.go
+++ b/env/program.go
@@ -10,9 +10,9 @@
 
 	"github.com/integrii/flaggy"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Daemon is what a program does with its settings.
@@ -122,7 +122,7 @@
 			d.Leave()
 			sc.Stop()
 			return
-		case <-tick.After(plate.WatchFile):
+		case <-clock.After(plate.WatchFile):
 			if stamp(file) != last {
 				reload()
 			}
--- a/gatehouse/budget.go
+++ b/gatehouse/budget.go
@@ -3,17 +3,17 @@
 import (
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 type lump struct {
 	n    int64
-	till tick.Moment
+	till clock.Moment
 }
 
 type account struct {
-	asked, extra []tick.Moment
+	asked, extra []clock.Moment
 	lumps        []lump
 }
 
@@ -22,13 +22,13 @@
 	mu     sync.Mutex
 	ratio  float64
 	slack  float64
-	window tick.Span
+	window clock.Span
 	margin float64
 	a      map[string]*account
 }
 
 // NewBudget makes a budget; slack is the whole fleet's.
-func NewBudget(ratio, slack float64, window tick.Span, margin float64) *Budget {
+func NewBudget(ratio, slack float64, window clock.Span, margin float64) *Budget {
 	return &Budget{ratio: ratio, slack: slack, window: window, margin: margin, a: map[string]*account{}}
 }
 
@@ -38,9 +38,9 @@
 		a = &account{}
 		b.a[pool] = a
 	}
-	now := tick.Now()
+	now := clock.Now()
 	old := now.Add(-b.window)
-	trim := func(ms []tick.Moment) []tick.Moment {
+	trim := func(ms []clock.Moment) []clock.Moment {
 		i := 0
 		for i < len(ms) && ms[i].Before(old) {
 			i++
@@ -59,11 +59,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(pool)
-	a.asked = append(a.asked, tick.Now())
+	a.asked = append(a.asked, clock.Now())
 }
 
 // Lent adds borrowed tries; till is the end of the loan, counted from before it was asked for.
-func (b *Budget) Lent(pool string, n int64, till tick.Moment) {
+func (b *Budget) Lent(pool string, n int64, till clock.Moment) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(pool)
@@ -99,6 +99,6 @@
 	if b.left(a, fleet) < 1 {
 		return false
 	}
-	a.extra = append(a.extra, tick.Now())
+	a.extra = append(a.extra, clock.Now())
 	return true
 }
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -18,6 +18,7 @@
 	"shaletrestle/coord/slowness"
 	"shaletrestle/env"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
@@ -28,7 +29,6 @@
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Plan is what a gatehouse is built from.
@@ -36,7 +36,7 @@
 	Env    *env.Env
 	Net    rpc.Net
 	Dialer upstream.Dialer
-	Work   func() tick.Span // does and times the piece of work that shows a slow machine; nil for the usual one
+	Work   func() clock.Span // does and times the piece of work that shows a slow machine; nil for the usual one
 }
 
 // Gate is one traffic process.
@@ -68,11 +68,11 @@
 	pools     map[string]*upstream.Pool
 	keeps     map[string]*upstream.Keep // by service
 	asking    map[string]chan struct{}  // services that a lump is being borrowed for
-	refusedAt map[string]tick.Moment    // when none was lent, by service
-	toldAt    tick.Moment               // when failures were told last
+	refusedAt map[string]clock.Moment   // when none was lent, by service
+	toldAt    clock.Moment              // when failures were told last
 	pickAt    int
-	bad       map[string]tick.Moment // tallyhouses and when they failed last
-	dropped   string                 // one that was left for a nearer one, not for failing
+	bad       map[string]clock.Moment // tallyhouses and when they failed last
+	dropped   string                  // one that was left for a nearer one, not for failing
 	long      *longWork
 }
 
@@ -82,11 +82,11 @@
 
 // New builds a gatehouse.
 func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: prefixindex.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: prefixindex.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]clock.Moment{}, isReady: make(chan struct{}), bad: map[string]clock.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = placement.NewYard(g.index)
 	b := p.Env.Bounds
-	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
+	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, clock.Seconds(b.BudgetWindowS), plate.BudgetMargin)
 	g.bodies = fairshare.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
 	g.cursor = distribution.NewCursor(g.book)
 	g.table.Store(routing.Compile(state.EmptyView().Doc))
@@ -98,7 +98,7 @@
 	g.level = slowness.NewWatch(sc, p.Work)
 	lines := rpc.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
-	g.watcher = failuredetector.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
+	g.watcher = failuredetector.New(sc, at, max(clock.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
 		g.follower.Send(&rpc.Note{Kind: rpc.Suspect, OK: alive, Word: node})
 	})
 	g.follower.Carry(g.words)
@@ -156,12 +156,12 @@
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
 	g.long.leave()
-	grace := tick.Seconds(g.env.Load().Bounds.GraceS)
-	start := tick.Now()
+	grace := clock.Seconds(g.env.Load().Bounds.GraceS)
+	start := clock.Now()
 	linger := min(plate.LingerReady, grace/2)
-	tick.Rest(g.sc, linger)
-	g.front.Finish(grace - plate.GraceMargin - tick.Since(start))
-	g.long.finish(grace - plate.GraceMargin - tick.Since(start))
+	clock.Rest(g.sc, linger)
+	g.front.Finish(grace - plate.GraceMargin - clock.Since(start))
+	g.long.finish(grace - plate.GraceMargin - clock.Since(start))
 }
 
 // Reload takes new settings.
@@ -175,14 +175,14 @@
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
 
 // Health tells what is held against replicas here.
-func (g *Gate) Health() map[string]outlier.Stat { return g.yard.Health().Stats(tick.Now()) }
+func (g *Gate) Health() map[string]outlier.Stat { return g.yard.Health().Stats(clock.Now()) }
 
 // pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
 	e := g.env.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	if failed != "" && failed != g.dropped {
 		g.bad[failed] = now
 	}
@@ -232,7 +232,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range v.Houses {
-		if h.Locality == e.Locality && tick.Since(g.bad[h.Addr]) >= 2*e.Contact() {
+		if h.Locality == e.Locality && clock.Since(g.bad[h.Addr]) >= 2*e.Contact() {
 			g.dropped = src
 			go g.follower.Drop()
 			return
@@ -243,7 +243,7 @@
 // changed brings everything that is derived up to date with a new view.
 func (g *Gate) changed(old, v *state.View, e *state.Event) {
 	if e != nil && e.Kind == state.Health {
-		g.yard.Health().Suspected(e.Suspects, tick.Now())
+		g.yard.Health().Suspected(e.Suspects, clock.Now())
 		return
 	}
 	if old.Doc != v.Doc {
@@ -254,7 +254,7 @@
 		}
 	}
 	if e.Places() {
-		back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
+		back := clock.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
 		g.yard.Set(v.Replicas, v.Evac, back)
 		g.weights.Store(newWeights(v.Replicas))
 		g.mu.Lock()
@@ -353,7 +353,7 @@
 // keep looks at this process's own machine again and again, and through its idle connections now and then: one waking-up does for both.
 func (g *Gate) keep() {
 	n := 0
-	tick.Every(g.sc, plate.LevelEvery, func() bool {
+	clock.Every(g.sc, plate.LevelEvery, func() bool {
 		g.level.Look()
 		if n++; n%plate.SweepLooks == 0 {
 			g.sweep()
@@ -376,7 +376,7 @@
 
 // words are the failures seen here since the last time, for the acknowledgement that is about to go; nil mostly.
 func (g *Gate) words() []byte {
-	now := tick.Now()
+	now := clock.Now()
 	g.mu.Lock()
 	due := now.Sub(g.toldAt) >= plate.NewsBeat/2
 	if due {
@@ -396,7 +396,7 @@
 
 // blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
 func (g *Gate) blame(id string, k outlier.Kind) {
-	now := tick.Now()
+	now := clock.Now()
 	g.yard.Health().Bad(id, k, now)
 	g.mu.Lock()
 	due := now.Sub(g.toldAt) >= plate.NewsBeat
@@ -407,11 +407,11 @@
 }
 
 // further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
-func (g *Gate) further(pool string, within tick.Span) bool {
+func (g *Gate) further(pool string, within clock.Span) bool {
 	if g.budget.Take(pool, g.fleet()) {
 		return true
 	}
-	now := tick.Now()
+	now := clock.Now()
 	g.mu.Lock()
 	w := g.asking[pool]
 	if w == nil {
@@ -426,13 +426,13 @@
 	g.mu.Unlock()
 	select {
 	case <-w:
-	case <-tick.After(min(within, plate.LumpWait)):
+	case <-clock.After(min(within, plate.LumpWait)):
 	}
 	return g.budget.Take(pool, g.fleet())
 }
 
 func (g *Gate) borrow(pool string, w chan struct{}) {
-	start := tick.Now()
+	start := clock.Now()
 	a, err := g.follower.Call(&rpc.Note{Kind: rpc.Lend, Word: pool, Number: plate.LumpTries}, plate.LumpWait)
 	ok := err == nil && a.OK && a.Number > 0 && a.Number <= plate.LumpTries
 	if ok {
@@ -440,7 +440,7 @@
 	}
 	g.mu.Lock()
 	if !ok {
-		g.refusedAt[pool] = tick.Now()
+		g.refusedAt[pool] = clock.Now()
 	}
 	delete(g.asking, pool)
 	g.mu.Unlock()
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -10,6 +10,7 @@
 
 	"shaletrestle/coord/outlier"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
@@ -17,7 +18,6 @@
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/tick"
 )
 
 // inquiry is one try of a client on its way.
@@ -30,8 +30,8 @@
 	path     *routing.Path
 	pool     *routing.Pool
 	id       string
-	arrived  tick.Moment
-	deadline tick.Moment
+	arrived  clock.Moment
+	deadline clock.Moment
 	body     []byte
 	head     http.Header
 	ask      *placement.Ask
@@ -56,13 +56,13 @@
 	if g.letsGo() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: tick.Now(), lastID: -1}
+	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: clock.Now(), lastID: -1}
 	defer q.release()
 	if !g.ready.Load() {
 		select {
 		case <-g.isReady:
 			q.table = g.table.Load()
-		case <-tick.After(plate.UnreadyHold):
+		case <-clock.After(plate.UnreadyHold):
 			q.refuse(fault.Unready)
 			return
 		case <-r.Context().Done():
@@ -132,7 +132,7 @@
 	if n := max(q.r.ContentLength, 0); !q.hold(n) {
 		return false
 	}
-	_ = q.rc.SetReadDeadline(tick.Now().Add(plate.BodyWait))
+	_ = q.rc.SetReadDeadline(clock.Now().Add(plate.BodyWait))
 	var b bytes.Buffer
 	if q.held > 0 {
 		b.Grow(int(q.held) + bytes.MinRead)
@@ -153,7 +153,7 @@
 		}
 		return false
 	}
-	_ = q.rc.SetReadDeadline(tick.Moment{})
+	_ = q.rc.SetReadDeadline(clock.Moment{})
 	q.body = b.Bytes()
 	return true
 }
@@ -180,7 +180,7 @@
 	q.id = q.r.Header.Get(upstream.HeadID)
 	left := plate.DefaultBudget
 	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(upstream.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
-		left = min(tick.Millis(min(ms, 1e9)), 24*plate.DefaultBudget)
+		left = min(clock.Millis(min(ms, 1e9)), 24*plate.DefaultBudget)
 	}
 	q.deadline = q.arrived.Add(min(left, q.path.Timeout))
 	return true
@@ -257,7 +257,7 @@
 	}
 	quit := q.r.Context().Done()
 	for {
-		left := tick.Until(q.deadline)
+		left := clock.Until(q.deadline)
 		if left <= plate.BudgetReserve {
 			q.giveUp(fault.Late, "time ran out")
 			return
@@ -268,13 +268,13 @@
 		}
 		c, ok := q.g.yard.Place(q.ask)
 		if !ok {
-			if !q.mayRun && tick.Until(q.refuseAt()) <= 0 {
+			if !q.mayRun && clock.Until(q.refuseAt()) <= 0 {
 				q.refuse(fault.Crowded)
 				return
 			}
 			clear(q.ask.Not)
 			select {
-			case <-tick.After(plate.PlaceAgain):
+			case <-clock.After(plate.PlaceAgain):
 			case <-quit:
 				return
 			}
@@ -292,19 +292,19 @@
 }
 
 // letIn tells whether an inquiry is worth sending: not if the line before it alone is predicted to outlast what is left of its time. The length of its own prompt never counts against it.
-func letIn(c placement.Choice, left tick.Span) bool { return c.Expect-c.Alone < left }
+func letIn(c placement.Choice, left clock.Span) bool { return c.Expect-c.Alone < left }
 
 // refuseAt is when an inquiry that could be sent nowhere is refused.
-func (q *inquiry) refuseAt() tick.Moment {
-	return q.arrived.Add(tick.Span(float64(q.path.Aim) * plate.RefusePart))
+func (q *inquiry) refuseAt() clock.Moment {
+	return q.arrived.Add(clock.Span(float64(q.path.Aim) * plate.RefusePart))
 }
 
 // shoot sends to one replica; true means that another may be tried.
-func (q *inquiry) shoot(c placement.Choice, left tick.Span, quit <-chan struct{}) bool {
+func (q *inquiry) shoot(c placement.Choice, left clock.Span, quit <-chan struct{}) bool {
 	id := c.Replica.ID
 	end := &placement.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
 	defer q.g.yard.Done(end)
-	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))), !q.path.Repeatable())
+	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, clock.Until(q.refuseAt()))), !q.path.Repeatable())
 	if err != nil {
 		q.ask.Not[id] = true
 		if fault.KindOf(err) == fault.Broken {
@@ -326,7 +326,7 @@
 		ch.Back()
 		return true
 	}
-	left = tick.Until(q.deadline)
+	left = clock.Until(q.deadline)
 	h := q.head.Clone()
 	h.Set(upstream.HeadExpect, id)
 	h.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
@@ -336,7 +336,7 @@
 	if q.lastID >= 0 {
 		h.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
-	at := tick.Now()
+	at := clock.Now()
 	a, sent, err := ch.Send(&upstream.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == routing.Stream}, left)
 	if err != nil {
 		q.ended(c.Replica.ID, ch, outlier.Reset, true)
@@ -356,7 +356,7 @@
 }
 
 // urgency is the class that a replica is told: by the path's priority, behind all others if the prompt alone takes longer than the aim.
-func (q *inquiry) urgency(alone tick.Span) int {
+func (q *inquiry) urgency(alone clock.Span) int {
 	if q.long {
 		return plate.UrgencyLong
 	}
@@ -395,37 +395,37 @@
 	return false
 }
 
-func (q *inquiry) patience() tick.Span {
+func (q *inquiry) patience() clock.Span {
 	if !q.path.Repeatable() || q.sent >= q.path.Shots {
 		return 0
 	}
 	if q.began {
-		return tick.Span(float64(q.path.Gap) * plate.SilenceGaps)
+		return clock.Span(float64(q.path.Gap) * plate.SilenceGaps)
 	}
-	return tick.Span(float64(q.path.Aim) * plate.SilenceAims)
+	return clock.Span(float64(q.path.Aim) * plate.SilenceAims)
 }
 
 // listen takes an answer's parts; true means that another replica may be tried.
-func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *placement.End, at tick.Moment, c placement.Choice, quit <-chan struct{}) bool {
+func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *placement.End, at clock.Moment, c placement.Choice, quit <-chan struct{}) bool {
 	id := c.Replica.ID
 	var head upstream.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
 	heard := at
 	due, known := q.g.yard.Health().Due(id, c.Expect, q.path.Aim)
 	for {
-		wait := tick.Until(q.deadline)
+		wait := clock.Until(q.deadline)
 		if p := q.patience(); p > 0 {
-			wait = min(wait, p-tick.Since(heard))
+			wait = min(wait, p-clock.Since(heard))
 		}
-		watch := known && !end.First && !end.Overdue && due-tick.Since(at) < wait
+		watch := known && !end.First && !end.Overdue && due-clock.Since(at) < wait
 		if watch {
-			wait = due - tick.Since(at)
+			wait = due - clock.Since(at)
 		}
-		late := tick.NewTimer(max(0, wait))
+		late := clock.NewTimer(max(0, wait))
 		p, ok := a.Next(late.C, quit)
 		late.Stop()
 		if ok {
-			heard = tick.Now()
+			heard = clock.Now()
 		} else {
 			if q.r.Context().Err() != nil {
 				return false
@@ -438,7 +438,7 @@
 				continue
 			}
 			q.mayRun = true
-			if tick.Until(q.deadline) <= 0 {
+			if clock.Until(q.deadline) <= 0 {
 				q.giveUp(fault.Late, "time ran out")
 				return false
 			}
@@ -454,7 +454,7 @@
 			}
 			q.mayRun = true
 		case upstream.Event:
-			q.g.yard.Began(end, tick.Since(at), c.Expect)
+			q.g.yard.Began(end, clock.Since(at), c.Expect)
 			if !q.event(&p, head.Head, &joined) {
 				q.blame(id, outlier.Cut)
 				return q.again("events out of order")
@@ -463,7 +463,7 @@
 			head.Bytes = p.Bytes
 		case upstream.End:
 			if !head.NotRun() && head.Status < http.StatusInternalServerError {
-				q.g.yard.Began(end, tick.Since(at), c.Expect)
+				q.g.yard.Began(end, clock.Since(at), c.Expect)
 			}
 			return q.whole(&head, id)
 		case upstream.Fail:
@@ -533,7 +533,7 @@
 		passBack(q.w.Header(), h)
 		q.w.WriteHeader(http.StatusOK)
 	}
-	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(plate.WriteWait))
 	if _, err := q.w.Write(p.Bytes); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -588,6 +588,6 @@
 	passBack(q.w.Header(), p.Head)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(p.Bytes)))
 	q.w.WriteHeader(p.Status)
-	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(plate.WriteWait))
 	_, _ = q.w.Write(p.Bytes)
 }
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -18,11 +18,11 @@
 	"shaletrestle/coord/handoff"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // longWork drives the machines of package sledge: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
@@ -31,7 +31,7 @@
 	sc     *scope.Scope
 	self   string
 	lines  *rpc.Lines
-	start  tick.Moment
+	start  clock.Moment
 	late   atomic.Duration // how late this process's timers are
 	kick   chan struct{}
 	mu     sync.Mutex
@@ -55,12 +55,12 @@
 type neighbour struct {
 	room     int
 	locality string
-	at       tick.Moment
+	at       clock.Moment
 }
 
 type longLoad struct {
 	running, waiting, slots float64
-	at                      tick.Moment
+	at                      clock.Moment
 }
 
 type longQueue struct {
@@ -72,20 +72,20 @@
 func newLongWork(g *Gate) *longWork {
 	life := rand.Uint64() | 1
 	b := handoff.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
-	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: handoff.NewOwner(life, b), taker: handoff.NewTaker(life, b),
+	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: clock.Now(), owner: handoff.NewOwner(life, b), taker: handoff.NewTaker(life, b),
 		inbox: map[uint64]chan handoff.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
 		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
 	h.lines = rpc.NewLines(h.sc, g.net, g.handle)
 	return h
 }
 
-func (h *longWork) on() bool       { return h.g.env.Load().LongWork.Enabled }
-func (h *longWork) now() tick.Span { return tick.Since(h.start) }
+func (h *longWork) on() bool        { return h.g.env.Load().LongWork.Enabled }
+func (h *longWork) now() clock.Span { return clock.Since(h.start) }
 
 // run does what falls due; how late it is woken tells how crowded the processor is.
 func (h *longWork) run() {
 	var said longCounts
-	saidAt := tick.Now()
+	saidAt := clock.Now()
 	for {
 		span := plate.LongOff
 		switch {
@@ -94,13 +94,13 @@
 		case h.on():
 			span = plate.LongCalm
 		}
-		at, due := tick.Now(), tick.NewTimer(span)
+		at, due := clock.Now(), clock.NewTimer(span)
 		select {
 		case <-due.C:
-			h.late.Store(max(tick.Since(at)-span, tick.Span(float64(h.late.Load())*plate.LongFade)))
+			h.late.Store(max(clock.Since(at)-span, clock.Span(float64(h.late.Load())*plate.LongFade)))
 		case <-h.kick:
 			due.Stop()
-			h.late.Store(tick.Span(float64(h.late.Load()) * plate.LongFade))
+			h.late.Store(clock.Span(float64(h.late.Load()) * plate.LongFade))
 		case <-h.sc.Done():
 			due.Stop()
 			return
@@ -118,8 +118,8 @@
 		}
 		c := h.count
 		h.mu.Unlock()
-		if c != said && tick.Since(saidAt) >= plate.LongReport {
-			said, saidAt = c, tick.Now()
+		if c != said && clock.Since(saidAt) >= plate.LongReport {
+			said, saidAt = c, clock.Now()
 			h.sc.Log().Info("long work", "here", c.here, "offered", c.offered, "elsewhere", c.elsewhere, "taken", c.taken, "returned", c.returned, "lost", c.lost, "broken", c.broken, "refused", c.refused)
 		}
 	}
@@ -147,7 +147,7 @@
 
 // crowded tells whether this node should hand long work on.
 func (h *longWork) crowded() bool {
-	if h.late.Load() >= plate.LongLag || tick.Since(h.lacked.Load()) < plate.LongShort {
+	if h.late.Load() >= plate.LongLag || clock.Since(h.lacked.Load()) < plate.LongShort {
 		return true
 	}
 	used := int64(0)
@@ -181,7 +181,7 @@
 	if h.on() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.rooms[node] = neighbour{int(min(a.Span, plate.LongTakeMost)), a.From.Locality, tick.Now()}
+		h.rooms[node] = neighbour{int(min(a.Span, plate.LongTakeMost)), a.From.Locality, clock.Now()}
 	}
 }
 
@@ -193,7 +193,7 @@
 	best, most := "", 0
 	for n, x := range h.rooms {
 		switch {
-		case tick.Since(x.at) > plate.LongKnown:
+		case clock.Since(x.at) > plate.LongKnown:
 			delete(h.rooms, n)
 		case x.locality != e.Locality && !e.LongWork.OtherZones, path.Regions != nil && !path.Regions[e.Zones[x.locality]]:
 		case x.room > most || x.room == most && most > 0 && n < best:
@@ -296,7 +296,7 @@
 // short notes that a connection to a replica could not be had.
 func (h *longWork) short() {
 	if h.on() {
-		h.lacked.Store(tick.Now())
+		h.lacked.Store(clock.Now())
 	}
 }
 
@@ -314,7 +314,7 @@
 func (h *longWork) load(pool, id string, v [3]float64) {
 	if h.on() {
 		h.mu.Lock()
-		h.queue(pool).loads[id] = longLoad{v[0], v[1], v[2], tick.Now()}
+		h.queue(pool).loads[id] = longLoad{v[0], v[1], v[2], clock.Now()}
 		h.mu.Unlock()
 	}
 }
@@ -323,7 +323,7 @@
 func (x *longQueue) idle() bool {
 	running, waiting, slots := 0.0, 0.0, 0.0
 	for id, l := range x.loads {
-		if tick.Since(l.at) > plate.LongTold {
+		if clock.Since(l.at) > plate.LongTold {
 			delete(x.loads, id)
 			continue
 		}
@@ -350,13 +350,13 @@
 }
 
 // finish waits for what runs for others, at most d.
-func (h *longWork) finish(d tick.Span) {
-	end := tick.Now().Add(d)
-	for tick.Until(end) > 0 {
+func (h *longWork) finish(d clock.Span) {
+	end := clock.Now().Add(d)
+	for clock.Until(end) > 0 {
 		h.mu.Lock()
 		n := len(h.stops)
 		h.mu.Unlock()
-		if n == 0 || !tick.Rest(h.sc, plate.LongTick) {
+		if n == 0 || !clock.Rest(h.sc, plate.LongTick) {
 			return
 		}
 	}
@@ -368,9 +368,9 @@
 	defer h.mu.Unlock()
 	held, out, away := h.owner.Jobs()
 	kept, runs := h.taker.Jobs()
-	oldest := tick.Span(0)
+	oldest := clock.Span(0)
 	for q := range h.held {
-		oldest = max(oldest, tick.Since(q.arrived))
+		oldest = max(oldest, clock.Since(q.arrived))
 	}
 	qs := map[string]any{}
 	for n, x := range h.queues {
@@ -405,7 +405,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	x := h.queue(q.ask.Pool)
-	x.q.Prompt(h.now(), float64(tick.Since(q.arrived))/float64(q.path.Aim))
+	x.q.Prompt(h.now(), float64(clock.Since(q.arrived))/float64(q.path.Aim))
 	h.pump(x)
 }
 
@@ -415,7 +415,7 @@
 	h.mu.Lock()
 	h.held[q] = struct{}{}
 	h.mu.Unlock()
-	if !q.taken && tick.Until(q.refuseAt()) >= plate.LongAnswer && (q.g.env.Load().LongWork.Always || h.crowded()) {
+	if !q.taken && clock.Until(q.refuseAt()) >= plate.LongAnswer && (q.g.env.Load().LongWork.Always || h.crowded()) {
 		if n := h.neighbour(q.path); n != "" && q.away(n) {
 			return true
 		}
@@ -428,7 +428,7 @@
 	h := q.g.long
 	h.mu.Lock()
 	x := h.queue(q.ask.Pool)
-	until := h.now() + min(tick.Until(q.refuseAt()), tick.Until(q.deadline))
+	until := h.now() + min(clock.Until(q.refuseAt()), clock.Until(q.deadline))
 	n, now, ok := uint64(0), true, true
 	if q.sent > 0 {
 		x.q.Enter()
@@ -499,7 +499,7 @@
 // pack writes the inquiry as its taker is to send it.
 func (q *inquiry) pack() []byte {
 	hd := q.head.Clone()
-	hd.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (tick.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
+	hd.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (clock.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
 	if q.lastID >= 0 {
 		hd.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
@@ -524,7 +524,7 @@
 	}
 	in := make(chan handoff.Effect, plate.LongInbox)
 	h.mu.Lock()
-	job := h.owner.Take(h.now()+tick.Until(q.deadline)-plate.BudgetReserve, q.path.Repeatable(), q.path.Shots)
+	job := h.owner.Take(h.now()+clock.Until(q.deadline)-plate.BudgetReserve, q.path.Repeatable(), q.path.Shots)
 	h.inbox[job] = in
 	h.count.offered++
 	h.do(h.owner.Offer(h.now(), job, to, body))
@@ -676,9 +676,9 @@
 }
 
 // FlushError, SetReadDeadline and SetWriteDeadline are there for the response controller: pieces are sent at once.
-func (w *awayWriter) FlushError() error                  { return nil }
-func (w *awayWriter) SetReadDeadline(tick.Moment) error  { return nil }
-func (w *awayWriter) SetWriteDeadline(tick.Moment) error { return nil }
+func (w *awayWriter) FlushError() error                   { return nil }
+func (w *awayWriter) SetReadDeadline(clock.Moment) error  { return nil }
+func (w *awayWriter) SetWriteDeadline(clock.Moment) error { return nil }
 
 // runTaken runs a job for its owner, as an inquiry of our own.
 func (h *longWork) runTaken(ctx context.Context, f handoff.Effect) {
@@ -723,7 +723,7 @@
 	}
 	own := *path
 	own.Shots = min(own.Shots, f.Message.Shots)
-	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: tick.Now(), lastID: -1, taken: true}
+	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: clock.Now(), lastID: -1, taken: true}
 	for _, op := range q.path.Steps {
 		if !q.do(op) {
 			return
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -11,10 +11,10 @@
 
 	"shaletrestle/coord/handoff"
 	"shaletrestle/env"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 func longOf(e *env.Env) *longWork {
@@ -28,7 +28,7 @@
 		e := &env.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: env.LongWork{Enabled: true}}
 		h := longOf(e)
 		fill := func() {
-			h.rooms = map[string]neighbour{"near": {1, "a", tick.Now()}, "far": {3, "b", tick.Now()}, "full": {0, "a", tick.Now()}}
+			h.rooms = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
 		}
 		fill()
 		require.Equal(t, "near", h.neighbour(&routing.Path{}))
@@ -39,7 +39,7 @@
 		require.Equal(t, "near", h.neighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
 		require.Empty(t, h.neighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
 		fill()
-		<-tick.After(plate.LongKnown + 1)
+		<-clock.After(plate.LongKnown + 1)
 		require.Empty(t, h.neighbour(&routing.Path{}), "what is not heard of any more has no room")
 	})
 }
@@ -69,20 +69,20 @@
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			h := longOf(&env.Env{LongWork: env.LongWork{Enabled: true}})
-			h.g.long, h.start, h.queues, h.held = h, tick.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
 			x := h.queue("p")
-			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: tick.Now()}
+			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
 			for range int(plate.LongRoom) {
 				x.q.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: tick.Seconds(1)},
-				arrived: tick.Now(), deadline: tick.Now().Add(tick.Seconds(9)), taken: taken, long: true}
+			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
 			pumps.Go(func() {
 				for range 10 {
-					<-tick.After(plate.LongTick)
+					<-clock.After(plate.LongTick)
 					h.mu.Lock()
 					h.pump(x)
 					h.mu.Unlock()
@@ -91,10 +91,10 @@
 			require.False(t, q.enter())
 			require.Equal(t, http.StatusServiceUnavailable, w.Code)
 			require.NotEmpty(t, w.Header().Get("Retry-After"))
-			if took := tick.Since(q.arrived); taken {
+			if took := clock.Since(q.arrived); taken {
 				require.Zero(t, took)
 			} else {
-				require.Equal(t, tick.Seconds(plate.RefusePart), took)
+				require.Equal(t, clock.Seconds(plate.RefusePart), took)
 			}
 			runs, waiting, _ := x.q.Seen()
 			require.Equal(t, int(plate.LongRoom), runs)
--- a/tick/latch.go
+++ b/internal/clock/latch.go
@@ -1,4 +1,4 @@
-package tick
+package clock
 
 // Latch is a lock that may be held over waits: who waits for it waits on a channel, so simulated time goes on.
 type Latch chan struct{}
--- a/tick/tick.go
+++ b/internal/clock/tick.go
@@ -1,5 +1,5 @@
-// Package tick is the project's only door to time: the steady clock, timers and tickers.
-package tick
+// Package clock is the project's only door to time: the steady clock, timers and tickers.
+package clock
 
 import (
 	"time"
--- a/internal/discovery/roster.go
+++ b/internal/discovery/roster.go
@@ -9,10 +9,10 @@
 	"net/url"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 const pagesMost = 1000 // pages of one listing; more is an endless loop
@@ -24,7 +24,7 @@
 }
 
 // NewReader makes a reader; dial may be nil for the real network.
-func NewReader(addr string, dial func(addr string, d tick.Span) (net.Conn, error)) *Reader {
+func NewReader(addr string, dial func(addr string, d clock.Span) (net.Conn, error)) *Reader {
 	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
 	if dial != nil {
 		t.Dial = func(_, a string) (net.Conn, error) { return dial(a, plate.DialWait) }
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -10,10 +10,10 @@
 
 	"github.com/labstack/echo/v4"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/routing"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 type tapKey struct{}
@@ -123,7 +123,7 @@
 			if f.sc.Ended() || strings.Contains(err.Error(), net.ErrClosed.Error()) {
 				return
 			}
-			tick.Rest(f.sc, plate.AcceptPause)
+			clock.Rest(f.sc, plate.AcceptPause)
 			continue
 		}
 		f.hand(&tap{Conn: c})
@@ -154,7 +154,7 @@
 func (f *Front) Close() { f.Finish(0) }
 
 // Finish takes no more connections and waits for what is held, at most d.
-func (f *Front) Finish(d tick.Span) {
+func (f *Front) Finish(d clock.Span) {
 	_ = f.ln.Close()
 	f.mu.Lock()
 	all := append(append([]*server{}, f.old...), f.now)
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -6,9 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // pool is the replicas of one service and what is kept ready for choosing among them.
@@ -150,7 +150,7 @@
 }
 
 // addHomes adds the first homes that may be used, the best first.
-func (y *Yard) addHomes(s *bunch, p *pool, a *Ask, now tick.Moment) {
+func (y *Yard) addHomes(s *bunch, p *pool, a *Ask, now clock.Moment) {
 	var top [plate.Homes]ranked
 	n, head := 0, uint64(a.Chain.Head())
 	for _, b := range p.bucket(a.Chain.Head()) {
@@ -169,7 +169,7 @@
 func (y *Yard) cut(tokens int) int { return tokens / y.opts.Block * y.opts.Block }
 
 // sample draws one that may be used from a list; nil if none was found in some draws.
-func (y *Yard) sample(a *Ask, bs []*berth, now tick.Moment) *berth {
+func (y *Yard) sample(a *Ask, bs []*berth, now clock.Moment) *berth {
 	for range min(plate.SampleTries, 4*len(bs)) {
 		if b := bs[rand.IntN(len(bs))]; y.warm(a, b, now) {
 			return b
@@ -179,7 +179,7 @@
 }
 
 // scan looks through a whole list and draws one that may be used; it is needed only when hardly any may be.
-func (y *Yard) scan(a *Ask, bs []*berth, now tick.Moment) (pick *berth) {
+func (y *Yard) scan(a *Ask, bs []*berth, now clock.Moment) (pick *berth) {
 	n := 0
 	for _, b := range bs {
 		if y.warm(a, b, now) {
@@ -192,7 +192,7 @@
 }
 
 // coldest is the cold replica that may be sent to and was sent to longest ago, with its rate.
-func (y *Yard) coldest(a *Ask, p *pool, now tick.Moment) (cold *berth, rate float64) {
+func (y *Yard) coldest(a *Ask, p *pool, now clock.Moment) (cold *berth, rate float64) {
 	for _, b := range p.open {
 		if !y.fits(a, b, now) || !y.cold(b, now) || now.Before(b.coldNext) || cold != nil && !b.coldNext.Before(cold.coldNext) {
 			continue
@@ -205,12 +205,12 @@
 }
 
 // warm tells whether a replica may be used as one that is not cold.
-func (y *Yard) warm(a *Ask, b *berth, now tick.Moment) bool {
+func (y *Yard) warm(a *Ask, b *berth, now clock.Moment) bool {
 	return y.fits(a, b, now) && !y.cold(b, now)
 }
 
 // gather finds the candidates of a prompt: homes, those that the index names, and a few at random.
-func (y *Yard) gather(s *bunch, p *pool, a *Ask, now tick.Moment) {
+func (y *Yard) gather(s *bunch, p *pool, a *Ask, now clock.Moment) {
 	y.addHomes(s, p, a, now)
 	if len(p.open) <= len(s.at) { // so few that all are
 		for _, b := range p.open {
@@ -241,7 +241,7 @@
 }
 
 // engine weighs the candidates: the least cost wins, and of equal ones the first.
-func (y *Yard) engine(a *Ask, p *pool, now tick.Moment) (*berth, Choice) {
+func (y *Yard) engine(a *Ask, p *pool, now clock.Moment) (*berth, Choice) {
 	var s bunch
 	a.weight = y.opts.shared(a, y.prefill)
 	y.gather(&s, p, a, now)
@@ -251,7 +251,7 @@
 	return y.choose(s.at[:s.n], p, a, now)
 }
 
-func (y *Yard) choose(cs []candidate, p *pool, a *Ask, now tick.Moment) (*berth, Choice) {
+func (y *Yard) choose(cs []candidate, p *pool, a *Ask, now clock.Moment) (*berth, Choice) {
 	best := 0
 	y.index.Each(a.Chain, len(cs), func(i int) string { return cs[i].b.r.ID }, func(i, n int) { cs[i].matched = n })
 	for i := range cs {
@@ -273,13 +273,13 @@
 	if c.Spilled {
 		y.spills++
 	}
-	c.Alone = plate.FirstBase + tick.Seconds(float64(a.Chain.Tokens()-c.Matched)*pick.b.prefill)
-	c.Expect = tick.Seconds(pick.b.delay(now, y.prompt*pick.b.prefill)) + c.Alone
+	c.Alone = plate.FirstBase + clock.Seconds(float64(a.Chain.Tokens()-c.Matched)*pick.b.prefill)
+	c.Expect = clock.Seconds(pick.b.delay(now, y.prompt*pick.b.prefill)) + c.Alone
 	return pick.b, c
 }
 
 // cost is what a candidate costs, its credit taken off.
-func (y *Yard) cost(c *candidate, p *pool, a *Ask, now tick.Moment) float64 {
+func (y *Yard) cost(c *candidate, p *pool, a *Ask, now clock.Moment) float64 {
 	var l Load
 	y.weigh(&l, c.b, p, a, now)
 	credit := y.opts.credit(a.Chain, max(c.matched, c.expect), a.weight)
@@ -288,7 +288,7 @@
 }
 
 // plain takes the less busy of two random ones, the first of them from the own locality if it has any.
-func (y *Yard) plain(a *Ask, p *pool, now tick.Moment) *berth {
+func (y *Yard) plain(a *Ask, p *pool, now clock.Moment) *berth {
 	near := p.near[a.Locality]
 	first := y.sample(a, near, now)
 	if first == nil {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -3,9 +3,9 @@
 import (
 	"math"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Load is what the cost is reckoned from, in blocks.
@@ -88,7 +88,7 @@
 }
 
 // busyness is how many requests run at a replica: its own word, fading to the service's mean, and never less than this process has there.
-func (b *berth) busyness(p *pool, now tick.Moment) float64 {
+func (b *berth) busyness(p *pool, now clock.Moment) float64 {
 	n := p.mean * b.places()
 	if age := now.Sub(b.toldAt); b.slots > 0 && age < plate.ToldSpan {
 		n += (b.running - n) * (1 - float64(age)/float64(plate.ToldSpan))
@@ -104,7 +104,7 @@
 }
 
 // queued is how many wait there by its own word.
-func (b *berth) queued(now tick.Moment) float64 {
+func (b *berth) queued(now clock.Moment) float64 {
 	if age := now.Sub(b.toldAt); age < plate.ToldWait {
 		return b.waiting * (1 - float64(age)/float64(plate.ToldWait))
 	}
@@ -112,7 +112,7 @@
 }
 
 // late is the delay beyond the predicted that was seen there, fading.
-func (b *berth) late(now tick.Moment) float64 {
+func (b *berth) late(now clock.Moment) float64 {
 	if age := now.Sub(b.extraAt); age < plate.ExtraSpan {
 		return b.extra * math.Exp(-age.Seconds()*plate.ExtraFade)
 	}
@@ -120,7 +120,7 @@
 }
 
 // weigh fills a load but for its credit.
-func (y *Yard) weigh(l *Load, b *berth, p *pool, a *Ask, now tick.Moment) {
+func (y *Yard) weigh(l *Load, b *berth, p *pool, a *Ask, now clock.Moment) {
 	block := float64(y.opts.Block)
 	l.IncomingPrompt = y.opts.incoming(a.Chain, a.weight)
 	l.IncomingActive = math.Ceil(float64(a.Chain.Tokens()+a.OutMost) / block)
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"shaletrestle/coord/loadsum"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Waiting is what this process has sent to replicas that they have not read yet, to be told to the fleet.
@@ -27,7 +27,7 @@
 func (y *Yard) Hear(ps []loadsum.Pile) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	of := make(map[uint32]uint32, len(ps))
 	for _, p := range ps {
 		of[p.Key] = p.Tokens
@@ -39,7 +39,7 @@
 }
 
 // others is what other nodes have waiting at a replica beyond the usual, in tokens, fading.
-func (b *berth) others(now tick.Moment) float64 {
+func (b *berth) others(now clock.Moment) float64 {
 	age := now.Sub(b.fleetAt)
 	if age >= plate.DeckSpan {
 		return 0
--- a/internal/placement/waiting_test.go
+++ b/internal/placement/waiting_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/loadsum"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 func TestAPromptPassesByAReplicaWhereOthersWait(t *testing.T) {
@@ -29,13 +29,13 @@
 			y := there.b[home.Replica.ID]
 			y.tokens += float64(a.Chain.Tokens())
 		}
-		sum.Put(1, here.Waiting(), tick.Now())
-		sum.Put(2, there.Waiting(), tick.Now())
+		sum.Put(1, here.Waiting(), clock.Now())
+		sum.Put(2, there.Waiting(), clock.Now())
 		all := &loadsum.Services{Of: map[uint32]string{}, Size: map[string]int{"p": 9}}
 		for id := range here.b {
 			all.Of[loadsum.Key(id)] = "p"
 		}
-		here.Hear(loadsum.Decode(loadsum.Encode(loadsum.Excess(sum.Total(tick.Now()), all))))
+		here.Hear(loadsum.Decode(loadsum.Encode(loadsum.Excess(sum.Total(clock.Now()), all))))
 		next, ok := here.Place(short())
 		require.True(t, ok)
 		require.NotEqual(t, home.Replica.ID, next.Replica.ID)
@@ -55,13 +55,13 @@
 		ps := y.Waiting()
 		require.Equal(t, []loadsum.Pile{{Key: loadsum.Key("r3"), Tokens: 50000}}, ps)
 		y.Hear(ps)
-		require.Zero(t, b.others(tick.Now()), "they are this process's own")
+		require.Zero(t, b.others(clock.Now()), "they are this process's own")
 		y.Hear([]loadsum.Pile{{Key: loadsum.Key("r4"), Tokens: 70000}, {Key: loadsum.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
-		require.InDelta(t, 70000, y.b["r4"].others(tick.Now()), 1)
-		require.InDelta(t, 10000, b.others(tick.Now()), 1)
+		require.InDelta(t, 70000, y.b["r4"].others(clock.Now()), 1)
+		require.InDelta(t, 10000, b.others(clock.Now()), 1)
 		time.Sleep(plate.DeckSpan / 2)
-		require.InDelta(t, 35000, y.b["r4"].others(tick.Now()), 1)
+		require.InDelta(t, 35000, y.b["r4"].others(clock.Now()), 1)
 		y.Hear(nil)
-		require.Zero(t, y.b["r4"].others(tick.Now()))
+		require.Zero(t, y.b["r4"].others(clock.Now()))
 	})
 }
--- a/internal/placement/yard.go
+++ b/internal/placement/yard.go
@@ -8,10 +8,10 @@
 
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Ask is what is to be placed.
@@ -21,7 +21,7 @@
 	Chain    *prefixindex.Chain // nil for services without an engine
 	Capacity int                // tokens of memory of one replica
 	OutMost  int                // most tokens that may come out
-	Aim      tick.Span          // time within which the first token is wanted
+	Aim      clock.Span         // time within which the first token is wanted
 	Not      map[string]bool
 	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
@@ -34,8 +34,8 @@
 type Choice struct {
 	Replica *state.Replica
 	Matched int
-	Expect  tick.Span // predicted time to the first token
-	Alone   tick.Span // the same with nothing else there
+	Expect  clock.Span // predicted time to the first token
+	Alone   clock.Span // the same with nothing else there
 	Spilled bool
 	Warmer  bool
 	Cold    bool
@@ -51,17 +51,17 @@
 	running  float64
 	waiting  float64
 	slots    float64
-	toldAt   tick.Moment
+	toldAt   clock.Moment
 	prefill  float64 // seconds per prompt token, learned
 	extra    float64 // seconds of delay beyond the predicted, learned
-	extraAt  tick.Moment
+	extraAt  clock.Moment
 	wrong    bool    // another replica is at its address
 	key      uint32  // by which the fleet names it
 	said     uint32  // tokens that this process told the fleet of last
 	fleet    float64 // tokens of others that wait here beyond the usual, by the fleet's sum
-	fleetAt  tick.Moment
-	coldNext tick.Moment
-	coldTill tick.Moment // back from an evacuation: cold until the list has had time to say
+	fleetAt  clock.Moment
+	coldNext clock.Moment
+	coldTill clock.Moment // back from an evacuation: cold until the list has had time to say
 }
 
 // Yard knows the replicas and how busy they seem from here.
@@ -90,7 +90,7 @@
 func (y *Yard) Health() *outlier.Gauge { return y.health }
 
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
-func (y *Yard) Set(rs map[string]*state.Replica, evac map[string]bool, back tick.Span) {
+func (y *Yard) Set(rs map[string]*state.Replica, evac map[string]bool, back clock.Span) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	keeps := map[string]bool{}
@@ -103,7 +103,7 @@
 			y.b[id] = b
 		}
 		if y.evac[r.Locality] && !evac[r.Locality] {
-			b.coldTill = tick.Now().Add(back)
+			b.coldTill = clock.Now().Add(back)
 		}
 		if b.r != nil && b.r.Pool == r.Pool && !slices.Equal(b.r.Models, r.Models) {
 			y.index.Forget(id) // other weights: nothing of what it kept is of use
@@ -152,7 +152,7 @@
 	return
 }
 
-func (y *Yard) cold(b *berth, now tick.Moment) bool {
+func (y *Yard) cold(b *berth, now clock.Moment) bool {
 	return b.r.ColdMs > 0 || now.Before(b.coldTill)
 }
 
@@ -160,7 +160,7 @@
 func (y *Yard) Place(a *Ask) (c Choice, ok bool) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	p := y.pools[a.Pool]
 	if p == nil {
 		return c, false
@@ -176,7 +176,7 @@
 	}
 	if y.cold(b, now) {
 		c.Cold = true
-		b.coldNext = now.Add(tick.Seconds(1 / coldRate))
+		b.coldNext = now.Add(clock.Seconds(1 / coldRate))
 	}
 	c.Replica = b.r
 	y.health.Sent(b.r.ID)
@@ -193,7 +193,7 @@
 }
 
 // pick chooses a warm replica, or a cold one if no other may be used; nil if none may. coldRate is what may be sent to a cold one in a second.
-func (y *Yard) pick(a *Ask, p *pool, now tick.Moment) (b *berth, c Choice, coldRate float64) {
+func (y *Yard) pick(a *Ask, p *pool, now clock.Moment) (b *berth, c Choice, coldRate float64) {
 	if a.Chain != nil {
 		b, c = y.engine(a, p, now)
 	} else {
@@ -206,7 +206,7 @@
 }
 
 // fits tells whether a replica may take an inquiry now.
-func (y *Yard) fits(a *Ask, b *berth, now tick.Moment) bool {
+func (y *Yard) fits(a *Ask, b *berth, now clock.Moment) bool {
 	if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
 		return false
 	}
@@ -215,7 +215,7 @@
 }
 
 // delay is the predicted time before a new inquiry's own prompt is read.
-func (b *berth) delay(now tick.Moment, prompt float64) float64 {
+func (b *berth) delay(now clock.Moment, prompt float64) float64 {
 	d := (b.tokens + b.others(now)) * b.prefill
 	if age := now.Sub(b.extraAt).Seconds(); age < 2 {
 		d = max(d, b.extra*math.Exp(-age*2))
@@ -226,7 +226,7 @@
 	return d
 }
 
-func (b *berth) load(now tick.Moment) float64 {
+func (b *berth) load(now clock.Moment) float64 {
 	n := float64(b.inflight)
 	if b.slots > 0 {
 		if age := now.Sub(b.toldAt).Seconds(); age < 2 {
@@ -248,7 +248,7 @@
 }
 
 // Began notes that the first event came, took long after sending, while expect was predicted.
-func (y *Yard) Began(e *End, took, expect tick.Span) {
+func (y *Yard) Began(e *End, took, expect clock.Span) {
 	y.mu.Lock()
 	b := y.b[e.Replica]
 	if b == nil || e.First {
@@ -256,14 +256,14 @@
 		return
 	}
 	e.First = true
-	y.health.Good(e.Replica, took, expect, e.Overdue, tick.Now())
+	y.health.Good(e.Replica, took, expect, e.Overdue, clock.Now())
 	if e.Chain == nil {
 		y.mu.Unlock()
 		return
 	}
 	n := float64(e.Chain.Tokens() - e.Matched)
 	b.tokens = max(0, b.tokens-n)
-	b.extra, b.extraAt = max(0, (took-expect).Seconds()), tick.Now()
+	b.extra, b.extraAt = max(0, (took-expect).Seconds()), clock.Now()
 	quiet := b.inflight <= 1
 	if n >= plate.LearnTokens {
 		per := max(0, took.Seconds()-plate.FirstBase.Seconds()) / n
@@ -319,7 +319,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
-		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, tick.Now()
+		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, clock.Now()
 		if p := y.pools[b.r.Pool]; p != nil && slots > 0 {
 			p.mean += plate.HolderSlice * (running/slots - p.mean)
 			y.index.Room(id, running*p.hold)
@@ -332,7 +332,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[id]
-	return b != nil && b.waiting > 0 && tick.Since(b.toldAt) < plate.QueueSpan
+	return b != nil && b.waiting > 0 && clock.Since(b.toldAt) < plate.QueueSpan
 }
 
 // Wrong notes that another replica answers at this one's address.
@@ -372,7 +372,7 @@
 func (y *Yard) Stats() Stats {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	s := Stats{y.placed, y.spills, y.warmer, y.prefill * 1e6, map[string]BerthStat{}, y.health.Stats(now)}
 	for id, b := range y.b {
 		s.Berths[id] = BerthStat{b.r.Pool, b.r.Locality, b.r.State, b.inflight, y.cold(b, now), b.wrong}
--- a/internal/placement/yard_test.go
+++ b/internal/placement/yard_test.go
@@ -9,10 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 func fleet(n int) map[string]*state.Replica {
@@ -99,7 +99,7 @@
 			require.True(t, y.May("r3"))
 			require.False(t, y.May("r0") || y.May("r1") || y.May("r2"))
 		}
-		y.Health().Bad("r3", outlier.Silent, tick.Now())
+		y.Health().Bad("r3", outlier.Silent, clock.Now())
 		_, ok := y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.False(t, ok)
 		time.Sleep(plate.EjectFirst)
--- a/internal/replicamodel/kiln.go
+++ b/internal/replicamodel/kiln.go
@@ -5,18 +5,18 @@
 	"container/list"
 	"sort"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 // Spec is one replica's size and speed.
 type Spec struct {
-	Slots   int       // requests that run at once
-	Queue   int       // requests that may wait beyond them
-	Step    tick.Span // a batch step with one request in it
-	Each    tick.Span // what every further request adds to it
-	Prefill float64   // prompt tokens read a second
-	Chunk   int       // prompt tokens read at most between two tokens of the others
-	Memory  int       // tokens that running requests and kept parts share
+	Slots   int        // requests that run at once
+	Queue   int        // requests that may wait beyond them
+	Step    clock.Span // a batch step with one request in it
+	Each    clock.Span // what every further request adds to it
+	Prefill float64    // prompt tokens read a second
+	Chunk   int        // prompt tokens read at most between two tokens of the others
+	Memory  int        // tokens that running requests and kept parts share
 }
 
 // Part is one part of a prompt.
@@ -76,7 +76,7 @@
 	waiting []*job
 	running []*job
 	read    map[*job]int // prompt tokens read in the step under way
-	end     tick.Span    // of the step under way
+	end     clock.Span   // of the step under way
 	busy    bool
 	reads   int64 // prompt tokens read since the start
 }
@@ -87,7 +87,7 @@
 }
 
 // Offer takes a request at a moment; false if the replica is full or could never hold it.
-func (k *Kiln) Offer(now tick.Span, j Job) bool {
+func (k *Kiln) Offer(now clock.Span, j Job) bool {
 	if j.in()+j.Out > k.spec.Memory || len(k.running)+len(k.waiting) >= k.spec.Slots+k.spec.Queue {
 		return false
 	}
@@ -127,7 +127,7 @@
 }
 
 // Next is the end of the step under way; false if the replica is idle.
-func (k *Kiln) Next() (tick.Span, bool) { return k.end, k.busy }
+func (k *Kiln) Next() (clock.Span, bool) { return k.end, k.busy }
 
 // Step ends the step under way, begins the next and gives the tokens that came.
 func (k *Kiln) Step() []Token {
@@ -160,7 +160,7 @@
 }
 
 // begin lets in what fits and works out how long the next step takes.
-func (k *Kiln) begin(now tick.Span) {
+func (k *Kiln) begin(now clock.Span) {
 	for len(k.running) < k.spec.Slots && len(k.waiting) > 0 && k.admit(k.waiting[0]) {
 		k.waiting = k.waiting[1:]
 	}
@@ -180,9 +180,9 @@
 		room -= n
 		read += n
 	}
-	d := tick.Seconds(float64(read) / k.spec.Prefill)
+	d := clock.Seconds(float64(read) / k.spec.Prefill)
 	if decoding > 0 {
-		d += k.spec.Step + tick.Span(decoding-1)*k.spec.Each
+		d += k.spec.Step + clock.Span(decoding-1)*k.spec.Each
 	}
 	k.end = now + d
 }
--- a/internal/replicamodel/kiln_test.go
+++ b/internal/replicamodel/kiln_test.go
@@ -8,14 +8,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
 )
 
 var spec = Spec{Slots: 4, Queue: 4, Step: 10 * time.Millisecond, Each: time.Millisecond, Prefill: 10000, Chunk: 500, Memory: 4000}
 
 // drain steps until the replica is idle and gives when each request's first and last token came.
-func drain(k *Kiln) (first, last map[string]tick.Span) {
-	first, last = map[string]tick.Span{}, map[string]tick.Span{}
+func drain(k *Kiln) (first, last map[string]clock.Span) {
+	first, last = map[string]clock.Span{}, map[string]clock.Span{}
 	for {
 		at, ok := k.Next()
 		if !ok {
@@ -60,8 +60,8 @@
 	}
 	first, last := drain(k)
 	ms := time.Millisecond
-	require.Equal(t, map[string]tick.Span{"0": 10 * ms, "1": 22 * ms, "2": 22 * ms}, first) // the first one's step was under way
-	require.Equal(t, map[string]tick.Span{"0": 118 * ms, "1": 129 * ms, "2": 129 * ms}, last)
+	require.Equal(t, map[string]clock.Span{"0": 10 * ms, "1": 22 * ms, "2": 22 * ms}, first) // the first one's step was under way
+	require.Equal(t, map[string]clock.Span{"0": 118 * ms, "1": 129 * ms, "2": 129 * ms}, last)
 }
 
 func TestALongPromptDelaysTheTokensBesideIt(t *testing.T) {
@@ -135,7 +135,7 @@
 func TestMemoryIsNeverExceededAndEndsFree(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	k := New(spec)
-	now, open := tick.Span(0), map[string]bool{}
+	now, open := clock.Span(0), map[string]bool{}
 	for i := range 3000 {
 		ps := []Part{{uint64(r.IntN(6)), 300}, {uint64(r.IntN(20)), 200}, {uint64(1000 + i), 1 + r.IntN(600)}}
 		id := fmt.Sprint(i)
@@ -177,12 +177,12 @@
 	b, _ := d.Offer(0, 10)
 	c, ok := d.Offer(0, 10)
 	require.True(t, ok)
-	require.Equal(t, []tick.Span{30, 10, 20}, []tick.Span{a, b, c})
+	require.Equal(t, []clock.Span{30, 10, 20}, []clock.Span{a, b, c})
 	_, ok = d.Offer(5, 10)
 	require.False(t, ok)
 	require.Equal(t, Load{Active: 2, Queued: 1}, d.Load(5))
 	e, ok := d.Offer(10, 10)
 	require.True(t, ok)
-	require.Equal(t, tick.Span(30), e) // c runs until 20, a until 30
+	require.Equal(t, clock.Span(30), e) // c runs until 20, a until 30
 	require.Equal(t, 0, d.Outstanding(30))
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/config"
 	"shaletrestle/internal/config/setuppb"
-	"shaletrestle/tick"
 )
 
 // Kind says how often an inquiry may be run and how its answer comes.
@@ -48,9 +48,9 @@
 	Kind     Kind
 	Steps    []Op
 	Parts    []Part
-	Timeout  tick.Span
-	Aim      tick.Span
-	Gap      tick.Span
+	Timeout  clock.Span
+	Aim      clock.Span
+	Gap      clock.Span
 	Priority int
 	Shots    int
 	Sticky   bool
@@ -85,8 +85,8 @@
 type Limits struct {
 	Head     int
 	Body     int64
-	HeadWait tick.Span
-	IdleWait tick.Span
+	HeadWait clock.Span
+	IdleWait clock.Span
 }
 
 // Table is all of one setup epoch. It is never changed after it was made.
@@ -120,13 +120,13 @@
 		sort.SliceStable(ps, func(i, j int) bool { return len(ps[i].Prefix) > len(ps[j].Prefix) })
 	}
 	if l := d.Pb.Limits; l != nil {
-		t.Limits = Limits{int(l.MaxHeaderBytes), int64(l.MaxBodyBytes), tick.Millis(l.HeaderTimeoutMs), tick.Millis(l.IdleTimeoutMs)}
+		t.Limits = Limits{int(l.MaxHeaderBytes), int64(l.MaxBodyBytes), clock.Millis(l.HeaderTimeoutMs), clock.Millis(l.IdleTimeoutMs)}
 	}
 	return t
 }
 
 func compile(r *setuppb.Path) *Path {
-	p := &Path{Name: r.Name, Prefix: r.PathPrefix, Timeout: tick.Millis(r.TimeoutMs), Aim: tick.Millis(r.TargetLatencyMs), Gap: tick.Millis(r.TargetGapMs),
+	p := &Path{Name: r.Name, Prefix: r.PathPrefix, Timeout: clock.Millis(r.TimeoutMs), Aim: clock.Millis(r.TargetLatencyMs), Gap: clock.Millis(r.TargetGapMs),
 		Priority: int(r.Priority), Shots: max(1, int(r.MaxAttempts)), Sticky: r.SessionAffinity, Resume: r.StreamResume}
 	last := Whole
 	switch r.RouteType {
--- a/internal/upstream/channel.go
+++ b/internal/upstream/channel.go
@@ -16,8 +16,8 @@
 
 	"go.uber.org/atomic"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Wire names of the heads that matter here.
@@ -87,14 +87,14 @@
 	start   chan *job
 	dead    chan struct{}
 	killed  atomic.Bool
-	idle    tick.Moment
-	rested  tick.Span // how long it was idle before this use, 0 for a new one; set while the pool is held
-	expires tick.Moment
+	idle    clock.Moment
+	rested  clock.Span // how long it was idle before this use, 0 for a new one; set while the pool is held
+	expires clock.Moment
 	owner   string // who uses it now; guarded by the pool
 }
 
 func open(p *Pool, c net.Conn, owner string) *Channel {
-	ch := &Channel{pool: p, owner: owner, c: c, start: make(chan *job, 1), dead: make(chan struct{}), expires: tick.Now().Add(plate.KeepIdle)}
+	ch := &Channel{pool: p, owner: owner, c: c, start: make(chan *job, 1), dead: make(chan struct{}), expires: clock.Now().Add(plate.KeepIdle)}
 	go ch.read()
 	return ch
 }
@@ -136,7 +136,7 @@
 }
 
 // Next gives the next part. late fires when it has taken too long, quit when nobody wants it any more; ok is false then.
-func (a *Answer) Next(late <-chan tick.Moment, quit <-chan struct{}) (p Part, ok bool) {
+func (a *Answer) Next(late <-chan clock.Moment, quit <-chan struct{}) (p Part, ok bool) {
 	select {
 	case p = <-a.Parts:
 		return p, true
@@ -171,7 +171,7 @@
 }
 
 // Send writes a shot. sent is false only if not a single byte of it can have left.
-func (ch *Channel) Send(s *Shot, within tick.Span) (a *Answer, sent bool, err error) {
+func (ch *Channel) Send(s *Shot, within clock.Span) (a *Answer, sent bool, err error) {
 	q := &http.Request{Method: s.Method, URL: &url.URL{Scheme: "http", Opaque: s.Target}, Host: s.Host, Header: s.Head,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(s.Body))}
 	if len(s.Body) > 0 {
@@ -188,7 +188,7 @@
 	}
 	ch.start <- j
 	cw := &counter{w: ch.c}
-	_ = ch.c.SetWriteDeadline(tick.Now().Add(within))
+	_ = ch.c.SetWriteDeadline(clock.Now().Add(within))
 	w := bufio.NewWriterSize(cw, 4<<10)
 	if err = q.Write(w); err == nil {
 		err = w.Flush()
@@ -295,11 +295,11 @@
 	}
 	keep = keep && br.Buffered() == 0
 	if ch.rested > 0 {
-		ch.pool.keep.Kept(ch.rested, tick.Now())
+		ch.pool.keep.Kept(ch.rested, clock.Now())
 	}
 	if keep {
 		ch.job.Store(nil)
-		ch.idle, ch.expires = tick.Now(), tick.Now().Add(keepFor(r.Header))
+		ch.idle, ch.expires = clock.Now(), clock.Now().Add(keepFor(r.Header))
 		ch.pool.put(ch)
 	}
 	j.tell(Part{Kind: End})
@@ -307,11 +307,11 @@
 }
 
 // keepFor is how long an idle connection may be used again: a little less than its Keep-Alive says.
-func keepFor(h http.Header) tick.Span {
+func keepFor(h http.Header) clock.Span {
 	for _, x := range strings.Split(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(x), "timeout="); ok {
 			if n, err := strconv.Atoi(v); err == nil {
-				return max(0, tick.Seconds(float64(n))-plate.KeepMargin)
+				return max(0, clock.Seconds(float64(n))-plate.KeepMargin)
 			}
 		}
 	}
--- a/internal/upstream/keep.go
+++ b/internal/upstream/keep.go
@@ -3,21 +3,21 @@
 import (
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Keep is what this process knows of how long one service's replicas keep idle connections, beside what their answers say. A replica may forget one sooner, without a word.
 type Keep struct {
 	mu    sync.Mutex
-	limit tick.Span // idle time at the newest loss, less a margin; 0 if none was lost
-	at    tick.Moment
-	proof tick.Span // longest idle time of late after which a connection worked
-	shown tick.Moment
+	limit clock.Span // idle time at the newest loss, less a margin; 0 if none was lost
+	at    clock.Moment
+	proof clock.Span // longest idle time of late after which a connection worked
+	shown clock.Moment
 }
 
 // Kept notes that a connection worked after it was idle that long.
-func (k *Keep) Kept(idle tick.Span, now tick.Moment) {
+func (k *Keep) Kept(idle clock.Span, now clock.Moment) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if idle >= k.proof || now.Sub(k.shown) > plate.KeepProof {
@@ -26,25 +26,25 @@
 }
 
 // Forgot notes that a connection idle that long was reset when it was used again. It is false if others of the service worked lately after as long: then this one was not forgotten.
-func (k *Keep) Forgot(idle tick.Span, now tick.Moment) bool {
+func (k *Keep) Forgot(idle clock.Span, now clock.Moment) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if idle < k.proof && now.Sub(k.shown) <= plate.KeepProof {
 		return false
 	}
-	k.limit = max(plate.KeepLeast, min(k.most(now), tick.Span(float64(idle)*plate.KeepPart)))
+	k.limit = max(plate.KeepLeast, min(k.most(now), clock.Span(float64(idle)*plate.KeepPart)))
 	k.at = now
 	return true
 }
 
 // Most is how long a connection may have been idle to be used for what may be sent again. After a loss it grows back.
-func (k *Keep) Most(now tick.Moment) tick.Span {
+func (k *Keep) Most(now clock.Moment) clock.Span {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.most(now)
 }
 
-func (k *Keep) most(now tick.Moment) tick.Span {
+func (k *Keep) most(now clock.Moment) clock.Span {
 	if k.limit == 0 {
 		return plate.KeepLongest
 	}
@@ -53,7 +53,7 @@
 }
 
 // Sure is the same for what may not be sent again: half of it while a loss was seen lately.
-func (k *Keep) Sure(now tick.Moment) tick.Span {
+func (k *Keep) Sure(now clock.Moment) clock.Span {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.limit > 0 && now.Sub(k.at) < plate.KeepDoubt {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,20 +11,20 @@
 
 	"shaletrestle/coord/fairshare"
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Dialer opens connections to replicas.
 type Dialer interface {
-	DialReplica(addr string, d tick.Span) (net.Conn, error)
+	DialReplica(addr string, d clock.Span) (net.Conn, error)
 }
 
 // TCP is the real network: unacknowledged bytes and silent peers end a connection soon.
 type TCP struct{}
 
 // DialReplica connects.
-func (TCP) DialReplica(addr string, d tick.Span) (net.Conn, error) {
+func (TCP) DialReplica(addr string, d clock.Span) (net.Conn, error) {
 	x := net.Dialer{Timeout: d, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(plate.UnackedMost.Milliseconds()))
@@ -85,8 +85,8 @@
 }
 
 // Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten.
-func (p *Pool) Get(owner string, d tick.Span, wary bool) (*Channel, error) {
-	end := tick.Now().Add(d)
+func (p *Pool) Get(owner string, d clock.Span, wary bool) (*Channel, error) {
+	end := clock.Now().Add(d)
 	for {
 		p.mu.Lock()
 		if p.shut {
@@ -129,7 +129,7 @@
 		p.mu.Unlock()
 		select {
 		case <-w:
-		case <-tick.After(tick.Until(end)):
+		case <-clock.After(clock.Until(end)):
 			return nil, fault.New(fault.Crowded, "no connection is free")
 		}
 	}
@@ -137,7 +137,7 @@
 
 // idle takes the connection used last, if it may still be used; the caller holds the pool.
 func (p *Pool) idle(wary bool) *Channel {
-	now := tick.Now()
+	now := clock.Now()
 	for len(p.free) > 0 {
 		ch := p.free[len(p.free)-1]
 		idle := now.Sub(ch.idle)
@@ -156,8 +156,8 @@
 }
 
 // forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
-func (p *Pool) forgot(rested tick.Span) bool {
-	now := tick.Now()
+func (p *Pool) forgot(rested clock.Span) bool {
+	now := clock.Now()
 	if !p.keep.Forgot(rested, now) {
 		return false
 	}
@@ -176,8 +176,8 @@
 	return true
 }
 
-func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
-	c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
+func (p *Pool) dial(owner string, end clock.Moment) (*Channel, error) {
+	c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, clock.Until(end)))
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -238,7 +238,7 @@
 // Sweep closes connections whose idle time is over.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
-	now := tick.Now()
+	now := clock.Now()
 	var old []*Channel
 	for _, ch := range p.free {
 		if !now.Before(ch.expires) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // server answers over pipes and forgets connections that were idle for a while.
@@ -23,7 +23,7 @@
 	open   int
 }
 
-func (s *server) DialReplica(string, tick.Span) (net.Conn, error) {
+func (s *server) DialReplica(string, clock.Span) (net.Conn, error) {
 	a, b := net.Pipe()
 	s.mu.Lock()
 	s.open++
--- a/millyard/aim.go
+++ b/millyard/aim.go
@@ -1,9 +1,9 @@
 package millyard
 
 import (
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // atAim builds the size to come, measures it whole, and then how long it takes to come back from losses.
@@ -18,14 +18,14 @@
 	return whole(sc, z, hold, o, plate.YardWindow)
 }
 
-func whole(sc *scope.Scope, z size, hold func() (*cell, error), o Output, window tick.Span) (*Series, error) {
-	at := tick.Now()
+func whole(sc *scope.Scope, z size, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
+	at := clock.Now()
 	p, err := newPlant(sc, z, hold, window)
 	if err != nil {
 		return nil, err
 	}
 	defer p.close()
-	start := tick.Since(at)
+	start := clock.Since(at)
 	v, err := p.measure()
 	if err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 }
 
 // rebuild ends nodes and tallyhouses, starts them again and gives the time from their start until all nodes are ready. The disks are kept.
-func (p *plant) rebuild(gates []*daemon, houses []int) (tick.Span, error) {
+func (p *plant) rebuild(gates []*daemon, houses []int) (clock.Span, error) {
 	if err := p.tell(p.nodes, "stop", gates); err != nil {
 		return 0, err
 	}
@@ -86,10 +86,10 @@
 			return 0, err
 		}
 	}
-	if !tick.Rest(p.sc, p.window/2) {
+	if !clock.Rest(p.sc, p.window/2) {
 		return 0, errInterrupted
 	}
-	at := tick.Now()
+	at := clock.Now()
 	for _, i := range houses {
 		if err := p.write(p.houses[i], false); err != nil {
 			return 0, err
@@ -104,12 +104,12 @@
 	if err := p.awaitGates(gates); err != nil {
 		return 0, err
 	}
-	return tick.Since(at), nil
+	return clock.Since(at), nil
 }
 
 // primaryLost ends the primary's process and gives the time until an order is taken again.
-func (p *plant) primaryLost() (tick.Span, error) {
-	if !tick.Rest(p.sc, p.window/2) {
+func (p *plant) primaryLost() (clock.Span, error) {
+	if !clock.Rest(p.sc, p.window/2) {
 		return 0, errInterrupted
 	}
 	roles, err := p.settled()
@@ -120,8 +120,8 @@
 	if err := p.tell(p.house[i], "stop", []*daemon{p.houses[i]}); err != nil {
 		return 0, err
 	}
-	at := tick.Now()
+	at := clock.Now()
 	body := map[string]any{"upsert": map[string]any{"route_table": []any{p.s.route(0, 30000)}}}
-	_, err = p.operator.order(p.sc, "PATCH", body, tick.Seconds(p.x.Ready))
-	return tick.Since(at), err
+	_, err = p.operator.order(p.sc, "PATCH", body, clock.Seconds(p.x.Ready))
+	return clock.Since(at), err
 }
--- a/millyard/alone.go
+++ b/millyard/alone.go
@@ -6,12 +6,12 @@
 	"runtime"
 
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // What one part of a node holds and takes, measured by itself in this process.
@@ -126,7 +126,7 @@
 	_, cpu := taken(func() any {
 		for i := range aloneLooks {
 			c := chainOf(i%64, i)
-			a := &placement.Ask{Pool: "p", Locality: "0", Chain: c, Capacity: 729140, OutMost: 100, Aim: tick.Seconds(1), Not: map[string]bool{}}
+			a := &placement.Ask{Pool: "p", Locality: "0", Chain: c, Capacity: 729140, OutMost: 100, Aim: clock.Seconds(1), Not: map[string]bool{}}
 			ch, ok := y.Place(a)
 			if !ok {
 				bad++
--- a/millyard/cell.go
+++ b/millyard/cell.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sys/unix"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // A cell is a process that holds daemons of one role, so that their processor time and memory can be told apart from those of others. It is told what to do, and answers, in JSON lines.
@@ -45,7 +45,7 @@
 	Tasks   int              `json:"goroutines"`
 	In      map[string]int64 `json:"in"` // bytes, by daemon
 	Out     map[string]int64 `json:"out"`
-	at      tick.Moment
+	at      clock.Moment
 }
 
 func cpuNow() float64 {
@@ -97,7 +97,7 @@
 		switch w.Do {
 		case "start":
 			d := &daemon{name: s.Name, file: s.File, zone: s.Zone}
-			if err := d.start(sc, &wire{zone: s.Zone, zoneOf: func(ip string) string { return w.Zones[ip] }, delay: tick.Millis(w.DelayMs)}); err != nil {
+			if err := d.start(sc, &wire{zone: s.Zone, zoneOf: func(ip string) string { return w.Zones[ip] }, delay: clock.Millis(w.DelayMs)}); err != nil {
 				return err
 			}
 			ds[s.Name] = d
@@ -181,7 +181,7 @@
 	if a.Err != "" {
 		return a, fault.New(fault.Internal, "cell: %s", a.Err)
 	}
-	a.at = tick.Now()
+	a.at = clock.Now()
 	return a, nil
 }
 
--- a/millyard/engine.go
+++ b/millyard/engine.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/replicamodel"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // engine runs the model of a replica in real time.
@@ -13,15 +13,15 @@
 	sc   *scope.Scope
 	mu   sync.Mutex
 	k    *replicamodel.Kiln
-	born tick.Moment
+	born clock.Moment
 	wake chan struct{}
 	to   map[string]chan replicamodel.Token
 }
 
 func newEngine(sc *scope.Scope, s *Service, slower float64) *engine {
 	e := s.Engine
-	step := func(ms float64) tick.Span { return tick.Millis(ms * slower) }
-	g := &engine{sc: sc, born: tick.Now(), wake: make(chan struct{}, 1), to: map[string]chan replicamodel.Token{},
+	step := func(ms float64) clock.Span { return clock.Millis(ms * slower) }
+	g := &engine{sc: sc, born: clock.Now(), wake: make(chan struct{}, 1), to: map[string]chan replicamodel.Token{},
 		k: replicamodel.New(replicamodel.Spec{Slots: s.Slots, Queue: s.Queue, Step: step(e.StepMs), Each: step(e.EachMs), Prefill: e.Prefill / slower, Chunk: e.Chunk, Memory: e.Memory})}
 	go g.run()
 	return g
@@ -40,7 +40,7 @@
 				return
 			}
 		}
-		if !tick.Rest(g.sc, tick.Until(g.born.Add(at))) {
+		if !clock.Rest(g.sc, clock.Until(g.born.Add(at))) {
 			return
 		}
 		g.mu.Lock()
@@ -57,7 +57,7 @@
 func (g *engine) offer(j replicamodel.Job) (<-chan replicamodel.Token, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.k.Offer(tick.Since(g.born), j) {
+	if !g.k.Offer(clock.Since(g.born), j) {
 		return nil, false
 	}
 	c := make(chan replicamodel.Token, j.Out+1)
--- a/millyard/experiment.go
+++ b/millyard/experiment.go
@@ -12,8 +12,8 @@
 	"gopkg.in/yaml.v3"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Experiment is one experiment file.
@@ -168,7 +168,7 @@
 	}
 }
 
-func millis(d tick.Span) float64 { return float64(d) / 1e6 }
+func millis(d clock.Span) float64 { return float64(d) / 1e6 }
 
 // check refuses what can't be and puts defaults in place of what is not said.
 func (x *Experiment) check() error {
--- a/millyard/load.go
+++ b/millyard/load.go
@@ -12,10 +12,10 @@
 	"strings"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Outcomes of a request.
@@ -45,7 +45,7 @@
 	gates []string // front addresses
 	held  *http.Client
 	fresh *http.Client
-	start tick.Moment
+	start clock.Moment
 	out   func(Result)
 }
 
@@ -54,7 +54,7 @@
 		return &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{DisableKeepAlives: !keep, DisableCompression: true, MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: plate.YardDial}).DialContext}}
 	}
-	return &load{sc: sc, x: x, j: j, gates: gates, held: t(true), fresh: t(false), start: tick.Now(), out: out}
+	return &load{sc: sc, x: x, j: j, gates: gates, held: t(true), fresh: t(false), start: clock.Now(), out: out}
 }
 
 // run sends all requests and waits for their ends, or for the scope's.
@@ -78,7 +78,7 @@
 	}
 	at := l.start
 	for n := range k.total(l.x.Duration) {
-		at = at.Add(tick.Seconds(r.ExpFloat64() / k.PerS))
+		at = at.Add(clock.Seconds(r.ExpFloat64() / k.PerS))
 		which := 0
 		switch {
 		case zipf != nil:
@@ -87,7 +87,7 @@
 			which = r.IntN(k.Prefixes)
 		}
 		gate := r.IntN(len(l.gates))
-		if !tick.Rest(l.sc, tick.Until(at)) {
+		if !clock.Rest(l.sc, clock.Until(at)) {
 			return
 		}
 		open.Add(1)
@@ -107,25 +107,25 @@
 	name   string
 	body   string
 	prefix string
-	first  tick.Moment
-	end    tick.Moment
+	first  clock.Moment
+	end    clock.Moment
 	got    int // events of a stream
-	began  tick.Moment
-	newest tick.Moment
-	gap    tick.Span
+	began  clock.Moment
+	newest clock.Moment
+	gap    clock.Span
 }
 
 // verdict is what came of one try.
 type verdict struct {
 	status int
-	again  bool      // the client may try again
-	wait   tick.Span // when
+	again  bool       // the client may try again
+	wait   clock.Span // when
 	why    string
 }
 
 func (l *load) one(k *Kind, n, which, gate int) Result {
-	now := tick.Now()
-	q := &request{l: l, k: k, name: fmt.Sprintf("%s.%d", k.Name, n), first: now, end: now.Add(tick.Millis(k.TimeoutMs))}
+	now := clock.Now()
+	q := &request{l: l, k: k, name: fmt.Sprintf("%s.%d", k.Name, n), first: now, end: now.Add(clock.Millis(k.TimeoutMs))}
 	q.body = "body of " + q.name + strings.Repeat(".", k.Bytes)
 	if k.Prefixes > 0 {
 		q.prefix = fmt.Sprintf("%x:%d,%x:%d", 0xa000+which, k.In/2, 0xf0000000+uint64(which)<<32+uint64(n), k.In-k.In/2)
@@ -142,11 +142,11 @@
 		if res.Outcome = Failed; promise(v.status) {
 			res.Outcome = Refused
 		}
-		if !v.again || tick.Until(q.end) <= v.wait || !tick.Rest(l.sc, v.wait) {
+		if !v.again || clock.Until(q.end) <= v.wait || !clock.Rest(l.sc, v.wait) {
 			break
 		}
 	}
-	took := tick.Since(q.first)
+	took := clock.Since(q.first)
 	if !q.began.IsZero() {
 		took = q.began.Sub(q.first)
 		res.GapMs = millis(q.gap)
@@ -167,7 +167,7 @@
 	id := fmt.Sprintf("%s.%d", q.name, nth)
 	path := "/" + k.Name + "/" + q.name
 	l.j.sends(id, !repeatable, http.MethodPost+" "+path+" "+q.body)
-	sc := l.sc.Within(tick.Until(q.end))
+	sc := l.sc.Within(clock.Until(q.end))
 	defer sc.Stop()
 	r, err := http.NewRequestWithContext(sc.Context(), http.MethodPost, "http://"+gate+path, io.NopCloser(strings.NewReader(q.body))) // no second read of it: the transport repeats nothing
 	if err != nil {
@@ -176,7 +176,7 @@
 	r.ContentLength = int64(len(q.body))
 	r.Host = yardHost
 	r.Header.Set(upstream.HeadID, id)
-	r.Header.Set(upstream.HeadBudget, strconv.FormatInt(max(1, tick.Until(q.end).Milliseconds()), 10))
+	r.Header.Set(upstream.HeadBudget, strconv.FormatInt(max(1, clock.Until(q.end).Milliseconds()), 10))
 	if q.prefix != "" {
 		r.Header.Set("Prompt-Prefix", q.prefix)
 	}
@@ -218,7 +218,7 @@
 		l.j.refused(id)
 		wait := plate.YardLook
 		if s, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil {
-			wait = min(tick.Seconds(s), tick.Until(q.end)/3)
+			wait = min(clock.Seconds(s), clock.Until(q.end)/3)
 		}
 		return verdict{status: a.StatusCode, again: true, wait: wait, why: a.Status}
 	}
@@ -253,7 +253,7 @@
 			q.l.j.mu.Unlock()
 			return fmt.Errorf("event out of order")
 		}
-		now := tick.Now()
+		now := clock.Now()
 		if q.got++; q.began.IsZero() {
 			q.began = now
 		} else {
--- a/millyard/operator.go
+++ b/millyard/operator.go
@@ -8,9 +8,9 @@
 	"strconv"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 const yardHost = "yard.example"
@@ -27,7 +27,7 @@
 }
 
 // order sends one change on top of the newest one, until it is taken; it gives the time that the call which was answered took.
-func (o *operator) order(sc *scope.Scope, method string, body map[string]any, within tick.Span) (tick.Span, error) {
+func (o *operator) order(sc *scope.Scope, method string, body map[string]any, within clock.Span) (clock.Span, error) {
 	next := o.revision + 1
 	body["revision"] = next
 	b, err := json.Marshal(body)
@@ -35,28 +35,28 @@
 		return 0, fault.Wrap(fault.Internal, err, "order")
 	}
 	last := "no answer"
-	for i, end := 0, tick.Now().Add(within); tick.Now().Before(end); i++ {
+	for i, end := 0, clock.Now().Add(within); clock.Now().Before(end); i++ {
 		q, err := http.NewRequestWithContext(sc.Context(), method, "http://"+o.at[i%len(o.at)]+"/v1/config", bytes.NewReader(b))
 		if err != nil {
 			return 0, fault.Wrap(fault.Internal, err, "order")
 		}
 		q.Header.Set("If-Match", strconv.FormatInt(o.revision, 10))
 		q.Header.Set("Content-Type", "application/json")
-		at := tick.Now()
+		at := clock.Now()
 		a, err := o.c.Do(q)
 		if err == nil {
 			text, _ := io.ReadAll(a.Body)
 			_ = a.Body.Close()
 			if a.StatusCode/100 == 2 {
 				o.revision = next
-				return tick.Since(at), nil
+				return clock.Since(at), nil
 			}
 			last = a.Status + " " + string(text)
 			if a.StatusCode/100 == 4 {
 				break
 			}
 		}
-		if !tick.Rest(sc, plate.YardLook) {
+		if !clock.Rest(sc, plate.YardLook) {
 			return 0, errInterrupted
 		}
 	}
--- a/millyard/plant.go
+++ b/millyard/plant.go
@@ -12,10 +12,10 @@
 	"sync"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // size is what a plant is built to, and what a slope grows.
@@ -41,7 +41,7 @@
 	house  []*cell
 	mu     sync.Mutex
 	list   []*state.Replica
-	window tick.Span // of measuring; half of it is left alone before
+	window clock.Span // of measuring; half of it is left alone before
 }
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
@@ -57,7 +57,7 @@
 	return
 }
 
-func newPlant(sc *scope.Scope, s size, hold func() (*cell, error), window tick.Span) (*plant, error) {
+func newPlant(sc *scope.Scope, s size, hold func() (*cell, error), window clock.Span) (*plant, error) {
 	x := &Experiment{Name: "plant", Duration: plate.YardDuration, Ready: 4 * plate.YardReadyWait.Seconds(),
 		Fleet: FleetSpec{Tallyhouses: s.Houses, Gatehouses: s.Nodes, MachineLosses: min(1, s.Houses/3)}, Platform: ListSpec{Page: 200}}
 	for i := range max(s.Houses, s.Zones) {
@@ -128,7 +128,7 @@
 			return err
 		}
 	}
-	if _, err := p.operator.order(p.sc, "PUT", p.s.setup(), tick.Seconds(p.x.Ready)); err != nil {
+	if _, err := p.operator.order(p.sc, "PUT", p.s.setup(), clock.Seconds(p.x.Ready)); err != nil {
 		return err
 	}
 	if err := p.tell(p.nodes, "start", p.gates); err != nil {
@@ -222,7 +222,7 @@
 
 // settled waits until there is a primary and tells who is what.
 func (p *plant) settled() (roles map[string]int, err error) {
-	err = await(p.sc, tick.Seconds(p.x.Ready), "there was no primary", func() bool {
+	err = await(p.sc, clock.Seconds(p.x.Ready), "there was no primary", func() bool {
 		r, _, err := p.roles()
 		roles = r
 		return err == nil
@@ -231,17 +231,17 @@
 }
 
 // force makes one change and gives the time until every connected node has it in force.
-func (p *plant) force(n int) (tick.Span, error) {
-	at := tick.Now()
+func (p *plant) force(n int) (clock.Span, error) {
+	at := clock.Now()
 	body := map[string]any{"upsert": map[string]any{"route_table": []any{p.s.route(n%p.s.Routes, 10001+n)}}}
-	if _, err := p.operator.order(p.sc, "PATCH", body, tick.Seconds(p.x.Ready)); err != nil {
+	if _, err := p.operator.order(p.sc, "PATCH", body, clock.Seconds(p.x.Ready)); err != nil {
 		return 0, err
 	}
-	err := await(p.sc, tick.Seconds(p.x.Ready), "a change was not in force", func() bool {
+	err := await(p.sc, clock.Seconds(p.x.Ready), "a change was not in force", func() bool {
 		_, t, err := p.roles()
 		return err == nil && t.News.Acked == t.News.Number
 	})
-	return tick.Since(at), err
+	return clock.Since(at), err
 }
 
 // values is what one point of a series measured, by name.
@@ -249,7 +249,7 @@
 
 // measure looks at the plant for a while: first quiet, with the changes and the churn of its size, then with a few changes one after the other whose way is timed.
 func (p *plant) measure() (values, error) {
-	if !tick.Rest(p.sc, p.window/2) {
+	if !clock.Rest(p.sc, p.window/2) {
 		return nil, errInterrupted
 	}
 	roles, err := p.settled()
@@ -267,10 +267,10 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			tick.Every(busy, tick.Seconds(60/p.s.Changes), func() bool {
+			clock.Every(busy, clock.Seconds(60/p.s.Changes), func() bool {
 				changed++
 				body := map[string]any{"upsert": map[string]any{"route_table": []any{p.s.route(changed%p.s.Routes, 20000+changed)}}}
-				_, _ = p.operator.order(p.sc, "PATCH", body, tick.Seconds(p.x.Ready)) // one that was begun is seen through
+				_, _ = p.operator.order(p.sc, "PATCH", body, clock.Seconds(p.x.Ready)) // one that was begun is seen through
 				return true
 			})
 		}()
@@ -279,10 +279,10 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			tick.Every(busy, tick.Seconds(60/p.s.Churn), func() bool { p.flip(); return true })
+			clock.Every(busy, clock.Seconds(60/p.s.Churn), func() bool { p.flip(); return true })
 		}()
 	}
-	rested := tick.Rest(p.sc, p.window)
+	rested := clock.Rest(p.sc, p.window)
 	busy.Stop()
 	wg.Wait()
 	if !rested {
--- a/millyard/platform.go
+++ b/millyard/platform.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // platform is the stand-in for the platform's list: it runs behind, comes in pages and takes so many calls a second.
@@ -21,20 +21,20 @@
 	now   func() []*state.Replica
 	mu    sync.Mutex
 	past  []snapshot
-	calls []tick.Moment
+	calls []clock.Moment
 	asked int
 	over  int
 }
 
 type snapshot struct {
-	at  tick.Moment
+	at  clock.Moment
 	all []*state.Replica
 }
 
 func newPlatform(sc *scope.Scope, s ListSpec, now func() []*state.Replica) *platform {
 	p := &platform{sc: sc, spec: s, now: now}
 	p.look()
-	go tick.Every(sc, max(plate.YardLook, tick.Millis(s.LagMs)/4), func() bool { p.look(); return true })
+	go clock.Every(sc, max(plate.YardLook, clock.Millis(s.LagMs)/4), func() bool { p.look(); return true })
 	return p
 }
 
@@ -43,8 +43,8 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.past = append(p.past, snapshot{tick.Now(), all})
-	for len(p.past) > 1 && tick.Since(p.past[1].at) >= tick.Millis(p.spec.LagMs) {
+	p.past = append(p.past, snapshot{clock.Now(), all})
+	for len(p.past) > 1 && clock.Since(p.past[1].at) >= clock.Millis(p.spec.LagMs) {
 		p.past = p.past[1:]
 	}
 }
@@ -53,8 +53,8 @@
 func (p *platform) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	p.mu.Lock()
 	p.asked++
-	now := tick.Now()
-	for len(p.calls) > 0 && now.Sub(p.calls[0]) > tick.Seconds(1) {
+	now := clock.Now()
+	for len(p.calls) > 0 && now.Sub(p.calls[0]) > clock.Seconds(1) {
 		p.calls = p.calls[1:]
 	}
 	if float64(len(p.calls)) >= p.spec.Rate {
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/replicamodel"
 	"shaletrestle/internal/state"
@@ -16,7 +17,6 @@
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 const healthPath = "/health"
@@ -35,17 +35,17 @@
 	life  int
 	how   string
 	state string
-	since tick.Moment // of the state
-	up    tick.Moment // it answers from then on
-	cold  tick.Moment
+	since clock.Moment // of the state
+	up    clock.Moment // it answers from then on
+	cold  clock.Moment
 	eng   *engine
 	desk  *replicamodel.Desk
-	born  tick.Moment
+	born  clock.Moment
 	srv   *http.Server
 	conns int
 	heads int // requests taken, for what fails in part
 	told  replicamodel.Load
-	toldA tick.Moment
+	toldA clock.Moment
 }
 
 func newReplica(sc *scope.Scope, j *judge, s *Service, name, at, zone string) *Replica {
@@ -60,12 +60,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	r.life++
 	r.how, r.state, r.since, r.born = "", "ready", now, now
-	r.up = now.Add(tick.Seconds(r.s.StartS))
+	r.up = now.Add(clock.Seconds(r.s.StartS))
 	if !first {
-		r.cold = now.Add(tick.Seconds(r.s.WarmupS))
+		r.cold = now.Add(clock.Seconds(r.s.WarmupS))
 	}
 	r.fresh(1)
 	r.conns = 0
@@ -114,7 +114,7 @@
 func (r *Replica) stop() {
 	r.mu.Lock()
 	srv := r.srv
-	r.srv, r.state, r.since = nil, "gone", tick.Now()
+	r.srv, r.state, r.since = nil, "gone", clock.Now()
 	r.mu.Unlock()
 	if srv != nil {
 		_ = srv.Close()
@@ -127,10 +127,10 @@
 func (r *Replica) entry() *state.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == "gone" && (r.life == 0 || tick.Since(r.since) > plate.YardCrashSeen) {
+	if r.state == "gone" && (r.life == 0 || clock.Since(r.since) > plate.YardCrashSeen) {
 		return nil
 	}
-	x := &state.Replica{ID: r.id(), Pool: r.s.Name, Addr: r.at, Locality: r.zone, Software: "v1", Slots: r.s.Slots, State: "ready", ColdMs: max(0, millis(tick.Until(r.cold)))}
+	x := &state.Replica{ID: r.id(), Pool: r.s.Name, Addr: r.at, Locality: r.zone, Software: "v1", Slots: r.s.Slots, State: "ready", ColdMs: max(0, millis(clock.Until(r.cold)))}
 	if r.state == "draining" {
 		x.State = r.state
 	}
@@ -147,47 +147,47 @@
 		r.how = how
 		r.mu.Unlock()
 	}
-	span := tick.Seconds(t.ForS)
+	span := clock.Seconds(t.ForS)
 	switch t.How {
 	case Crash:
 		r.stop()
-		if tick.Rest(r.sc, span) {
+		if clock.Rest(r.sc, span) {
 			_ = r.start(false)
 		}
 	case Flap:
-		for end := tick.Now().Add(span); tick.Now().Before(end); {
+		for end := clock.Now().Add(span); clock.Now().Before(end); {
 			r.stop()
-			if !tick.Rest(r.sc, plate.YardFlap) || r.start(false) != nil || !tick.Rest(r.sc, plate.YardFlap) {
+			if !clock.Rest(r.sc, plate.YardFlap) || r.start(false) != nil || !clock.Rest(r.sc, plate.YardFlap) {
 				return
 			}
 		}
 	case Drain:
 		r.mu.Lock()
-		r.state, r.since = "draining", tick.Now()
+		r.state, r.since = "draining", clock.Now()
 		r.mu.Unlock()
-		if tick.Rest(r.sc, plate.YardDrain+plate.YardLag+plate.YardDrain/2) {
+		if clock.Rest(r.sc, plate.YardDrain+plate.YardLag+plate.YardDrain/2) {
 			r.stop()
 		}
-		if tick.Rest(r.sc, span) {
+		if clock.Rest(r.sc, span) {
 			_ = r.start(false)
 		}
 	case Cold:
 		r.mu.Lock()
-		r.cold = tick.Now().Add(span)
+		r.cold = clock.Now().Add(span)
 		r.mu.Unlock()
 	case Lying:
 		r.mu.Lock()
 		r.how = Lying
 		r.fresh(plate.YardSlow)
 		r.mu.Unlock()
-		tick.Rest(r.sc, span)
+		clock.Rest(r.sc, span)
 		r.mu.Lock()
 		r.how = ""
 		r.fresh(1)
 		r.mu.Unlock()
 	default:
 		set(t.How)
-		tick.Rest(r.sc, span)
+		clock.Rest(r.sc, span)
 		set("")
 	}
 }
@@ -199,13 +199,13 @@
 	if r.eng != nil {
 		return r.eng.load()
 	}
-	return r.desk.Load(tick.Since(r.born))
+	return r.desk.Load(clock.Since(r.born))
 }
 
 // ServeHTTP is the replica's side of the protocol.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	r.mu.Lock()
-	id, how, eng, desk, up := r.id(), r.how, r.eng, r.desk, !tick.Now().Before(r.up)
+	id, how, eng, desk, up := r.id(), r.how, r.eng, r.desk, !clock.Now().Before(r.up)
 	l := r.load()
 	draining := r.state != "ready"
 	r.mu.Unlock()
@@ -260,12 +260,12 @@
 		r.generate(w, q, eng, attempt, seal)
 		return
 	}
-	work := tick.Millis(r.s.WorkMs)
+	work := clock.Millis(r.s.WorkMs)
 	if how == Lying {
 		work *= plate.YardSlow
 	}
 	r.mu.Lock()
-	end, ok := desk.Offer(tick.Since(r.born), work)
+	end, ok := desk.Offer(clock.Since(r.born), work)
 	born := r.born
 	r.mu.Unlock()
 	if !ok {
@@ -273,7 +273,7 @@
 		return
 	}
 	r.j.runs(attempt, seal)
-	if !rest(q, tick.Until(born.Add(end))) {
+	if !rest(q, clock.Until(born.Add(end))) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Replica-Seal", seal)
@@ -286,8 +286,8 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func rest(q *http.Request, d tick.Span) bool {
-	t := tick.NewTimer(d)
+func rest(q *http.Request, d clock.Span) bool {
+	t := clock.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -314,10 +314,10 @@
 		parts = append(parts, replicamodel.Part{ID: p.ID, Tokens: p.Tokens})
 	}
 	if len(parts) == 0 {
-		parts = []replicamodel.Part{{ID: uint64(tick.Now().UnixNano()), Tokens: in}}
+		parts = []replicamodel.Part{{ID: uint64(clock.Now().UnixNano()), Tokens: in}}
 	}
 	if from > 0 { // what came already is read like a part of the prompt
-		parts = append(parts, replicamodel.Part{ID: uint64(tick.Now().UnixNano()), Tokens: from})
+		parts = append(parts, replicamodel.Part{ID: uint64(clock.Now().UnixNano()), Tokens: from})
 	}
 	c, ok := eng.offer(replicamodel.Job{ID: attempt, Parts: parts, Out: max(1, out-from), Urgency: urgency})
 	if !ok {
@@ -364,8 +364,8 @@
 // report answers as things stood a little ago.
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
-	if tick.Since(r.toldA) >= plate.YardReportLag {
-		r.told, r.toldA = r.load(), tick.Now()
+	if clock.Since(r.toldA) >= plate.YardReportLag {
+		r.told, r.toldA = r.load(), clock.Now()
 	}
 	l, total := r.told, 0
 	models := []map[string]any{}
--- a/millyard/report.go
+++ b/millyard/report.go
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // Row sums up one kind of request.
@@ -55,7 +55,7 @@
 type report struct {
 	mu      sync.Mutex
 	lines   io.Writer
-	start   tick.Moment
+	start   clock.Moment
 	rows    map[string]*Row
 	all     []Result
 	changes *hdrhistogram.Histogram
@@ -66,7 +66,7 @@
 }
 
 func newReport(x *Experiment, lines io.Writer) *report {
-	r := &report{lines: lines, start: tick.Now(), rows: map[string]*Row{}, changes: histogram()}
+	r := &report{lines: lines, start: clock.Now(), rows: map[string]*Row{}, changes: histogram()}
 	for _, k := range x.Kinds {
 		r.rows[k.Name] = &Row{Kind: k.Name, hist: histogram()}
 	}
@@ -82,7 +82,7 @@
 		Is string `json:"is"`
 		At string `json:"at"`
 		V  any    `json:"v"`
-	}{is, fmt.Sprintf("%.3f", tick.Since(r.start).Seconds()), v})
+	}{is, fmt.Sprintf("%.3f", clock.Since(r.start).Seconds()), v})
 	if err == nil {
 		_, _ = r.lines.Write(append(b, '\n'))
 	}
@@ -116,7 +116,7 @@
 	r.mu.Unlock()
 }
 
-func (r *report) change(took tick.Span, err error) {
+func (r *report) change(took clock.Span, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	why := ""
@@ -142,7 +142,7 @@
 func (r *report) summary(x *Experiment, y *yard, interrupted bool) *Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &Summary{Name: x.Name, TookS: tick.Since(r.start).Seconds(), Changes: int(r.changes.TotalCount()), ChangeP99Ms: float64(r.changes.ValueAtQuantile(99)) / 1000, Interrupted: interrupted}
+	s := &Summary{Name: x.Name, TookS: clock.Since(r.start).Seconds(), Changes: int(r.changes.TotalCount()), ChangeP99Ms: float64(r.changes.ValueAtQuantile(99)) / 1000, Interrupted: interrupted}
 	for _, k := range x.Kinds {
 		row := r.rows[k.Name]
 		row.P50Ms, row.P99Ms = float64(row.hist.ValueAtQuantile(50))/1000, float64(row.hist.ValueAtQuantile(99))/1000
--- a/millyard/run.go
+++ b/millyard/run.go
@@ -5,9 +5,9 @@
 	"io"
 	"sync"
 
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Output is where an experiment's results go; each may be empty.
@@ -35,11 +35,11 @@
 		return nil, err
 	}
 	o.say("replicas answer; settings are in %s", y.dir)
-	at := tick.Now()
+	at := clock.Now()
 	if err := y.startAll(); err != nil {
 		return nil, err
 	}
-	took, err := y.operator.order(y.sc, "PUT", x.setup(), tick.Seconds(x.Ready))
+	took, err := y.operator.order(y.sc, "PUT", x.setup(), clock.Seconds(x.Ready))
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +47,7 @@
 	if err := y.awaitGates(y.gates); err != nil {
 		return nil, err
 	}
-	o.say("gatehouses ready %.0f ms after their start; sending %d requests over %g s", millis(tick.Since(at)), x.requests(), x.Duration)
+	o.say("gatehouses ready %.0f ms after their start; sending %d requests over %g s", millis(clock.Since(at)), x.requests(), x.Duration)
 	return y.load(o), nil
 }
 
@@ -71,7 +71,7 @@
 	also := func(f func()) { wg.Add(1); go func() { defer wg.Done(); f() }() }
 	for _, t := range x.Troubles {
 		also(func() {
-			if tick.Rest(beside, tick.Seconds(t.AtS)) {
+			if clock.Rest(beside, clock.Seconds(t.AtS)) {
 				rep.trouble(t)
 				y.replicas[t.Replica].trouble(t)
 			}
@@ -80,17 +80,17 @@
 	if x.Changes > 0 {
 		also(func() {
 			n := 0
-			tick.Every(beside, tick.Seconds(60/x.Changes), func() bool {
+			clock.Every(beside, clock.Seconds(60/x.Changes), func() bool {
 				n++
-				rep.change(y.operator.order(y.sc, "PATCH", x.change(n), tick.Seconds(x.Ready)))
+				rep.change(y.operator.order(y.sc, "PATCH", x.change(n), clock.Seconds(x.Ready)))
 				return true
 			})
 		})
 	}
 	also(func() {
-		tick.Every(beside, plate.YardProgress, func() bool {
+		clock.Every(beside, plate.YardProgress, func() bool {
 			ended, served := rep.sent()
-			o.say("%6.1f s: %d ended, %d served", tick.Since(rep.start).Seconds(), ended, served)
+			o.say("%6.1f s: %d ended, %d served", clock.Since(rep.start).Seconds(), ended, served)
 			return true
 		})
 	})
--- a/millyard/slopes.go
+++ b/millyard/slopes.go
@@ -10,9 +10,9 @@
 	"slices"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/clock"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Point is one size of a series and what was measured at it.
@@ -103,8 +103,8 @@
 	return nil
 }
 
-func (j growth) measure(sc *scope.Scope, hold func() (*cell, error), o Output, window tick.Span) (*Series, error) {
-	start := tick.Now()
+func (j growth) measure(sc *scope.Scope, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
+	start := clock.Now()
 	s := &Series{Name: j.name, Grows: j.grows, Made: made(), Fits: map[string]Fit{}}
 	if j.run != nil {
 		r, err := j.run(sc, hold, o)
@@ -133,12 +133,12 @@
 		}
 	}
 	s.fits()
-	s.TookS = tick.Since(start).Seconds()
+	s.TookS = clock.Since(start).Seconds()
 	return s, nil
 }
 
 // once builds a plant, measures it and takes it down.
-func once(sc *scope.Scope, z size, hold func() (*cell, error), window tick.Span) (values, error) {
+func once(sc *scope.Scope, z size, hold func() (*cell, error), window clock.Span) (values, error) {
 	p, err := newPlant(sc, z, hold, window)
 	if err != nil {
 		return nil, err
--- a/millyard/wire.go
+++ b/millyard/wire.go
@@ -8,25 +8,25 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/tick"
 )
 
 // wire is the network of a daemon under test: the real one, with bytes counted and delay between zones.
 type wire struct {
 	zone    string
 	zoneOf  func(ip string) string
-	delay   tick.Span // one way, to another zone
+	delay   clock.Span // one way, to another zone
 	in, out atomic.Int64
 	made    atomic.Int64
 }
 
 // Dial is crew.Net's.
-func (w *wire) Dial(at string, d tick.Span) (net.Conn, error) {
+func (w *wire) Dial(at string, d clock.Span) (net.Conn, error) {
 	ip, _, _ := net.SplitHostPort(at)
 	far := w.delay > 0 && w.zoneOf(ip) != w.zone
 	if far && 2*w.delay > d {
-		<-tick.After(d)
+		<-clock.After(d)
 		return nil, os.ErrDeadlineExceeded
 	}
 	c, err := rpc.TCP{}.Dial(at, d)
@@ -36,7 +36,7 @@
 	w.made.Inc()
 	c = &counted{c, w}
 	if far {
-		<-tick.After(2 * w.delay) // the handshake's way there and back
+		<-clock.After(2 * w.delay) // the handshake's way there and back
 		return newSlow(c, w.delay), nil
 	}
 	return c, nil
@@ -52,7 +52,7 @@
 }
 
 // DialReplica is blade.Dialer's.
-func (w *wire) DialReplica(at string, d tick.Span) (net.Conn, error) {
+func (w *wire) DialReplica(at string, d clock.Span) (net.Conn, error) {
 	return upstream.TCP{}.DialReplica(at, d)
 }
 
@@ -88,7 +88,7 @@
 }
 
 type parcel struct {
-	due tick.Moment
+	due clock.Moment
 	b   []byte
 	err error
 }
@@ -96,7 +96,7 @@
 // slow delays both directions of a connection, in order.
 type slow struct {
 	net.Conn
-	delay tick.Span
+	delay clock.Span
 	out   chan parcel
 	in    chan parcel
 	done  chan struct{}
@@ -105,7 +105,7 @@
 	err   error
 }
 
-func newSlow(c net.Conn, d tick.Span) *slow {
+func newSlow(c net.Conn, d clock.Span) *slow {
 	s := &slow{Conn: c, delay: d, out: make(chan parcel, 1024), in: make(chan parcel, 1024), done: make(chan struct{})}
 	go func() {
 		for {
@@ -128,7 +128,7 @@
 			b := make([]byte, 16<<10)
 			n, err := s.Conn.Read(b)
 			select {
-			case s.in <- parcel{tick.Now().Add(d), b[:n], err}:
+			case s.in <- parcel{clock.Now().Add(d), b[:n], err}:
 			case <-s.done:
 				return
 			}
@@ -140,8 +140,8 @@
 	return s
 }
 
-func (s *slow) wait(due tick.Moment) bool {
-	t := tick.NewTimer(tick.Until(due))
+func (s *slow) wait(due clock.Moment) bool {
+	t := clock.NewTimer(clock.Until(due))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -173,7 +173,7 @@
 
 func (s *slow) Write(b []byte) (int, error) {
 	select {
-	case s.out <- parcel{due: tick.Now().Add(s.delay), b: append([]byte{}, b...)}:
+	case s.out <- parcel{due: clock.Now().Add(s.delay), b: append([]byte{}, b...)}:
 		return len(b), nil
 	case <-s.done:
 		return 0, net.ErrClosed
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -15,11 +15,11 @@
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
 	"shaletrestle/scope"
 	"shaletrestle/tallyhouse"
-	"shaletrestle/tick"
 )
 
 // daemon is one process of the fleet, run in this one from a settings file of its own.
@@ -178,7 +178,7 @@
 
 // start starts a daemon from its settings file.
 func (y *yard) start(d *daemon) error {
-	w := &wire{zone: d.zone, zoneOf: func(ip string) string { return y.ground.zones[ip] }, delay: tick.Millis(y.x.Fleet.ZoneDelayMs)}
+	w := &wire{zone: d.zone, zoneOf: func(ip string) string { return y.ground.zones[ip] }, delay: clock.Millis(y.x.Fleet.ZoneDelayMs)}
 	return d.start(y.sc, w)
 }
 
@@ -229,15 +229,15 @@
 }
 
 // await looks again and again until something is so, or says that it never was.
-func await(sc *scope.Scope, d tick.Span, what string, so func() bool) error {
-	for end := tick.Now().Add(d); ; {
+func await(sc *scope.Scope, d clock.Span, what string, so func() bool) error {
+	for end := clock.Now().Add(d); ; {
 		if so() {
 			return nil
 		}
-		if tick.Now().After(end) {
+		if clock.Now().After(end) {
 			return fault.New(fault.Unready, "%s within %s", what, d)
 		}
-		if !tick.Rest(sc, plate.YardLook) {
+		if !clock.Rest(sc, plate.YardLook) {
 			return errInterrupted
 		}
 	}
@@ -249,7 +249,7 @@
 func (y *yard) awaitReplicas() error {
 	for _, n := range y.order {
 		r := y.replicas[n]
-		if err := await(y.sc, tick.Seconds(y.x.Ready), "replica "+n+" did not start", func() bool { return status("http://"+r.at+healthPath) == http.StatusOK }); err != nil {
+		if err := await(y.sc, clock.Seconds(y.x.Ready), "replica "+n+" did not start", func() bool { return status("http://"+r.at+healthPath) == http.StatusOK }); err != nil {
 			return err
 		}
 	}
@@ -265,7 +265,7 @@
 			return fault.Wrap(fault.BadEnv, err, g.name+" ended")
 		default:
 		}
-		if err := await(y.sc, tick.Seconds(y.x.Ready), g.name+" was not ready", func() bool {
+		if err := await(y.sc, clock.Seconds(y.x.Ready), g.name+" was not ready", func() bool {
 			return status("http://"+y.ground.at(g.ip, portReadiness)+"/v1/readiness") == http.StatusOK
 		}); err != nil {
 			return err
--- a/tallyhouse/deck.go
+++ b/tallyhouse/deck.go
@@ -3,9 +3,9 @@
 import (
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
 	"shaletrestle/plate"
-	"shaletrestle/tick"
 )
 
 // addUp passes on what waits at the replicas, again and again: a relay tells the primary the sum of its own followers' words, the primary tells everybody what stands out in the sum of all.
@@ -13,8 +13,8 @@
 	var seen *state.View
 	var s *loadsum.Services
 	told := false // something was spread the last time: an end of it is told too
-	tick.Every(h.sc, plate.DeckPush, func() bool {
-		ps := h.deck.Total(tick.Now())
+	clock.Every(h.sc, plate.DeckPush, func() bool {
+		ps := h.deck.Total(clock.Now())
 		if !h.live.Load() {
 			if told = false; len(ps) > 0 {
 				h.follower.Send(h.deckNote(ps))
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -21,6 +21,7 @@
 	"shaletrestle/env"
 	"shaletrestle/fault"
 	"shaletrestle/internal/adminapi"
+	"shaletrestle/internal/clock"
 	"shaletrestle/internal/config"
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/state"
@@ -28,7 +29,6 @@
 	"shaletrestle/plate"
 	"shaletrestle/reply"
 	"shaletrestle/scope"
-	"shaletrestle/tick"
 )
 
 // Plan is what a tallyhouse is built from.
@@ -56,22 +56,22 @@
 	lender   *fairshare.Lender
 	jury     *outlier.Jury
 	deck     *loadsum.Sum
-	judged   tick.Moment    // when the words were last weighed
+	judged   clock.Moment   // when the words were last weighed
 	words    []outlier.Word // of followers, on their way to the primary
 	live     atomic.Bool
 	polls    atomic.Int64
 	fails    atomic.Int64
 	polling  sync.Mutex
 	mu       sync.Mutex
-	fleet    map[string]tick.Moment
+	fleet    map[string]clock.Moment
 	most     int // the largest fleet of late
-	mostAt   tick.Moment
+	mostAt   clock.Moment
 }
 
 // New builds a tallyhouse.
 func New(sc *scope.Scope, p Plan) (*House, error) {
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: state.NewBook(false), news: state.NewBook(false), grantor: lease.NewGrantor(),
-		differ: discovery.NewDiffer(), fleet: map[string]tick.Moment{}}
+		differ: discovery.NewDiffer(), fleet: map[string]clock.Moment{}}
 	lines := rpc.NewLines(sc, p.Net, h.handle)
 	losses, ok := p.Env.Losses()
 	if !ok {
@@ -79,7 +79,7 @@
 	}
 	b := p.Env.Bounds
 	h.lines, h.jury, h.deck = lines, outlier.NewJury(), loadsum.NewSum()
-	h.lender = fairshare.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), tick.Seconds(b.BudgetWindowS)+plate.LumpSpan)
+	h.lender = fairshare.NewLender(int64(plate.BudgetMargin*plate.BudgetPot*b.BudgetSlack), clock.Seconds(b.BudgetWindowS)+plate.LumpSpan)
 	areas, area := p.Env.Tolerance.Zones, func(zone string) string { return zone }
 	if p.Env.Tolerance.Regions > 0 {
 		areas, area = p.Env.Tolerance.Regions, func(zone string) string { return p.Env.Zones[zone] }
@@ -133,8 +133,8 @@
 	go h.follower.Run()
 	go h.duty.Run()
 	go h.read()
-	go tick.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
-	go tick.Every(h.sc, plate.NewsBeat, func() bool { h.judge(); return true })
+	go clock.Every(h.sc, plate.FleetEvery, func() bool { h.count(); return true })
+	go clock.Every(h.sc, plate.NewsBeat, func() bool { h.judge(); return true })
 	go h.addUp()
 	h.sc.Log().Info("started", "part", "tallyhouse", "node", h.env.NodeName)
 	<-h.sc.Done()
@@ -167,7 +167,7 @@
 	case rpc.Lend:
 		return h.lend(n)
 	case rpc.Deck:
-		h.deck.Put(n.From.ID, loadsum.Decode(n.Body), tick.Now())
+		h.deck.Put(n.From.ID, loadsum.Decode(n.Body), clock.Now())
 	}
 	return nil
 }
@@ -226,7 +226,7 @@
 		if err != nil {
 			return err
 		}
-	case <-tick.After(plate.OrderWait):
+	case <-clock.After(plate.OrderWait):
 		return fault.New(fault.Unready, "not decided yet")
 	case <-sc.Done():
 		return fault.New(fault.Unready, "ending")
@@ -274,7 +274,7 @@
 			h.poll(false)
 			pause = plate.ListEvery
 		}
-		if !tick.Rest(h.sc, pause) {
+		if !clock.Rest(h.sc, pause) {
 			return
 		}
 	}
@@ -318,7 +318,7 @@
 				return r.Pool
 			}
 			return ""
-		}, tick.Now())
+		}, clock.Now())
 		h.judge()
 		return
 	}
@@ -342,7 +342,7 @@
 
 // judge tells the fleet which replicas its experience makes suspect, when that changed or runs out, at most once a beat.
 func (h *House) judge() {
-	now := tick.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	due := now.Sub(h.judged) >= plate.NewsBeat
 	if due {
@@ -382,7 +382,7 @@
 		return n.Reply(false)
 	}
 	a := n.Reply(true)
-	a.Number = uint64(h.lender.Lend(n.Word, int64(min(n.Number, plate.LumpTries)), since, tick.Now()))
+	a.Number = uint64(h.lender.Lend(n.Word, int64(min(n.Number, plate.LumpTries)), since, clock.Now()))
 	return a
 }
 
@@ -391,7 +391,7 @@
 	if !h.live.Load() {
 		return
 	}
-	now := tick.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	for _, s := range h.feed.Reached() {
 		h.fleet[s.Addr] = now
@@ -454,7 +454,7 @@
 	if err != nil {
 		return map[string]string{"ignored": err.Error()}
 	}
-	return calendar.At(ws, tick.Wall())
+	return calendar.At(ws, clock.Wall())
 }
 
 // page is the state page: all of it, or at /fleet the view of the fleet that the checker reads.
