--- a/cmd/gatehouse/main.go
+++ b/cmd/gatehouse/main.go
@@ -5,12 +5,12 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/scope"
 )
 
 func main() {
-	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
+	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *task.Scope, e *env.Env) (env.Daemon, error) {
 		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
 	})
 }
--- a/cmd/millyard/main.go
+++ b/cmd/millyard/main.go
@@ -13,9 +13,9 @@
 	"github.com/integrii/flaggy"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/task"
 	"shaletrestle/millyard"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Exit codes.
@@ -65,7 +65,7 @@
 	if verbose {
 		level = slog.LevelInfo
 	}
-	sc := scope.New(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
+	sc := task.New(slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level})))
 	defer sc.Stop()
 	if held.Used { // it ends with its input; whoever started it hears the signals
 		signal.Ignore(syscall.SIGINT)
@@ -101,7 +101,7 @@
 	return badUse
 }
 
-func experiment(sc *scope.Scope, x *millyard.Experiment, err error, lines, plots string, out, errs io.Writer) int {
+func experiment(sc *task.Scope, x *millyard.Experiment, err error, lines, plots string, out, errs io.Writer) int {
 	if err != nil {
 		fmt.Fprintln(errs, "millyard:", err)
 		return badUse
@@ -134,7 +134,7 @@
 }
 
 // said prints an error and gives the exit code that belongs to it.
-func said(sc *scope.Scope, err error, errs io.Writer) int {
+func said(sc *task.Scope, err error, errs io.Writer) int {
 	switch k := fault.KindOf(err); {
 	case err == nil:
 		return fine
--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -5,12 +5,12 @@
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/env"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 	"shaletrestle/tallyhouse"
 )
 
 func main() {
-	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *scope.Scope, e *env.Env) (env.Daemon, error) {
+	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *task.Scope, e *env.Env) (env.Daemon, error) {
 		if !e.Keeps() {
 			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -7,8 +7,8 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Board is the view that changes are folded into. Its methods are never called at the same time.
@@ -34,7 +34,7 @@
 
 // Feed holds a board and pushes what changes it to the followers of this process.
 type Feed struct {
-	sc     *scope.Scope
+	sc     *task.Scope
 	mu     sync.Mutex
 	board  Board
 	epoch  uint64
@@ -49,7 +49,7 @@
 }
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
-func NewFeed(sc *scope.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
+func NewFeed(sc *task.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
 	f := &Feed{sc: sc.Part("haul"), board: b, fresh: clock.Now(), subs: map[*rpc.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
 	go clock.Every(f.sc, plate.NewsBeat, func() bool { f.beat(); return true })
 	return f
@@ -225,7 +225,7 @@
 }
 
 // Wait waits until all connected followers have taken a number, at most d. It tells how many have and how many there are.
-func (f *Feed) Wait(sc *scope.Scope, number uint64, d clock.Span) (have, of int) {
+func (f *Feed) Wait(sc *task.Scope, number uint64, d clock.Span) (have, of int) {
 	end := clock.After(d)
 	for {
 		f.mu.Lock()
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -10,8 +10,8 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // listed marks an acknowledgement that lists all of a relay's followers; the others say nothing of them.
@@ -27,7 +27,7 @@
 
 // Follower keeps a sink up to date from one source at a time.
 type Follower struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	net   rpc.Net
 	sink  Sink
 	self  rpc.Seat
@@ -43,7 +43,7 @@
 }
 
 // NewFollower makes a follower. pick names the next address to follow, given the one that failed; seats, for a relay, lists its own followers.
-func NewFollower(sc *scope.Scope, n rpc.Net, s Sink, self rpc.Seat, relay bool, pick func(string) string, seats func() []rpc.Seat) *Follower {
+func NewFollower(sc *task.Scope, n rpc.Net, s Sink, self rpc.Seat, relay bool, pick func(string) string, seats func() []rpc.Seat) *Follower {
 	return &Follower{sc: sc.Part("haul"), net: n, sink: s, self: self, relay: relay, pick: pick, seats: seats}
 }
 
--- a/coord/distribution/haul_test.go
+++ b/coord/distribution/haul_test.go
@@ -16,8 +16,8 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // words is a board that joins its changes.
@@ -32,7 +32,7 @@
 
 // pipes is a network of in-memory connections to one feed.
 type pipes struct {
-	sc   *scope.Scope
+	sc   *task.Scope
 	feed *Feed
 	mu   sync.Mutex
 	last net.Conn
@@ -67,7 +67,7 @@
 
 func TestAFollowerGetsCheckpointThenDeltasThenWhatItMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		src := &words{s: "old"}
 		f := NewFeed(sc, src, nil)
@@ -111,7 +111,7 @@
 
 // tree is a source, relays under it and ends under the relays, over in-memory connections that count what goes up.
 type tree struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	mu    sync.Mutex
 	feeds map[string]*Feed
 	held  []net.Conn
@@ -148,7 +148,7 @@
 func (p *tree) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
 
 // grow puts relays and ends under a source; lives ends each end's follower.
-func (p *tree) grow(relays, ends int) (src *Feed, lives map[uint64]*scope.Scope) {
+func (p *tree) grow(relays, ends int) (src *Feed, lives map[uint64]*task.Scope) {
 	src = NewFeed(p.sc, &words{}, nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -161,14 +161,14 @@
 		go fo.Run()
 	}
 	src.Begin(1)
-	lives = map[uint64]*scope.Scope{}
+	lives = map[uint64]*task.Scope{}
 	for i := range ends {
 		p.end(lives, uint64(i+1), fmt.Sprint("relay", i%relays))
 	}
 	return
 }
 
-func (p *tree) end(lives map[uint64]*scope.Scope, id uint64, at string) {
+func (p *tree) end(lives map[uint64]*task.Scope, id uint64, at string) {
 	lives[id] = p.sc.Part("end")
 	go NewFollower(lives[id], p, NewCursor(&words{}), rpc.Seat{ID: id, Addr: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
 }
@@ -177,7 +177,7 @@
 	for seed := range uint64(12) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 3))
-			sc := scope.New(slog.New(slog.DiscardHandler))
+			sc := task.New(slog.New(slog.DiscardHandler))
 			defer func() { sc.Stop(); time.Sleep(time.Second) }()
 			p := &tree{sc: sc}
 			src, lives := p.grow(3, 12)
@@ -220,7 +220,7 @@
 
 func TestARelayTellsOnceOfAChangeAndListsSeatsOnlyWhenTheyChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc}
 		src, _ := p.grow(2, 60)
@@ -248,7 +248,7 @@
 
 func TestACheckpointIsMadeOnceForAllThatNeedIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc, feeds: map[string]*Feed{}}
 		b := &counted{}
@@ -256,7 +256,7 @@
 		p.feeds["x"] = f
 		f.Begin(1)
 		f.Push([]byte("a"))
-		lives := map[uint64]*scope.Scope{}
+		lives := map[uint64]*task.Scope{}
 		for i := range uint64(20) {
 			p.end(lives, i+1, "x")
 		}
@@ -281,7 +281,7 @@
 
 func TestASilentSourceIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		f := NewFeed(sc, &words{}, nil)
 		f.Begin(1)
@@ -302,7 +302,7 @@
 
 func TestARelayTakesNoGapAndNoOlderLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		b := &words{}
 		f := NewFeed(sc, b, nil)
@@ -322,7 +322,7 @@
 // TestARelaysWordDoesNotGrowWithTheSquareOfItsFollowers: each beat of each follower once made the relay pass the whole list of its seats on.
 func TestARelaysWordDoesNotGrowWithTheSquareOfItsFollowers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		src := NewFeed(sc, &words{}, nil)
 		src.Begin(1)
@@ -356,7 +356,7 @@
 }
 
 func ExampleFeed() {
-	sc := scope.New(slog.New(slog.DiscardHandler))
+	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
 	board := &words{}
 	f := NewFeed(sc, board, nil)
@@ -368,7 +368,7 @@
 
 func TestASpreadNoteReachesAllAndChangesNoNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc}
 		f := NewFeed(sc, &words{}, nil)
--- a/coord/failuredetector/lookout.go
+++ b/coord/failuredetector/lookout.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Pinger asks one node whether it is there.
@@ -18,7 +18,7 @@
 
 // Watcher pings its set of nodes.
 type Watcher struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	self  string
 	nodes func() []string
 	ping  Pinger
@@ -32,7 +32,7 @@
 }
 
 // New makes a watcher. nodes lists all known ones, tell hears of a node that became suspected or came back.
-func New(sc *scope.Scope, self string, every clock.Span, nodes func() []string, ping Pinger, tell func(string, bool)) *Watcher {
+func New(sc *task.Scope, self string, every clock.Span, nodes func() []string, ping Pinger, tell func(string, bool)) *Watcher {
 	return &Watcher{sc: sc.Part("lookout"), self: self, nodes: nodes, ping: ping, tell: tell, every: every, miss: map[string]int{}, said: map[string]bool{}}
 }
 
--- a/coord/failuredetector/lookout_test.go
+++ b/coord/failuredetector/lookout_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 func names(n int) (out []string) {
@@ -74,7 +74,7 @@
 func TestTheSetFollowsTheNodes(t *testing.T) {
 	var mu sync.Mutex
 	known, asked := []string{"a", "b"}, map[string]bool{}
-	w := New(scope.New(slog.New(slog.DiscardHandler)), "a", clock.Seconds(1), func() []string { return known },
+	w := New(task.New(slog.New(slog.DiscardHandler)), "a", clock.Seconds(1), func() []string { return known },
 		func(n string) bool { mu.Lock(); asked[n] = true; mu.Unlock(); return true }, func(string, bool) {})
 	w.Round()
 	require.Equal(t, map[string]bool{"b": true}, asked)
@@ -122,7 +122,7 @@
 func TestSuspicionNeedsSeveralMissesAndEnds(t *testing.T) {
 	up := true
 	var told []string
-	w := New(scope.New(slog.New(slog.DiscardHandler)), "a", clock.Seconds(1), func() []string { return []string{"a", "b"} },
+	w := New(task.New(slog.New(slog.DiscardHandler)), "a", clock.Seconds(1), func() []string { return []string{"a", "b"} },
 		func(string) bool { return up }, func(n string, alive bool) { told = append(told, fmt.Sprint(n, alive)) })
 	w.Round()
 	up = false
@@ -151,7 +151,7 @@
 
 func TestALostNodeIsKnownWithinContactAndToldEachRound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(5 * time.Second) }()
 		up, every := true, 1200*time.Millisecond
 		var mu sync.Mutex
@@ -192,7 +192,7 @@
 
 func TestTheSetIsWorkedOutOnlyWhenTheNodesChanged(t *testing.T) {
 	known := names(40)
-	w := New(scope.New(slog.New(slog.DiscardHandler)), "node-7", clock.Seconds(1), func() []string { return known }, nil, nil)
+	w := New(task.New(slog.New(slog.DiscardHandler)), "node-7", clock.Seconds(1), func() []string { return known }, nil, nil)
 	first := w.watched()
 	require.Equal(t, Set("node-7", known, plate.WatchersEach), first)
 	require.NotEmpty(t, first)
--- a/coord/lease/rota.go
+++ b/coord/lease/rota.go
@@ -6,8 +6,8 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 type grant struct {
@@ -54,7 +54,7 @@
 
 // Holder keeps one duty's lease while it is wanted.
 type Holder struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	duty  string
 	self  rpc.Seat
 	ask   Asker
@@ -67,7 +67,7 @@
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
-func NewHolder(sc *scope.Scope, duty string, self rpc.Seat, ask Asker, from func() []rpc.Seat, want func() bool, local *Grantor) *Holder {
+func NewHolder(sc *task.Scope, duty string, self rpc.Seat, ask Asker, from func() []rpc.Seat, want func() bool, local *Grantor) *Holder {
 	return &Holder{sc: sc.Part("rota"), duty: duty, self: self, ask: ask, from: from, want: want, local: local}
 }
 
--- a/coord/lease/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -12,8 +12,8 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // fleet is grantors in one process, some of them out of reach.
@@ -49,7 +49,7 @@
 }
 
 func (f *fleet) holder(id uint64) *Holder {
-	return NewHolder(scope.New(slog.New(slog.DiscardHandler)), "list", rpc.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
+	return NewHolder(task.New(slog.New(slog.DiscardHandler)), "list", rpc.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
 }
 
 func TestOneHolderAtATime(t *testing.T) {
--- a/coord/replication/bearing_test.go
+++ b/coord/replication/bearing_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/rpc"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // layouts are the crowds that the tests below run on: places of the members, and the losses that they bear.
@@ -427,7 +427,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCrowd(1, "a", "b", "c")
 		defer c.end()
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer sc.Stop()
 		m, err := New(sc, Config{Addr: "m9", Locality: "d", Seeds: []string{"m0", "m1", "m2"}, Losses: 1, Relay: true, Store: NewNoDisk(), Machine: &lines{}, Caller: c.h})
 		require.NoError(t, err)
@@ -458,7 +458,7 @@
 		h := &hall{m: map[string]*Member{}, off: map[string]bool{}}
 		var ms []*Member
 		for i := range 4 {
-			sc := scope.New(slog.New(slog.DiscardHandler))
+			sc := task.New(slog.New(slog.DiscardHandler))
 			defer sc.Stop()
 			cf := Config{Addr: fmt.Sprint("m", i), Locality: fmt.Sprint("z", i), Seeds: []string{"m0", "m1", "m2"}, Losses: 1, Store: &memory{id: uint64(i + 1)}, Machine: &lines{}, Caller: h}
 			if i == 0 {
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -12,8 +12,8 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Machine is the state that is kept. Apply, Checkpoint and Restore are never called at the same time.
@@ -55,7 +55,7 @@
 
 // Member is one control process.
 type Member struct {
-	sc   *scope.Scope
+	sc   *task.Scope
 	cf   Config
 	self rpc.Seat
 	boot bool
@@ -85,7 +85,7 @@
 }
 
 // New makes a member from its store; Run starts it.
-func New(sc *scope.Scope, cf Config) (*Member, error) {
+func New(sc *task.Scope, cf Config) (*Member, error) {
 	id, boot := cf.Store.Identity()
 	m := &Member{sc: sc.Part("tally"), cf: cf, self: rpc.Seat{ID: id, Addr: cf.Addr, Locality: cf.Locality}, boot: boot,
 		disk: make(chan func(), 64), wr: clock.NewLatch(), reg: cf.Store.LoadRegister(), peers: map[uint64]*peer{}, born: clock.Now(), beat: clock.Now()}
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -16,7 +16,7 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // lines is a machine that keeps a text.
@@ -144,7 +144,7 @@
 	losses int
 	zone   []string
 	area   func(string) string
-	sc     []*scope.Scope
+	sc     []*task.Scope
 	m      []*Member
 	l      []*lines
 	st     []*memory
@@ -154,7 +154,7 @@
 
 func (t *crowd) start(i int) {
 	addr := fmt.Sprint("m", i)
-	t.sc[i] = scope.New(slog.New(slog.DiscardHandler))
+	t.sc[i] = task.New(slog.New(slog.DiscardHandler))
 	t.l[i] = &lines{}
 	t.lf[i] = &life{memory: t.st[i], h: t.h}
 	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
@@ -432,7 +432,7 @@
 }
 
 func ExampleMember_Propose() {
-	sc := scope.New(slog.New(slog.DiscardHandler))
+	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
 	h := &hall{m: map[string]*Member{}, off: map[string]bool{}}
 	ready := make(chan uint64, 1)
--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -11,8 +11,8 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Handler takes a note that came in; a non-nil result is sent back.
@@ -20,7 +20,7 @@
 
 // Channel is one held connection between own processes. A task owns each direction of its socket.
 type Channel struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	c     net.Conn
 	out   chan []byte
 	mu    sync.Mutex
@@ -32,7 +32,7 @@
 }
 
 // Open starts the tasks of a channel over a connection. Calls are handled each in a task of its own, other notes in order.
-func Open(sc *scope.Scope, c net.Conn, h Handler) *Channel {
+func Open(sc *task.Scope, c net.Conn, h Handler) *Channel {
 	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan []byte, plate.OutboxLen), wait: map[uint64]chan *Note{}}
 	ch.heard.Store(clock.Now().UnixNano())
 	go ch.write()
--- a/coord/rpc/net.go
+++ b/coord/rpc/net.go
@@ -10,8 +10,8 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Net is what a process reaches others through; tests put a simulated one here.
@@ -44,7 +44,7 @@
 }
 
 // Serve accepts channels until the scope ends.
-func Serve(sc *scope.Scope, ln net.Listener, h Handler) {
+func Serve(sc *task.Scope, ln net.Listener, h Handler) {
 	go func() {
 		<-sc.Done()
 		_ = ln.Close()
@@ -63,7 +63,7 @@
 
 // Lines holds one channel per address and dials when it is needed.
 type Lines struct {
-	sc  *scope.Scope
+	sc  *task.Scope
 	net Net
 	h   Handler
 	mu  sync.Mutex
@@ -77,7 +77,7 @@
 }
 
 // NewLines makes the set of channels of a process.
-func NewLines(sc *scope.Scope, n Net, h Handler) *Lines {
+func NewLines(sc *task.Scope, n Net, h Handler) *Lines {
 	return &Lines{sc: sc, net: n, h: h, m: map[string]*line{}}
 }
 
--- a/coord/rpc/net_test.go
+++ b/coord/rpc/net_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // silent is a network in which every dial hangs until its time is up.
@@ -27,7 +27,7 @@
 
 func TestASilentAddressMakesNoQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := scope.New(slog.New(slog.DiscardHandler))
+		sc := task.New(slog.New(slog.DiscardHandler))
 		defer sc.Stop()
 		n := &silent{}
 		l := NewLines(sc, n, nil)
--- a/coord/slowness/watch.go
+++ b/coord/slowness/watch.go
@@ -6,13 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Watch steps a level on what this process measures of itself.
 type Watch struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	work  func() clock.Span
 	mu    sync.Mutex
 	level *Level
@@ -20,7 +20,7 @@
 }
 
 // NewWatch makes a watch; work does and times the piece of work, nil for the usual one.
-func NewWatch(sc *scope.Scope, work func() clock.Span) *Watch {
+func NewWatch(sc *task.Scope, work func() clock.Span) *Watch {
 	w := &Watch{sc: sc.Part("plumb"), work: work, level: NewLevel()}
 	if work == nil {
 		buf, sum := make([]byte, plate.LevelBytes), uint64(0)
--- a/coord/slowness/watch_test.go
+++ b/coord/slowness/watch_test.go
@@ -9,14 +9,14 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 func TestAWatchSeesLateLooksAndSlowWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		work := 10 * us
-		w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), func() clock.Span { return work })
+		w := NewWatch(task.New(slog.New(slog.DiscardHandler)), func() clock.Span { return work })
 		look := func(n int, every time.Duration) {
 			for range n {
 				w.Hear("n1", false)
@@ -41,7 +41,7 @@
 }
 
 func TestTheUsualPieceOfWorkTakesTime(t *testing.T) {
-	w := NewWatch(scope.New(slog.New(slog.DiscardHandler)), nil)
+	w := NewWatch(task.New(slog.New(slog.DiscardHandler)), nil)
 	require.Positive(t, w.work())
 	w.Look()
 	require.False(t, w.Slow())
--- a/env/program.go
+++ b/env/program.go
@@ -11,8 +11,8 @@
 	"github.com/integrii/flaggy"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Daemon is what a program does with its settings.
@@ -23,11 +23,11 @@
 }
 
 // Main is the command line that the daemons share.
-func Main(name, what string, n Need, build func(*scope.Scope, *Env) (Daemon, error)) {
+func Main(name, what string, n Need, build func(*task.Scope, *Env) (Daemon, error)) {
 	os.Exit(run(name, what, n, build))
 }
 
-func run(name, what string, n Need, build func(*scope.Scope, *Env) (Daemon, error)) int {
+func run(name, what string, n Need, build func(*task.Scope, *Env) (Daemon, error)) int {
 	p := flaggy.NewParser(name)
 	p.Description = what + " Settings are read from the file that " + plate.EnvVar + " names."
 	p.Version = plate.Version
@@ -80,7 +80,7 @@
 		return 0
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
-	sc := scope.New(log.With("program", name))
+	sc := task.New(log.With("program", name))
 	debug.SetMemoryLimit(int64(e.Limits.MemoryMB * (1 << 20) * plate.SoftMemory))
 	debug.SetGCPercent(plate.CollectAt)
 	d, err := build(sc, e)
@@ -96,7 +96,7 @@
 	return 0
 }
 
-func hearSignals(sc *scope.Scope, d Daemon, file string, load func() (*Env, error)) {
+func hearSignals(sc *task.Scope, d Daemon, file string, load func() (*Env, error)) {
 	c := make(chan os.Signal, 4)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log := sc.Part("env").Log()
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -24,11 +24,11 @@
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/scope"
 )
 
 // Plan is what a gatehouse is built from.
@@ -41,7 +41,7 @@
 
 // Gate is one traffic process.
 type Gate struct {
-	sc        *scope.Scope
+	sc        *task.Scope
 	env       atomic.Pointer[env.Env]
 	net       rpc.Net
 	dialer    upstream.Dialer
@@ -81,7 +81,7 @@
 }
 
 // New builds a gatehouse.
-func New(sc *scope.Scope, p Plan) *Gate {
+func New(sc *task.Scope, p Plan) *Gate {
 	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: prefixindex.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]clock.Moment{}, isReady: make(chan struct{}), bad: map[string]clock.Moment{}}
 	g.env.Store(p.Env)
 	g.yard = placement.NewYard(g.index)
--- a/gatehouse/longwork.go
+++ b/gatehouse/longwork.go
@@ -20,15 +20,15 @@
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // longWork drives the machines of package sledge: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
 type longWork struct {
 	g      *Gate
-	sc     *scope.Scope
+	sc     *task.Scope
 	self   string
 	lines  *rpc.Lines
 	start  clock.Moment
--- a/gatehouse/shares_test.go
+++ b/gatehouse/shares_test.go
@@ -13,9 +13,9 @@
 	"shaletrestle/env"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 func TestColdSharesAreThoseOfTheFirstNodesByRendezvous(t *testing.T) {
@@ -64,7 +64,7 @@
 }
 
 func TestSharesAndWeightsFollowTheView(t *testing.T) {
-	sc := scope.New(slog.New(slog.DiscardHandler))
+	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
 	e := &env.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
 	e.Limits.MemoryMB = 100
--- a/internal/adminapi/foreman.go
+++ b/internal/adminapi/foreman.go
@@ -12,9 +12,9 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/scope"
 )
 
 // Orders is the control state as the operator sees it.
@@ -22,9 +22,9 @@
 	// Primary is the control address to ask, and whether it is this process.
 	Primary() (addr string, here bool)
 	// Take makes one order; nil means that it is in force for good.
-	Take(sc *scope.Scope, o *Order) error
+	Take(sc *task.Scope, o *Order) error
 	// Read gives the newest view, confirmed by the witnesses in this call.
-	Read(sc *scope.Scope) (*state.View, error)
+	Read(sc *task.Scope) (*state.View, error)
 }
 
 // Order is one change that the operator asks for.
@@ -37,12 +37,12 @@
 
 // Foreman serves the control address.
 type Foreman struct {
-	sc *scope.Scope
+	sc *task.Scope
 	o  Orders
 }
 
 // New makes the operator's handler.
-func New(sc *scope.Scope, o Orders) http.Handler {
+func New(sc *task.Scope, o Orders) http.Handler {
 	f := &Foreman{sc.Part("foreman"), o}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
--- a/internal/adminapi/foreman_test.go
+++ b/internal/adminapi/foreman_test.go
@@ -11,7 +11,7 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/state"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // desk is a control state that notes what it is asked.
@@ -22,9 +22,9 @@
 	got     []*Order
 }
 
-func (d *desk) Primary() (string, bool)                { return d.primary, d.here }
-func (d *desk) Take(_ *scope.Scope, o *Order) error    { d.got = append(d.got, o); return d.fail }
-func (d *desk) Read(*scope.Scope) (*state.View, error) { return state.EmptyView(), d.fail }
+func (d *desk) Primary() (string, bool)               { return d.primary, d.here }
+func (d *desk) Take(_ *task.Scope, o *Order) error    { d.got = append(d.got, o); return d.fail }
+func (d *desk) Read(*task.Scope) (*state.View, error) { return state.EmptyView(), d.fail }
 
 func call(d *desk, method, target, match, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, target, strings.NewReader(body))
@@ -32,7 +32,7 @@
 		r.Header.Set("If-Match", match)
 	}
 	w := httptest.NewRecorder()
-	New(scope.New(slog.New(slog.DiscardHandler)), d).ServeHTTP(w, r)
+	New(task.New(slog.New(slog.DiscardHandler)), d).ServeHTTP(w, r)
 	return w
 }
 
--- a/internal/clock/tick.go
+++ b/internal/clock/tick.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // Moment is a point on the steady clock.
@@ -35,7 +35,7 @@
 func After(d Span) <-chan Moment { return time.After(d) }
 
 // Rest waits for d or until the scope ends; false means that it ended.
-func Rest(sc *scope.Scope, d Span) bool {
+func Rest(sc *task.Scope, d Span) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -47,7 +47,7 @@
 }
 
 // Every calls f each d until the scope ends or f says false.
-func Every(sc *scope.Scope, d Span, f func() bool) {
+func Every(sc *task.Scope, d Span, f func() bool) {
 	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
--- a/internal/discovery/roster.go
+++ b/internal/discovery/roster.go
@@ -11,8 +11,8 @@
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 const pagesMost = 1000 // pages of one listing; more is an endless loop
@@ -38,7 +38,7 @@
 }
 
 // Read gives the whole list; an error if any page fails.
-func (r *Reader) Read(sc *scope.Scope) ([]*state.Replica, error) {
+func (r *Reader) Read(sc *task.Scope) ([]*state.Replica, error) {
 	var out []*state.Replica
 	token := ""
 	for range pagesMost {
--- a/internal/discovery/roster_test.go
+++ b/internal/discovery/roster_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/internal/state"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // platform answers calls over in-memory connections.
@@ -47,7 +47,7 @@
 		p.c <- b
 		return a, nil
 	})
-	out, err := r.Read(scope.New(slog.New(slog.DiscardHandler)))
+	out, err := r.Read(task.New(slog.New(slog.DiscardHandler)))
 	return out, err, p.calls
 }
 
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -12,8 +12,8 @@
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 type tapKey struct{}
@@ -57,7 +57,7 @@
 
 // Front accepts clients. A change of limits makes a new server for the connections that come later.
 type Front struct {
-	sc  *scope.Scope
+	sc  *task.Scope
 	ln  net.Listener
 	h   http.Handler
 	mu  sync.Mutex
@@ -67,7 +67,7 @@
 }
 
 // New makes the front over a listener.
-func New(sc *scope.Scope, ln net.Listener, h http.Handler) *Front {
+func New(sc *task.Scope, ln net.Listener, h http.Handler) *Front {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	all := func(c echo.Context) error {
--- a/scope/scope.go
+++ b/internal/task/scope.go
@@ -1,5 +1,5 @@
-// Package scope is the project's context: what a task needs of its surroundings in one argument.
-package scope
+// Package task is the project's context: what a task needs of its surroundings in one argument.
+package task
 
 import (
 	"context"
--- a/millyard/aim.go
+++ b/millyard/aim.go
@@ -2,23 +2,23 @@
 
 import (
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // atAim builds the size to come, measures it whole, and then how long it takes to come back from losses.
-func atAim(sc *scope.Scope, hold func() (*cell, error), o Output) (*Series, error) {
+func atAim(sc *task.Scope, hold func() (*cell, error), o Output) (*Series, error) {
 	return whole(sc, aim, hold, o, plate.YardWindow)
 }
 
 // withFive is the same with five tallyhouses, as for five machines set aside.
-func withFive(sc *scope.Scope, hold func() (*cell, error), o Output) (*Series, error) {
+func withFive(sc *task.Scope, hold func() (*cell, error), o Output) (*Series, error) {
 	z := aim
 	z.Houses, z.Zones = 5, aim.Houses
 	return whole(sc, z, hold, o, plate.YardWindow)
 }
 
-func whole(sc *scope.Scope, z size, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
+func whole(sc *task.Scope, z size, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
 	at := clock.Now()
 	p, err := newPlant(sc, z, hold, window)
 	if err != nil {
--- a/millyard/cell.go
+++ b/millyard/cell.go
@@ -14,8 +14,8 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // A cell is a process that holds daemons of one role, so that their processor time and memory can be told apart from those of others. It is told what to do, and answers, in JSON lines.
@@ -55,7 +55,7 @@
 }
 
 // Cell serves as a cell until its input ends.
-func Cell(sc *scope.Scope, in io.Reader, out io.Writer) error {
+func Cell(sc *task.Scope, in io.Reader, out io.Writer) error {
 	sc = sc.Part("cell")
 	ds := map[string]*daemon{}
 	defer func() {
@@ -92,7 +92,7 @@
 	}
 }
 
-func obey(sc *scope.Scope, ds map[string]*daemon, w *word) error {
+func obey(sc *task.Scope, ds map[string]*daemon, w *word) error {
 	for _, s := range w.Seats {
 		switch w.Do {
 		case "start":
@@ -154,7 +154,7 @@
 }
 
 // inside starts a cell in this process, for tests.
-func inside(sc *scope.Scope) (*cell, error) {
+func inside(sc *task.Scope) (*cell, error) {
 	inR, inW := io.Pipe()
 	outR, outW := io.Pipe()
 	done := make(chan error, 1)
--- a/millyard/engine.go
+++ b/millyard/engine.go
@@ -5,12 +5,12 @@
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/replicamodel"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 )
 
 // engine runs the model of a replica in real time.
 type engine struct {
-	sc   *scope.Scope
+	sc   *task.Scope
 	mu   sync.Mutex
 	k    *replicamodel.Kiln
 	born clock.Moment
@@ -18,7 +18,7 @@
 	to   map[string]chan replicamodel.Token
 }
 
-func newEngine(sc *scope.Scope, s *Service, slower float64) *engine {
+func newEngine(sc *task.Scope, s *Service, slower float64) *engine {
 	e := s.Engine
 	step := func(ms float64) clock.Span { return clock.Millis(ms * slower) }
 	g := &engine{sc: sc, born: clock.Now(), wake: make(chan struct{}, 1), to: map[string]chan replicamodel.Token{},
--- a/millyard/load.go
+++ b/millyard/load.go
@@ -13,9 +13,9 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Outcomes of a request.
@@ -39,7 +39,7 @@
 
 // load sends one experiment's traffic.
 type load struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	x     *Experiment
 	j     *judge
 	gates []string // front addresses
@@ -49,7 +49,7 @@
 	out   func(Result)
 }
 
-func newLoad(sc *scope.Scope, x *Experiment, j *judge, gates []string, out func(Result)) *load {
+func newLoad(sc *task.Scope, x *Experiment, j *judge, gates []string, out func(Result)) *load {
 	t := func(keep bool) *http.Client {
 		return &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{DisableKeepAlives: !keep, DisableCompression: true, MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: plate.YardDial}).DialContext}}
--- a/millyard/operator.go
+++ b/millyard/operator.go
@@ -9,8 +9,8 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 const yardHost = "yard.example"
@@ -27,7 +27,7 @@
 }
 
 // order sends one change on top of the newest one, until it is taken; it gives the time that the call which was answered took.
-func (o *operator) order(sc *scope.Scope, method string, body map[string]any, within clock.Span) (clock.Span, error) {
+func (o *operator) order(sc *task.Scope, method string, body map[string]any, within clock.Span) (clock.Span, error) {
 	next := o.revision + 1
 	body["revision"] = next
 	b, err := json.Marshal(body)
--- a/millyard/plant.go
+++ b/millyard/plant.go
@@ -14,8 +14,8 @@
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // size is what a plant is built to, and what a slope grows.
@@ -57,7 +57,7 @@
 	return
 }
 
-func newPlant(sc *scope.Scope, s size, hold func() (*cell, error), window clock.Span) (*plant, error) {
+func newPlant(sc *task.Scope, s size, hold func() (*cell, error), window clock.Span) (*plant, error) {
 	x := &Experiment{Name: "plant", Duration: plate.YardDuration, Ready: 4 * plate.YardReadyWait.Seconds(),
 		Fleet: FleetSpec{Tallyhouses: s.Houses, Gatehouses: s.Nodes, MachineLosses: min(1, s.Houses/3)}, Platform: ListSpec{Page: 200}}
 	for i := range max(s.Houses, s.Zones) {
--- a/millyard/platform.go
+++ b/millyard/platform.go
@@ -9,14 +9,14 @@
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/scope"
 )
 
 // platform is the stand-in for the platform's list: it runs behind, comes in pages and takes so many calls a second.
 type platform struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	spec  ListSpec
 	now   func() []*state.Replica
 	mu    sync.Mutex
@@ -31,7 +31,7 @@
 	all []*state.Replica
 }
 
-func newPlatform(sc *scope.Scope, s ListSpec, now func() []*state.Replica) *platform {
+func newPlatform(sc *task.Scope, s ListSpec, now func() []*state.Replica) *platform {
 	p := &platform{sc: sc, spec: s, now: now}
 	p.look()
 	go clock.Every(sc, max(plate.YardLook, clock.Millis(s.LagMs)/4), func() bool { p.look(); return true })
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -13,10 +13,10 @@
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/replicamodel"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/scope"
 )
 
 const healthPath = "/health"
@@ -25,7 +25,7 @@
 
 // Replica is a stand-in for a replica: it speaks the protocol over real sockets, takes the time that the model gives and can be put in trouble.
 type Replica struct {
-	sc    *scope.Scope
+	sc    *task.Scope
 	j     *judge
 	s     *Service
 	name  string
@@ -48,7 +48,7 @@
 	toldA clock.Moment
 }
 
-func newReplica(sc *scope.Scope, j *judge, s *Service, name, at, zone string) *Replica {
+func newReplica(sc *task.Scope, j *judge, s *Service, name, at, zone string) *Replica {
 	return &Replica{sc: sc, j: j, s: s, name: name, at: at, zone: zone, state: "gone"}
 }
 
--- a/millyard/run.go
+++ b/millyard/run.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Output is where an experiment's results go; each may be empty.
@@ -24,7 +24,7 @@
 }
 
 // Run puts up an experiment's fleet and stand-ins, loads it, and takes everything down again. It ends early, with what was measured so far, when the scope does.
-func Run(sc *scope.Scope, x *Experiment, o Output) (*Summary, error) {
+func Run(sc *task.Scope, x *Experiment, o Output) (*Summary, error) {
 	o.say("%s: %d replicas, %d tallyhouses, %d gatehouses in this process", x.Name, x.replicas(), x.Fleet.Tallyhouses, x.Fleet.Gatehouses)
 	y, err := newYard(sc, x, nil)
 	if err != nil {
--- a/millyard/run_test.go
+++ b/millyard/run_test.go
@@ -12,11 +12,11 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/fault"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
-func quiet() *scope.Scope { return scope.New(slog.New(slog.DiscardHandler)) }
+func quiet() *task.Scope { return task.New(slog.New(slog.DiscardHandler)) }
 
 // leftovers lists what experiments left in the temporary folder.
 func leftovers(t *testing.T) []string {
--- a/millyard/slopes.go
+++ b/millyard/slopes.go
@@ -11,8 +11,8 @@
 
 	"shaletrestle/fault"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 )
 
 // Point is one size of a series and what was measured at it.
@@ -44,7 +44,7 @@
 	at          []float64
 	set         func(*size, float64)
 	alone       func(x float64) values // no fleet is needed
-	run         func(*scope.Scope, func() (*cell, error), Output) (*Series, error)
+	run         func(*task.Scope, func() (*cell, error), Output) (*Series, error)
 }
 
 var series = []growth{
@@ -75,7 +75,7 @@
 }
 
 // Slopes measures series, all if none is named, and writes one JSON file for each into a folder.
-func Slopes(sc *scope.Scope, names []string, dir string, o Output) error {
+func Slopes(sc *task.Scope, names []string, dir string, o Output) error {
 	for _, n := range names {
 		if !slices.Contains(SeriesNames(), n) {
 			return fault.New(fault.BadEnv, "there is no series %q; there are %v", n, SeriesNames())
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (j growth) measure(sc *scope.Scope, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
+func (j growth) measure(sc *task.Scope, hold func() (*cell, error), o Output, window clock.Span) (*Series, error) {
 	start := clock.Now()
 	s := &Series{Name: j.name, Grows: j.grows, Made: made(), Fits: map[string]Fit{}}
 	if j.run != nil {
@@ -138,7 +138,7 @@
 }
 
 // once builds a plant, measures it and takes it down.
-func once(sc *scope.Scope, z size, hold func() (*cell, error), window clock.Span) (values, error) {
+func once(sc *task.Scope, z size, hold func() (*cell, error), window clock.Span) (values, error) {
 	p, err := newPlant(sc, z, hold, window)
 	if err != nil {
 		return nil, err
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -17,8 +17,8 @@
 	"shaletrestle/gatehouse"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/scope"
 	"shaletrestle/tallyhouse"
 )
 
@@ -29,14 +29,14 @@
 	zone string
 	ip   string
 	wire *wire
-	sc   *scope.Scope
+	sc   *task.Scope
 	d    env.Daemon
 	done chan error
 }
 
 // yard is everything that one experiment puts up.
 type yard struct {
-	sc       *scope.Scope
+	sc       *task.Scope
 	x        *Experiment
 	dir      string
 	ground   *ground
@@ -52,7 +52,7 @@
 }
 
 // newYard puts up the stand-ins and writes the settings; list is what the platform tells, that of the experiment's replicas if it is nil. Whatever it returns is to be ended by close.
-func newYard(sc *scope.Scope, x *Experiment, list func() []*state.Replica) (*yard, error) {
+func newYard(sc *task.Scope, x *Experiment, list func() []*state.Replica) (*yard, error) {
 	g, err := newGround(x.Address, x.Port)
 	if err != nil {
 		return nil, err
@@ -183,7 +183,7 @@
 }
 
 // start reads the settings file and runs the daemon that its name tells, with the real packages, in this process.
-func (d *daemon) start(sc *scope.Scope, w *wire) error {
+func (d *daemon) start(sc *task.Scope, w *wire) error {
 	house := d.name[0] == 't'
 	e, err := env.LoadFile(d.file, env.Need{Front: !house, Control: house})
 	if err != nil {
@@ -229,7 +229,7 @@
 }
 
 // await looks again and again until something is so, or says that it never was.
-func await(sc *scope.Scope, d clock.Span, what string, so func() bool) error {
+func await(sc *task.Scope, d clock.Span, what string, so func() bool) error {
 	for end := clock.Now().Add(d); ; {
 		if so() {
 			return nil
--- a/sim/world.go
+++ b/sim/world.go
@@ -21,7 +21,7 @@
 	"shaletrestle/env"
 	"shaletrestle/gatehouse"
 	"shaletrestle/internal/state"
-	"shaletrestle/scope"
+	"shaletrestle/internal/task"
 	"shaletrestle/tallyhouse"
 )
 
@@ -73,7 +73,7 @@
 	disk  *Disk
 	relay bool // it has no disk
 	life  *life
-	sc    *scope.Scope
+	sc    *task.Scope
 	house *tallyhouse.House
 	gate  *gatehouse.Gate
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
@@ -198,7 +198,7 @@
 		p.disk = NewDisk(w.ids*1000003, boot)
 	}
 	p.life = &life{Host: w.Net.Host(p.ip), Disk: p.disk}
-	p.sc = scope.New(w.Log.With("node", name))
+	p.sc = task.New(w.Log.With("node", name))
 	if name[0] == 'h' {
 		var st replication.Store = p.life
 		if p.relay {
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -25,10 +25,10 @@
 	"shaletrestle/internal/config"
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
 	"shaletrestle/reply"
-	"shaletrestle/scope"
 )
 
 // Plan is what a tallyhouse is built from.
@@ -40,7 +40,7 @@
 
 // House is one control process.
 type House struct {
-	sc       *scope.Scope
+	sc       *task.Scope
 	env      *env.Env
 	net      rpc.Net
 	state    *state.Book
@@ -69,7 +69,7 @@
 }
 
 // New builds a tallyhouse.
-func New(sc *scope.Scope, p Plan) (*House, error) {
+func New(sc *task.Scope, p Plan) (*House, error) {
 	h := &House{sc: sc, env: p.Env, net: p.Net, state: state.NewBook(false), news: state.NewBook(false), grantor: lease.NewGrantor(),
 		differ: discovery.NewDiffer(), fleet: map[string]clock.Moment{}}
 	lines := rpc.NewLines(sc, p.Net, h.handle)
@@ -215,7 +215,7 @@
 }
 
 // Take makes one order.
-func (h *House) Take(sc *scope.Scope, o *adminapi.Order) error {
+func (h *House) Take(sc *task.Scope, o *adminapi.Order) error {
 	e := &state.Event{Kind: o.Kind, Base: o.Base, Body: o.Body, Locality: o.Locality}
 	done := make(chan error, 1)
 	go func() {
@@ -259,7 +259,7 @@
 }
 
 // Read gives the newest view once most witnesses have confirmed that this is still the primary.
-func (h *House) Read(*scope.Scope) (*state.View, error) {
+func (h *House) Read(*task.Scope) (*state.View, error) {
 	if !h.member.Confirmed() {
 		return nil, fault.New(fault.Unready, "the witnesses do not confirm")
 	}
