--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -20,6 +20,7 @@
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
@@ -28,7 +29,6 @@
 	"shaletrestle/internal/upstream"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // Plan is what a gatehouse is built from.
@@ -459,7 +459,7 @@
 	for n := range g.table.Load().Pools {
 		left[n] = g.budget.Left(n, g.fleet())
 	}
-	reply.JSON(w, http.StatusOK, map[string]any{
+	httpreply.JSON(w, http.StatusOK, map[string]any{
 		"program": "gatehouse", "version": plate.Version, "node": g.env.Load().NodeName, "ready": g.ready.Load(), "leaving": g.leaving.Load(),
 		"news":  map[string]any{"epoch": ep, "number": num, "source": g.follower.Source(), "heard_ago_ms": g.cursor.Age().Milliseconds()},
 		"setup": map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths}, "evacuated": v.Evac, "fleet": v.Fleet,
--- a/gatehouse/inquiry.go
+++ b/gatehouse/inquiry.go
@@ -12,12 +12,12 @@
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // inquiry is one try of a client on its way.
@@ -71,17 +71,17 @@
 	}
 	if frontend.Doubtful(r) {
 		w.Header().Set("Connection", "close")
-		reply.Fault(w, errkind.New(errkind.BadInput, "both a length and chunks"))
+		httpreply.Fault(w, errkind.New(errkind.BadInput, "both a length and chunks"))
 		return
 	}
 	if l := q.table.Limits.Head; l > 0 && headSize(r) > l {
 		w.Header().Set("Connection", "close")
-		reply.Fault(w, errkind.New(errkind.HeadLarge, "head over the limit"))
+		httpreply.Fault(w, errkind.New(errkind.HeadLarge, "head over the limit"))
 		return
 	}
 	if q.path = q.table.Match(r.Host, r.RequestURI); q.path == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, plate.HeadBytes))
-		reply.Fault(w, errkind.New(errkind.NoPath, "no route"))
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no route"))
 		return
 	}
 	for _, op := range q.path.Steps {
@@ -126,7 +126,7 @@
 	}
 	if q.r.ContentLength > most {
 		q.w.Header().Set("Connection", "close")
-		reply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
+		httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
 		return false
 	}
 	if n := max(q.r.ContentLength, 0); !q.hold(n) {
@@ -145,11 +145,11 @@
 		q.w.Header().Set("Connection", "close")
 		switch {
 		case strings.Contains(err.Error(), "too large"):
-			reply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
+			httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
 		case strings.Contains(err.Error(), "timeout"):
-			reply.Fault(q.w, errkind.New(errkind.Slow, "body too slow"))
+			httpreply.Fault(q.w, errkind.New(errkind.Slow, "body too slow"))
 		default:
-			reply.Fault(q.w, errkind.New(errkind.BadInput, "body can't be read"))
+			httpreply.Fault(q.w, errkind.New(errkind.BadInput, "body can't be read"))
 		}
 		return false
 	}
@@ -233,7 +233,7 @@
 	if k == errkind.Unready {
 		after = plate.RetryUnready
 	}
-	reply.Refuse(q.w, k, after)
+	httpreply.Refuse(q.w, k, after)
 }
 
 // giveUp ends an inquiry with what may truly be said of it.
@@ -246,7 +246,7 @@
 		q.refuse(errkind.Crowded)
 	default:
 		q.g.count.failed.Inc()
-		reply.Fault(q.w, errkind.New(k, "%s", why))
+		httpreply.Fault(q.w, errkind.New(k, "%s", why))
 	}
 }
 
--- a/gatehouse/readiness.go
+++ b/gatehouse/readiness.go
@@ -5,8 +5,8 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // slowWord marks a ping or its answer of a node whose machine has turned slow.
@@ -58,11 +58,11 @@
 func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
 		if g.takesNew() {
-			reply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
+			httpreply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
 		} else {
-			reply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
+			httpreply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
 		}
 		return
 	}
-	reply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
+	httpreply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
 }
--- a/internal/adminapi/foreman.go
+++ b/internal/adminapi/foreman.go
@@ -11,10 +11,10 @@
 	"github.com/labstack/echo/v4"
 
 	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // Orders is the control state as the operator sees it.
@@ -67,7 +67,7 @@
 	case len(seg) == 3 && call == "DELETE v1/evacuation":
 		f.route(w, r, func(w http.ResponseWriter, r *http.Request) { f.evacuate(w, seg[2], state.Return) })
 	default:
-		reply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
 	}
 }
 
@@ -79,9 +79,9 @@
 		here(w, r)
 	case addr != "":
 		w.Header().Set("Location", "http://"+addr+r.URL.RequestURI())
-		reply.JSON(w, errkind.NotHere.Status(), map[string]string{"error": errkind.NotHere.Word()})
+		httpreply.JSON(w, errkind.NotHere.Status(), map[string]string{"error": errkind.NotHere.Word()})
 	default:
-		reply.Fault(w, errkind.New(errkind.Unready, "no primary is known"))
+		httpreply.Fault(w, errkind.New(errkind.Unready, "no primary is known"))
 	}
 }
 
@@ -89,25 +89,25 @@
 	v, err := f.o.Read(f.sc)
 	switch {
 	case err != nil:
-		reply.Fault(w, err)
+		httpreply.Fault(w, err)
 	case v.Doc.Epoch == 0:
-		reply.Fault(w, errkind.New(errkind.NoPath, "no configuration yet"))
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no configuration yet"))
 	default:
 		w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(v.Doc.Epoch, 10)))
-		reply.Bytes(w, http.StatusOK, v.Doc.JSON())
+		httpreply.Bytes(w, http.StatusOK, v.Doc.JSON())
 	}
 }
 
 func (f *Foreman) config(w http.ResponseWriter, r *http.Request, kind string) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, plate.OrderBody))
 	if err != nil {
-		reply.Fault(w, errkind.New(errkind.BadInput, "body can't be read whole"))
+		httpreply.Fault(w, errkind.New(errkind.BadInput, "body can't be read whole"))
 		return
 	}
 	m := strings.Trim(strings.TrimPrefix(strings.TrimSpace(r.Header.Get("If-Match")), "W/"), `"`)
 	base, err := strconv.ParseInt(m, 10, 64)
 	if err != nil || base < 0 {
-		reply.Fault(w, errkind.New(errkind.BadInput, "If-Match must name the version built on"))
+		httpreply.Fault(w, errkind.New(errkind.BadInput, "If-Match must name the version built on"))
 		return
 	}
 	f.take(w, &Order{Kind: kind, Base: base, Body: b})
@@ -116,7 +116,7 @@
 func (f *Foreman) evacuate(w http.ResponseWriter, seg, kind string) {
 	z, err := url.PathUnescape(seg)
 	if err != nil || z == "" {
-		reply.Fault(w, errkind.New(errkind.BadInput, "no locality"))
+		httpreply.Fault(w, errkind.New(errkind.BadInput, "no locality"))
 		return
 	}
 	f.take(w, &Order{Kind: kind, Locality: z})
@@ -125,8 +125,8 @@
 func (f *Foreman) take(w http.ResponseWriter, o *Order) {
 	if err := f.o.Take(f.sc, o); err != nil {
 		f.sc.Log().Info("order not taken", "kind", o.Kind, "base", o.Base, "err", err.Error())
-		reply.Fault(w, err)
+		httpreply.Fault(w, err)
 		return
 	}
-	reply.JSON(w, http.StatusOK, map[string]bool{"ok": true})
+	httpreply.JSON(w, http.StatusOK, map[string]bool{"ok": true})
 }
--- a/reply/reply.go
+++ b/internal/httpreply/reply.go
@@ -1,5 +1,5 @@
-// Package reply writes the project's own answers.
-package reply
+// Package httpreply writes the project's own answers.
+package httpreply
 
 import (
 	"encoding/json"
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/common/expfmt"
 
 	"shaletrestle/internal/errkind"
-	"shaletrestle/reply"
+	"shaletrestle/internal/httpreply"
 )
 
 // Path is where metrics are served on a state port.
@@ -47,12 +47,12 @@
 func Serve(w http.ResponseWriter, fs []Figure) {
 	r := prometheus.NewRegistry()
 	if err := r.Register(figures(fs)); err != nil {
-		reply.Fault(w, errkind.Wrap(errkind.Internal, err, "metrics"))
+		httpreply.Fault(w, errkind.Wrap(errkind.Internal, err, "metrics"))
 		return
 	}
 	all, err := r.Gather()
 	if err != nil {
-		reply.Fault(w, errkind.Wrap(errkind.Internal, err, "metrics"))
+		httpreply.Fault(w, errkind.Wrap(errkind.Internal, err, "metrics"))
 		return
 	}
 	form := expfmt.NewFormat(expfmt.TypeTextPlain)
--- a/millyard/platform.go
+++ b/millyard/platform.go
@@ -8,10 +8,10 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // platform is the stand-in for the platform's list: it runs behind, comes in pages and takes so many calls a second.
@@ -83,7 +83,7 @@
 		out["next_token"] = strconv.Itoa(to)
 	}
 	b, _ := json.Marshal(out)
-	reply.Bytes(w, http.StatusOK, b)
+	httpreply.Bytes(w, http.StatusOK, b)
 }
 
 // turned tells the calls and how many of them got 429.
--- a/millyard/replica.go
+++ b/millyard/replica.go
@@ -10,13 +10,13 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/replicamodel"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 const healthPath = "/health"
@@ -374,6 +374,6 @@
 		models = append(models, map[string]any{"name": e.Model, "revision": 1, "adapters": []string{}})
 	}
 	r.mu.Unlock()
-	reply.JSON(w, http.StatusOK, map[string]any{"stage": "dual", "models": models, "busy": false, "call_seq": 0, "queued": l.Queued, "active": l.Active,
+	httpreply.JSON(w, http.StatusOK, map[string]any{"stage": "dual", "models": models, "busy": false, "call_seq": 0, "queued": l.Queued, "active": l.Active,
 		"kv_used": l.Used, "kv_total": total, "handles": 0})
 }
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -24,11 +24,11 @@
 	"shaletrestle/internal/config"
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/meter"
 	"shaletrestle/plate"
-	"shaletrestle/reply"
 )
 
 // Plan is what a tallyhouse is built from.
@@ -470,12 +470,12 @@
 			v.Doc, v.Evac = o.Doc, o.Evac
 		}
 		v.Digests = nil
-		reply.Bytes(w, http.StatusOK, v.Encode())
+		httpreply.Bytes(w, http.StatusOK, v.Encode())
 		return
 	}
 	ep, num := h.feed.At()
 	v := h.news.View()
-	reply.JSON(w, http.StatusOK, map[string]any{
+	httpreply.JSON(w, http.StatusOK, map[string]any{
 		"maintenance": h.maintenance(),
 		"program":     "tallyhouse", "version": plate.Version, "node": h.env.NodeName, "tally": h.member.State(),
 		"news":           map[string]any{"epoch": ep, "number": num, "acked": h.feed.Acked(), "source": h.follower.Source(), "live": h.live.Load()},
