--- a/gatehouse/figures.go
+++ b/gatehouse/figures.go
@@ -1,23 +1,23 @@
 package gatehouse
 
-import "shaletrestle/meter"
+import "shaletrestle/internal/metrics"
 
 // figures are what the state port tells under meter.Path.
-func (g *Gate) figures() []meter.Figure {
+func (g *Gate) figures() []metrics.Figure {
 	v := g.book.View()
 	_, num := g.cursor.At()
 	runs, asked, hits := g.index.Stats()
-	count := func(name, help string, n int64) meter.Figure {
-		return meter.Figure{Name: "gatehouse_" + name, Help: help, Count: true, Value: float64(n)}
+	count := func(name, help string, n int64) metrics.Figure {
+		return metrics.Figure{Name: "gatehouse_" + name, Help: help, Count: true, Value: float64(n)}
 	}
-	gauge := func(name, help string, x float64) meter.Figure {
-		return meter.Figure{Name: "gatehouse_" + name, Help: help, Value: x}
+	gauge := func(name, help string, x float64) metrics.Figure {
+		return metrics.Figure{Name: "gatehouse_" + name, Help: help, Value: x}
 	}
 	ready := 0.0
 	if g.ready.Load() && !g.leaving.Load() {
 		ready = 1
 	}
-	out := []meter.Figure{
+	out := []metrics.Figure{
 		count("requests_total", "Requests read from clients.", g.count.inquiries.Load()),
 		count("refused_total", "Requests answered with a promise that nothing ran.", g.count.refused.Load()),
 		count("failed_total", "Requests that ended without a replica's whole answer and without such a promise.", g.count.failed.Load()),
@@ -36,7 +36,7 @@
 		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(g.watcher.Suspected()))),
 	}
 	for pool := range g.table.Load().Pools {
-		out = append(out, meter.Figure{Name: "gatehouse_retry_budget_left", Help: "Further tries that this node may still make, by service.", Value: g.budget.Left(pool, g.fleet()), Label: pool})
+		out = append(out, metrics.Figure{Name: "gatehouse_retry_budget_left", Help: "Further tries that this node may still make, by service.", Value: g.budget.Left(pool, g.fleet()), Label: pool})
 	}
 	return out
 }
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -21,13 +21,13 @@
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
-	"shaletrestle/meter"
 	"shaletrestle/plate"
 )
 
@@ -448,8 +448,8 @@
 }
 
 func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == meter.Path {
-		meter.Serve(w, g.figures())
+	if r.URL.Path == metrics.Path {
+		metrics.Serve(w, g.figures())
 		return
 	}
 	v := g.book.View()
--- a/meter/meter.go
+++ b/internal/metrics/meter.go
@@ -1,5 +1,5 @@
-// Package meter gives a daemon's counts in the Prometheus text form. Nothing is collected until somebody asks: the daemons keep the counts that they keep anyway.
-package meter
+// Package metrics gives a daemon's counts in the Prometheus text form. Nothing is collected until somebody asks: the daemons keep the counts that they keep anyway.
+package metrics
 
 import (
 	"net/http"
--- a/meter/meter_test.go
+++ b/internal/metrics/meter_test.go
@@ -1,4 +1,4 @@
-package meter
+package metrics
 
 import (
 	"net/http/httptest"
--- a/tallyhouse/figures.go
+++ b/tallyhouse/figures.go
@@ -1,9 +1,9 @@
 package tallyhouse
 
-import "shaletrestle/meter"
+import "shaletrestle/internal/metrics"
 
 // figures are what the state port tells under meter.Path.
-func (h *House) figures() []meter.Figure {
+func (h *House) figures() []metrics.Figure {
 	ep, num := h.feed.At()
 	is := func(so bool) float64 {
 		if so {
@@ -11,11 +11,11 @@
 		}
 		return 0
 	}
-	gauge := func(name, help string, x float64) meter.Figure {
-		return meter.Figure{Name: "tallyhouse_" + name, Help: help, Value: x}
+	gauge := func(name, help string, x float64) metrics.Figure {
+		return metrics.Figure{Name: "tallyhouse_" + name, Help: help, Value: x}
 	}
 	v := h.news.View()
-	return []meter.Figure{
+	return []metrics.Figure{
 		{Name: "tallyhouse_list_calls_total", Help: "Readings of the platform's list.", Count: true, Value: float64(h.polls.Load())},
 		{Name: "tallyhouse_list_failures_total", Help: "Readings that failed.", Count: true, Value: float64(h.fails.Load())},
 		gauge("primary", "1 if this member is primary and tells the news.", is(h.live.Load())),
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -25,9 +25,9 @@
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
-	"shaletrestle/meter"
 	"shaletrestle/plate"
 )
 
@@ -459,8 +459,8 @@
 
 // page is the state page: all of it, or at /fleet the view of the fleet that the checker reads.
 func (h *House) page(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == meter.Path {
-		meter.Serve(w, h.figures())
+	if r.URL.Path == metrics.Path {
+		metrics.Serve(w, h.figures())
 		return
 	}
 	if r.URL.Path == "/fleet" {
