--- a/cmd/gatehouse/main.go
+++ b/cmd/gatehouse/main.go
@@ -3,14 +3,14 @@
 
 import (
 	"shaletrestle/coord/rpc"
-	"shaletrestle/env"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
 )
 
 func main() {
-	env.Main("gatehouse", "Carries clients' requests to model replicas.", env.Need{Front: true}, func(sc *task.Scope, e *env.Env) (env.Daemon, error) {
+	settings.Main("gatehouse", "Carries clients' requests to model replicas.", settings.Need{Front: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
 		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
 	})
 }
--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -4,13 +4,13 @@
 import (
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/env"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/task"
 	"shaletrestle/tallyhouse"
 )
 
 func main() {
-	env.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", env.Need{Control: true}, func(sc *task.Scope, e *env.Env) (env.Daemon, error) {
+	settings.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", settings.Need{Control: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
 		if !e.Keeps() {
 			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
--- a/gatehouse/gate.go
+++ b/gatehouse/gate.go
@@ -16,7 +16,6 @@
 	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/coord/slowness"
-	"shaletrestle/env"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
@@ -25,6 +24,7 @@
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
@@ -33,7 +33,7 @@
 
 // Plan is what a gatehouse is built from.
 type Plan struct {
-	Env    *env.Env
+	Env    *settings.Env
 	Net    rpc.Net
 	Dialer upstream.Dialer
 	Work   func() clock.Span // does and times the piece of work that shows a slow machine; nil for the usual one
@@ -42,7 +42,7 @@
 // Gate is one traffic process.
 type Gate struct {
 	sc        *task.Scope
-	env       atomic.Pointer[env.Env]
+	env       atomic.Pointer[settings.Env]
 	net       rpc.Net
 	dialer    upstream.Dialer
 	book      *state.Book
@@ -165,7 +165,7 @@
 }
 
 // Reload takes new settings.
-func (g *Gate) Reload(e *env.Env) {
+func (g *Gate) Reload(e *settings.Env) {
 	g.env.Store(e)
 	g.yard.Use(e.Placement)
 	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(plate.PortGate)))
--- a/gatehouse/longwork_test.go
+++ b/gatehouse/longwork_test.go
@@ -10,14 +10,14 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/handoff"
-	"shaletrestle/env"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
+	"shaletrestle/internal/settings"
 	"shaletrestle/plate"
 )
 
-func longOf(e *env.Env) *longWork {
+func longOf(e *settings.Env) *longWork {
 	g := &Gate{}
 	g.env.Store(e)
 	return &longWork{g: g, rooms: map[string]neighbour{}}
@@ -25,7 +25,7 @@
 
 func TestNeighbourHasRoomAndMayHaveTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := &env.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: env.LongWork{Enabled: true}}
+		e := &settings.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: settings.LongWork{Enabled: true}}
 		h := longOf(e)
 		fill := func() {
 			h.rooms = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
@@ -68,7 +68,7 @@
 func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			h := longOf(&env.Env{LongWork: env.LongWork{Enabled: true}})
+			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
 			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
--- a/gatehouse/shares_test.go
+++ b/gatehouse/shares_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/rpc"
-	"shaletrestle/env"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
@@ -66,7 +66,7 @@
 func TestSharesAndWeightsFollowTheView(t *testing.T) {
 	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
-	e := &env.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
+	e := &settings.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
 	e.Limits.MemoryMB = 100
 	g := New(sc, Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}})
 	require.Equal(t, 20*plate.ColdMargin/plate.FleetGuess, g.cold.Load().rate(20, "r"))
--- a/env/env.go
+++ b/internal/settings/env.go
@@ -1,5 +1,5 @@
-// Package env reads and checks the settings that the platform gives a process.
-package env
+// Package settings reads and checks the settings that the platform gives a process.
+package settings
 
 import (
 	"math"
--- a/env/env_test.go
+++ b/internal/settings/env_test.go
@@ -1,4 +1,4 @@
-package env
+package settings
 
 import (
 	"strings"
--- a/millyard/yard.go
+++ b/millyard/yard.go
@@ -12,10 +12,10 @@
 
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/env"
 	"shaletrestle/gatehouse"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/plate"
@@ -30,7 +30,7 @@
 	ip   string
 	wire *wire
 	sc   *task.Scope
-	d    env.Daemon
+	d    settings.Daemon
 	done chan error
 }
 
@@ -185,7 +185,7 @@
 // start reads the settings file and runs the daemon that its name tells, with the real packages, in this process.
 func (d *daemon) start(sc *task.Scope, w *wire) error {
 	house := d.name[0] == 't'
-	e, err := env.LoadFile(d.file, env.Need{Front: !house, Control: house})
+	e, err := settings.LoadFile(d.file, settings.Need{Front: !house, Control: house})
 	if err != nil {
 		return err
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"shaletrestle/coord/replication"
-	"shaletrestle/env"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/tallyhouse"
@@ -109,7 +109,7 @@
 }
 
 // Bounds and settings of every simulated process.
-const settings = `
+const settingsTemplate = `
 node_name: %q
 ip: %q
 zone: %q
@@ -187,7 +187,7 @@
 	if p.relay {
 		disk = "quorum_member: false"
 	}
-	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot, zones, disk, w.losses)+w.more), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
+	e, err := settings.Parse([]byte(fmt.Sprintf(settingsTemplate, name, p.ip, p.zone, seeds, boot, zones, disk, w.losses)+w.more), settings.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
 	if err != nil {
 		return err
 	}
--- a/tallyhouse/house.go
+++ b/tallyhouse/house.go
@@ -17,7 +17,6 @@
 	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/env"
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/calendar"
 	"shaletrestle/internal/clock"
@@ -26,6 +25,7 @@
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/metrics"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/plate"
@@ -33,7 +33,7 @@
 
 // Plan is what a tallyhouse is built from.
 type Plan struct {
-	Env   *env.Env
+	Env   *settings.Env
 	Net   rpc.Net
 	Store replication.Store
 }
@@ -41,7 +41,7 @@
 // House is one control process.
 type House struct {
 	sc       *task.Scope
-	env      *env.Env
+	env      *settings.Env
 	net      rpc.Net
 	state    *state.Book
 	news     *state.Book
@@ -485,7 +485,7 @@
 }
 
 // Reload takes new settings: nothing that this process holds depends on those that may change while it runs.
-func (h *House) Reload(*env.Env) {}
+func (h *House) Reload(*settings.Env) {}
 
 // Acting tells whether this process is primary and tells the news.
 func (h *House) Acting() bool { return h.live.Load() }
