--- a/cmd/millyard/main.go
+++ b/cmd/millyard/main.go
@@ -12,9 +12,9 @@
 
 	"github.com/integrii/flaggy"
 
+	"shaletrestle/internal/emulator"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
-	"shaletrestle/millyard"
 	"shaletrestle/plate"
 )
 
@@ -51,7 +51,7 @@
 	slopes := flaggy.NewSubcommand("slopes")
 	slopes.Description = "Grow one quantity of a fleet of hollow nodes at a time and write what it costs as JSON."
 	slopes.String(&dir, "o", "out", "folder for the data")
-	slopes.StringSlice(&names, "s", "series", "only these; may be given more than once: "+strings.Join(millyard.SeriesNames(), ", "))
+	slopes.StringSlice(&names, "s", "series", "only these; may be given more than once: "+strings.Join(emulator.SeriesNames(), ", "))
 	p.AttachSubcommand(slopes, 1)
 	held := flaggy.NewSubcommand("cell")
 	held.Description = "Hold daemons for slopes; told what to do on standard input."
@@ -69,7 +69,7 @@
 	defer sc.Stop()
 	if held.Used { // it ends with its input; whoever started it hears the signals
 		signal.Ignore(syscall.SIGINT)
-		if err := millyard.Cell(sc, os.Stdin, out); err != nil {
+		if err := emulator.Cell(sc, os.Stdin, out); err != nil {
 			fmt.Fprintln(errs, "millyard:", err)
 			return notAll
 		}
@@ -87,26 +87,26 @@
 	}()
 	switch {
 	case demo.Used:
-		x, err := millyard.Demo()
+		x, err := emulator.Demo()
 		return experiment(sc, x, err, lines, plots, out, errs)
 	case exp.Used:
-		x, err := millyard.Load(file)
+		x, err := emulator.Load(file)
 		return experiment(sc, x, err, lines, plots, out, errs)
 	}
 	if slopes.Used {
-		err := millyard.Slopes(sc, names, dir, millyard.Output{Progress: out})
+		err := emulator.Slopes(sc, names, dir, emulator.Output{Progress: out})
 		return said(sc, err, errs)
 	}
 	fmt.Fprintln(errs, "millyard: name a subcommand: demo, run or slopes; --help tells more")
 	return badUse
 }
 
-func experiment(sc *task.Scope, x *millyard.Experiment, err error, lines, plots string, out, errs io.Writer) int {
+func experiment(sc *task.Scope, x *emulator.Experiment, err error, lines, plots string, out, errs io.Writer) int {
 	if err != nil {
 		fmt.Fprintln(errs, "millyard:", err)
 		return badUse
 	}
-	o := millyard.Output{Progress: out, Plots: plots}
+	o := emulator.Output{Progress: out, Plots: plots}
 	if lines != "" {
 		f, err := os.Create(lines)
 		if err != nil {
@@ -116,7 +116,7 @@
 		defer func() { _ = f.Close() }()
 		o.Lines = f
 	}
-	s, err := millyard.Run(sc, x, o)
+	s, err := emulator.Run(sc, x, o)
 	if err != nil {
 		return said(sc, err, errs)
 	}
--- a/millyard/demo.go
+++ b/internal/emulator/demo.go
@@ -1,4 +1,4 @@
-package millyard
+package emulator
 
 // Demo is the experiment that a newcomer sees first: three kinds of request, one of them streamed by model replicas, on one tallyhouse and two gatehouses.
 func Demo() (*Experiment, error) {
--- a/millyard/experiment.go
+++ b/internal/emulator/experiment.go
@@ -1,5 +1,5 @@
-// Package millyard emulates what the fleet serves, on loopback addresses: model replicas, the platform's list, the operator and clients. It starts real daemons beside them, loads them and measures.
-package millyard
+// Package emulator emulates what the fleet serves, on loopback addresses: model replicas, the platform's list, the operator and clients. It starts real daemons beside them, loads them and measures.
+package emulator
 
 import (
 	"bytes"
--- a/millyard/plant.go
+++ b/internal/emulator/plant.go
@@ -1,4 +1,4 @@
-package millyard
+package emulator
 
 import (
 	"encoding/json"
