--- a/cmd/tallyhouse/main.go
+++ b/cmd/tallyhouse/main.go
@@ -4,15 +4,15 @@
 import (
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/controller"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/task"
-	"shaletrestle/tallyhouse"
 )
 
 func main() {
 	settings.Main("tallyhouse", "Keeps configuration and evacuations, reads the platform's list and tells the gatehouses.", settings.Need{Control: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
 		if !e.Keeps() {
-			return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
+			return controller.New(sc, controller.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
 		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
 		if err != nil {
@@ -24,6 +24,6 @@
 		if n := st.Cut(); n > 0 {
 			sc.Part("tally").Log().Warn("torn tail cut at its last whole record", "bytes", n)
 		}
-		return tallyhouse.New(sc, tallyhouse.Plan{Env: e, Net: rpc.TCP{}, Store: st})
+		return controller.New(sc, controller.Plan{Env: e, Net: rpc.TCP{}, Store: st})
 	})
 }
--- a/tallyhouse/deck.go
+++ b/internal/controller/deck.go
@@ -1,4 +1,4 @@
-package tallyhouse
+package controller
 
 import (
 	"shaletrestle/coord/loadsum"
--- a/tallyhouse/house.go
+++ b/internal/controller/house.go
@@ -1,5 +1,5 @@
-// Package tallyhouse is the control plane: it puts the parts together.
-package tallyhouse
+// Package controller is the control plane: it puts the parts together.
+package controller
 
 import (
 	"encoding/json"
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -14,12 +14,12 @@
 	"shaletrestle/coord/rpc"
 	"shaletrestle/gatehouse"
 	"shaletrestle/internal/clock"
+	"shaletrestle/internal/controller"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 	"shaletrestle/plate"
-	"shaletrestle/tallyhouse"
 )
 
 // daemon is one process of the fleet, run in this one from a settings file of its own.
@@ -195,7 +195,7 @@
 		if err != nil {
 			return err
 		}
-		h, err := tallyhouse.New(d.sc, tallyhouse.Plan{Env: e, Net: w, Store: st})
+		h, err := controller.New(d.sc, controller.Plan{Env: e, Net: w, Store: st})
 		if err != nil {
 			return err
 		}
--- a/sim/world.go
+++ b/sim/world.go
@@ -19,10 +19,10 @@
 
 	"shaletrestle/coord/replication"
 	"shaletrestle/gatehouse"
+	"shaletrestle/internal/controller"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
-	"shaletrestle/tallyhouse"
 )
 
 // life fences what a killed process still tries to do.
@@ -74,7 +74,7 @@
 	relay bool // it has no disk
 	life  *life
 	sc    *task.Scope
-	house *tallyhouse.House
+	house *controller.House
 	gate  *gatehouse.Gate
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
@@ -204,7 +204,7 @@
 		if p.relay {
 			st = replication.NewNoDisk()
 		}
-		h, err := tallyhouse.New(p.sc, tallyhouse.Plan{Env: e, Net: p.life, Store: st})
+		h, err := controller.New(p.sc, controller.Plan{Env: e, Net: p.life, Store: st})
 		if err != nil {
 			return err
 		}
