--- a/cmd/gatehouse/main.go
+++ b/cmd/gatehouse/main.go
@@ -3,7 +3,7 @@
 
 import (
 	"shaletrestle/coord/rpc"
-	"shaletrestle/gatehouse"
+	"shaletrestle/internal/router"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/task"
 	"shaletrestle/internal/upstream"
@@ -11,6 +11,6 @@
 
 func main() {
 	settings.Main("gatehouse", "Carries clients' requests to model replicas.", settings.Need{Front: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
-		return gatehouse.New(sc, gatehouse.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
+		return router.New(sc, router.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
 	})
 }
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -12,10 +12,10 @@
 
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
-	"shaletrestle/gatehouse"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/controller"
 	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/router"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
@@ -201,7 +201,7 @@
 		}
 		d.d = h
 	} else {
-		d.d = gatehouse.New(d.sc, gatehouse.Plan{Env: e, Net: w, Dialer: w})
+		d.d = router.New(d.sc, router.Plan{Env: e, Net: w, Dialer: w})
 	}
 	d.done = make(chan error, 1)
 	go func() { d.done <- d.d.Run() }()
--- a/gatehouse/budget_test.go
+++ b/internal/router/budget_test.go
@@ -1,4 +1,4 @@
-package gatehouse
+package router
 
 import (
 	"math/rand/v2"
--- a/gatehouse/gate.go
+++ b/internal/router/gate.go
@@ -1,5 +1,5 @@
-// Package gatehouse is the traffic plane: it puts the parts together and carries inquiries to replicas.
-package gatehouse
+// Package router is the traffic plane: it puts the parts together and carries inquiries to replicas.
+package router
 
 import (
 	"encoding/json"
--- a/gatehouse/readiness.go
+++ b/internal/router/readiness.go
@@ -1,4 +1,4 @@
-package gatehouse
+package router
 
 import (
 	"net/http"
--- a/sim/world.go
+++ b/sim/world.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"shaletrestle/coord/replication"
-	"shaletrestle/gatehouse"
 	"shaletrestle/internal/controller"
+	"shaletrestle/internal/router"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
@@ -75,7 +75,7 @@
 	life  *life
 	sc    *task.Scope
 	house *controller.House
-	gate  *gatehouse.Gate
+	gate  *router.Gate
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
 }
@@ -212,7 +212,7 @@
 		go func() { _ = h.Run() }()
 		return nil
 	}
-	p.gate = gatehouse.New(p.sc, gatehouse.Plan{Env: e, Net: p.life, Dialer: p.life, Work: p.work})
+	p.gate = router.New(p.sc, router.Plan{Env: e, Net: p.life, Dialer: p.life, Work: p.work})
 	g := p.gate
 	go func() { _ = g.Run() }()
 	return nil
