A refusal and an empty acknowledgement are confirmed by the witnesses, like a read

Cause: a primary answered 412, or 200 for what was in force already, after a look at its own flag only. Thawed after a freeze, or cut off for less than its own time-out, it refused an order that its follower had taken. Now the decision is answered only after a majority of the view's witnesses confirmed, in a round begun after it, that they accepted no later view; one round serves all calls that wait. Test: TestACutOffPrimaryRefusesNothingClearly, which fails without the confirmation.

--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -82,6 +82,9 @@
 	broken  atomic.Bool
 	asking  atomic.Bool
 	born    clock.Moment
+
+	nextRound  *confirmRound // joined by calls that need the witnesses' word; under mu
+	confirming bool          // rounds are under way; under mu
 }
 
 // New makes a member from its store; Run starts it.
@@ -576,13 +579,15 @@
 			return errkind.New(errkind.Unready, "copies or witnesses are missing")
 		}
 	}
-	e, err := check()
-	if err != nil || e == nil {
-		return err
-	}
 	m.mu.Lock()
 	c := m.reg.Chart
 	m.mu.Unlock()
+	e, err := check()
+	if err != nil || e == nil {
+		m.wr.Unlock()
+		defer m.wr.Lock() // the deferred Unlock above ends what this begins
+		return m.clear(c, err)
+	}
 	far := make(chan bool, len(c.Backups))
 	for _, b := range c.Backups {
 		go func() {
@@ -632,18 +637,6 @@
 	}
 }
 
-// Confirmed tells whether this member is still primary: most witnesses say now that they have accepted no later chart.
-func (m *Member) Confirmed() bool {
-	m.mu.Lock()
-	c, ok, ep := m.reg.Chart, m.active, m.epoch
-	m.mu.Unlock()
-	if !ok || c == nil || c.Epoch != ep {
-		return false
-	}
-	as := m.ask(c.Witnesses, &rpc.Note{Kind: rpc.Confirm, Epoch: c.Epoch, Ballot: c.Mark}, constants.CallWait)
-	return oks(as) > len(c.Witnesses)/2
-}
-
 // yield asks the backups in turn to take over, until one will.
 func (m *Member) yield(c *rpc.Chart) {
 	if c == nil {
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -322,6 +322,53 @@
 	})
 }
 
+// TestACutOffPrimaryRefusesNothingClearly asks a primary all the time while it is cut off and followed, and after it is back: a refusal or an "in force already" of its own comes only while nobody else is primary.
+func TestACutOffPrimaryRefusesNothingClearly(t *testing.T) {
+	for _, gone := range []time.Duration{1050, 1100, 1150, 1200, 1300, 2000} {
+		synctest.Test(t, func(t *testing.T) {
+			tr := newTrio()
+			defer tr.end()
+			p := tr.primary()
+			cut := func(off bool) {
+				tr.h.mu.Lock()
+				tr.h.off[fmt.Sprint("m", p)] = off
+				tr.h.mu.Unlock()
+			}
+			cut(true)
+			start := time.Now()
+			var followed atomic.Int64
+			for time.Since(start) < 4*time.Second {
+				if time.Since(start) > gone*time.Millisecond {
+					cut(false)
+				}
+				time.Sleep(5 * time.Millisecond)
+				for _, decision := range []error{nil, errkind.New(errkind.Stale, "version 1 is current")} {
+					go func() {
+						other := tr.otherPrimary(p)
+						err := tr.m[p].Propose(func() ([]byte, error) { return nil, decision })
+						if other {
+							followed.Add(1)
+							require.NotEqual(t, errkind.Stale, errkind.KindOf(err))
+							require.Error(t, err)
+						}
+					}()
+				}
+			}
+			require.Positive(t, followed.Load())
+		})
+	}
+}
+
+// otherPrimary tells whether a member other than i is primary.
+func (t *crowd) otherPrimary(i int) bool {
+	for j, m := range t.m {
+		if _, ok := m.Active(); ok && j != i {
+			return true
+		}
+	}
+	return false
+}
+
 func TestManyTakeoversLoseNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTrio()
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -217,9 +217,15 @@
 // Take makes one order.
 func (h *House) Take(sc *task.Scope, o *adminapi.Order) error {
 	e := &state.Event{Kind: o.Kind, Base: o.Base, Body: o.Body, Locality: o.Locality}
+	deadline := clock.Now().Add(constants.OrderWait)
 	done := make(chan error, 1)
 	go func() {
-		done <- h.member.Propose(func() ([]byte, error) { return h.check(e) })
+		done <- h.member.Propose(func() ([]byte, error) {
+			if !clock.Now().Before(deadline) { // the caller has its answer: it must not begin now
+				return nil, errkind.New(errkind.Unready, "its time is over")
+			}
+			return h.check(e)
+		})
 	}()
 	select {
 	case err := <-done:
