Disk store: the log's folder is synced when a segment is made

Cause: a new log folder got its first segment, and a full segment its successor, without a sync of that folder. After a loss of power the name may be gone, and with it entries that were synced and acknowledged. Change: the folder is synced when a log is opened, and by the append that makes a segment, before either is reported.

--- a/coord/replication/store.go
+++ b/coord/replication/store.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
@@ -74,8 +75,13 @@
 	size int
 	note string
 	cut  int
+
+	syncFolder func(dir string) error // syncDir, but for tests
 }
 
+// segmentSize is well above the size at which a checkpoint replaces the log, so that most logs have one segment.
+const segmentSize = constants.LogSegment * 4
+
 var magic = []byte("\x7ftly")
 
 func seal(b []byte) []byte {
@@ -128,7 +134,7 @@
 
 // OpenDisk opens the folder's store. An empty folder gets a new identity, synced before it returns; a folder whose body is damaged is emptied and gets one too, so that it can't pass for a holder.
 func OpenDisk(dir string, boot bool) (*DiskStore, error) {
-	s := &DiskStore{dir: dir}
+	s := &DiskStore{dir: dir, syncFolder: syncDir}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "data folder")
 	}
@@ -148,7 +154,7 @@
 		if err := putFile(s.path("identity"), seal(j)); err != nil {
 			return nil, errkind.Wrap(errkind.Internal, err, "identity")
 		}
-		if err := syncDir(dir); err != nil {
+		if err := s.syncFolder(dir); err != nil {
 			return nil, errkind.Wrap(errkind.Internal, err, "data folder")
 		}
 	}
@@ -173,8 +179,8 @@
 			return err
 		}
 	}
-	*s = DiskStore{dir: s.dir, note: s.note}
-	return syncDir(s.dir)
+	*s = DiskStore{dir: s.dir, note: s.note, syncFolder: s.syncFolder}
+	return s.syncFolder(s.dir)
 }
 
 type checkpointFile struct {
@@ -316,11 +322,14 @@
 			s.cut += cut
 		}
 	}
-	l, err := wal.Open(s.logDir(), &wal.Options{SegmentSize: constants.LogSegment * 4, LogFormat: wal.Binary, SegmentCacheSize: 1, DirPerms: 0o700, FilePerms: 0o600})
+	l, err := wal.Open(s.logDir(), &wal.Options{SegmentSize: segmentSize, LogFormat: wal.Binary, SegmentCacheSize: 1, DirPerms: 0o700, FilePerms: 0o600})
 	if err != nil {
 		return nil, err
 	}
 	s.log, s.next, s.size = l, 1, 0
+	if err := s.syncFolder(s.logDir()); err != nil { // wal.Open may have made the first segment
+		return nil, err
+	}
 	first, err := l.FirstIndex()
 	if err != nil {
 		return nil, err
@@ -366,7 +375,7 @@
 		return err
 	}
 	if x.Seq <= 2 {
-		if err := syncDir(s.dir); err != nil {
+		if err := s.syncFolder(s.dir); err != nil {
 			return err
 		}
 	}
@@ -398,7 +407,7 @@
 	if _, err := s.openLog(); err != nil {
 		return err
 	}
-	if err := syncDir(s.dir); err != nil {
+	if err := s.syncFolder(s.dir); err != nil {
 		return err
 	}
 	s.held = Held{}
@@ -423,10 +432,31 @@
 		s.log = nil
 		return err
 	}
+	if s.segmentMade() {
+		if err := s.syncFolder(s.logDir()); err != nil {
+			_ = s.log.Close()
+			s.log = nil
+			return err
+		}
+	}
 	s.next++
 	s.size += len(e)
 	return nil
 }
 
+// segmentMade tells whether the write of entry s.next made a new segment: one that begins with the entry, or an empty one for the entry after it.
+func (s *DiskStore) segmentMade() bool {
+	if s.next > 1 && s.hasSegment(s.next) {
+		return true
+	}
+	return s.hasSegment(s.next + 1)
+}
+
+// hasSegment tells whether a segment of the log begins with the entry.
+func (s *DiskStore) hasSegment(first uint64) bool {
+	_, err := os.Stat(filepath.Join(s.logDir(), fmt.Sprintf("%020d", first)))
+	return err == nil
+}
+
 // Size is the number of bytes of entries since the last checkpoint.
 func (s *DiskStore) Size() int { return s.size }
--- a/coord/replication/store_test.go
+++ b/coord/replication/store_test.go
@@ -145,6 +145,54 @@
 	require.Equal(t, []byte("later"), reopen(t, dir).Load().Base)
 }
 
+// recordFolderSyncs notes, for each folder that the store syncs from now on, which names it held at its last sync.
+func recordFolderSyncs(s *DiskStore) map[string][]string {
+	synced := map[string][]string{}
+	s.syncFolder = func(dir string) error {
+		entries, err := os.ReadDir(dir)
+		if err != nil {
+			return err
+		}
+		var names []string
+		for _, entry := range entries {
+			names = append(names, entry.Name())
+		}
+		synced[dir] = names
+		return syncDir(dir)
+	}
+	return synced
+}
+
+func TestDiskStoreSyncsTheFolderOfANewLog(t *testing.T) {
+	s := reopen(t, t.TempDir())
+	synced := recordFolderSyncs(s)
+	require.NoError(t, s.Reset(Held{Tag: Tag{1, 1}, Base: []byte("base")}))
+	require.Equal(t, []string{"00000000000000000001"}, synced[s.logDir()], "the name of the first segment is synced before the state counts")
+	require.Contains(t, synced[s.dir], "log-1")
+}
+
+func TestDiskStoreSyncsTheFolderOfANewSegment(t *testing.T) {
+	s := reopen(t, t.TempDir())
+	require.NoError(t, s.Reset(Held{Tag: Tag{1, 1}, Base: []byte("base")}))
+	synced := recordFolderSyncs(s)
+	require.NoError(t, s.Append([]byte("small")))
+	require.Empty(t, synced, "an append to a segment that is there is one sync")
+	require.NoError(t, s.Append(make([]byte, segmentSize)))
+	require.Equal(t, []string{"00000000000000000001", "00000000000000000003"}, synced[s.logDir()])
+	clear(synced)
+	require.NoError(t, s.Append([]byte("in the new segment")))
+	require.NoError(t, s.Append([]byte("and after")))
+	require.Len(t, reopen(t, s.dir).Load().Tail, 4)
+
+	// The name of an empty new segment may be lost: the next write makes it again, and its folder is synced then.
+	require.NoError(t, os.Remove(filepath.Join(s.logDir(), "00000000000000000003")))
+	again := reopen(t, s.dir)
+	require.Len(t, again.Load().Tail, 2)
+	synced = recordFolderSyncs(again)
+	require.NoError(t, again.Append([]byte("after the loss")))
+	require.Equal(t, []string{"00000000000000000001", "00000000000000000003"}, synced[again.logDir()])
+}
+
 func FuzzMend(f *testing.F) {
 	f.Add([]byte{11, 0x7f, 't', 'l', 'y'})
 	f.Fuzz(func(t *testing.T, b []byte) {
