--- /dev/null
+++ b/coord/replication/core/messages.go
@@ -0,0 +1,218 @@
+package core
+
+// Envelope says whom a message is from and for.
+type Envelope struct {
+	From      Member
+	To        MemberID // 0: whoever lives at the address
+	ToAddress string
+}
+
+// Route is the envelope of a message.
+func (e Envelope) Route() Envelope { return e }
+
+// Message is one of the message types of this file. Messages go one way; a reply is a message too, matched by epoch and ballot and a round, index or offset. So lost, repeated, late and reordered messages do no harm.
+type Message interface {
+	Route() Envelope
+	isMessage()
+}
+
+// Status is what a member says of itself.
+type Status struct {
+	Fit       bool     // its disk takes writes and it isn't leaving: it may be made a copy or a witness
+	Relay     bool     // it has no disk
+	Leaving   bool     // it wants to be no copy and no witness any more
+	FirstDisk bool     // its disk was made for the first start
+	Position  Position // of the state on its disk
+}
+
+// Hello asks whoever lives at an address who it is and what it knows.
+type Hello struct {
+	Envelope
+	Status Status
+	View   *View
+}
+
+// HelloReply answers a Hello.
+type HelloReply struct {
+	Envelope
+	Status  Status
+	View    *View
+	Members []Member // all that the member knows
+}
+
+// Heartbeat is the primary's sign of life, to all members.
+type Heartbeat struct {
+	Envelope
+	View    *View
+	Members []Member
+}
+
+// HeartbeatReply answers a Heartbeat.
+type HeartbeatReply struct {
+	Envelope
+	Epoch  Epoch // of the heartbeat
+	Joined bool  // the member takes appends of that view
+	Status Status
+	View   *View // if a newer one is known
+}
+
+// Prepare asks a witness to promise to accept nothing under a lower ballot for the epoch after Base.
+type Prepare struct {
+	Envelope
+	Base   View
+	Ballot Ballot
+}
+
+// PrepareReply answers a Prepare. The promise is synced before it is sent.
+type PrepareReply struct {
+	Envelope
+	Epoch          Epoch // Base's and one more
+	Ballot         Ballot
+	Refusal        Refusal
+	Promised       Ballot // if refused for a higher promise
+	AcceptedBallot Ballot
+	Accepted       *View // what the witness accepted for that epoch before
+	View           *View // if a newer one is known
+	Status         Status
+}
+
+// Accept asks a witness to accept a view for the epoch after Base.
+type Accept struct {
+	Envelope
+	Base     View
+	Ballot   Ballot // of the proposer, which may finish an earlier proposal
+	Proposal View
+}
+
+// AcceptReply answers an Accept. What was accepted is synced before it is sent.
+type AcceptReply struct {
+	Envelope
+	Epoch    Epoch
+	Ballot   Ballot
+	Refusal  Refusal
+	Promised Ballot
+	View     *View
+}
+
+// Install tells a new witness of a view that was chosen.
+type Install struct {
+	Envelope
+	View View
+}
+
+// InstallReply answers an Install. The view is synced before it is sent.
+type InstallReply struct {
+	Envelope
+	Epoch   Epoch
+	Ballot  Ballot
+	Refusal Refusal
+	View    *View
+}
+
+// SnapshotPart is a bounded part of the state, given to a member that is to be a copy of the view proposed under Tag. The parts together are the stream of EncodeState.
+type SnapshotPart struct {
+	Envelope
+	Tag         StateTag
+	Base        *View    // the view before the proposed one; nil before the first
+	Provisional bool     // the state is given ahead of a proposal: its holder may not lead with it
+	Since       Position // the stream holds the entries after this position only; zero: the whole state
+	Position    Position // of the state once it is whole
+	Size        int64    // of the stream
+	Offset      int64    // of Data in it
+	Data        []byte
+}
+
+// SnapshotPartReply answers a SnapshotPart.
+type SnapshotPartReply struct {
+	Envelope
+	Tag      StateTag
+	Position Position // that the transfer is to reach
+	Received int64    // bytes of the stream held from its start on: go on from here
+	Complete bool     // the state is whole and synced
+	Refusal  Refusal
+	Held     Position // of the state on this member's disk
+	View     *View    // if a newer one is known
+}
+
+// Append gives a backup the next entry of a view.
+type Append struct {
+	Envelope
+	Entry Entry // its epoch and ballot are the view's
+}
+
+// AppendReply answers an Append. The entry is synced before it is sent.
+type AppendReply struct {
+	Envelope
+	Epoch   Epoch
+	Ballot  Ballot
+	Index   Index // of the entry sent
+	Refusal Refusal
+	Held    Position // of the state on this member's disk
+	View    *View    // if a newer one is known
+}
+
+// Confirm asks a witness whether it has accepted no later view.
+type Confirm struct {
+	Envelope
+	Epoch  Epoch
+	Ballot Ballot
+	Round  uint64
+}
+
+// ConfirmReply answers a Confirm.
+type ConfirmReply struct {
+	Envelope
+	Epoch   Epoch
+	Ballot  Ballot
+	Round   uint64
+	Refusal Refusal
+	View    *View // if a newer one is known
+}
+
+// Yield asks a backup to take over from the primary that sends it.
+type Yield struct {
+	Envelope
+	Epoch  Epoch
+	Ballot Ballot
+}
+
+// YieldReply answers a Yield.
+type YieldReply struct {
+	Envelope
+	Epoch   Epoch
+	Refusal Refusal
+}
+
+// LeaveRequest asks the primary for a view in which the sender is neither copy nor witness.
+type LeaveRequest struct {
+	Envelope
+	Status Status
+}
+
+// LeaveRequestReply answers a LeaveRequest.
+type LeaveRequestReply struct {
+	Envelope
+	Refusal Refusal
+	View    *View
+}
+
+func (Hello) isMessage()             {}
+func (HelloReply) isMessage()        {}
+func (Heartbeat) isMessage()         {}
+func (HeartbeatReply) isMessage()    {}
+func (Prepare) isMessage()           {}
+func (PrepareReply) isMessage()      {}
+func (Accept) isMessage()            {}
+func (AcceptReply) isMessage()       {}
+func (Install) isMessage()           {}
+func (InstallReply) isMessage()      {}
+func (SnapshotPart) isMessage()      {}
+func (SnapshotPartReply) isMessage() {}
+func (Append) isMessage()            {}
+func (AppendReply) isMessage()       {}
+func (Confirm) isMessage()           {}
+func (ConfirmReply) isMessage()      {}
+func (Yield) isMessage()             {}
+func (YieldReply) isMessage()        {}
+func (LeaveRequest) isMessage()      {}
+func (LeaveRequestReply) isMessage() {}
