--- a/coord/replication/core/config.go
+++ b/coord/replication/core/config.go
@@ -38,6 +38,7 @@
 	RankWait     time.Duration // each later backup takes over this much after the one before it, which needs tens of ms
 	LateAnswer   time.Duration // a proposer that knows too few fit members waits so long for answers beyond the majority's
 	RefusedFor   time.Duration // a member that took no transfer is not offered one for its own sake again before
+	Forget       time.Duration // a member unseen this long is forgotten unless the view names it
 	LeaveMargin  time.Duration // before its deadline a leaving member gives up waiting
 }
 
@@ -57,6 +58,7 @@
 		RankWait:     300 * time.Millisecond,
 		LateAnswer:   50 * time.Millisecond,
 		RefusedFor:   2 * time.Second,
+		Forget:       30 * time.Second,
 		LeaveMargin:  200 * time.Millisecond,
 	}
 }
--- a/coord/replication/core/messages.go
+++ b/coord/replication/core/messages.go
@@ -18,7 +18,7 @@
 
 // Status is what a member says of itself.
 type Status struct {
-	Fit       bool     // its disk takes writes and it isn't leaving: it may be made a copy or a witness
+	Fit       bool     // its disk takes writes
 	Relay     bool     // it has no disk
 	Leaving   bool     // it wants to be no copy and no witness any more
 	FirstDisk bool     // its disk was made for the first start
@@ -112,23 +112,23 @@
 // SnapshotPart is a bounded part of the state, given to a member that is to be a copy of the view proposed under Tag. The parts together are the stream of EncodeState.
 type SnapshotPart struct {
 	Envelope
-	Tag         StateTag
-	Base        *View    // the view before the proposed one; nil before the first
-	Provisional bool     // the state is given ahead of a proposal: its holder may not lead with it
-	Since       Position // the stream holds the entries after this position only; zero: the whole state
-	Position    Position // of the state once it is whole
-	Size        int64    // of the stream
-	Offset      int64    // of Data in it
-	Data        []byte
+	Tag      StateTag
+	Base     *View    // the view before the proposed one; nil before the first
+	Since    Position // the stream holds the entries after this position only; zero: the whole state
+	Position Position // of the state once it is whole
+	Size     int64    // of the stream
+	Stream   Digest   // of the stream: parts of equal streams belong together, also under another tag
+	Offset   int64    // of Data in it
+	Data     []byte
 }
 
 // SnapshotPartReply answers a SnapshotPart.
 type SnapshotPartReply struct {
 	Envelope
 	Tag      StateTag
-	Position Position // that the transfer is to reach
-	Received int64    // bytes of the stream held from its start on: go on from here
-	Complete bool     // the state is whole and synced
+	Stream   Digest
+	Received int64 // bytes of the stream held from its start on: go on from here
+	Complete bool  // the state is whole and synced
 	Refusal  Refusal
 	Held     Position // of the state on this member's disk
 	View     *View    // if a newer one is known
