--- a/coord/replication/core/core.go
+++ b/coord/replication/core/core.go
@@ -1,49 +1,278 @@
 package core
 
-import "time"
+import (
+	"errors"
+	"log/slog"
+	"time"
+)
+
+// ErrDamaged says that what the disk held is no whole state.
+var ErrDamaged = errors.New("the stored state is damaged")
+
+// ErrTooMany comes with an Unclear answer if too many orders or reads wait already.
+var ErrTooMany = errors.New("too many calls wait")
+
+// ErrTooLate comes with an Unclear answer if the deadline passed.
+var ErrTooLate = errors.New("the deadline passed")
 
 // Core is one member's part of the protocol. It is not safe for concurrent use: one driver steps it.
 type Core struct {
 	config Config
+	self   Member
+	timing Timing
+	limits Limits
+
+	now      time.Duration
+	born     time.Duration
+	effects  []Effect
+	loopback []Message // sent to this member by itself
+
+	register        Register
+	registerChanged bool
+	registerReplies []Message // that wait for the register to be synced
+
+	disk  diskQueue
+	state heldState
+	inbox *incomingState
+
+	peers         []peer // sorted by id
+	lastHeard     time.Duration
+	heardFrom     Member
+	lastHeartbeat time.Duration
+	lastHello     time.Duration
+
+	active        bool
+	activeEpoch   Epoch
+	viewChangeDue bool
+	retryAfter    time.Duration // no view change is tried before
+	promisedAt    time.Duration // when a promise was last given to another member
+	round         uint64        // of the last ballot, for the epoch after the known view
+	change        *viewChange
+	warnedEpoch   Epoch // for which the tolerance was said to be out of reach
+
+	orders  []Order
+	write   *write
+	widened int // view changes made for the order that is first in the queue
+	confirm confirmation
+
+	yielding *yielding
+	leaving  *leaving
+	mutation mutation
 }
 
-// New makes a core from what its disk held. It gives an error (ErrDamaged) if that is no whole state; the store then has to start over as an empty disk with a new identity.
+// mutation is a fault built in on purpose. Only tests set it, to show that their search finds it.
+type mutation uint8
+
+const (
+	noMutation             mutation = iota
+	skipSync                        // acknowledge an entry before the disk has it
+	answerBeforeBackups             // answer an order before the backups have it
+	skipMajority                    // one witness is enough
+	forgetPromise                   // a witness forgets what it promised
+	skipConfirmOnRefusal            // refusals and empty acknowledgements ask nobody
+	skipConfirmOnRead               // nor do reads
+	skipSeal                        // a copy that proposes goes on taking appends
+	skipEarlierProposal             // an earlier proposal is not finished first
+	overwriteSameTag                // a repeated transfer goes over what was appended since
+	skipOwnPromise                  // a proposer doesn't sync its own ballot before it uses it
+	acceptOtherDiskMessage          // a message meant for another disk is taken
+)
+
+// longAgo stands for "never" among times.
+const longAgo = -time.Hour
+
+// New makes a core from what its disk held. It gives an error that wraps ErrDamaged if that is no whole state; the store then has to start over as an empty disk with a new identity.
 func New(config Config, stored Stored) (*Core, error) {
-	return &Core{config: config}, nil
+	c := &Core{
+		config:   config,
+		self:     config.Self,
+		timing:   config.Timing,
+		limits:   config.Limits,
+		register: stored.Register.Clone(),
+
+		promisedAt:    longAgo,
+		lastHello:     longAgo,
+		lastHeartbeat: longAgo,
+	}
+	c.round = ballotRound(max(c.register.Promised, c.register.AcceptedBallot))
+	if err := c.loadState(stored); err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 // Step handles one event. now is a steady clock since the process started that never goes back.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
-	return nil
+	c.effects = nil
+	c.noticeTime(now)
+	c.handle(event)
+	c.settle()
+	return c.effects
 }
 
-// View is the newest view known to be chosen, nil before the first.
-func (c *Core) View() *View { return nil }
+func (c *Core) handle(event Event) {
+	switch event := event.(type) {
+	case Started:
+		c.start()
+	case Tick:
+		c.tick()
+	case Received:
+		c.receive(event.Message)
+	case DiskDone:
+		c.diskDone(event)
+	case DiskStalled:
+		c.diskStalled(event)
+	case Order:
+		c.takeOrder(event)
+	case Read:
+		c.takeRead(event)
+	case Leave:
+		c.startLeaving(event)
+	}
+}
 
-// Active tells whether this member is primary, and of which epoch.
-func (c *Core) Active() (Epoch, bool) { return 0, false }
+// settle goes on with whatever the event made possible, until nothing is left to do.
+func (c *Core) settle() {
+	for {
+		c.runOrders()
+		c.runConfirmation()
+		if len(c.loopback) == 0 {
+			break
+		}
+		message := c.loopback[0]
+		c.loopback = c.loopback[1:]
+		c.receive(message)
+	}
+	c.flushRegister()
+}
 
-// Primary is the member that was last heard to be primary, if it was heard lately.
-func (c *Core) Primary(now time.Duration) (Member, bool) { return Member{}, false }
+func (c *Core) start() {
+	c.born = c.now
+	c.lastHeard = c.now
+	view := c.register.View
+	if view != nil && view.Primary.ID == c.self.ID {
+		c.lastHeard = c.now - 2*c.timing.Heartbeat // a primary that comes back asks at once; the witnesses know better if it was followed
+	}
+	c.hello()
+	c.considerViewChange()
+}
+
+// tick does what time demands.
+func (c *Core) tick() {
+	c.expireCalls()
+	c.tickWrite()
+	c.tickConfirmation()
+	c.tickViewChange()
+	c.tickPrimary()
+	c.tickYield()
+	c.considerViewChange()
+	c.considerHello()
+	c.tickLeaving()
+	c.forgetPeers()
+}
+
+// receive handles a message, and refuses one that was meant for another disk.
+func (c *Core) receive(message Message) {
+	envelope := message.Route()
+	if envelope.From.ID != c.self.ID {
+		c.touch(envelope.From)
+	}
+	meant := envelope.To == 0 || envelope.To == c.self.ID
+	if !meant && c.mutation != acceptOtherDiskMessage {
+		c.refuse(message, OtherDisk)
+		return
+	}
+	if c.config.Relay && needsDisk(message) {
+		c.refuse(message, NoDisk)
+		return
+	}
+	if c.receiveRequest(message) {
+		return
+	}
+	c.receiveReply(message)
+}
+
+func (c *Core) receiveRequest(message Message) bool {
+	switch m := message.(type) {
+	case Hello:
+		c.onHello(m)
+	case Heartbeat:
+		c.onHeartbeat(m)
+	case Prepare:
+		c.onPrepare(m)
+	case Accept:
+		c.onAccept(m)
+	case Install:
+		c.onInstall(m)
+	case SnapshotPart:
+		c.onSnapshotPart(m)
+	case Append:
+		c.onAppend(m)
+	case Confirm:
+		c.onConfirm(m)
+	case Yield:
+		c.onYield(m)
+	case LeaveRequest:
+		c.onLeaveRequest(m)
+	default:
+		return false
+	}
+	return true
+}
 
-// Members are all members known, this one too, sorted by address.
-func (c *Core) Members() []Member { return nil }
+func (c *Core) receiveReply(message Message) {
+	switch m := message.(type) {
+	case HelloReply:
+		c.onHelloReply(m)
+	case HeartbeatReply:
+		c.onHeartbeatReply(m)
+	case PrepareReply:
+		c.onPrepareReply(m)
+	case AcceptReply:
+		c.onAcceptReply(m)
+	case InstallReply:
+		c.onInstallReply(m)
+	case SnapshotPartReply:
+		c.onSnapshotPartReply(m)
+	case AppendReply:
+		c.onAppendReply(m)
+	case ConfirmReply:
+		c.onConfirmReply(m)
+	case YieldReply:
+		c.onYieldReply(m)
+	case LeaveRequestReply:
+		c.onLeaveRequestReply(m)
+	}
+}
 
-// State is what a member tells operators of itself.
-type State struct {
-	Self         Member
-	Relay        bool
-	LossesBorne  int // by the view: copies left and a majority of witnesses
-	LossesWanted int
-	View         *View
-	Active       bool
-	Joined       bool
-	Stalled      bool
-	Leaving      bool
-	Position     Position
-	LastHeard    time.Duration // since the primary was heard
-	Members      []Member
+func (c *Core) emit(effect Effect) {
+	c.effects = append(c.effects, effect)
 }
 
-// State tells what this member knows.
-func (c *Core) State(now time.Duration) State { return State{} }
+func (c *Core) log(level slog.Level, text string, attributes ...slog.Attr) {
+	c.emit(Log{Level: level, Text: text, Attributes: attributes})
+}
+
+// to addresses a message to a member, where it was last heard.
+func (c *Core) to(member Member) Envelope {
+	address := member.Address
+	if p := c.peer(member.ID); p != nil {
+		address = p.member.Address
+	}
+	return Envelope{From: c.self, To: member.ID, ToAddress: address}
+}
+
+// back addresses the reply to a message.
+func (c *Core) back(request Message) Envelope {
+	from := request.Route().From
+	return Envelope{From: c.self, To: from.ID, ToAddress: from.Address}
+}
+
+func (c *Core) send(message Message) {
+	envelope := message.Route()
+	if envelope.To == c.self.ID {
+		c.loopback = append(c.loopback, message)
+		return
+	}
+	c.emit(Send{Address: envelope.ToAddress, Message: message})
+}
--- /dev/null
+++ b/coord/replication/core/core_test.go
@@ -0,0 +1,453 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// layouts are the groups that the tests below run on: places of the members, and the losses that they bear.
+var layouts = map[string]struct {
+	losses int
+	zones  []string
+}{
+	"three members": {1, []string{"a", "b", "c"}},
+	"four members":  {1, []string{"a", "b", "c", "d"}},
+	"five members":  {2, []string{"a", "b", "c", "d", "e"}},
+	"six in three":  {2, []string{"a", "a", "b", "b", "c", "c"}},
+}
+
+func eachLayout(t *testing.T, f func(t *testing.T, w *world)) {
+	for name, layout := range layouts {
+		t.Run(name, func(t *testing.T) { f(t, startedWorld(t, layout.losses, layout.zones...)) })
+	}
+}
+
+func TestTheFirstOrderFindsAllCopiesAndWitnesses(t *testing.T) {
+	eachLayout(t, func(t *testing.T, w *world) {
+		p := w.commit("first")
+		view := p.core.View()
+		require.Len(t, view.Copies(), w.losses+1)
+		require.Len(t, view.Witnesses, 2*w.losses+1)
+		require.Greater(t, len(p.core.places(view.Copies())), 1, "the loss of a zone leaves a copy")
+		for zone, n := range p.core.places(view.Witnesses) {
+			require.LessOrEqual(t, n, w.losses, "the loss of zone %s leaves a majority", zone)
+		}
+	})
+}
+
+func TestOneMemberAlone(t *testing.T) {
+	w := newWorld(t, 0, "a")
+	w.startAll()
+	w.run(100 * time.Millisecond)
+	w.commit("first")
+	w.nodes[0].stop()
+	w.nodes[0].start()
+	w.run(time.Second)
+	w.holds("first;")
+}
+
+func TestTakeoverHoldsWhatWasAcknowledged(t *testing.T) {
+	eachLayout(t, func(t *testing.T, w *world) {
+		p := w.commit("first")
+		p.stop()
+		w.run(1500 * time.Millisecond)
+		q := w.holds("first;")
+		require.NotEqual(t, p, q)
+		w.commit("second")
+		p.start()
+		w.run(3 * time.Second)
+		require.Equal(t, q, w.holds("first;second;"), "the one that returns does not take over")
+	})
+}
+
+// TestTakeoverAtEveryStepOfAWrite loses the primary at each step of a write: what was acknowledged is held by the next one, what was not is held or is not.
+func TestTakeoverAtEveryStepOfAWrite(t *testing.T) {
+	for _, step := range []string{"before append", "append lost", "answer lost", "after answer"} {
+		t.Run(step, func(t *testing.T) {
+			w := startedWorld(t, 1, "a", "b", "c")
+			p := w.commit("first")
+			token := Token(0)
+			switch step {
+			case "append lost":
+				w.drop = func(_ *node, m Message) bool { _, is := m.(Append); return is }
+				token = p.orderText("second")
+			case "answer lost":
+				w.drop = func(_ *node, m Message) bool { _, is := m.(AppendReply); return is }
+				token = p.orderText("second")
+			case "after answer":
+				w.commit("second")
+			}
+			w.run(20 * time.Millisecond)
+			require.NotContains(t, p.answers, token)
+			p.stop()
+			w.drop = nil
+			w.run(6 * time.Second)
+			want := "first;"
+			if step == "answer lost" || step == "after answer" {
+				want += "second;"
+			}
+			q := w.holds(want)
+			w.commit("third")
+			p.start()
+			w.run(3 * time.Second)
+			require.Equal(t, q, w.holds(want+"third;"))
+		})
+	}
+}
+
+// TestAWriteMeetsALostBackup loses a backup at each step of a write: the answer comes after a new copy was made.
+func TestAWriteMeetsALostBackup(t *testing.T) {
+	eachLayout(t, func(t *testing.T, w *world) {
+		p := w.commit("first")
+		view := p.core.View()
+		w.node(view.Backups[len(view.Backups)-1]).stop()
+		require.Equal(t, Committed, p.outcome(p.orderText("second")))
+		w.run(time.Second)
+		w.holds("first;second;")
+	})
+}
+
+func TestARefusalAsksTheWitnesses(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit("first")
+	refusal := fmt.Errorf("not on this base")
+	token := p.order(func() ([]byte, error) { return nil, refusal })
+	require.NotContains(t, p.answers, token, "the witnesses come first")
+	require.Equal(t, Refused, p.outcome(token))
+	require.Equal(t, refusal, p.answers[token].Err)
+	require.Equal(t, InForce, p.outcome(p.order(func() ([]byte, error) { return nil, nil })))
+}
+
+// TestACutOffPrimaryAnswersNothingClearly is the proven fault: a primary that was followed while it was frozen or cut off refuses an order on the newer state.
+func TestACutOffPrimaryAnswersNothingClearly(t *testing.T) {
+	for _, frozen := range []bool{false, true} {
+		for _, after := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprint(frozen, after), func(t *testing.T) {
+				w := startedWorld(t, 1, "a", "b", "c")
+				p := w.commit("first")
+				if frozen {
+					p.freeze()
+				} else {
+					w.isolate(p, true)
+				}
+				w.run(after)
+				if frozen {
+					p.thaw()
+				}
+				var tokens []Token
+				tokens = append(tokens, p.order(func() ([]byte, error) { return nil, fmt.Errorf("refused") }))
+				tokens = append(tokens, p.order(func() ([]byte, error) { return nil, nil }))
+				tokens = append(tokens, p.read())
+				if frozen && after > time.Second {
+					w.run(3 * time.Second)
+				}
+				for _, token := range tokens {
+					outcome := p.outcome(token)
+					if !frozen || after > time.Second {
+						require.False(t, outcome.Clear(), outcome.String())
+					}
+				}
+				w.heal()
+				w.run(2 * time.Second)
+				w.holds("first;")
+			})
+		}
+	}
+}
+
+func TestAnOrderPastItsDeadlineNeverBegins(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit("first")
+	backup := w.node(p.core.View().Backups[0])
+	p.disk.stalled = true
+	first := p.orderText("second")
+	begun := false
+	second := p.order(func() ([]byte, error) { begun = true; return []byte("late"), nil })
+	w.run(10 * time.Millisecond)
+	p.disk.stalled = false
+	p.disk.stallNote = false
+	p.freeze()
+	w.isolate(backup, true)
+	w.run(3 * time.Second)
+	w.heal()
+	p.thaw()
+	w.run(3 * time.Second)
+	require.False(t, p.outcome(first).Clear())
+	require.False(t, p.outcome(second).Clear())
+	require.False(t, begun)
+}
+
+// TestGapForkAndRepeat gives a backup entries that are not the next.
+func TestGapForkAndRepeat(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	w.commit("first")
+	p := w.commit("second")
+	view := p.core.View()
+	backup := w.node(view.Backups[0])
+	var replies []AppendReply
+	w.drop = func(_ *node, m Message) bool {
+		reply, is := m.(AppendReply)
+		if is {
+			replies = append(replies, reply)
+		}
+		return is
+	}
+	ask := func(entry Entry) Refusal {
+		replies = nil
+		backup.step(Received{Append{Envelope: Envelope{From: p.member(), To: backup.disk.id, ToAddress: backup.address}, Entry: entry}})
+		w.run(10 * time.Millisecond)
+		require.Len(t, replies, 1)
+		return replies[0].Refusal
+	}
+	entries := backup.disk.entries
+	last := entries[len(entries)-1]
+	before := entries[len(entries)-2]
+	held := backup.core.state.position
+	require.Equal(t, Granted, ask(last), "a repeat of what is on disk")
+	require.Equal(t, Granted, ask(before), "an older repeat")
+	changed := before
+	changed.Data = []byte("other")
+	require.Equal(t, Fork, ask(changed))
+	gap := last
+	gap.Index += 2
+	require.Equal(t, Gap, ask(gap))
+	fork := last
+	fork.Index++
+	require.Equal(t, Fork, ask(fork), "its previous digest is another")
+	otherView := last
+	otherView.Ballot++
+	require.Equal(t, NotJoined, ask(otherView))
+	require.Equal(t, held, backup.core.state.position)
+	next := Entry{Index: held.Index + 1, Epoch: view.Epoch, Ballot: view.Ballot, Previous: held.Digest, Data: []byte("third")}
+	require.Equal(t, Granted, ask(next))
+	backup.stop()
+	backup.start()
+	replies = nil
+	require.Equal(t, NotJoined, ask(next), "the same disk, but another life")
+}
+
+// TestATransferInParts takes a large state to a new copy, through lost parts.
+func TestATransferInParts(t *testing.T) {
+	w := newWorld(t, 1, "a", "b", "c")
+	w.limits.SnapshotPart = 1000
+	w.limits.RecentBytes = 10
+	w.startAll()
+	w.run(2 * time.Second)
+	large := strings.Repeat("x", 50_000)
+	p := w.commit(large)
+	lost := 0
+	w.drop = func(_ *node, m Message) bool {
+		part, is := m.(SnapshotPart)
+		if is && part.Offset%7000 == 0 && lost < 5 {
+			lost++
+			return true
+		}
+		return false
+	}
+	w.node(p.core.View().Backups[0]).stop()
+	require.Equal(t, Committed, p.outcome(p.orderText("second")))
+	require.Positive(t, lost)
+	p.stop()
+	w.run(time.Millisecond)
+	w.node(p.core.View().Backups[0]).start()
+	w.run(5 * time.Second)
+	w.holds(large + ";second;")
+}
+
+// TestOnlyWhatIsMissingIsSent makes a new view with copies that are up to date: no snapshot goes over the wire.
+func TestOnlyWhatIsMissingIsSent(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit(strings.Repeat("x", 100_000))
+	backup := w.node(p.core.View().Backups[0])
+	sent := 0
+	w.drop = func(_ *node, m Message) bool {
+		if part, is := m.(SnapshotPart); is {
+			sent += len(part.Data)
+		}
+		return false
+	}
+	epoch := p.core.View().Epoch
+	backup.stop()
+	backup.start()
+	w.run(time.Second)
+	require.Greater(t, p.core.View().Epoch, epoch)
+	require.Less(t, sent, 1000)
+	w.commit("second")
+}
+
+func TestALeavingPrimaryIsFollowedAtOnce(t *testing.T) {
+	eachLayout(t, func(t *testing.T, w *world) {
+		p := w.commit("first")
+		p.step(Leave{Deadline: w.now - p.born + 5*time.Second})
+		w.run(400 * time.Millisecond)
+		q := w.holds("first;")
+		require.NotEqual(t, p, q)
+		require.Equal(t, Committed, q.outcome(q.orderText("second")))
+	})
+}
+
+// TestAMemberLeavesByAgreement waits until a view without it holds.
+func TestAMemberLeavesByAgreement(t *testing.T) {
+	for _, role := range []Role{RolePrimary, RoleBackup, RoleWitness} {
+		t.Run(fmt.Sprint(role), func(t *testing.T) {
+			w := startedWorld(t, 1, "a", "b", "c", "d")
+			p := w.commit("first")
+			view := p.core.View()
+			member := p
+			switch role {
+			case RoleBackup:
+				member = w.node(view.Backups[0])
+			case RoleWitness:
+				for _, witness := range view.Witnesses {
+					if rolesOf(view, witness.ID) == RoleWitness {
+						member = w.node(witness)
+					}
+				}
+			}
+			member.step(Leave{Deadline: w.now - member.born + 10*time.Second})
+			w.run(2 * time.Second)
+			require.NotNil(t, member.left)
+			require.True(t, member.left.Complete)
+			q := w.holds("first;")
+			require.Zero(t, rolesOf(q.core.View(), member.disk.id))
+			require.Len(t, q.core.View().Copies(), 2)
+			require.Len(t, q.core.View().Witnesses, 3)
+			member.stop()
+			q.stop()
+			w.run(3 * time.Second)
+			w.holds("first;")
+		})
+	}
+}
+
+// TestNobodyLeavesWhoCannotBeReplaced keeps its role until the deadline.
+func TestNobodyLeavesWhoCannotBeReplaced(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit("first")
+	backup := w.node(p.core.View().Backups[0])
+	backup.step(Leave{Deadline: w.now - backup.born + 3*time.Second})
+	w.run(2 * time.Second)
+	require.Nil(t, backup.left)
+	w.commit("second")
+	w.run(2 * time.Second)
+	require.NotNil(t, backup.left)
+	require.False(t, backup.left.Complete)
+	require.NotZero(t, backup.left.Roles&RoleWitness)
+	require.Len(t, w.primary().core.View().Copies(), 2)
+}
+
+func TestAMemberWithoutADiskOnlyRelays(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	relay := w.add("d")
+	relay.relay = true
+	relay.start()
+	w.run(2 * time.Second)
+	p := w.commit("first")
+	primary, known := relay.core.Primary(w.now - relay.born)
+	require.True(t, known)
+	require.Equal(t, p.member(), primary)
+	w.node(p.core.View().Backups[0]).stop()
+	w.run(6 * time.Second)
+	require.Zero(t, rolesOf(w.holds("first;").core.View(), relay.disk.id))
+}
+
+func TestASeedWithoutADiskIsNoWitness(t *testing.T) {
+	w := newWorld(t, 1, "a", "b", "c", "d")
+	w.nodes[0].relay = true
+	w.startAll()
+	w.run(6 * time.Second)
+	p := w.commit("first")
+	require.Len(t, p.core.View().Witnesses, 3)
+	require.Zero(t, rolesOf(p.core.View(), w.nodes[0].disk.id))
+}
+
+// TestAWipedWitnessIsSwapped within the time after which another loss may come.
+func TestAWipedWitnessIsSwapped(t *testing.T) {
+	eachLayout(t, func(t *testing.T, w *world) {
+		p := w.commit("first")
+		view := p.core.View()
+		for _, witness := range view.Witnesses {
+			if witness.ID != p.disk.id {
+				n := w.node(witness)
+				n.stop()
+				n.wipe()
+				w.run(200 * time.Millisecond)
+				n.start()
+				w.run(2 * time.Second)
+				require.NotZero(t, rolesOf(w.holds("first;").core.View(), n.disk.id))
+				break
+			}
+		}
+	})
+}
+
+// TestAFullDiskStepsOut takes a backup out of the writing and in again.
+func TestAFullDiskStepsOut(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit("first")
+	backup := w.node(p.core.View().Backups[0])
+	backup.disk.full = true
+	require.Equal(t, Committed, p.outcome(p.orderText("second")))
+	epoch := p.core.View().Epoch
+	w.run(10 * time.Second)
+	require.LessOrEqual(t, p.core.View().Epoch-epoch, Epoch(6), "the views don't change for ever")
+	backup.disk.full = false
+	p = w.primary()
+	p.disk.full = true
+	require.False(t, p.outcome(p.orderText("third")).Clear())
+	w.run(3 * time.Second)
+	q := w.primary()
+	require.NotNil(t, q)
+	require.NotEqual(t, p, q)
+	w.commit("fourth")
+}
+
+func TestAStalledPrimaryIsFollowed(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	p := w.commit("first")
+	p.disk.stalled = true
+	token := p.orderText("second")
+	require.Equal(t, Unclear, p.outcome(token))
+	w.run(time.Second)
+	q := w.primary()
+	require.NotNil(t, q)
+	require.NotEqual(t, p, q)
+	p.resumeDisk()
+	w.commit("third")
+	w.run(3 * time.Second)
+	w.holds("first;second;third;")
+}
+
+func TestStoredStateIsChecked(t *testing.T) {
+	w := newWorld(t, 1, "a", "b", "c")
+	n := w.nodes[0]
+	n.machine = &text{}
+	first := Entry{Index: 1, Data: []byte("a")}
+	second := Entry{Index: 2, Previous: first.Position().Digest, Data: []byte("b")}
+	older := Snapshot{Position: Position{}}
+	newer := Snapshot{Position: first.Position(), Data: []byte("a;")}
+	_, err := New(n.config(), Stored{Snapshot: &newer, Entries: []Entry{second}, TailIsOpen: true})
+	require.NoError(t, err)
+	_, err = New(n.config(), Stored{Snapshot: &older, Entries: []Entry{second}, TailIsOpen: true})
+	require.ErrorIs(t, err, ErrDamaged, "an older snapshot than the log's")
+	_, err = New(n.config(), Stored{Entries: []Entry{first}, TailIsOpen: true})
+	require.ErrorIs(t, err, ErrDamaged)
+}
+
+func TestManyTakeoversLoseNothing(t *testing.T) {
+	w := startedWorld(t, 1, "a", "b", "c")
+	want := ""
+	for i := range 12 {
+		p := w.commit(fmt.Sprint(i))
+		want += fmt.Sprint(i, ";")
+		p.stop()
+		w.run(4 * time.Second)
+		p.start()
+		w.run(3 * time.Second)
+	}
+	w.holds(want)
+}
--- /dev/null
+++ b/coord/replication/core/failure.go
@@ -0,0 +1,323 @@
+package core
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+)
+
+// peer is another member as it was last heard.
+type peer struct {
+	member       Member
+	seen         time.Duration // when it was heard or heard of
+	heard        bool          // itself, not only of
+	status       Status
+	missed       bool          // it did not answer a write since it last told its status
+	refusedUntil time.Duration // it took no transfer, and is not offered one for its own sake before
+}
+
+func (c *Core) peer(id MemberID) *peer {
+	i, found := c.findPeer(id)
+	if !found {
+		return nil
+	}
+	return &c.peers[i]
+}
+
+func (c *Core) findPeer(id MemberID) (int, bool) {
+	return slices.BinarySearchFunc(c.peers, id, func(p peer, id MemberID) int { return cmp.Compare(p.member.ID, id) })
+}
+
+func (c *Core) peerAt(address string) *peer {
+	i := slices.IndexFunc(c.peers, func(p peer) bool { return p.member.Address == address })
+	if i < 0 {
+		return nil
+	}
+	return &c.peers[i]
+}
+
+// touch notes that a member was heard. Another disk at the same address means that the old one is gone.
+func (c *Core) touch(member Member) *peer {
+	if member.ID == 0 || member.ID == c.self.ID || member.Address == "" {
+		return nil
+	}
+	c.peers = slices.DeleteFunc(c.peers, func(p peer) bool {
+		return p.member.Address == member.Address && p.member.ID != member.ID
+	})
+	i, found := c.findPeer(member.ID)
+	if !found {
+		c.peers = slices.Insert(c.peers, i, peer{})
+	}
+	p := &c.peers[i]
+	p.member = member
+	p.seen = c.now
+	p.heard = true
+	return p
+}
+
+// saw notes what a member said of itself.
+func (c *Core) saw(member Member, status Status) {
+	p := c.touch(member)
+	if p == nil {
+		return
+	}
+	p.status = status
+	p.missed = false
+}
+
+// hearOf takes members that others know. It never displaces what was heard at an address: a disk may have been replaced since.
+func (c *Core) hearOf(members []Member) {
+	for _, member := range members {
+		if member.ID == 0 || member.Address == "" || member.Address == c.self.Address {
+			continue
+		}
+		i, found := c.findPeer(member.ID)
+		if found || c.peerAt(member.Address) != nil || member.ID == c.self.ID {
+			continue
+		}
+		c.peers = slices.Insert(c.peers, i, peer{member: member, seen: c.now})
+	}
+}
+
+// forgetPeers drops members that were not seen for long, unless the view names them.
+func (c *Core) forgetPeers() {
+	c.peers = slices.DeleteFunc(c.peers, func(p peer) bool {
+		return c.now-p.seen > c.timing.Forget && rolesOf(c.register.View, p.member.ID) == 0
+	})
+}
+
+// Members are all members known, this one too, sorted by address.
+func (c *Core) Members() []Member {
+	members := []Member{c.self}
+	for _, p := range c.peers {
+		members = append(members, p.member)
+	}
+	sortByAddress(members)
+	return members
+}
+
+// heardMembers are those that this member heard itself, and it. What was only heard of is not passed on, or a member that is gone would be passed round for ever.
+func (c *Core) heardMembers() []Member {
+	members := []Member{c.self}
+	for _, p := range c.peers {
+		if p.heard {
+			members = append(members, p.member)
+		}
+	}
+	sortByAddress(members)
+	return members
+}
+
+func sortByAddress(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func (c *Core) status() Status {
+	return Status{
+		Fit:       !c.config.Relay && !c.disk.stalled,
+		Relay:     c.config.Relay,
+		Leaving:   c.leaving != nil,
+		FirstDisk: c.config.Bootstrap && !c.config.Relay,
+		Position:  c.state.position,
+	}
+}
+
+// contactTimeout is how long ago a majority of the witnesses may have been heard.
+func (c *Core) contactTimeout() time.Duration {
+	return c.timing.PrimaryLost + c.timing.Heartbeat
+}
+
+// hearsWitnesses tells whether a majority of the view's witnesses was heard lately.
+func (c *Core) hearsWitnesses() bool {
+	view := c.register.View
+	near := 0
+	for _, witness := range view.Witnesses {
+		p := c.peer(witness.ID)
+		if witness.ID == c.self.ID || p != nil && c.now-p.seen <= c.contactTimeout() {
+			near++
+		}
+	}
+	return near >= majority(len(view.Witnesses))
+}
+
+// noticeTime is called first in each Step.
+//
+// Invariant: what wakes late doesn't act on old news. A primary that has not heard a majority of the witnesses for the contact time-out gives no clear answer and begins no order until a round of confirmation, begun from now on, has ended.
+func (c *Core) noticeTime(now time.Duration) {
+	slept := now - c.now
+	c.now = max(now, c.now)
+	if !c.active || c.hearsWitnesses() {
+		return
+	}
+	if slept > c.timing.PrimaryLost {
+		c.confirm.proveBefore = c.now + c.timing.AnswerWait
+	}
+	c.confirm.doubt()
+}
+
+// tickPrimary sends the heartbeats and looks for lost members.
+func (c *Core) tickPrimary() {
+	if !c.active {
+		return
+	}
+	if c.confirm.doubted && c.now >= c.confirm.proveBefore {
+		c.stopBeingPrimary(LostWitnesses)
+		return
+	}
+	if c.now-c.lastHeartbeat < c.timing.Heartbeat {
+		return
+	}
+	c.heartbeat()
+	if c.change == nil {
+		c.checkView()
+	}
+}
+
+func (c *Core) heartbeat() {
+	c.lastHeartbeat = c.now
+	members := c.heardMembers()
+	for _, p := range c.peers {
+		c.send(Heartbeat{Envelope: c.to(p.member), View: c.View(), Members: members})
+	}
+}
+
+// checkView asks for a new view if a backup is lost, or more or other members are to be had.
+func (c *Core) checkView() {
+	view := c.register.View
+	if c.lostBackup(view) || c.short(view) || c.wantedWitnesses(view) != nil {
+		c.viewChangeDue = true
+		return
+	}
+	c.warnOfLosses(view)
+}
+
+func (c *Core) lostBackup(view *View) bool {
+	for _, backup := range view.Backups {
+		p := c.peer(backup.ID)
+		if p == nil || c.now-p.seen > c.timing.PrimaryLost || !p.status.Fit {
+			return true
+		}
+	}
+	return false
+}
+
+// warnOfLosses says once in an epoch that the view bears fewer losses than it should and nobody is there to mend it.
+func (c *Core) warnOfLosses(view *View) {
+	if c.warnedEpoch == view.Epoch || c.now-c.born <= c.timing.WitnessLost {
+		return
+	}
+	borne := lossesBorne(view)
+	if borne >= c.config.Losses {
+		return
+	}
+	c.warnedEpoch = view.Epoch
+	c.log(slog.LevelWarn, "fewer losses are borne than the settings want", slog.Int("borne", borne), slog.Int("wanted", c.config.Losses), slog.Int("members", 1+len(c.peers)))
+}
+
+func (c *Core) onHeartbeat(m Heartbeat) {
+	if m.View == nil {
+		return
+	}
+	c.saw(m.From, Status{Fit: true, Position: m.View.Base})
+	c.learn(m.View)
+	c.hearOf(m.Members)
+	if c.knownEpoch() == m.View.Epoch {
+		c.lastHeard = c.now
+		c.heardFrom = m.From
+	}
+	c.send(HeartbeatReply{
+		Envelope: c.back(m),
+		Epoch:    m.View.Epoch,
+		Joined:   c.state.joined == m.View.Tag(),
+		Status:   c.status(),
+		View:     c.newerThan(m.View.Epoch),
+	})
+}
+
+func (c *Core) onHeartbeatReply(m HeartbeatReply) {
+	c.saw(m.From, m.Status)
+	c.learn(m.View)
+	if !c.active || c.activeEpoch != m.Epoch || m.Joined {
+		return
+	}
+	if indexOf(c.register.View.Backups, m.From.ID) >= 0 {
+		c.viewChangeDue = true // it was restarted, or sealed
+	}
+}
+
+// stopBeingPrimary ends the writing of this member. What was begun ends unclear.
+func (c *Core) stopBeingPrimary(reason StopReason) {
+	if !c.active {
+		return
+	}
+	c.active = false
+	c.lastHeard = c.now
+	c.heardFrom = Member{}
+	c.viewChangeDue = false
+	c.log(slog.LevelWarn, "no longer primary", slog.String("reason", reason.String()))
+	c.emit(StoppedBeingPrimary{Reason: reason})
+	c.answerAllDeposed()
+}
+
+// considerHello asks the known addresses who is there, when the primary is not heard.
+func (c *Core) considerHello() {
+	if c.active {
+		return
+	}
+	pause := c.timing.Heartbeat
+	if c.register.View == nil {
+		pause = c.timing.StepPause
+	}
+	if c.now-c.lastHello < pause {
+		return
+	}
+	quiet := c.now - c.lastHeard
+	isCopy := rolesOf(c.register.View, c.self.ID)&(RolePrimary|RoleBackup) != 0
+	switch {
+	case c.register.View == nil, len(c.peers) == 0, quiet > c.timing.PrimaryLost:
+		c.hello()
+	case isCopy && quiet > c.timing.PrimaryLost/2: // it may soon take over
+		c.hello()
+	}
+}
+
+func (c *Core) hello() {
+	c.lastHello = c.now
+	for _, address := range c.knownAddresses() {
+		c.send(Hello{Envelope: Envelope{From: c.self, ToAddress: address}, Status: c.status(), View: c.View()})
+	}
+}
+
+func (c *Core) knownAddresses() []string {
+	addresses := slices.Clone(c.config.Seeds)
+	for _, p := range c.peers {
+		addresses = append(addresses, p.member.Address)
+	}
+	if view := c.register.View; view != nil {
+		for _, member := range append(view.Copies(), view.Witnesses...) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == "" || a == c.self.Address })
+}
+
+func (c *Core) onHello(m Hello) {
+	c.saw(m.From, m.Status)
+	c.learn(m.View)
+	c.send(HelloReply{Envelope: c.back(m), Status: c.status(), View: c.View(), Members: c.heardMembers()})
+}
+
+func (c *Core) onHelloReply(m HelloReply) {
+	c.saw(m.From, m.Status)
+	c.learn(m.View)
+	c.hearOf(m.Members)
+	if c.register.View == nil {
+		c.considerViewChange()
+	}
+}
--- /dev/null
+++ b/coord/replication/core/leave.go
@@ -0,0 +1,192 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+)
+
+// leaving is what a member does that wants to give up its roles. It still acknowledges appends, promises and accepts until it has left, but it is chosen for new roles only if nobody else is to be had.
+type leaving struct {
+	deadline    time.Duration
+	handingOver bool // it was primary and takes no orders any more
+	sentAt      time.Duration
+	done        bool
+}
+
+// yielding asks the backups in turn to take over, until one will.
+type yielding struct {
+	view   View
+	next   int
+	sentAt time.Duration
+}
+
+func (c *Core) startLeaving(event Leave) {
+	if c.leaving != nil {
+		return
+	}
+	c.leaving = &leaving{deadline: event.Deadline, sentAt: longAgo}
+	c.log(slog.LevelInfo, "leaving")
+	c.tickLeaving()
+}
+
+// tickLeaving goes on until no role is left, or the deadline is near.
+func (c *Core) tickLeaving() {
+	l := c.leaving
+	if l == nil || l.done {
+		return
+	}
+	roles := rolesOf(c.register.View, c.self.ID)
+	if c.register.View == nil || c.config.Relay {
+		c.left(true, 0)
+		return
+	}
+	if c.now >= l.deadline-c.timing.LeaveMargin {
+		c.left(roles == 0, roles)
+		return
+	}
+	if c.active {
+		c.handOver()
+		return
+	}
+	if c.now-l.sentAt >= c.timing.Resend {
+		c.askToLeave()
+	}
+}
+
+func (c *Core) left(complete bool, roles Role) {
+	c.leaving.done = true
+	c.emit(Left{Complete: complete, Roles: roles})
+}
+
+// handOver lets a backup take over once the order under way has ended. A primary without a backup that stays goes on to the end.
+func (c *Core) handOver() {
+	view := c.register.View
+	if c.change != nil || !c.hasSuccessor(view) {
+		return
+	}
+	c.leaving.handingOver = true
+	if c.write != nil {
+		return
+	}
+	c.stopBeingPrimary(HandedOver)
+	c.startYielding(view)
+}
+
+func (c *Core) hasSuccessor(view *View) bool {
+	for _, backup := range view.Backups {
+		p := c.peer(backup.ID)
+		if p != nil && c.fresh(*p) && p.status.Fit && !p.status.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// askToLeave tells the primary, or asks who it is.
+func (c *Core) askToLeave() {
+	c.leaving.sentAt = c.now
+	primary, known := c.Primary(c.now)
+	if !known {
+		c.hello()
+		return
+	}
+	c.send(LeaveRequest{Envelope: c.to(primary), Status: c.status()})
+}
+
+// onLeaveRequest makes a new view without the sender, if others are to be had.
+func (c *Core) onLeaveRequest(m LeaveRequest) {
+	c.saw(m.From, m.Status)
+	reply := LeaveRequestReply{Envelope: c.back(m), View: c.View()}
+	if !c.active {
+		reply.Refusal = NotPrimary
+		c.send(reply)
+		return
+	}
+	view := c.register.View
+	if rolesOf(view, m.From.ID) != 0 {
+		reply.Refusal = Busy
+		if !c.short(view) && c.wantedWitnesses(view) == nil {
+			reply.Refusal = NobodyInstead
+		} else {
+			c.viewChangeDue = true
+		}
+	}
+	c.send(reply)
+	c.considerViewChange()
+}
+
+// onLeaveRequestReply ends the leaving once the primary, which knows of it, has a view without this member.
+func (c *Core) onLeaveRequestReply(m LeaveRequestReply) {
+	c.learn(m.View)
+	l := c.leaving
+	if l == nil || l.done || m.Refusal != Granted || m.View == nil || m.View.Epoch != c.knownEpoch() {
+		return
+	}
+	if rolesOf(c.register.View, c.self.ID) == 0 {
+		c.left(true, 0)
+	}
+}
+
+// startYielding begins to ask the backups of a view.
+func (c *Core) startYielding(view *View) {
+	if view == nil || c.active {
+		return
+	}
+	c.yielding = &yielding{view: *view.Clone()}
+	c.sendYield()
+}
+
+// sendYield asks the next backup.
+func (c *Core) sendYield() {
+	y := c.yielding
+	if y.next >= len(y.view.Backups) || c.knownEpoch() > y.view.Epoch {
+		c.yielding = nil
+		return
+	}
+	y.sentAt = c.now
+	c.send(Yield{Envelope: c.to(y.view.Backups[y.next]), Epoch: y.view.Epoch, Ballot: y.view.Ballot})
+	y.next++
+}
+
+func (c *Core) tickYield() {
+	if c.yielding != nil && c.now-c.yielding.sentAt >= c.timing.AnswerWait {
+		c.sendYield()
+	}
+}
+
+// onYield takes over at once, if this member may.
+func (c *Core) onYield(m Yield) {
+	reply := YieldReply{Envelope: c.back(m), Epoch: m.Epoch, Refusal: c.checkYield(m)}
+	c.send(reply)
+	if reply.Refusal != Granted {
+		return
+	}
+	c.viewChangeDue = true
+	c.retryAfter = c.now
+	c.considerViewChange()
+}
+
+func (c *Core) checkYield(m Yield) Refusal {
+	view := c.register.View
+	switch {
+	case view == nil || view.Tag() != StateTag{Epoch: m.Epoch, Ballot: m.Ballot}:
+		return UnknownView
+	case c.disk.stalled || c.leaving != nil:
+		return Unfit
+	case !c.mayLead(view):
+		return NotJoined
+	}
+	return Granted
+}
+
+func (c *Core) onYieldReply(m YieldReply) {
+	y := c.yielding
+	if y == nil || m.Epoch != y.view.Epoch {
+		return
+	}
+	if m.Refusal == Granted {
+		c.yielding = nil
+		return
+	}
+	c.sendYield()
+}
--- /dev/null
+++ b/coord/replication/core/membership.go
@@ -0,0 +1,282 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+)
+
+// What must be borne: with f losses, f+1 copies and 2f+1 witnesses. Whoever reaches most of the witnesses reaches f+1 members with disks, so a view at its tolerance never needs fewer copies.
+
+func indexOf(members []Member, id MemberID) int {
+	return slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
+}
+
+func majority(n int) int { return n/2 + 1 }
+
+// rolesOf tells what a member is in a view.
+func rolesOf(view *View, id MemberID) Role {
+	var roles Role
+	if view == nil {
+		return roles
+	}
+	if view.Primary.ID == id {
+		roles |= RolePrimary
+	}
+	if indexOf(view.Backups, id) >= 0 {
+		roles |= RoleBackup
+	}
+	if indexOf(view.Witnesses, id) >= 0 {
+		roles |= RoleWitness
+	}
+	return roles
+}
+
+// lossesBorne is the number of members that may be lost at once under a view.
+func lossesBorne(view *View) int {
+	if view == nil {
+		return 0
+	}
+	return min(len(view.Backups), max(0, len(view.Witnesses)-1)/2)
+}
+
+// copiesWanted is how many copies a view should have. With nothing to bear, a backup is kept where one is to be had.
+func (c *Core) copiesWanted() int { return max(c.config.Losses, 1) + 1 }
+
+// fewestCopies is the number below which no view is made: what its witnesses bear, and one more.
+func (c *Core) fewestCopies(base *View) int {
+	if c.config.Losses == 0 {
+		return 1
+	}
+	return max(2, (len(base.Witnesses)-1)/2+1)
+}
+
+func (c *Core) witnessesWanted() int { return 2*max(c.config.Losses, 1) + 1 }
+
+// fit are the other members that were seen lately, whose disks take writes, and that want to stay.
+func (c *Core) fit() []Member {
+	var members []Member
+	for _, p := range c.peers {
+		if c.fresh(p) && p.status.Fit && !p.status.Leaving {
+			members = append(members, p.member)
+		}
+	}
+	return members
+}
+
+// fitButLeaving are those that are taken only if nobody else is to be had.
+func (c *Core) fitButLeaving() []Member {
+	var members []Member
+	for _, p := range c.peers {
+		if c.fresh(p) && p.status.Fit && p.status.Leaving {
+			members = append(members, p.member)
+		}
+	}
+	return members
+}
+
+func (c *Core) fresh(p peer) bool { return c.now-p.seen < c.timing.PrimaryLost }
+
+// spare are the fit members that are no copies and have not refused to be one lately.
+func (c *Core) spare(view *View) []Member {
+	return slices.DeleteFunc(c.fit(), func(m Member) bool {
+		return c.refusedLately(m) || indexOf(view.Copies(), m.ID) >= 0
+	})
+}
+
+func (c *Core) refusedLately(m Member) bool {
+	p := c.peer(m.ID)
+	return p != nil && c.now < p.refusedUntil
+}
+
+// short tells whether the view has fewer copies or witnesses than wanted, has them in too few areas, or has one that wants to leave, while others are to be had.
+func (c *Core) short(view *View) bool {
+	if len(view.Copies()) < c.copiesWanted() && len(c.spare(view)) > 0 {
+		return true
+	}
+	return c.narrow(view) || c.leavingBackup(view) || c.grown(view) != nil || c.spread(view) != nil
+}
+
+// narrow tells whether the copies lie in so few areas that these may all be lost, while a member elsewhere could be one.
+func (c *Core) narrow(view *View) bool {
+	places := c.places(view.Copies())
+	if len(places) > c.config.Areas {
+		return false
+	}
+	return slices.ContainsFunc(c.spare(view), func(m Member) bool { return places[c.area(m)] == 0 })
+}
+
+// leavingBackup tells whether a backup that wants to leave can be replaced, or is more than is wanted.
+func (c *Core) leavingBackup(view *View) bool {
+	leaves := slices.ContainsFunc(view.Backups, func(m Member) bool { return c.isLeaving(m) })
+	if !leaves {
+		return false
+	}
+	return len(c.spare(view)) > 0 || len(view.Copies()) > c.copiesWanted()
+}
+
+func (c *Core) isLeaving(m Member) bool {
+	if m.ID == c.self.ID {
+		return c.leaving != nil
+	}
+	p := c.peer(m.ID)
+	return p != nil && p.status.Leaving
+}
+
+func (c *Core) area(m Member) string {
+	if c.config.Area == nil {
+		return m.Zone
+	}
+	return c.config.Area(m.Zone)
+}
+
+func (c *Core) places(members []Member) map[string]int {
+	places := map[string]int{}
+	for _, m := range members {
+		places[c.area(m)]++
+	}
+	return places
+}
+
+// learners are the fit members, this one too, that are no witnesses.
+func (c *Core) learners(view *View) []Member {
+	members := c.fit()
+	if c.leaving == nil && !c.disk.stalled {
+		members = append(members, c.self)
+	}
+	return slices.DeleteFunc(members, func(m Member) bool { return indexOf(view.Witnesses, m.ID) >= 0 })
+}
+
+// emptiest is the member whose area holds the fewest of those placed.
+func (c *Core) emptiest(members []Member, places map[string]int) Member {
+	return slices.MinFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(places[c.area(a)], places[c.area(b)]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func without(members []Member, id MemberID) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == id })
+}
+
+func replaced(members []Member, i int, m Member) []Member {
+	members = slices.Clone(members)
+	members[i] = m
+	return members
+}
+
+// grown gives the witnesses with learners added while there are fewer than wanted, nil if nothing is to be added. An odd number stays odd: one more would bear no more losses.
+func (c *Core) grown(view *View) []Member {
+	added := 1 + len(view.Witnesses)%2
+	free := c.learners(view)
+	if len(view.Witnesses) >= c.witnessesWanted() || len(free) < added {
+		return nil
+	}
+	witnesses := slices.Clone(view.Witnesses)
+	places := c.places(witnesses)
+	for range added {
+		m := c.emptiest(free, places)
+		free = without(free, m.ID)
+		places[c.area(m)]++
+		witnesses = append(witnesses, m)
+	}
+	return witnesses
+}
+
+// spread gives the witnesses with one moved out of an area that holds too many, nil if all is well or nobody is elsewhere.
+func (c *Core) spread(view *View) []Member {
+	free := c.learners(view)
+	if c.config.Areas == 0 || len(free) == 0 {
+		return nil
+	}
+	places := c.places(view.Witnesses)
+	most := max(1, c.config.Losses/c.config.Areas)
+	m := c.emptiest(free, places)
+	if places[c.area(m)] >= most {
+		return nil
+	}
+	for i, witness := range view.Witnesses {
+		if places[c.area(witness)] > most && witness.ID != c.self.ID {
+			return replaced(view.Witnesses, i, m)
+		}
+	}
+	return nil
+}
+
+// wantedWitnesses gives the witnesses one step nearer to what is wanted, nil if all is well or nothing is to be had: more of them, one replaced that is wiped, leaving or lost, or one moved.
+func (c *Core) wantedWitnesses(view *View) []Member {
+	if witnesses := c.grown(view); witnesses != nil {
+		return witnesses
+	}
+	if witnesses := c.swapped(view); witnesses != nil {
+		return witnesses
+	}
+	return c.spread(view)
+}
+
+func (c *Core) swapped(view *View) []Member {
+	free := c.learners(view)
+	if len(free) == 0 {
+		return nil
+	}
+	for i, witness := range view.Witnesses {
+		if witness.ID == c.self.ID {
+			continue
+		}
+		atSameAddress := slices.IndexFunc(free, func(m Member) bool { return m.Address == witness.Address })
+		if atSameAddress >= 0 { // another disk is at the witness's own address: it was wiped
+			return replaced(view.Witnesses, i, free[atSameAddress])
+		}
+		if c.isLeaving(witness) || c.isGone(witness) {
+			others := c.places(without(view.Witnesses, witness.ID))
+			return replaced(view.Witnesses, i, c.emptiest(free, others))
+		}
+	}
+	return nil
+}
+
+func (c *Core) isGone(witness Member) bool {
+	p := c.peer(witness.ID)
+	if p == nil {
+		return c.now-c.born > c.timing.WitnessLost
+	}
+	return c.now-p.seen > c.timing.WitnessLost
+}
+
+// nextCandidate picks whom to give the state next: those that answer, then other areas, then the old copies, then witnesses, then the rest. Members that want to leave come last, only while fewer copies are to be had than before or than are wanted.
+func (c *Core) nextCandidate(base *View, asked, placed []Member) (Member, bool) {
+	notAsked := func(members []Member) []Member {
+		return slices.DeleteFunc(members, func(m Member) bool { return indexOf(asked, m.ID) >= 0 })
+	}
+	members := notAsked(c.fit())
+	if len(members) == 0 {
+		members = notAsked(c.fitButLeaving())
+	}
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	places := c.places(placed)
+	return slices.MinFunc(members, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(c.reluctance(a), c.reluctance(b)),
+			cmp.Compare(places[c.area(a)], places[c.area(b)]),
+			cmp.Compare(nearness(base, a), nearness(base, b)),
+			cmp.Compare(a.ID, b.ID))
+	}), true
+}
+
+func (c *Core) reluctance(m Member) int {
+	p := c.peer(m.ID)
+	if p != nil && p.missed || c.refusedLately(m) {
+		return 1
+	}
+	return 0
+}
+
+func nearness(base *View, m Member) int {
+	switch {
+	case indexOf(base.Copies(), m.ID) >= 0:
+		return 0
+	case indexOf(base.Witnesses, m.ID) >= 0:
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/coord/replication/core/register.go
@@ -0,0 +1,247 @@
+package core
+
+import "log/slog"
+
+// The witness: one compare-and-set register for the epoch after the newest chosen view.
+//
+// Invariants: what a reply says is synced before the reply goes out; the promise never goes down within an epoch; a promise or acceptance is replaced by a newer view only once that view is known to be chosen.
+
+const ballotMemberBits = 40
+
+// ballotOf makes the ballot of a round. The low bits name the proposer; ids are random, so two members of a group share 40 bits by chance once in 10^12.
+func ballotOf(round uint64, id MemberID) Ballot {
+	return Ballot(round<<ballotMemberBits | uint64(id)&(1<<ballotMemberBits-1))
+}
+
+func ballotRound(b Ballot) uint64 { return uint64(b) >> ballotMemberBits }
+
+// knownEpoch is the epoch of the newest view known.
+func (c *Core) knownEpoch() Epoch {
+	if c.register.View == nil {
+		return 0
+	}
+	return c.register.View.Epoch
+}
+
+// newerThan gives the known view if it is newer than an epoch, to go with a reply.
+func (c *Core) newerThan(epoch Epoch) *View {
+	if c.knownEpoch() > epoch {
+		return c.register.View.Clone()
+	}
+	return nil
+}
+
+// learn takes a chosen view; it tells whether it was new.
+//
+// Invariant: views are a chain. A view given here was chosen at a majority of the witnesses of the one before it.
+func (c *Core) learn(view *View) bool {
+	if view == nil || view.Epoch <= c.knownEpoch() {
+		return false
+	}
+	c.adopt(view)
+	if c.change != nil {
+		c.failViewChange("a newer view is known")
+	}
+	c.stopBeingPrimary(SawNewerView)
+	return true
+}
+
+// adopt makes a newer view the known one.
+func (c *Core) adopt(view *View) {
+	c.register = Register{View: view.Clone()}
+	c.registerChanged = true
+	c.viewChangeDue = false
+	c.round = 0
+	if c.state.joined != view.Tag() {
+		c.state.joined = StateTag{}
+	}
+	c.dropIncoming(view)
+	c.emit(LearnedView{View: *view.Clone()})
+	c.log(slog.LevelInfo, "new view", slog.Uint64("epoch", uint64(view.Epoch)), slog.String("primary", view.Primary.Address))
+}
+
+// answerOnceSynced sends a reply when the register is on disk as it is now.
+func (c *Core) answerOnceSynced(reply Message) {
+	c.registerChanged = true
+	if c.mutation == skipSync {
+		c.send(reply)
+		return
+	}
+	c.registerReplies = append(c.registerReplies, reply)
+}
+
+// flushRegister saves the register if this Step changed it.
+func (c *Core) flushRegister() {
+	if !c.registerChanged {
+		return
+	}
+	c.registerChanged = false
+	if c.config.Relay {
+		return
+	}
+	job := diskJob{
+		kind:     registerJob,
+		epoch:    c.knownEpoch(),
+		promised: c.register.Promised,
+		replies:  c.registerReplies,
+	}
+	c.registerReplies = nil
+	token := c.disk.add(job)
+	c.emit(SaveRegister{Token: token, Register: c.register.Clone()})
+}
+
+// registerSaved sends the replies that waited for it.
+func (c *Core) registerSaved(job diskJob, err error) {
+	for _, reply := range job.replies {
+		if err != nil {
+			reply = refusedReply(reply, DiskFailed)
+		}
+		c.send(reply)
+	}
+	if err == nil {
+		c.ownPromiseSaved(job.epoch, job.promised)
+	}
+}
+
+// onPrepare promises to accept nothing under a lower ballot.
+func (c *Core) onPrepare(m Prepare) {
+	reply := PrepareReply{Envelope: c.back(m), Epoch: m.Base.Epoch + 1, Ballot: m.Ballot, Status: c.status()}
+	reply.Refusal = c.checkBallot(&m.Base, m.Ballot)
+	if reply.Refusal != Granted {
+		reply.Promised = c.register.Promised
+		reply.View = c.newerThan(m.Base.Epoch)
+		c.send(reply)
+		return
+	}
+	c.promise(m.Ballot, m.From)
+	reply.AcceptedBallot = c.register.AcceptedBallot
+	reply.Accepted = c.register.Accepted.Clone()
+	c.answerOnceSynced(reply)
+}
+
+// onAccept accepts a proposal.
+func (c *Core) onAccept(m Accept) {
+	reply := AcceptReply{Envelope: c.back(m), Epoch: m.Base.Epoch + 1, Ballot: m.Ballot}
+	reply.Refusal = c.checkBallot(&m.Base, m.Ballot)
+	if reply.Refusal != Granted {
+		reply.Promised = c.register.Promised
+		reply.View = c.newerThan(m.Base.Epoch)
+		c.send(reply)
+		return
+	}
+	c.promise(m.Ballot, m.From)
+	c.register.AcceptedBallot = m.Ballot
+	c.register.Accepted = m.Proposal.Clone()
+	c.answerOnceSynced(reply)
+}
+
+// checkBallot tells whether this witness may promise or accept a ballot for the epoch after base.
+func (c *Core) checkBallot(base *View, ballot Ballot) Refusal {
+	if base.Epoch > 0 {
+		c.learn(base)
+	}
+	if c.knownEpoch() > base.Epoch {
+		return NewerView
+	}
+	if c.knownEpoch() < base.Epoch {
+		return UnknownView
+	}
+	if indexOf(base.Witnesses, c.self.ID) < 0 {
+		return OtherSeeds
+	}
+	if base.Epoch == 0 && !c.config.Bootstrap {
+		return NotFirstDisk
+	}
+	if ballot < c.register.Promised && c.mutation != forgetPromise {
+		return Promised
+	}
+	return Granted
+}
+
+func (c *Core) promise(ballot Ballot, proposer Member) {
+	c.register.Promised = ballot
+	if proposer.ID != c.self.ID {
+		c.promisedAt = c.now
+	}
+}
+
+// onInstall stores a view that was chosen.
+func (c *Core) onInstall(m Install) {
+	reply := InstallReply{Envelope: c.back(m), Epoch: m.View.Epoch, Ballot: m.View.Ballot}
+	c.learn(&m.View)
+	reply.View = c.newerThan(m.View.Epoch)
+	if reply.View != nil {
+		reply.Refusal = NewerView
+		c.send(reply)
+		return
+	}
+	c.answerOnceSynced(reply)
+}
+
+// onConfirm tells whether a view is the newest that this witness accepted. It needs no sync: what is not synced counts as accepted already.
+func (c *Core) onConfirm(m Confirm) {
+	reply := ConfirmReply{Envelope: c.back(m), Epoch: m.Epoch, Ballot: m.Ballot, Round: m.Round}
+	reply.View = c.newerThan(m.Epoch)
+	known := c.register.View
+	switch {
+	case reply.View != nil:
+		reply.Refusal = NewerView
+	case known == nil || known.Tag() != StateTag{Epoch: m.Epoch, Ballot: m.Ballot}:
+		reply.Refusal = UnknownView
+	case c.register.Accepted != nil:
+		reply.Refusal = Promised
+	}
+	c.send(reply)
+}
+
+// refuse answers a request that this member can't take; a reply that went astray is dropped.
+func (c *Core) refuse(request Message, reason Refusal) {
+	back := c.back(request)
+	switch m := request.(type) {
+	case Heartbeat:
+		if m.View != nil {
+			c.send(HeartbeatReply{Envelope: back, Epoch: m.View.Epoch, Status: c.status()})
+		}
+	case Prepare:
+		c.send(PrepareReply{Envelope: back, Epoch: m.Base.Epoch + 1, Ballot: m.Ballot, Refusal: reason, Status: c.status()})
+	case Accept:
+		c.send(AcceptReply{Envelope: back, Epoch: m.Base.Epoch + 1, Ballot: m.Ballot, Refusal: reason})
+	case Install:
+		c.send(InstallReply{Envelope: back, Epoch: m.View.Epoch, Ballot: m.View.Ballot, Refusal: reason})
+	case SnapshotPart:
+		c.send(SnapshotPartReply{Envelope: back, Tag: m.Tag, Stream: m.Stream, Refusal: reason, Held: c.state.position})
+	case Append:
+		c.send(AppendReply{Envelope: back, Epoch: m.Entry.Epoch, Ballot: m.Entry.Ballot, Index: m.Entry.Index, Refusal: reason, Held: c.state.position})
+	case Confirm:
+		c.send(ConfirmReply{Envelope: back, Epoch: m.Epoch, Ballot: m.Ballot, Round: m.Round, Refusal: reason})
+	case Yield:
+		c.send(YieldReply{Envelope: back, Epoch: m.Epoch, Refusal: reason})
+	case LeaveRequest:
+		c.send(LeaveRequestReply{Envelope: back, Refusal: reason})
+	}
+}
+
+// refusedReply is a register's reply with a refusal in place of its grant.
+func refusedReply(reply Message, reason Refusal) Message {
+	switch m := reply.(type) {
+	case PrepareReply:
+		m.Refusal = reason
+		return m
+	case AcceptReply:
+		m.Refusal = reason
+		return m
+	case InstallReply:
+		m.Refusal = reason
+		return m
+	}
+	return reply
+}
+
+// needsDisk tells whether only a member with a disk can take a message.
+func needsDisk(message Message) bool {
+	switch message.(type) {
+	case Prepare, Accept, Install, SnapshotPart, Append, Confirm, Yield:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/coord/replication/core/state.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// heldState is the replicated state as this member holds it.
+//
+// Invariant: the state is a prefix of the history. Every entry taken follows the position before it, by index and by digest.
+type heldState struct {
+	tag      StateTag // of the proposal under which it was given
+	position Position // of the last entry on disk
+	applied  Position // of the last entry that the state machine has
+	tail     []Entry  // on disk and not applied: from applied (excluded) to position
+	// joined is the view whose appends are taken; zero: none. It lives in memory only, so a restarted copy is sealed until it is given the state again.
+	joined      StateTag
+	broken      bool // the log takes no entries before a snapshot is saved
+	logBytes    int  // of entries since the last snapshot saved
+	recent      []Entry
+	recentBytes int
+}
+
+// loadState takes over what the disk held.
+func (c *Core) loadState(stored Stored) error {
+	if c.config.Relay {
+		return nil
+	}
+	c.state.broken = !stored.TailIsOpen
+	if stored.Snapshot == nil {
+		c.state.broken = true
+		if len(stored.Entries) > 0 {
+			return fmt.Errorf("%w: entries without a snapshot", ErrDamaged)
+		}
+		return nil
+	}
+	if err := c.config.Machine.Restore(stored.Snapshot.Data); err != nil {
+		return fmt.Errorf("%w: snapshot: %w", ErrDamaged, err)
+	}
+	c.state.tag = stored.Snapshot.Tag
+	c.state.position = stored.Snapshot.Position
+	c.state.applied = stored.Snapshot.Position
+	for _, entry := range stored.Entries {
+		if !entry.Follows(c.state.position) {
+			return fmt.Errorf("%w: entry %d does not follow position %d", ErrDamaged, entry.Index, c.state.position.Index)
+		}
+		c.state.add(entry, c.limits.RecentBytes)
+		c.state.logBytes += len(entry.Data)
+	}
+	return nil
+}
+
+// add notes an entry that is on disk now.
+func (s *heldState) add(entry Entry, recentLimit int) {
+	s.position = entry.Position()
+	s.tail = append(s.tail, entry)
+	s.remember(entry, recentLimit)
+}
+
+// remember keeps an entry for members that are nearly up to date.
+func (s *heldState) remember(entry Entry, limit int) {
+	s.recent = append(s.recent, entry)
+	s.recentBytes += len(entry.Data)
+	first := 0
+	for s.recentBytes > limit && first < len(s.recent)-1 {
+		s.recentBytes -= len(s.recent[first].Data)
+		first++
+	}
+	s.recent = slices.Clone(s.recent[first:])
+}
+
+// since gives the entries after a position, if they are remembered.
+func (s *heldState) since(position Position) ([]Entry, bool) {
+	if position == s.position {
+		return nil, true
+	}
+	for i, entry := range s.recent {
+		if entry.Follows(position) {
+			return s.recent[i:], true
+		}
+	}
+	return nil, false
+}
+
+// applyTail applies all that is on disk.
+func (c *Core) applyTail() {
+	for _, entry := range c.state.tail {
+		c.config.Machine.Apply(entry.Data)
+	}
+	c.state.tail = nil
+	c.state.applied = c.state.position
+}
+
+// snapshot is the state as the machine has it; the entries of tail follow it.
+func (c *Core) snapshot() Snapshot {
+	return Snapshot{Tag: c.state.tag, Position: c.state.applied, Data: c.config.Machine.Snapshot()}
+}
+
+// trim puts a snapshot in place of a log that has grown.
+func (c *Core) trim() {
+	if c.state.logBytes < c.limits.LogBytes || c.state.broken {
+		return
+	}
+	c.state.logBytes = 0
+	c.saveSnapshot(diskJob{kind: trimJob}, c.snapshot(), c.state.tail)
+}
+
+// View is the newest view known to be chosen, nil before the first.
+func (c *Core) View() *View { return c.register.View.Clone() }
+
+// Active tells whether this member is primary, and of which epoch.
+func (c *Core) Active() (Epoch, bool) { return c.activeEpoch, c.active }
+
+// Primary is the member that was last heard to be primary, if it was heard lately.
+func (c *Core) Primary(now time.Duration) (Member, bool) {
+	if c.active {
+		return c.self, true
+	}
+	if c.heardFrom.ID != 0 && now-c.lastHeard < c.timing.PrimaryLost {
+		return c.heardFrom, true
+	}
+	return Member{}, false
+}
+
+// State is what a member tells operators of itself.
+type State struct {
+	Self         Member
+	Relay        bool
+	LossesBorne  int // by the view: copies left and a majority of witnesses
+	LossesWanted int
+	View         *View
+	Active       bool
+	Joined       bool
+	Stalled      bool
+	Leaving      bool
+	Position     Position
+	LastHeard    time.Duration // since the primary was heard
+	Members      []Member
+}
+
+// State tells what this member knows.
+func (c *Core) State(now time.Duration) State {
+	return State{
+		Self:         c.self,
+		Relay:        c.config.Relay,
+		LossesBorne:  lossesBorne(c.register.View),
+		LossesWanted: c.config.Losses,
+		View:         c.View(),
+		Active:       c.active,
+		Joined:       c.state.joined != StateTag{},
+		Stalled:      c.disk.stalled,
+		Leaving:      c.leaving != nil,
+		Position:     c.state.position,
+		LastHeard:    now - c.lastHeard,
+		Members:      c.Members(),
+	}
+}
--- /dev/null
+++ b/coord/replication/core/view_change.go
@@ -0,0 +1,442 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+)
+
+// A view change, run by the member that wants to be the primary of the next view: seal, prepare at the witnesses, give the state to the copies to be, accept at a majority of the witnesses, install at a majority of the new witnesses if they moved.
+
+type phase uint8
+
+const (
+	repairing    phase = iota + 1 // saves its own state in place of a broken log
+	preparing                     // asks the witnesses for their promise
+	transferring                  // gives the state to the copies to be
+	accepting                     // asks the witnesses to accept its proposal
+	finishing                     // asks them to accept a proposal that was begun before
+	installing                    // tells new witnesses of the chosen view
+)
+
+// viewChange is a change under way. Replies are matched by epoch and ballot.
+type viewChange struct {
+	base       View // the view to be followed
+	ballot     Ballot
+	wasPrimary bool
+	phase      phase
+	deadline   time.Duration // of the phase
+	sentAt     time.Duration
+
+	promiseSaved bool       // the ballot is on the disk of this member
+	granted      []MemberID // witnesses that granted the phase's question
+	refused      []MemberID // witnesses that refused it
+	found        *View      // an earlier proposal
+	foundBallot  Ballot
+
+	streams    []*stateStream
+	transfers  []transfer // under way
+	asked      []Member   // all that were offered the state
+	copies     []Member   // that have it
+	waitedLate bool
+	lateUntil  time.Duration // while others may still answer
+
+	proposal View
+}
+
+func (v *viewChange) epoch() Epoch { return v.base.Epoch + 1 }
+
+func (v *viewChange) tag() StateTag {
+	return StateTag{Epoch: v.epoch(), Ballot: v.ballot}
+}
+
+// quorum is how many witnesses must grant: all to prepare the first view (see firstBase), else a majority.
+func (v *viewChange) quorum() int {
+	if v.base.Epoch == 0 && v.phase == preparing {
+		return len(v.base.Witnesses)
+	}
+	return majority(len(v.electorate()))
+}
+
+// electorate are the witnesses that the phase asks.
+func (v *viewChange) electorate() []Member {
+	if v.phase == installing {
+		return v.proposal.Witnesses
+	}
+	return v.base.Witnesses
+}
+
+// grant counts a witness once and tells whether the quorum is complete.
+func (v *viewChange) grant(id MemberID) {
+	if indexOf(v.electorate(), id) >= 0 && !slices.Contains(v.granted, id) {
+		v.granted = append(v.granted, id)
+	}
+}
+
+// refuse counts a refusal and tells whether the quorum is out of reach.
+func (v *viewChange) refuse(from Member) (hopeless bool) {
+	i := slices.IndexFunc(v.electorate(), func(m Member) bool { return m.ID == from.ID || m.Address == from.Address })
+	if i >= 0 && !slices.Contains(v.refused, v.electorate()[i].ID) {
+		v.refused = append(v.refused, v.electorate()[i].ID)
+	}
+	return len(v.electorate())-len(v.refused) < v.quorum()
+}
+
+// enter begins a phase.
+func (c *Core) enter(p phase) {
+	change := c.change
+	change.phase = p
+	change.granted = nil
+	change.refused = nil
+	change.deadline = c.now + c.timing.AnswerWait
+	c.askWitnesses()
+}
+
+// askWitnesses sends the phase's question to those that did not answer yet.
+func (c *Core) askWitnesses() {
+	change := c.change
+	change.sentAt = c.now
+	for _, witness := range change.electorate() {
+		if slices.Contains(change.granted, witness.ID) || slices.Contains(change.refused, witness.ID) {
+			continue
+		}
+		to := c.to(witness)
+		switch change.phase {
+		case preparing:
+			c.send(Prepare{Envelope: to, Base: change.base, Ballot: change.ballot})
+		case accepting:
+			c.send(Accept{Envelope: to, Base: change.base, Ballot: change.ballot, Proposal: change.proposal})
+		case finishing:
+			c.send(Accept{Envelope: to, Base: change.base, Ballot: change.ballot, Proposal: *change.found})
+		case installing:
+			c.send(Install{Envelope: to, View: change.proposal})
+		}
+	}
+}
+
+// mayLead tells whether this member may propose the view after a known one.
+//
+// Invariant: only a copy whose state covers the view may propose. The state must have been given under the view's proposal and be no shorter than its base, or under a later proposal for the same epoch: then nobody ever wrote in the view, and that state holds all that was acknowledged before, too, though it may be shorter than the base.
+func (c *Core) mayLead(view *View) bool {
+	roles := rolesOf(view, c.self.ID)
+	tag := c.state.tag
+	behind := c.state.position.Index < view.Base.Index
+	switch {
+	case c.config.Relay || roles&(RolePrimary|RoleBackup) == 0:
+		return false
+	case tag.Epoch == view.Epoch && tag.Ballot > view.Ballot, tag.Epoch > view.Epoch:
+		return true
+	case roles&RolePrimary != 0: // it proposed the view with its own state, under an older tag
+		return !behind
+	}
+	return tag == view.Tag() && !behind
+}
+
+// considerViewChange starts a view change if one is due.
+func (c *Core) considerViewChange() {
+	if c.change != nil || c.config.Relay || c.disk.stalled || c.disk.changesState() || c.now < c.retryAfter {
+		return
+	}
+	view := c.register.View
+	if view == nil {
+		if base, ok := c.firstBase(); ok {
+			c.startViewChange(base)
+		}
+		return
+	}
+	if c.active {
+		if c.viewChangeDue {
+			c.startViewChange(view)
+		}
+		return
+	}
+	if c.mayLead(view) && c.takeOverDue(view) {
+		c.startViewChange(view)
+	}
+}
+
+// takeOverDue tells whether a member that is not the primary should take over now.
+func (c *Core) takeOverDue(view *View) bool {
+	quiet := c.now - c.lastHeard
+	rank := indexOf(view.Backups, c.self.ID)
+	due := c.timing.PrimaryLost + time.Duration(max(rank, 0))*c.timing.RankWait
+	if c.leaving != nil { // only if nobody else does
+		return quiet > due+time.Duration(len(view.Backups)+1)*c.timing.RankWait
+	}
+	if rank < 0 { // the view's own primary, that was restarted or stepped down
+		return quiet > c.timing.Heartbeat
+	}
+	if c.viewChangeDue {
+		return true
+	}
+	if quiet <= due {
+		return false
+	}
+	return rank == 0 || c.now-c.promisedAt > c.timing.RankWait
+}
+
+// startViewChange begins the change from a view to the next one.
+func (c *Core) startViewChange(base *View) {
+	c.change = &viewChange{base: *base.Clone(), wasPrimary: c.active, phase: repairing}
+	c.viewChangeDue = false
+	c.confirm.void()
+	// Invariant: a copy that proposes takes no append of the old view any more. So what is acknowledged after this moment is held here already.
+	if c.mutation != skipSeal {
+		c.state.joined = StateTag{}
+	}
+	if c.state.broken {
+		c.change.deadline = c.now + c.timing.SnapshotWait
+		c.saveSnapshot(diskJob{kind: repairJob}, c.snapshot(), c.state.tail)
+		return
+	}
+	c.prepare()
+}
+
+// repairDone goes on once the own state is on disk, whole.
+func (c *Core) repairDone(err error) {
+	if err == nil {
+		c.state.broken = false
+		c.state.logBytes = 0
+	}
+	if c.change == nil || c.change.phase != repairing {
+		return
+	}
+	if err != nil {
+		view := c.register.View
+		c.failViewChange("own disk failed")
+		c.startYielding(view)
+		return
+	}
+	c.prepare()
+}
+
+func (c *Core) prepare() {
+	change := c.change
+	c.round = max(c.round, ballotRound(c.register.Promised)) + 1
+	change.ballot = ballotOf(c.round, c.self.ID)
+	// Invariant: no two lives of a member use one ballot. The ballot is promised on the own disk before anything is offered under it, also if this member is no witness.
+	if c.mutation == skipOwnPromise {
+		change.promiseSaved = true
+	} else {
+		c.register.Promised = change.ballot
+		c.registerChanged = true
+	}
+	c.enter(preparing)
+}
+
+func (c *Core) ownPromiseSaved(epoch Epoch, promised Ballot) {
+	change := c.change
+	if change == nil || change.phase == repairing || epoch != change.base.Epoch || promised < change.ballot {
+		return
+	}
+	change.promiseSaved = true
+	c.considerPrepared()
+}
+
+// onPrepareReply counts a promise. An answer beyond the quorum's still tells of a member that lives.
+func (c *Core) onPrepareReply(m PrepareReply) {
+	if m.From.ID != c.self.ID {
+		c.saw(m.From, m.Status)
+	}
+	c.learn(m.View)
+	change := c.change
+	if change == nil || change.phase == repairing || m.Epoch != change.epoch() || m.Ballot != change.ballot {
+		return
+	}
+	if change.phase == transferring {
+		c.continueTransfers()
+		return
+	}
+	if change.phase != preparing {
+		return
+	}
+	if m.Refusal != Granted {
+		c.witnessRefused(m.From, m.Refusal, m.Promised)
+		return
+	}
+	if m.Accepted != nil && (change.found == nil || m.AcceptedBallot > change.foundBallot) {
+		change.found = m.Accepted.Clone()
+		change.foundBallot = m.AcceptedBallot
+	}
+	change.grant(m.From.ID)
+	c.considerPrepared()
+}
+
+// witnessRefused ends a change whose quorum is out of reach.
+func (c *Core) witnessRefused(from Member, reason Refusal, promised Ballot) {
+	if reason == Promised {
+		c.round = max(c.round, ballotRound(promised))
+	}
+	if c.change.refuse(from) {
+		c.failViewChange("the witnesses refuse: " + reason.String())
+	}
+}
+
+func (c *Core) hasQuorum() bool {
+	needed := c.change.quorum()
+	if c.mutation == skipMajority {
+		needed = 1
+	}
+	return len(c.change.granted) >= needed
+}
+
+// considerPrepared goes on once a quorum has promised and the own promise is synced.
+func (c *Core) considerPrepared() {
+	change := c.change
+	if change.phase != preparing || !change.promiseSaved || !c.hasQuorum() {
+		return
+	}
+	if change.found != nil && c.mutation != skipEarlierProposal {
+		c.enter(finishing) // somebody was here before: its choice is finished first
+		return
+	}
+	change.phase = transferring
+	change.deadline = 0
+	c.continueTransfers()
+}
+
+// propose asks the witnesses to accept the view with the copies that have the state.
+func (c *Core) propose() {
+	change := c.change
+	if 1+len(change.copies) < c.fewestCopies(&change.base) {
+		c.failViewChange("too few backups are to be had")
+		return
+	}
+	change.proposal = View{
+		Epoch:     change.epoch(),
+		Ballot:    change.ballot,
+		Witnesses: change.base.Witnesses,
+		Primary:   c.self,
+		Backups:   change.copies,
+		Base:      c.state.position,
+	}
+	if change.base.Epoch > 0 {
+		if witnesses := c.wantedWitnesses(&change.base); witnesses != nil {
+			change.proposal.Witnesses = witnesses
+		}
+	}
+	c.enter(accepting)
+}
+
+func (c *Core) onAcceptReply(m AcceptReply) {
+	c.learn(m.View)
+	change := c.change
+	if change == nil || m.Epoch != change.epoch() || m.Ballot != change.ballot {
+		return
+	}
+	if change.phase != accepting && change.phase != finishing {
+		return
+	}
+	if m.Refusal != Granted {
+		c.witnessRefused(m.From, m.Refusal, m.Promised)
+		return
+	}
+	change.grant(m.From.ID)
+	if !c.hasQuorum() {
+		return
+	}
+	if change.phase == finishing {
+		c.finished()
+		return
+	}
+	c.chosen()
+}
+
+// finished ends the change that only completed an earlier proposal.
+//
+// Invariant: one primary writes in a view, and only the member that proposed it, in that life. Nobody becomes primary here, also if the earlier proposal names this member.
+func (c *Core) finished() {
+	found := c.change.found
+	c.failViewChange("an earlier proposal was finished")
+	c.learn(found)
+}
+
+// chosen takes the view that a majority of the old witnesses accepted.
+func (c *Core) chosen() {
+	change := c.change
+	proposal := change.proposal
+	c.adopt(&proposal)
+	if sameMembers(proposal.Witnesses, change.base.Witnesses) {
+		c.becomePrimary()
+		return
+	}
+	c.enter(installing)
+}
+
+func sameMembers(a, b []Member) bool {
+	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
+}
+
+// onInstallReply counts the new witnesses that have the view on disk.
+//
+// Invariant: a moved set of witnesses counts only once a majority of it stores the view, so that whoever asks a majority of it hears of the view.
+func (c *Core) onInstallReply(m InstallReply) {
+	c.learn(m.View)
+	change := c.change
+	if change == nil || change.phase != installing || m.Epoch != change.epoch() || m.Ballot != change.ballot {
+		return
+	}
+	if m.Refusal != Granted {
+		c.witnessRefused(m.From, m.Refusal, 0)
+		return
+	}
+	change.grant(m.From.ID)
+	if c.hasQuorum() {
+		c.becomePrimary()
+	}
+}
+
+// becomePrimary begins the writing in the own view.
+func (c *Core) becomePrimary() {
+	view := c.change.proposal
+	c.change = nil
+	c.state.tag = view.Tag()
+	c.active = true
+	c.activeEpoch = view.Epoch
+	c.lastHeard = c.now
+	c.heardFrom = c.self
+	c.viewChangeDue = false
+	c.log(slog.LevelInfo, "primary", slog.Uint64("epoch", uint64(view.Epoch)), slog.Int("backups", len(view.Backups)), slog.Int("witnesses", len(view.Witnesses)))
+	c.emit(BecamePrimary{Epoch: view.Epoch})
+	c.applyTail()
+	c.commitCarried()
+	c.heartbeat()
+	c.checkView()
+}
+
+// failViewChange gives up. A primary that could not make the view it needed stops.
+func (c *Core) failViewChange(reason string) {
+	change := c.change
+	c.change = nil
+	c.retryAfter = c.now + c.stepPause()
+	c.log(slog.LevelInfo, "no new view", slog.String("reason", reason), slog.Uint64("epoch", uint64(change.epoch())))
+	if change.wasPrimary {
+		c.stopBeingPrimary(ViewChangeFailed)
+		return
+	}
+	c.retryAfter += c.timing.Heartbeat // not again at once
+}
+
+// stepPause is the pause between two tries, spread by the member's id so that two candidates don't meet again and again.
+func (c *Core) stepPause() time.Duration {
+	return c.timing.StepPause + time.Duration(c.self.ID%8)*c.timing.StepPause/6
+}
+
+// tickViewChange repeats what was not answered and gives up in the end.
+func (c *Core) tickViewChange() {
+	change := c.change
+	if change == nil {
+		return
+	}
+	if change.phase == transferring {
+		c.tickTransfers()
+		return
+	}
+	if c.now >= change.deadline {
+		c.failViewChange("no majority of the witnesses answers")
+		return
+	}
+	if change.phase != repairing && c.now-change.sentAt >= c.timing.Resend {
+		c.askWitnesses()
+	}
+}
