--- /dev/null
+++ b/coord/replication/core/explore_model_test.go
@@ -0,0 +1,454 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The model that the search explores: three real cores, a queue of what is to happen, and monitors of the invariants. Model states are never changed once made: an action makes a new one, which shares all that it does not touch.
+
+// unit is one step of the model's clock. Waits are one or two units, so that few steps reach all of them.
+const unit = time.Second
+
+func modelTiming() Timing {
+	return Timing{
+		Tick: unit, Heartbeat: unit, PrimaryLost: 2 * unit, AnswerWait: 2 * unit, Resend: 100 * unit, DiskWait: 100 * unit, SnapshotWait: 100 * unit,
+		TransferWait: 2 * unit, WitnessLost: 4 * unit, StepPause: 0, RankWait: unit, LateAnswer: unit, RefusedFor: 2 * unit, Forget: 100 * unit, LeaveMargin: 0,
+	}
+}
+
+// happening is something that the default schedule lets happen in its order: a message arrives, a disk job ends, a clock ticks.
+type happening struct {
+	node    int
+	message Message // nil: the disk's next job ends, or a tick
+	tick    bool
+}
+
+// modelNode is one member. It is shared between model states and never changed.
+type modelNode struct {
+	core    *Core
+	machine *text
+	disk    storedDisk
+	life    int
+	born    time.Duration
+	up      bool
+	digest  uint64
+	hashed  time.Duration // the clock for which the digest holds
+}
+
+// callState is an order or a read of the model's clients.
+type callState struct {
+	kind    callKind
+	token   Token
+	node    int
+	life    int
+	floor   string // the longest state that a clear answer spoke of before this call began
+	decided string // what Decide saw
+	ran     bool   // Decide ran
+	done    bool
+	outcome Outcome
+	proofs  uint8 // members whose confirmation came after the call, or after Decide
+}
+
+type callKind uint8
+
+const (
+	writeCall callKind = iota + 1
+	checkCall          // refused if the state has a "1", in force if not; never writes
+	readCall
+)
+
+var errHasOne = errors.New("there is a one already")
+
+// budgets bound what may happen beyond the default schedule.
+type budgets struct {
+	Deviations int // all together
+	Faults     int // crash, lost disk, cut, freeze
+	Lost       int
+	Repeated   int
+	Late       int
+	Early      int // time steps and calls while something else is under way
+	Time       int // steps of time
+}
+
+// faultKind is what may befall one member.
+type faultKind uint8
+
+const (
+	crashFault faultKind = iota + 1
+	wipeFault
+	cutFault
+	muteFault // what it sends is lost
+	freezeFault
+	powerFault // all at once
+)
+
+// model is one state of the whole.
+type model struct {
+	rules  *modelRules
+	now    time.Duration
+	nodes  [3]*modelNode
+	queue  []happening
+	parked []happening // late or repeated messages
+	left   budgets
+	cut    int // member cut off, or -1
+	mute   int
+	frozen int
+	calls  []callState
+	watch  monitors
+
+	tokenBase Token // tokens up to here were used by the first order
+}
+
+// modelRules are the same for all states of a search.
+type modelRules struct {
+	calls    []callKind
+	faults   []faultKind
+	mutation mutation
+}
+
+func modelMember(i int, id MemberID) Member {
+	return Member{ID: id, Address: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i)}
+}
+
+func (m *model) config(i int, disk *storedDisk, machine *text) Config {
+	return Config{
+		Self: modelMember(i, disk.id), Seeds: []string{"m0", "m1", "m2"}, Losses: 1, Areas: 1,
+		Bootstrap: disk.first, Machine: machine, Timing: modelTiming(), Limits: DefaultLimits(),
+	}
+}
+
+// firstModel starts three members and lets them make the first view and one entry.
+func firstModel(rules *modelRules) *model {
+	m := &model{rules: &modelRules{calls: []callKind{writeCall}}, cut: -1, mute: -1, frozen: -1}
+	for i := range m.nodes {
+		disk := storedDisk{id: MemberID(11 * (i + 1)), first: true}
+		m = m.start(i, disk, 0)
+	}
+	m = m.settle()
+	for m.believers() == nil {
+		m = m.advance().settle()
+	}
+	m = m.call(m.believers()[0]).settle()
+	for range 4 {
+		m = m.advance().settle()
+	}
+	if !m.calls[0].done || m.calls[0].outcome != Committed {
+		panic("the first order was not taken")
+	}
+	first := *m
+	first.rules = rules
+	first.calls = nil
+	first.tokenBase = 1
+	for i, node := range first.nodes {
+		changed := node.clone()
+		changed.core.mutation = rules.mutation
+		first.nodes[i] = changed
+	}
+	return &first
+}
+
+// settle lets the default schedule run until nothing is left to happen.
+func (m *model) settle() *model {
+	for len(m.queue) > 0 {
+		m = m.runHead()
+	}
+	return m
+}
+
+// copied shares the nodes and copies the rest.
+func (m *model) copied() *model {
+	out := *m
+	out.queue = slices.Clone(m.queue)
+	out.parked = slices.Clone(m.parked)
+	out.calls = slices.Clone(m.calls)
+	out.watch = m.watch.copied()
+	return &out
+}
+
+// clone copies a node so that it can be stepped.
+func (n *modelNode) clone() *modelNode {
+	out := *n
+	out.digest = 0
+	out.disk.entries = slices.Clone(n.disk.entries)
+	out.disk.pending = slices.Clone(n.disk.pending)
+	if n.core == nil {
+		return &out
+	}
+	out.machine = &text{content: n.machine.content}
+	out.core = deepCopy(reflect.ValueOf(n.core)).Interface().(*Core)
+	out.core.config.Machine = out.machine
+	return &out
+}
+
+// bindOrders lets the waiting orders decide on this state's machine.
+func (m *model) bindOrders(i int) {
+	c := m.nodes[i].core
+	for j := range c.orders {
+		c.orders[j].Decide = m.decide(i, c.orders[j].Token)
+	}
+}
+
+// decide makes the function of an order.
+func (m *model) decide(i int, token Token) func() ([]byte, error) {
+	return func() ([]byte, error) {
+		call := m.callOf(token)
+		content := m.nodes[i].machine.content
+		call.decided = content
+		call.ran = true
+		call.proofs = 0
+		if call.kind == writeCall {
+			return []byte(writeName(token)), nil
+		}
+		if strings.Contains(content, writeName(2)) {
+			return nil, errHasOne
+		}
+		return nil, nil
+	}
+}
+
+func writeName(token Token) string { return string(rune('0' + token - 1)) }
+
+func (m *model) callOf(token Token) *callState {
+	for i := range m.calls {
+		if m.calls[i].token == token {
+			return &m.calls[i]
+		}
+	}
+	return nil
+}
+
+// step gives an event to a node of a fresh copy of the model.
+func (m *model) step(i int, e Event) {
+	node := m.nodes[i].clone()
+	m.nodes[i] = node
+	m.bindOrders(i)
+	if received, ok := e.(Received); ok {
+		m.noteProof(i, received.Message)
+	}
+	for _, effect := range node.core.Step(m.now-node.born, e) {
+		m.carryOut(i, effect)
+	}
+	m.watch.check(m)
+}
+
+// noteProof notes whose confirmation reaches whom.
+func (m *model) noteProof(i int, message Message) {
+	reply, ok := message.(ConfirmReply)
+	if !ok || reply.Refusal != Granted {
+		return
+	}
+	for j := range m.calls {
+		if m.calls[j].node == i && !m.calls[j].done {
+			m.calls[j].proofs |= 1 << memberIndex(reply.From.Address)
+		}
+	}
+}
+
+func memberIndex(address string) int { return int(address[1] - '0') }
+
+func (m *model) carryOut(i int, effect Effect) {
+	node := m.nodes[i]
+	switch effect := effect.(type) {
+	case Send:
+		m.watch.sent(m, effect.Message)
+		to := memberIndex(effect.Address)
+		if m.cut == i || m.cut == to || m.mute == i {
+			return
+		}
+		m.queue = append(m.queue, happening{node: to, message: effect.Message})
+	case SaveRegister, AppendEntry, SaveSnapshot:
+		node.disk.pending = append(node.disk.pending, effect)
+		m.queue = append(m.queue, happening{node: i})
+	case BecamePrimary:
+		m.watch.becamePrimary(m, i, effect.Epoch)
+	case LearnedView:
+		m.watch.learned(effect.View)
+	case Answer:
+		m.answered(effect)
+	}
+}
+
+// answered checks a clear answer against all that were given before.
+func (m *model) answered(answer Answer) {
+	call := m.callOf(answer.Token)
+	if call == nil || call.done {
+		return
+	}
+	call.done = true
+	call.outcome = answer.Outcome
+	node := m.nodes[call.node]
+	spoken := call.decided
+	if answer.Outcome == Committed || answer.Outcome == Current {
+		spoken = node.machine.content
+	}
+	if answer.Outcome == Deposed {
+		m.watch.neverDone = append(m.watch.neverDone, writeName(call.token))
+	}
+	if answer.Outcome.Clear() {
+		m.watch.clear(m, call, spoken)
+	}
+}
+
+// start begins a life of a member.
+func (m *model) start(i int, disk storedDisk, life int) *model {
+	out := m.copied()
+	disk.pending = nil
+	machine := &text{}
+	stored := Stored{Register: disk.register, Snapshot: disk.snapshot, Entries: slices.Clone(disk.entries), TailIsOpen: disk.snapshot != nil}
+	c, err := New(out.config(i, &disk, machine), stored)
+	if err != nil {
+		out.watch.fail("a disk can't be read: %v", err)
+		return out
+	}
+	c.mutation = out.rules.mutation
+	out.nodes[i] = &modelNode{core: c, machine: machine, disk: disk, life: life, born: out.now, up: true}
+	out.step(i, Started{})
+	return out
+}
+
+// crash ends a life; of the disk jobs under way the first kept ones are on disk.
+func (m *model) crash(i, kept int) *model {
+	out := m.copied()
+	node := out.nodes[i].clone()
+	out.nodes[i] = node
+	for _, job := range node.disk.pending[:kept] {
+		_ = node.disk.apply(job)
+	}
+	node.disk.pending = nil
+	node.up = false
+	node.core = nil
+	node.machine = nil
+	keep := func(h happening) bool { return h.node == i }
+	out.queue = slices.DeleteFunc(out.queue, keep)
+	for j := range out.calls {
+		if out.calls[j].node == i && !out.calls[j].done {
+			out.calls[j].done = true
+			out.calls[j].outcome = Unclear
+		}
+	}
+	return out
+}
+
+// believers are the members that take themselves for the primary.
+func (m *model) believers() []int {
+	var out []int
+	for i, node := range m.nodes {
+		if node.up && node.core.active {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// call begins the next order or read at a member.
+func (m *model) call(i int) *model {
+	out := m.copied()
+	kind := out.rules.calls[len(out.calls)]
+	token := out.tokenBase + Token(len(out.calls)) + 1
+	out.calls = append(out.calls, callState{kind: kind, token: token, node: i, floor: out.watch.spoken})
+	deadline := out.now - out.nodes[i].born + 6*unit
+	if kind == readCall {
+		out.step(i, Read{Token: token, Deadline: deadline})
+		return out
+	}
+	out.step(i, Order{Token: token, Deadline: deadline, Decide: out.decide(i, token)})
+	return out
+}
+
+// advance moves the clock and lets all members notice it.
+func (m *model) advance() *model {
+	out := m.copied()
+	out.now += unit
+	for i, node := range out.nodes {
+		if node.up {
+			out.queue = append(out.queue, happening{node: i, tick: true})
+		}
+	}
+	return out
+}
+
+// head is the place of what happens next by the default schedule: the oldest thing at a member that is not frozen.
+func (m *model) head() int {
+	return slices.IndexFunc(m.queue, func(h happening) bool { return h.node != m.frozen })
+}
+
+func (m *model) runHead() *model {
+	i := m.head()
+	out := m.copied()
+	h := out.queue[i]
+	out.queue = slices.Delete(out.queue, i, i+1)
+	out.happen(h)
+	return out
+}
+
+func (m *model) happen(h happening) {
+	node := m.nodes[h.node]
+	switch {
+	case !node.up:
+	case h.tick:
+		m.step(h.node, Tick{})
+	case h.message != nil:
+		m.step(h.node, Received{h.message})
+	case len(node.disk.pending) > 0:
+		m.diskEnds(h.node)
+	}
+}
+
+func (m *model) diskEnds(i int) {
+	node := m.nodes[i].clone()
+	m.nodes[i] = node
+	job := node.disk.pending[0]
+	node.disk.pending = node.disk.pending[1:]
+	m.step(i, DiskDone{Token: jobToken(job), Err: m.nodes[i].disk.apply(job)})
+}
+
+// key digests the state, budgets and monitors included.
+func (m *model) key() uint64 {
+	h := hasher{far: 6 * unit}
+	for _, node := range m.nodes {
+		h.number(node.key(m.now))
+	}
+	h.value(reflect.ValueOf(m.queue))
+	h.value(reflect.ValueOf(m.parked))
+	h.value(reflect.ValueOf(m.left))
+	h.number(uint64(m.cut + 1))
+	h.number(uint64(m.mute + 1))
+	h.number(uint64(m.frozen + 1))
+	h.value(reflect.ValueOf(m.calls))
+	h.value(reflect.ValueOf(m.watch))
+	return h.sum()
+}
+
+// key digests a node; it is kept, as most nodes stay the same from one state to the next.
+func (n *modelNode) key(now time.Duration) uint64 {
+	if n.digest != 0 && n.hashed == now {
+		return n.digest
+	}
+	h := hasher{far: 6 * unit, now: now - n.born}
+	h.number(uint64(n.life))
+	h.value(reflect.ValueOf(n.disk))
+	if n.up {
+		h.text(n.machine.content)
+		h.core(n.core)
+	}
+	n.digest = h.sum() | 1
+	n.hashed = now
+	return n.digest
+}
+
+// core digests all of a core that is not the same in every state.
+func (h *hasher) core(c *Core) {
+	v := reflect.ValueOf(c).Elem()
+	for i := range v.NumField() {
+		switch v.Type().Field(i).Name {
+		case "config", "self", "timing", "limits", "effects", "now", "mutation":
+			continue
+		}
+		h.value(v.Field(i))
+	}
+}
--- /dev/null
+++ b/coord/replication/core/explore_monitor_test.go
@@ -0,0 +1,259 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// monitors watch the invariants over a run.
+type monitors struct {
+	failed    string
+	spoken    string // the longest state that a clear answer spoke of
+	acked     string // the longest state that an order was acknowledged with
+	ackEpoch  Epoch
+	neverDone []string // orders answered as surely not begun
+	writers   []writerNote
+	views     []viewNote
+	votes     []voteNote
+	accepts   []acceptNote
+}
+
+// writerNote says which member, in which life, was primary of an epoch.
+type writerNote struct {
+	epoch Epoch
+	node  int
+	life  int
+}
+
+// viewNote is a view that is known to be chosen.
+type viewNote struct {
+	view View
+}
+
+// voteNote is what a witness has said for an epoch: the highest promise and the highest acceptance.
+type voteNote struct {
+	id       MemberID
+	epoch    Epoch
+	promised Ballot
+	accepted Ballot
+}
+
+// acceptNote collects the witnesses that accepted a view under a ballot.
+type acceptNote struct {
+	epoch  Epoch
+	ballot Ballot
+	value  StateTag
+	ids    []MemberID
+}
+
+func (w *monitors) copied() monitors {
+	out := *w
+	out.neverDone = slices.Clone(w.neverDone)
+	out.writers = slices.Clone(w.writers)
+	out.views = slices.Clone(w.views)
+	out.votes = slices.Clone(w.votes)
+	out.accepts = slices.Clone(w.accepts)
+	return out
+}
+
+func (w *monitors) fail(text string, values ...any) {
+	if w.failed == "" {
+		w.failed = fmt.Sprintf(text, values...)
+	}
+}
+
+// becamePrimary checks that one member writes in a view, and that it holds what was acknowledged.
+func (w *monitors) becamePrimary(m *model, i int, epoch Epoch) {
+	node := m.nodes[i]
+	for _, writer := range w.writers {
+		if writer.epoch == epoch && (writer.node != i || writer.life != node.life) {
+			w.fail("two primaries of epoch %d: m%d in life %d and m%d in life %d", epoch, writer.node, writer.life, i, node.life)
+		}
+	}
+	w.writers = append(w.writers, writerNote{epoch, i, node.life})
+	if epoch > w.ackEpoch && !strings.HasPrefix(node.core.heldContent(node.machine), w.acked) {
+		w.fail("m%d leads epoch %d with %q, and %q was acknowledged", i, epoch, node.machine.content, w.acked)
+	}
+}
+
+// heldContent is the state with what is on disk and not applied.
+func (c *Core) heldContent(machine *text) string {
+	content := machine.content
+	for _, entry := range c.state.tail {
+		content += string(entry.Data) + ";"
+	}
+	return content
+}
+
+// learned checks that views are a chain.
+func (w *monitors) learned(view View) {
+	for _, note := range w.views {
+		if note.view.Epoch != view.Epoch {
+			continue
+		}
+		if note.view.Tag() != view.Tag() {
+			w.fail("two views of epoch %d: %v and %v", view.Epoch, note.view, view)
+		}
+		return
+	}
+	w.views = append(w.views, viewNote{view})
+	slices.SortFunc(w.views, func(a, b viewNote) int { return int(a.view.Epoch) - int(b.view.Epoch) })
+}
+
+// sent checks what a witness says against all that it said before.
+func (w *monitors) sent(m *model, message Message) {
+	switch reply := message.(type) {
+	case PrepareReply:
+		if reply.Refusal != Granted {
+			return
+		}
+		vote := w.vote(reply.From.ID, reply.Epoch)
+		if reply.Ballot < vote.promised {
+			w.fail("%s promises %x after %x", reply.From.Address, reply.Ballot, vote.promised)
+		}
+		if reply.AcceptedBallot < vote.accepted {
+			w.fail("%s has forgotten that it accepted %x", reply.From.Address, vote.accepted)
+		}
+		vote.promised = max(vote.promised, reply.Ballot)
+	case AcceptReply:
+		if reply.Refusal != Granted {
+			return
+		}
+		vote := w.vote(reply.From.ID, reply.Epoch)
+		if reply.Ballot < vote.promised {
+			w.fail("%s accepts %x after it promised %x", reply.From.Address, reply.Ballot, vote.promised)
+		}
+		vote.promised = max(vote.promised, reply.Ballot)
+		vote.accepted = max(vote.accepted, reply.Ballot)
+		w.accepted(m, reply)
+	}
+}
+
+func (w *monitors) vote(id MemberID, epoch Epoch) *voteNote {
+	for i := range w.votes {
+		if w.votes[i].id == id && w.votes[i].epoch == epoch {
+			return &w.votes[i]
+		}
+	}
+	w.votes = append(w.votes, voteNote{id: id, epoch: epoch})
+	return &w.votes[len(w.votes)-1]
+}
+
+// accepted notes an acceptance; two views that a majority accepted for one epoch are a failure.
+func (w *monitors) accepted(m *model, reply AcceptReply) {
+	node := m.nodes[memberIndex(reply.From.Address)]
+	accepted := node.core.register.Accepted
+	if accepted == nil || node.core.register.AcceptedBallot != reply.Ballot {
+		return
+	}
+	i := slices.IndexFunc(w.accepts, func(a acceptNote) bool {
+		return a.epoch == reply.Epoch && a.ballot == reply.Ballot && a.value == accepted.Tag()
+	})
+	if i < 0 {
+		w.accepts = append(w.accepts, acceptNote{epoch: reply.Epoch, ballot: reply.Ballot, value: accepted.Tag()})
+		i = len(w.accepts) - 1
+	}
+	if !slices.Contains(w.accepts[i].ids, reply.From.ID) {
+		w.accepts[i].ids = append(slices.Clone(w.accepts[i].ids), reply.From.ID)
+		slices.Sort(w.accepts[i].ids)
+	}
+	if len(w.accepts[i].ids) >= majority(3) {
+		w.learned(*accepted)
+	}
+}
+
+// clear checks a clear answer: it speaks of a state that has all that earlier clear answers spoke of, and a majority was asked after the call.
+func (w *monitors) clear(m *model, call *callState, spoken string) {
+	if !strings.HasPrefix(spoken, call.floor) {
+		w.fail("%v speaks of %q, and before the call %q was spoken of", call.outcome, spoken, call.floor)
+	}
+	if !strings.HasPrefix(spoken, w.spoken) && !strings.HasPrefix(w.spoken, spoken) {
+		w.fail("%v speaks of %q, and %q was spoken of", call.outcome, spoken, w.spoken)
+	}
+	if len(spoken) > len(w.spoken) {
+		w.spoken = spoken
+	}
+	for _, name := range w.neverDone {
+		if strings.Contains(spoken, name+";") {
+			w.fail("%v speaks of %q, and %s was said never to begin", call.outcome, spoken, name)
+		}
+	}
+	if call.outcome == Committed {
+		if len(spoken) > len(w.acked) {
+			w.acked = spoken
+		}
+		w.ackEpoch = m.nodes[call.node].core.activeEpoch
+		return
+	}
+	contacted := 0
+	for i := range m.nodes {
+		if i == call.node || call.proofs>>i&1 == 1 {
+			contacted++
+		}
+	}
+	if contacted < majority(3) {
+		w.fail("%v without a majority's contact after the call", call.outcome)
+	}
+}
+
+// check looks at the whole state after each step.
+func (w *monitors) check(m *model) {
+	w.checkCopies(m)
+	w.checkJoined(m)
+}
+
+// checkCopies requires that every copy of the newest view has on disk what was acknowledged, unless its disk was lost.
+func (w *monitors) checkCopies(m *model) {
+	if w.acked == "" || len(w.views) == 0 {
+		return
+	}
+	newest := w.views[len(w.views)-1].view
+	if newest.Epoch < w.ackEpoch {
+		return
+	}
+	for _, member := range newest.Copies() {
+		node := m.nodes[memberIndex(member.Address)]
+		if node == nil || node.disk.id != member.ID {
+			continue
+		}
+		if content := node.disk.content(); !strings.HasPrefix(content, w.acked) {
+			w.fail("%s is a copy of epoch %d and has %q on disk, and %q was acknowledged", member.Address, newest.Epoch, content, w.acked)
+		}
+	}
+}
+
+// content is the state on disk.
+func (d *storedDisk) content() string {
+	if d.snapshot == nil {
+		return ""
+	}
+	content := string(d.snapshot.Data)
+	for _, entry := range d.entries {
+		content += string(entry.Data) + ";"
+	}
+	return content
+}
+
+// checkJoined requires that the copies that take appends of one view hold prefixes of one history.
+func (w *monitors) checkJoined(m *model) {
+	held := map[StateTag]string{}
+	for i, node := range m.nodes {
+		if node == nil || !node.up {
+			continue
+		}
+		tag := node.core.state.joined
+		if node.core.active && node.core.register.View.Epoch == node.core.activeEpoch {
+			tag = node.core.register.View.Tag()
+		}
+		if tag == (StateTag{}) {
+			continue
+		}
+		content := node.core.heldContent(node.machine)
+		other, found := held[tag]
+		if found && !strings.HasPrefix(content, other) && !strings.HasPrefix(other, content) {
+			w.fail("m%d holds %q in view %v, and another copy %q", i, content, tag, other)
+		}
+		held[tag] = content
+	}
+}
--- a/coord/replication/core/world_test.go
+++ b/coord/replication/core/world_test.go
@@ -106,7 +106,7 @@
 	nextID  MemberID
 	token   Token
 	delay   time.Duration
-	cut     map[[2]string]bool             // one way
+	cut     map[[2]string]bool               // one way
 	drop    func(from *node, m Message) bool // whether a message is lost
 	logging bool
 }
