--- /dev/null
+++ b/coord/replication/calls.go
@@ -0,0 +1,134 @@
+package replication
+
+import (
+	"sync"
+	"time"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/internal/errkind"
+)
+
+// call is an order or a read that waits for its answer.
+type call struct {
+	answered chan core.Answer
+	look     func() // of a read; it runs while the state is the confirmed one
+}
+
+// calls are the orders and reads that wait.
+type calls struct {
+	mu      sync.Mutex
+	last    core.Token
+	waiting map[core.Token]*call
+}
+
+func (c *calls) add(look func()) (core.Token, *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting == nil {
+		c.waiting = map[core.Token]*call{}
+	}
+	c.last++
+	added := &call{answered: make(chan core.Answer, 1), look: look}
+	c.waiting[c.last] = added
+	return c.last, added
+}
+
+// take removes a call; nil if nobody waits for its answer any more.
+func (c *calls) take(token core.Token) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := c.waiting[token]
+	delete(c.waiting, token)
+	return taken
+}
+
+// answer is called by the stepping goroutine.
+func (c *calls) answer(answer core.Answer) {
+	taken := c.take(answer.Token)
+	if taken == nil {
+		return
+	}
+	if answer.Outcome == core.Current && taken.look != nil {
+		taken.look()
+	}
+	taken.answered <- answer
+}
+
+// Propose makes one change. decide runs with nothing else in between, on the state as all earlier orders left it, and gives the entry, nil if nothing is to be done, or the error of a refusal; it must not wait.
+//
+// No error means that the change is synced on all copies or was in force already. The error that decide gave is a clear refusal: a majority of the witnesses confirmed that the state it was decided on was the newest. NotHere means that this member is not the primary and that nothing was begun; Unready that the change may be made or not.
+func (m *Member) Propose(deadline time.Time, decide func() ([]byte, error)) error {
+	token, waiting := m.calls.add(nil)
+	order := core.Order{Token: token, Deadline: deadline.Sub(m.born), Decide: decide}
+	return m.await(deadline, token, waiting, order)
+}
+
+// Confirm tells whether the state of this member was current at some moment after the call began: no error means that it was. See Read for looking at the state.
+func (m *Member) Confirm(deadline time.Time) error {
+	return m.Read(deadline, nil)
+}
+
+// Read calls look once the state is confirmed to be current, and before anything else is done with it. look must not wait.
+func (m *Member) Read(deadline time.Time, look func()) error {
+	token, waiting := m.calls.add(look)
+	return m.await(deadline, token, waiting, core.Read{Token: token, Deadline: deadline.Sub(m.born)})
+}
+
+// await gives the event to the core and waits for the answer.
+func (m *Member) await(deadline time.Time, token core.Token, waiting *call, event core.Event) error {
+	defer m.calls.take(token)
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case m.events <- event:
+	case <-timer.C:
+		return errkind.New(errkind.Unready, "not begun in time")
+	case <-m.scope.Done():
+		return errkind.New(errkind.Unready, "ending")
+	}
+	select {
+	case answer := <-waiting.answered:
+		return outcomeError(answer)
+	case <-timer.C:
+		return errkind.New(errkind.Unready, "not decided in time")
+	case <-m.scope.Done():
+		return errkind.New(errkind.Unready, "ending")
+	}
+}
+
+// outcomeError says how a call ended.
+func outcomeError(answer core.Answer) error {
+	switch answer.Outcome {
+	case core.Committed, core.InForce, core.Current:
+		return nil
+	case core.Refused:
+		return answer.Err
+	case core.Deposed:
+		return errkind.New(errkind.NotHere, "not the primary")
+	}
+	if answer.Err != nil {
+		return errkind.Wrap(errkind.Unready, answer.Err, "not decided")
+	}
+	return errkind.New(errkind.Unready, "not decided")
+}
+
+// Leave gives up the roles of this member: by agreement, once a view is chosen in which others have them, or not complete as the deadline comes near. The member goes on until its scope ends.
+func (m *Member) Leave(deadline time.Time) (complete bool) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case m.events <- core.Leave{Deadline: deadline.Sub(m.born)}:
+	case <-timer.C:
+		return false
+	case <-m.scope.Done():
+		return false
+	}
+	select {
+	case left := <-m.left:
+		return left.Complete
+	case <-timer.C:
+		return false
+	case <-m.scope.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/coord/replication/config.go
@@ -0,0 +1,69 @@
+// Package replication keeps a small state on a primary and its backups. A change counts only when all of them have synced it; a register at the witnesses, decided by prepare and accept, says who they are. Nothing else is replicated by majority.
+//
+// All decisions are taken by package core, which has no clock, socket, disk or goroutine. This package is its driver: one goroutine steps the core, one writes to the disk, and the effects of each step are carried out in their order.
+package replication
+
+import (
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/rpc"
+)
+
+// StateMachine is the state that is kept. Its methods are called by the stepping goroutine only.
+type StateMachine interface {
+	Apply(entry []byte)
+	Checkpoint() []byte
+	Restore(checkpoint []byte) error // an empty checkpoint is the first state
+}
+
+// Store is a member's disk. What a method returned for without an error is synced, names of files included.
+type Store interface {
+	Identity() (id uint64, firstStart bool)
+	Load() core.Stored
+	SaveRegister(core.Register) error
+	// SaveSnapshot puts a whole state in place of the one before: after a crash in the middle either the old state or the new one is found.
+	SaveSnapshot(core.Snapshot, []core.Entry) error
+	Append(core.Entry) error
+}
+
+// Transport carries messages to other members.
+type Transport interface {
+	// Send never blocks; the message may be lost.
+	Send(address string, message core.Message)
+	// Heard notes a channel on which the member at an address was heard: what is sent to it may go that way.
+	Heard(address string, channel *rpc.Channel)
+}
+
+// Config is what a member needs.
+type Config struct {
+	Address   string
+	Zone      string
+	Seeds     []string                 // addresses; at the first start the same for all
+	Losses    int                      // members that may be lost at once; 0: one member alone may be primary
+	Areas     int                      // areas that may be lost at once
+	Area      func(zone string) string // what a zone is lost with; nil: each zone by itself
+	Relay     bool                     // it has no disk: it holds nothing, witnesses nothing and only learns the view
+	Store     Store
+	Machine   StateMachine
+	Transport Transport
+	OnActive  func(epoch uint64) // this member became primary; called before anything else is done as primary
+	OnIdle    func()             // this member is no longer primary
+}
+
+// machineAdapter gives a state machine the names that the core knows.
+type machineAdapter struct{ machine StateMachine }
+
+func (a machineAdapter) Apply(entry []byte)            { a.machine.Apply(entry) }
+func (a machineAdapter) Snapshot() []byte              { return a.machine.Checkpoint() }
+func (a machineAdapter) Restore(snapshot []byte) error { return a.machine.Restore(snapshot) }
+
+func seat(m core.Member) rpc.Seat {
+	return rpc.Seat{ID: uint64(m.ID), Addr: m.Address, Locality: m.Zone}
+}
+
+func seats(members []core.Member) []rpc.Seat {
+	out := make([]rpc.Seat, len(members))
+	for i, member := range members {
+		out[i] = seat(member)
+	}
+	return out
+}
--- a/coord/replication/core/events.go
+++ b/coord/replication/core/events.go
@@ -11,7 +11,7 @@
 // Started is the first event of a life.
 type Started struct{}
 
-// Tick comes at least each Timing.Tick.
+// Tick comes at NextWake at the latest.
 type Tick struct{}
 
 // Received is a message from another member.
--- /dev/null
+++ b/coord/replication/core/wake.go
@@ -0,0 +1,51 @@
+package core
+
+import "time"
+
+// NextWake is when the core must be ticked next at the latest, on the clock of Step. It changes with every Step. While anything is under way it is Timing.Tick after the last tick, else as late as the heartbeats allow.
+func (c *Core) NextWake(lastTick time.Duration) time.Duration {
+	next := lastTick + c.timing.Tick
+	if c.busy() {
+		return next
+	}
+	if c.active {
+		return max(next, c.lastHeartbeat+c.timing.Heartbeat)
+	}
+	return max(next, c.lastHeard+c.quietAfter())
+}
+
+// busy tells whether anything is under way that waits for time to pass.
+func (c *Core) busy() bool {
+	if c.register.View == nil || len(c.peers) == 0 || c.change != nil || c.yielding != nil || c.viewChangeDue {
+		return true
+	}
+	if c.leaving != nil && !c.leaving.done {
+		return true
+	}
+	return c.callsWait()
+}
+
+func (c *Core) callsWait() bool {
+	if len(c.orders) > 0 || c.write != nil {
+		return true
+	}
+	return c.confirm.running || c.confirm.doubted || len(c.confirm.waiting) > 0
+}
+
+// quietAfter is how long the primary may be silent before this member does anything about it.
+func (c *Core) quietAfter() time.Duration {
+	roles := rolesOf(c.register.View, c.self.ID)
+	switch {
+	case roles&RolePrimary != 0:
+		return c.timing.Heartbeat
+	case roles&RoleBackup != 0:
+		return c.timing.PrimaryLost / 2
+	}
+	return c.timing.PrimaryLost
+}
+
+// KnownEpoch is the epoch of the newest view known to be chosen, 0 before the first.
+func (c *Core) KnownEpoch() Epoch { return c.knownEpoch() }
+
+// LastHeard is the member that was last heard to be primary, and when.
+func (c *Core) LastHeard() (Member, time.Duration) { return c.heardFrom, c.lastHeard }
--- /dev/null
+++ b/coord/replication/disk.go
@@ -0,0 +1,95 @@
+package replication
+
+import (
+	"sync"
+	"time"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/task"
+)
+
+// diskWorker carries disk jobs out, one after the other, in a goroutine of its own: a disk that stalls holds nothing else up.
+type diskWorker struct {
+	scope  *task.Scope
+	store  Store
+	timing core.Timing
+	post   func(core.Event)
+	ready  chan struct{} // jobs wait
+
+	mu   sync.Mutex
+	jobs []core.Effect
+}
+
+func newDiskWorker(scope *task.Scope, store Store, timing core.Timing, post func(core.Event)) *diskWorker {
+	return &diskWorker{scope: scope, store: store, timing: timing, post: post, ready: make(chan struct{}, 1)}
+}
+
+// add queues a job; it never blocks.
+func (w *diskWorker) add(job core.Effect) {
+	w.mu.Lock()
+	w.jobs = append(w.jobs, job)
+	w.mu.Unlock()
+	select {
+	case w.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (w *diskWorker) take() (core.Effect, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.jobs) == 0 {
+		return nil, false
+	}
+	job := w.jobs[0]
+	w.jobs = w.jobs[1:]
+	return job, true
+}
+
+// run works until the scope ends.
+func (w *diskWorker) run() {
+	for {
+		select {
+		case <-w.ready:
+		case <-w.scope.Done():
+			return
+		}
+		for job, ok := w.take(); ok && !w.scope.Ended(); job, ok = w.take() {
+			w.carryOut(job)
+		}
+	}
+}
+
+// carryOut does one job, and says so when it takes too long and when it has ended.
+func (w *diskWorker) carryOut(job core.Effect) {
+	token, patience := w.describe(job)
+	stalled := time.AfterFunc(patience, func() { w.post(core.DiskStalled{Token: token}) })
+	err := w.save(job)
+	stalled.Stop()
+	w.post(core.DiskDone{Token: token, Err: err})
+}
+
+func (w *diskWorker) describe(job core.Effect) (core.Token, time.Duration) {
+	switch job := job.(type) {
+	case core.SaveRegister:
+		return job.Token, w.timing.DiskWait
+	case core.AppendEntry:
+		return job.Token, w.timing.DiskWait
+	case core.SaveSnapshot:
+		return job.Token, w.timing.SnapshotWait
+	}
+	return 0, w.timing.DiskWait
+}
+
+func (w *diskWorker) save(job core.Effect) error {
+	switch job := job.(type) {
+	case core.SaveRegister:
+		return w.store.SaveRegister(job.Register)
+	case core.AppendEntry:
+		return w.store.Append(job.Entry)
+	case core.SaveSnapshot:
+		return w.store.SaveSnapshot(job.Snapshot, job.Tail)
+	}
+	return errkind.New(errkind.Internal, "unknown disk job %T", job)
+}
--- /dev/null
+++ b/coord/replication/links.go
@@ -0,0 +1,132 @@
+package replication
+
+import (
+	"sync"
+	"time"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/constants"
+)
+
+// pendingMost is how many messages to one address wait for its dial; further ones are dropped.
+const pendingMost = 64
+
+// Links is the Transport over held channels. A message goes out on the channel on which the member was heard last, or on one that is dialled when it is needed.
+type Links struct {
+	lines *rpc.Lines
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the way to one address.
+type link struct {
+	channel *rpc.Channel // nil: none yet
+	dialing bool
+	pending []core.Message // that wait for the dial
+	sentAt  time.Time      // first message since anything was heard on the channel
+	sent    int            // bytes since then
+}
+
+// NewLinks makes the transport of a member.
+func NewLinks(lines *rpc.Lines) *Links {
+	return &Links{lines: lines, links: map[string]*link{}}
+}
+
+// Heard is Transport's.
+func (l *Links) Heard(address string, channel *rpc.Channel) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.at(address)
+	if known.channel != channel {
+		known.use(channel)
+	}
+}
+
+// Send is Transport's.
+func (l *Links) Send(address string, message core.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	to := l.at(address)
+	if to.usable() {
+		to.send(message)
+		return
+	}
+	if len(to.pending) < pendingMost {
+		to.pending = append(to.pending, message)
+	}
+	if !to.dialing {
+		to.dialing = true
+		go l.dial(address, to)
+	}
+}
+
+func (l *Links) at(address string) *link {
+	known := l.links[address]
+	if known == nil {
+		known = &link{}
+		l.links[address] = known
+	}
+	return known
+}
+
+// dial opens a channel and sends what waits for it, or drops that.
+func (l *Links) dial(address string, to *link) {
+	channel, err := l.lines.Get(address)
+	if err == nil && channel.Quiet() >= constants.CallWait { // one from before that may be dead
+		channel.Close()
+		channel, err = l.lines.Get(address)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	to.dialing = false
+	pending := to.pending
+	to.pending = nil
+	if to.channel == nil || to.channel.Closed() {
+		if err != nil {
+			return
+		}
+		to.use(channel)
+	}
+	for _, message := range pending {
+		to.send(message)
+	}
+}
+
+func (k *link) use(channel *rpc.Channel) {
+	k.channel = channel
+	k.sentAt = time.Time{}
+	k.sent = 0
+}
+
+// usable tells whether the channel is open and not silent. One on which nothing was heard for the wait of an answer, since something was sent on it, is closed: the path may be another by now.
+func (k *link) usable() bool {
+	if k.channel == nil {
+		return false
+	}
+	if k.channel.Closed() {
+		k.channel = nil
+		return false
+	}
+	now := time.Now()
+	if k.sentAt.IsZero() || now.Add(-k.channel.Quiet()).After(k.sentAt) {
+		k.sentAt = now
+		k.sent = 0
+		return true
+	}
+	patience := constants.CallWait + time.Duration(k.sent)*time.Second/constants.LinkBytes
+	if now.Sub(k.sentAt) < patience {
+		return true
+	}
+	go k.channel.Close()
+	k.channel = nil
+	return false
+}
+
+func (k *link) send(message core.Message) {
+	note := &rpc.Note{Kind: rpc.Replication, Body: encodeMessage(message)}
+	frame := note.Encode()
+	k.sent += len(frame)
+	k.channel.SendRaw(frame)
+}
--- /dev/null
+++ b/coord/replication/query.go
@@ -0,0 +1,126 @@
+package replication
+
+import (
+	"time"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/rpc"
+)
+
+// Self is this member.
+func (m *Member) Self() rpc.Seat { return seat(m.self) }
+
+// View is the newest view known to be chosen, nil before the first. It must not be changed.
+func (m *Member) View() *core.View { return m.status.Load().view }
+
+// Witnesses are those of the newest view.
+func (m *Member) Witnesses() []rpc.Seat {
+	view := m.View()
+	if view == nil {
+		return nil
+	}
+	return seats(view.Witnesses)
+}
+
+// Active tells whether this member is primary, and of which epoch.
+func (m *Member) Active() (epoch uint64, active bool) {
+	s := m.status.Load()
+	return uint64(s.epoch), s.active
+}
+
+// Primary is the member that was last heard to be primary, if it was heard lately.
+func (m *Member) Primary() (rpc.Seat, bool) {
+	s := m.status.Load()
+	if s.active {
+		return m.Self(), true
+	}
+	if s.primary.ID != 0 && m.now()-s.heardAt < m.timing.PrimaryLost {
+		return seat(s.primary), true
+	}
+	return rpc.Seat{}, false
+}
+
+// Members are all members known, this one too.
+func (m *Member) Members() []rpc.Seat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return seats(m.core.Members())
+}
+
+// State is for the state page.
+type State struct {
+	Self         MemberState   `json:"self"`
+	Relay        bool          `json:"relay"`
+	LossesBorne  int           `json:"losses_borne"` // by the view: copies left and a majority of witnesses
+	LossesWanted int           `json:"losses_wanted"`
+	View         *ViewState    `json:"view"`
+	Active       bool          `json:"active"`
+	Joined       bool          `json:"joined"`
+	Stalled      bool          `json:"stalled"`
+	Leaving      bool          `json:"leaving"`
+	Index        uint64        `json:"index"` // of the last entry held
+	HeardAgoMs   int64         `json:"heard_ago_ms"`
+	Members      []MemberState `json:"members"`
+}
+
+// MemberState is a member on the state page.
+type MemberState struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// ViewState is a view on the state page.
+type ViewState struct {
+	Epoch     uint64        `json:"epoch"`
+	Ballot    uint64        `json:"ballot"`
+	Primary   MemberState   `json:"primary"`
+	Backups   []MemberState `json:"backups"`
+	Witnesses []MemberState `json:"witnesses"`
+}
+
+// State tells what this member knows.
+func (m *Member) State() State {
+	m.mu.Lock()
+	s := m.core.State(m.now())
+	m.mu.Unlock()
+	return State{
+		Self:         memberState(s.Self),
+		Relay:        s.Relay,
+		LossesBorne:  s.LossesBorne,
+		LossesWanted: s.LossesWanted,
+		View:         viewState(s.View),
+		Active:       s.Active,
+		Joined:       s.Joined,
+		Stalled:      s.Stalled,
+		Leaving:      s.Leaving,
+		Index:        uint64(s.Position.Index),
+		HeardAgoMs:   int64(s.LastHeard / time.Millisecond),
+		Members:      memberStates(s.Members),
+	}
+}
+
+func memberState(member core.Member) MemberState {
+	return MemberState{ID: uint64(member.ID), Address: member.Address, Zone: member.Zone}
+}
+
+func memberStates(members []core.Member) []MemberState {
+	out := make([]MemberState, len(members))
+	for i, member := range members {
+		out[i] = memberState(member)
+	}
+	return out
+}
+
+func viewState(view *core.View) *ViewState {
+	if view == nil {
+		return nil
+	}
+	return &ViewState{
+		Epoch:     uint64(view.Epoch),
+		Ballot:    uint64(view.Ballot),
+		Primary:   memberState(view.Primary),
+		Backups:   memberStates(view.Backups),
+		Witnesses: memberStates(view.Witnesses),
+	}
+}
--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -194,6 +194,9 @@
 	}
 }
 
+// Closed tells whether the channel has ended.
+func (ch *Channel) Closed() bool { return ch.sc.Ended() }
+
 // Done is closed with the channel.
 func (ch *Channel) Done() <-chan struct{} { return ch.sc.Done() }
 
--- a/coord/rpc/note.go
+++ b/coord/rpc/note.go
@@ -13,23 +13,16 @@
 
 // The kinds of notes.
 const (
-	Hello      Kind = iota + 1 // who are you and what do you know
-	Beat                       // primary to members
-	Prepare                    // proposer to witness
-	Accept                     // proposer to witness
-	Install                    // a chosen chart
-	Checkpoint                 // whole state to a backup
-	Append                     // one entry to a backup
-	Confirm                    // is this still the newest chart
-	Yield                      // primary asks a backup to take over
-	Lease                      // ask a witness for a duty
-	Follow                     // subscribe to news
-	News                       // one numbered change or a checkpoint
-	Heard                      // news acknowledged up to a number
-	Suspect                    // a router suspects another
-	Deck                       // what waits at the replicas, as the sender knows it
-	Lend                       // a router asks for further tries out of the common part of a service's budget
-	Job                        // long work between routers
+	Hello       Kind = iota + 1 // who are you and what do you know
+	Replication                 // a message of package replication, in the body
+	Lease                       // ask a witness for a duty
+	Follow                      // subscribe to news
+	News                        // one numbered change or a checkpoint
+	Heard                       // news acknowledged up to a number
+	Suspect                     // a router suspects another
+	Deck                        // what waits at the replicas, as the sender knows it
+	Lend                        // a router asks for further tries out of the common part of a service's budget
+	Job                         // long work between routers
 )
 
 // Seat names a member: its id belongs to its disk, the address is only where it lives.
@@ -39,18 +32,6 @@
 	Locality string
 }
 
-// Chart is one view of the control state's copies and its witnesses.
-type Chart struct {
-	Epoch     uint64
-	Mark      uint64 // ballot under which the copies were synced
-	Witnesses []Seat
-	Primary   Seat
-	Backups   []Seat // in the order in which they take over
-}
-
-// Copies are the primary and its backups.
-func (c *Chart) Copies() []Seat { return append([]Seat{c.Primary}, c.Backups...) }
-
 // Note is one message.
 type Note struct {
 	Kind       Kind
@@ -64,8 +45,6 @@
 	Number     uint64
 	Base       uint64
 	Span       uint64
-	Chart      *Chart
-	Held       *Chart
 	HeldBallot uint64
 	Word       string
 	Body       []byte
@@ -93,30 +72,11 @@
 	return b.EndVector(len(os))
 }
 
-func putChart(b *flatbuffers.Builder, c *Chart) flatbuffers.UOffsetT {
-	w := putSeats(b, c.Witnesses, rpcfb.ChartStartWitnessesVector)
-	k := putSeats(b, c.Backups, rpcfb.ChartStartBackupsVector)
-	p := putSeat(b, c.Primary)
-	rpcfb.ChartStart(b)
-	rpcfb.ChartAddEpoch(b, c.Epoch)
-	rpcfb.ChartAddMark(b, c.Mark)
-	rpcfb.ChartAddWitnesses(b, w)
-	rpcfb.ChartAddPrimary(b, p)
-	rpcfb.ChartAddBackups(b, k)
-	return rpcfb.ChartEnd(b)
-}
-
 // Encode puts a note into bytes.
 func (n *Note) Encode() []byte {
 	b := flatbuffers.NewBuilder(256 + len(n.Body))
 	from := putSeat(b, n.From)
-	var ch, he, wd, bd, st flatbuffers.UOffsetT
-	if n.Chart != nil {
-		ch = putChart(b, n.Chart)
-	}
-	if n.Held != nil {
-		he = putChart(b, n.Held)
-	}
+	var wd, bd, st flatbuffers.UOffsetT
 	if n.Word != "" {
 		wd = b.CreateString(n.Word)
 	}
@@ -142,7 +102,7 @@
 	for _, x := range []struct {
 		o   flatbuffers.UOffsetT
 		add func(*flatbuffers.Builder, flatbuffers.UOffsetT)
-	}{{ch, rpcfb.NoteAddChart}, {he, rpcfb.NoteAddHeld}, {wd, rpcfb.NoteAddWord}, {bd, rpcfb.NoteAddBody}, {st, rpcfb.NoteAddSeats}} {
+	}{{wd, rpcfb.NoteAddWord}, {bd, rpcfb.NoteAddBody}, {st, rpcfb.NoteAddSeats}} {
 		if x.o != 0 {
 			x.add(b, x.o)
 		}
@@ -158,26 +118,6 @@
 	return Seat{s.Id(), string(s.Addr()), string(s.Locality())}
 }
 
-func getChart(c *rpcfb.Chart) *Chart {
-	if c == nil {
-		return nil
-	}
-	o := &Chart{Epoch: c.Epoch(), Mark: c.Mark(), Primary: getSeat(c.Primary(nil))}
-	for i := range c.BackupsLength() {
-		var s rpcfb.Seat
-		if c.Backups(&s, i) {
-			o.Backups = append(o.Backups, getSeat(&s))
-		}
-	}
-	for i := range c.WitnessesLength() {
-		var s rpcfb.Seat
-		if c.Witnesses(&s, i) {
-			o.Witnesses = append(o.Witnesses, getSeat(&s))
-		}
-	}
-	return o
-}
-
 // Decode reads a note; bytes that are none give an error, never a panic.
 func Decode(b []byte) (n *Note, err error) {
 	defer func() {
@@ -192,8 +132,8 @@
 	n = &Note{
 		Kind: Kind(f.Kind()), Call: f.Call(), Answer: f.Answer(), OK: f.Ok(), From: getSeat(f.From(nil)), To: f.To(),
 		Epoch: f.Epoch(), Ballot: f.Ballot(), Number: f.Number(), Base: f.Base(), Span: f.Span(),
-		Chart: getChart(f.Chart(nil)), Held: getChart(f.Held(nil)), HeldBallot: f.HeldBallot(),
-		Word: string(f.Word()), Body: f.BodyBytes(),
+		HeldBallot: f.HeldBallot(),
+		Word:       string(f.Word()), Body: f.BodyBytes(),
 	}
 	for i := range f.SeatsLength() {
 		var s rpcfb.Seat
--- a/coord/rpc/rpcfb/Note.go
+++ b/coord/rpc/rpcfb/Note.go
@@ -166,34 +166,8 @@
 	return rcv._tab.MutateUint64Slot(24, n)
 }
 
-func (rcv *Note) Chart(obj *Chart) *Chart {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
-	if o != 0 {
-		x := rcv._tab.Indirect(o + rcv._tab.Pos)
-		if obj == nil {
-			obj = new(Chart)
-		}
-		obj.Init(rcv._tab.Bytes, x)
-		return obj
-	}
-	return nil
-}
-
-func (rcv *Note) Held(obj *Chart) *Chart {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
-	if o != 0 {
-		x := rcv._tab.Indirect(o + rcv._tab.Pos)
-		if obj == nil {
-			obj = new(Chart)
-		}
-		obj.Init(rcv._tab.Bytes, x)
-		return obj
-	}
-	return nil
-}
-
 func (rcv *Note) HeldBallot() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
@@ -201,11 +175,11 @@
 }
 
 func (rcv *Note) MutateHeldBallot(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(30, n)
+	return rcv._tab.MutateUint64Slot(26, n)
 }
 
 func (rcv *Note) Word() []byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
 	if o != 0 {
 		return rcv._tab.ByteVector(o + rcv._tab.Pos)
 	}
@@ -213,7 +187,7 @@
 }
 
 func (rcv *Note) Body(j int) byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		a := rcv._tab.Vector(o)
 		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
@@ -222,7 +196,7 @@
 }
 
 func (rcv *Note) BodyLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
@@ -230,7 +204,7 @@
 }
 
 func (rcv *Note) BodyBytes() []byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		return rcv._tab.ByteVector(o + rcv._tab.Pos)
 	}
@@ -238,7 +212,7 @@
 }
 
 func (rcv *Note) MutateBody(j int, n byte) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
 	if o != 0 {
 		a := rcv._tab.Vector(o)
 		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
@@ -247,7 +221,7 @@
 }
 
 func (rcv *Note) Seats(obj *Seat, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
 		x += flatbuffers.UOffsetT(j) * 4
@@ -259,7 +233,7 @@
 }
 
 func (rcv *Note) SeatsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
@@ -267,7 +241,7 @@
 }
 
 func NoteStart(builder *flatbuffers.Builder) {
-	builder.StartObject(17)
+	builder.StartObject(15)
 }
 func NoteAddKind(builder *flatbuffers.Builder, kind uint16) {
 	builder.PrependUint16Slot(0, kind, 0)
@@ -302,26 +276,20 @@
 func NoteAddSpan(builder *flatbuffers.Builder, span uint64) {
 	builder.PrependUint64Slot(10, span, 0)
 }
-func NoteAddChart(builder *flatbuffers.Builder, chart flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(chart), 0)
-}
-func NoteAddHeld(builder *flatbuffers.Builder, held flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(held), 0)
-}
 func NoteAddHeldBallot(builder *flatbuffers.Builder, heldBallot uint64) {
-	builder.PrependUint64Slot(13, heldBallot, 0)
+	builder.PrependUint64Slot(11, heldBallot, 0)
 }
 func NoteAddWord(builder *flatbuffers.Builder, word flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(14, flatbuffers.UOffsetT(word), 0)
+	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(word), 0)
 }
 func NoteAddBody(builder *flatbuffers.Builder, body flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(15, flatbuffers.UOffsetT(body), 0)
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(body), 0)
 }
 func NoteStartBodyVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(1, numElems, 1)
 }
 func NoteAddSeats(builder *flatbuffers.Builder, seats flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(seats), 0)
+	builder.PrependUOffsetTSlot(14, flatbuffers.UOffsetT(seats), 0)
 }
 func NoteStartSeatsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
--- a/schema/generate.go
+++ b/schema/generate.go
@@ -2,4 +2,5 @@
 package schema
 
 //go:generate flatc --go -o ../coord/rpc rpc.fbs
+//go:generate flatc --go --gen-object-api -o ../coord/replication replication.fbs
 //go:generate protoc --go_out=.. --go_opt=module=shaletrestle config.proto
