--- a/coord/replication/core/write.go
+++ b/coord/replication/core/write.go
@@ -199,15 +199,20 @@
 		c.backupMissing()
 		return
 	}
-	if c.now-w.sentAt >= c.timing.Resend {
+	if c.now-w.sentAt >= c.timing.Resend+c.writeBytesTime() {
 		c.sendAppends()
 	}
 }
 
 // writePatience is the wait for the backups: the answer's, and what that many bytes take on a link.
 func (c *Core) writePatience() time.Duration {
+	return c.timing.AnswerWait + c.writeBytesTime()
+}
+
+// writeBytesTime is what the bytes of the entry take to all backups over one link. An entry is not sent again before: it would only wait behind itself.
+func (c *Core) writeBytesTime() time.Duration {
 	bytes := len(c.write.entry.Data) * len(c.register.View.Backups)
-	return c.timing.AnswerWait + time.Duration(bytes)*time.Second/linkBytes
+	return time.Duration(bytes) * time.Second / linkBytes
 }
 
 // linkBytes are the bytes a second that a message may count on: a link of 100 Mbit/s less a third.
--- /dev/null
+++ b/coord/replication/crowd_test.go
@@ -0,0 +1,431 @@
+package replication
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/task"
+)
+
+// lines is a machine that keeps a text.
+type lines struct {
+	mu sync.Mutex
+	s  string
+}
+
+func (l *lines) Apply(e []byte)         { l.mu.Lock(); l.s += string(e) + ";"; l.mu.Unlock() }
+func (l *lines) Checkpoint() []byte     { l.mu.Lock(); defer l.mu.Unlock(); return []byte(l.s) }
+func (l *lines) Restore(b []byte) error { l.mu.Lock(); l.s = string(b); l.mu.Unlock(); return nil }
+
+// memory is a store that fails only when it is full.
+type memory struct {
+	mu       sync.Mutex
+	id       uint64
+	late     bool // made after the first start
+	full     atomic.Bool
+	register core.Register
+	snapshot *core.Snapshot
+	entries  []core.Entry
+	stalled  chan struct{} // closed when the stall ends; nil: none
+}
+
+func (m *memory) Identity() (uint64, bool) { return m.id, !m.late }
+
+func (m *memory) Load() core.Stored {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return core.Stored{Register: m.register, Snapshot: m.snapshot, Entries: slices.Clone(m.entries), TailIsOpen: m.snapshot != nil}
+}
+
+func (m *memory) SaveRegister(r core.Register) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.register = r
+	return nil
+}
+
+func (m *memory) SaveSnapshot(s core.Snapshot, tail []core.Entry) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.snapshot, m.entries = &s, slices.Clone(tail)
+	return nil
+}
+
+func (m *memory) Append(e core.Entry) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries = append(m.entries, e)
+	return nil
+}
+
+// stall makes the disk stand still until the result is called.
+func (m *memory) stall() (resume func()) {
+	gate := make(chan struct{})
+	m.mu.Lock()
+	m.stalled = gate
+	m.mu.Unlock()
+	return func() {
+		m.mu.Lock()
+		m.stalled = nil
+		m.mu.Unlock()
+		close(gate)
+	}
+}
+
+func (m *memory) wait() {
+	m.mu.Lock()
+	gate := m.stalled
+	m.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+// hall carries messages between members of one process; some may be lost.
+type hall struct {
+	mu      sync.Mutex
+	m       map[string]*Member
+	off     map[string]bool
+	cut     map[[2]string]bool // one way
+	drop    func(address string, m core.Message) bool
+	rate    int // bytes a second of one way between two members; 0: no bound
+	free    map[[2]string]time.Time
+	tapped  chan core.Message // gets what is sent to tapAddr
+	tapAddr string
+}
+
+func newHall() *hall {
+	return &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}, free: map[[2]string]time.Time{}}
+}
+
+func (h *hall) Heard(string, *rpc.Channel) {}
+
+func (h *hall) Send(address string, message core.Message) {
+	from := message.Route().From.Address
+	h.mu.Lock()
+	lost := h.off[address] || h.off[from] || h.cut[[2]string{from, address}]
+	drop := h.drop
+	if h.tapped != nil && address == h.tapAddr {
+		select {
+		case h.tapped <- message:
+		default:
+		}
+	}
+	h.mu.Unlock()
+	if lost || drop != nil && drop(address, message) {
+		return
+	}
+	time.AfterFunc(h.delay(from, address, message), func() { h.deliver(address, message) })
+}
+
+// delay is a millisecond, and what the message takes on a way of bounded rate after those before it.
+func (h *hall) delay(from, to string, message core.Message) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.rate == 0 {
+		return time.Millisecond
+	}
+	way := [2]string{from, to}
+	start := time.Now()
+	if h.free[way].After(start) {
+		start = h.free[way]
+	}
+	h.free[way] = start.Add(time.Duration(len(encodeMessage(message))) * time.Second / time.Duration(h.rate))
+	return time.Until(h.free[way]) + time.Millisecond
+}
+
+func (h *hall) deliver(address string, message core.Message) {
+	h.mu.Lock()
+	m, off := h.m[address], h.off[address]
+	h.mu.Unlock()
+	if m != nil && !off {
+		m.Receive(message)
+	}
+}
+
+func (h *hall) setOff(address string, off bool) {
+	h.mu.Lock()
+	h.off[address] = off
+	h.mu.Unlock()
+}
+
+func (h *hall) setDrop(drop func(address string, m core.Message) bool) {
+	h.mu.Lock()
+	h.drop = drop
+	h.mu.Unlock()
+}
+
+func kindOf(m core.Message) string { return fmt.Sprintf("%T", m) }
+
+// life fences what a stopped member still tries to do.
+type life struct {
+	*memory
+	h    *hall
+	dead atomic.Bool
+}
+
+var errDead = errkind.New(errkind.Unready, "this life is over")
+
+func (l *life) write(f func() error) error {
+	l.wait()
+	if l.dead.Load() {
+		return errDead
+	}
+	if l.full.Load() {
+		return errkind.New(errkind.Unready, "the disk is full")
+	}
+	return f()
+}
+
+func (l *life) SaveRegister(r core.Register) error {
+	return l.write(func() error { return l.memory.SaveRegister(r) })
+}
+func (l *life) SaveSnapshot(s core.Snapshot, tail []core.Entry) error {
+	return l.write(func() error { return l.memory.SaveSnapshot(s, tail) })
+}
+func (l *life) Append(e core.Entry) error {
+	return l.write(func() error { return l.memory.Append(e) })
+}
+
+func (l *life) Heard(string, *rpc.Channel) {}
+
+func (l *life) Send(address string, m core.Message) {
+	if !l.dead.Load() {
+		l.h.Send(address, m)
+	}
+}
+
+// crowd is a number of members; three of them are the seeds.
+type crowd struct {
+	h      *hall
+	losses int
+	zone   []string
+	area   func(string) string
+	sc     []*task.Scope
+	m      []*Member
+	l      []*lines
+	st     []*memory
+	lf     []*life
+	ids    uint64
+}
+
+func (t *crowd) start(i int) {
+	address := fmt.Sprint("m", i)
+	t.sc[i] = task.New(slog.New(slog.DiscardHandler))
+	t.l[i] = &lines{}
+	t.lf[i] = &life{memory: t.st[i], h: t.h}
+	m, err := New(t.sc[i], Config{
+		Address: address, Zone: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area,
+		Store: t.lf[i], Machine: t.l[i], Transport: t.lf[i],
+	})
+	if err != nil {
+		panic(err)
+	}
+	t.m[i] = m
+	t.h.mu.Lock()
+	t.h.m[address], t.h.off[address] = m, false
+	t.h.mu.Unlock()
+	go m.Run()
+}
+
+func (t *crowd) stop(i int) {
+	t.h.setOff(fmt.Sprint("m", i), true)
+	t.lf[i].dead.Store(true)
+	t.sc[i].Stop()
+}
+
+// wipe gives a stopped member an empty disk.
+func (t *crowd) wipe(i int) {
+	t.ids += 11
+	t.st[i] = &memory{id: t.ids, late: true}
+}
+
+// newCrowd starts members in the zones named and waits until they serve.
+func newCrowd(losses int, zones ...string) *crowd {
+	t := startCrowd(losses, zones...)
+	time.Sleep(2 * time.Second)
+	return t
+}
+
+// startCrowd starts members in the zones named, all at once.
+func startCrowd(losses int, zones ...string) *crowd {
+	t := makeCrowd(losses, zones...)
+	t.startAll()
+	return t
+}
+
+func makeCrowd(losses int, zones ...string) *crowd {
+	t := &crowd{h: newHall(), losses: losses}
+	for _, z := range zones {
+		t.add(z)
+		t.st[len(t.st)-1].late = false
+	}
+	return t
+}
+
+// add puts up one more machine, with an empty disk; it is not started.
+func (t *crowd) add(zone string) int {
+	t.zone, t.sc, t.m = append(t.zone, zone), append(t.sc, nil), append(t.m, nil)
+	t.l, t.st, t.lf = append(t.l, nil), append(t.st, nil), append(t.lf, nil)
+	t.wipe(len(t.st) - 1)
+	return len(t.st) - 1
+}
+
+func (t *crowd) startAll() {
+	for i := range t.st {
+		t.start(i)
+	}
+}
+
+func newTrio() *crowd { return newCrowd(1, "a", "b", "c") }
+
+func (t *crowd) end() {
+	for _, s := range t.sc {
+		s.Stop()
+	}
+	time.Sleep(5 * time.Second)
+}
+
+func (t *crowd) primary() int {
+	for i, m := range t.m {
+		if _, ok := m.Active(); ok && !t.sc[i].Ended() {
+			return i
+		}
+	}
+	return -1
+}
+
+// otherPrimary tells whether a member other than i is primary.
+func (t *crowd) otherPrimary(i int) bool {
+	for j, m := range t.m {
+		if _, ok := m.Active(); ok && j != i {
+			return true
+		}
+	}
+	return false
+}
+
+// patience is the time that calls of the tests are given.
+const patience = 5 * time.Second
+
+func (t *crowd) propose(i int, s string) error {
+	return t.m[i].Propose(time.Now().Add(patience), func() ([]byte, error) { return []byte(s), nil })
+}
+
+func (t *crowd) confirmed(i int) bool {
+	return t.m[i].Confirm(time.Now().Add(patience)) == nil
+}
+
+// read gives a member's text if it is confirmed to be current.
+func (t *crowd) read(i int) (text string, current bool) {
+	err := t.m[i].Read(time.Now().Add(patience), func() { text = string(t.l[i].Checkpoint()) })
+	return text, err == nil
+}
+
+// at is the place of a member in the crowd.
+func (t *crowd) at(member core.Member) int {
+	return slices.IndexFunc(t.m, func(m *Member) bool { return m.self.ID == member.ID })
+}
+
+// index is the place of a member in a list, negative if it is not in it.
+func index(members []core.Member, id core.MemberID) int {
+	return slices.IndexFunc(members, func(m core.Member) bool { return m.ID == id })
+}
+
+// places counts members by what they are lost with.
+func (t *crowd) places(members []core.Member) map[string]int {
+	places := map[string]int{}
+	for _, m := range members {
+		place := m.Zone
+		if t.area != nil {
+			place = t.area(place)
+		}
+		places[place]++
+	}
+	return places
+}
+
+// holds requires one confirmed primary that has these entries.
+func (t *crowd) holds(tt *testing.T, want string) int {
+	tt.Helper()
+	p := t.primary()
+	require.GreaterOrEqual(tt, p, 0, "nobody is primary")
+	text, current := t.read(p)
+	require.True(tt, current)
+	require.Equal(tt, want, text)
+	return p
+}
+
+// witnessesAreWell requires as many witnesses as are wanted, each a disk that is there, and no place with more than are borne.
+func (t *crowd) witnessesAreWell(tt *testing.T, view *core.View) {
+	tt.Helper()
+	require.Len(tt, view.Witnesses, 2*t.losses+1)
+	for _, w := range view.Witnesses {
+		i := t.at(w)
+		require.GreaterOrEqual(tt, i, 0, "witness %d is a disk that is gone", w.ID)
+		require.False(tt, t.sc[i].Ended(), "witness %s is lost", w.Address)
+	}
+	for place, n := range t.places(view.Witnesses) {
+		require.LessOrEqual(tt, n, t.losses, "too many witnesses in %s", place)
+	}
+}
+
+// position is where a member's state stands.
+func (t *crowd) position(i int) core.Position {
+	t.m[i].mu.Lock()
+	defer t.m[i].mu.Unlock()
+	return t.m[i].core.State(t.m[i].now()).Position
+}
+
+// ask hands a member a message and gives the first answer that fits.
+func (t *crowd) ask(tt *testing.T, m *Member, question core.Message, fits func(core.Message) bool) core.Message {
+	tt.Helper()
+	tapped := make(chan core.Message, 1024)
+	t.h.mu.Lock()
+	t.h.tapped, t.h.tapAddr = tapped, question.Route().From.Address
+	t.h.mu.Unlock()
+	defer func() {
+		t.h.mu.Lock()
+		t.h.tapped = nil
+		t.h.mu.Unlock()
+	}()
+	m.Receive(question)
+	late := time.After(time.Second)
+	for {
+		select {
+		case answer := <-tapped:
+			if answer.Route().From.ID == m.self.ID && fits(answer) {
+				return answer
+			}
+		case <-late:
+			require.Fail(tt, "no answer", "%T", question)
+			return nil
+		}
+	}
+}
+
+// sendAppend hands a member an entry and gives its answer.
+func (t *crowd) sendAppend(tt *testing.T, m *Member, question core.Append) core.AppendReply {
+	tt.Helper()
+	answer := t.ask(tt, m, question, func(a core.Message) bool {
+		reply, ok := a.(core.AppendReply)
+		return ok && reply.Index == question.Entry.Index
+	})
+	return answer.(core.AppendReply)
+}
+
+// nextEntry is an entry that follows what a member holds.
+func (t *crowd) nextEntry(i int, view *core.View, data string) core.Entry {
+	held := t.position(i)
+	return core.Entry{Index: held.Index + 1, Epoch: view.Epoch, Ballot: view.Ballot, Previous: held.Digest, Data: []byte(data)}
+}
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,238 +12,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/coord/rpc"
-	"shaletrestle/internal/clock"
+	"shaletrestle/coord/replication/core"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
 )
 
-// lines is a machine that keeps a text.
-type lines struct {
-	mu sync.Mutex
-	s  string
-}
-
-func (l *lines) Apply(e []byte)         { l.mu.Lock(); l.s += string(e) + ";"; l.mu.Unlock() }
-func (l *lines) Checkpoint() []byte     { l.mu.Lock(); defer l.mu.Unlock(); return []byte(l.s) }
-func (l *lines) Restore(b []byte) error { l.mu.Lock(); l.s = string(b); l.mu.Unlock(); return nil }
-
-// memory is a store that fails only when it is full.
-type memory struct {
-	mu   sync.Mutex
-	id   uint64
-	late bool // made after the first start
-	full atomic.Bool
-	reg  Register
-	held Held
-}
-
-func (m *memory) Identity() (uint64, bool) { return m.id, !m.late }
-func (m *memory) LoadRegister() Register {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.reg
-}
-func (m *memory) SaveRegister(r Register) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.reg = r
-	return nil
-}
-func (m *memory) Load() Held {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return Held{m.held.Tag, m.held.Base, slices.Clone(m.held.Tail)}
-}
-func (m *memory) Reset(h Held) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.held = Held{h.Tag, h.Base, slices.Clone(h.Tail)}
-	return nil
-}
-func (m *memory) Append(e []byte) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.held.Tail = append(m.held.Tail, e)
-	return nil
-}
-func (m *memory) Size() int { return 0 }
-
-// hall carries notes between members of one process; some steps may be lost.
-type hall struct {
-	mu   sync.Mutex
-	m    map[string]*Member
-	off  map[string]bool
-	cut  map[[2]string]bool // one way
-	drop func(addr string, n *rpc.Note) bool
-	rate int // bytes a second of one call; 0: no bound
-}
-
-func (h *hall) Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error) {
-	h.mu.Lock()
-	m, off, drop := h.m[addr], h.off[addr] || h.off[n.From.Addr] || h.cut[[2]string{n.From.Addr, addr}], h.drop
-	h.mu.Unlock()
-	time.Sleep(time.Millisecond)
-	if h.rate > 0 {
-		took := time.Duration(len(n.Body)) * time.Second / time.Duration(h.rate)
-		off = off || took > d
-		time.Sleep(min(took, d))
-	}
-	if m == nil || off || drop != nil && drop(addr, n) {
-		time.Sleep(d)
-		return nil, errkind.New(errkind.Unready, "lost")
-	}
-	x := *n
-	a, _ := m.Handle(&x)
-	h.mu.Lock()
-	lost := h.off[addr] || h.cut[[2]string{addr, n.From.Addr}] || h.m[addr] != m
-	h.mu.Unlock()
-	if lost {
-		time.Sleep(d)
-		return nil, errkind.New(errkind.Unready, "the answer is lost")
-	}
-	return a, nil
-}
-
-// life fences what a stopped member still tries to do.
-type life struct {
-	*memory
-	h    *hall
-	dead atomic.Bool
-}
-
-var errDead = errkind.New(errkind.Unready, "this life is over")
-
-func (l *life) write(f func() error) error {
-	if l.dead.Load() {
-		return errDead
-	}
-	if l.full.Load() {
-		return errkind.New(errkind.Unready, "the disk is full")
-	}
-	return f()
-}
-
-func (l *life) SaveRegister(r Register) error {
-	return l.write(func() error { return l.memory.SaveRegister(r) })
-}
-func (l *life) Reset(h Held) error    { return l.write(func() error { return l.memory.Reset(h) }) }
-func (l *life) Append(e []byte) error { return l.write(func() error { return l.memory.Append(e) }) }
-
-func (l *life) Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error) {
-	if l.dead.Load() {
-		return nil, errDead
-	}
-	return l.h.Call(addr, n, d)
-}
-
-// crowd is a number of members; three of them are the seeds.
-type crowd struct {
-	h      *hall
-	losses int
-	zone   []string
-	area   func(string) string
-	sc     []*task.Scope
-	m      []*Member
-	l      []*lines
-	st     []*memory
-	lf     []*life
-	ids    uint64
-}
-
-func (t *crowd) start(i int) {
-	addr := fmt.Sprint("m", i)
-	t.sc[i] = task.New(slog.New(slog.DiscardHandler))
-	t.l[i] = &lines{}
-	t.lf[i] = &life{memory: t.st[i], h: t.h}
-	m, err := New(t.sc[i], Config{Addr: addr, Locality: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area, Store: t.lf[i], Machine: t.l[i], Caller: t.lf[i]})
-	if err != nil {
-		panic(err)
-	}
-	t.m[i] = m
-	t.h.mu.Lock()
-	t.h.m[addr], t.h.off[addr] = m, false
-	t.h.mu.Unlock()
-	go m.Run()
-}
-
-func (t *crowd) stop(i int) {
-	t.h.mu.Lock()
-	t.h.off[fmt.Sprint("m", i)] = true
-	t.h.mu.Unlock()
-	t.lf[i].dead.Store(true)
-	t.sc[i].Stop()
-}
-
-// wipe gives a stopped member an empty disk.
-func (t *crowd) wipe(i int) {
-	t.ids += 11
-	t.st[i] = &memory{id: t.ids, late: true}
-}
-
-// newCrowd starts members in the localities named and waits until they serve.
-func newCrowd(losses int, zones ...string) *crowd {
-	t := startCrowd(losses, zones...)
-	time.Sleep(2 * time.Second)
-	return t
-}
-
-// startCrowd starts members in the localities named, all at once.
-func startCrowd(losses int, zones ...string) *crowd {
-	t := makeCrowd(losses, zones...)
-	t.startAll()
-	return t
-}
-
-func makeCrowd(losses int, zones ...string) *crowd {
-	t := &crowd{h: &hall{m: map[string]*Member{}, off: map[string]bool{}, cut: map[[2]string]bool{}}, losses: losses}
-	for _, z := range zones {
-		t.add(z)
-		t.st[len(t.st)-1].late = false
-	}
-	return t
-}
-
-// add puts up one more machine, with an empty disk; it is not started.
-func (t *crowd) add(zone string) int {
-	t.zone, t.sc, t.m, t.l, t.st, t.lf = append(t.zone, zone), append(t.sc, nil), append(t.m, nil), append(t.l, nil), append(t.st, nil), append(t.lf, nil)
-	t.wipe(len(t.st) - 1)
-	return len(t.st) - 1
-}
-
-func (t *crowd) startAll() {
-	for i := range t.st {
-		t.start(i)
-	}
-}
-
-func newTrio() *crowd { return newCrowd(1, "a", "b", "c") }
-
-func (t *crowd) end() {
-	for _, s := range t.sc {
-		s.Stop()
-	}
-	time.Sleep(5 * time.Second)
-}
-
-func (t *crowd) primary() int {
-	for i, m := range t.m {
-		if _, ok := m.Active(); ok && !t.sc[i].Ended() {
-			return i
-		}
-	}
-	return -1
-}
-
-func (t *crowd) propose(i int, s string) error {
-	return t.m[i].Propose(func() ([]byte, error) { return []byte(s), nil })
-}
-
-// at is the place of a member in the crowd.
-func (t *crowd) at(s rpc.Seat) int {
-	return slices.IndexFunc(t.m, func(m *Member) bool { return m.Self().ID == s.ID })
-}
-
 // TestTakeoverAtEveryStepOfAWrite loses the primary at each step of a write: what was acknowledged is held by the next one, what was not is held or is not.
 func TestTakeoverAtEveryStepOfAWrite(t *testing.T) {
 	for _, step := range []string{"before append", "append lost", "answer lost", "after answer"} {
@@ -258,19 +30,16 @@
 				acked := false
 				switch step {
 				case "append lost", "answer lost":
-					tr.h.mu.Lock()
-					tr.h.drop = func(addr string, n *rpc.Note) bool {
-						if n.Kind != rpc.Append {
+					tr.h.setDrop(func(address string, m core.Message) bool {
+						if _, ok := m.(core.Append); !ok {
 							return false
 						}
 						if step == "answer lost" {
-							x := *n
-							tr.h.m[addr].Handle(&x)
+							tr.h.deliver(address, m)
 						}
-						tr.h.off[fmt.Sprint("m", p)] = true
+						tr.h.setOff(fmt.Sprint("m", p), true)
 						return true
-					}
-					tr.h.mu.Unlock()
+					})
 					acked = tr.propose(p, "second") == nil
 				case "after answer":
 					acked = tr.propose(p, "second") == nil
@@ -281,17 +50,15 @@
 				q := tr.primary()
 				require.NotEqual(t, p, q)
 				require.GreaterOrEqual(t, q, 0)
-				require.True(t, tr.m[q].Confirmed())
-				got := string(tr.l[q].Checkpoint())
+				got, current := tr.read(q)
+				require.True(t, current)
 				require.True(t, strings.HasPrefix(got, "first;"), got)
 				if acked || step == "answer lost" {
 					require.Equal(t, "first;second;", got)
 				} else {
 					require.Equal(t, "first;", got)
 				}
-				tr.h.mu.Lock()
-				tr.h.drop = nil
-				tr.h.mu.Unlock()
+				tr.h.setDrop(nil)
 				require.NoError(t, tr.propose(q, "third"))
 				tr.start(p)
 				time.Sleep(3 * time.Second)
@@ -306,11 +73,9 @@
 		tr := newTrio()
 		defer tr.end()
 		p := tr.primary()
-		tr.h.mu.Lock()
-		tr.h.off[fmt.Sprint("m", p)] = true
-		tr.h.mu.Unlock()
+		tr.h.setOff(fmt.Sprint("m", p), true)
 		require.Error(t, tr.propose(p, "alone"))
-		require.False(t, tr.m[p].Confirmed())
+		require.False(t, tr.confirmed(p))
 		time.Sleep(5 * time.Second)
 		n := 0
 		for _, m := range tr.m {
@@ -329,23 +94,18 @@
 			tr := newTrio()
 			defer tr.end()
 			p := tr.primary()
-			cut := func(off bool) {
-				tr.h.mu.Lock()
-				tr.h.off[fmt.Sprint("m", p)] = off
-				tr.h.mu.Unlock()
-			}
-			cut(true)
+			tr.h.setOff(fmt.Sprint("m", p), true)
 			start := time.Now()
 			var followed atomic.Int64
 			for time.Since(start) < 4*time.Second {
 				if time.Since(start) > gone*time.Millisecond {
-					cut(false)
+					tr.h.setOff(fmt.Sprint("m", p), false)
 				}
 				time.Sleep(5 * time.Millisecond)
 				for _, decision := range []error{nil, errkind.New(errkind.Stale, "version 1 is current")} {
 					go func() {
 						other := tr.otherPrimary(p)
-						err := tr.m[p].Propose(func() ([]byte, error) { return nil, decision })
+						err := tr.m[p].Propose(time.Now().Add(patience), func() ([]byte, error) { return nil, decision })
 						if other {
 							followed.Add(1)
 							require.NotEqual(t, errkind.Stale, errkind.KindOf(err))
@@ -359,16 +119,6 @@
 	}
 }
 
-// otherPrimary tells whether a member other than i is primary.
-func (t *crowd) otherPrimary(i int) bool {
-	for j, m := range t.m {
-		if _, ok := m.Active(); ok && j != i {
-			return true
-		}
-	}
-	return false
-}
-
 func TestManyTakeoversLoseNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := newTrio()
@@ -393,41 +143,47 @@
 		tr := newTrio()
 		defer tr.end()
 		p := tr.primary()
-		c := tr.m[p].Chart()
-		b := -1
-		for i, m := range tr.m {
-			if m.Self().ID == c.Backups[0].ID {
-				b = i
-			}
+		view := tr.m[p].View()
+		b := tr.at(view.Backups[0])
+		question := core.Append{
+			Envelope: core.Envelope{From: tr.m[p].self, To: view.Backups[0].ID, ToAddress: view.Backups[0].Address},
+			Entry:    tr.nextEntry(b, view, "x"),
 		}
-		entry := &rpc.Note{Kind: rpc.Append, From: tr.m[p].Self(), To: c.Backups[0].ID, Epoch: c.Epoch, Ballot: c.Mark, Body: []byte("x")}
-		a, _ := tr.m[b].Handle(entry)
-		require.True(t, a.OK)
+		require.Equal(t, core.Granted, tr.sendAppend(t, tr.m[b], question).Refusal)
 		tr.stop(b)
 		tr.start(b)
-		a, _ = tr.m[b].Handle(entry)
-		require.False(t, a.OK, "the same disk, but another life")
-		wrong := *entry
-		wrong.To = 99
-		a, _ = tr.m[b].Handle(&wrong)
-		require.False(t, a.OK, "meant for a disk that is gone")
+		require.Equal(t, core.NotJoined, tr.sendAppend(t, tr.m[b], question).Refusal, "the same disk, but another life")
+		question.To = 99
+		require.Equal(t, core.OtherDisk, tr.sendAppend(t, tr.m[b], question).Refusal, "meant for a disk that is gone")
 	})
 }
 
+// TestACutOffPrimaryStopsThoughAWriteHoldsItUp cuts a primary off whose write waits for the backups, or for its own disk.
 func TestACutOffPrimaryStopsThoughAWriteHoldsItUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		tr := newTrio()
-		defer tr.end()
-		p := tr.primary()
-		tr.m[p].wr.Lock() // a write that waits for an answer
-		tr.h.mu.Lock()
-		tr.h.off[fmt.Sprint("m", p)] = true
-		tr.h.mu.Unlock()
-		time.Sleep(2 * time.Second)
-		_, on := tr.m[p].Active()
-		tr.m[p].wr.Unlock()
-		require.False(t, on)
-	})
+	for _, held := range []string{"by the backups", "by the disk"} {
+		t.Run(held, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := newTrio()
+				defer tr.end()
+				p := tr.primary()
+				if held == "by the disk" {
+					defer tr.st[p].stall()()
+				}
+				tr.h.setDrop(func(_ string, m core.Message) bool {
+					_, isAppend := m.(core.Append)
+					return isAppend
+				})
+				answered := make(chan error, 1)
+				go func() { answered <- tr.propose(p, "held") }()
+				time.Sleep(10 * time.Millisecond)
+				tr.h.setOff(fmt.Sprint("m", p), true)
+				time.Sleep(2 * time.Second)
+				_, on := tr.m[p].Active()
+				require.False(t, on)
+				require.Equal(t, errkind.Unready, errkind.KindOf(<-answered), "it may have been done")
+			})
+		})
+	}
 }
 
 func TestHearsayDisplacesNothingSeen(t *testing.T) {
@@ -435,7 +191,12 @@
 		tr := newTrio()
 		defer tr.end()
 		m := tr.m[0]
-		m.hearsay([]rpc.Seat{{ID: 5, Addr: "m1"}, {ID: 6, Addr: "m0"}, {ID: 7, Addr: "new"}})
+		m.Receive(core.HelloReply{
+			Envelope: core.Envelope{From: tr.m[1].self, To: m.self.ID, ToAddress: "m0"},
+			Status:   core.Status{Fit: true},
+			Members:  []core.Member{{ID: 5, Address: "m1"}, {ID: 6, Address: "m0"}, {ID: 7, Address: "new"}},
+		})
+		synctest.Wait()
 		got := map[string]uint64{}
 		for _, s := range m.Members() {
 			got[s.Addr] = s.ID
@@ -449,49 +210,92 @@
 		tr := newTrio()
 		defer tr.end()
 		p := tr.primary()
-		c := tr.m[p].Chart()
-		var half *rpc.Chart
+		before := tr.m[p].View()
+		var mu sync.Mutex
+		var half *core.View
 		accepts := 0
-		tr.h.mu.Lock()
-		tr.h.drop = func(addr string, n *rpc.Note) bool {
-			if n.Kind != rpc.Accept || half != nil && accepts >= 2 {
+		tr.h.setDrop(func(address string, m core.Message) bool {
+			accept, ok := m.(core.Accept)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok || accepts >= 2 {
 				return false
 			}
-			x := *n
-			tr.h.m[addr].Handle(&x) // the witness stores it, its answer is lost, and then the proposer
-			half = n.Chart
+			tr.h.deliver(address, m) // the witness stores it, its answer is lost with the proposer
+			half = accept.Proposal.Clone()
 			if accepts++; accepts == 2 {
-				tr.h.off[n.From.Addr] = true
+				tr.h.setOff(accept.From.Address, true)
 			}
 			return true
-		}
-		tr.h.mu.Unlock()
+		})
 		tr.stop(p)
 		tr.start(p) // proposes a new view and is lost in the middle of it
 		time.Sleep(10 * time.Second)
 		require.NotNil(t, half)
-		require.Equal(t, c.Epoch+1, half.Epoch)
+		require.Equal(t, before.Epoch+1, half.Epoch)
 		q := tr.primary()
 		require.GreaterOrEqual(t, q, 0)
-		got := tr.m[q].Chart()
-		require.Greater(t, got.Epoch, half.Epoch, "what two witnesses had stored counts as chosen: it has an epoch of its own")
+		require.Greater(t, tr.m[q].View().Epoch, half.Epoch, "what two witnesses had stored counts as chosen: it has an epoch of its own")
+	})
+}
+
+// TestAReadSeesTheConfirmedState looks at the state where it is confirmed, not later.
+func TestAReadSeesTheConfirmedState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		require.NoError(t, tr.propose(p, "first"))
+		text, current := tr.read(p)
+		require.True(t, current)
+		require.Equal(t, "first;", text)
+		for i := range tr.m {
+			if i != p {
+				err := tr.m[i].Read(time.Now().Add(patience), func() { t.Error("a backup's state is looked at") })
+				require.Equal(t, errkind.NotHere, errkind.KindOf(err))
+			}
+		}
+	})
+}
+
+// TestAnOrderPastItsDeadlineIsNotDecided gives a primary whose disk stands still an order with little time.
+func TestAnOrderPastItsDeadlineIsNotDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		p := tr.primary()
+		resume := tr.st[p].stall()
+		first := make(chan error, 1)
+		go func() { first <- tr.propose(p, "first") }()
+		time.Sleep(10 * time.Millisecond)
+		err := tr.m[p].Propose(time.Now().Add(100*time.Millisecond), func() ([]byte, error) {
+			t.Error("it began too late")
+			return nil, nil
+		})
+		require.Equal(t, errkind.Unready, errkind.KindOf(err))
+		time.Sleep(50 * time.Millisecond)
+		resume()
+		require.NoError(t, <-first)
 	})
 }
 
 func ExampleMember_Propose() {
 	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
-	h := &hall{m: map[string]*Member{}, off: map[string]bool{}}
 	ready := make(chan uint64, 1)
 	text := &lines{}
-	m, err := New(sc, Config{Addr: "only", Seeds: []string{"only"}, Store: &memory{id: 7}, Machine: text, Caller: h, OnActive: func(e uint64) { ready <- e }})
+	m, err := New(sc, Config{
+		Address: "only", Seeds: []string{"only"}, Store: &memory{id: 7}, Machine: text, Transport: newHall(),
+		OnActive: func(epoch uint64) { ready <- epoch },
+	})
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	go m.Run()
 	fmt.Println("primary of epoch", <-ready)
-	fmt.Println(m.Propose(func() ([]byte, error) { return []byte("sal, 40 planks"), nil }))
+	deadline := time.Now().Add(time.Minute)
+	fmt.Println(m.Propose(deadline, func() ([]byte, error) { return []byte("sal, 40 planks"), nil }))
 	fmt.Println(string(text.Checkpoint()))
 	// Output:
 	// primary of epoch 1
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -16,6 +16,7 @@
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/core"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/calendar"
@@ -85,8 +86,18 @@
 		areas, area = p.Env.Tolerance.Regions, func(zone string) string { return p.Env.Zones[zone] }
 	}
 	m, err := replication.New(sc, replication.Config{
-		Addr: p.Env.Port(constants.PortTally), Locality: p.Env.Locality, Seeds: p.Env.SeedCrew(), Losses: losses, Areas: areas, Area: area, Relay: !p.Env.Keeps(),
-		Store: p.Store, Machine: h.state, Caller: lines, OnActive: h.begin, OnIdle: h.idle,
+		Address:   p.Env.Port(constants.PortTally),
+		Zone:      p.Env.Locality,
+		Seeds:     p.Env.SeedCrew(),
+		Losses:    losses,
+		Areas:     areas,
+		Area:      area,
+		Relay:     !p.Env.Keeps(),
+		Store:     p.Store,
+		Machine:   h.state,
+		Transport: replication.NewLinks(lines),
+		OnActive:  h.begin,
+		OnIdle:    h.idle,
 	})
 	if err != nil {
 		return nil, err
@@ -147,12 +158,13 @@
 func (h *House) Leave() {
 	h.live.Store(false)
 	h.duty.Renew()
-	h.member.Leave()
+	grace := clock.Seconds(h.env.Bounds.GraceS) - constants.GraceMargin
+	h.member.Leave(clock.Now().Add(grace))
 }
 
 func (h *House) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
-	if a, ok := h.member.Handle(n); ok {
-		return a
+	if h.member.Handle(ch, n) {
+		return nil
 	}
 	switch n.Kind {
 	case rpc.Lease:
@@ -173,10 +185,7 @@
 }
 
 func (h *House) witnesses() []rpc.Seat {
-	if c := h.member.Chart(); c != nil {
-		return c.Witnesses
-	}
-	return nil
+	return h.member.Witnesses()
 }
 
 func (h *House) upstream(string) string {
@@ -218,24 +227,9 @@
 func (h *House) Take(sc *task.Scope, o *adminapi.Order) error {
 	e := &state.Event{Kind: o.Kind, Base: o.Base, Body: o.Body, Locality: o.Locality}
 	deadline := clock.Now().Add(constants.OrderWait)
-	done := make(chan error, 1)
-	go func() {
-		done <- h.member.Propose(func() ([]byte, error) {
-			if !clock.Now().Before(deadline) { // the caller has its answer: it must not begin now
-				return nil, errkind.New(errkind.Unready, "its time is over")
-			}
-			return h.check(e)
-		})
-	}()
-	select {
-	case err := <-done:
-		if err != nil {
-			return err
-		}
-	case <-clock.After(constants.OrderWait):
-		return errkind.New(errkind.Unready, "not decided yet")
-	case <-sc.Done():
-		return errkind.New(errkind.Unready, "ending")
+	err := h.member.Propose(deadline, func() ([]byte, error) { return h.check(e) })
+	if err != nil {
+		return err
 	}
 	if _, n := h.feed.At(); n > 0 {
 		h.feed.Wait(sc, n, constants.AckWait)
@@ -266,10 +260,12 @@
 
 // Read gives the newest view once most witnesses have confirmed that this is still the primary.
 func (h *House) Read(*task.Scope) (*state.View, error) {
-	if !h.member.Confirmed() {
-		return nil, errkind.New(errkind.Unready, "the witnesses do not confirm")
+	var view *state.View
+	err := h.member.Read(clock.Now().Add(constants.OrderWait), func() { view = h.state.View() })
+	if err != nil {
+		return nil, err
 	}
-	return h.state.View(), nil
+	return view, nil
 }
 
 // read does the duty of reading the list: at once when the lease comes, then again and again.
@@ -496,5 +492,5 @@
 // Acting tells whether this process is primary and tells the news.
 func (h *House) Acting() bool { return h.live.Load() }
 
-// Chart is the newest chart known here.
-func (h *House) Chart() *rpc.Chart { return h.member.Chart() }
+// View is the newest view of the replication known here.
+func (h *House) View() *core.View { return h.member.View() }
--- a/internal/emulator/plant.go
+++ b/internal/emulator/plant.go
@@ -159,11 +159,10 @@
 type tallyPage struct {
 	Tally struct {
 		Active bool `json:"active"`
-		Self   struct{ Addr string }
-		Chart  *struct {
-			Primary            struct{ Addr string }
-			Backups, Witnesses []struct{ Addr string }
-		} `json:"chart"`
+		View   *struct {
+			Backups   []struct{ Address string }
+			Witnesses []struct{ Address string }
+		} `json:"view"`
 	} `json:"tally"`
 	News struct {
 		Number uint64 `json:"number"`
@@ -191,23 +190,23 @@
 func (p *plant) roles() (map[string]int, *tallyPage, error) {
 	for i, h := range p.houses {
 		t, err := p.page(h)
-		if err != nil || !t.Tally.Active || t.Tally.Chart == nil {
+		if err != nil || !t.Tally.Active || t.Tally.View == nil {
 			continue
 		}
 		out := map[string]int{"primary": i}
 		for n, o := range p.houses {
 			at := p.ground.at(o.ip, constants.PortTally)
 			role := "relay"
-			for _, w := range t.Tally.Chart.Witnesses {
-				if w.Addr == at {
+			for _, w := range t.Tally.View.Witnesses {
+				if w.Address == at {
 					role = "witness"
 				}
 			}
 			if n == i {
 				continue
 			}
-			for _, b := range t.Tally.Chart.Backups {
-				if b.Addr == at {
+			for _, b := range t.Tally.View.Backups {
+				if b.Address == at {
 					role = "backup"
 				}
 			}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -1,24 +1,25 @@
 package sim
 
 import (
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/core"
 )
 
-// Disk is a tally.Store in memory, with faults. What a method returned for is synced; a power loss takes nothing else away.
+// Disk is a replication.Store in memory, with faults. What a method returned for is synced; a power loss takes nothing else away.
 type Disk struct {
-	mu    sync.Mutex
-	id    uint64
-	boot  bool
-	reg   replication.Register
-	held  replication.Held
-	size  int
-	full  bool
-	slow  time.Duration
-	stuck chan struct{}
+	mu       sync.Mutex
+	id       uint64
+	boot     bool
+	register core.Register
+	snapshot *core.Snapshot
+	entries  []core.Entry // after the snapshot
+	full     bool
+	slow     time.Duration
+	stuck    chan struct{}
 }
 
 // NewDisk makes an empty disk with a new identity.
@@ -55,60 +56,51 @@
 	return nil
 }
 
-// Identity is tally.Store's.
+// Identity is replication.Store's.
 func (d *Disk) Identity() (uint64, bool) { return d.id, d.boot }
 
-// LoadRegister is tally.Store's.
-func (d *Disk) LoadRegister() replication.Register {
+// Load is replication.Store's.
+func (d *Disk) Load() core.Stored {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.reg
+	return core.Stored{
+		Register:   d.register,
+		Snapshot:   d.snapshot,
+		Entries:    slices.Clone(d.entries),
+		TailIsOpen: d.snapshot != nil,
+	}
 }
 
-// SaveRegister is tally.Store's.
-func (d *Disk) SaveRegister(r replication.Register) error {
+// SaveRegister is replication.Store's.
+func (d *Disk) SaveRegister(r core.Register) error {
 	if err := d.write(); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.reg = r
-	d.mu.Unlock()
-	return nil
-}
-
-// Load is tally.Store's.
-func (d *Disk) Load() replication.Held {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held
+	d.register = r
+	return nil
 }
 
-// Reset is tally.Store's.
-func (d *Disk) Reset(h replication.Held) error {
+// SaveSnapshot is replication.Store's.
+func (d *Disk) SaveSnapshot(s core.Snapshot, tail []core.Entry) error {
 	if err := d.write(); err != nil {
 		return err
 	}
 	d.mu.Lock()
-	d.held, d.size = h, 0
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	d.snapshot = &s
+	d.entries = slices.Clone(tail)
 	return nil
 }
 
-// Append is tally.Store's.
-func (d *Disk) Append(e []byte) error {
+// Append is replication.Store's.
+func (d *Disk) Append(e core.Entry) error {
 	if err := d.write(); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.held.Tail = append(append([][]byte{}, d.held.Tail...), e)
-	d.size += len(e)
-	d.mu.Unlock()
-	return nil
-}
-
-// Size is tally.Store's.
-func (d *Disk) Size() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.size
+	d.entries = append(d.entries, e)
+	return nil
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"shaletrestle/coord/rpc"
+	"shaletrestle/coord/replication/core"
 )
 
 // setupOf is the configuration of the scenarios at a revision; extra routes and flaws are asked for by name.
@@ -487,9 +487,9 @@
 			if p.house == nil || p.life.dead.Load() || !p.house.Acting() {
 				continue
 			}
-			c := p.house.Chart()
+			c := p.house.View()
 			all := append(c.Copies(), c.Witnesses...)
-			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x rpc.Seat) bool { return strings.HasPrefix(x.Addr, s.w.procs[a.kv["none"]].ip+":") })
+			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x core.Member) bool { return strings.HasPrefix(x.Address, s.w.procs[a.kv["none"]].ip+":") })
 			if !bad && len(c.Copies()) == a.num("copies", len(c.Copies())) && len(c.Witnesses) == a.num("witnesses", len(c.Witnesses)) {
 				return nil
 			}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/core"
 	"shaletrestle/internal/controller"
 	"shaletrestle/internal/router"
 	"shaletrestle/internal/settings"
@@ -57,13 +58,13 @@
 	return f()
 }
 
-func (l *life) SaveRegister(r replication.Register) error {
+func (l *life) SaveRegister(r core.Register) error {
 	return l.alive(func() error { return l.Disk.SaveRegister(r) })
 }
-func (l *life) Reset(h replication.Held) error {
-	return l.alive(func() error { return l.Disk.Reset(h) })
+func (l *life) SaveSnapshot(s core.Snapshot, tail []core.Entry) error {
+	return l.alive(func() error { return l.Disk.SaveSnapshot(s, tail) })
 }
-func (l *life) Append(e []byte) error { return l.alive(func() error { return l.Disk.Append(e) }) }
+func (l *life) Append(e core.Entry) error { return l.alive(func() error { return l.Disk.Append(e) }) }
 
 // Proc is one of our processes.
 type Proc struct {
