--- /dev/null
+++ b/coord/replication/store/encoding.go
@@ -0,0 +1,143 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+
+	"shaletrestle/coord/replication/core"
+)
+
+// identity names a disk.
+type identity struct {
+	id         uint64
+	firstStart bool
+}
+
+// identityPayload is the payload of an identity record; the id is the record's owner.
+type identityPayload struct {
+	FirstStart bool `json:"first_start"`
+}
+
+func encodeIdentity(i identity) ([]byte, error) {
+	payload, err := json.Marshal(identityPayload{FirstStart: i.firstStart})
+	if err != nil {
+		return nil, err
+	}
+	return seal(identityRecord, i.id, payload), nil
+}
+
+func decodeIdentity(record []byte) (identity, bool) {
+	owner, payload, ok := unseal(identityRecord, record)
+	if !ok || owner == 0 {
+		return identity{}, false
+	}
+	var decoded identityPayload
+	if json.Unmarshal(payload, &decoded) != nil {
+		return identity{}, false
+	}
+	return identity{id: owner, firstStart: decoded.FirstStart}, true
+}
+
+func encodeRegister(owner uint64, register core.Register) ([]byte, error) {
+	payload, err := json.Marshal(register)
+	if err != nil {
+		return nil, err
+	}
+	return seal(registerRecord, owner, payload), nil
+}
+
+func decodeRegister(owner uint64, record []byte) (core.Register, bool) {
+	writtenFor, payload, ok := unseal(registerRecord, record)
+	if !ok || writtenFor != owner {
+		return core.Register{}, false
+	}
+	var register core.Register
+	if json.Unmarshal(payload, &register) != nil {
+		return core.Register{}, false
+	}
+	return register, true
+}
+
+// generation counts the states that a disk was given. The newest whole one is the state.
+type generation uint64
+
+// snapshotHead is the size of what precedes the data: generation, epoch, ballot, index, digest.
+const snapshotHead = 5 * 8
+
+func encodeSnapshot(owner uint64, number generation, snapshot core.Snapshot) []byte {
+	payload := make([]byte, 0, snapshotHead+len(snapshot.Data))
+	payload = appendNumbers(payload,
+		uint64(number),
+		uint64(snapshot.Tag.Epoch),
+		uint64(snapshot.Tag.Ballot),
+		uint64(snapshot.Position.Index),
+		uint64(snapshot.Position.Digest),
+	)
+	payload = append(payload, snapshot.Data...)
+	return seal(snapshotRecord, owner, payload)
+}
+
+func decodeSnapshot(owner uint64, number generation, record []byte) (core.Snapshot, bool) {
+	writtenFor, payload, ok := unseal(snapshotRecord, record)
+	if !ok || writtenFor != owner || len(payload) < snapshotHead {
+		return core.Snapshot{}, false
+	}
+	if generation(numberAt(payload, 0)) != number {
+		return core.Snapshot{}, false
+	}
+	snapshot := core.Snapshot{
+		Tag: core.StateTag{
+			Epoch:  core.Epoch(numberAt(payload, 1)),
+			Ballot: core.Ballot(numberAt(payload, 2)),
+		},
+		Position: core.Position{
+			Index:  core.Index(numberAt(payload, 3)),
+			Digest: core.Digest(numberAt(payload, 4)),
+		},
+		Data: bytes.Clone(payload[snapshotHead:]),
+	}
+	return snapshot, true
+}
+
+// entryHead is the size of what precedes the data: index, epoch, ballot, previous digest.
+const entryHead = 4 * 8
+
+func encodeEntry(owner uint64, entry core.Entry) []byte {
+	payload := make([]byte, 0, entryHead+len(entry.Data))
+	payload = appendNumbers(payload,
+		uint64(entry.Index),
+		uint64(entry.Epoch),
+		uint64(entry.Ballot),
+		uint64(entry.Previous),
+	)
+	payload = append(payload, entry.Data...)
+	return seal(entryRecord, owner, payload)
+}
+
+func decodeEntry(owner uint64, record []byte) (core.Entry, bool) {
+	writtenFor, payload, ok := unseal(entryRecord, record)
+	if !ok || writtenFor != owner || len(payload) < entryHead {
+		return core.Entry{}, false
+	}
+	entry := core.Entry{
+		Index:    core.Index(numberAt(payload, 0)),
+		Epoch:    core.Epoch(numberAt(payload, 1)),
+		Ballot:   core.Ballot(numberAt(payload, 2)),
+		Previous: core.Digest(numberAt(payload, 3)),
+		Data:     bytes.Clone(payload[entryHead:]),
+	}
+	return entry, true
+}
+
+func appendNumbers(out []byte, numbers ...uint64) []byte {
+	for _, number := range numbers {
+		out = binary.LittleEndian.AppendUint64(out, number)
+	}
+	return out
+}
+
+// numberAt is the field with a place in a payload of numbers.
+func numberAt(payload []byte, place int) uint64 {
+	return binary.LittleEndian.Uint64(payload[place*8:])
+}
--- /dev/null
+++ b/coord/replication/store/files.go
@@ -0,0 +1,98 @@
+package store
+
+import (
+	"bytes"
+	"io/fs"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// replaceFile puts a file with new content in place of the one with that name, if any. Until the folder is synced, a loss of power leaves the old one or the new one, each whole.
+func (s *Store) replaceFile(name string, content []byte) error {
+	unfinished := s.path(name + unfinishedSuffix)
+	// What is left of an earlier attempt may be the same file under two names, so it isn't written over.
+	if err := s.files.Remove(unfinished); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := s.writeFile(unfinished, content); err != nil {
+		return err
+	}
+	return s.files.Rename(unfinished, s.path(name))
+}
+
+// writeFile makes a file with synced content. Its name is not synced.
+func (s *Store) writeFile(path string, content []byte) error {
+	file, err := s.files.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
+	}
+	return firstError(err, file.Close())
+}
+
+// settleNames makes the names in the data folder durable, and only then removes those that the newest state has replaced.
+func (s *Store) settleNames() error {
+	if err := s.files.SyncFolder(s.dir); err != nil {
+		return err
+	}
+	s.namesUnsynced = false
+	s.removeReplaced()
+	return nil
+}
+
+// removeLeftovers removes what earlier snapshots left behind, so that the disk needs room for no more than two states.
+func (s *Store) removeLeftovers() error {
+	if s.namesUnsynced {
+		return s.settleNames()
+	}
+	s.removeReplaced()
+	return nil
+}
+
+// removeReplaced removes all of this package's files but those of this identity and its newest state. What can't be removed now is tried again at the next snapshot or start.
+func (s *Store) removeReplaced() {
+	names, err := s.files.List(s.dir)
+	if err != nil {
+		return
+	}
+	keep := []string{identityName, s.registerName()}
+	if newest := s.newestSnapshot(names); newest > 0 {
+		keep = append(keep, s.snapshotName(newest), s.logName(newest))
+	}
+	for _, name := range names {
+		if isOwnName(name) && !slices.Contains(keep, name) {
+			s.removeAll(s.path(name))
+		}
+	}
+}
+
+// removeAll removes a file, or a folder with its files.
+func (s *Store) removeAll(name string) {
+	if s.files.Remove(name) == nil {
+		return
+	}
+	children, err := s.files.List(name)
+	if err != nil {
+		return
+	}
+	for _, child := range children {
+		_ = s.files.Remove(path.Join(name, child))
+	}
+	_ = s.files.Remove(name)
+}
+
+// isFinishedRecord tells whether a name is that of a register, snapshot or log that counted.
+func isFinishedRecord(name string) bool {
+	return isOwnName(name) && !strings.HasSuffix(name, unfinishedSuffix)
+}
+
+// isOldFormat tells whether a folder whose identity is not one of this format was written by the first version.
+func isOldFormat(identityContent []byte, names []string) bool {
+	return bytes.HasPrefix(identityContent, oldMagic) || slices.ContainsFunc(names, isOldName)
+}
--- /dev/null
+++ b/coord/replication/store/filesystem.go
@@ -0,0 +1,40 @@
+package store
+
+import "shaletrestle/coord/replication/core"
+
+// FileSystem is all that the store needs of a file system. Paths use slashes. A name that is missing is reported as an error that is fs.ErrNotExist.
+type FileSystem interface {
+	// MakeFolder makes one folder; its parent is there.
+	MakeFolder(path string) error
+	// List gives the names in a folder.
+	List(path string) ([]string, error)
+	// ReadFile gives the whole content of a file.
+	ReadFile(path string) ([]byte, error)
+	// Create makes an empty file, or empties the one that is there, and opens it.
+	Create(path string) (File, error)
+	// Truncate cuts a file to a size and syncs it.
+	Truncate(path string, size int64) error
+	// OpenLog opens the log whose one segment, a file that is there, begins with the entry first.
+	OpenLog(folder string, first core.Index) (Log, error)
+	// Rename gives a file another name, in place of what had it.
+	Rename(from, to string) error
+	// Remove removes a file or an empty folder.
+	Remove(path string) error
+	// SyncFolder makes the names in a folder durable.
+	SyncFolder(path string) error
+}
+
+// File is a file open for writing.
+type File interface {
+	Write(content []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Log adds records to the end of a log segment.
+type Log interface {
+	// Write adds a record, which is durable only after Sync.
+	Write(index core.Index, record []byte) error
+	Sync() error
+	Close() error
+}
--- /dev/null
+++ b/coord/replication/store/osfiles.go
@@ -0,0 +1,128 @@
+package store
+
+import (
+	"os"
+
+	"github.com/tidwall/wal"
+
+	"shaletrestle/coord/replication/core"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+
+	// segmentLimit is far above the size of any disk meant, so that the log library never begins a segment of its own: all names are made and synced by this package.
+	segmentLimit = 1 << 40
+)
+
+// OSFiles is the operating system's file system. Its log is the library tidwall/wal, which here neither makes names nor syncs.
+type OSFiles struct{}
+
+// MakeFolder makes one folder.
+func (OSFiles) MakeFolder(path string) error {
+	return os.Mkdir(path, folderMode)
+}
+
+// List gives the names in a folder.
+func (OSFiles) List(path string) ([]string, error) {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+// ReadFile gives the whole content of a file.
+func (OSFiles) ReadFile(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+// Create makes an empty file, or empties the one that is there, and opens it.
+func (OSFiles) Create(path string) (File, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return file, nil
+}
+
+// Truncate cuts a file to a size and syncs it.
+func (OSFiles) Truncate(path string, size int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	err = file.Truncate(size)
+	if err == nil {
+		err = file.Sync()
+	}
+	return firstError(err, file.Close())
+}
+
+// OpenLog opens the log whose one segment begins with the entry first.
+func (OSFiles) OpenLog(folder string, _ core.Index) (Log, error) {
+	log, err := wal.Open(folder, &wal.Options{
+		NoSync:           true, // the store syncs
+		AllowEmpty:       true,
+		SegmentSize:      segmentLimit,
+		SegmentCacheSize: 1,
+		LogFormat:        wal.Binary,
+		DirPerms:         folderMode,
+		FilePerms:        fileMode,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return osLog{log}, nil
+}
+
+// Rename gives a file another name.
+func (OSFiles) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove removes a file or an empty folder.
+func (OSFiles) Remove(path string) error {
+	return os.Remove(path)
+}
+
+// SyncFolder makes the names in a folder durable.
+func (OSFiles) SyncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	return firstError(err, folder.Close())
+}
+
+// osLog is a log of the library.
+type osLog struct {
+	log *wal.Log
+}
+
+func (l osLog) Write(index core.Index, record []byte) error {
+	return l.log.Write(uint64(index), record)
+}
+
+func (l osLog) Sync() error {
+	return l.log.Sync()
+}
+
+func (l osLog) Close() error {
+	return l.log.Close()
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/replication/store/segment.go
@@ -0,0 +1,80 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"shaletrestle/coord/replication/core"
+)
+
+// A segment is a row of records, each preceded by its length as a uvarint: the layout of the log library.
+
+// AppendRecord adds a record to the content of a segment.
+func AppendRecord(segment, record []byte) []byte {
+	segment = binary.AppendUvarint(segment, uint64(len(record)))
+	return append(segment, record...)
+}
+
+func encodeSegment(owner uint64, entries []core.Entry) []byte {
+	var segment []byte
+	for _, entry := range entries {
+		segment = AppendRecord(segment, encodeEntry(owner, entry))
+	}
+	return segment
+}
+
+// readSegment gives the entries of a segment that follow a position, and how many bytes they take. What comes after them is the torn end of a write that was under way.
+//
+// It is an error, and no torn end, if a record that is whole breaks the chain or comes after one that is not: entries that were synced are missing then.
+func readSegment(owner uint64, after core.Position, segment []byte) (entries []core.Entry, whole int, err error) {
+	for whole < len(segment) {
+		entry, size, ok := firstEntry(owner, segment[whole:])
+		if !ok {
+			break
+		}
+		if !entry.Follows(after) {
+			return nil, 0, errors.Newf("the log's entry %d does not continue the state at %d", entry.Index, after.Index)
+		}
+		entries = append(entries, entry)
+		after = entry.Position()
+		whole += size
+	}
+	if hasEntryBeyond(owner, after.Index+1, segment[whole:]) {
+		return nil, 0, errors.Newf("the log is damaged at byte %d, and entries follow", whole)
+	}
+	return entries, whole, nil
+}
+
+// firstEntry reads the entry at the start of a segment and tells its size there.
+func firstEntry(owner uint64, segment []byte) (entry core.Entry, size int, ok bool) {
+	length, width := binary.Uvarint(segment)
+	if width <= 0 || length > uint64(len(segment)-width) {
+		return core.Entry{}, 0, false
+	}
+	size = width + int(length)
+	entry, ok = decodeEntry(owner, segment[width:size])
+	return entry, size, ok
+}
+
+// hasEntryBeyond tells whether a whole entry with a higher index is anywhere in a damaged part of a segment.
+func hasEntryBeyond(owner uint64, index core.Index, damaged []byte) bool {
+	for at := 0; at < len(damaged); at++ {
+		found := bytes.Index(damaged[at:], recordMagic)
+		if found < 0 {
+			return false
+		}
+		at += found
+		for start := at - 1; start >= 0 && start >= at-binary.MaxVarintLen64; start-- {
+			if _, width := binary.Uvarint(damaged[start:]); width != at-start {
+				continue
+			}
+			entry, _, ok := firstEntry(owner, damaged[start:])
+			if ok && entry.Index > index {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coord/replication/store/store.go
@@ -0,0 +1,200 @@
+// Package store keeps the records of a member of a replicated state on its disk: who the disk is, the register of a witness, and a state as a snapshot and the log of entries after it.
+//
+// What a method has reported as saved survives any loss of power. What was under way may be found afterwards or not, but never in part. If something that was saved can't be read any more, the disk counts as damaged: it becomes an empty disk with a new identity, so that it can't pass for one that holds what it has lost. See docs/disk.md.
+//
+// A Store is used by one goroutine at a time.
+package store
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io/fs"
+	"path"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"shaletrestle/coord/replication/core"
+)
+
+var (
+	// ErrOldFormat says that the data folder was written by the first version of the store, which this one can't read. Nothing in it was changed.
+	ErrOldFormat = errors.New("the data folder has the format of an earlier version: empty it, or run that version")
+
+	// ErrLogClosed says that no entry can be appended until a snapshot was saved.
+	ErrLogClosed = errors.New("the log is closed until a snapshot is saved")
+
+	// ErrNotContinuous says that an entry doesn't follow the state on disk. Nothing was written.
+	ErrNotContinuous = errors.New("the entry does not follow the state on disk")
+)
+
+// damageError says that something which was saved can't be read any more.
+type damageError struct {
+	reason string
+}
+
+func (d *damageError) Error() string {
+	return d.reason
+}
+
+func damaged(reason string) error {
+	return &damageError{reason: reason}
+}
+
+// Store is a data folder.
+type Store struct {
+	files    FileSystem
+	dir      string
+	identity identity
+	loaded   core.Stored
+	note     string
+	cut      int
+
+	state         generation    // the state whose log is open, or the newest
+	lastAttempt   generation    // the highest generation tried
+	end           core.Position // of the state
+	log           Log           // nil: closed
+	namesUnsynced bool          // a snapshot's new name may be durable or not
+}
+
+// Open opens the store in a folder, which is made if it is missing. What Load then gives is durable.
+//
+// An empty folder gets a new identity; firstStart is kept in it and means that the disk may take part in making the first view. A damaged one is emptied and gets a new identity without that right.
+func Open(files FileSystem, dir string, firstStart bool) (*Store, error) {
+	s := &Store{files: files, dir: path.Clean(dir)}
+	if err := s.makeFolder(s.dir); err != nil {
+		return nil, errors.Wrap(err, "make the data folder")
+	}
+	err := s.load(firstStart)
+	var damage *damageError
+	if errors.As(err, &damage) {
+		err = s.startOver(damage.reason)
+	}
+	if err != nil {
+		s.closeLog()
+		return nil, errors.Wrap(err, "open the data folder")
+	}
+	return s, nil
+}
+
+// Identity is the disk's own id, and whether it was made at the first start of the whole system.
+func (s *Store) Identity() (id uint64, firstStart bool) {
+	return s.identity.id, s.identity.firstStart
+}
+
+// Load gives what the disk held when it was opened. It is meant to be called before the first write.
+func (s *Store) Load() core.Stored {
+	return s.loaded
+}
+
+// Note tells what was found damaged when the store was opened, or is empty.
+func (s *Store) Note() string {
+	return s.note
+}
+
+// Cut tells how many bytes of a torn write were cut from the log's end when the store was opened.
+func (s *Store) Cut() int {
+	return s.cut
+}
+
+// Close ends the use of the store. Nothing is written.
+func (s *Store) Close() {
+	s.closeLog()
+}
+
+// makeFolder makes a folder and those above it that are missing. Each name is durable before the next is made.
+func (s *Store) makeFolder(folder string) error {
+	_, err := s.files.List(folder)
+	if !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	parent := path.Dir(folder)
+	if err := s.makeFolder(parent); err != nil {
+		return err
+	}
+	if err := s.files.MakeFolder(folder); err != nil {
+		return err
+	}
+	return s.files.SyncFolder(parent)
+}
+
+// load reads the folder. Its error is a damageError if something that was saved can't be read.
+func (s *Store) load(firstStart bool) error {
+	names, err := s.files.List(s.dir)
+	if err != nil {
+		return err
+	}
+	found, err := s.readIdentity(names)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return s.saveIdentity(firstStart)
+	}
+	if err := s.readRegister(names); err != nil {
+		return err
+	}
+	if err := s.readState(names); err != nil {
+		return err
+	}
+	// A process that was killed may have left names that are seen but not durable yet.
+	return s.settleNames()
+}
+
+// readIdentity tells whether the folder has an identity, and reads it.
+func (s *Store) readIdentity(names []string) (found bool, err error) {
+	var content []byte
+	present := slices.Contains(names, identityName)
+	if present {
+		content, err = s.files.ReadFile(s.path(identityName))
+		if err != nil {
+			return false, err
+		}
+	}
+	var whole bool
+	s.identity, whole = decodeIdentity(content)
+	switch {
+	case whole:
+		return true, nil
+	case isOldFormat(content, names):
+		return false, ErrOldFormat
+	case present:
+		return false, damaged("the identity can't be read")
+	case slices.ContainsFunc(names, isFinishedRecord):
+		return false, damaged("there are records without an identity")
+	}
+	return false, nil
+}
+
+// startOver makes the folder one of an empty disk with another identity. The identity's change takes effect as a whole, and with it no other name counts any more.
+func (s *Store) startOver(reason string) error {
+	s.closeLog()
+	*s = Store{files: s.files, dir: s.dir, note: reason}
+	return s.saveIdentity(false)
+}
+
+// saveIdentity gives the folder a new identity.
+func (s *Store) saveIdentity(firstStart bool) error {
+	id, err := newID()
+	if err != nil {
+		return err
+	}
+	s.identity = identity{id: id, firstStart: firstStart}
+	record, err := encodeIdentity(s.identity)
+	if err != nil {
+		return err
+	}
+	if err := s.replaceFile(identityName, record); err != nil {
+		return err
+	}
+	return s.settleNames()
+}
+
+// newID draws the id of a disk.
+func newID() (uint64, error) {
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return 0, err
+	}
+	return binary.LittleEndian.Uint64(random[:]) | 1, nil // never zero, which names nobody
+}
