Replication store: a disk model, power cut at every step of every write and of the start after

Found by the search: a process killed between making the data folder and syncing the folder above left an identity that a loss of power took away. The folders above are synced now before an identity is given.

--- a/coord/replication/store/encoding.go
+++ b/coord/replication/store/encoding.go
@@ -115,19 +115,19 @@
 	return seal(entryRecord, owner, payload)
 }
 
-func decodeEntry(owner uint64, record []byte) (core.Entry, bool) {
-	writtenFor, payload, ok := unseal(entryRecord, record)
-	if !ok || writtenFor != owner || len(payload) < entryHead {
-		return core.Entry{}, false
+func decodeEntry(record []byte) (owner uint64, entry core.Entry, ok bool) {
+	owner, payload, ok := unseal(entryRecord, record)
+	if !ok || len(payload) < entryHead {
+		return 0, core.Entry{}, false
 	}
-	entry := core.Entry{
+	entry = core.Entry{
 		Index:    core.Index(numberAt(payload, 0)),
 		Epoch:    core.Epoch(numberAt(payload, 1)),
 		Ballot:   core.Ballot(numberAt(payload, 2)),
 		Previous: core.Digest(numberAt(payload, 3)),
 		Data:     bytes.Clone(payload[entryHead:]),
 	}
-	return entry, true
+	return owner, entry, true
 }
 
 func appendNumbers(out []byte, numbers ...uint64) []byte {
--- a/coord/replication/store/files.go
+++ b/coord/replication/store/files.go
@@ -10,6 +10,31 @@
 	"github.com/cockroachdb/errors"
 )
 
+// makeFolder makes a folder and those above it that are missing. Each name is durable before the next is made.
+func (s *Store) makeFolder(folder string) error {
+	_, err := s.files.List(folder)
+	if !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	parent := path.Dir(folder)
+	if err := s.makeFolder(parent); err != nil {
+		return err
+	}
+	if err := s.files.MakeFolder(folder); err != nil {
+		return err
+	}
+	return s.files.SyncFolder(parent)
+}
+
+// syncFoldersAbove makes the names durable that lead to the data folder. They are others' folders, which this process may not be allowed to sync: errors are passed over.
+func (s *Store) syncFoldersAbove() {
+	folder := s.dir
+	for path.Dir(folder) != folder {
+		folder = path.Dir(folder)
+		_ = s.files.SyncFolder(folder)
+	}
+}
+
 // replaceFile puts a file with new content in place of the one with that name, if any. Until the folder is synced, a loss of power leaves the old one or the new one, each whole.
 func (s *Store) replaceFile(name string, content []byte) error {
 	unfinished := s.path(name + unfinishedSuffix)
--- a/coord/replication/store/segment.go
+++ b/coord/replication/store/segment.go
@@ -30,10 +30,13 @@
 // It is an error, and no torn end, if a record that is whole breaks the chain or comes after one that is not: entries that were synced are missing then.
 func readSegment(owner uint64, after core.Position, segment []byte) (entries []core.Entry, whole int, err error) {
 	for whole < len(segment) {
-		entry, size, ok := firstEntry(owner, segment[whole:])
+		writtenFor, entry, size, ok := firstEntry(segment[whole:])
 		if !ok {
 			break
 		}
+		if writtenFor != owner {
+			return nil, 0, errors.Newf("the log's entry %d was written for another disk", entry.Index)
+		}
 		if !entry.Follows(after) {
 			return nil, 0, errors.Newf("the log's entry %d does not continue the state at %d", entry.Index, after.Index)
 		}
@@ -47,15 +50,15 @@
 	return entries, whole, nil
 }
 
-// firstEntry reads the entry at the start of a segment and tells its size there.
-func firstEntry(owner uint64, segment []byte) (entry core.Entry, size int, ok bool) {
+// firstEntry reads the entry at the start of a segment and tells which disk it was written for and its size in the segment.
+func firstEntry(segment []byte) (owner uint64, entry core.Entry, size int, ok bool) {
 	length, width := binary.Uvarint(segment)
 	if width <= 0 || length > uint64(len(segment)-width) {
-		return core.Entry{}, 0, false
+		return 0, core.Entry{}, 0, false
 	}
 	size = width + int(length)
-	entry, ok = decodeEntry(owner, segment[width:size])
-	return entry, size, ok
+	owner, entry, ok = decodeEntry(segment[width:size])
+	return owner, entry, size, ok
 }
 
 // hasEntryBeyond tells whether a whole entry with a higher index is anywhere in a damaged part of a segment.
@@ -70,8 +73,8 @@
 			if _, width := binary.Uvarint(damaged[start:]); width != at-start {
 				continue
 			}
-			entry, _, ok := firstEntry(owner, damaged[start:])
-			if ok && entry.Index > index {
+			writtenFor, entry, _, ok := firstEntry(damaged[start:])
+			if ok && writtenFor == owner && entry.Index > index {
 				return true
 			}
 		}
--- a/coord/replication/store/store.go
+++ b/coord/replication/store/store.go
@@ -8,7 +8,6 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"io/fs"
 	"path"
 	"slices"
 
@@ -102,22 +101,6 @@
 	s.closeLog()
 }
 
-// makeFolder makes a folder and those above it that are missing. Each name is durable before the next is made.
-func (s *Store) makeFolder(folder string) error {
-	_, err := s.files.List(folder)
-	if !errors.Is(err, fs.ErrNotExist) {
-		return err
-	}
-	parent := path.Dir(folder)
-	if err := s.makeFolder(parent); err != nil {
-		return err
-	}
-	if err := s.files.MakeFolder(folder); err != nil {
-		return err
-	}
-	return s.files.SyncFolder(parent)
-}
-
 // load reads the folder. Its error is a damageError if something that was saved can't be read.
 func (s *Store) load(firstStart bool) error {
 	names, err := s.files.List(s.dir)
@@ -184,6 +167,8 @@
 	if err != nil {
 		return err
 	}
+	// An earlier life may have been killed after it had made the folder, before its name was durable.
+	s.syncFoldersAbove()
 	if err := s.replaceFile(identityName, record); err != nil {
 		return err
 	}
--- /dev/null
+++ b/coord/replication/store/storetest/node.go
@@ -0,0 +1,193 @@
+package storetest
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"shaletrestle/coord/replication/core"
+)
+
+// node is a file or a folder. Its names are kept by the folders it is in.
+type node interface{}
+
+// folder keeps what each name was at the last sync, and is now.
+type folder struct {
+	durable map[string]node
+	current map[string]node
+	since   map[string][]node // the values that a name had since the last sync; nil: missing
+}
+
+func newFolder() *folder {
+	return &folder{
+		durable: map[string]node{},
+		current: map[string]node{},
+		since:   map[string][]node{},
+	}
+}
+
+// set gives a name another value; nil removes it.
+func (f *folder) set(name string, value node) {
+	if len(f.since[name]) == 0 {
+		f.since[name] = []node{f.durable[name]}
+	}
+	if !slices.Contains(f.since[name], value) {
+		f.since[name] = append(f.since[name], value)
+	}
+	if value == nil {
+		delete(f.current, name)
+		return
+	}
+	f.current[name] = value
+}
+
+func (f *folder) sync() {
+	f.durable = maps.Clone(f.current)
+	clear(f.since)
+}
+
+func (f *folder) names() []string {
+	return slices.Sorted(maps.Keys(f.current))
+}
+
+// file keeps its content at the last sync, what was done to it since, and its content now.
+type file struct {
+	durable []byte
+	current []byte
+	pending []change
+}
+
+// change is a write at an offset, or a truncation to it.
+type change struct {
+	truncation bool
+	offset     int
+	content    []byte
+}
+
+func (f *file) truncate(size int) {
+	if size == len(f.current) {
+		return
+	}
+	f.apply(change{truncation: true, offset: size})
+}
+
+func (f *file) apply(c change) {
+	f.pending = append(f.pending, c)
+	f.current = c.on(f.current)
+}
+
+func (f *file) sync() {
+	f.durable = slices.Clone(f.current)
+	f.pending = nil
+}
+
+// on gives a content after the change. What was missing before a write's offset reads as zeros.
+func (c change) on(content []byte) []byte {
+	if c.truncation {
+		if len(content) <= c.offset {
+			return content
+		}
+		return slices.Clone(content[:c.offset])
+	}
+	size := max(len(content), c.offset+len(c.content))
+	changed := make([]byte, size)
+	copy(changed, content)
+	copy(changed[c.offset:], c.content)
+	return changed
+}
+
+// handle is a file open for adding to its end.
+type handle struct {
+	disk *Disk
+	path string
+	file *file
+}
+
+// Write adds to the file's end. A write that fails is half done.
+func (h *handle) Write(content []byte) (int, error) {
+	if len(content) == 0 {
+		return 0, nil
+	}
+	skip, err := h.disk.step(Write, h.path)
+	switch {
+	case h.disk.off:
+		return 0, err
+	case err != nil:
+		return h.add(content[:len(content)/2]), err
+	case skip:
+		return len(content), nil
+	}
+	if room, limited := h.disk.room(); limited && len(content) > room {
+		return h.add(content[:room]), ErrFull
+	}
+	return h.add(content), nil
+}
+
+func (h *handle) add(content []byte) int {
+	if len(content) > 0 {
+		h.file.apply(change{offset: len(h.file.current), content: slices.Clone(content)})
+	}
+	h.disk.peak = max(h.disk.peak, h.disk.used())
+	return len(content)
+}
+
+// Sync makes the content durable. The name is not part of it.
+func (h *handle) Sync() error {
+	skip, err := h.disk.step(SyncFile, h.path)
+	if err != nil || skip {
+		return err
+	}
+	h.file.sync()
+	return nil
+}
+
+// Close does nothing.
+func (h *handle) Close() error {
+	return nil
+}
+
+// segment is a log segment open for adding records.
+type segment struct {
+	*handle
+}
+
+// Write adds a record in one write.
+func (s segment) Write(_ core.Index, record []byte) error {
+	framed := binary.AppendUvarint(nil, uint64(len(record)))
+	_, err := s.handle.Write(append(framed, record...))
+	return err
+}
+
+func (s segment) Sync() error {
+	return s.handle.Sync()
+}
+
+// used is the size of all contents that have a name.
+func (d *Disk) used() int {
+	total := 0
+	seen := map[node]bool{}
+	var add func(*folder)
+	add = func(within *folder) {
+		for _, child := range within.current {
+			if seen[child] {
+				continue
+			}
+			seen[child] = true
+			switch child := child.(type) {
+			case *folder:
+				add(child)
+			case *file:
+				total += len(child.current)
+			}
+		}
+	}
+	add(d.root)
+	return total
+}
+
+func (d *Disk) room() (bytes int, limited bool) {
+	if d.Capacity == 0 {
+		return 0, false
+	}
+	return max(0, d.Capacity-d.used()), true
+}
--- /dev/null
+++ b/coord/replication/store/storetest/power.go
@@ -0,0 +1,253 @@
+package storetest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Restart turns the power on again after the process was killed: everything is as it was, and what was not synced still isn't.
+func (d *Disk) Restart() {
+	d.off = false
+	d.cutAt = 0
+	d.steps = nil
+}
+
+// Copy gives a disk that is the same and shares nothing, without faults.
+func (d *Disk) Copy() *Disk {
+	return &Disk{root: copier{}.node(d.root).(*folder), Capacity: d.Capacity}
+}
+
+// copier maps nodes to their copies, so that a file with two names stays one.
+type copier map[node]node
+
+func (c copier) node(original node) node {
+	if original == nil {
+		return nil
+	}
+	if made, ok := c[original]; ok {
+		return made
+	}
+	if original, ok := original.(*file); ok {
+		made := &file{
+			durable: original.durable,
+			current: original.current,
+			pending: slices.Clone(original.pending),
+		}
+		c[original] = made
+		return made
+	}
+	source := original.(*folder)
+	made := newFolder()
+	c[original] = made
+	for name, child := range source.durable {
+		made.durable[name] = c.node(child)
+	}
+	for name, child := range source.current {
+		made.current[name] = c.node(child)
+	}
+	for name, values := range source.since {
+		for _, value := range values {
+			made.since[name] = append(made.since[name], c.node(value))
+		}
+	}
+	return made
+}
+
+// Chooser picks one of n possibilities.
+type Chooser func(n int) int
+
+// AllLost picks what was there at the last syncs.
+func AllLost(int) int {
+	return 0
+}
+
+// AllKept picks what is there now.
+func AllKept(n int) int {
+	return n - 1
+}
+
+// Random picks by a seeded generator.
+func Random(generator *rand.Rand) Chooser {
+	return generator.IntN
+}
+
+// AfterPowerLoss gives the disk as a loss of power leaves it. The possibilities for each name and each write are picked by the chooser.
+func (d *Disk) AfterPowerLoss(choose Chooser) *Disk {
+	loss := powerLoss{choose: choose, settled: map[node]node{}}
+	return &Disk{root: loss.folder(d.root), Capacity: d.Capacity}
+}
+
+// Outcomes calls visit with each different disk that a loss of power may leave, until visit gives false. If there are more than limit possibilities, the extremes and limit random ones are visited. It tells whether all were.
+func (d *Disk) Outcomes(limit int, generator *rand.Rand, visit func(*Disk) bool) (complete bool) {
+	known := map[string]bool{}
+	goOn := true
+	visitOnce := func(outcome *Disk) {
+		fingerprint := outcome.Fingerprint()
+		if goOn && !known[fingerprint] {
+			known[fingerprint] = true
+			goOn = visit(outcome)
+		}
+	}
+	visitOnce(d.AfterPowerLoss(AllLost))
+	visitOnce(d.AfterPowerLoss(AllKept))
+	var choices odometer
+	for tried := 0; goOn; tried++ {
+		if tried == limit {
+			break
+		}
+		visitOnce(d.AfterPowerLoss(choices.choose))
+		if !choices.advance() {
+			return goOn
+		}
+	}
+	for range limit {
+		if !goOn {
+			break
+		}
+		visitOnce(d.AfterPowerLoss(Random(generator)))
+	}
+	return false
+}
+
+// powerLoss makes the disk that is left.
+type powerLoss struct {
+	choose  Chooser
+	settled map[node]node
+}
+
+func (p powerLoss) node(original node) node {
+	if original == nil {
+		return nil
+	}
+	if made, ok := p.settled[original]; ok {
+		return made
+	}
+	var made node
+	switch original := original.(type) {
+	case *folder:
+		made = p.folder(original)
+	case *file:
+		made = p.file(original)
+	}
+	p.settled[original] = made
+	return made
+}
+
+func (p powerLoss) folder(original *folder) *folder {
+	left := newFolder()
+	for _, name := range original.everyName() {
+		value := original.durable[name]
+		if values := original.since[name]; len(values) > 0 {
+			value = values[p.choose(len(values))]
+		}
+		if value != nil {
+			left.current[name] = p.node(value)
+		}
+	}
+	left.sync()
+	return left
+}
+
+// everyName gives the names that are or may be in the folder.
+func (f *folder) everyName() []string {
+	names := f.names()
+	for name := range f.durable {
+		names = append(names, name)
+	}
+	for name := range f.since {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (p powerLoss) file(original *file) *file {
+	content := original.durable
+	for _, change := range original.pending {
+		possible := change.possibilities()
+		for _, part := range possible[p.choose(len(possible))] {
+			content = part.on(content)
+		}
+	}
+	return &file{durable: content, current: content}
+}
+
+// possibilities gives what may be left of a change: nothing, parts, all. Of a torn write a part at its start is there, and the rest is missing or reads as zeros.
+func (c change) possibilities() [][]change {
+	missing := []change{}
+	whole := []change{c}
+	if c.truncation {
+		return [][]change{missing, whole}
+	}
+	size := len(c.content)
+	possible := [][]change{missing}
+	for _, kept := range []int{1, size / 2, size - 1} {
+		if kept > 0 && kept < size {
+			possible = append(possible, []change{{offset: c.offset, content: c.content[:kept]}})
+		}
+	}
+	for _, kept := range []int{0, size / 2} {
+		zeroed := make([]byte, size)
+		copy(zeroed, c.content[:kept])
+		possible = append(possible, []change{{offset: c.offset, content: zeroed}})
+	}
+	return append(possible, whole)
+}
+
+// odometer is a chooser that goes through all sequences of picks.
+type odometer struct {
+	picks  []int
+	limits []int
+	at     int
+}
+
+func (o *odometer) choose(n int) int {
+	if o.at == len(o.picks) {
+		o.picks = append(o.picks, 0)
+		o.limits = append(o.limits, n)
+	}
+	o.limits[o.at] = n
+	pick := o.picks[o.at]
+	o.at++
+	return pick
+}
+
+// advance goes to the next sequence; false: there is none.
+func (o *odometer) advance() bool {
+	o.at = 0
+	for last := len(o.picks) - 1; last >= 0; last-- {
+		if o.picks[last]+1 < o.limits[last] {
+			o.picks[last]++
+			o.picks = o.picks[:last+1]
+			o.limits = o.limits[:last+1]
+			return true
+		}
+	}
+	return false
+}
+
+// Fingerprint is the same for disks with the same names and contents.
+func (d *Disk) Fingerprint() string {
+	var out strings.Builder
+	numbers := map[*file]int{}
+	var write func(*folder)
+	write = func(within *folder) {
+		for _, name := range within.names() {
+			switch child := within.current[name].(type) {
+			case *folder:
+				fmt.Fprintf(&out, "%q{", name)
+				write(child)
+				out.WriteString("}")
+			case *file:
+				if _, known := numbers[child]; !known {
+					numbers[child] = len(numbers)
+				}
+				fmt.Fprintf(&out, "%q#%d=%q;", name, numbers[child], child.current)
+			}
+		}
+	}
+	write(d.root)
+	return out.String()
+}
