--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/store"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/controller"
 	"shaletrestle/internal/settings"
@@ -14,7 +15,7 @@
 		if !e.Keeps() {
 			return controller.New(sc, controller.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
-		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
+		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -11,7 +11,7 @@
 
 	"gopkg.in/yaml.v3"
 
-	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/store"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
@@ -192,7 +192,7 @@
 	}
 	d.wire, d.sc = w, sc.Part(d.name)
 	if house {
-		st, err := replication.OpenDisk(e.DataDir, e.Bootstrap)
+		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap)
 		if err != nil {
 			return err
 		}
