--- a/berth/yard.go
+++ b/internal/placement/yard.go
@@ -1,27 +1,27 @@
-// Package berth places inquiries: the replica of least cost in blocks for prompts, by what is kept where and what is waiting there; least busy of two for the others.
-package berth
+// Package placement places inquiries: the replica of least cost in blocks for prompts, by what is kept where and what is waiting there; least busy of two for the others.
+package placement
 
 import (
 	"math"
 	"slices"
 	"sync"
 
-	"shaletrestle/deck"
-	"shaletrestle/gauge"
-	"shaletrestle/kerf"
-	"shaletrestle/logbook"
-	"shaletrestle/plate"
-	"shaletrestle/tick"
+	"shaletrestle/coord/loadsum"
+	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/state"
 )
 
 // Ask is what is to be placed.
 type Ask struct {
 	Pool     string
 	Locality string
-	Chain    *kerf.Chain // nil for services without an engine
-	Capacity int         // tokens of memory of one replica
-	OutMost  int         // most tokens that may come out
-	Aim      tick.Span   // time within which the first token is wanted
+	Chain    *prefixindex.Chain // nil for services without an engine
+	Capacity int                // tokens of memory of one replica
+	OutMost  int                // most tokens that may come out
+	Aim      clock.Span         // time within which the first token is wanted
 	Not      map[string]bool
 	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
@@ -32,17 +32,17 @@
 
 // Choice is where an inquiry goes.
 type Choice struct {
-	Replica *logbook.Replica
+	Replica *state.Replica
 	Matched int
-	Expect  tick.Span // predicted time to the first token
-	Alone   tick.Span // the same with nothing else there
+	Expect  clock.Span // predicted time to the first token
+	Alone   clock.Span // the same with nothing else there
 	Spilled bool
 	Warmer  bool
 	Cold    bool
 }
 
 type berth struct {
-	r        *logbook.Replica
+	r        *state.Replica
 	hash     uint64
 	slow     float64 // by what part it reads slower than the service's mean
 	inflight int
@@ -51,24 +51,24 @@
 	running  float64
 	waiting  float64
 	slots    float64
-	toldAt   tick.Moment
+	toldAt   clock.Moment
 	prefill  float64 // seconds per prompt token, learned
 	extra    float64 // seconds of delay beyond the predicted, learned
-	extraAt  tick.Moment
+	extraAt  clock.Moment
 	wrong    bool    // another replica is at its address
 	key      uint32  // by which the fleet names it
 	said     uint32  // tokens that this process told the fleet of last
 	fleet    float64 // tokens of others that wait here beyond the usual, by the fleet's sum
-	fleetAt  tick.Moment
-	coldNext tick.Moment
-	coldTill tick.Moment // back from an evacuation: cold until the list has had time to say
+	fleetAt  clock.Moment
+	coldNext clock.Moment
+	coldTill clock.Moment // back from an evacuation: cold until the list has had time to say
 }
 
 // Yard knows the replicas and how busy they seem from here.
 type Yard struct {
 	mu      sync.Mutex
-	index   *kerf.Index
-	health  *gauge.Gauge
+	index   *prefixindex.Index
+	health  *outlier.Gauge
 	b       map[string]*berth
 	pools   map[string]*pool
 	opts    Options
@@ -82,15 +82,15 @@
 }
 
 // NewYard makes an empty yard.
-func NewYard(x *kerf.Index) *Yard {
-	return &Yard{index: x, health: gauge.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: plate.PrefillToken.Seconds()}
+func NewYard(x *prefixindex.Index) *Yard {
+	return &Yard{index: x, health: outlier.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: constants.PrefillToken.Seconds()}
 }
 
 // Health is the judgement of replicas that placing heeds.
-func (y *Yard) Health() *gauge.Gauge { return y.health }
+func (y *Yard) Health() *outlier.Gauge { return y.health }
 
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
-func (y *Yard) Set(rs map[string]*logbook.Replica, evac map[string]bool, back tick.Span) {
+func (y *Yard) Set(rs map[string]*state.Replica, evac map[string]bool, back clock.Span) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	keeps := map[string]bool{}
@@ -99,11 +99,11 @@
 	for id, r := range rs {
 		b := y.b[id]
 		if b == nil {
-			b = &berth{prefill: y.prefill, hash: hashID(id), key: deck.Key(id)}
+			b = &berth{prefill: y.prefill, hash: hashID(id), key: loadsum.Key(id)}
 			y.b[id] = b
 		}
 		if y.evac[r.Locality] && !evac[r.Locality] {
-			b.coldTill = tick.Now().Add(back)
+			b.coldTill = clock.Now().Add(back)
 		}
 		if b.r != nil && b.r.Pool == r.Pool && !slices.Equal(b.r.Models, r.Models) {
 			y.index.Forget(id) // other weights: nothing of what it kept is of use
@@ -152,7 +152,7 @@
 	return
 }
 
-func (y *Yard) cold(b *berth, now tick.Moment) bool {
+func (y *Yard) cold(b *berth, now clock.Moment) bool {
 	return b.r.ColdMs > 0 || now.Before(b.coldTill)
 }
 
@@ -160,7 +160,7 @@
 func (y *Yard) Place(a *Ask) (c Choice, ok bool) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	p := y.pools[a.Pool]
 	if p == nil {
 		return c, false
@@ -176,7 +176,7 @@
 	}
 	if y.cold(b, now) {
 		c.Cold = true
-		b.coldNext = now.Add(tick.Seconds(1 / coldRate))
+		b.coldNext = now.Add(clock.Seconds(1 / coldRate))
 	}
 	c.Replica = b.r
 	y.health.Sent(b.r.ID)
@@ -184,16 +184,16 @@
 	b.inflight++
 	if a.Chain != nil {
 		n := a.Chain.Tokens()
-		y.prompt += plate.LearnUp * (float64(n-c.Matched) - y.prompt)
+		y.prompt += constants.LearnUp * (float64(n-c.Matched) - y.prompt)
 		b.tokens += float64(n - c.Matched)
 		b.kv += float64(n + a.OutMost)
-		p.hold += plate.HolderSlice * (float64(n+a.OutMost) - p.hold)
+		p.hold += constants.HolderSlice * (float64(n+a.OutMost) - p.hold)
 	}
 	return c, true
 }
 
 // pick chooses a warm replica, or a cold one if no other may be used; nil if none may. coldRate is what may be sent to a cold one in a second.
-func (y *Yard) pick(a *Ask, p *pool, now tick.Moment) (b *berth, c Choice, coldRate float64) {
+func (y *Yard) pick(a *Ask, p *pool, now clock.Moment) (b *berth, c Choice, coldRate float64) {
 	if a.Chain != nil {
 		b, c = y.engine(a, p, now)
 	} else {
@@ -206,16 +206,16 @@
 }
 
 // fits tells whether a replica may take an inquiry now.
-func (y *Yard) fits(a *Ask, b *berth, now tick.Moment) bool {
+func (y *Yard) fits(a *Ask, b *berth, now clock.Moment) bool {
 	if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
 		return false
 	}
 	f := y.health.Fit(b.r.ID, a.Bold, now)
-	return f == gauge.Fit || f == gauge.Passed && a.last
+	return f == outlier.Fit || f == outlier.Passed && a.last
 }
 
 // delay is the predicted time before a new inquiry's own prompt is read.
-func (b *berth) delay(now tick.Moment, prompt float64) float64 {
+func (b *berth) delay(now clock.Moment, prompt float64) float64 {
 	d := (b.tokens + b.others(now)) * b.prefill
 	if age := now.Sub(b.extraAt).Seconds(); age < 2 {
 		d = max(d, b.extra*math.Exp(-age*2))
@@ -226,7 +226,7 @@
 	return d
 }
 
-func (b *berth) load(now tick.Moment) float64 {
+func (b *berth) load(now clock.Moment) float64 {
 	n := float64(b.inflight)
 	if b.slots > 0 {
 		if age := now.Sub(b.toldAt).Seconds(); age < 2 {
@@ -240,7 +240,7 @@
 // End tells how a shot ended.
 type End struct {
 	Replica string
-	Chain   *kerf.Chain
+	Chain   *prefixindex.Chain
 	Matched int
 	OutMost int
 	First   bool // an event or answer came
@@ -248,7 +248,7 @@
 }
 
 // Began notes that the first event came, took long after sending, while expect was predicted.
-func (y *Yard) Began(e *End, took, expect tick.Span) {
+func (y *Yard) Began(e *End, took, expect clock.Span) {
 	y.mu.Lock()
 	b := y.b[e.Replica]
 	if b == nil || e.First {
@@ -256,17 +256,17 @@
 		return
 	}
 	e.First = true
-	y.health.Good(e.Replica, took, expect, e.Overdue, tick.Now())
+	y.health.Good(e.Replica, took, expect, e.Overdue, clock.Now())
 	if e.Chain == nil {
 		y.mu.Unlock()
 		return
 	}
 	n := float64(e.Chain.Tokens() - e.Matched)
 	b.tokens = max(0, b.tokens-n)
-	b.extra, b.extraAt = max(0, (took-expect).Seconds()), tick.Now()
+	b.extra, b.extraAt = max(0, (took-expect).Seconds()), clock.Now()
 	quiet := b.inflight <= 1
-	if n >= plate.LearnTokens {
-		per := max(0, took.Seconds()-plate.FirstBase.Seconds()) / n
+	if n >= constants.LearnTokens {
+		per := max(0, took.Seconds()-constants.FirstBase.Seconds()) / n
 		learn(&b.prefill, per)
 		y.read(b, per)
 		learn(&y.prefill, per)
@@ -286,9 +286,9 @@
 
 // learn moves a rate to an observation: quickly down, slowly up, since waiting only ever adds to what is observed.
 func learn(rate *float64, seen float64) {
-	w := plate.LearnUp
+	w := constants.LearnUp
 	if seen < *rate {
-		w = plate.LearnDown
+		w = constants.LearnDown
 	}
 	*rate += w * (seen - *rate)
 }
@@ -319,9 +319,9 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
-		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, tick.Now()
+		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, clock.Now()
 		if p := y.pools[b.r.Pool]; p != nil && slots > 0 {
-			p.mean += plate.HolderSlice * (running/slots - p.mean)
+			p.mean += constants.HolderSlice * (running/slots - p.mean)
 			y.index.Room(id, running*p.hold)
 		}
 	}
@@ -332,7 +332,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[id]
-	return b != nil && b.waiting > 0 && tick.Since(b.toldAt) < plate.QueueSpan
+	return b != nil && b.waiting > 0 && clock.Since(b.toldAt) < constants.QueueSpan
 }
 
 // Wrong notes that another replica answers at this one's address.
@@ -350,12 +350,12 @@
 
 // Stats is for the state page.
 type Stats struct {
-	Placed  int64                 `json:"placed"`
-	Spills  int64                 `json:"spills"`
-	Warmer  int64                 `json:"warmer"`
-	Prefill float64               `json:"prefill_us_per_token"`
-	Berths  map[string]BerthStat  `json:"replicas"`
-	Health  map[string]gauge.Stat `json:"health"`
+	Placed  int64                   `json:"placed"`
+	Spills  int64                   `json:"spills"`
+	Warmer  int64                   `json:"warmer"`
+	Prefill float64                 `json:"prefill_us_per_token"`
+	Berths  map[string]BerthStat    `json:"replicas"`
+	Health  map[string]outlier.Stat `json:"health"`
 }
 
 // BerthStat is one replica on the state page.
@@ -372,7 +372,7 @@
 func (y *Yard) Stats() Stats {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	s := Stats{y.placed, y.spills, y.warmer, y.prefill * 1e6, map[string]BerthStat{}, y.health.Stats(now)}
 	for id, b := range y.b {
 		s.Berths[id] = BerthStat{b.r.Pool, b.r.Locality, b.r.State, b.inflight, y.cold(b, now), b.wrong}
--- a/gatehouse/gate.go
+++ b/internal/router/gate.go
@@ -1,5 +1,5 @@
-// Package gatehouse is the traffic plane: it puts the parts together and carries inquiries to replicas.
-package gatehouse
+// Package router is the traffic plane: it puts the parts together and carries inquiries to replicas.
+package router
 
 import (
 	"encoding/json"
@@ -10,69 +10,69 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/atomic"
 
-	"shaletrestle/berth"
-	"shaletrestle/blade"
-	"shaletrestle/buyer"
-	"shaletrestle/crew"
-	"shaletrestle/env"
-	"shaletrestle/fault"
-	"shaletrestle/gauge"
-	"shaletrestle/haul"
-	"shaletrestle/kerf"
-	"shaletrestle/logbook"
-	"shaletrestle/lookout"
-	"shaletrestle/meter"
-	"shaletrestle/plate"
-	"shaletrestle/plumb"
-	"shaletrestle/portion"
-	"shaletrestle/reply"
-	"shaletrestle/scope"
-	"shaletrestle/sorting"
-	"shaletrestle/tick"
+	"shaletrestle/coord/distribution"
+	"shaletrestle/coord/failuredetector"
+	"shaletrestle/coord/fairshare"
+	"shaletrestle/coord/outlier"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/coord/slowness"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/metrics"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/settings"
+	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
+	"shaletrestle/internal/upstream"
 )
 
-// Plan is what a gatehouse is built from.
+// Plan is what a router is built from.
 type Plan struct {
-	Env    *env.Env
-	Net    crew.Net
-	Dialer blade.Dialer
-	Work   func() tick.Span // does and times the piece of work that shows a slow machine; nil for the usual one
+	Env    *settings.Env
+	Net    rpc.Net
+	Dialer upstream.Dialer
+	Work   func() clock.Span // does and times the piece of work that shows a slow machine; nil for the usual one
 }
 
 // Gate is one traffic process.
 type Gate struct {
-	sc        *scope.Scope
-	env       atomic.Pointer[env.Env]
-	net       crew.Net
-	dialer    blade.Dialer
-	book      *logbook.Book
-	cursor    *haul.Cursor
-	follower  *haul.Follower
-	front     *buyer.Front
-	watcher   *lookout.Watcher
-	level     *plumb.Watch
-	index     *kerf.Index
-	yard      *berth.Yard
+	sc        *task.Scope
+	env       atomic.Pointer[settings.Env]
+	net       rpc.Net
+	dialer    upstream.Dialer
+	book      *state.Book
+	cursor    *distribution.Cursor
+	follower  *distribution.Follower
+	front     *frontend.Front
+	watcher   *failuredetector.Watcher
+	level     *slowness.Watch
+	index     *prefixindex.Index
+	yard      *placement.Yard
 	budget    *Budget
-	table     atomic.Pointer[sorting.Table]
+	table     atomic.Pointer[routing.Table]
 	weights   atomic.Pointer[weights]
 	cold      atomic.Pointer[coldShares]
 	ready     atomic.Bool
 	isReady   chan struct{}
 	leaving   atomic.Bool
 	inflight  atomic.Int64
-	bodies    *portion.Pie
-	made      blade.Made
+	bodies    *fairshare.Pie
+	made      upstream.Made
 	count     counts
 	mu        sync.Mutex
-	pools     map[string]*blade.Pool
-	keeps     map[string]*blade.Keep   // by service
-	asking    map[string]chan struct{} // services that a lump is being borrowed for
-	refusedAt map[string]tick.Moment   // when none was lent, by service
-	toldAt    tick.Moment              // when failures were told last
+	pools     map[string]*upstream.Pool
+	keeps     map[string]*upstream.Keep // by service
+	asking    map[string]chan struct{}  // services that a lump is being borrowed for
+	refusedAt map[string]clock.Moment   // when none was lent, by service
+	toldAt    clock.Moment              // when failures were told last
 	pickAt    int
-	bad       map[string]tick.Moment // tallyhouses and when they failed last
-	dropped   string                 // one that was left for a nearer one, not for failing
+	bad       map[string]clock.Moment // controllers and when they failed last
+	dropped   string                  // one that was left for a nearer one, not for failing
 	long      *longWork
 }
 
@@ -80,26 +80,26 @@
 	inquiries, refused, failed, further, resumed atomic.Int64
 }
 
-// New builds a gatehouse.
-func New(sc *scope.Scope, p Plan) *Gate {
-	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: logbook.NewBook(true), index: kerf.NewIndex(), pools: map[string]*blade.Pool{}, keeps: map[string]*blade.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]tick.Moment{}, isReady: make(chan struct{}), bad: map[string]tick.Moment{}}
+// New builds a router.
+func New(sc *task.Scope, p Plan) *Gate {
+	g := &Gate{sc: sc, net: p.Net, dialer: p.Dialer, book: state.NewBook(true), index: prefixindex.NewIndex(), pools: map[string]*upstream.Pool{}, keeps: map[string]*upstream.Keep{}, asking: map[string]chan struct{}{}, refusedAt: map[string]clock.Moment{}, isReady: make(chan struct{}), bad: map[string]clock.Moment{}}
 	g.env.Store(p.Env)
-	g.yard = berth.NewYard(g.index)
+	g.yard = placement.NewYard(g.index)
 	b := p.Env.Bounds
-	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, tick.Seconds(b.BudgetWindowS), plate.BudgetMargin)
-	g.bodies = portion.New(int64(p.Env.Limits.MemoryMB*(1<<20)*plate.BodyMemory), plate.CalmPart)
-	g.cursor = haul.NewCursor(g.book)
-	g.table.Store(sorting.Compile(logbook.EmptyView().Doc))
+	g.budget = NewBudget(b.BudgetRatio, b.BudgetSlack, clock.Seconds(b.BudgetWindowS), constants.BudgetMargin)
+	g.bodies = fairshare.New(int64(p.Env.Limits.MemoryMB*(1<<20)*constants.BodyMemory), constants.CalmPart)
+	g.cursor = distribution.NewCursor(g.book)
+	g.table.Store(routing.Compile(state.EmptyView().Doc))
 	g.weights.Store(newWeights(nil))
-	g.cold.Store(newColdShares(nil, p.Env.Port(plate.PortGate)))
+	g.cold.Store(newColdShares(nil, p.Env.Port(constants.PortGate)))
 	g.yard.Use(p.Env.Placement)
-	at := p.Env.Port(plate.PortGate)
-	g.follower = haul.NewFollower(sc, p.Net, g.cursor, crew.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
-	g.level = plumb.NewWatch(sc, p.Work)
-	lines := crew.NewLines(sc, p.Net, g.handle)
+	at := p.Env.Port(constants.PortGate)
+	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, rpc.Seat{ID: xxhash.Sum64String(at) | 1, Addr: at, Locality: p.Env.Locality}, false, g.pick, nil)
+	g.level = slowness.NewWatch(sc, p.Work)
+	lines := rpc.NewLines(sc, p.Net, g.handle)
 	g.long = newLongWork(g)
-	g.watcher = lookout.New(sc, at, max(tick.Millis(p.Env.BeatMs), plate.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
-		g.follower.Send(&crew.Note{Kind: crew.Suspect, OK: alive, Word: node})
+	g.watcher = failuredetector.New(sc, at, max(clock.Millis(p.Env.BeatMs), constants.NewsBeat), func() []string { return g.book.View().Nodes }, g.pinger(lines, at), func(node string, alive bool) {
+		g.follower.Send(&rpc.Note{Kind: rpc.Suspect, OK: alive, Word: node})
 	})
 	g.follower.Carry(g.words)
 	g.follower.Others(g.hearDeck)
@@ -112,25 +112,25 @@
 	e := g.env.Load()
 	fl, err := g.net.Listen(e.Bind.Front)
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "front address")
+		return errkind.Wrap(errkind.Internal, err, "front address")
 	}
 	rl, err := g.net.Listen(e.Bind.Readiness)
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "readiness address")
+		return errkind.Wrap(errkind.Internal, err, "readiness address")
 	}
-	pl, err := g.net.Listen(e.Port(plate.PortGatePage))
+	pl, err := g.net.Listen(e.Port(constants.PortGatePage))
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "state page")
+		return errkind.Wrap(errkind.Internal, err, "state page")
 	}
-	cl, err := g.net.Listen(e.Port(plate.PortGate))
+	cl, err := g.net.Listen(e.Port(constants.PortGate))
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "crew port")
+		return errkind.Wrap(errkind.Internal, err, "crew port")
 	}
-	go crew.Serve(g.sc, cl, g.handle)
-	g.front = buyer.New(g.sc, fl, http.HandlerFunc(g.serve))
+	go rpc.Serve(g.sc, cl, g.handle)
+	g.front = frontend.New(g.sc, fl, http.HandlerFunc(g.serve))
 	g.front.Limit(g.table.Load().Limits)
-	rs := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: plate.HeadWait, IdleTimeout: plate.IdleWait}
-	ps := &http.Server{Handler: http.HandlerFunc(g.page), ReadHeaderTimeout: plate.HeadWait}
+	rs := &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: constants.HeadWait, IdleTimeout: constants.IdleWait}
+	ps := &http.Server{Handler: http.HandlerFunc(g.page), ReadHeaderTimeout: constants.HeadWait}
 	go func() { _ = rs.Serve(rl) }()
 	go func() { _ = ps.Serve(pl) }()
 	go g.follower.Run()
@@ -139,7 +139,7 @@
 	go g.keep()
 	go g.long.run()
 	go g.front.Run()
-	g.sc.Log().Info("started", "part", "gatehouse", "node", e.NodeName)
+	g.sc.Log().Info("started", "part", "router", "node", e.NodeName)
 	<-g.sc.Done()
 	_ = rs.Close()
 	_ = ps.Close()
@@ -156,33 +156,33 @@
 func (g *Gate) Leave() {
 	g.leaving.Store(true)
 	g.long.leave()
-	grace := tick.Seconds(g.env.Load().Bounds.GraceS)
-	start := tick.Now()
-	linger := min(plate.LingerReady, grace/2)
-	tick.Rest(g.sc, linger)
-	g.front.Finish(grace - plate.GraceMargin - tick.Since(start))
-	g.long.finish(grace - plate.GraceMargin - tick.Since(start))
+	grace := clock.Seconds(g.env.Load().Bounds.GraceS)
+	start := clock.Now()
+	linger := min(constants.LingerReady, grace/2)
+	clock.Rest(g.sc, linger)
+	g.front.Finish(grace - constants.GraceMargin - clock.Since(start))
+	g.long.finish(grace - constants.GraceMargin - clock.Since(start))
 }
 
 // Reload takes new settings.
-func (g *Gate) Reload(e *env.Env) {
+func (g *Gate) Reload(e *settings.Env) {
 	g.env.Store(e)
 	g.yard.Use(e.Placement)
-	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(plate.PortGate)))
+	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(constants.PortGate)))
 }
 
 // Takes tells whether a replica may be sent to, as this process knows it now.
 func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
 
 // Health tells what is held against replicas here.
-func (g *Gate) Health() map[string]gauge.Stat { return g.yard.Health().Stats(tick.Now()) }
+func (g *Gate) Health() map[string]outlier.Stat { return g.yard.Health().Stats(clock.Now()) }
 
-// pick names the tallyhouse to follow next: the own locality's first, others if it failed lately.
+// pick names the controller to follow next: the own locality's first, others if it failed lately.
 func (g *Gate) pick(failed string) string {
 	e := g.env.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := tick.Now()
+	now := clock.Now()
 	if failed != "" && failed != g.dropped {
 		g.bad[failed] = now
 	}
@@ -217,8 +217,8 @@
 	return ""
 }
 
-// nearer changes over to the own locality's tallyhouse once it is known, unless it failed lately.
-func (g *Gate) nearer(v *logbook.View) {
+// nearer changes over to the own locality's controller once it is known, unless it failed lately.
+func (g *Gate) nearer(v *state.View) {
 	src := g.follower.Source()
 	if src == "" {
 		return
@@ -232,7 +232,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range v.Houses {
-		if h.Locality == e.Locality && tick.Since(g.bad[h.Addr]) >= 2*e.Contact() {
+		if h.Locality == e.Locality && clock.Since(g.bad[h.Addr]) >= 2*e.Contact() {
 			g.dropped = src
 			go g.follower.Drop()
 			return
@@ -241,20 +241,20 @@
 }
 
 // changed brings everything that is derived up to date with a new view.
-func (g *Gate) changed(old, v *logbook.View, e *logbook.Event) {
-	if e != nil && e.Kind == logbook.Health {
-		g.yard.Health().Suspected(e.Suspects, tick.Now())
+func (g *Gate) changed(old, v *state.View, e *state.Event) {
+	if e != nil && e.Kind == state.Health {
+		g.yard.Health().Suspected(e.Suspects, clock.Now())
 		return
 	}
 	if old.Doc != v.Doc {
-		t := sorting.Compile(v.Doc)
+		t := routing.Compile(v.Doc)
 		g.table.Store(t)
 		if g.front != nil {
 			g.front.Limit(t.Limits)
 		}
 	}
 	if e.Places() {
-		back := tick.Millis(g.env.Load().Cloud.MaxLagMs) + 2*plate.ListEvery
+		back := clock.Millis(g.env.Load().Cloud.MaxLagMs) + 2*constants.ListEvery
 		g.yard.Set(v.Replicas, v.Evac, back)
 		g.weights.Store(newWeights(v.Replicas))
 		g.mu.Lock()
@@ -266,8 +266,8 @@
 		}
 		g.mu.Unlock()
 	}
-	if e == nil || e.Kind == logbook.Fleet {
-		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(plate.PortGate)))
+	if e == nil || e.Kind == state.Fleet {
+		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(constants.PortGate)))
 	}
 	if old.Fleet != v.Fleet || old.Doc != v.Doc || e == nil {
 		g.share(v, g.table.Load())
@@ -275,10 +275,10 @@
 	if v.Doc.Epoch > 0 && v.Listed {
 		if g.ready.CompareAndSwap(false, true) {
 			close(g.isReady)
-			g.sc.Log().Info("ready", "part", "gatehouse", "revision", v.Doc.Epoch, "replicas", len(v.Replicas))
+			g.sc.Log().Info("ready", "part", "router", "revision", v.Doc.Epoch, "replicas", len(v.Replicas))
 		}
 	}
-	if e == nil || e.Kind == logbook.Houses {
+	if e == nil || e.Kind == state.Houses {
 		g.nearer(v)
 	}
 }
@@ -287,20 +287,20 @@
 	if n := g.book.View().Fleet; n > 0 {
 		return n
 	}
-	return plate.FleetGuess
+	return constants.FleetGuess
 }
 
 // channels is this process's share of the connections that each replica of a service takes.
-func (g *Gate) channels(s *sorting.Pool, id string) int {
+func (g *Gate) channels(s *routing.Pool, id string) int {
 	if s == nil || s.Channels <= 0 {
-		return plate.ChannelsGuess
+		return constants.ChannelsGuess
 	}
 	v, n := g.book.View(), g.fleet()
 	if s.Channels >= n || len(v.Nodes) == 0 {
 		return s.Channels / n
 	}
 	// fewer connections than nodes: some nodes by rendezvous have one each, the others none
-	if rankOf(v.Nodes, id, g.env.Load().Port(plate.PortGate)) < s.Channels {
+	if rankOf(v.Nodes, id, g.env.Load().Port(constants.PortGate)) < s.Channels {
 		return 1
 	}
 	return 0
@@ -323,24 +323,24 @@
 	return rank
 }
 
-func (g *Gate) pool(r *logbook.Replica, t *sorting.Table) *blade.Pool {
+func (g *Gate) pool(r *state.Replica, t *routing.Table) *upstream.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pools[r.ID]
 	if p == nil {
 		k := g.keeps[r.Pool]
 		if k == nil {
-			k = &blade.Keep{}
+			k = &upstream.Keep{}
 			g.keeps[r.Pool] = k
 		}
-		p = blade.NewPool(r.Addr, g.dialer, g.channels(t.Pools[r.Pool], r.ID), k, &g.made)
+		p = upstream.NewPool(r.Addr, g.dialer, g.channels(t.Pools[r.Pool], r.ID), k, &g.made)
 		g.pools[r.ID] = p
 	}
 	return p
 }
 
 // share gives every pool its share anew, after the fleet's size or the setup changed.
-func (g *Gate) share(v *logbook.View, t *sorting.Table) {
+func (g *Gate) share(v *state.View, t *routing.Table) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.pools {
@@ -353,9 +353,9 @@
 // keep looks at this process's own machine again and again, and through its idle connections now and then: one waking-up does for both.
 func (g *Gate) keep() {
 	n := 0
-	tick.Every(g.sc, plate.LevelEvery, func() bool {
+	clock.Every(g.sc, constants.LevelEvery, func() bool {
 		g.level.Look()
-		if n++; n%plate.SweepLooks == 0 {
+		if n++; n%constants.SweepLooks == 0 {
 			g.sweep()
 		}
 		return true
@@ -364,7 +364,7 @@
 
 func (g *Gate) sweep() {
 	g.mu.Lock()
-	var ps []*blade.Pool
+	var ps []*upstream.Pool
 	for _, p := range g.pools {
 		ps = append(ps, p)
 	}
@@ -376,9 +376,9 @@
 
 // words are the failures seen here since the last time, for the acknowledgement that is about to go; nil mostly.
 func (g *Gate) words() []byte {
-	now := tick.Now()
+	now := clock.Now()
 	g.mu.Lock()
-	due := now.Sub(g.toldAt) >= plate.NewsBeat/2
+	due := now.Sub(g.toldAt) >= constants.NewsBeat/2
 	if due {
 		g.toldAt = now
 	}
@@ -386,7 +386,7 @@
 	if !due {
 		return nil
 	}
-	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(plate.PortGate)), now)
+	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(constants.PortGate)), now)
 	if len(ws) == 0 {
 		return nil
 	}
@@ -395,11 +395,11 @@
 }
 
 // blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
-func (g *Gate) blame(id string, k gauge.Kind) {
-	now := tick.Now()
+func (g *Gate) blame(id string, k outlier.Kind) {
+	now := clock.Now()
 	g.yard.Health().Bad(id, k, now)
 	g.mu.Lock()
-	due := now.Sub(g.toldAt) >= plate.NewsBeat
+	due := now.Sub(g.toldAt) >= constants.NewsBeat
 	g.mu.Unlock()
 	if due {
 		g.follower.Tell()
@@ -407,15 +407,15 @@
 }
 
 // further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
-func (g *Gate) further(pool string, within tick.Span) bool {
+func (g *Gate) further(pool string, within clock.Span) bool {
 	if g.budget.Take(pool, g.fleet()) {
 		return true
 	}
-	now := tick.Now()
+	now := clock.Now()
 	g.mu.Lock()
 	w := g.asking[pool]
 	if w == nil {
-		if now.Sub(g.refusedAt[pool]) < plate.LumpPause {
+		if now.Sub(g.refusedAt[pool]) < constants.LumpPause {
 			g.mu.Unlock()
 			return false
 		}
@@ -426,21 +426,21 @@
 	g.mu.Unlock()
 	select {
 	case <-w:
-	case <-tick.After(min(within, plate.LumpWait)):
+	case <-clock.After(min(within, constants.LumpWait)):
 	}
 	return g.budget.Take(pool, g.fleet())
 }
 
 func (g *Gate) borrow(pool string, w chan struct{}) {
-	start := tick.Now()
-	a, err := g.follower.Call(&crew.Note{Kind: crew.Lend, Word: pool, Number: plate.LumpTries}, plate.LumpWait)
-	ok := err == nil && a.OK && a.Number > 0 && a.Number <= plate.LumpTries
+	start := clock.Now()
+	a, err := g.follower.Call(&rpc.Note{Kind: rpc.Lend, Word: pool, Number: constants.LumpTries}, constants.LumpWait)
+	ok := err == nil && a.OK && a.Number > 0 && a.Number <= constants.LumpTries
 	if ok {
-		g.budget.Lent(pool, int64(a.Number), start.Add(plate.LumpSpan))
+		g.budget.Lent(pool, int64(a.Number), start.Add(constants.LumpSpan))
 	}
 	g.mu.Lock()
 	if !ok {
-		g.refusedAt[pool] = tick.Now()
+		g.refusedAt[pool] = clock.Now()
 	}
 	delete(g.asking, pool)
 	g.mu.Unlock()
@@ -448,8 +448,8 @@
 }
 
 func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == meter.Path {
-		meter.Serve(w, g.figures())
+	if r.URL.Path == metrics.Path {
+		metrics.Serve(w, g.figures())
 		return
 	}
 	v := g.book.View()
@@ -459,8 +459,8 @@
 	for n := range g.table.Load().Pools {
 		left[n] = g.budget.Left(n, g.fleet())
 	}
-	reply.JSON(w, http.StatusOK, map[string]any{
-		"program": "gatehouse", "version": plate.Version, "node": g.env.Load().NodeName, "ready": g.ready.Load(), "leaving": g.leaving.Load(),
+	httpreply.JSON(w, http.StatusOK, map[string]any{
+		"program": "router", "version": constants.Version, "node": g.env.Load().NodeName, "ready": g.ready.Load(), "leaving": g.leaving.Load(),
 		"news":  map[string]any{"epoch": ep, "number": num, "source": g.follower.Source(), "heard_ago_ms": g.cursor.Age().Milliseconds()},
 		"setup": map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths}, "evacuated": v.Evac, "fleet": v.Fleet,
 		"inflight": g.inflight.Load(), "inquiries": g.count.inquiries.Load(), "refused": g.count.refused.Load(), "failed": g.count.failed.Load(),
@@ -484,7 +484,7 @@
 		}
 	}
 	for k, v := range h {
-		if !hop[k] && (!named[k] || k == blade.HeadID || k == blade.HeadBudget) {
+		if !hop[k] && (!named[k] || k == upstream.HeadID || k == upstream.HeadBudget) {
 			o[k] = v
 		}
 	}
--- a/gatehouse/inquiry.go
+++ b/internal/router/inquiry.go
@@ -1,4 +1,4 @@
-package gatehouse
+package router
 
 import (
 	"bytes"
@@ -8,16 +8,16 @@
 	"strconv"
 	"strings"
 
-	"shaletrestle/berth"
-	"shaletrestle/blade"
-	"shaletrestle/buyer"
-	"shaletrestle/fault"
-	"shaletrestle/gauge"
-	"shaletrestle/kerf"
-	"shaletrestle/plate"
-	"shaletrestle/reply"
-	"shaletrestle/sorting"
-	"shaletrestle/tick"
+	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/upstream"
 )
 
 // inquiry is one try of a client on its way.
@@ -26,15 +26,15 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	rc       *http.ResponseController
-	table    *sorting.Table
-	path     *sorting.Path
-	pool     *sorting.Pool
+	table    *routing.Table
+	path     *routing.Path
+	pool     *routing.Pool
 	id       string
-	arrived  tick.Moment
-	deadline tick.Moment
+	arrived  clock.Moment
+	deadline clock.Moment
 	body     []byte
 	head     http.Header
-	ask      *berth.Ask
+	ask      *placement.Ask
 	// what may be said
 	sent   int  // replicas that it was sent to
 	mayRun bool // one of them may have run it, or did
@@ -45,7 +45,7 @@
 	status int         // of the newest promise
 	notRun http.Header // heads of the newest promise
 	long   bool        // long work (longwork.go)
-	taken  bool        // it is run for another gatehouse
+	taken  bool        // it is run for another router
 	place  string      // the service among whose long work it runs
 }
 
@@ -56,32 +56,32 @@
 	if g.letsGo() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: tick.Now(), lastID: -1}
+	q := &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: g.table.Load(), arrived: clock.Now(), lastID: -1}
 	defer q.release()
 	if !g.ready.Load() {
 		select {
 		case <-g.isReady:
 			q.table = g.table.Load()
-		case <-tick.After(plate.UnreadyHold):
-			q.refuse(fault.Unready)
+		case <-clock.After(constants.UnreadyHold):
+			q.refuse(errkind.Unready)
 			return
 		case <-r.Context().Done():
 			return
 		}
 	}
-	if buyer.Doubtful(r) {
+	if frontend.Doubtful(r) {
 		w.Header().Set("Connection", "close")
-		reply.Fault(w, fault.New(fault.BadInput, "both a length and chunks"))
+		httpreply.Fault(w, errkind.New(errkind.BadInput, "both a length and chunks"))
 		return
 	}
 	if l := q.table.Limits.Head; l > 0 && headSize(r) > l {
 		w.Header().Set("Connection", "close")
-		reply.Fault(w, fault.New(fault.HeadLarge, "head over the limit"))
+		httpreply.Fault(w, errkind.New(errkind.HeadLarge, "head over the limit"))
 		return
 	}
 	if q.path = q.table.Match(r.Host, r.RequestURI); q.path == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, plate.HeadBytes))
-		reply.Fault(w, fault.New(fault.NoPath, "no route"))
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, constants.HeadBytes))
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no route"))
 		return
 	}
 	for _, op := range q.path.Steps {
@@ -102,18 +102,18 @@
 }
 
 // do is the interpreter: one step of a path; false ends it.
-func (q *inquiry) do(op sorting.Op) bool {
+func (q *inquiry) do(op routing.Op) bool {
 	switch op {
-	case sorting.TakeBody:
+	case routing.TakeBody:
 		return q.takeBody()
-	case sorting.SetClock:
+	case routing.SetClock:
 		return q.setClock()
-	case sorting.Split:
+	case routing.Split:
 		return q.split()
-	case sorting.Fence:
+	case routing.Fence:
 		q.ask.Regions = func(loc string) bool { return q.path.Regions[q.g.env.Load().Zones[loc]] }
 		return true
-	case sorting.Whole, sorting.Events:
+	case routing.Whole, routing.Events:
 		q.fire()
 	}
 	return false
@@ -122,17 +122,17 @@
 func (q *inquiry) takeBody() bool {
 	most := q.table.Limits.Body
 	if most <= 0 {
-		most = plate.OrderBody
+		most = constants.OrderBody
 	}
 	if q.r.ContentLength > most {
 		q.w.Header().Set("Connection", "close")
-		reply.Fault(q.w, fault.New(fault.TooLarge, "body over the limit"))
+		httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
 		return false
 	}
 	if n := max(q.r.ContentLength, 0); !q.hold(n) {
 		return false
 	}
-	_ = q.rc.SetReadDeadline(tick.Now().Add(plate.BodyWait))
+	_ = q.rc.SetReadDeadline(clock.Now().Add(constants.BodyWait))
 	var b bytes.Buffer
 	if q.held > 0 {
 		b.Grow(int(q.held) + bytes.MinRead)
@@ -145,15 +145,15 @@
 		q.w.Header().Set("Connection", "close")
 		switch {
 		case strings.Contains(err.Error(), "too large"):
-			reply.Fault(q.w, fault.New(fault.TooLarge, "body over the limit"))
+			httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
 		case strings.Contains(err.Error(), "timeout"):
-			reply.Fault(q.w, fault.New(fault.Slow, "body too slow"))
+			httpreply.Fault(q.w, errkind.New(errkind.Slow, "body too slow"))
 		default:
-			reply.Fault(q.w, fault.New(fault.BadInput, "body can't be read"))
+			httpreply.Fault(q.w, errkind.New(errkind.BadInput, "body can't be read"))
 		}
 		return false
 	}
-	_ = q.rc.SetReadDeadline(tick.Moment{})
+	_ = q.rc.SetReadDeadline(clock.Moment{})
 	q.body = b.Bytes()
 	return true
 }
@@ -162,7 +162,7 @@
 func (q *inquiry) hold(n int64) bool {
 	if !q.g.bodies.Take(q.path.Name, n) {
 		q.w.Header().Set("Connection", "close")
-		q.refuse(fault.Crowded)
+		q.refuse(errkind.Crowded)
 		return false
 	}
 	q.held += n
@@ -177,17 +177,17 @@
 }
 
 func (q *inquiry) setClock() bool {
-	q.id = q.r.Header.Get(blade.HeadID)
-	left := plate.DefaultBudget
-	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(blade.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
-		left = min(tick.Millis(min(ms, 1e9)), 24*plate.DefaultBudget)
+	q.id = q.r.Header.Get(upstream.HeadID)
+	left := constants.DefaultBudget
+	if ms, err := strconv.ParseFloat(strings.TrimSpace(q.r.Header.Get(upstream.HeadBudget)), 64); err == nil && ms >= 0 && !math.IsInf(ms, 0) {
+		left = min(clock.Millis(min(ms, 1e9)), 24*constants.DefaultBudget)
 	}
 	q.deadline = q.arrived.Add(min(left, q.path.Timeout))
 	return true
 }
 
 func (q *inquiry) split() bool {
-	parts := kerf.ParseParts(q.r.Header.Get("Prompt-Prefix"))
+	parts := prefixindex.ParseParts(q.r.Header.Get("Prompt-Prefix"))
 	key := q.id
 	if q.path.Sticky && len(parts) > 0 {
 		key = ""
@@ -198,19 +198,19 @@
 	name := q.path.Choose(key)
 	q.pool = q.table.Pools[name]
 	if q.pool == nil {
-		q.refuse(fault.Unready)
+		q.refuse(errkind.Unready)
 		return false
 	}
 	q.head = passOn(q.r.Header)
-	q.ask = &berth.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
+	q.ask = &placement.Ask{Pool: name, Locality: q.g.env.Load().Locality, Not: map[string]bool{}, Bold: q.path.Repeatable() && q.path.Shots > 1,
 		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) }}
 	if e := q.pool.Engine; e != nil {
 		model := q.r.Header.Get("Model")
 		in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
 		if len(parts) == 0 {
-			parts = []kerf.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
+			parts = []prefixindex.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
 		}
-		q.ask.Chain = kerf.NewChain(kerf.Root(model, q.g.weights.Load().of(name, model)), parts)
+		q.ask.Chain = prefixindex.NewChain(prefixindex.Root(model, q.g.weights.Load().of(name, model)), parts)
 		q.ask.Capacity, q.ask.OutMost, q.ask.Aim = int(e.Tokens), out, q.path.Aim
 	}
 	if !q.taken {
@@ -227,26 +227,26 @@
 }
 
 // refuse promises that nothing was run and never will be.
-func (q *inquiry) refuse(k fault.Kind) {
+func (q *inquiry) refuse(k errkind.Kind) {
 	q.g.count.refused.Inc()
-	after := plate.RetryAfter
-	if k == fault.Unready {
-		after = plate.RetryUnready
+	after := constants.RetryAfter
+	if k == errkind.Unready {
+		after = constants.RetryUnready
 	}
-	reply.Refuse(q.w, k, after)
+	httpreply.Refuse(q.w, k, after)
 }
 
 // giveUp ends an inquiry with what may truly be said of it.
-func (q *inquiry) giveUp(k fault.Kind, why string) {
+func (q *inquiry) giveUp(k errkind.Kind, why string) {
 	switch {
 	case q.began:
 		q.g.count.failed.Inc()
 		panic(http.ErrAbortHandler) // the client must see that it is incomplete
 	case !q.mayRun:
-		q.refuse(fault.Crowded)
+		q.refuse(errkind.Crowded)
 	default:
 		q.g.count.failed.Inc()
-		reply.Fault(q.w, fault.New(k, "%s", why))
+		httpreply.Fault(q.w, errkind.New(k, "%s", why))
 	}
 }
 
@@ -257,32 +257,32 @@
 	}
 	quit := q.r.Context().Done()
 	for {
-		left := tick.Until(q.deadline)
-		if left <= plate.BudgetReserve {
-			q.giveUp(fault.Late, "time ran out")
+		left := clock.Until(q.deadline)
+		if left <= constants.BudgetReserve {
+			q.giveUp(errkind.Late, "time ran out")
 			return
 		}
 		if q.sent >= q.path.Shots {
-			q.giveUp(fault.Broken, "replicas failed")
+			q.giveUp(errkind.Broken, "replicas failed")
 			return
 		}
 		c, ok := q.g.yard.Place(q.ask)
 		if !ok {
-			if !q.mayRun && tick.Until(q.refuseAt()) <= 0 {
-				q.refuse(fault.Crowded)
+			if !q.mayRun && clock.Until(q.refuseAt()) <= 0 {
+				q.refuse(errkind.Crowded)
 				return
 			}
 			clear(q.ask.Not)
 			select {
-			case <-tick.After(plate.PlaceAgain):
+			case <-clock.After(constants.PlaceAgain):
 			case <-quit:
 				return
 			}
 			continue
 		}
 		if q.sent == 0 && !letIn(c, left) {
-			q.g.yard.Done(&berth.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost})
-			q.refuse(fault.Crowded)
+			q.g.yard.Done(&placement.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost})
+			q.refuse(errkind.Crowded)
 			return
 		}
 		if !q.shoot(c, left, quit) {
@@ -292,23 +292,23 @@
 }
 
 // letIn tells whether an inquiry is worth sending: not if the line before it alone is predicted to outlast what is left of its time. The length of its own prompt never counts against it.
-func letIn(c berth.Choice, left tick.Span) bool { return c.Expect-c.Alone < left }
+func letIn(c placement.Choice, left clock.Span) bool { return c.Expect-c.Alone < left }
 
 // refuseAt is when an inquiry that could be sent nowhere is refused.
-func (q *inquiry) refuseAt() tick.Moment {
-	return q.arrived.Add(tick.Span(float64(q.path.Aim) * plate.RefusePart))
+func (q *inquiry) refuseAt() clock.Moment {
+	return q.arrived.Add(clock.Span(float64(q.path.Aim) * constants.RefusePart))
 }
 
 // shoot sends to one replica; true means that another may be tried.
-func (q *inquiry) shoot(c berth.Choice, left tick.Span, quit <-chan struct{}) bool {
+func (q *inquiry) shoot(c placement.Choice, left clock.Span, quit <-chan struct{}) bool {
 	id := c.Replica.ID
-	end := &berth.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
+	end := &placement.End{Replica: id, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
 	defer q.g.yard.Done(end)
-	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(plate.PlaceAgain, tick.Until(q.refuseAt()))), !q.path.Repeatable())
+	ch, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, min(left, max(constants.PlaceAgain, clock.Until(q.refuseAt()))), !q.path.Repeatable())
 	if err != nil {
 		q.ask.Not[id] = true
-		if fault.KindOf(err) == fault.Broken {
-			q.blame(id, gauge.Refused)
+		if errkind.KindOf(err) == errkind.Broken {
+			q.blame(id, outlier.Refused)
 		} else {
 			q.g.long.short()
 		}
@@ -317,7 +317,7 @@
 	if q.sent > 0 {
 		if !q.g.further(q.pool.Name, left) {
 			ch.Back()
-			q.giveUp(fault.Broken, "no further try is left")
+			q.giveUp(errkind.Broken, "no further try is left")
 			return false
 		}
 		q.g.count.further.Inc()
@@ -326,20 +326,20 @@
 		ch.Back()
 		return true
 	}
-	left = tick.Until(q.deadline)
+	left = clock.Until(q.deadline)
 	h := q.head.Clone()
-	h.Set(blade.HeadExpect, id)
-	h.Set(blade.HeadBudget, strconv.FormatInt(max(1, (left-plate.BudgetReserve).Milliseconds()), 10))
+	h.Set(upstream.HeadExpect, id)
+	h.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (left-constants.BudgetReserve).Milliseconds()), 10))
 	if q.ask.Chain != nil {
-		h.Set(blade.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
+		h.Set(upstream.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
 	}
 	if q.lastID >= 0 {
-		h.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+		h.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
-	at := tick.Now()
-	a, sent, err := ch.Send(&blade.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == sorting.Stream}, left)
+	at := clock.Now()
+	a, sent, err := ch.Send(&upstream.Shot{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Head: h, Body: q.body, ID: q.id, Events: q.path.Kind == routing.Stream}, left)
 	if err != nil {
-		q.ended(c.Replica.ID, ch, gauge.Reset, true)
+		q.ended(c.Replica.ID, ch, outlier.Reset, true)
 		if !sent {
 			return true
 		}
@@ -356,31 +356,31 @@
 }
 
 // urgency is the class that a replica is told: by the path's priority, behind all others if the prompt alone takes longer than the aim.
-func (q *inquiry) urgency(alone tick.Span) int {
+func (q *inquiry) urgency(alone clock.Span) int {
 	if q.long {
-		return plate.UrgencyLong
+		return constants.UrgencyLong
 	}
 	if alone > q.path.Aim {
-		return plate.UrgencyLate
+		return constants.UrgencyLate
 	}
 	part := float64(alone) / float64(max(q.path.Aim, 1))
-	return min(plate.UrgencyLate-1, int(part*7))
+	return min(constants.UrgencyLate-1, int(part*7))
 }
 
 // blame holds a failure against a replica; another one is tried next.
-func (q *inquiry) blame(id string, k gauge.Kind) {
+func (q *inquiry) blame(id string, k outlier.Kind) {
 	q.ask.Not[id] = true
 	q.g.blame(id, k)
 }
 
 // ended notes that a connection failed. One that had been idle and is reset before any answer was most likely forgotten: that says little, and the same replica may be tried again on another; after silence the other idle connections are in doubt too.
-func (q *inquiry) ended(id string, ch *blade.Channel, k gauge.Kind, reset bool) {
+func (q *inquiry) ended(id string, ch *upstream.Channel, k outlier.Kind, reset bool) {
 	if reset && ch.Forgotten() {
-		q.g.blame(id, gauge.Stale)
+		q.g.blame(id, outlier.Stale)
 		return
 	}
 	q.blame(id, k)
-	if k == gauge.Silent {
+	if k == outlier.Silent {
 		ch.Doubt()
 	}
 }
@@ -391,41 +391,41 @@
 	if q.path.Repeatable() && q.sent < q.path.Shots {
 		return true
 	}
-	q.giveUp(fault.Broken, why)
+	q.giveUp(errkind.Broken, why)
 	return false
 }
 
-func (q *inquiry) patience() tick.Span {
+func (q *inquiry) patience() clock.Span {
 	if !q.path.Repeatable() || q.sent >= q.path.Shots {
 		return 0
 	}
 	if q.began {
-		return tick.Span(float64(q.path.Gap) * plate.SilenceGaps)
+		return clock.Span(float64(q.path.Gap) * constants.SilenceGaps)
 	}
-	return tick.Span(float64(q.path.Aim) * plate.SilenceAims)
+	return clock.Span(float64(q.path.Aim) * constants.SilenceAims)
 }
 
 // listen takes an answer's parts; true means that another replica may be tried.
-func (q *inquiry) listen(ch *blade.Channel, a *blade.Answer, end *berth.End, at tick.Moment, c berth.Choice, quit <-chan struct{}) bool {
+func (q *inquiry) listen(ch *upstream.Channel, a *upstream.Answer, end *placement.End, at clock.Moment, c placement.Choice, quit <-chan struct{}) bool {
 	id := c.Replica.ID
-	var head blade.Part
+	var head upstream.Part
 	joined := !q.began // the first event of a run that goes on must follow the last
 	heard := at
 	due, known := q.g.yard.Health().Due(id, c.Expect, q.path.Aim)
 	for {
-		wait := tick.Until(q.deadline)
+		wait := clock.Until(q.deadline)
 		if p := q.patience(); p > 0 {
-			wait = min(wait, p-tick.Since(heard))
+			wait = min(wait, p-clock.Since(heard))
 		}
-		watch := known && !end.First && !end.Overdue && due-tick.Since(at) < wait
+		watch := known && !end.First && !end.Overdue && due-clock.Since(at) < wait
 		if watch {
-			wait = due - tick.Since(at)
+			wait = due - clock.Since(at)
 		}
-		late := tick.NewTimer(max(0, wait))
+		late := clock.NewTimer(max(0, wait))
 		p, ok := a.Next(late.C, quit)
 		late.Stop()
 		if ok {
-			heard = tick.Now()
+			heard = clock.Now()
 		} else {
 			if q.r.Context().Err() != nil {
 				return false
@@ -433,48 +433,48 @@
 			if watch { // it is waited for still
 				end.Overdue = true
 				if !q.g.yard.Queued(id) {
-					q.g.blame(id, gauge.Slow)
+					q.g.blame(id, outlier.Slow)
 				}
 				continue
 			}
 			q.mayRun = true
-			if tick.Until(q.deadline) <= 0 {
-				q.giveUp(fault.Late, "time ran out")
+			if clock.Until(q.deadline) <= 0 {
+				q.giveUp(errkind.Late, "time ran out")
 				return false
 			}
-			q.ended(id, ch, gauge.Silent, false)
+			q.ended(id, ch, outlier.Silent, false)
 			return q.again("silence")
 		}
 		switch p.Kind {
-		case blade.Head:
-			q.told(id, p.Head.Get(blade.HeadLoad))
+		case upstream.Head:
+			q.told(id, p.Head.Get(upstream.HeadLoad))
 			head = p
 			if p.NotRun() {
 				continue // the rest of it comes, then it is known whole
 			}
 			q.mayRun = true
-		case blade.Event:
-			q.g.yard.Began(end, tick.Since(at), c.Expect)
+		case upstream.Event:
+			q.g.yard.Began(end, clock.Since(at), c.Expect)
 			if !q.event(&p, head.Head, &joined) {
-				q.blame(id, gauge.Cut)
+				q.blame(id, outlier.Cut)
 				return q.again("events out of order")
 			}
-		case blade.Body:
+		case upstream.Body:
 			head.Bytes = p.Bytes
-		case blade.End:
+		case upstream.End:
 			if !head.NotRun() && head.Status < http.StatusInternalServerError {
-				q.g.yard.Began(end, tick.Since(at), c.Expect)
+				q.g.yard.Began(end, clock.Since(at), c.Expect)
 			}
 			return q.whole(&head, id)
-		case blade.Fail:
+		case upstream.Fail:
 			q.mayRun = true
 			switch {
 			case p.Reset:
-				q.ended(id, ch, gauge.Reset, true)
+				q.ended(id, ch, outlier.Reset, true)
 			case p.Lost:
-				q.ended(id, ch, gauge.Silent, false)
+				q.ended(id, ch, outlier.Silent, false)
 			default:
-				q.blame(id, gauge.Cut)
+				q.blame(id, outlier.Cut)
 			}
 			return q.again(p.Why)
 		}
@@ -511,7 +511,7 @@
 }
 
 // event passes one event on; false if it does not follow the last.
-func (q *inquiry) event(p *blade.Part, h http.Header, joined *bool) bool {
+func (q *inquiry) event(p *upstream.Part, h http.Header, joined *bool) bool {
 	if p.ID >= 0 {
 		if q.lastID >= 0 {
 			d := p.ID - q.lastID
@@ -533,7 +533,7 @@
 		passBack(q.w.Header(), h)
 		q.w.WriteHeader(http.StatusOK)
 	}
-	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(constants.WriteWait))
 	if _, err := q.w.Write(p.Bytes); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -544,14 +544,14 @@
 }
 
 // whole ends an inquiry with an answer that came whole; true means that another replica may be tried.
-func (q *inquiry) whole(p *blade.Part, id string) bool {
+func (q *inquiry) whole(p *upstream.Part, id string) bool {
 	if p.NotRun() {
 		q.ask.Not[id] = true
 		switch {
 		case p.Status == http.StatusMisdirectedRequest:
 			q.g.yard.Wrong(id)
-		case p.Status != http.StatusBadRequest && !full(p.Head.Get(blade.HeadLoad)):
-			q.blame(id, gauge.Shed)
+		case p.Status != http.StatusBadRequest && !full(p.Head.Get(upstream.HeadLoad)):
+			q.blame(id, outlier.Shed)
 		}
 		if p.Status == http.StatusBadRequest && !q.mayRun && !q.began {
 			q.answer(p)
@@ -560,12 +560,12 @@
 		if q.sent < q.path.Shots {
 			return true
 		}
-		q.giveUp(fault.Broken, "replicas refused")
+		q.giveUp(errkind.Broken, "replicas refused")
 		return false
 	}
 	q.mayRun = true
 	if p.Status >= http.StatusInternalServerError && p.Status != http.StatusGatewayTimeout {
-		q.blame(id, gauge.Failed)
+		q.blame(id, outlier.Failed)
 	}
 	if q.began {
 		if p.Bytes != nil { // a resumed run answered with something else than events
@@ -577,17 +577,17 @@
 	case p.Status >= 500 && q.path.Repeatable() && q.sent < q.path.Shots && p.Status != http.StatusGatewayTimeout:
 		return true
 	case p.Status == http.StatusServiceUnavailable, p.Status == http.StatusTooManyRequests, p.Status == http.StatusRequestTimeout:
-		q.giveUp(fault.Broken, "the replica refused after it may have run")
+		q.giveUp(errkind.Broken, "the replica refused after it may have run")
 		return false
 	}
 	q.answer(p)
 	return false
 }
 
-func (q *inquiry) answer(p *blade.Part) {
+func (q *inquiry) answer(p *upstream.Part) {
 	passBack(q.w.Header(), p.Head)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(p.Bytes)))
 	q.w.WriteHeader(p.Status)
-	_ = q.rc.SetWriteDeadline(tick.Now().Add(plate.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(constants.WriteWait))
 	_, _ = q.w.Write(p.Bytes)
 }
--- a/gatehouse/longwork.go
+++ b/internal/router/longwork.go
@@ -1,4 +1,4 @@
-package gatehouse
+package router
 
 import (
 	"bufio"
@@ -15,31 +15,31 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/blade"
-	"shaletrestle/crew"
-	"shaletrestle/fault"
-	"shaletrestle/plate"
-	"shaletrestle/scope"
-	"shaletrestle/sledge"
-	"shaletrestle/sorting"
-	"shaletrestle/tick"
+	"shaletrestle/coord/handoff"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/task"
+	"shaletrestle/internal/upstream"
 )
 
-// longWork drives the machines of package sledge: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
+// longWork drives the machines of package handoff: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
 type longWork struct {
 	g      *Gate
-	sc     *scope.Scope
+	sc     *task.Scope
 	self   string
-	lines  *crew.Lines
-	start  tick.Moment
+	lines  *rpc.Lines
+	start  clock.Moment
 	late   atomic.Duration // how late this process's timers are
 	kick   chan struct{}
 	mu     sync.Mutex
-	owner  *sledge.Owner
-	taker  *sledge.Taker
-	inbox  map[uint64]chan sledge.Effect
+	owner  *handoff.Owner
+	taker  *handoff.Taker
+	inbox  map[uint64]chan handoff.Effect
 	stops  map[uint64]context.CancelFunc // runs for others, by ticket
-	back   map[string]*crew.Channel      // the channel on which an owner spoke last
+	back   map[string]*rpc.Channel       // the channel on which an owner spoke last
 	rooms  map[string]neighbour
 	lacked atomic.Time // when a connection could not be had
 	queues map[string]*longQueue
@@ -55,52 +55,52 @@
 type neighbour struct {
 	room     int
 	locality string
-	at       tick.Moment
+	at       clock.Moment
 }
 
 type longLoad struct {
 	running, waiting, slots float64
-	at                      tick.Moment
+	at                      clock.Moment
 }
 
 type longQueue struct {
-	q     *sledge.Queue
+	q     *handoff.Queue
 	wake  map[uint64]chan bool
 	loads map[string]longLoad
 }
 
 func newLongWork(g *Gate) *longWork {
 	life := rand.Uint64() | 1
-	b := sledge.Bounds{Answer: plate.LongAnswer, Accept: plate.LongAccept, Renew: plate.LongRenew, Lease: plate.LongLease, Graves: plate.LongGraves}
-	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(plate.PortGate), start: tick.Now(), owner: sledge.NewOwner(life, b), taker: sledge.NewTaker(life, b),
-		inbox: map[uint64]chan sledge.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*crew.Channel{}, rooms: map[string]neighbour{},
+	b := handoff.Bounds{Answer: constants.LongAnswer, Accept: constants.LongAccept, Renew: constants.LongRenew, Lease: constants.LongLease, Graves: constants.LongGraves}
+	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(constants.PortGate), start: clock.Now(), owner: handoff.NewOwner(life, b), taker: handoff.NewTaker(life, b),
+		inbox: map[uint64]chan handoff.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
 		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
-	h.lines = crew.NewLines(h.sc, g.net, g.handle)
+	h.lines = rpc.NewLines(h.sc, g.net, g.handle)
 	return h
 }
 
-func (h *longWork) on() bool       { return h.g.env.Load().LongWork.Enabled }
-func (h *longWork) now() tick.Span { return tick.Since(h.start) }
+func (h *longWork) on() bool        { return h.g.env.Load().LongWork.Enabled }
+func (h *longWork) now() clock.Span { return clock.Since(h.start) }
 
 // run does what falls due; how late it is woken tells how crowded the processor is.
 func (h *longWork) run() {
 	var said longCounts
-	saidAt := tick.Now()
+	saidAt := clock.Now()
 	for {
-		span := plate.LongOff
+		span := constants.LongOff
 		switch {
 		case h.busy(): // also what was begun before it was switched off
-			span = plate.LongTick
+			span = constants.LongTick
 		case h.on():
-			span = plate.LongCalm
+			span = constants.LongCalm
 		}
-		at, due := tick.Now(), tick.NewTimer(span)
+		at, due := clock.Now(), clock.NewTimer(span)
 		select {
 		case <-due.C:
-			h.late.Store(max(tick.Since(at)-span, tick.Span(float64(h.late.Load())*plate.LongFade)))
+			h.late.Store(max(clock.Since(at)-span, clock.Span(float64(h.late.Load())*constants.LongFade)))
 		case <-h.kick:
 			due.Stop()
-			h.late.Store(tick.Span(float64(h.late.Load()) * plate.LongFade))
+			h.late.Store(clock.Span(float64(h.late.Load()) * constants.LongFade))
 		case <-h.sc.Done():
 			due.Stop()
 			return
@@ -118,8 +118,8 @@
 		}
 		c := h.count
 		h.mu.Unlock()
-		if c != said && tick.Since(saidAt) >= plate.LongReport {
-			said, saidAt = c, tick.Now()
+		if c != said && clock.Since(saidAt) >= constants.LongReport {
+			said, saidAt = c, clock.Now()
 			h.sc.Log().Info("long work", "here", c.here, "offered", c.offered, "elsewhere", c.elsewhere, "taken", c.taken, "returned", c.returned, "lost", c.lost, "broken", c.broken, "refused", c.refused)
 		}
 	}
@@ -147,14 +147,14 @@
 
 // crowded tells whether this node should hand long work on.
 func (h *longWork) crowded() bool {
-	if h.late.Load() >= plate.LongLag || tick.Since(h.lacked.Load()) < plate.LongShort {
+	if h.late.Load() >= constants.LongLag || clock.Since(h.lacked.Load()) < constants.LongShort {
 		return true
 	}
 	used := int64(0)
 	for _, s := range h.g.bodies.Slices() {
 		used += s.Used
 	}
-	return float64(used) > plate.CalmPart*plate.BodyMemory*h.g.env.Load().Limits.MemoryMB*(1<<20)
+	return float64(used) > constants.CalmPart*constants.BodyMemory*h.g.env.Load().Limits.MemoryMB*(1<<20)
 }
 
 // room is how many jobs of others this node would hold; the caller holds the lock.
@@ -166,7 +166,7 @@
 }
 
 // tellRoom puts the room left into the answer to a ping.
-func (h *longWork) tellRoom(a *crew.Note) *crew.Note {
+func (h *longWork) tellRoom(a *rpc.Note) *rpc.Note {
 	if h.on() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -177,23 +177,23 @@
 }
 
 // roomOf takes it from there.
-func (h *longWork) roomOf(node string, a *crew.Note) {
+func (h *longWork) roomOf(node string, a *rpc.Note) {
 	if h.on() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.rooms[node] = neighbour{int(min(a.Span, plate.LongTakeMost)), a.From.Locality, tick.Now()}
+		h.rooms[node] = neighbour{int(min(a.Span, constants.LongTakeMost)), a.From.Locality, clock.Now()}
 	}
 }
 
 // neighbour chooses the node with most room that may have the request.
-func (h *longWork) neighbour(path *sorting.Path) string {
+func (h *longWork) neighbour(path *routing.Path) string {
 	e := h.g.env.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	best, most := "", 0
 	for n, x := range h.rooms {
 		switch {
-		case tick.Since(x.at) > plate.LongKnown:
+		case clock.Since(x.at) > constants.LongKnown:
 			delete(h.rooms, n)
 		case x.locality != e.Locality && !e.LongWork.OtherZones, path.Regions != nil && !path.Regions[e.Zones[x.locality]]:
 		case x.room > most || x.room == most && most > 0 && n < best:
@@ -208,15 +208,15 @@
 	return best
 }
 
-// note takes a message of another gatehouse.
-func (h *longWork) note(ch *crew.Channel, n *crew.Note) {
-	m := sledge.Message{Kind: sledge.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
-		Ticket: sledge.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, plate.LongTakeMost)), Body: n.Body}
+// note takes a message of another router.
+func (h *longWork) note(ch *rpc.Channel, n *rpc.Note) {
+	m := handoff.Message{Kind: handoff.KindOf(n.Word), Peer: n.From.Addr, Owner: n.Epoch, Job: n.Number, Turn: n.Base,
+		Ticket: handoff.Ticket{Life: n.Ballot, Number: n.To}, Number: n.Span, Shots: int(min(n.HeldBallot, constants.LongTakeMost)), Body: n.Body}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
 	case m.Kind == 0 || m.Peer == "":
-	case m.Kind <= sledge.Drop:
+	case m.Kind <= handoff.Drop:
 		if h.back[m.Peer] != ch {
 			h.back[m.Peer] = ch
 			ch.OnClose(func() { go h.closed(m.Peer, ch) })
@@ -225,14 +225,14 @@
 		h.do(h.taker.Step(h.now(), m))
 		h.stir()
 	default:
-		if m.Kind == sledge.Returned {
+		if m.Kind == handoff.Returned {
 			h.count.returned++
 		}
 		h.do(h.owner.Step(h.now(), m))
 	}
 }
 
-func (h *longWork) closed(peer string, ch *crew.Channel) {
+func (h *longWork) closed(peer string, ch *rpc.Channel) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.back[peer] == ch {
@@ -241,17 +241,17 @@
 }
 
 // do carries out effects in their order; the caller holds the lock, and nothing here waits.
-func (h *longWork) do(fx []sledge.Effect) {
+func (h *longWork) do(fx []handoff.Effect) {
 	for _, f := range fx {
 		switch f.Do {
-		case sledge.Send:
+		case handoff.Send:
 			h.send(f.Message)
-		case sledge.Begin:
+		case handoff.Begin:
 			h.count.taken++
 			ctx, stop := context.WithCancel(h.sc.Context())
 			h.stops[f.Ticket.Number] = stop
 			go h.runTaken(ctx, f)
-		case sledge.Stop:
+		case handoff.Stop:
 			if stop := h.stops[f.Ticket.Number]; stop != nil {
 				stop()
 			}
@@ -261,10 +261,10 @@
 	}
 }
 
-func (h *longWork) send(m sledge.Message) {
-	n := &crew.Note{Kind: crew.Job, From: crew.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
+func (h *longWork) send(m handoff.Message) {
+	n := &rpc.Note{Kind: rpc.Job, From: rpc.Seat{Addr: h.self}, Word: m.Kind.String(), Epoch: m.Owner, Number: m.Job, Base: m.Turn,
 		Ballot: m.Ticket.Life, To: m.Ticket.Number, Span: m.Number, HeldBallot: uint64(max(0, m.Shots)), Body: m.Body}
-	if m.Kind > sledge.Drop { // the answers go back on the channel on which the owner spoke, in order
+	if m.Kind > handoff.Drop { // the answers go back on the channel on which the owner spoke, in order
 		if ch := h.back[m.Peer]; ch != nil {
 			ch.Send(n)
 		}
@@ -278,14 +278,14 @@
 }
 
 // tell hands an effect to the inquiry whose job it is; one that lags too far loses its job.
-func (h *longWork) tell(f sledge.Effect) {
+func (h *longWork) tell(f handoff.Effect) {
 	in := h.inbox[f.Job]
 	if in == nil {
 		return
 	}
-	if f.Do == sledge.Deliver && len(in) >= cap(in)-2 {
+	if f.Do == handoff.Deliver && len(in) >= cap(in)-2 {
 		fx := h.owner.Leave(f.Job)
-		in <- sledge.Effect{Do: sledge.End, Job: f.Job, Outcome: sledge.Broken}
+		in <- handoff.Effect{Do: handoff.End, Job: f.Job, Outcome: handoff.Broken}
 		delete(h.inbox, f.Job)
 		h.do(fx)
 		return
@@ -296,14 +296,14 @@
 // short notes that a connection to a replica could not be had.
 func (h *longWork) short() {
 	if h.on() {
-		h.lacked.Store(tick.Now())
+		h.lacked.Store(clock.Now())
 	}
 }
 
 func (h *longWork) queue(pool string) *longQueue {
 	x := h.queues[pool]
 	if x == nil {
-		x = &longQueue{q: sledge.NewQueue(plate.LongRoom, sledge.Shares{Waiting: plate.LongWaiting, Late: plate.LongLate, Most: plate.LongMost, Weight: plate.LongWeight, Cut: plate.LongCut, Grow: plate.LongGrow, Pause: plate.LongPause}),
+		x = &longQueue{q: handoff.NewQueue(constants.LongRoom, handoff.Shares{Waiting: constants.LongWaiting, Late: constants.LongLate, Most: constants.LongMost, Weight: constants.LongWeight, Cut: constants.LongCut, Grow: constants.LongGrow, Pause: constants.LongPause}),
 			wake: map[uint64]chan bool{}, loads: map[string]longLoad{}}
 		h.queues[pool] = x
 	}
@@ -314,7 +314,7 @@
 func (h *longWork) load(pool, id string, v [3]float64) {
 	if h.on() {
 		h.mu.Lock()
-		h.queue(pool).loads[id] = longLoad{v[0], v[1], v[2], tick.Now()}
+		h.queue(pool).loads[id] = longLoad{v[0], v[1], v[2], clock.Now()}
 		h.mu.Unlock()
 	}
 }
@@ -323,13 +323,13 @@
 func (x *longQueue) idle() bool {
 	running, waiting, slots := 0.0, 0.0, 0.0
 	for id, l := range x.loads {
-		if tick.Since(l.at) > plate.LongTold {
+		if clock.Since(l.at) > constants.LongTold {
 			delete(x.loads, id)
 			continue
 		}
 		running, waiting, slots = running+l.running, waiting+l.waiting, slots+l.slots
 	}
-	return waiting == 0 && running <= plate.LongHalf*slots
+	return waiting == 0 && running <= constants.LongHalf*slots
 }
 
 func (h *longWork) pump(x *longQueue) {
@@ -350,13 +350,13 @@
 }
 
 // finish waits for what runs for others, at most d.
-func (h *longWork) finish(d tick.Span) {
-	end := tick.Now().Add(d)
-	for tick.Until(end) > 0 {
+func (h *longWork) finish(d clock.Span) {
+	end := clock.Now().Add(d)
+	for clock.Until(end) > 0 {
 		h.mu.Lock()
 		n := len(h.stops)
 		h.mu.Unlock()
-		if n == 0 || !tick.Rest(h.sc, plate.LongTick) {
+		if n == 0 || !clock.Rest(h.sc, constants.LongTick) {
 			return
 		}
 	}
@@ -368,9 +368,9 @@
 	defer h.mu.Unlock()
 	held, out, away := h.owner.Jobs()
 	kept, runs := h.taker.Jobs()
-	oldest := tick.Span(0)
+	oldest := clock.Span(0)
 	for q := range h.held {
-		oldest = max(oldest, tick.Since(q.arrived))
+		oldest = max(oldest, clock.Since(q.arrived))
 	}
 	qs := map[string]any{}
 	for n, x := range h.queues {
@@ -391,8 +391,8 @@
 	}
 	l := q.g.env.Load().LongWork
 	in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
-	q.long = sledge.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(sledge.Ask{Stream: q.path.Kind == sorting.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
-		Gap: q.path.Gap, Stride: e.Stride, In: in, Out: out, PerToken: plate.PrefillToken})
+	q.long = handoff.Marks{Patient: l.Patient, Heavy: l.Heavy}.Long(handoff.Ask{Stream: q.path.Kind == routing.Stream, Aim: q.path.Aim, Timeout: q.path.Timeout,
+		Gap: q.path.Gap, Stride: e.Stride, In: in, Out: out, PerToken: constants.PrefillToken})
 	return q.long
 }
 
@@ -405,7 +405,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	x := h.queue(q.ask.Pool)
-	x.q.Prompt(h.now(), float64(tick.Since(q.arrived))/float64(q.path.Aim))
+	x.q.Prompt(h.now(), float64(clock.Since(q.arrived))/float64(q.path.Aim))
 	h.pump(x)
 }
 
@@ -415,7 +415,7 @@
 	h.mu.Lock()
 	h.held[q] = struct{}{}
 	h.mu.Unlock()
-	if !q.taken && tick.Until(q.refuseAt()) >= plate.LongAnswer && (q.g.env.Load().LongWork.Always || h.crowded()) {
+	if !q.taken && clock.Until(q.refuseAt()) >= constants.LongAnswer && (q.g.env.Load().LongWork.Always || h.crowded()) {
 		if n := h.neighbour(q.path); n != "" && q.away(n) {
 			return true
 		}
@@ -428,7 +428,7 @@
 	h := q.g.long
 	h.mu.Lock()
 	x := h.queue(q.ask.Pool)
-	until := h.now() + min(tick.Until(q.refuseAt()), tick.Until(q.deadline))
+	until := h.now() + min(clock.Until(q.refuseAt()), clock.Until(q.deadline))
 	n, now, ok := uint64(0), true, true
 	if q.sent > 0 {
 		x.q.Enter()
@@ -474,7 +474,7 @@
 	}
 	h.mu.Unlock()
 	if !ok {
-		q.giveUp(fault.Crowded, "no place for long work")
+		q.giveUp(errkind.Crowded, "no place for long work")
 	}
 	return ok
 }
@@ -499,9 +499,9 @@
 // pack writes the inquiry as its taker is to send it.
 func (q *inquiry) pack() []byte {
 	hd := q.head.Clone()
-	hd.Set(blade.HeadBudget, strconv.FormatInt(max(1, (tick.Until(q.deadline)-plate.BudgetReserve).Milliseconds()), 10))
+	hd.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (clock.Until(q.deadline)-constants.BudgetReserve).Milliseconds()), 10))
 	if q.lastID >= 0 {
-		hd.Set(blade.HeadLastID, strconv.FormatInt(q.lastID, 10))
+		hd.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
 	r := &http.Request{Method: q.r.Method, URL: &url.URL{Scheme: "http", Opaque: q.r.RequestURI}, Host: q.r.Host, Header: hd, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(q.body)), Body: http.NoBody}
@@ -522,9 +522,9 @@
 	if body == nil {
 		return false
 	}
-	in := make(chan sledge.Effect, plate.LongInbox)
+	in := make(chan handoff.Effect, constants.LongInbox)
 	h.mu.Lock()
-	job := h.owner.Take(h.now()+tick.Until(q.deadline)-plate.BudgetReserve, q.path.Repeatable(), q.path.Shots)
+	job := h.owner.Take(h.now()+clock.Until(q.deadline)-constants.BudgetReserve, q.path.Repeatable(), q.path.Shots)
 	h.inbox[job] = in
 	h.count.offered++
 	h.do(h.owner.Offer(h.now(), job, to, body))
@@ -543,25 +543,25 @@
 		select {
 		case f := <-in:
 			switch f.Do {
-			case sledge.Deliver:
+			case handoff.Deliver:
 				switch {
 				case head == nil:
 					head = &awayHead{}
 					if json.Unmarshal(f.Message.Body, head) != nil {
 						q.mayRun = true
-						q.giveUp(fault.Broken, "head can't be read")
+						q.giveUp(errkind.Broken, "head can't be read")
 						return true
 					}
 				case head.Events:
-					if !q.event(&blade.Part{Kind: blade.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
+					if !q.event(&upstream.Part{Kind: upstream.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
 						q.mayRun = true
-						q.giveUp(fault.Broken, "events out of order")
+						q.giveUp(errkind.Broken, "events out of order")
 						return true
 					}
 				default:
 					whole = append(whole, f.Message.Body...)
 				}
-			case sledge.Back:
+			case handoff.Back:
 				h.mu.Lock()
 				lost, shots, ok := h.owner.Here(job)
 				if lost {
@@ -573,14 +573,14 @@
 				}
 				q.mayRun, q.sent = q.mayRun || lost, q.path.Shots-shots
 				if !ok || q.sent >= q.path.Shots {
-					q.giveUp(fault.Broken, "the neighbour failed")
+					q.giveUp(errkind.Broken, "the neighbour failed")
 					return true
 				}
 				return false
-			case sledge.End:
-				q.mayRun = f.Outcome != sledge.Refused
+			case handoff.End:
+				q.mayRun = f.Outcome != handoff.Refused
 				switch f.Outcome {
-				case sledge.Whole:
+				case handoff.Whole:
 					h.mu.Lock()
 					h.count.elsewhere++
 					if x, ok := h.rooms[to]; ok { // its place is free again: known sooner than by the next ping
@@ -591,20 +591,20 @@
 					q.sent += f.Message.Shots
 					switch {
 					case head == nil || head.Events != q.began:
-						q.giveUp(fault.Broken, "no whole answer")
+						q.giveUp(errkind.Broken, "no whole answer")
 					case !head.Events:
-						return !q.whole(&blade.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
+						return !q.whole(&upstream.Part{Status: head.Status, Head: head.Header, Bytes: whole}, "")
 					}
-				case sledge.Refused:
-					q.giveUp(fault.Crowded, "no time for long work")
-				case sledge.Late:
-					q.giveUp(fault.Late, "time ran out")
+				case handoff.Refused:
+					q.giveUp(errkind.Crowded, "no time for long work")
+				case handoff.Late:
+					q.giveUp(errkind.Late, "time ran out")
 				default:
 					h.mu.Lock()
 					h.count.broken++
 					h.mu.Unlock()
 					h.sc.Log().Warn("a neighbour was lost with a job that may have begun", "node", to, "inquiry", q.id)
-					q.giveUp(fault.Broken, "the neighbour was lost")
+					q.giveUp(errkind.Broken, "the neighbour was lost")
 				}
 				return true
 			}
@@ -651,7 +651,7 @@
 		return
 	}
 	w.status = status
-	if w.own = w.head.Get(blade.HeadID) == ""; w.own {
+	if w.own = w.head.Get(upstream.HeadID) == ""; w.own {
 		return
 	}
 	b, err := json.Marshal(awayHead{status, w.head, w.head.Get("Content-Length") == ""})
@@ -676,33 +676,33 @@
 }
 
 // FlushError, SetReadDeadline and SetWriteDeadline are there for the response controller: pieces are sent at once.
-func (w *awayWriter) FlushError() error                  { return nil }
-func (w *awayWriter) SetReadDeadline(tick.Moment) error  { return nil }
-func (w *awayWriter) SetWriteDeadline(tick.Moment) error { return nil }
+func (w *awayWriter) FlushError() error                   { return nil }
+func (w *awayWriter) SetReadDeadline(clock.Moment) error  { return nil }
+func (w *awayWriter) SetWriteDeadline(clock.Moment) error { return nil }
 
 // runTaken runs a job for its owner, as an inquiry of our own.
-func (h *longWork) runTaken(ctx context.Context, f sledge.Effect) {
+func (h *longWork) runTaken(ctx context.Context, f handoff.Effect) {
 	g, w := h.g, &awayWriter{h: h, ticket: f.Ticket.Number, head: http.Header{}}
 	g.inflight.Inc()
 	defer g.inflight.Dec()
 	var q *inquiry
-	as, shots := sledge.Returned, 0
+	as, shots := handoff.Returned, 0
 	defer func() {
 		if x := recover(); x != nil {
 			if x != http.ErrAbortHandler {
 				panic(x)
 			}
-			as = sledge.Failed
+			as = handoff.Failed
 		}
 		if q != nil {
 			q.release()
 			shots = q.sent
 			switch {
-			case as == sledge.Failed:
+			case as == handoff.Failed:
 			case w.status != 0 && !w.own:
-				as = sledge.Done
+				as = handoff.Done
 			case q.mayRun:
-				as = sledge.Failed
+				as = handoff.Failed
 			}
 		}
 		h.mu.Lock()
@@ -723,7 +723,7 @@
 	}
 	own := *path
 	own.Shots = min(own.Shots, f.Message.Shots)
-	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: tick.Now(), lastID: -1, taken: true}
+	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: clock.Now(), lastID: -1, taken: true}
 	for _, op := range q.path.Steps {
 		if !q.do(op) {
 			return
--- /dev/null
+++ b/internal/router/longwork_test.go
@@ -0,0 +1,104 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/handoff"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/settings"
+)
+
+func longOf(e *settings.Env) *longWork {
+	g := &Gate{}
+	g.env.Store(e)
+	return &longWork{g: g, rooms: map[string]neighbour{}}
+}
+
+func TestNeighbourHasRoomAndMayHaveTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &settings.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: settings.LongWork{Enabled: true}}
+		h := longOf(e)
+		fill := func() {
+			h.rooms = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
+		}
+		fill()
+		require.Equal(t, "near", h.neighbour(&routing.Path{}))
+		require.Empty(t, h.neighbour(&routing.Path{}), "its room is used up until it speaks again")
+		e.LongWork.OtherZones = true
+		fill()
+		require.Equal(t, "far", h.neighbour(&routing.Path{}))
+		require.Equal(t, "near", h.neighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
+		require.Empty(t, h.neighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
+		fill()
+		<-clock.After(constants.LongKnown + 1)
+		require.Empty(t, h.neighbour(&routing.Path{}), "what is not heard of any more has no room")
+	})
+}
+
+func TestOwnAnswersOfATakerAreNotSent(t *testing.T) {
+	h := &longWork{taker: handoff.NewTaker(5, handoff.Bounds{Accept: 10, Lease: 10, Graves: 1})}
+	h.taker.Room(1)
+	h.taker.Step(0, handoff.Message{Kind: handoff.Offer, Owner: 1, Job: 1, Turn: 1})
+	h.taker.Step(0, handoff.Message{Kind: handoff.Go, Owner: 1, Job: 1, Turn: 1, Ticket: handoff.Ticket{Life: 5, Number: 1}})
+	w := &awayWriter{h: h, ticket: 1, head: http.Header{}}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	n, err := w.Write([]byte("crowded"))
+	require.NoError(t, err)
+	require.Equal(t, 7, n)
+	require.True(t, w.own)
+	fx := h.taker.Ended(1, handoff.Returned, 0)
+	require.Equal(t, handoff.Returned, fx[0].Message.Kind, "no part was sent, so the promise may be passed on")
+}
+
+func TestEventIDs(t *testing.T) {
+	require.Equal(t, int64(12), eventID([]byte("id: 12\ndata: id: 7\n\n")))
+	require.Equal(t, int64(-1), eventID([]byte("data: x\n\n")))
+	require.Equal(t, int64(-1), eventID([]byte("id: x\n\n")))
+}
+
+func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
+			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			x := h.queue("p")
+			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
+			for range int(constants.LongRoom) {
+				x.q.Join(0, false)
+			}
+			w := httptest.NewRecorder()
+			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
+			var pumps sync.WaitGroup
+			defer pumps.Wait()
+			pumps.Go(func() {
+				for range 10 {
+					<-clock.After(constants.LongTick)
+					h.mu.Lock()
+					h.pump(x)
+					h.mu.Unlock()
+				}
+			})
+			require.False(t, q.enter())
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			if took := clock.Since(q.arrived); taken {
+				require.Zero(t, took)
+			} else {
+				require.Equal(t, clock.Seconds(constants.RefusePart), took)
+			}
+			runs, waiting, _ := x.q.Seen()
+			require.Equal(t, int(constants.LongRoom), runs)
+			require.Zero(t, waiting)
+		})
+	}
+}
--- a/gatehouse/readiness.go
+++ b/internal/router/readiness.go
@@ -1,12 +1,12 @@
-package gatehouse
+package router
 
 import (
 	"net/http"
 
-	"shaletrestle/crew"
-	"shaletrestle/fault"
-	"shaletrestle/plate"
-	"shaletrestle/reply"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/httpreply"
 )
 
 // slowWord marks a ping or its answer of a node whose machine has turned slow.
@@ -19,10 +19,10 @@
 	return ""
 }
 
-// pinger gives what asks another gatehouse whether it is there; both sides say whether they are slow.
-func (g *Gate) pinger(lines *crew.Lines, self string) func(node string) bool {
+// pinger gives what asks another router whether it is there; both sides say whether they are slow.
+func (g *Gate) pinger(lines *rpc.Lines, self string) func(node string) bool {
 	return func(node string) bool {
-		a, err := lines.Call(node, &crew.Note{Kind: crew.Hello, From: crew.Seat{Addr: self}, Word: g.word()}, plate.CallWait)
+		a, err := lines.Call(node, &rpc.Note{Kind: rpc.Hello, From: rpc.Seat{Addr: self}, Word: g.word()}, constants.CallWait)
 		if err != nil || !a.OK {
 			return false
 		}
@@ -32,13 +32,13 @@
 	}
 }
 
-// handle answers the pings of other gatehouses and takes their notes on long work.
-func (g *Gate) handle(ch *crew.Channel, n *crew.Note) *crew.Note {
-	if n.Kind == crew.Job {
+// handle answers the pings of other routers and takes their notes on long work.
+func (g *Gate) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	if n.Kind == rpc.Job {
 		g.long.note(ch, n)
 		return nil
 	}
-	if n.Kind != crew.Hello || n.Call == 0 {
+	if n.Kind != rpc.Hello || n.Call == 0 {
 		return nil
 	}
 	if n.From.Addr != "" {
@@ -58,11 +58,11 @@
 func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
 		if g.takesNew() {
-			reply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
+			httpreply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
 		} else {
-			reply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
+			httpreply.JSON(w, http.StatusServiceUnavailable, map[string]bool{"ready": false})
 		}
 		return
 	}
-	reply.Fault(w, fault.New(fault.NoPath, "no such call"))
+	httpreply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
 }
--- a/env/env_test.go
+++ b/internal/settings/env_test.go
@@ -1,4 +1,4 @@
-package env
+package settings
 
 import (
 	"strings"
@@ -6,9 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/berth"
-	"shaletrestle/fault"
-	"shaletrestle/plate"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/placement"
 )
 
 const good = `
@@ -37,10 +37,10 @@
 func TestPlacementOptionsHaveDefaults(t *testing.T) {
 	e, err := Parse([]byte(good), Need{})
 	require.NoError(t, err)
-	require.Equal(t, berth.Defaults(), e.Placement)
+	require.Equal(t, placement.Defaults(), e.Placement)
 	e, err = Parse([]byte(good+"placement: {prefill_load_scale: 3, count_active: false}\n"), Need{})
 	require.NoError(t, err)
-	want := berth.Defaults()
+	want := placement.Defaults()
 	want.PrefillScale, want.Active = 3, false
 	require.Equal(t, want, e.Placement)
 }
@@ -48,10 +48,10 @@
 func TestLongWorkIsOffUnlessAskedFor(t *testing.T) {
 	e, err := Parse([]byte(good), Need{Front: true})
 	require.NoError(t, err)
-	require.Equal(t, LongWork{Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: plate.LongTakes}, e.LongWork)
+	require.Equal(t, LongWork{Patient: constants.LongPatient, Heavy: constants.LongHeavy, Takes: constants.LongTakes}, e.LongWork)
 	e, err = Parse([]byte(good+"long_work: {enabled: true, takes: 9, other_zones: true}\n"), Need{Front: true})
 	require.NoError(t, err)
-	require.Equal(t, LongWork{Enabled: true, Patient: plate.LongPatient, Heavy: plate.LongHeavy, Takes: 9, OtherZones: true}, e.LongWork)
+	require.Equal(t, LongWork{Enabled: true, Patient: constants.LongPatient, Heavy: constants.LongHeavy, Takes: 9, OtherZones: true}, e.LongWork)
 }
 
 func TestParseNamesWhatIsWrong(t *testing.T) {
@@ -77,7 +77,7 @@
 		_, err := Parse([]byte(strings.Replace(good, x.old, x.now, 1)), Need{Front: true, Control: true})
 		require.Error(t, err, x.want)
 		require.Contains(t, err.Error(), x.want)
-		require.Equal(t, fault.BadEnv, fault.KindOf(err))
+		require.Equal(t, errkind.BadEnv, errkind.KindOf(err))
 	}
 }
 
@@ -122,7 +122,7 @@
 }
 
 func TestTheExampleSettingsServeAsTheyAre(t *testing.T) {
-	e, err := LoadFile("../docs/example/node.yaml", Need{Front: true, Control: true})
+	e, err := LoadFile("../../docs/example/node.yaml", Need{Front: true, Control: true})
 	require.NoError(t, err)
 	require.True(t, e.Keeps(), "one member that keeps the state")
 	n, ok := e.Losses()
--- a/sim/script.go
+++ b/internal/sim/script.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"shaletrestle/crew"
+	"shaletrestle/coord/replication/core"
 )
 
 // setupOf is the configuration of the scenarios at a revision; extra routes and flaws are asked for by name.
@@ -270,7 +270,7 @@
 				}
 			}
 		}
-	case "shares": // shares 6 g1 g2 within=4s: by these gatehouses the shares are made for so many
+	case "shares": // shares 6 g1 g2 within=4s: by these routers the shares are made for so many
 		for _, n := range a.pos[1:] {
 			for end := time.Now().Add(a.span("within", 0)); w.Shares(n) != mustInt(arg(0)); time.Sleep(100 * time.Millisecond) {
 				if time.Now().After(end) {
@@ -487,9 +487,9 @@
 			if p.house == nil || p.life.dead.Load() || !p.house.Acting() {
 				continue
 			}
-			c := p.house.Chart()
+			c := p.house.View()
 			all := append(c.Copies(), c.Witnesses...)
-			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x crew.Seat) bool { return strings.HasPrefix(x.Addr, s.w.procs[a.kv["none"]].ip+":") })
+			bad := a.kv["none"] != "" && slices.ContainsFunc(all, func(x core.Member) bool { return strings.HasPrefix(x.Address, s.w.procs[a.kv["none"]].ip+":") })
 			if !bad && len(c.Copies()) == a.num("copies", len(c.Copies())) && len(c.Witnesses) == a.num("witnesses", len(c.Witnesses)) {
 				return nil
 			}
--- a/sim/world.go
+++ b/internal/sim/world.go
@@ -17,12 +17,13 @@
 	"sync/atomic"
 	"time"
 
-	"shaletrestle/env"
-	"shaletrestle/gatehouse"
-	"shaletrestle/logbook"
-	"shaletrestle/scope"
-	"shaletrestle/tally"
-	"shaletrestle/tallyhouse"
+	"shaletrestle/coord/replication"
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/internal/controller"
+	"shaletrestle/internal/router"
+	"shaletrestle/internal/settings"
+	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
 )
 
 // life fences what a killed process still tries to do.
@@ -57,11 +58,13 @@
 	return f()
 }
 
-func (l *life) SaveRegister(r tally.Register) error {
+func (l *life) SaveRegister(r core.Register) error {
 	return l.alive(func() error { return l.Disk.SaveRegister(r) })
 }
-func (l *life) Reset(h tally.Held) error { return l.alive(func() error { return l.Disk.Reset(h) }) }
-func (l *life) Append(e []byte) error    { return l.alive(func() error { return l.Disk.Append(e) }) }
+func (l *life) SaveSnapshot(s core.Snapshot, tail []core.Entry) error {
+	return l.alive(func() error { return l.Disk.SaveSnapshot(s, tail) })
+}
+func (l *life) Append(e core.Entry) error { return l.alive(func() error { return l.Disk.Append(e) }) }
 
 // Proc is one of our processes.
 type Proc struct {
@@ -71,9 +74,9 @@
 	disk  *Disk
 	relay bool // it has no disk
 	life  *life
-	sc    *scope.Scope
-	house *tallyhouse.House
-	gate  *gatehouse.Gate
+	sc    *task.Scope
+	house *controller.House
+	gate  *router.Gate
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
 }
@@ -94,7 +97,7 @@
 	bodies    map[string]string
 	keys      map[string]string // the service that ran an affinity key of a split
 	broken    []string
-	list      func() []*logbook.Replica
+	list      func() []*state.Replica
 	listDown  bool
 	listEmpty bool
 	calls     int
@@ -107,7 +110,7 @@
 }
 
 // Bounds and settings of every simulated process.
-const settings = `
+const settingsTemplate = `
 node_name: %q
 ip: %q
 zone: %q
@@ -152,7 +155,7 @@
 	w.mu.Unlock()
 }
 
-// Seeds sets the tallyhouses that everybody is told of.
+// Seeds sets the controllers that everybody is told of.
 func (w *World) Seeds(names ...string) {
 	w.seeds = nil
 	for _, n := range names {
@@ -167,7 +170,7 @@
 	return p
 }
 
-// Start starts a process; a tallyhouse's name begins with h, a gatehouse's with g.
+// Start starts a process; a controller's name begins with h, a router's with g.
 func (w *World) Start(name string) error {
 	p := w.procs[name]
 	boot := p.first
@@ -185,7 +188,7 @@
 	if p.relay {
 		disk = "quorum_member: false"
 	}
-	e, err := env.Parse([]byte(fmt.Sprintf(settings, name, p.ip, p.zone, seeds, boot, zones, disk, w.losses)+w.more), env.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
+	e, err := settings.Parse([]byte(fmt.Sprintf(settingsTemplate, name, p.ip, p.zone, seeds, boot, zones, disk, w.losses)+w.more), settings.Need{Front: name[0] == 'g', Control: name[0] == 'h'})
 	if err != nil {
 		return err
 	}
@@ -196,13 +199,13 @@
 		p.disk = NewDisk(w.ids*1000003, boot)
 	}
 	p.life = &life{Host: w.Net.Host(p.ip), Disk: p.disk}
-	p.sc = scope.New(w.Log.With("node", name))
+	p.sc = task.New(w.Log.With("node", name))
 	if name[0] == 'h' {
-		var st tally.Store = p.life
+		var st replication.Store = p.life
 		if p.relay {
-			st = tally.NewNoDisk()
+			st = replication.NewNoDisk()
 		}
-		h, err := tallyhouse.New(p.sc, tallyhouse.Plan{Env: e, Net: p.life, Store: st})
+		h, err := controller.New(p.sc, controller.Plan{Env: e, Net: p.life, Store: st})
 		if err != nil {
 			return err
 		}
@@ -210,18 +213,18 @@
 		go func() { _ = h.Run() }()
 		return nil
 	}
-	p.gate = gatehouse.New(p.sc, gatehouse.Plan{Env: e, Net: p.life, Dialer: p.life, Work: p.work})
+	p.gate = router.New(p.sc, router.Plan{Env: e, Net: p.life, Dialer: p.life, Work: p.work})
 	g := p.gate
 	go func() { _ = g.Run() }()
 	return nil
 }
 
-// work is the time that a gatehouse's piece of work takes.
+// work is the time that a router's piece of work takes.
 func (p *Proc) work() time.Duration {
 	return 10 * time.Microsecond * time.Duration(max(1, p.slow.Load()))
 }
 
-// Ready asks a gatehouse as the platform does.
+// Ready asks a router as the platform does.
 func (w *World) Ready(name string) bool {
 	c := w.client("10.9.0.2")
 	c.Timeout = time.Second
@@ -233,7 +236,7 @@
 	return a.StatusCode == http.StatusOK
 }
 
-// Shares is the fleet size that a gatehouse goes by; 0 if it does not answer.
+// Shares is the fleet size that a router goes by; 0 if it does not answer.
 func (w *World) Shares(name string) int {
 	c := w.client("10.9.0.2")
 	c.Timeout = time.Second
@@ -296,10 +299,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	out := []*logbook.Replica{}
+	out := []*state.Replica{}
 	for _, r := range w.replicas {
 		if !w.listEmpty && r.state != "gone" {
-			out = append(out, &logbook.Replica{ID: r.ID, Pool: r.pool, Addr: r.at, Locality: r.zone, Software: "v1", Slots: r.slots, State: r.state, ColdMs: r.cold, Models: []logbook.Model{{Name: "m", Revision: 1}}})
+			out = append(out, &state.Replica{ID: r.ID, Pool: r.pool, Addr: r.at, Locality: r.zone, Software: "v1", Slots: r.slots, State: r.state, ColdMs: r.cold, Models: []state.Model{{Name: "m", Revision: 1}}})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
@@ -559,7 +562,7 @@
 	}
 }
 
-// late judges an arrival from a gatehouse that knew that the replica takes nothing more: what was on its way may still come, what waited may not.
+// late judges an arrival from a router that knew that the replica takes nothing more: what was on its way may still come, what waited may not.
 func (r *Replica) late(from, id string) {
 	for _, p := range r.w.procs {
 		if p.gate == nil || p.ip != from {
--- a/logbook/book.go
+++ b/internal/state/book.go
@@ -1,5 +1,5 @@
-// Package logbook is what happens inside the system as a journal of events, and the view that is folded from it.
-package logbook
+// Package state is what happens inside the system as a journal of events, and the view that is folded from it.
+package state
 
 import (
 	"encoding/json"
@@ -7,8 +7,8 @@
 
 	"go.uber.org/atomic"
 
-	"shaletrestle/fault"
-	"shaletrestle/setup"
+	"shaletrestle/internal/config"
+	"shaletrestle/internal/errkind"
 )
 
 // Event kinds.
@@ -18,7 +18,7 @@
 	Evacuate = "evacuate" // a locality takes nothing more
 	Return   = "return"   // and takes it again
 	List     = "list"     // changes of the platform's list
-	Fleet    = "fleet"    // how many gatehouses share the budgets
+	Fleet    = "fleet"    // how many routers share the budgets
 	Houses   = "houses"   // where the control members are
 	Health   = "health"   // replicas that the fleet's experience makes suspect, for a while: no part of the view
 )
@@ -130,7 +130,7 @@
 
 // View is the folded state. It is never changed after it was made.
 type View struct {
-	Doc      *setup.Doc
+	Doc      *config.Doc
 	Digests  []string
 	Evac     map[string]bool
 	Replicas map[string]*Replica
@@ -153,7 +153,7 @@
 
 // EmptyView is the view before the first event.
 func EmptyView() *View {
-	return &View{Doc: setup.Empty(), Evac: map[string]bool{}, Replicas: map[string]*Replica{}}
+	return &View{Doc: config.Empty(), Evac: map[string]bool{}, Replicas: map[string]*Replica{}}
 }
 
 // Next gives the view after an event.
@@ -192,13 +192,13 @@
 		n.Houses = e.Houses
 	case Health:
 	default:
-		err = fault.New(fault.BadInput, "unknown event %q", e.Kind)
+		err = errkind.New(errkind.BadInput, "unknown event %q", e.Kind)
 	}
 	if err != nil {
 		return nil, err
 	}
 	if e.Kind == Put || e.Kind == Patch {
-		d := append(append([]string{}, v.Digests...), setup.Digest(e.Kind, e.Base, e.Body))
+		d := append(append([]string{}, v.Digests...), config.Digest(e.Kind, e.Base, e.Body))
 		n.Digests = d[max(0, len(d)-digestsKept):]
 	}
 	return &n, nil
@@ -313,7 +313,7 @@
 func DecodeView(body []byte) (*View, error) {
 	var s stored
 	if err := json.Unmarshal(body, &s); err != nil {
-		return nil, fault.Wrap(fault.BadInput, err, "checkpoint")
+		return nil, errkind.Wrap(errkind.BadInput, err, "checkpoint")
 	}
 	n := EmptyView()
 	if s.Doc != nil {
--- a/blade/pool.go
+++ b/internal/upstream/pool.go
@@ -1,4 +1,4 @@
-package blade
+package upstream
 
 import (
 	"context"
@@ -9,27 +9,27 @@
 	"go.uber.org/atomic"
 	"golang.org/x/sys/unix"
 
-	"shaletrestle/fault"
-	"shaletrestle/plate"
-	"shaletrestle/portion"
-	"shaletrestle/tick"
+	"shaletrestle/coord/fairshare"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
 )
 
 // Dialer opens connections to replicas.
 type Dialer interface {
-	DialReplica(addr string, d tick.Span) (net.Conn, error)
+	DialReplica(addr string, d clock.Span) (net.Conn, error)
 }
 
 // TCP is the real network: unacknowledged bytes and silent peers end a connection soon.
 type TCP struct{}
 
 // DialReplica connects.
-func (TCP) DialReplica(addr string, d tick.Span) (net.Conn, error) {
+func (TCP) DialReplica(addr string, d clock.Span) (net.Conn, error) {
 	x := net.Dialer{Timeout: d, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(plate.UnackedMost.Milliseconds()))
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(constants.UnackedMost.Milliseconds()))
 		})
-	}, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: plate.AliveIdle, Interval: plate.AliveEvery, Count: plate.AliveCount}}
+	}, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: constants.AliveIdle, Interval: constants.AliveEvery, Count: constants.AliveCount}}
 	return x.DialContext(context.Background(), "tcp4", addr)
 }
 
@@ -58,12 +58,12 @@
 	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
-	pie  *portion.Pie // channels in use, by owner
+	pie  *fairshare.Pie // channels in use, by owner
 }
 
 // NewPool makes a pool; most is this process's share of the replica's connections, keep what is known of how long the service's replicas keep idle ones.
 func NewPool(addr string, d Dialer, most int, keep *Keep, made *Made) *Pool {
-	return &Pool{addr: addr, d: d, most: most, keep: keep, made: made, pie: portion.New(int64(most), plate.CalmPart)}
+	return &Pool{addr: addr, d: d, most: most, keep: keep, made: made, pie: fairshare.New(int64(most), constants.CalmPart)}
 }
 
 // Limit changes the share. Idle connections over a smaller one are closed; those in use end with their answers.
@@ -85,17 +85,17 @@
 }
 
 // Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten.
-func (p *Pool) Get(owner string, d tick.Span, wary bool) (*Channel, error) {
-	end := tick.Now().Add(d)
+func (p *Pool) Get(owner string, d clock.Span, wary bool) (*Channel, error) {
+	end := clock.Now().Add(d)
 	for {
 		p.mu.Lock()
 		if p.shut {
 			p.mu.Unlock()
-			return nil, fault.New(fault.Unready, "the replica is gone")
+			return nil, errkind.New(errkind.Unready, "the replica is gone")
 		}
 		if p.most < 1 {
 			p.mu.Unlock()
-			return nil, fault.New(fault.Crowded, "no share of the replica's connections")
+			return nil, errkind.New(errkind.Crowded, "no share of the replica's connections")
 		}
 		if p.pie.Take(owner, 1) {
 			had := len(p.free)
@@ -129,15 +129,15 @@
 		p.mu.Unlock()
 		select {
 		case <-w:
-		case <-tick.After(tick.Until(end)):
-			return nil, fault.New(fault.Crowded, "no connection is free")
+		case <-clock.After(clock.Until(end)):
+			return nil, errkind.New(errkind.Crowded, "no connection is free")
 		}
 	}
 }
 
 // idle takes the connection used last, if it may still be used; the caller holds the pool.
 func (p *Pool) idle(wary bool) *Channel {
-	now := tick.Now()
+	now := clock.Now()
 	for len(p.free) > 0 {
 		ch := p.free[len(p.free)-1]
 		idle := now.Sub(ch.idle)
@@ -156,8 +156,8 @@
 }
 
 // forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
-func (p *Pool) forgot(rested tick.Span) bool {
-	now := tick.Now()
+func (p *Pool) forgot(rested clock.Span) bool {
+	now := clock.Now()
 	if !p.keep.Forgot(rested, now) {
 		return false
 	}
@@ -176,15 +176,15 @@
 	return true
 }
 
-func (p *Pool) dial(owner string, end tick.Moment) (*Channel, error) {
-	c, err := p.d.DialReplica(p.addr, min(plate.ReplicaDial, tick.Until(end)))
+func (p *Pool) dial(owner string, end clock.Moment) (*Channel, error) {
+	c, err := p.d.DialReplica(p.addr, min(constants.ReplicaDial, clock.Until(end)))
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.pie.Give(owner, 1)
 		p.signal()
 		p.mu.Unlock()
-		return nil, fault.Wrap(fault.Broken, err, "dial")
+		return nil, errkind.Wrap(errkind.Broken, err, "dial")
 	}
 	p.made.All.Inc()
 	return open(p, c, owner), nil
@@ -238,7 +238,7 @@
 // Sweep closes connections whose idle time is over.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
-	now := tick.Now()
+	now := clock.Now()
 	var old []*Channel
 	for _, ch := range p.free {
 		if !now.Before(ch.expires) {
--- a/blade/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,4 +1,4 @@
-package blade
+package upstream
 
 import (
 	"bufio"
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/fault"
-	"shaletrestle/plate"
-	"shaletrestle/tick"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
 )
 
 // server answers over pipes and forgets connections that were idle for a while.
@@ -23,7 +23,7 @@
 	open   int
 }
 
-func (s *server) DialReplica(string, tick.Span) (net.Conn, error) {
+func (s *server) DialReplica(string, clock.Span) (net.Conn, error) {
 	a, b := net.Pipe()
 	s.mu.Lock()
 	s.open++
@@ -131,9 +131,9 @@
 		synctest.Wait()
 		require.Zero(t, s.now())
 		_, err := p.Get("o", time.Hour, false)
-		require.Equal(t, fault.Crowded, fault.KindOf(err), "without a share it fails at once")
+		require.Equal(t, errkind.Crowded, errkind.KindOf(err), "without a share it fails at once")
 		p.Limit(3)
-		ch, err := p.Get("o", plate.LumpWait, false)
+		ch, err := p.Get("o", constants.LumpWait, false)
 		require.NoError(t, err)
 		ch.Back()
 	})
