--- a/coord/replication/core/confirm.go
+++ b/coord/replication/core/confirm.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // call is an answer that waits for the witnesses' word.
@@ -66,7 +68,7 @@
 		c.answer(read.Token, Unclear, ErrTooMany)
 		return
 	}
-	c.confirmBefore(call{token: read.Token, deadline: read.Deadline, outcome: Current}, c.mutation == skipConfirmOnRead)
+	c.confirmBefore(call{token: read.Token, deadline: read.Deadline, outcome: Current}, c.mutation == mutation.SkipConfirmOnRead)
 }
 
 // confirmBefore answers a call after the next round.
@@ -122,7 +124,7 @@
 	}
 	f.granted = append(f.granted, m.From.ID)
 	needed := majority(len(view.Witnesses))
-	if c.mutation == skipMajority {
+	if c.mutation == mutation.SkipMajority {
 		needed = 1
 	}
 	if len(f.granted) < needed {
--- a/coord/replication/core/core.go
+++ b/coord/replication/core/core.go
@@ -4,6 +4,8 @@
 	"errors"
 	"log/slog"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // ErrDamaged says that what the disk held is no whole state.
@@ -57,27 +59,9 @@
 
 	yielding *yielding
 	leaving  *leaving
-	mutation mutation
+	mutation mutation.Kind // set by tests only
 }
 
-// mutation is a fault built in on purpose. Only tests set it, to show that their search finds it.
-type mutation uint8
-
-const (
-	noMutation             mutation = iota
-	skipSync                        // acknowledge an entry before the disk has it
-	answerBeforeBackups             // answer an order before the backups have it
-	skipMajority                    // one witness is enough
-	forgetPromise                   // a witness forgets what it promised
-	skipConfirmOnRefusal            // refusals and empty acknowledgements ask nobody
-	skipConfirmOnRead               // nor do reads
-	skipSeal                        // a copy that proposes goes on taking appends
-	skipEarlierProposal             // an earlier proposal is not finished first
-	overwriteSameTag                // a repeated transfer goes over what was appended since
-	skipOwnPromise                  // a proposer doesn't sync its own ballot before it uses it
-	acceptOtherDiskMessage          // a message meant for another disk is taken
-)
-
 // longAgo stands for "never" among times.
 const longAgo = -time.Hour
 
@@ -101,6 +85,9 @@
 	return c, nil
 }
 
+// Mutate builds a fault in. Only the tests of this package and those below it can name one.
+func (c *Core) Mutate(kind mutation.Kind) { c.mutation = kind }
+
 // Step handles one event. now is a steady clock since the process started that never goes back.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
 	c.effects = nil
@@ -178,7 +165,7 @@
 		c.touch(envelope.From)
 	}
 	meant := envelope.To == 0 || envelope.To == c.self.ID
-	if !meant && c.mutation != acceptOtherDiskMessage {
+	if !meant && c.mutation != mutation.AcceptOtherDiskMessage {
 		c.refuse(message, OtherDisk)
 		return
 	}
--- a/coord/replication/core/explore_model_test.go
+++ b/coord/replication/core/explore_model_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // The model that the search explores: three real cores, a queue of what is to happen, and monitors of the invariants. Model states are never changed once made: an action makes a new one, which shares all that it does not touch.
@@ -126,7 +128,7 @@
 type modelRules struct {
 	calls    []callKind
 	faults   []faultKind
-	mutation mutation
+	mutation mutation.Kind
 }
 
 func modelMember(i int, id MemberID) Member {
--- a/coord/replication/core/explore_test.go
+++ b/coord/replication/core/explore_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 var exploreDepth = flag.Int("explore.depth", 0, "deviations from the default schedule that the exhaustive search allows; 0: as bounded for CI")
@@ -29,7 +31,7 @@
 	steps     int
 	failure   string
 	failedVia []string
-	limit int
+	limit     int
 }
 
 func (s *search) visit(m *model) {
@@ -311,7 +313,7 @@
 
 func TestMutationsTry(t *testing.T) {
 	names := []string{"", "skipSync", "answerBeforeBackups", "skipMajority", "forgetPromise", "skipConfirmOnRefusal", "skipConfirmOnRead", "skipSeal", "skipEarlierProposal", "overwriteSameTag"}
-	for mut := skipSync; mut <= overwriteSameTag; mut++ {
+	for mut := mutation.SkipSync; mut <= mutation.OverwriteSameTag; mut++ {
 		t.Run(names[mut], func(t *testing.T) {
 			t.Parallel()
 			for dev := 1; dev <= 2; dev++ {
@@ -326,7 +328,9 @@
 						}
 					}
 				}
-				if dev == 1 { continue }
+				if dev == 1 {
+					continue
+				}
 			}
 		})
 	}
--- a/coord/replication/core/membership.go
+++ b/coord/replication/core/membership.go
@@ -263,9 +263,15 @@
 	}), true
 }
 
+// reluctance puts last those that did not answer lately, and the primary that this member takes over from, unless it has answered since.
 func (c *Core) reluctance(m Member) int {
 	p := c.peer(m.ID)
-	if p != nil && p.missed || c.refusedLately(m) {
+	if p == nil {
+		return 1
+	}
+	change := c.change
+	silent := m.ID == change.base.Primary.ID && p.seen < change.begun
+	if p.missed || silent || c.refusedLately(m) {
 		return 1
 	}
 	return 0
--- a/coord/replication/core/register.go
+++ b/coord/replication/core/register.go
@@ -1,6 +1,10 @@
 package core
 
-import "log/slog"
+import (
+	"log/slog"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
+)
 
 // The witness: one compare-and-set register for the epoch after the newest chosen view.
 //
@@ -63,7 +67,7 @@
 // answerOnceSynced sends a reply when the register is on disk as it is now.
 func (c *Core) answerOnceSynced(reply Message) {
 	c.registerChanged = true
-	if c.mutation == skipSync {
+	if c.mutation == mutation.SkipSync {
 		c.send(reply)
 		return
 	}
@@ -152,7 +156,7 @@
 	if base.Epoch == 0 && !c.config.Bootstrap {
 		return NotFirstDisk
 	}
-	if ballot < c.register.Promised && c.mutation != forgetPromise {
+	if ballot < c.register.Promised && c.mutation != mutation.ForgetPromise {
 		return Promised
 	}
 	return Granted
--- /dev/null
+++ b/coord/replication/core/takeover.go
@@ -0,0 +1,69 @@
+package core
+
+import "time"
+
+// mayLead tells whether this member may propose the view after a known one.
+//
+// Invariant: only a copy whose state covers the view may propose. The state must have been given under the view's proposal and be no shorter than its base, or under a later proposal for the same epoch: then nobody ever wrote in the view, and that state holds all that was acknowledged before, too, though it may be shorter than the base.
+func (c *Core) mayLead(view *View) bool {
+	roles := rolesOf(view, c.self.ID)
+	tag := c.state.tag
+	behind := c.state.position.Index < view.Base.Index
+	switch {
+	case c.config.Relay || roles&(RolePrimary|RoleBackup) == 0:
+		return false
+	case tag.Epoch == view.Epoch && tag.Ballot > view.Ballot, tag.Epoch > view.Epoch:
+		return true
+	case roles&RolePrimary != 0: // it proposed the view with its own state, under an older tag
+		return !behind
+	}
+	return tag == view.Tag() && !behind
+}
+
+// considerViewChange starts a view change if one is due.
+func (c *Core) considerViewChange() {
+	if c.change != nil || c.config.Relay || c.disk.stalled || c.disk.changesState() || c.now < c.retryAfter {
+		return
+	}
+	view := c.register.View
+	if view == nil {
+		if base, ok := c.firstBase(); ok {
+			c.startViewChange(base)
+		}
+		return
+	}
+	if c.active {
+		if c.viewChangeDue {
+			c.startViewChange(view)
+		}
+		return
+	}
+	if c.mayLead(view) && c.takeOverDue(view) {
+		c.startViewChange(view)
+	}
+}
+
+// takeOverDue tells whether a member that is not the primary should take over now.
+func (c *Core) takeOverDue(view *View) bool {
+	quiet := c.now - c.lastHeard
+	rank := indexOf(view.Backups, c.self.ID)
+	due := c.timing.PrimaryLost + time.Duration(max(rank, 0))*c.timing.RankWait
+	if c.leaving != nil { // only if nobody else does
+		return quiet > due+time.Duration(len(view.Backups)+1)*c.timing.RankWait
+	}
+	if rank < 0 { // the view's own primary, that was restarted or stepped down
+		return quiet > c.timing.Heartbeat
+	}
+	if c.viewChangeDue {
+		return true
+	}
+	if quiet <= due {
+		return false
+	}
+	return rank == 0 || c.now-c.promisedAt > c.timing.RankWait
+}
+
+// stepPause is the pause between two tries, spread by the member's id so that two candidates don't meet again and again.
+func (c *Core) stepPause() time.Duration {
+	return c.timing.StepPause + time.Duration(c.self.ID%8)*c.timing.StepPause/6
+}
--- a/coord/replication/core/view_change.go
+++ b/coord/replication/core/view_change.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"slices"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // A view change, run by the member that wants to be the primary of the next view: seal, prepare at the witnesses, give the state to the copies to be, accept at a majority of the witnesses, install at a majority of the new witnesses if they moved.
@@ -23,6 +25,7 @@
 type viewChange struct {
 	base       View // the view to be followed
 	ballot     Ballot
+	begun      time.Duration
 	wasPrimary bool
 	phase      phase
 	deadline   time.Duration // of the phase
@@ -114,74 +117,13 @@
 	}
 }
 
-// mayLead tells whether this member may propose the view after a known one.
-//
-// Invariant: only a copy whose state covers the view may propose. The state must have been given under the view's proposal and be no shorter than its base, or under a later proposal for the same epoch: then nobody ever wrote in the view, and that state holds all that was acknowledged before, too, though it may be shorter than the base.
-func (c *Core) mayLead(view *View) bool {
-	roles := rolesOf(view, c.self.ID)
-	tag := c.state.tag
-	behind := c.state.position.Index < view.Base.Index
-	switch {
-	case c.config.Relay || roles&(RolePrimary|RoleBackup) == 0:
-		return false
-	case tag.Epoch == view.Epoch && tag.Ballot > view.Ballot, tag.Epoch > view.Epoch:
-		return true
-	case roles&RolePrimary != 0: // it proposed the view with its own state, under an older tag
-		return !behind
-	}
-	return tag == view.Tag() && !behind
-}
-
-// considerViewChange starts a view change if one is due.
-func (c *Core) considerViewChange() {
-	if c.change != nil || c.config.Relay || c.disk.stalled || c.disk.changesState() || c.now < c.retryAfter {
-		return
-	}
-	view := c.register.View
-	if view == nil {
-		if base, ok := c.firstBase(); ok {
-			c.startViewChange(base)
-		}
-		return
-	}
-	if c.active {
-		if c.viewChangeDue {
-			c.startViewChange(view)
-		}
-		return
-	}
-	if c.mayLead(view) && c.takeOverDue(view) {
-		c.startViewChange(view)
-	}
-}
-
-// takeOverDue tells whether a member that is not the primary should take over now.
-func (c *Core) takeOverDue(view *View) bool {
-	quiet := c.now - c.lastHeard
-	rank := indexOf(view.Backups, c.self.ID)
-	due := c.timing.PrimaryLost + time.Duration(max(rank, 0))*c.timing.RankWait
-	if c.leaving != nil { // only if nobody else does
-		return quiet > due+time.Duration(len(view.Backups)+1)*c.timing.RankWait
-	}
-	if rank < 0 { // the view's own primary, that was restarted or stepped down
-		return quiet > c.timing.Heartbeat
-	}
-	if c.viewChangeDue {
-		return true
-	}
-	if quiet <= due {
-		return false
-	}
-	return rank == 0 || c.now-c.promisedAt > c.timing.RankWait
-}
-
 // startViewChange begins the change from a view to the next one.
 func (c *Core) startViewChange(base *View) {
-	c.change = &viewChange{base: *base.Clone(), wasPrimary: c.active, phase: repairing}
+	c.change = &viewChange{base: *base.Clone(), begun: c.now, wasPrimary: c.active, phase: repairing}
 	c.viewChangeDue = false
 	c.confirm.void()
 	// Invariant: a copy that proposes takes no append of the old view any more. So what is acknowledged after this moment is held here already.
-	if c.mutation != skipSeal {
+	if c.mutation != mutation.SkipSeal {
 		c.state.joined = StateTag{}
 	}
 	if c.state.broken {
@@ -215,7 +157,7 @@
 	c.round = max(c.round, ballotRound(c.register.Promised)) + 1
 	change.ballot = ballotOf(c.round, c.self.ID)
 	// Invariant: no two lives of a member use one ballot. The ballot is promised on the own disk before anything is offered under it, also if this member is no witness.
-	if c.mutation == skipOwnPromise {
+	if c.mutation == mutation.SkipOwnPromise {
 		change.promiseSaved = true
 	} else {
 		c.register.Promised = change.ballot
@@ -274,7 +216,7 @@
 
 func (c *Core) hasQuorum() bool {
 	needed := c.change.quorum()
-	if c.mutation == skipMajority {
+	if c.mutation == mutation.SkipMajority {
 		needed = 1
 	}
 	return len(c.change.granted) >= needed
@@ -286,7 +228,7 @@
 	if change.phase != preparing || !change.promiseSaved || !c.hasQuorum() {
 		return
 	}
-	if change.found != nil && c.mutation != skipEarlierProposal {
+	if change.found != nil && c.mutation != mutation.SkipEarlierProposal {
 		c.enter(finishing) // somebody was here before: its choice is finished first
 		return
 	}
@@ -417,11 +359,6 @@
 	c.retryAfter += c.timing.Heartbeat // not again at once
 }
 
-// stepPause is the pause between two tries, spread by the member's id so that two candidates don't meet again and again.
-func (c *Core) stepPause() time.Duration {
-	return c.timing.StepPause + time.Duration(c.self.ID%8)*c.timing.StepPause/6
-}
-
 // tickViewChange repeats what was not answered and gives up in the end.
 func (c *Core) tickViewChange() {
 	change := c.change
--- a/coord/replication/core/world_test.go
+++ b/coord/replication/core/world_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // text is a state machine that keeps a text.
@@ -83,7 +85,7 @@
 	answers map[Token]Answer
 	primary bool
 	left    *Left
-	mutate  mutation
+	mutate  mutation.Kind
 }
 
 type event struct {
--- a/coord/replication/core/write.go
+++ b/coord/replication/core/write.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"slices"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // write is the order under way. Orders run one at a time, so each one is decided on the state that all earlier ones left.
@@ -78,11 +80,11 @@
 func (c *Core) beginOrder(order Order) {
 	data, err := order.Decide()
 	if err != nil {
-		c.confirmBefore(call{token: order.Token, deadline: order.Deadline, outcome: Refused, err: err}, c.mutation == skipConfirmOnRefusal)
+		c.confirmBefore(call{token: order.Token, deadline: order.Deadline, outcome: Refused, err: err}, c.mutation == mutation.SkipConfirmOnRefusal)
 		return
 	}
 	if data == nil {
-		c.confirmBefore(call{token: order.Token, deadline: order.Deadline, outcome: InForce}, c.mutation == skipConfirmOnRefusal)
+		c.confirmBefore(call{token: order.Token, deadline: order.Deadline, outcome: InForce}, c.mutation == mutation.SkipConfirmOnRefusal)
 		return
 	}
 	view := c.register.View
@@ -96,7 +98,7 @@
 	c.write = &write{order: order, entry: entry, begun: c.now}
 	c.appendEntry(diskJob{kind: ownAppendJob, entry: entry})
 	c.sendAppends()
-	if c.mutation == answerBeforeBackups {
+	if c.mutation == mutation.AnswerBeforeBackups {
 		c.answer(order.Token, Committed, nil)
 		c.write.answered = true
 	}
@@ -157,7 +159,7 @@
 // Invariant: an acknowledged entry is synced on every copy of its view. No view is made with fewer copies than fewestCopies, so with losses to bear the primary never acknowledges alone.
 func (c *Core) considerCommit() {
 	w := c.write
-	if w == nil || w.carried || !w.onDisk && c.mutation != skipSync {
+	if w == nil || w.carried || !w.onDisk && c.mutation != mutation.SkipSync {
 		return
 	}
 	if len(w.backups) < len(c.register.View.Backups) {
@@ -258,7 +260,7 @@
 		return
 	}
 	reply.Held = m.Entry.Position()
-	if c.mutation == skipSync {
+	if c.mutation == mutation.SkipSync {
 		c.send(reply)
 	}
 	c.appendEntry(diskJob{kind: backupAppendJob, entry: m.Entry, reply: reply})
