--- /dev/null
+++ b/coord/replication/store/faults_test.go
@@ -0,0 +1,137 @@
+package store_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/replication/store"
+	"shaletrestle/coord/replication/store/storetest"
+)
+
+var faultLives = flag.Int("faults.disks", 1500, "random disks played, each with some lives")
+
+const (
+	livesOfADisk = 6
+	mostWrites   = 12
+	failingPart  = 0.25 // of the steps, in a life with a failing disk
+)
+
+var errFailing = errors.New("input/output error")
+
+// faultRun plays the lives of one disk with random writes. Each life has a disk that is well, failing or full, and ends by a kill or a loss of power at any step.
+type faultRun struct {
+	random  *rand.Rand
+	disk    *storetest.Disk
+	history *history
+	number  int
+}
+
+// searchFaults plays disks with seeds 1, 2, ... and gives the first broken promise.
+func searchFaults(disks int) error {
+	for seed := range disks {
+		run := faultRun{
+			random:  rand.New(rand.NewPCG(uint64(seed), 0)),
+			disk:    storetest.NewDisk(),
+			history: newHistory(),
+		}
+		for life := range livesOfADisk {
+			if err := run.life(); err != nil {
+				return errors.Wrapf(err, "seed %d, life %d", seed, life)
+			}
+		}
+	}
+	return nil
+}
+
+// life gives a broken promise, if any.
+func (r *faultRun) life() error {
+	r.disk.CutAt(1 + r.random.IntN(120))
+	r.setFault()
+	r.history.diskFails = r.disk.Fail != nil
+	err := r.write()
+	if broken := asBroken(err); broken != nil {
+		return broken
+	}
+	r.end()
+	return nil
+}
+
+func (r *faultRun) setFault() {
+	switch r.random.IntN(4) {
+	case 0:
+		r.disk.Fail = func(storetest.Operation) error {
+			if r.random.Float64() < failingPart {
+				return errFailing
+			}
+			return nil
+		}
+	case 1:
+		r.disk.Fail = fullDisk
+	default:
+		r.disk.Fail = nil
+	}
+}
+
+// fullDisk refuses each step that needs room.
+func fullDisk(operation storetest.Operation) error {
+	switch operation.Kind {
+	case storetest.MakeFolder, storetest.Create, storetest.Write:
+		return storetest.ErrFull
+	}
+	return nil
+}
+
+// write opens the store and writes to it until the power is gone or the life is over.
+func (r *faultRun) write() error {
+	s, err := r.history.open(r.disk)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for range r.random.IntN(mostWrites) {
+		err := r.writeOnce(s)
+		if errors.Is(err, storetest.ErrPower) {
+			return nil
+		}
+		if r.random.IntN(6) == 0 {
+			r.disk.Fail = nil
+		}
+	}
+	return nil
+}
+
+func (r *faultRun) writeOnce(s *store.Store) error {
+	r.number++
+	switch r.random.IntN(4) {
+	case 0:
+		return r.history.saveRegister(s, core.Register{Promised: core.Ballot(r.number)})
+	case 1:
+		snapshot := r.history.snapshotNow(r.number)
+		tail := follow(snapshot.Position, []string{"a", "b"}[:r.random.IntN(3)]...)
+		return r.history.saveSnapshot(s, snapshot, tail)
+	}
+	return r.history.append(s, string(rune('a'+r.random.IntN(26))))
+}
+
+// end kills the process or turns the power off.
+func (r *faultRun) end() {
+	choose := storetest.Random(r.random)
+	switch r.random.IntN(4) {
+	case 0:
+		choose = storetest.AllLost
+	case 1:
+		r.disk.Restart()
+		return
+	}
+	r.disk = r.disk.AfterPowerLoss(choose)
+}
+
+func TestRandomFaults(t *testing.T) {
+	require.NoError(t, searchFaults(*faultLives))
+	t.Logf("%d disks with %d lives each", *faultLives, livesOfADisk)
+}
--- a/coord/replication/store/files.go
+++ b/coord/replication/store/files.go
@@ -6,6 +6,7 @@
 	"path"
 	"slices"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -26,13 +27,21 @@
 	return s.files.SyncFolder(parent)
 }
 
-// syncFoldersAbove makes the names durable that lead to the data folder. They are others' folders, which this process may not be allowed to sync: errors are passed over.
-func (s *Store) syncFoldersAbove() {
+// syncFoldersAbove makes the names durable that lead to the data folder. Where this process may not sync others' folders, they were not made by it.
+func (s *Store) syncFoldersAbove() error {
 	folder := s.dir
 	for path.Dir(folder) != folder {
 		folder = path.Dir(folder)
-		_ = s.files.SyncFolder(folder)
+		if err := s.files.SyncFolder(folder); err != nil && !isNotAllowed(err) {
+			return err
+		}
 	}
+	return nil
+}
+
+// isNotAllowed tells whether a sync of a folder was refused for good.
+func isNotAllowed(err error) bool {
+	return errors.Is(err, fs.ErrPermission) || errors.Is(err, errors.ErrUnsupported) || errors.Is(err, syscall.EINVAL)
 }
 
 // replaceFile puts a file with new content in place of the one with that name, if any. Until the folder is synced, a loss of power leaves the old one or the new one, each whole.
--- a/coord/replication/store/store.go
+++ b/coord/replication/store/store.go
@@ -168,7 +168,9 @@
 		return err
 	}
 	// An earlier life may have been killed after it had made the folder, before its name was durable.
-	s.syncFoldersAbove()
+	if err := s.syncFoldersAbove(); err != nil {
+		return err
+	}
 	if err := s.replaceFile(identityName, record); err != nil {
 		return err
 	}
