--- a/coord/replication/store/faults_test.go
+++ b/coord/replication/store/faults_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"math/rand/v2"
 	"testing"
+	"testing/cryptotest"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -132,6 +133,7 @@
 }
 
 func TestRandomFaults(t *testing.T) {
+	cryptotest.SetGlobalRandom(t, 1)
 	require.NoError(t, searchFaults(*faultLives))
 	t.Logf("%d disks with %d lives each", *faultLives, livesOfADisk)
 }
--- a/coord/replication/store/history_test.go
+++ b/coord/replication/store/history_test.go
@@ -43,6 +43,21 @@
 	return &history{registers: []core.Register{{}}, states: []heldState{{}}}
 }
 
+// String is the same for histories with the same promises.
+func (h *history) String() string {
+	text := fmt.Sprintf("%d %d", h.id, len(h.registers))
+	for _, register := range h.registers {
+		text += fmt.Sprintf(" %d", register.Promised) // tells apart the registers of a test
+	}
+	for _, state := range h.states {
+		text += describe(state)
+		if state.Snapshot != nil {
+			text += fmt.Sprintf(" %x", state.end().Digest)
+		}
+	}
+	return text
+}
+
 func (h *history) copy() *history {
 	return &history{id: h.id, registers: slices.Clone(h.registers), states: slices.Clone(h.states)}
 }
--- a/coord/replication/store/mutation_test.go
+++ b/coord/replication/store/mutation_test.go
@@ -212,7 +212,7 @@
 func TestSearchesFindEveryMutation(t *testing.T) {
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
-			search := newPowerSearch()
+			search := newPowerSearch(t)
 			search.mutation = m
 			search.killed = m.search == byKill
 			err := search.run()
--- a/coord/replication/store/power_test.go
+++ b/coord/replication/store/power_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"math/rand/v2"
 	"testing"
+	"testing/cryptotest"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -55,12 +56,15 @@
 
 // powerSearch cuts the power at every step of the script, and at every step of the life after it, and checks what each possible outcome holds.
 type powerSearch struct {
+	t        *testing.T
 	mutation mutation // the zero value is none
 	killed   bool     // the process is killed first and starts once more before the power goes
 	random   *rand.Rand
 	outcomes int // how many are tried at each cut, exhaustively or else at random
 	recovery int // the same in the life after a cut
 
+	known map[string]bool // disks and what they had to hold, that were tried
+
 	cuts, disks, recoveryCuts, recoveryDisks, incomplete int
 }
 
@@ -71,6 +75,7 @@
 // run gives the first broken promise.
 func (p *powerSearch) run() error {
 	for step := 1; ; step++ {
+		cryptotest.SetGlobalRandom(p.t, 1) // so that the same disk gets the same identity
 		disk := p.mutation.newDisk()
 		disk.CutAt(step)
 		h := newHistory()
@@ -100,6 +105,11 @@
 	}
 	var broken error
 	complete := disk.Outcomes(p.outcomes, p.random, func(outcome *storetest.Disk) bool {
+		key := h.String() + outcome.Fingerprint()
+		if p.known[key] {
+			return true
+		}
+		p.known[key] = true
 		p.disks++
 		broken = p.recover(outcome, h)
 		return broken == nil
@@ -171,28 +181,30 @@
 	return nil
 }
 
-func newPowerSearch() *powerSearch {
+func newPowerSearch(t *testing.T) *powerSearch {
 	return &powerSearch{
+		t:        t,
+		known:    map[string]bool{},
 		random:   rand.New(rand.NewPCG(1, 2)),
 		outcomes: *outcomeLimit,
 		recovery: *recoveryLimit,
 	}
 }
 
-func (p *powerSearch) log(t *testing.T) {
-	t.Logf("%d cuts, %d different disks after them, %d of the cuts sampled; %d cuts of the lives after them, %d disks",
+func (p *powerSearch) log() {
+	p.t.Logf("%d cuts, %d different disks after them, %d of the cuts sampled; %d cuts of the lives after them, %d disks",
 		p.cuts, p.disks, p.incomplete, p.recoveryCuts, p.recoveryDisks)
 }
 
 func TestPowerCutAtEveryStep(t *testing.T) {
-	search := newPowerSearch()
+	search := newPowerSearch(t)
 	require.NoError(t, search.run())
-	search.log(t)
+	search.log()
 }
 
 func TestKilledAtEveryStepThenPowerCut(t *testing.T) {
-	search := newPowerSearch()
+	search := newPowerSearch(t)
 	search.killed = true
 	require.NoError(t, search.run())
-	search.log(t)
+	search.log()
 }
--- a/coord/replication/store/storetest/power.go
+++ b/coord/replication/store/storetest/power.go
@@ -1,10 +1,9 @@
 package storetest
 
 import (
-	"fmt"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
-	"strings"
 )
 
 // Restart turns the power on again after the process was killed: everything is as it was, and what was not synced still isn't.
@@ -230,24 +229,28 @@
 
 // Fingerprint is the same for disks with the same names and contents.
 func (d *Disk) Fingerprint() string {
-	var out strings.Builder
-	numbers := map[*file]int{}
-	var write func(*folder)
-	write = func(within *folder) {
-		for _, name := range within.names() {
-			switch child := within.current[name].(type) {
-			case *folder:
-				fmt.Fprintf(&out, "%q{", name)
-				write(child)
-				out.WriteString("}")
-			case *file:
-				if _, known := numbers[child]; !known {
-					numbers[child] = len(numbers)
-				}
-				fmt.Fprintf(&out, "%q#%d=%q;", name, numbers[child], child.current)
+	return string(appendFingerprint(nil, d.root, map[*file]int{}))
+}
+
+// appendFingerprint writes a folder's names and contents, each with its length. Files are numbered, since one may have two names.
+func appendFingerprint(out []byte, within *folder, numbers map[*file]int) []byte {
+	out = binary.AppendUvarint(out, uint64(len(within.current)))
+	for _, name := range within.names() {
+		out = binary.AppendUvarint(out, uint64(len(name)))
+		out = append(out, name...)
+		switch child := within.current[name].(type) {
+		case *folder:
+			out = append(out, 'd')
+			out = appendFingerprint(out, child, numbers)
+		case *file:
+			if _, known := numbers[child]; !known {
+				numbers[child] = len(numbers)
 			}
+			out = append(out, 'f')
+			out = binary.AppendUvarint(out, uint64(numbers[child]))
+			out = binary.AppendUvarint(out, uint64(len(child.current)))
+			out = append(out, child.current...)
 		}
 	}
-	write(d.root)
-	return out.String()
+	return out
 }
