--- a/coord/replication/store/export_test.go
+++ b/coord/replication/store/export_test.go
@@ -5,9 +5,22 @@
 	EncodeSegment  = encodeSegment
 	EncodeSnapshot = encodeSnapshot
 	EncodeRegister = encodeRegister
-	EncodeIdentity = encodeIdentity
 	DecodeSnapshot = decodeSnapshot
 	DecodeRegister = decodeRegister
 	DecodeIdentity = decodeIdentity
 	ReadSegment    = readSegment
 )
+
+// The records of each kind around any payload.
+var (
+	SealIdentity = sealAs(identityRecord)
+	SealRegister = sealAs(registerRecord)
+	SealSnapshot = sealAs(snapshotRecord)
+	SealEntry    = sealAs(entryRecord)
+)
+
+func sealAs(kind recordKind) func(owner uint64, payload []byte) []byte {
+	return func(owner uint64, payload []byte) []byte {
+		return seal(kind, owner, payload)
+	}
+}
