--- a/coord/replication/store/damage_test.go
+++ b/coord/replication/store/damage_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/replication/core"
 	"shaletrestle/coord/replication/store"
+	"shaletrestle/coord/replication/store/storetest"
 )
 
 // requireStartedOver checks that a folder is taken for an empty disk with another identity.
@@ -40,6 +42,7 @@
 }
 
 func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	id, _ := fill(t, dir).Identity()
 	segment := only(t, dir, "log-*/*")
@@ -67,6 +70,7 @@
 }
 
 func TestTornLastRecordWithWrongBytes(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	id, _ := fill(t, dir).Identity()
 	segment := only(t, dir, "log-*/*")
@@ -83,6 +87,7 @@
 }
 
 func TestDamagedBodyOfALogStartsOver(t *testing.T) {
+	t.Parallel()
 	reference := t.TempDir()
 	id, _ := fill(t, reference).Identity()
 	bodyEnd := recordEnds(id, startEntries)[2]
@@ -99,6 +104,7 @@
 }
 
 func TestDamagedFileStartsOver(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"identity", "register-*", "snapshot-*"} {
 		reference := t.TempDir()
 		id, _ := fill(t, reference).Identity()
@@ -178,6 +184,59 @@
 	}
 }
 
+func TestStartOverKeepsNothing(t *testing.T) {
+	dir := t.TempDir()
+	s := fill(t, dir)
+	id, _ := s.Identity()
+	require.NoError(t, s.StartOver("the state can't be restored"))
+	newID, firstStart := s.Identity()
+	require.NotEqual(t, id, newID)
+	require.False(t, firstStart)
+	require.Equal(t, core.Stored{}, s.Load())
+	require.ErrorIs(t, s.Append(startEntries[0]), store.ErrLogClosed)
+	require.Equal(t, []string{"identity"}, names(t, dir))
+	again, _ := open(t, dir).Identity()
+	require.Equal(t, newID, again)
+}
+
+// TestStartOverOnADamagedDiskIsCutAtEveryStep: whatever is left of a start on a damaged disk, nothing that was on it counts any more under any identity but the old one, which is still seen to be damaged.
+func TestStartOverOnADamagedDiskIsCutAtEveryStep(t *testing.T) {
+	for _, damagedFile := range []string{"register-", "snapshot-"} {
+		full := storetest.NewDisk()
+		s := openModel(t, full)
+		require.NoError(t, s.SaveSnapshot(startSnapshot, startEntries))
+		require.NoError(t, s.SaveRegister(savedRegister))
+		id, _ := s.Identity()
+		found, err := full.List(modelFolder)
+		require.NoError(t, err)
+		for _, name := range found {
+			if strings.HasPrefix(name, damagedFile) {
+				file, err := full.Create(modelFolder + "/" + name)
+				require.NoError(t, err)
+				require.NoError(t, file.Sync())
+			}
+		}
+		for step := 1; ; step++ {
+			disk := full.Copy()
+			disk.CutAt(step)
+			_, err := store.Open(disk, modelFolder, true)
+			complete := disk.Outcomes(10_000, nil, func(left *storetest.Disk) bool {
+				again, err := store.Open(left, modelFolder, true)
+				require.NoError(t, err)
+				newID, firstStart := again.Identity()
+				require.NotEqual(t, id, newID)
+				require.False(t, firstStart)
+				require.Equal(t, core.Stored{}, again.Load())
+				return true
+			})
+			require.True(t, complete, "all outcomes are tried")
+			if err == nil {
+				break
+			}
+		}
+	}
+}
+
 func TestTornUnfinishedFilesAreNoDamage(t *testing.T) {
 	dir := t.TempDir()
 	id, _ := fill(t, dir).Identity()
--- a/coord/replication/store/mutation_test.go
+++ b/coord/replication/store/mutation_test.go
@@ -20,6 +20,8 @@
 }
 
 const (
+	mutatedRecovery = 30 // outcomes tried in the life after a loss of power
+
 	byPowerCut = "power cut"
 	byKill     = "kill and power cut"
 )
@@ -214,6 +216,7 @@
 		t.Run(m.name, func(t *testing.T) {
 			search := newPowerSearch(t)
 			search.mutation = m
+			search.recovery = mutatedRecovery
 			search.killed = m.search == byKill
 			err := search.run()
 			require.Error(t, err, "not found by: %s", m.search)
--- a/coord/replication/store/power_test.go
+++ b/coord/replication/store/power_test.go
@@ -16,7 +16,7 @@
 
 var (
 	outcomeLimit   = flag.Int("power.outcomes", 3000, "outcomes of a loss of power tried exhaustively; above it, so many random ones")
-	recoveryLimit  = flag.Int("power.recovery", 60, "the same for a loss of power in the life after one")
+	recoveryLimit  = flag.Int("power.recovery", 3000, "the same for a loss of power in the life after one")
 	secondSnapshot = flag.Bool("power.snapshot", false, "save a snapshot too in the life after a loss of power")
 )
 
@@ -65,7 +65,7 @@
 
 	known map[string]bool // disks and what they had to hold, that were tried
 
-	cuts, disks, recoveryCuts, recoveryDisks, incomplete int
+	cuts, disks, recoveryCuts, recoveryDisks, incomplete, recoveryIncomplete int
 }
 
 func (p *powerSearch) files(disk *storetest.Disk) store.FileSystem {
@@ -132,7 +132,7 @@
 		}
 		p.recoveryCuts++
 		var broken error
-		disk.Outcomes(p.recovery, p.random, func(outcome *storetest.Disk) bool {
+		complete := disk.Outcomes(p.recovery, p.random, func(outcome *storetest.Disk) bool {
 			p.recoveryDisks++
 			_, broken = found.copy().open(p.files(p.restored(outcome)))
 			return broken == nil
@@ -140,6 +140,9 @@
 		if broken != nil {
 			return errors.Wrapf(broken, "and cut again at step %d of the next life", step)
 		}
+		if !complete {
+			p.recoveryIncomplete++
+		}
 		if err == nil {
 			return nil
 		}
@@ -192,8 +195,8 @@
 }
 
 func (p *powerSearch) log() {
-	p.t.Logf("%d cuts, %d different disks after them, %d of the cuts sampled; %d cuts of the lives after them, %d disks",
-		p.cuts, p.disks, p.incomplete, p.recoveryCuts, p.recoveryDisks)
+	p.t.Logf("%d cuts, %d different disks after them, %d of the cuts sampled; %d cuts of the lives after them, %d disks, %d of these cuts sampled",
+		p.cuts, p.disks, p.incomplete, p.recoveryCuts, p.recoveryDisks, p.recoveryIncomplete)
 }
 
 func TestPowerCutAtEveryStep(t *testing.T) {
--- a/coord/replication/store/store.go
+++ b/coord/replication/store/store.go
@@ -67,7 +67,7 @@
 	err := s.load(firstStart)
 	var damage *damageError
 	if errors.As(err, &damage) {
-		err = s.startOver(damage.reason)
+		err = s.StartOver(damage.reason)
 	}
 	if err != nil {
 		s.closeLog()
@@ -149,8 +149,10 @@
 	return false, nil
 }
 
-// startOver makes the folder one of an empty disk with another identity. The identity's change takes effect as a whole, and with it no other name counts any more.
-func (s *Store) startOver(reason string) error {
+// StartOver makes the folder one of an empty disk with another identity, which has no part in a first start. Open does it by itself with a damaged folder; it is for data that is whole on disk but that its owner can't use.
+//
+// The identity's change takes effect as a whole, and with it no other name counts any more.
+func (s *Store) StartOver(reason string) error {
 	s.closeLog()
 	*s = Store{files: s.files, dir: s.dir, note: reason}
 	return s.saveIdentity(false)
--- a/coord/replication/store/trouble_test.go
+++ b/coord/replication/store/trouble_test.go
@@ -158,6 +158,7 @@
 
 // TestLogLibraryWritesWhatTheModelWrites compares the library's log with the model's: the same bytes in the same one file, also after it was opened again and far above the library's own limit of a segment.
 func TestLogLibraryWritesWhatTheModelWrites(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	disk := storetest.NewDisk()
 	var entries []core.Entry
