--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,35 +47,57 @@
 
 // New makes a member from its store; Run starts it.
 func New(scope *task.Scope, config Config) (*Member, error) {
-	id, firstStart := config.Store.Identity()
 	m := &Member{
 		scope:  scope.Part("replication"),
 		config: config,
-		self:   core.Member{ID: core.MemberID(id), Address: config.Address, Zone: config.Zone},
 		timing: core.DefaultTiming(),
 		born:   time.Now(),
 		events: make(chan core.Event, eventsMost),
 		left:   make(chan core.Left, 1),
 	}
 	m.disk = newDiskWorker(m.scope, config.Store, m.timing, m.post)
-	stepped, err := core.New(core.Config{
+	err := m.load()
+	if errors.Is(err, core.ErrDamaged) {
+		err = m.startOver(err)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "stored state")
+	}
+	m.status.Store(&status{view: m.core.View()})
+	return m, nil
+}
+
+// load makes the core from what the disk holds.
+func (m *Member) load() error {
+	id, firstStart := m.config.Store.Identity()
+	m.self = core.Member{ID: core.MemberID(id), Address: m.config.Address, Zone: m.config.Zone}
+	loaded, err := core.New(core.Config{
 		Self:      m.self,
-		Seeds:     config.Seeds,
-		Losses:    config.Losses,
-		Areas:     config.Areas,
-		Area:      config.Area,
-		Relay:     config.Relay,
+		Seeds:     m.config.Seeds,
+		Losses:    m.config.Losses,
+		Areas:     m.config.Areas,
+		Area:      m.config.Area,
+		Relay:     m.config.Relay,
 		Bootstrap: firstStart,
-		Machine:   machineAdapter{config.Machine},
+		Machine:   machineAdapter{m.config.Machine},
 		Timing:    m.timing,
 		Limits:    core.DefaultLimits(),
-	}, config.Store.Load())
-	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "stored state")
+	}, m.config.Store.Load())
+	m.core = loaded
+	return err
+}
+
+// startOver makes the disk an empty one with another identity, if its store can do that: what it held can't be used, and it must not pass for a disk that holds it.
+func (m *Member) startOver(cause error) error {
+	restarter, ok := m.config.Store.(interface{ StartOver(reason string) error })
+	if !ok {
+		return cause
 	}
-	m.core = stepped
-	m.status.Store(&status{view: stepped.View()})
-	return m, nil
+	m.scope.Log().Error("the stored state can't be used; the disk is joined anew, empty", "err", cause.Error())
+	if err := restarter.StartOver(cause.Error()); err != nil {
+		return errors.Join(cause, err)
+	}
+	return m.load()
 }
 
 // Run works until the scope ends.
