--- a/coord/replication/links.go
+++ b/coord/replication/links.go
@@ -110,7 +110,8 @@
 		return false
 	}
 	now := time.Now()
-	if k.sentAt.IsZero() || now.Add(-k.channel.Quiet()).After(k.sentAt) {
+	heardAt := now.Add(-k.channel.Quiet())
+	if k.sentAt.IsZero() || !heardAt.Before(k.sentAt) {
 		k.sentAt = now
 		k.sent = 0
 		return true
--- /dev/null
+++ b/coord/replication/links_test.go
@@ -0,0 +1,151 @@
+package replication
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/task"
+)
+
+// pipes is a network of pipes to one listener; a mute one takes bytes and gives no answer.
+type pipes struct {
+	scope *task.Scope
+	mu    sync.Mutex
+	dials int
+	down  bool
+	take  rpc.Handler
+}
+
+func (p *pipes) Dial(string, time.Duration) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials++
+	if p.down {
+		return nil, errkind.New(errkind.Unready, "nobody is there")
+	}
+	near, far := net.Pipe()
+	rpc.Open(p.scope, far, p.take)
+	return near, nil
+}
+
+func (p *pipes) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// linked is a member's links, and what arrives at the other end.
+func linked(scope *task.Scope, answer func(channel *rpc.Channel)) (*Links, *pipes, chan core.Message) {
+	arrived := make(chan core.Message, 100)
+	p := &pipes{scope: scope}
+	p.take = func(channel *rpc.Channel, note *rpc.Note) *rpc.Note {
+		message, err := decodeMessage(note.Body)
+		if err == nil {
+			arrived <- message
+		}
+		if answer != nil {
+			answer(channel)
+		}
+		return nil
+	}
+	links := NewLinks(rpc.NewLines(scope, p, func(*rpc.Channel, *rpc.Note) *rpc.Note { return nil }))
+	return links, p, arrived
+}
+
+func confirmRound(round uint64) core.Message {
+	return core.Confirm{Envelope: core.Envelope{From: core.Member{ID: 1, Address: "a"}, To: 2, ToAddress: "b"}, Round: round}
+}
+
+func TestMessagesWaitForTheDialAndShareItsChannel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := task.New(slog.New(slog.DiscardHandler))
+		defer scope.Stop()
+		links, network, arrived := linked(scope, nil)
+		for round := range uint64(5) {
+			links.Send("b", confirmRound(round))
+		}
+		synctest.Wait()
+		require.Len(t, arrived, 5)
+		for round := range uint64(5) {
+			require.Equal(t, confirmRound(round), <-arrived)
+		}
+		require.Equal(t, 1, network.dials)
+	})
+}
+
+func TestAnUnreachableMemberHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := task.New(slog.New(slog.DiscardHandler))
+		defer scope.Stop()
+		links, network, arrived := linked(scope, nil)
+		network.down = true
+		for round := range uint64(1000) {
+			links.Send("b", confirmRound(round))
+		}
+		synctest.Wait()
+		network.mu.Lock()
+		network.down = false
+		network.mu.Unlock()
+		links.Send("b", confirmRound(1000))
+		synctest.Wait()
+		require.Len(t, arrived, 1, "what was sent to nobody is dropped")
+	})
+}
+
+// TestASilentChannelIsLeft sends on a channel on which no answer comes: it is closed after the wait of an answer, and another is dialled.
+func TestASilentChannelIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := task.New(slog.New(slog.DiscardHandler))
+		defer scope.Stop()
+		links, network, _ := linked(scope, nil)
+		for range 8 {
+			links.Send("b", confirmRound(1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		require.Equal(t, 2, network.dials)
+	})
+}
+
+func TestAnAnsweredChannelIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := task.New(slog.New(slog.DiscardHandler))
+		defer scope.Stop()
+		links, network, _ := linked(scope, func(channel *rpc.Channel) { channel.Send(&rpc.Note{Kind: rpc.Replication}) })
+		for range 30 {
+			links.Send("b", confirmRound(1))
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 1, network.dials)
+	})
+}
+
+// TestAnAnswerGoesTheWayTheQuestionCame sends to a member that was heard on a channel of its own: nothing is dialled.
+func TestAnAnswerGoesTheWayTheQuestionCame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := task.New(slog.New(slog.DiscardHandler))
+		defer scope.Stop()
+		links, network, _ := linked(scope, nil)
+		near, far := net.Pipe()
+		heard := make(chan *rpc.Note, 1)
+		rpc.Open(scope, far, func(_ *rpc.Channel, note *rpc.Note) *rpc.Note {
+			heard <- note
+			return nil
+		})
+		accepted := rpc.Open(scope, near, func(*rpc.Channel, *rpc.Note) *rpc.Note { return nil })
+		links.Heard("b", accepted)
+		links.Send("b", confirmRound(7))
+		synctest.Wait()
+		require.Len(t, heard, 1)
+		require.Zero(t, network.dials)
+		accepted.Close()
+		links.Send("b", confirmRound(8))
+		synctest.Wait()
+		require.Equal(t, 1, network.dials, "the channel it came on has ended")
+	})
+}
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -279,6 +279,33 @@
 	})
 }
 
+// spoiled is a disk whose state is whole and yet not understood.
+type spoiled struct {
+	memory
+	restarts []string
+}
+
+func (s *spoiled) StartOver(reason string) error {
+	s.restarts = append(s.restarts, reason)
+	s.id, s.late, s.register, s.snapshot, s.entries = s.id+1, true, core.Register{}, nil, nil
+	return nil
+}
+
+func TestAMemberWhoseStateIsNotUnderstoodJoinsAnew(t *testing.T) {
+	sc := task.New(slog.New(slog.DiscardHandler))
+	defer sc.Stop()
+	disk := &spoiled{memory: memory{id: 7}}
+	disk.snapshot = &core.Snapshot{Position: core.Position{Index: 1, Digest: 5}}
+	disk.entries = []core.Entry{{Index: 9, Previous: 1}}
+	m, err := New(sc, Config{Address: "a", Seeds: []string{"a"}, Store: disk, Machine: &lines{}, Transport: newHall()})
+	require.NoError(t, err)
+	require.Len(t, disk.restarts, 1)
+	require.EqualValues(t, 8, m.Self().ID)
+	helpless := &memory{id: 7, snapshot: &core.Snapshot{}, entries: []core.Entry{{Index: 9}}}
+	_, err = New(sc, Config{Address: "a", Store: helpless, Machine: &lines{}, Transport: newHall()})
+	require.ErrorIs(t, err, core.ErrDamaged, "its store can't start over")
+}
+
 func ExampleMember_Propose() {
 	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
