--- /dev/null
+++ b/coord/distribution/catchup_test.go
@@ -0,0 +1,149 @@
+package distribution
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/task"
+)
+
+// link is a network to one feed whose bytes from the feed share one rate.
+type link struct {
+	sc    *task.Scope
+	feed  *Feed
+	rate  int // bytes a second
+	mu    sync.Mutex
+	free  time.Time // when the link has carried what was given to it
+	dials int
+}
+
+type slowConn struct {
+	net.Conn
+	l *link
+}
+
+func (c slowConn) Write(b []byte) (int, error) {
+	c.l.mu.Lock()
+	now := time.Now()
+	if c.l.free.Before(now) {
+		c.l.free = now
+	}
+	c.l.free = c.l.free.Add(time.Duration(len(b)) * time.Second / time.Duration(c.l.rate))
+	wait := c.l.free.Sub(now)
+	c.l.mu.Unlock()
+	time.Sleep(wait)
+	return c.Conn.Write(b)
+}
+
+func (l *link) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+func (l *link) Dial(string, clock.Span) (net.Conn, error) {
+	l.mu.Lock()
+	l.dials++
+	l.mu.Unlock()
+	a, b := net.Pipe()
+	rpc.Open(l.sc, slowConn{b, l}, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+		switch n.Kind {
+		case rpc.Follow:
+			l.feed.Follow(ch, n)
+		case rpc.Heard:
+			l.feed.Ack(ch, n)
+		}
+		return nil
+	})
+	return a, nil
+}
+
+func TestAFollowerThatWasAwayForManyChangesCatchesUpWhileTheyGoOn(t *testing.T) {
+	for _, missed := range []int{10, 100, 400, 1000, 10000} {
+		synctest.Test(t, func(t *testing.T) {
+			sc := task.New(slog.New(slog.DiscardHandler))
+			defer func() { sc.Stop(); time.Sleep(time.Second) }()
+			b := &words{}
+			f := NewFeed(sc, b, nil)
+			push := begin(f, 1)
+			l := &link{sc: sc, feed: f, rate: 1 << 20}
+			got := &words{}
+			c := NewCursor(got)
+			require.NoError(t, c.Restore(Position{1, 0}, nil, true))
+			for i := range missed {
+				push(fmt.Sprintf("%06d;", i))
+			}
+			body := strings.Repeat("x", 2000) // at 250 a second half of the link's rate
+			stop := sc.Part("pushing")
+			go clock.Every(stop, 4*time.Millisecond, func() bool { push(body); return true })
+			go NewFollower(sc, l, c, rpc.Seat{ID: 1}, false, func(string) string { return "x" }, nil).Run()
+			start := time.Now()
+			for time.Since(start) < 20*time.Second {
+				_, at := f.At()
+				_, have := c.At()
+				if have >= uint64(missed) && at-have < constants.NewsWindow {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Logf("%d changes missed: caught up after %v", missed, time.Since(start))
+			require.Less(t, time.Since(start), 20*time.Second)
+			time.Sleep(3 * time.Second)
+			_, at := f.At()
+			_, have := c.At()
+			require.Less(t, at-have, uint64(2*constants.NewsWindow), "it stays near while changes go on")
+			stop.Stop()
+			time.Sleep(5 * time.Second)
+			require.Equal(t, string(b.Checkpoint()), string(got.Checkpoint()))
+			require.Equal(t, 1, l.dials, "one connection did it all")
+			require.LessOrEqual(t, len(f.kept), constants.NewsKeep, "what is kept is bounded")
+		})
+	}
+}
+
+func TestManyFollowersThatComeAtOnceGetOneSnapshotAFewAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := task.New(slog.New(slog.DiscardHandler))
+		defer func() { sc.Stop(); time.Sleep(time.Second) }()
+		b := &counted{words: words{s: strings.Repeat("s", 300<<10)}}
+		f := NewFeed(sc, b, nil)
+		push := begin(f, 1)
+		b.made = 0
+		l := &link{sc: sc, feed: f, rate: constants.LinkBytes}
+		const many = 390
+		cursors := make([]*Cursor, many)
+		start := time.Now()
+		for i := range cursors {
+			cursors[i] = NewCursor(&words{})
+			go NewFollower(sc, l, cursors[i], rpc.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil).Run()
+		}
+		most := 0
+		for f.Acked() == 0 && time.Since(start) < time.Minute {
+			f.mu.Lock()
+			most = max(most, f.underWay)
+			if n, _ := f.source.feed.progress.at, f.source; n.Number == 0 && len(f.queue) == many/2 {
+				f.mu.Unlock()
+				push("+") // what is new comes while half of them still wait
+				continue
+			}
+			f.mu.Unlock()
+			time.Sleep(time.Millisecond)
+		}
+		t.Logf("%d followers after %v", many, time.Since(start))
+		require.LessOrEqual(t, most, constants.SnapshotsAtOnce)
+		require.Less(t, time.Since(start), 20*time.Second, "the link needs %d s for the bytes alone", many*300<<10/constants.LinkBytes)
+		require.LessOrEqual(t, b.made, 2, "encoded once a state, for all")
+		require.Equal(t, many, l.dials, "nobody gave up")
+		for _, c := range cursors {
+			_, at := c.At()
+			require.Equal(t, uint64(1), at)
+		}
+	})
+}
--- a/coord/distribution/cursor.go
+++ b/coord/distribution/cursor.go
@@ -4,65 +4,76 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/errkind"
 )
 
 // Cursor is the sink of an end follower: a board and how far it has come.
 type Cursor struct {
-	mu     sync.Mutex
-	board  Board
-	epoch  uint64
-	number uint64
-	heard  clock.Moment
+	mu       sync.Mutex
+	board    Board
+	progress progress
+	heard    clock.Moment
 }
 
 // NewCursor makes a cursor over a board.
 func NewCursor(b Board) *Cursor { return &Cursor{board: b} }
 
-// Restore takes a checkpoint; one of an older life is refused.
-func (c *Cursor) Restore(epoch, number uint64, body []byte) error {
+// Restore takes a snapshot from a source that says whether it is current; one that is older than what is held is refused.
+func (c *Cursor) Restore(at Position, body []byte, current bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if epoch < c.epoch {
-		return errkind.New(errkind.Stale, "news of epoch %d, here is %d", epoch, c.epoch)
+	if err := c.progress.mayRestore(at); err != nil {
+		return err
 	}
 	if err := c.board.Restore(body); err != nil {
 		return err
 	}
-	c.epoch, c.number, c.heard = epoch, number, clock.Now()
+	c.progress = progress{at: at}
+	if current {
+		c.heard = clock.Now()
+	}
 	return nil
 }
 
-// Take folds the next change; false means a gap.
-func (c *Cursor) Take(epoch, number uint64, body []byte) bool {
+// Take folds the next change; false means that a snapshot or what is missing must come first.
+func (c *Cursor) Take(at Position, body []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if epoch != c.epoch || number > c.number+1 {
+	switch c.progress.judge(at) {
+	case stepGap:
 		return false
-	}
-	if number == c.number+1 {
-		c.board.Fold(body)
-		c.number = number
+	case stepNext:
+		if c.board.Fold(body) != nil {
+			c.progress.damaged = true
+			return false
+		}
+		c.progress.at = at
 	}
 	c.heard = clock.Now()
 	return true
 }
 
-// Heard marks that the source lives.
+// Heard marks that the source is in touch with the primary.
 func (c *Cursor) Heard() {
 	c.mu.Lock()
 	c.heard = clock.Now()
 	c.mu.Unlock()
 }
 
-// At tells the life and the newest number taken.
+// At tells the epoch and the newest number taken.
 func (c *Cursor) At() (epoch, number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.epoch, c.number
+	return c.progress.at.Epoch, c.progress.at.Number
+}
+
+// ResumeFrom is the position to ask a source for.
+func (c *Cursor) ResumeFrom() Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.progress.resumeFrom()
 }
 
-// Age is how long ago the source was last heard.
+// Age is how long ago a source in touch with the primary was last heard.
 func (c *Cursor) Age() clock.Span {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coord/distribution/haul_test.go
+++ b/coord/distribution/distribution_test.go
@@ -27,9 +27,21 @@
 }
 
 func (w *words) Restore(b []byte) error { w.mu.Lock(); w.s = string(b); w.mu.Unlock(); return nil }
-func (w *words) Fold(b []byte)          { w.mu.Lock(); w.s += string(b); w.mu.Unlock() }
+func (w *words) Fold(b []byte) error    { w.mu.Lock(); w.s += string(b); w.mu.Unlock(); return nil }
 func (w *words) Checkpoint() []byte     { w.mu.Lock(); defer w.mu.Unlock(); return []byte(w.s) }
 
+// begin makes a feed the source of an epoch over the state that it has, and gives how to push changes.
+func begin(f *Feed, epoch uint64) func(string) uint64 {
+	source := f.Begin(epoch, f.board.Checkpoint)
+	return func(change string) uint64 {
+		n, ok := source.Push([]byte(change))
+		if !ok {
+			panic("the source has ended")
+		}
+		return n
+	}
+}
+
 // pipes is a network of in-memory connections to one feed.
 type pipes struct {
 	sc   *task.Scope
@@ -75,10 +87,10 @@
 		got := &words{}
 		c := NewCursor(got)
 		go NewFollower(sc, p, c, rpc.Seat{ID: 1, Addr: "n1"}, false, func(string) string { return "x" }, nil).Run()
-		f.Begin(1)
+		push := begin(f, 1)
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, "old", string(got.Checkpoint()))
-		n := f.Push([]byte("+a"))
+		n := push("+a")
 		have, of := f.Wait(sc, n, time.Second)
 		require.Equal(t, 1, have)
 		require.Equal(t, 1, of)
@@ -88,22 +100,22 @@
 		p.off = true
 		p.mu.Unlock()
 		time.Sleep(50 * time.Millisecond)
-		f.Push([]byte("+b"))
-		f.Push([]byte("+c"))
+		push("+b")
+		push("+c")
 		p.mu.Lock()
 		p.off = false
 		p.mu.Unlock()
 		time.Sleep(time.Second)
 		require.Equal(t, "old+a+b+c", string(got.Checkpoint()))
-		f.Begin(2)
-		f.Push([]byte("+d"))
+		push = begin(f, 2)
+		push("+d")
 		time.Sleep(100 * time.Millisecond)
 		ep, num := c.At()
 		require.Equal(t, uint64(2), ep)
 		require.Equal(t, uint64(1), num)
-		require.Error(t, c.Restore(1, 9, []byte("stale")), "an older life is refused")
-		require.False(t, c.Take(2, 7, []byte("gap")))
-		require.True(t, c.Take(2, 1, []byte("+d")), "one that was taken is no gap")
+		require.Error(t, c.Restore(Position{1, 9}, []byte("stale"), true), "an older life is refused")
+		require.False(t, c.Take(Position{2, 7}, []byte("gap")))
+		require.True(t, c.Take(Position{2, 1}, []byte("+d")), "one that was taken is no gap")
 		require.Equal(t, "old+a+b+c+d", string(got.Checkpoint()))
 		require.Len(t, f.Reached(), 1)
 	})
@@ -148,7 +160,7 @@
 func (p *tree) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
 
 // grow puts relays and ends under a source; lives ends each end's follower.
-func (p *tree) grow(relays, ends int) (src *Feed, lives map[uint64]*task.Scope) {
+func (p *tree) grow(relays, ends int) (src *Feed, push func(string) uint64, lives map[uint64]*task.Scope) {
 	src = NewFeed(p.sc, &words{}, nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,7 +172,7 @@
 		fo = NewFollower(p.sc, p, f, rpc.Seat{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
 		go fo.Run()
 	}
-	src.Begin(1)
+	push = begin(src, 1)
 	lives = map[uint64]*task.Scope{}
 	for i := range ends {
 		p.end(lives, uint64(i+1), fmt.Sprint("relay", i%relays))
@@ -180,7 +192,7 @@
 			sc := task.New(slog.New(slog.DiscardHandler))
 			defer func() { sc.Stop(); time.Sleep(time.Second) }()
 			p := &tree{sc: sc}
-			src, lives := p.grow(3, 12)
+			src, push, lives := p.grow(3, 12)
 			time.Sleep(constants.NewsBeat)
 			for range 15 {
 				for range r.IntN(6) {
@@ -198,7 +210,7 @@
 					case 2: // a new one comes
 						p.end(lives, 100+r.Uint64N(1<<30), fmt.Sprint("relay", r.IntN(3)))
 					case 3:
-						src.Push([]byte("x"))
+						push("x")
 					}
 					time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
 				}
@@ -212,7 +224,7 @@
 				for id := range lives {
 					require.True(t, got[id])
 				}
-				require.Equal(t, src.Acked(), src.Push([]byte("y"))-1, "all had acknowledged")
+				require.Equal(t, src.Acked(), push("y")-1, "all had acknowledged")
 			}
 		})
 	}
@@ -223,12 +235,12 @@
 		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		p := &tree{sc: sc}
-		src, _ := p.grow(2, 60)
+		src, push, _ := p.grow(2, 60)
 		time.Sleep(3*constants.NewsBeat + constants.NewsBeat/2) // between two beats
 		p.mu.Lock()
 		p.up, p.lists = 0, 0
 		p.mu.Unlock()
-		n := src.Push([]byte("x"))
+		n := push("x")
 		have, of := src.Wait(sc, n, time.Second)
 		require.Equal(t, [2]int{2, 2}, [2]int{have, of})
 		synctest.Wait()
@@ -254,8 +266,9 @@
 		b := &counted{}
 		f := NewFeed(sc, b, nil)
 		p.feeds["x"] = f
-		f.Begin(1)
-		f.Push([]byte("a"))
+		push := begin(f, 1)
+		b.made = 0 // the helper made one for the first state
+		push("a")
 		lives := map[uint64]*task.Scope{}
 		for i := range uint64(20) {
 			p.end(lives, i+1, "x")
@@ -263,7 +276,7 @@
 		time.Sleep(constants.NewsBeat)
 		synctest.Wait()
 		require.Equal(t, 1, b.made)
-		f.Push([]byte("b"))
+		push("b")
 		p.end(lives, 99, "x")
 		time.Sleep(constants.NewsBeat)
 		synctest.Wait()
@@ -284,7 +297,7 @@
 		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		f := NewFeed(sc, &words{}, nil)
-		f.Begin(1)
+		begin(f, 1)
 		p := &pipes{sc: sc, feed: f}
 		var tried []string
 		fo := NewFollower(sc, p, NewCursor(&words{}), rpc.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
@@ -306,16 +319,16 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		b := &words{}
 		f := NewFeed(sc, b, nil)
-		require.NoError(t, f.Restore(3, 5, []byte("s")))
-		require.False(t, f.Take(3, 7, []byte("gap")))
-		require.False(t, f.Take(4, 6, []byte("another life")))
-		require.True(t, f.Take(3, 6, []byte("+")))
-		require.True(t, f.Take(3, 6, []byte("again")))
+		require.NoError(t, f.Restore(Position{3, 5}, []byte("s"), true))
+		require.False(t, f.Take(Position{3, 7}, []byte("gap")))
+		require.False(t, f.Take(Position{4, 6}, []byte("another life")))
+		require.True(t, f.Take(Position{3, 6}, []byte("+")))
+		require.True(t, f.Take(Position{3, 6}, []byte("again")))
 		require.Equal(t, "s+", string(b.Checkpoint()))
-		require.Error(t, f.Restore(2, 9, []byte("old")))
-		f.Begin(4)
-		require.False(t, f.Take(4, 1, []byte("x")), "a source takes nothing from others")
-		require.Error(t, f.Restore(4, 9, []byte("y")))
+		require.Error(t, f.Restore(Position{2, 9}, []byte("old"), true))
+		begin(f, 4)
+		require.False(t, f.Take(Position{4, 1}, []byte("x")), "a source takes nothing from others")
+		require.Error(t, f.Restore(Position{4, 9}, []byte("y"), true))
 	})
 }
 
@@ -325,7 +338,7 @@
 		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		src := NewFeed(sc, &words{}, nil)
-		src.Begin(1)
+		push := begin(src, 1)
 		up := &pipes{sc: sc, feed: src}
 		var relay *Follower
 		mid := NewFeed(sc, &words{}, func(uint64, uint64) { relay.Tell() })
@@ -346,7 +359,7 @@
 		require.Equal(t, seats, up.seats.Load(), "the same seats are not told again")
 		time.Sleep(constants.NewsBeat / 3) // between two beats
 		at := time.Now()
-		n := src.Push([]byte("+"))
+		n := push("+")
 		have, of := src.Wait(sc, n, time.Second)
 		require.Equal(t, []int{1, 1}, []int{have, of})
 		require.Zero(t, time.Since(at), "a change that was taken waits for no beat")
@@ -360,9 +373,9 @@
 	defer sc.Stop()
 	board := &words{}
 	f := NewFeed(sc, board, nil)
-	f.Begin(1)
-	f.Push([]byte("sal "))
-	fmt.Println(f.Push([]byte("pine")), string(board.Checkpoint()))
+	push := begin(f, 1)
+	push("sal ")
+	fmt.Println(push("pine"), string(board.Checkpoint()))
 	// Output: 2 sal pine
 }
 
@@ -373,8 +386,8 @@
 		p := &tree{sc: sc}
 		f := NewFeed(sc, &words{}, nil)
 		p.feeds = map[string]*Feed{"x": f}
-		f.Begin(1)
-		n := f.Push([]byte("a"))
+		push := begin(f, 1)
+		n := push("a")
 		var got atomic.Int64
 		cs := make([]*Cursor, 5)
 		for i := range cs {
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -14,118 +14,181 @@
 // Board is the view that changes are folded into. Its methods are never called at the same time.
 type Board interface {
 	Restore(checkpoint []byte) error
-	Fold(change []byte)
+	// Fold takes a change in; one that can't be folded changes nothing.
+	Fold(change []byte) error
 	Checkpoint() []byte
 }
 
+// change is one change as it is sent.
 type change struct {
-	number uint64
-	body   []byte
-}
-
-type listener struct {
-	ch    *rpc.Channel
-	seat  rpc.Seat
-	heard uint64
-	relay bool
-	seats []rpc.Seat
-	sent  clock.Moment
+	number  uint64
+	encoded []byte
 }
 
 // Feed holds a board and pushes what changes it to the followers of this process.
 type Feed struct {
-	sc     *task.Scope
-	mu     sync.Mutex
-	board  Board
-	epoch  uint64
-	number uint64
-	fresh  clock.Moment // a relay: when its own source was last heard
-	source bool
-	kept   []change
-	point  []byte // the board as it is, once somebody needed it whole
-	subs   map[*rpc.Channel]*listener
-	wake   chan struct{}
-	onAck  func(epoch, number uint64)
+	sc          *task.Scope
+	mu          sync.Mutex
+	board       Board
+	progress    progress
+	fresh       clock.Moment // a relay: when its own source was last heard to be in touch with the primary
+	source      *Source      // nil: this process is a relay
+	kept        []change     // the newest changes, without a gap, the last is at progress.at
+	snapshot    []byte       // the encoded snapshot message at progress.at, once somebody needed it
+	subscribers map[*rpc.Channel]*subscriber
+	queue       []*subscriber // those that wait for a snapshot, in order
+	underWay    int           // snapshots sent and not acknowledged yet
+	wake        chan struct{}
+	onAck       func(epoch, number uint64)
 }
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
 func NewFeed(sc *task.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
-	f := &Feed{sc: sc.Part("distribution"), board: b, fresh: clock.Now(), subs: map[*rpc.Channel]*listener{}, wake: make(chan struct{}), onAck: onAck}
+	f := &Feed{
+		sc:          sc.Part("distribution"),
+		board:       b,
+		fresh:       clock.Now(),
+		subscribers: map[*rpc.Channel]*subscriber{},
+		wake:        make(chan struct{}),
+		onAck:       onAck,
+	}
 	go clock.Every(f.sc, constants.NewsBeat, func() bool { f.beat(); return true })
 	return f
 }
 
-// Begin starts a new life of the sequence, with this process as its source. The board holds its first state.
-func (f *Feed) Begin(epoch uint64) {
+// Source is the right to push changes in one epoch. It ends with End, or when a newer source is heard of.
+type Source struct {
+	feed  *Feed
+	epoch uint64
+}
+
+// Begin makes this process the source of an epoch. first gives the board's first state in it and is called while
+// nothing else changes the board. It gives nil if a newer source has been heard of already.
+func (f *Feed) Begin(epoch uint64, first func() []byte) *Source {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch < f.progress.at.Epoch {
+		return nil
+	}
+	if err := f.board.Restore(first()); err != nil {
+		f.sc.Log().Error("first state can't be read", "err", err.Error())
+		return nil
+	}
+	start := Position{Epoch: epoch}
+	if epoch == f.progress.at.Epoch { // the same view's primary again: its numbers go on
+		start.Number = f.progress.at.Number + 1
+	}
+	f.source = &Source{feed: f, epoch: epoch}
+	f.moveTo(start)
+	return f.source
+}
+
+// Push folds one change, sends it on and gives its number; false if the source has ended.
+func (s *Source) Push(body []byte) (uint64, bool) {
+	return s.PushIf(nil, body)
+}
+
+// PushIf is Push if the condition, when there is one, holds at the last moment before.
+func (s *Source) PushIf(holds func() bool, body []byte) (uint64, bool) {
+	f := s.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.epoch, f.number, f.kept, f.point, f.source = epoch, 0, nil, nil, true
-	for _, l := range f.subs {
-		f.whole(l)
+	if f.source != s || holds != nil && !holds() {
+		return 0, false
 	}
+	at := Position{s.epoch, f.progress.at.Number + 1}
+	if err := f.push(at, body); err != nil {
+		f.sc.Log().Error("change can't be folded", "err", err.Error())
+		return 0, false
+	}
+	return at.Number, true
+}
+
+// Number is the newest number pushed; false if the source has ended.
+func (s *Source) Number() (uint64, bool) {
+	s.feed.mu.Lock()
+	defer s.feed.mu.Unlock()
+	return s.feed.progress.at.Number, s.feed.source == s
 }
 
-// End says that this process is a source no longer.
+// End says that this process is a source no longer, and tells the followers at once.
 func (f *Feed) End() {
 	f.mu.Lock()
-	f.source = false
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	if f.source == nil {
+		return
+	}
+	f.source = nil
+	f.fresh = clock.Moment{}
+	f.sendBeats()
 }
 
-// Restore takes a checkpoint from this process's own source.
-func (f *Feed) Restore(epoch, number uint64, body []byte) error {
+// Restore takes a snapshot from this process's own source, which says whether it is current; one that is older than what is held is refused.
+func (f *Feed) Restore(at Position, body []byte, current bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.source || epoch < f.epoch {
-		return errkind.New(errkind.Stale, "news of epoch %d, here is %d", epoch, f.epoch)
+	if f.source != nil && at.Epoch <= f.source.epoch {
+		return errkind.New(errkind.Stale, "this process is the source of epoch %d", f.source.epoch)
+	}
+	if err := f.progress.mayRestore(at); err != nil {
+		return err
 	}
 	if err := f.board.Restore(body); err != nil {
 		return err
 	}
-	f.epoch, f.number, f.kept, f.point, f.source, f.fresh = epoch, number, nil, nil, false, clock.Now()
-	for _, l := range f.subs {
-		f.whole(l)
+	f.source = nil
+	f.fresh = clock.Moment{}
+	if current {
+		f.fresh = clock.Now()
 	}
-	f.signal()
+	f.moveTo(at)
 	return nil
 }
 
-// Push folds one change and sends it on. It gives the change's number.
-func (f *Feed) Push(body []byte) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.push(f.number+1, body)
-	return f.number
+// moveTo starts anew at a position that changes don't lead to: all followers need a snapshot.
+func (f *Feed) moveTo(at Position) {
+	f.progress = progress{at: at}
+	f.kept = nil
+	f.snapshot = nil
+	f.needSnapshots()
+	f.signal()
 }
 
-// Take folds a change of this process's own source; false means a gap.
-func (f *Feed) Take(epoch, number uint64, body []byte) bool {
+// Take folds a change of this process's own source; false means that a snapshot or what is missing must come first.
+func (f *Feed) Take(at Position, body []byte) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.source {
+	if f.source != nil {
 		return false
 	}
-	f.fresh = clock.Now()
-	if epoch != f.epoch || number != f.number+1 {
-		return epoch == f.epoch && number <= f.number
+	switch f.progress.judge(at) {
+	case stepGap:
+		return false
+	case stepNext:
+		if f.push(at, body) != nil {
+			f.progress.damaged = true
+			return false
+		}
 	}
-	f.push(number, body)
+	f.fresh = clock.Now()
 	return true
 }
 
-func (f *Feed) push(number uint64, body []byte) {
-	f.board.Fold(body)
-	f.number, f.point = number, nil
-	f.kept = append(f.kept, change{number, body})
+func (f *Feed) push(at Position, body []byte) error {
+	if err := f.board.Fold(body); err != nil {
+		return err
+	}
+	f.progress.at = at
+	f.snapshot = nil
+	f.kept = append(f.kept, change{at.Number, changeMessage(at, body).Encode()})
 	if len(f.kept) > constants.NewsKeep {
 		f.kept = append([]change{}, f.kept[len(f.kept)/2:]...)
 	}
-	b := (&rpc.Note{Kind: rpc.News, OK: true, Epoch: f.epoch, Number: number, Base: number - 1, Body: body}).Encode()
-	for _, l := range f.subs {
-		l.sent = clock.Now()
-		l.ch.SendRaw(b)
+	for _, s := range f.subscribers {
+		f.advance(s)
 	}
 	f.signal()
+	return nil
 }
 
 func (f *Feed) signal() {
@@ -133,95 +196,16 @@
 	f.wake = make(chan struct{})
 }
 
-// Heard marks that the source lives.
+// Heard marks that this process's own source is in touch with the primary.
 func (f *Feed) Heard() {
 	f.mu.Lock()
 	f.fresh = clock.Now()
 	f.mu.Unlock()
 }
 
-func (f *Feed) alive() bool { return f.source || clock.Since(f.fresh) < constants.RelayStale }
-
-func (f *Feed) whole(l *listener) {
-	l.heard = 0
-	l.sent = clock.Now()
-	if f.point == nil {
-		f.point = f.board.Checkpoint()
-	}
-	l.ch.Send(&rpc.Note{Kind: rpc.News, OK: f.alive(), Epoch: f.epoch, Number: f.number, Word: "whole", Body: f.point})
-}
-
-func (f *Feed) beat() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ok := f.alive()
-	n := (&rpc.Note{Kind: rpc.News, OK: ok, Epoch: f.epoch, Number: f.number, Word: "beat"}).Encode()
-	for _, l := range f.subs {
-		if l.ch.Quiet() > constants.NewsLost {
-			go l.ch.Close()
-			continue
-		}
-		if clock.Since(l.sent) >= constants.NewsBeat/2 || !ok {
-			l.ch.SendRaw(n)
-		}
-	}
-}
-
-// Follow takes on a follower: what it lacks is sent, then every change.
-func (f *Feed) Follow(ch *rpc.Channel, n *rpc.Note) {
-	l := &listener{ch: ch, seat: n.From, relay: n.Word == "relay"}
-	f.mu.Lock()
-	f.subs[ch] = l
-	if f.epoch != 0 {
-		f.catchUp(l, n.Epoch, n.Number)
-	}
-	f.mu.Unlock()
-	ch.OnClose(func() {
-		f.mu.Lock()
-		delete(f.subs, ch)
-		f.signal()
-		f.mu.Unlock()
-	})
-}
-
-func (f *Feed) catchUp(l *listener, epoch, number uint64) {
-	if epoch == f.epoch && number <= f.number && (number == f.number || len(f.kept) > 0 && f.kept[0].number <= number+1) {
-		for _, c := range f.kept {
-			if c.number > number {
-				l.ch.Send(&rpc.Note{Kind: rpc.News, OK: true, Epoch: f.epoch, Number: c.number, Base: c.number - 1, Body: c.body})
-			}
-		}
-		return
-	}
-	f.whole(l)
-}
-
-// Ack takes a follower's word that it has taken all up to a number.
-func (f *Feed) Ack(ch *rpc.Channel, n *rpc.Note) {
-	f.mu.Lock()
-	l := f.subs[ch]
-	if l != nil {
-		if n.Word == listed {
-			l.seats = n.Seats
-		}
-		if n.Epoch == f.epoch {
-			l.heard = n.Number
-		}
-	}
-	ep, low := f.epoch, f.low()
-	f.signal()
-	f.mu.Unlock()
-	if l != nil && f.onAck != nil {
-		f.onAck(ep, low)
-	}
-}
-
-func (f *Feed) low() uint64 {
-	low := f.number
-	for _, l := range f.subs {
-		low = min(low, l.heard)
-	}
-	return low
+// current tells whether what is held may be called current: this is the source, or a source was heard lately.
+func (f *Feed) current() bool {
+	return f.source != nil || clock.Since(f.fresh) < constants.RelayStale
 }
 
 // Wait waits until all connected followers have taken a number, at most d. It tells how many have and how many there are.
@@ -229,9 +213,9 @@
 	end := clock.After(d)
 	for {
 		f.mu.Lock()
-		have, of = 0, len(f.subs)
-		for _, l := range f.subs {
-			if l.heard >= number {
+		have, of = 0, len(f.subscribers)
+		for _, s := range f.subscribers {
+			if s.acked >= number {
 				have++
 			}
 		}
@@ -255,8 +239,8 @@
 	b := n.Encode()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range f.subs {
-		l.ch.SendRaw(b)
+	for _, s := range f.subscribers {
+		s.ch.SendRaw(b)
 	}
 }
 
@@ -265,21 +249,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []rpc.Seat
-	for _, l := range f.subs {
-		if l.relay {
-			out = append(out, l.seats...)
+	for _, s := range f.subscribers {
+		if s.relay {
+			out = append(out, s.below...)
 		} else {
-			out = append(out, l.seat)
+			out = append(out, s.seat)
 		}
 	}
 	return out
 }
 
-// At tells the sequence's life and newest number.
+// At tells the epoch and the newest number in it.
 func (f *Feed) At() (epoch, number uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.epoch, f.number
+	return f.progress.at.Epoch, f.progress.at.Number
+}
+
+// ResumeFrom is the position to ask this process's own source for.
+func (f *Feed) ResumeFrom() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.progress.resumeFrom()
 }
 
 // Acked is the number that every follower has taken.
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -14,15 +14,13 @@
 	"shaletrestle/internal/task"
 )
 
-// listed marks an acknowledgement that lists all of a relay's followers; the others say nothing of them.
-const listed = "seats"
-
 // Sink is where a follower puts what it is told.
 type Sink interface {
-	Restore(epoch, number uint64, body []byte) error
-	Take(epoch, number uint64, body []byte) bool
+	Restore(at Position, body []byte, current bool) error
+	Take(at Position, body []byte) bool
 	Heard()
 	At() (epoch, number uint64)
+	ResumeFrom() Position
 }
 
 // Follower keeps a sink up to date from one source at a time.
@@ -83,11 +81,26 @@
 	}
 }
 
-func (f *Follower) word() string {
+func (f *Follower) role() role {
 	if f.relay {
-		return "relay"
+		return roleRelay
 	}
-	return "end"
+	return roleEnd
+}
+
+// receive takes one message of the source; a source that can't be followed on is left.
+func (f *Follower) receive(ch *rpc.Channel, n *rpc.Note) {
+	if n.Kind != rpc.News {
+		if f.other != nil {
+			f.other(n)
+		}
+		return
+	}
+	if !f.take(n) || !n.OK {
+		ch.Close()
+		return
+	}
+	f.ack(ch, false)
 }
 
 func (f *Follower) follow(at string) {
@@ -96,23 +109,12 @@
 		return
 	}
 	ch := rpc.Open(f.sc, c, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
-		if n.Kind != rpc.News {
-			if f.other != nil {
-				f.other(n)
-			}
-			return nil
-		}
-		if !f.take(n) || !n.OK {
-			ch.Close()
-			return nil
-		}
-		f.ack(ch, false)
+		f.receive(ch, n)
 		return nil
 	})
 	defer ch.Close()
 	f.ch.Store(ch)
-	ep, num := f.sink.At()
-	ch.Send(&rpc.Note{Kind: rpc.Follow, From: f.self, Epoch: ep, Number: num, Word: f.word()})
+	ch.Send(followMessage(f.self, f.sink.ResumeFrom(), f.role()))
 	f.now.Store(at)
 	t := clock.After(constants.NewsLost)
 	for {
@@ -168,11 +170,12 @@
 func (f *Follower) ack(ch *rpc.Channel, ifMoved bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ep, num := f.sink.At()
+	ep, own := f.sink.At()
+	num := own
 	if l, ok := f.sink.(lower); ok {
 		num = l.Acked()
 	}
-	n := &rpc.Note{Kind: rpc.Heard, From: f.self, Epoch: ep, Number: num}
+	n := ackMessage(f.self, ep, own, num)
 	was := f.said
 	f.said = said{ch, ep, num, nil}
 	if f.seats != nil {
@@ -181,7 +184,7 @@
 			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Locality, b.Locality))
 		})
 		if was.ch != ch || !slices.Equal(was.seats, f.said.seats) {
-			n.Word, n.Seats = listed, f.said.seats
+			n.Word, n.Seats = seatsListed, f.said.seats
 		}
 	}
 	if f.carry != nil {
@@ -193,19 +196,21 @@
 	ch.Send(n)
 }
 
+// take puts one message of the source into the sink; false means that the source can't be followed on.
 func (f *Follower) take(n *rpc.Note) bool {
-	ep, num := f.sink.At()
-	switch n.Word {
-	case "beat":
-		if n.OK {
-			f.sink.Heard()
-		}
-		return n.Epoch == ep && n.Number == num || !n.OK
-	case "whole":
-		if n.Epoch < ep {
+	at := positionOf(n)
+	epoch, number := f.sink.At()
+	switch form(n.Word) {
+	case formSnapshot:
+		return f.sink.Restore(at, n.Body, n.OK) == nil
+	case formWait:
+		return at.Epoch >= epoch
+	case formHeartbeat:
+		if !n.OK || at.Epoch != epoch || at.Number > number {
 			return false
 		}
-		return f.sink.Restore(n.Epoch, n.Number, n.Body) == nil
+		f.sink.Heard()
+		return true
 	}
-	return f.sink.Take(n.Epoch, n.Number, n.Body)
+	return f.sink.Take(at, n.Body)
 }
--- /dev/null
+++ b/coord/distribution/position.go
@@ -0,0 +1,62 @@
+package distribution
+
+import "shaletrestle/internal/errkind"
+
+// Position orders all updates of all sources: first by the epoch of the view whose primary gave them, then by
+// their number within it. A follower never goes back in it.
+type Position struct {
+	Epoch  uint64
+	Number uint64
+}
+
+// Before tells whether p is older than other.
+func (p Position) Before(other Position) bool {
+	if p.Epoch != other.Epoch {
+		return p.Epoch < other.Epoch
+	}
+	return p.Number < other.Number
+}
+
+// step is what a change means to a follower.
+type step int
+
+const (
+	stepNext  step = iota // it is the next one
+	stepKnown             // it was taken before
+	stepGap               // something before it is missing, or it belongs to another epoch
+)
+
+// progress is how far a follower has come.
+type progress struct {
+	at      Position
+	damaged bool // a change could not be folded: a snapshot must come next
+}
+
+// judge tells what a change at a position means here.
+func (p *progress) judge(change Position) step {
+	switch {
+	case change.Epoch != p.at.Epoch || p.damaged:
+		return stepGap
+	case change.Number <= p.at.Number:
+		return stepKnown
+	case change.Number == p.at.Number+1:
+		return stepNext
+	}
+	return stepGap
+}
+
+// mayRestore refuses a snapshot that is older than what is held.
+func (p *progress) mayRestore(snapshot Position) error {
+	if snapshot.Before(p.at) {
+		return errkind.New(errkind.Stale, "snapshot at %d/%d, held is %d/%d", snapshot.Epoch, snapshot.Number, p.at.Epoch, p.at.Number)
+	}
+	return nil
+}
+
+// resumeFrom is the position to ask a source for: none if only a snapshot helps.
+func (p *progress) resumeFrom() Position {
+	if p.damaged {
+		return Position{}
+	}
+	return p.at
+}
--- /dev/null
+++ b/internal/adminapi/server.go
@@ -0,0 +1,194 @@
+// Package adminapi answers the operator over HTTP.
+package adminapi
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
+)
+
+// Server serves the control address.
+type Server struct {
+	scope  *task.Scope
+	orders Orders
+
+	mu          sync.Mutex
+	noPrimaryAt time.Time // since when calls found no primary; zero while there is one
+}
+
+// call is one call of the operator.
+type call struct {
+	writer   http.ResponseWriter
+	request  *http.Request
+	deadline time.Time
+}
+
+// New makes the operator's handler.
+func New(scope *task.Scope, orders Orders) http.Handler {
+	s := &Server{scope: scope.Part("adminapi"), orders: orders}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	serve := func(c echo.Context) error {
+		s.dispatch(c.Response().Writer, c.Request())
+		return nil
+	}
+	e.Any("/*", serve)
+	e.RouteNotFound("/*", serve)
+	return e
+}
+
+func (s *Server) dispatch(w http.ResponseWriter, r *http.Request) {
+	c := &call{writer: w, request: r, deadline: clock.Now().Add(constants.OrderWait)}
+	path := strings.Split(strings.Trim(r.URL.EscapedPath(), "/"), "/")
+	name := r.Method + " " + strings.Join(path[:min(2, len(path))], "/")
+	switch {
+	case len(path) == 2 && name == "GET v1/config":
+		s.route(c, s.read)
+	case len(path) == 2 && name == "PUT v1/config":
+		s.route(c, func(c *call) { s.config(c, state.Put) })
+	case len(path) == 2 && name == "PATCH v1/config":
+		s.route(c, func(c *call) { s.config(c, state.Patch) })
+	case len(path) == 3 && name == "POST v1/evacuation":
+		s.route(c, func(c *call) { s.evacuate(c, path[2], state.Evacuate) })
+	case len(path) == 3 && name == "DELETE v1/evacuation":
+		s.route(c, func(c *call) { s.evacuate(c, path[2], state.Return) })
+	default:
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no such call"))
+	}
+}
+
+// route answers here, points to the primary, or says that none is known. While a takeover may be under way it
+// waits a little for its end.
+func (s *Server) route(c *call, here func(*call)) {
+	for {
+		address, mine := s.orders.Primary()
+		if mine || address != "" {
+			s.primaryFound()
+		}
+		if mine {
+			here(c)
+			return
+		}
+		if address != "" {
+			redirect(c, address)
+			return
+		}
+		if !s.worthWaiting(c) || !clock.Rest(s.scope, takeoverLook) {
+			httpreply.Fault(c.writer, errkind.New(errkind.Unready, "no primary is known"))
+			return
+		}
+	}
+}
+
+func (s *Server) primaryFound() {
+	s.mu.Lock()
+	s.noPrimaryAt = time.Time{}
+	s.mu.Unlock()
+}
+
+// worthWaiting tells whether the primary was lost so lately that a takeover may be under way, and whether the
+// caller can wait for it. A member that is cut off answers at once: another one may know more.
+func (s *Server) worthWaiting(c *call) bool {
+	now := clock.Now()
+	s.mu.Lock()
+	if s.noPrimaryAt.IsZero() {
+		s.noPrimaryAt = now
+	}
+	lost := now.Sub(s.noPrimaryAt)
+	s.mu.Unlock()
+	gone := c.request.Context().Err() != nil
+	left := c.deadline.Sub(now)
+	return !gone && lost < takeoverWait && left > takeoverLeaves
+}
+
+func redirect(c *call, address string) {
+	c.writer.Header().Set("Location", "http://"+address+c.request.URL.RequestURI())
+	httpreply.JSON(c.writer, errkind.NotHere.Status(), map[string]string{"error": errkind.NotHere.Word()})
+}
+
+// fault answers an error. A member that is no longer primary points to the new one, if it knows it.
+func (s *Server) fault(c *call, err error) {
+	if errkind.KindOf(err) != errkind.NotHere {
+		httpreply.Fault(c.writer, err)
+		return
+	}
+	address, mine := s.orders.Primary()
+	if mine || address == "" {
+		httpreply.Fault(c.writer, errkind.New(errkind.Unready, "no primary is known"))
+		return
+	}
+	redirect(c, address)
+}
+
+func (s *Server) read(c *call) {
+	v, err := s.orders.Read(s.scope, c.deadline)
+	switch {
+	case err != nil:
+		s.fault(c, err)
+	case v.Doc.Epoch == 0:
+		httpreply.Fault(c.writer, errkind.New(errkind.NoPath, "no configuration yet"))
+	default:
+		c.writer.Header().Set("ETag", strconv.Quote(strconv.FormatInt(v.Doc.Epoch, 10)))
+		httpreply.Bytes(c.writer, http.StatusOK, v.Doc.JSON())
+	}
+}
+
+func (s *Server) config(c *call, kind string) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, constants.OrderBody))
+	if err != nil {
+		httpreply.Fault(c.writer, errkind.New(errkind.BadInput, "body can't be read whole"))
+		return
+	}
+	if after := clock.Now().Add(afterLargeBody); len(body) > largeBody && c.deadline.Before(after) {
+		c.deadline = after
+	}
+	base, err := builtOn(c.request.Header.Get("If-Match"))
+	if err != nil {
+		httpreply.Fault(c.writer, err)
+		return
+	}
+	s.take(c, &Order{Kind: kind, Base: base, Body: body})
+}
+
+// builtOn reads the version that a change builds on.
+func builtOn(ifMatch string) (int64, error) {
+	tag := strings.TrimPrefix(strings.TrimSpace(ifMatch), "W/")
+	base, err := strconv.ParseInt(strings.Trim(tag, `"`), 10, 64)
+	if err != nil || base < 0 {
+		return 0, errkind.New(errkind.BadInput, "If-Match must name the version built on")
+	}
+	return base, nil
+}
+
+func (s *Server) evacuate(c *call, segment, kind string) {
+	zone, err := url.PathUnescape(segment)
+	if err != nil || zone == "" {
+		httpreply.Fault(c.writer, errkind.New(errkind.BadInput, "no zone"))
+		return
+	}
+	s.take(c, &Order{Kind: kind, Zone: zone})
+}
+
+func (s *Server) take(c *call, order *Order) {
+	order.Deadline = c.deadline
+	order.Gone = c.request.Context().Done()
+	if err := s.orders.Take(s.scope, order); err != nil {
+		s.scope.Log().Info("order not taken", "kind", order.Kind, "base", order.Base, "err", err.Error())
+		s.fault(c, err)
+		return
+	}
+	httpreply.JSON(c.writer, http.StatusOK, map[string]bool{"ok": true})
+}
--- a/internal/config/doc.go
+++ b/internal/config/doc.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"math"
@@ -333,18 +332,30 @@
 	return nil
 }
 
-// Digest tells whether two orders mean the same.
-func Digest(kind string, base int64, body []byte) string {
+// Digest tells whether two orders mean the same: it goes by the JSON's meaning, not by its spacing or the order
+// of its names. What is no single whole object has the digest of its bytes.
+func Digest(kind string, base int64, body []byte) []byte {
 	h := sha256.New()
 	h.Write([]byte(kind + "\x00" + strconv.FormatInt(base, 10) + "\x00"))
+	h.Write(canonical(body))
+	return h.Sum(nil)[:digestBytes]
+}
+
+const digestBytes = 16
+
+func canonical(body []byte) []byte {
+	if _, err := object(body); err != nil {
+		return body
+	}
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.UseNumber()
 	var v any
-	if d.Decode(&v) == nil {
-		b, _ := json.Marshal(v)
-		h.Write(b)
-	} else {
-		h.Write(body)
+	if d.Decode(&v) != nil {
+		return body
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return body
 	}
-	return hex.EncodeToString(h.Sum(nil)[:16])
+	return b
 }
--- a/internal/config/doc_test.go
+++ b/internal/config/doc_test.go
@@ -63,11 +63,18 @@
 func TestDigestGoesByMeaning(t *testing.T) {
 	a := Digest("put", 3, []byte(`{"b":[1,2], "a":1.50}`))
 	require.Equal(t, a, Digest("put", 3, []byte(`{"a":1.50,"b":[1,2]}`)))
-	for _, x := range []string{Digest("put", 4, []byte(`{"a":1.50,"b":[1,2]}`)), Digest("patch", 3, []byte(`{"a":1.50,"b":[1,2]}`)), Digest("put", 3, []byte(`{"a":1.50,"b":[2,1]}`))} {
+	for _, x := range [][]byte{Digest("put", 4, []byte(`{"a":1.50,"b":[1,2]}`)), Digest("patch", 3, []byte(`{"a":1.50,"b":[1,2]}`)), Digest("put", 3, []byte(`{"a":1.50,"b":[2,1]}`))} {
 		require.NotEqual(t, a, x)
 	}
 }
 
+func TestDigestTakesNoMalformedOrderForAGoodOne(t *testing.T) {
+	good := Digest("put", 3, []byte(`{"revision":7,"a":1}`))
+	for _, body := range []string{`{"revision":7,"a":1}x`, `{"revision":7,"a":1}{}`, `{"a":2,"revision":7,"a":1}`, `{"revision":7,"a":1`} {
+		require.NotEqual(t, good, Digest("put", 3, []byte(body)), body)
+	}
+}
+
 func FuzzPut(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/constants/plate.go
+++ b/internal/constants/plate.go
@@ -57,18 +57,20 @@
 
 // News to the routers.
 const (
-	NewsBeat     = 400 * time.Millisecond  // beat on a quiet channel
-	LookAgain    = 40 * time.Millisecond   // a follower without anybody to follow looks again
-	NewsLost     = 1300 * time.Millisecond // three beats: the channel counts as dead
-	RelayStale   = 1200 * time.Millisecond // a relay without its primary this long says so
-	AckWait      = 300 * time.Millisecond  // an order's answer waits this long for routers
-	NewsKeep     = 512                     // deltas kept for those that come back
-	FleetEvery   = 500 * time.Millisecond  // how often fleet size and control members are told, if they changed
-	FleetForget  = 30 * time.Second        // a router unseen this long leaves the fleet size
-	WatchersEach = 2                       // watchers of one router: one may be lost with it
-	MissesMost   = 3                       // pings missed before a node is suspected: one or two are lost by chance
-	AgainPart    = 3                       // parts of a round after which those that missed are asked again: three misses fit into contact_ms
-	SuspectPart  = 4                       // at most one in so many routers leaves the fleet size by suspicion: BudgetMargin covers as many that still run
+	NewsBeat        = 400 * time.Millisecond  // beat on a quiet channel
+	LookAgain       = 40 * time.Millisecond   // a follower without anybody to follow looks again
+	NewsLost        = 1300 * time.Millisecond // three beats: the channel counts as dead
+	RelayStale      = 1200 * time.Millisecond // a relay without its primary this long says so
+	AckWait         = 300 * time.Millisecond  // an order's answer waits this long for routers
+	NewsWindow      = 64                      // changes sent to a follower that it has not acknowledged: a fraction of OutboxLen
+	SnapshotsAtOnce = 4                       // snapshots that one process sends at a time: a few hundred kilobytes each, a link carries 8 MB/s
+	NewsKeep        = 512                     // deltas kept for those that come back
+	FleetEvery      = 500 * time.Millisecond  // how often fleet size and control members are told, if they changed
+	FleetForget     = 30 * time.Second        // a router unseen this long leaves the fleet size
+	WatchersEach    = 2                       // watchers of one router: one may be lost with it
+	MissesMost      = 3                       // pings missed before a node is suspected: one or two are lost by chance
+	AgainPart       = 3                       // parts of a round after which those that missed are asked again: three misses fit into contact_ms
+	SuspectPart     = 4                       // at most one in so many routers leaves the fleet size by suspicion: BudgetMargin covers as many that still run
 )
 
 // The platform's list.
@@ -80,7 +82,7 @@
 
 // Orders.
 const (
-	OrderWait   = 900 * time.Millisecond // callers move on after a second of silence
+	OrderWait   = 850 * time.Millisecond // from a call's arrival to its answer: callers move on after a second of silence
 	HeadWait    = 3 * time.Second        // head of a call on our own ports
 	IdleWait    = 15 * time.Second       // idle connection on our own ports
 	HeadBytes   = 16 << 10               // bytes of a head before a setup says otherwise
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,232 @@
+// Package controller is the control plane: it puts the parts together.
+package controller
+
+import (
+	"net/http"
+	"sync"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/coord/distribution"
+	"shaletrestle/coord/fairshare"
+	"shaletrestle/coord/lease"
+	"shaletrestle/coord/loadsum"
+	"shaletrestle/coord/outlier"
+	"shaletrestle/coord/replication"
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/adminapi"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/discovery"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/settings"
+	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
+)
+
+// Plan is what a controller is built from.
+type Plan struct {
+	Env   *settings.Env
+	Net   rpc.Net
+	Store replication.Store
+}
+
+// Controller is one control process.
+type Controller struct {
+	scope    *task.Scope
+	settings *settings.Env
+	net      rpc.Net
+	lines    *rpc.Lines
+
+	state    *state.Book // the replicated state: configuration, evacuations, orders taken
+	news     *state.Book // what followers are told: that and the replica list, the fleet, the members
+	replica  replica
+	feed     *distribution.Feed
+	follower *distribution.Follower
+	source   atomic.Pointer[distribution.Source] // nil while this process is not primary
+	leaving  atomic.Bool
+
+	grantor *lease.Grantor
+	duty    *lease.Holder // of reading the platform's list
+	reader  *discovery.Reader
+	differ  *discovery.Differ
+	polling sync.Mutex
+	polls   atomic.Int64
+	fails   atomic.Int64
+
+	lender *fairshare.Lender
+	jury   *outlier.Jury
+	deck   *loadsum.Sum
+
+	mu     sync.Mutex
+	judged clock.Moment            // when reports on replicas were last weighed
+	words  []outlier.Word          // followers' reports on their way to the primary
+	fleet  map[string]clock.Moment // routers, and when they were last reached
+	most   int                     // the largest fleet of late
+	mostAt clock.Moment
+}
+
+// New builds a controller.
+func New(scope *task.Scope, p Plan) (*Controller, error) {
+	c := &Controller{
+		scope:    scope,
+		settings: p.Env,
+		net:      p.Net,
+		state:    state.NewOrderBook(),
+		news:     state.NewBook(false),
+		grantor:  lease.NewGrantor(),
+		reader:   discovery.NewReader(p.Env.Cloud.Address, p.Net.Dial),
+		differ:   discovery.NewDiffer(),
+		lender:   newLender(p.Env),
+		jury:     outlier.NewJury(),
+		deck:     loadsum.NewSum(),
+		fleet:    map[string]clock.Moment{},
+	}
+	c.lines = rpc.NewLines(scope, p.Net, c.handle)
+	c.feed = distribution.NewFeed(scope, c.news, func(uint64, uint64) {
+		if c.follower != nil {
+			c.follower.Tell()
+		}
+	})
+	member, err := replication.New(scope, c.replicationConfig(p.Store))
+	if err != nil {
+		return nil, err
+	}
+	c.replica = &boundedMember{member, scope}
+	c.follower = distribution.NewFollower(scope, p.Net, c.feed, member.Self(), true, c.upstream, c.feed.Reached)
+	c.follower.Carry(c.carry)
+	c.follower.Others(c.spread)
+	c.duty = lease.NewHolder(scope, "list", member.Self(), c.lines, c.witnesses, c.wantsDuty, c.grantor)
+	c.state.Watch(c.committed)
+	return c, nil
+}
+
+func newLender(env *settings.Env) *fairshare.Lender {
+	pot := constants.BudgetMargin * constants.BudgetPot * env.Bounds.BudgetSlack
+	window := clock.Seconds(env.Bounds.BudgetWindowS) + constants.LumpSpan
+	return fairshare.NewLender(int64(pot), window)
+}
+
+// replicationConfig tells what the settings want to be borne.
+func (c *Controller) replicationConfig(store replication.Store) replication.Config {
+	env := c.settings
+	losses, ok := env.Losses()
+	if !ok {
+		c.scope.Part("controller").Log().Warn("the settings' losses can't all be borne in these zones", "zones", len(env.Zones), "borne", losses)
+	}
+	areas := env.Tolerance.Zones
+	area := func(zone string) string { return zone }
+	if env.Tolerance.Regions > 0 {
+		areas = env.Tolerance.Regions
+		area = func(zone string) string { return env.Zones[zone] }
+	}
+	return replication.Config{
+		Addr:     env.Port(constants.PortTally),
+		Locality: env.Locality,
+		Seeds:    env.SeedCrew(),
+		Losses:   losses,
+		Areas:    areas,
+		Area:     area,
+		Relay:    !env.Keeps(),
+		Store:    store,
+		Machine:  c.state,
+		Caller:   c.lines,
+		OnActive: c.begin,
+		OnIdle:   c.idle,
+	}
+}
+
+// Run serves until the scope ends.
+func (c *Controller) Run() error {
+	members, err := c.net.Listen(c.settings.Port(constants.PortTally))
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "member port")
+	}
+	control, err := c.net.Listen(c.settings.Bind.Control)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "control address")
+	}
+	pages, err := c.net.Listen(c.settings.Port(constants.PortTallyPage))
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "state page")
+	}
+	go rpc.Serve(c.scope, members, c.handle)
+	api := httpServer(adminapi.New(c.scope, c))
+	page := httpServer(http.HandlerFunc(c.page))
+	go func() { _ = api.Serve(control) }()
+	go func() { _ = page.Serve(pages) }()
+	c.startDuties()
+	c.scope.Log().Info("started", "part", "controller", "node", c.settings.NodeName)
+	<-c.scope.Done()
+	_ = api.Close()
+	_ = page.Close()
+	return nil
+}
+
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: constants.HeadWait, IdleTimeout: constants.IdleWait}
+}
+
+func (c *Controller) startDuties() {
+	go c.replica.Run()
+	go c.follower.Run()
+	go c.duty.Run()
+	go c.read()
+	go clock.Every(c.scope, constants.FleetEvery, func() bool { c.count(); return true })
+	go clock.Every(c.scope, constants.NewsBeat, func() bool { c.judge(); return true })
+	go c.addUp()
+}
+
+// Leave hands duty and primacy over; the program ends the scope afterwards.
+func (c *Controller) Leave() {
+	c.leaving.Store(true)
+	c.duty.Renew() // it is not wanted any more: given back
+	c.replica.Leave()
+}
+
+func (c *Controller) wantsDuty() bool { return c.Acting() && !c.leaving.Load() }
+
+// handle takes the messages of other processes.
+func (c *Controller) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	if a, ok := c.replica.Handle(n); ok {
+		return a
+	}
+	switch n.Kind {
+	case rpc.Lease:
+		return c.grantor.Handle(n)
+	case rpc.Follow:
+		c.feed.Follow(ch, n)
+	case rpc.Heard:
+		c.hear(n.Body)
+		c.feed.Ack(ch, n)
+	case rpc.Suspect:
+		c.suspect(n)
+	case rpc.Lend:
+		return c.lend(n)
+	case rpc.Deck:
+		c.deck.Put(n.From.ID, loadsum.Decode(n.Body), clock.Now())
+	}
+	return nil
+}
+
+func (c *Controller) witnesses() []rpc.Seat {
+	if view := c.replica.Chart(); view != nil {
+		return view.Witnesses
+	}
+	return nil
+}
+
+// upstream is whom this process follows as a relay: the primary.
+func (c *Controller) upstream(string) string {
+	primary, known := c.replica.Primary()
+	if !known || primary.ID == c.replica.Self().ID {
+		return ""
+	}
+	return primary.Addr
+}
+
+// Reload takes new settings: nothing that this process holds depends on those that may change while it runs.
+func (c *Controller) Reload(*settings.Env) {}
+
+// Chart is the newest view of the members known here.
+func (c *Controller) Chart() *rpc.Chart { return c.replica.Chart() }
--- a/internal/controller/deck.go
+++ b/internal/controller/deck.go
@@ -9,32 +9,32 @@
 )
 
 // addUp passes on what waits at the replicas, again and again: a relay tells the primary the sum of its own followers' words, the primary tells everybody what stands out in the sum of all.
-func (h *House) addUp() {
+func (c *Controller) addUp() {
 	var seen *state.View
 	var s *loadsum.Services
 	told := false // something was spread the last time: an end of it is told too
-	clock.Every(h.sc, constants.DeckPush, func() bool {
-		ps := h.deck.Total(clock.Now())
-		if !h.live.Load() {
+	clock.Every(c.scope, constants.DeckPush, func() bool {
+		ps := c.deck.Total(clock.Now())
+		if !c.Acting() {
 			if told = false; len(ps) > 0 {
-				h.follower.Send(h.deckNote(ps))
+				c.follower.Send(c.deckNote(ps))
 			}
 			return true
 		}
-		if v := h.news.View(); v != seen {
+		if v := c.news.View(); v != seen {
 			seen, s = v, services(v)
 		}
 		ps = loadsum.Excess(ps, s)
 		if len(ps) > 0 || told {
-			h.feed.Spread(h.deckNote(ps))
+			c.feed.Spread(c.deckNote(ps))
 		}
 		told = len(ps) > 0
 		return true
 	})
 }
 
-func (h *House) deckNote(ps []loadsum.Pile) *rpc.Note {
-	return &rpc.Note{Kind: rpc.Deck, From: h.member.Self(), Body: loadsum.Encode(ps)}
+func (c *Controller) deckNote(ps []loadsum.Pile) *rpc.Note {
+	return &rpc.Note{Kind: rpc.Deck, From: c.replica.Self(), Body: loadsum.Encode(ps)}
 }
 
 func services(v *state.View) *loadsum.Services {
@@ -47,8 +47,8 @@
 }
 
 // spread passes the primary's word on to this relay's followers.
-func (h *House) spread(n *rpc.Note) {
+func (c *Controller) spread(n *rpc.Note) {
 	if n.Kind == rpc.Deck {
-		h.feed.Spread(n)
+		c.feed.Spread(n)
 	}
 }
--- a/internal/controller/figures.go
+++ b/internal/controller/figures.go
@@ -3,8 +3,8 @@
 import "shaletrestle/internal/metrics"
 
 // figures are what the state port tells under meter.Path.
-func (h *House) figures() []metrics.Figure {
-	ep, num := h.feed.At()
+func (c *Controller) figures() []metrics.Figure {
+	ep, num := c.feed.At()
 	is := func(so bool) float64 {
 		if so {
 			return 1
@@ -14,18 +14,18 @@
 	gauge := func(name, help string, x float64) metrics.Figure {
 		return metrics.Figure{Name: "controller_" + name, Help: help, Value: x}
 	}
-	v := h.news.View()
+	v := c.news.View()
 	return []metrics.Figure{
-		{Name: "controller_list_calls_total", Help: "Readings of the platform's list.", Count: true, Value: float64(h.polls.Load())},
-		{Name: "controller_list_failures_total", Help: "Readings that failed.", Count: true, Value: float64(h.fails.Load())},
-		gauge("primary", "1 if this member is primary and tells the news.", is(h.live.Load())),
-		gauge("list_duty", "1 if this member holds the duty of reading the list.", is(h.duty.Held())),
-		gauge("members", "Control members known.", float64(len(h.member.Members()))),
+		{Name: "controller_list_calls_total", Help: "Readings of the platform's list.", Count: true, Value: float64(c.polls.Load())},
+		{Name: "controller_list_failures_total", Help: "Readings that failed.", Count: true, Value: float64(c.fails.Load())},
+		gauge("primary", "1 if this member is primary and tells the news.", is(c.Acting())),
+		gauge("list_duty", "1 if this member holds the duty of reading the list.", is(c.duty.Held())),
+		gauge("members", "Control members known.", float64(len(c.replica.Members()))),
 		gauge("news_epoch", "Life of the news.", float64(ep)),
 		gauge("news_number", "Newest change of this life.", float64(num)),
-		gauge("news_acked_number", "Newest change that every follower has taken.", float64(h.feed.Acked())),
-		gauge("setup_revision", "Revision of the configuration held.", float64(h.state.View().Doc.Epoch)),
-		gauge("evacuated_zones", "Zones that take nothing more.", float64(len(h.state.View().Evac))),
+		gauge("news_acked_number", "Newest change that every follower has taken.", float64(c.feed.Acked())),
+		gauge("setup_revision", "Revision of the configuration held.", float64(c.state.View().Doc.Epoch)),
+		gauge("evacuated_zones", "Zones that take nothing more.", float64(len(c.state.View().Evac))),
 		gauge("replicas", "Replicas on the list.", float64(len(v.Replicas))),
 		gauge("fleet_nodes", "Routers that share the budgets.", float64(v.Fleet)),
 	}
--- /dev/null
+++ b/internal/controller/fleet.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"slices"
+	"sort"
+
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/state"
+)
+
+// count tells the fleet its size and where the control members are.
+func (c *Controller) count() {
+	if !c.Acting() {
+		return
+	}
+	now := clock.Now()
+	c.mu.Lock()
+	for _, s := range c.feed.Reached() {
+		c.fleet[s.Addr] = now
+	}
+	var nodes []string
+	for a, at := range c.fleet {
+		if now.Sub(at) > constants.FleetForget {
+			delete(c.fleet, a)
+			continue
+		}
+		nodes = append(nodes, a)
+	}
+	if len(nodes) >= c.most || now.Sub(c.mostAt) > constants.FleetForget {
+		c.most, c.mostAt = len(nodes), now
+	}
+	c.mu.Unlock()
+	sort.Strings(nodes)
+	v := c.news.View()
+	if !slices.Equal(nodes, v.Nodes) && len(nodes) > 0 {
+		c.publish(state.FleetEvent(v.Nodes, nodes))
+	}
+	var hs []state.House
+	for _, s := range c.replica.Members() {
+		hs = append(hs, state.House{Addr: s.Addr, Locality: s.Locality})
+	}
+	if !slices.Equal(hs, v.Houses) {
+		c.publish(&state.Event{Kind: state.Houses, Houses: hs})
+	}
+}
+
+// suspect hears from watchers that a router does not answer. The primary takes it out of the fleet size if it isn't reached any more, at most a part of the fleet at a time: one that still runs keeps using its old share.
+func (c *Controller) suspect(n *rpc.Note) {
+	if !c.Acting() {
+		c.follower.Send(n)
+		return
+	}
+	if n.OK {
+		return
+	}
+	for _, s := range c.feed.Reached() {
+		if s.Addr == n.Word {
+			return
+		}
+	}
+	c.mu.Lock()
+	_, known := c.fleet[n.Word]
+	if known && len(c.fleet)-1 >= c.most-c.most/constants.SuspectPart {
+		delete(c.fleet, n.Word)
+		c.scope.Log().Info("suspected node leaves the fleet size", "part", "failuredetector", "node", n.Word)
+	}
+	c.mu.Unlock()
+}
--- /dev/null
+++ b/internal/controller/lending.go
@@ -0,0 +1,32 @@
+package controller
+
+import (
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+)
+
+// lend gives further tries out of the common part of a service's budget. Only the holder of the list duty lends, of which there is one at a time; others ask it once.
+func (c *Controller) lend(n *rpc.Note) *rpc.Note {
+	if n.Call == 0 {
+		return nil
+	}
+	if !c.Acting() {
+		s, ok := c.replica.Primary()
+		if !ok || n.OK || s.ID == c.replica.Self().ID {
+			return n.Reply(false)
+		}
+		a, err := c.lines.Call(s.Addr, &rpc.Note{Kind: rpc.Lend, OK: true, Word: n.Word, Number: n.Number}, constants.LumpWait)
+		if err != nil {
+			return n.Reply(false)
+		}
+		return a
+	}
+	since, held := c.duty.Since()
+	if !held {
+		return n.Reply(false)
+	}
+	a := n.Reply(true)
+	a.Number = uint64(c.lender.Lend(n.Word, int64(min(n.Number, constants.LumpTries)), since, clock.Now()))
+	return a
+}
--- /dev/null
+++ b/internal/controller/list.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/state"
+)
+
+// read does the duty of reading the list: at once when the lease comes, then again and again.
+func (c *Controller) read() {
+	for !c.scope.Ended() {
+		pause := constants.LeaseAgain
+		if c.Acting() && (c.duty.Held() || c.duty.Renew()) {
+			c.poll(false)
+			pause = constants.ListEvery
+		}
+		if !clock.Rest(c.scope, pause) {
+			return
+		}
+	}
+}
+
+// poll reads the platform's list if the lease for it is held; the first time of a view it needs none.
+func (c *Controller) poll(first bool) {
+	source := c.source.Load()
+	may := func() bool { return source != nil && c.source.Load() == source && (first || c.duty.Held()) }
+	if !may() {
+		return
+	}
+	c.polls.Inc()
+	now, err := c.reader.Read(c.scope)
+	if err != nil {
+		if c.fails.Inc()%16 == 1 {
+			c.scope.Log().Warn("list not read", "part", "discovery", "err", err.Error())
+		}
+		return
+	}
+	c.polling.Lock()
+	defer c.polling.Unlock()
+	c.publishIf(may, func() *state.Event {
+		v := c.news.View()
+		return c.differ.Diff(v.Replicas, v.Listed, now)
+	})
+}
--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"time"
+
+	"shaletrestle/internal/adminapi"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/state"
+	"shaletrestle/internal/task"
+)
+
+// answerMargin is what is left of an order's time for the answer's way when followers are no longer waited for.
+const answerMargin = 100 * time.Millisecond
+
+// Primary names who answers orders.
+func (c *Controller) Primary() (address string, here bool) {
+	seat, known := c.replica.Primary()
+	if !known {
+		return "", false
+	}
+	return c.settings.ControlAddr(seat.Addr), seat.ID == c.replica.Self().ID
+}
+
+// Take makes one order. It returns once the order is in force for good and the connected followers have it, as
+// far as the order's time allows to wait for them.
+func (c *Controller) Take(scope *task.Scope, order *adminapi.Order) error {
+	event := eventOf(order)
+	decide := func() ([]byte, error) {
+		if order.Over(clock.Now()) {
+			return nil, errkind.New(errkind.Unready, "nobody waits for the answer any more")
+		}
+		return decideOn(c.state.View(), event)
+	}
+	if err := c.replica.Propose(order.Deadline, decide); err != nil {
+		return err
+	}
+	if anotherWon(c.state.View(), event) {
+		return errkind.New(errkind.Unready, "another order on this version is in force")
+	}
+	c.awaitFollowers(scope, order.Deadline)
+	return nil
+}
+
+func eventOf(order *adminapi.Order) *state.Event {
+	switch order.Kind {
+	case state.Put, state.Patch:
+		return state.OrderEvent(order.Kind, order.Base, order.Body)
+	}
+	return &state.Event{Kind: order.Kind, Locality: order.Zone}
+}
+
+// decideOn holds an order against the state as it is; a nil entry means that it is in force already.
+func decideOn(view *state.View, event *state.Event) ([]byte, error) {
+	if event.Kind == state.Evacuate || event.Kind == state.Return {
+		return decideEvacuation(view, event)
+	}
+	switch view.Verdict(event) {
+	case state.Taken:
+		return nil, nil
+	case state.Forgotten:
+		return nil, errkind.New(errkind.Unready, "whether an order on version %d was taken is no longer known", event.Base)
+	}
+	if event.Base != view.Doc.Epoch {
+		return nil, errkind.New(errkind.Stale, "version %d is current", view.Doc.Epoch)
+	}
+	if _, err := view.Next(event); err != nil {
+		return nil, err
+	}
+	return event.Encode(), nil
+}
+
+func decideEvacuation(view *state.View, event *state.Event) ([]byte, error) {
+	if view.Evac[event.Locality] == (event.Kind == state.Evacuate) {
+		return nil, nil
+	}
+	return event.Encode(), nil
+}
+
+// anotherWon guards the acknowledgement: the state that was folded must not hold another order in this one's place.
+func anotherWon(view *state.View, event *state.Event) bool {
+	if event.Kind != state.Put && event.Kind != state.Patch {
+		return false
+	}
+	return event.Base < view.Doc.Epoch && view.Verdict(event) == state.NotTaken
+}
+
+// awaitFollowers waits a little until the connected followers have what was pushed up to now.
+func (c *Controller) awaitFollowers(scope *task.Scope, deadline time.Time) {
+	source := c.source.Load()
+	if source == nil {
+		return
+	}
+	number, active := source.Number()
+	if !active || number == 0 {
+		return
+	}
+	left := clock.Until(deadline) - answerMargin
+	c.feed.Wait(scope, number, max(0, min(constants.AckWait, left)))
+}
+
+// Read gives the view of the moment of the call, once most witnesses have confirmed after it that this was the
+// primary then. What is folded in meanwhile isn't looked at: a member that is followed takes over state that
+// nobody has confirmed yet.
+func (c *Controller) Read(_ *task.Scope, deadline time.Time) (*state.View, error) {
+	view := c.state.View()
+	if err := c.replica.Confirm(deadline); err != nil {
+		return nil, err
+	}
+	return view, nil
+}
--- /dev/null
+++ b/internal/controller/outliers.go
@@ -0,0 +1,66 @@
+package controller
+
+import (
+	"encoding/json"
+
+	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/state"
+)
+
+// hear takes what followers tell of replicas: the primary judges, others pass it on with their own acknowledgement.
+func (c *Controller) hear(body []byte) {
+	var ws []outlier.Word
+	if len(body) == 0 || json.Unmarshal(body, &ws) != nil {
+		return
+	}
+	if c.Acting() {
+		rs := c.news.View().Replicas
+		c.jury.Hear(ws, func(id string) string {
+			if r := rs[id]; r != nil {
+				return r.Pool
+			}
+			return ""
+		}, clock.Now())
+		c.judge()
+		return
+	}
+	c.mu.Lock()
+	c.words = append(c.words, ws...)
+	c.words = c.words[max(0, len(c.words)-constants.WordsHeld):]
+	c.mu.Unlock()
+}
+
+func (c *Controller) carry() []byte {
+	c.mu.Lock()
+	ws := c.words
+	c.words = nil
+	c.mu.Unlock()
+	if len(ws) == 0 {
+		return nil
+	}
+	b, _ := json.Marshal(ws)
+	return b
+}
+
+// judge tells the fleet which replicas its experience makes suspect, when that changed or runs out, at most once a beat.
+func (c *Controller) judge() {
+	now := clock.Now()
+	c.mu.Lock()
+	due := now.Sub(c.judged) >= constants.NewsBeat
+	if due {
+		c.judged = now
+	}
+	c.mu.Unlock()
+	if !due || !c.Acting() {
+		return
+	}
+	size := map[string]int{}
+	for _, r := range c.news.View().Replicas {
+		size[r.Pool]++
+	}
+	if ids, news := c.jury.Verdict(size, now); news {
+		c.publish(&state.Event{Kind: state.Health, Suspects: ids})
+	}
+}
--- /dev/null
+++ b/internal/controller/page.go
@@ -0,0 +1,50 @@
+package controller
+
+import (
+	"net/http"
+
+	"shaletrestle/internal/calendar"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/metrics"
+)
+
+// maintenance lists the windows open now, or what is wrong with the calendar; nothing unless one is set.
+func (c *Controller) maintenance() any {
+	if c.settings.Calendar == "" {
+		return nil
+	}
+	ws, err := calendar.Read(c.settings.Calendar, c.settings.Zones)
+	if err != nil {
+		return map[string]string{"ignored": err.Error()}
+	}
+	return calendar.At(ws, clock.Wall())
+}
+
+// page is the state page: all of it, or at /fleet the view of the fleet that the checker reads.
+func (c *Controller) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == metrics.Path {
+		metrics.Serve(w, c.figures())
+		return
+	}
+	if r.URL.Path == "/fleet" {
+		v := *c.news.View()
+		if _, primary := c.replica.Active(); primary {
+			o := c.state.View()
+			v.Doc, v.Evac = o.Doc, o.Evac
+		}
+		v.Orders = nil
+		httpreply.Bytes(w, http.StatusOK, v.Encode())
+		return
+	}
+	ep, num := c.feed.At()
+	v := c.news.View()
+	httpreply.JSON(w, http.StatusOK, map[string]any{
+		"maintenance": c.maintenance(),
+		"program":     "controller", "version": constants.Version, "node": c.settings.NodeName, "tally": c.replica.State(),
+		"news":           map[string]any{"epoch": ep, "number": num, "acked": c.feed.Acked(), "source": c.follower.Source(), "live": c.Acting()},
+		"setup_revision": c.state.View().Doc.Epoch, "evacuated": c.state.View().Evac, "replicas": len(v.Replicas), "fleet": v.Fleet,
+		"list_duty": c.duty.Held(), "suspects": c.jury.Told(), "list_calls": c.polls.Load(), "list_failures": c.fails.Load(),
+	})
+}
--- /dev/null
+++ b/internal/controller/source.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"shaletrestle/internal/state"
+)
+
+// begin makes this process the source of the updates of an epoch: orders from its own state, the rest from what
+// it has heard as a relay.
+func (c *Controller) begin(epoch uint64) {
+	c.follower.Drop()
+	source := c.feed.Begin(epoch, c.firstView)
+	c.source.Store(source)
+	if source == nil {
+		c.scope.Log().Warn("a newer source is known", "epoch", epoch)
+		return
+	}
+	go c.poll(true) // once, without the lease: that one settles who reads again and again
+}
+
+// firstView is the state that a source begins with.
+func (c *Controller) firstView() []byte {
+	view := *c.state.View()
+	heard := c.news.View()
+	view.Orders = nil // followers decide on no orders
+	view.Replicas = heard.Replicas
+	view.Listed = heard.Listed
+	view.Fleet = heard.Fleet
+	view.Nodes = heard.Nodes
+	view.Houses = heard.Houses
+	return view.Encode()
+}
+
+// idle ends this process's being the source: it is no longer primary.
+func (c *Controller) idle() {
+	c.source.Store(nil)
+	c.feed.End()
+	c.jury.Clear()
+}
+
+// committed publishes what the replicated state has taken in.
+func (c *Controller) committed(_, _ *state.View, event *state.Event) {
+	if event == nil {
+		return
+	}
+	public := *event
+	public.Digest = nil
+	c.publish(&public)
+}
+
+// publish pushes an event to the followers if this process is the source.
+func (c *Controller) publish(event *state.Event) {
+	if source := c.source.Load(); source != nil {
+		source.Push(event.Encode())
+	}
+}
+
+// publishIf pushes the event that make gives, if there is one and the condition holds at the last moment before.
+func (c *Controller) publishIf(holds func() bool, make func() *state.Event) {
+	source := c.source.Load()
+	if source == nil || !holds() {
+		return
+	}
+	if event := make(); event != nil {
+		source.PushIf(holds, event.Encode())
+	}
+}
+
+// Acting tells whether this process is primary and the source of the updates.
+func (c *Controller) Acting() bool { return c.source.Load() != nil }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -74,7 +74,7 @@
 	relay bool // it has no disk
 	life  *life
 	sc    *task.Scope
-	house *controller.House
+	house *controller.Controller
 	gate  *router.Gate
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -23,8 +23,6 @@
 	Health   = "health"   // replicas that the fleet's experience makes suspect, for a while: no part of the view
 )
 
-const digestsKept = 64 // orders that an identical repeat is recognised among
-
 // Event is one entry of the journal.
 type Event struct {
 	Kind     string          `json:"k"`
@@ -38,6 +36,7 @@
 	Delta    bool            `json:"delta,omitempty"` // Nodes only came and Gone went, the others stayed
 	Houses   []House         `json:"houses,omitempty"`
 	Suspects []string        `json:"sus,omitempty"`
+	Digest   []byte          `json:"digest,omitempty"` // of a configuration order, for the memory of those taken
 }
 
 // FleetEvent is the event that brings a view from one sorted list of nodes to another: whole, or what came and went if that says it with less.
@@ -83,6 +82,21 @@
 	return append(out, e.Nodes[i:]...)
 }
 
+func (e *Event) changesConfig() bool { return e.Kind == Put || e.Kind == Patch }
+
+// orderDigest is the digest that the event carries; entries of older logs carry none.
+func (e *Event) orderDigest() string {
+	if len(e.Digest) == digestBytes {
+		return string(e.Digest)
+	}
+	return string(config.Digest(e.Kind, e.Base, e.Body))
+}
+
+// OrderEvent is the event of an operator's order on the configuration.
+func OrderEvent(kind string, base int64, body []byte) *Event {
+	return &Event{Kind: kind, Base: base, Body: body, Digest: config.Digest(kind, base, body)}
+}
+
 // Places tells whether an event changes which replicas may be sent to; nil stands for a checkpoint, which may.
 func (e *Event) Places() bool {
 	return e == nil || e.Kind == List || e.Kind == Evacuate || e.Kind == Return
@@ -131,7 +145,7 @@
 // View is the folded state. It is never changed after it was made.
 type View struct {
 	Doc      *config.Doc
-	Digests  []string
+	Orders   *Orders // nil where no orders are decided
 	Evac     map[string]bool
 	Replicas map[string]*Replica
 	Listed   bool
@@ -142,7 +156,7 @@
 
 type stored struct {
 	Doc      json.RawMessage `json:"doc,omitempty"`
-	Digests  []string        `json:"digests,omitempty"`
+	Orders   *Orders         `json:"orders,omitempty"`
 	Evac     []string        `json:"evac,omitempty"`
 	Replicas []*Replica      `json:"rep,omitempty"`
 	Listed   bool            `json:"listed,omitempty"`
@@ -160,6 +174,9 @@
 func (v *View) Next(e *Event) (*View, error) {
 	n := *v
 	var err error
+	if e.changesConfig() && e.Base != v.Doc.Epoch {
+		return nil, errkind.New(errkind.Stale, "version %d is current", v.Doc.Epoch)
+	}
 	switch e.Kind {
 	case Put:
 		n.Doc, err = v.Doc.Put(e.Body)
@@ -197,21 +214,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.Kind == Put || e.Kind == Patch {
-		d := append(append([]string{}, v.Digests...), config.Digest(e.Kind, e.Base, e.Body))
-		n.Digests = d[max(0, len(d)-digestsKept):]
+	if e.changesConfig() && v.Orders != nil {
+		n.Orders = v.Orders.with(e.Base, e.orderDigest())
 	}
 	return &n, nil
 }
 
-// Taken tells whether an identical order was taken before.
-func (v *View) Taken(digest string) bool {
-	for _, d := range v.Digests {
-		if d == digest {
-			return true
-		}
-	}
-	return false
+// Verdict tells whether a configuration order was taken before.
+func (v *View) Verdict(e *Event) Verdict {
+	return v.Orders.Verdict(e.Base, e.orderDigest(), v.Doc.Epoch)
 }
 
 // Encode gives an event's bytes.
@@ -226,6 +237,16 @@
 	mu      sync.Mutex
 	watch   []func(old, now *View, e *Event)
 	guarded bool
+	decides bool // it keeps the memory of taken orders
+}
+
+// NewOrderBook makes the book of a process that decides on orders: it remembers those that were taken.
+func NewOrderBook() *Book {
+	b := &Book{decides: true}
+	v := EmptyView()
+	v.Orders = &Orders{}
+	b.view.Store(v)
+	return b
 }
 
 // NewBook makes a book. A guarded one never goes back to an older configuration.
@@ -253,28 +274,31 @@
 	}
 }
 
-// Fold takes one event in; one that can't be folded changes nothing.
-func (b *Book) Fold(body []byte) {
+// Fold takes one event in; one that can't be folded changes nothing and gives the reason.
+func (b *Book) Fold(body []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := &Event{}
-	if json.Unmarshal(body, e) != nil {
-		return
+	if err := json.Unmarshal(body, e); err != nil {
+		return errkind.Wrap(errkind.BadInput, err, "event")
 	}
-	if n, err := b.view.Load().Next(e); err == nil {
-		b.set(n, e)
+	n, err := b.view.Load().Next(e)
+	if err != nil {
+		return err
 	}
+	b.set(n, e)
+	return nil
 }
 
-// Apply is Fold under the name that the control state has for it.
-func (b *Book) Apply(body []byte) { b.Fold(body) }
+// Apply is Fold as the control state calls it: all its copies fold the same entries, so that what one can't fold none can.
+func (b *Book) Apply(body []byte) { _ = b.Fold(body) }
 
 // Checkpoint gives the view's bytes.
 func (b *Book) Checkpoint() []byte { return b.view.Load().Encode() }
 
 // Encode gives a view's bytes.
 func (v *View) Encode() []byte {
-	s := stored{Digests: v.Digests, Listed: v.Listed, Fleet: v.Fleet, Nodes: v.Nodes, Houses: v.Houses}
+	s := stored{Orders: v.Orders, Listed: v.Listed, Fleet: v.Fleet, Nodes: v.Nodes, Houses: v.Houses}
 	if v.Doc.Epoch > 0 {
 		s.Doc = v.Doc.JSON()
 	}
@@ -294,12 +318,18 @@
 	if err != nil {
 		return err
 	}
+	switch {
+	case !b.decides:
+		n.Orders = nil
+	case n.Orders == nil: // a checkpoint from before there was this memory: all older orders are forgotten
+		n.Orders = &Orders{}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.view.Load()
 	if b.guarded {
 		if n.Doc.Epoch < old.Doc.Epoch {
-			n.Doc, n.Digests = old.Doc, old.Digests
+			n.Doc = old.Doc
 		}
 		if !n.Listed && old.Listed {
 			n.Replicas, n.Listed = old.Replicas, true
@@ -329,6 +359,6 @@
 	for _, r := range s.Replicas {
 		n.Replicas[r.ID] = r
 	}
-	n.Digests, n.Listed, n.Fleet, n.Nodes, n.Houses = s.Digests, s.Listed, s.Fleet, s.Nodes, s.Houses
+	n.Orders, n.Listed, n.Fleet, n.Nodes, n.Houses = s.Orders, s.Listed, s.Fleet, s.Nodes, s.Houses
 	return n, nil
 }
--- a/internal/state/book_test.go
+++ b/internal/state/book_test.go
@@ -14,7 +14,7 @@
 }
 
 func TestTheViewIsTheJournalFolded(t *testing.T) {
-	b := NewBook(false)
+	b := NewOrderBook()
 	seen := 0
 	b.Watch(func(_, _ *View, _ *Event) { seen++ })
 	for _, e := range []*Event{
@@ -23,22 +23,23 @@
 		{Kind: List, Replicas: []*Replica{{ID: "1"}, {ID: "2"}}}, {Kind: List, Gone: []string{"1"}},
 		{Kind: Fleet, Size: 2, Nodes: []string{"n", "m"}}, {Kind: Houses, Houses: []House{{"a", "z"}}},
 	} {
-		b.Fold(e.Encode())
+		require.NoError(t, b.Fold(e.Encode()))
 	}
 	require.Equal(t, 9, seen)
-	b.Fold([]byte("nonsense"))
-	b.Fold((&Event{Kind: "unknown"}).Encode())
-	b.Fold((&Event{Kind: Put, Body: doc("2")}).Encode())
+	require.Error(t, b.Fold([]byte("nonsense")))
+	require.Error(t, b.Fold((&Event{Kind: "unknown"}).Encode()))
+	require.Error(t, b.Fold((&Event{Kind: Put, Base: 4, Body: doc("2")}).Encode()))
+	require.Error(t, b.Fold((&Event{Kind: Put, Body: doc("5")}).Encode()), "another version was built on")
 	require.Equal(t, 9, seen, "what can't be folded changes nothing")
 	v := b.View()
 	require.Equal(t, int64(4), v.Doc.Epoch)
 	require.Equal(t, map[string]bool{"y": true}, v.Evac)
 	require.Len(t, v.Replicas, 1)
 	require.True(t, v.Listed)
-	c := NewBook(false)
+	c := NewOrderBook()
 	require.NoError(t, c.Restore(b.Checkpoint()))
 	require.Equal(t, string(b.Checkpoint()), string(c.Checkpoint()))
-	require.Equal(t, v.Digests, c.View().Digests)
+	require.Equal(t, v.Orders, c.View().Orders)
 	require.Error(t, c.Restore([]byte("nonsense")))
 }
 
