Calls between processes: none is sent after its time, an answer needs the question's kind

Cause: a process that stood still sent calls from its outbox long after their callers had given up; an answer was matched by number alone; a channel counted as silent while a long frame was on its way. Change: the writer drops calls whose time is over; an answer of another kind ends the channel; each part of a frame counts as heard.

--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -18,22 +18,35 @@
 // Handler takes a note that came in; a non-nil result is sent back.
 type Handler func(*Channel, *Note) *Note
 
-// Channel is one held connection between own processes. A task owns each direction of its socket.
+// Channel is one held connection between own processes. A task owns each direction of its socket. Calls are
+// numbered within the channel's life, so that an answer finds the call that it belongs to, or nobody.
 type Channel struct {
 	sc    *task.Scope
 	c     net.Conn
-	out   chan []byte
+	out   chan outgoing
 	mu    sync.Mutex
-	wait  map[uint64]chan *Note
+	wait  map[uint64]pending
 	next  uint64
 	heard atomic.Int64
 	bye   []func()
 	over  bool
 }
 
+// outgoing is an encoded note on its way to the socket.
+type outgoing struct {
+	encoded []byte
+	until   clock.Moment // a call that nobody waits for any more is not sent; zero: no bound
+}
+
+// pending is a call that waits for its answer.
+type pending struct {
+	kind   Kind
+	answer chan *Note
+}
+
 // Open starts the tasks of a channel over a connection. Calls are handled each in a task of its own, other notes in order.
 func Open(sc *task.Scope, c net.Conn, h Handler) *Channel {
-	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan []byte, constants.OutboxLen), wait: map[uint64]chan *Note{}}
+	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan outgoing, constants.OutboxLen), wait: map[uint64]pending{}}
 	ch.heard.Store(clock.Now().UnixNano())
 	go ch.write()
 	go ch.read(h)
@@ -43,15 +56,10 @@
 func (ch *Channel) write() {
 	defer ch.Close()
 	w := bufio.NewWriter(ch.c)
-	var l [4]byte
 	for {
 		select {
-		case b := <-ch.out:
-			binary.LittleEndian.PutUint32(l[:], uint32(len(b)))
-			if _, err := w.Write(l[:]); err != nil {
-				return
-			}
-			if _, err := w.Write(b); err != nil {
+		case o := <-ch.out:
+			if writeFrame(w, o) != nil {
 				return
 			}
 			if len(ch.out) == 0 && w.Flush() != nil {
@@ -63,6 +71,20 @@
 	}
 }
 
+// writeFrame writes one note. A process that stood still looks at the time before it sends what was asked for then.
+func writeFrame(w *bufio.Writer, o outgoing) error {
+	if !o.until.IsZero() && !clock.Now().Before(o.until) {
+		return nil
+	}
+	var size [4]byte
+	binary.LittleEndian.PutUint32(size[:], uint32(len(o.encoded)))
+	if _, err := w.Write(size[:]); err != nil {
+		return err
+	}
+	_, err := w.Write(o.encoded)
+	return err
+}
+
 // ReadFrame reads one frame; anything over the limit is refused.
 func ReadFrame(r io.Reader) ([]byte, error) {
 	var l [4]byte
@@ -85,9 +107,20 @@
 	return b, nil
 }
 
+// heardReader notes that something came, also if it is only a part of a frame.
+type heardReader struct{ ch *Channel }
+
+func (r heardReader) Read(b []byte) (int, error) {
+	n, err := r.ch.c.Read(b)
+	if n > 0 {
+		r.ch.heard.Store(clock.Now().UnixNano())
+	}
+	return n, err
+}
+
 func (ch *Channel) read(h Handler) {
 	defer ch.Close()
-	r := bufio.NewReader(ch.c)
+	r := bufio.NewReader(heardReader{ch})
 	for {
 		b, err := ReadFrame(r)
 		if err != nil {
@@ -97,36 +130,54 @@
 		if err != nil {
 			return
 		}
-		ch.heard.Store(clock.Now().UnixNano())
 		switch {
 		case n.Answer:
-			ch.mu.Lock()
-			w := ch.wait[n.Call]
-			delete(ch.wait, n.Call)
-			ch.mu.Unlock()
-			if w != nil {
-				w <- n
+			if !ch.answered(n) {
+				return
 			}
 		case n.Call != 0:
-			go func() {
-				if a := h(ch, n); a != nil {
-					a.Call, a.Answer, a.Kind = n.Call, true, n.Kind
-					ch.Send(a)
-				}
-			}()
+			go ch.serve(h, n)
 		default:
 			h(ch, n)
 		}
 	}
 }
 
+// answered gives an answer to the call that waits for it; one that came after the call's time is dropped. False
+// means that it is no answer to that call: the other side can't be trusted.
+func (ch *Channel) answered(n *Note) bool {
+	ch.mu.Lock()
+	call, waits := ch.wait[n.Call]
+	delete(ch.wait, n.Call)
+	ch.mu.Unlock()
+	if !waits {
+		return true
+	}
+	if call.kind != n.Kind {
+		return false
+	}
+	call.answer <- n
+	return true
+}
+
+func (ch *Channel) serve(h Handler, n *Note) {
+	a := h(ch, n)
+	if a == nil {
+		return
+	}
+	a.Call, a.Answer, a.Kind = n.Call, true, n.Kind
+	ch.Send(a)
+}
+
 // Send queues a note; a channel that lags too far is closed.
 func (ch *Channel) Send(n *Note) bool { return ch.SendRaw(n.Encode()) }
 
 // SendRaw queues an encoded note.
-func (ch *Channel) SendRaw(b []byte) bool {
+func (ch *Channel) SendRaw(b []byte) bool { return ch.queue(outgoing{encoded: b}) }
+
+func (ch *Channel) queue(o outgoing) bool {
 	select {
-	case ch.out <- b:
+	case ch.out <- o:
 		return !ch.sc.Ended()
 	default:
 		go ch.Close() // its end may need locks that the sender holds
@@ -136,31 +187,41 @@
 
 // Call sends a note and waits for its answer.
 func (ch *Channel) Call(n *Note, d clock.Span) (*Note, error) {
-	w := make(chan *Note, 1)
-	ch.mu.Lock()
-	ch.next++
+	until := clock.Now().Add(d)
+	call := pending{n.Kind, make(chan *Note, 1)}
+	number := ch.register(call)
+	defer ch.unregister(number)
 	m := *n
-	m.Call = ch.next
-	ch.wait[m.Call] = w
-	ch.mu.Unlock()
-	defer func() {
-		ch.mu.Lock()
-		delete(ch.wait, m.Call)
-		ch.mu.Unlock()
-	}()
-	if !ch.Send(&m) {
+	m.Call = number
+	if !ch.queue(outgoing{m.Encode(), until}) {
 		return nil, errkind.New(errkind.Unready, "channel closed")
 	}
+	timer := clock.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case a := <-w:
+	case a := <-call.answer:
 		return a, nil
 	case <-ch.sc.Done():
 		return nil, errkind.New(errkind.Unready, "channel closed")
-	case <-clock.After(d):
+	case <-timer.C:
 		return nil, errkind.New(errkind.Unready, "no answer from %s", ch.c.RemoteAddr())
 	}
 }
 
+func (ch *Channel) register(call pending) (number uint64) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.next++
+	ch.wait[ch.next] = call
+	return ch.next
+}
+
+func (ch *Channel) unregister(number uint64) {
+	ch.mu.Lock()
+	delete(ch.wait, number)
+	ch.mu.Unlock()
+}
+
 // Quiet is how long nothing was heard.
 func (ch *Channel) Quiet() clock.Span { return clock.Span(clock.Now().UnixNano() - ch.heard.Load()) }
 
