Lease: no two hold it when requests are late, reordered or given back meanwhile

Change: requests are numbered within a holder's life, a grantor takes a give-back only of what was granted before it; a renewal counts only if nothing was given back meanwhile; a new primary waits one span, since its witnesses may be others; what was lent is checked against the lease once more before it is said.

--- a/coord/lease/rota.go
+++ b/coord/lease/rota.go
@@ -2,6 +2,7 @@
 package lease
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"shaletrestle/coord/rpc"
@@ -12,6 +13,8 @@
 
 type grant struct {
 	holder uint64
+	life   uint64 // of the holder's process
+	number uint64 // of the request in that life
 	until  clock.Moment
 }
 
@@ -27,24 +30,30 @@
 
 // Handle answers a lease request.
 func (g *Grantor) Handle(n *rpc.Note) *rpc.Note {
-	a := n.Reply(false)
 	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.born) < constants.LeaseSpan {
-		return a
+		return n.Reply(false)
 	}
-	x, ok := g.given[n.Word]
-	if ok && x.holder != n.From.ID && now.Before(x.until) {
-		return a
+	held, known := g.given[n.Word]
+	mine := known && held.holder == n.From.ID
+	if known && !mine && now.Before(held.until) {
+		return n.Reply(false)
 	}
-	if n.Span == 0 { // given back
-		delete(g.given, n.Word)
-	} else {
-		g.given[n.Word] = grant{n.From.ID, now.Add(min(clock.Span(n.Span), constants.LeaseSpan))}
+	if n.Span == 0 {
+		if mine && held.life == n.Ballot && held.number < n.Number {
+			delete(g.given, n.Word)
+		}
+		return n.Reply(true)
+	}
+	g.given[n.Word] = grant{
+		holder: n.From.ID,
+		life:   n.Ballot,
+		number: n.Number,
+		until:  now.Add(min(clock.Span(n.Span), constants.LeaseSpan)),
 	}
-	a.OK = true
-	return a
+	return n.Reply(true)
 }
 
 // Asker asks one grantor.
@@ -61,14 +70,27 @@
 	from  func() []rpc.Seat
 	want  func() bool
 	local *Grantor
-	mu    sync.Mutex
-	until clock.Moment
-	since clock.Moment
+	life  uint64 // of this holder: its requests are numbered within it
+
+	mu        sync.Mutex
+	until     clock.Moment
+	since     clock.Moment
+	requests  uint64 // sent
+	givenBack uint64 // times; a renewal that was under way then counts no more
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
 func NewHolder(sc *task.Scope, duty string, self rpc.Seat, ask Asker, from func() []rpc.Seat, want func() bool, local *Grantor) *Holder {
-	return &Holder{sc: sc.Part("lease"), duty: duty, self: self, ask: ask, from: from, want: want, local: local}
+	return &Holder{
+		sc:    sc.Part("lease"),
+		duty:  duty,
+		self:  self,
+		ask:   ask,
+		from:  from,
+		want:  want,
+		local: local,
+		life:  rand.Uint64(),
+	}
 }
 
 // Held tells whether the duty may be done now. Ask again after every wait: the process may have stood still.
@@ -95,6 +117,7 @@
 	h.mu.Lock()
 	had := !h.until.IsZero()
 	h.until = clock.Moment{}
+	h.givenBack++
 	h.mu.Unlock()
 	if had {
 		h.round(0)
@@ -107,24 +130,38 @@
 		h.giveBack()
 		return false
 	}
+	h.mu.Lock()
+	givenBack := h.givenBack
+	h.mu.Unlock()
 	start := clock.Now()
 	if !h.round(uint64(constants.LeaseSpan)) {
 		return false
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.givenBack != givenBack {
+		return false
+	}
 	if !start.Before(h.until) {
 		h.since = clock.Now()
 	}
-	h.until = start.Add(constants.LeaseSpan - constants.LeaseMargin)
-	h.mu.Unlock()
+	end := start.Add(constants.LeaseSpan - constants.LeaseMargin)
+	if end.After(h.until) {
+		h.until = end
+	}
 	return true
 }
 
+// round asks all grantors and tells whether most of them agreed.
 func (h *Holder) round(span uint64) bool {
+	h.mu.Lock()
+	h.requests++
+	number := h.requests
+	h.mu.Unlock()
 	seats := h.from()
 	ch := make(chan bool, len(seats))
 	for _, s := range seats {
-		n := &rpc.Note{Kind: rpc.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span}
+		n := &rpc.Note{Kind: rpc.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span, Ballot: h.life, Number: number}
 		go func() {
 			if s.ID == h.self.ID {
 				ch <- h.local.Handle(n).OK
--- a/coord/lease/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +21,7 @@
 
 // fleet is grantors in one process, some of them out of reach.
 type fleet struct {
+	mu   sync.Mutex
 	g    []*Grantor
 	down map[int]bool
 	lag  time.Duration
@@ -134,3 +138,105 @@
 	}
 	// Output: the duty is ours
 }
+
+// delayed is grantors behind a network that delays, reorders and loses requests and answers.
+type delayed struct {
+	f  *fleet
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+func (d *delayed) Call(addr string, n *rpc.Note, _ clock.Span) (*rpc.Note, error) {
+	d.mu.Lock()
+	there, back := time.Duration(d.r.IntN(5)), time.Duration(d.r.IntN(5))
+	if d.r.IntN(4) == 0 {
+		there = time.Duration(d.r.IntN(900))
+	}
+	lost := d.r.IntN(8) == 0
+	d.mu.Unlock()
+	answer := make(chan *rpc.Note, 1)
+	go func() {
+		time.Sleep(there * time.Millisecond)
+		var i int
+		_, _ = fmt.Sscan(addr, &i)
+		d.f.mu.Lock()
+		g := d.f.g[i]
+		d.f.mu.Unlock()
+		a := g.Handle(n)
+		time.Sleep(back * time.Millisecond)
+		if !lost {
+			answer <- a
+		}
+	}()
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-time.After(constants.CallWait):
+		return nil, errkind.New(errkind.Unready, "no answer")
+	}
+}
+
+func TestNoTwoHoldWhateverIsLateLostRestartedOrGivenBack(t *testing.T) {
+	held := 0
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 11))
+			f := newFleet()
+			d := &delayed{f: f, r: rand.New(rand.NewPCG(seed, 12))}
+			sc := task.New(slog.New(slog.DiscardHandler))
+			defer func() { sc.Stop(); time.Sleep(10 * time.Second) }()
+			const holders = 3
+			wants := make([]atomic.Bool, holders)
+			hs := make([]*Holder, holders)
+			for i := range hs {
+				hs[i] = NewHolder(sc, "list", rpc.Seat{ID: uint64(i + 1)}, d, f.seats, wants[i].Load, nil)
+				go hs[i].Run()
+			}
+			next := time.Now()
+			for range 6000 {
+				if !time.Now().Before(next) {
+					switch i := r.IntN(holders); r.IntN(4) {
+					case 0, 1: // what is wanted changes hands, at times for a moment only
+						wants[i].Store(!wants[i].Load())
+						go hs[i].Renew()
+					case 2:
+						go hs[i].Renew()
+					case 3: // a grantor forgets what it gave
+						if r.IntN(4) == 0 {
+							f.mu.Lock()
+							f.g[r.IntN(len(f.g))] = NewGrantor()
+							f.mu.Unlock()
+						}
+					}
+					next = time.Now().Add(time.Duration(r.IntN(400)) * time.Millisecond)
+				}
+				var now []int
+				for i, h := range hs {
+					if h.Held() {
+						now = append(now, i)
+					}
+				}
+				held += len(now)
+				require.LessOrEqual(t, len(now), 1, "seed %d: %v hold it at once", seed, now)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	require.Greater(t, held, 10000, "it is held at all")
+}
+
+func TestALateGiveBackTakesNothingThatWasGrantedSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(constants.LeaseSpan)
+		a, b := f.holder(1), f.holder(2)
+		late := &rpc.Note{Kind: rpc.Lease, From: rpc.Seat{ID: 1}, Word: "list", Ballot: a.life, Number: 1}
+		require.True(t, a.Renew())
+		require.True(t, a.Renew())
+		for _, g := range f.g {
+			g.Handle(late)
+		}
+		require.False(t, b.Renew())
+		require.True(t, a.Held())
+	})
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,6 +46,8 @@
 	source   atomic.Pointer[distribution.Source] // nil while this process is not primary
 	leaving  atomic.Bool
 
+	officeFrom atomic.Int64 // when this process became primary after it was not
+
 	grantor *lease.Grantor
 	duty    *lease.Holder // of reading the platform's list
 	reader  *discovery.Reader
@@ -184,8 +186,6 @@
 	c.replica.Leave()
 }
 
-func (c *Controller) wantsDuty() bool { return c.Acting() && !c.leaving.Load() }
-
 // handle takes the messages of other processes.
 func (c *Controller) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
 	if a, ok := c.replica.Handle(n); ok {
--- a/internal/controller/lending.go
+++ b/internal/controller/lending.go
@@ -26,7 +26,11 @@
 	if !held {
 		return n.Reply(false)
 	}
+	lent := c.lender.Lend(n.Word, int64(min(n.Number, constants.LumpTries)), since, clock.Now())
+	if !c.duty.Held() { // this process may have stood still in between
+		return n.Reply(false)
+	}
 	a := n.Reply(true)
-	a.Number = uint64(c.lender.Lend(n.Word, int64(min(n.Number, constants.LumpTries)), since, clock.Now()))
+	a.Number = uint64(lent)
 	return a
 }
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
 	"shaletrestle/internal/state"
 )
 
@@ -9,7 +11,9 @@
 func (c *Controller) begin(epoch uint64) {
 	c.follower.Drop()
 	source := c.feed.Begin(epoch, c.firstView)
-	c.source.Store(source)
+	if c.source.Swap(source) == nil {
+		c.officeFrom.Store(clock.Now().UnixNano())
+	}
 	if source == nil {
 		c.scope.Log().Warn("a newer source is known", "epoch", epoch)
 		return
@@ -65,5 +69,12 @@
 	}
 }
 
+// wantsDuty tells whether this process should hold the duty. One that has just become primary waits for a lease's
+// span: its witnesses may be others than those that granted the lease of the primary before it.
+func (c *Controller) wantsDuty() bool {
+	inOffice := clock.Span(clock.Now().UnixNano() - c.officeFrom.Load())
+	return c.Acting() && !c.leaving.Load() && inOffice >= constants.LeaseSpan
+}
+
 // Acting tells whether this process is primary and the source of the updates.
 func (c *Controller) Acting() bool { return c.source.Load() != nil }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -666,6 +666,7 @@
 // Order makes one call of the operator on one node, following 307; status 0 is no clear answer.
 func (w *World) Order(node, method, path, ifMatch, body string) (int, string) {
 	at := "http://" + w.procs[node].ip + ":82" + path
+	sentTo := map[string]bool{}
 	for range 3 {
 		q, _ := http.NewRequest(method, at, strings.NewReader(body))
 		if ifMatch != "" {
@@ -684,6 +685,10 @@
 		}
 		if a.StatusCode == http.StatusTemporaryRedirect {
 			at = a.Header.Get("Location")
+			if at == "" || sentTo[at] {
+				w.Broke("REDIRECT", "a call at %s was sent to %q again", node, at)
+			}
+			sentTo[at] = true
 			continue
 		}
 		return a.StatusCode, string(b)
