--- a/coord/replication/query.go
+++ b/coord/replication/query.go
@@ -40,6 +40,15 @@
 	return rpc.Seat{}, false
 }
 
+// SinceHeard is the time since the primary was heard, as this member knows it; nothing on the primary itself.
+func (m *Member) SinceHeard() time.Duration {
+	s := m.status.Load()
+	if s.active {
+		return 0
+	}
+	return m.now() - s.heardAt
+}
+
 // Members are all members known, this one too.
 func (m *Member) Members() []rpc.Seat {
 	m.mu.Lock()
--- a/internal/emulator/plant.go
+++ b/internal/emulator/plant.go
@@ -155,15 +155,15 @@
 		"target_latency_ms": 800, "priority": i % 3, "backend_pool": modelName(i % s.Models), "max_attempts": 2, "session_affinity": true, "stream_resume": true, "target_gap_ms": 400}
 }
 
-// tally is what a controller's state page says.
-type tallyPage struct {
-	Tally struct {
+// statePage is what a controller's state page says.
+type statePage struct {
+	Replication struct {
 		Active bool `json:"active"`
 		View   *struct {
 			Backups   []struct{ Address string }
 			Witnesses []struct{ Address string }
 		} `json:"view"`
-	} `json:"tally"`
+	} `json:"replication"`
 	News struct {
 		Number uint64 `json:"number"`
 		Acked  uint64 `json:"acked"`
@@ -172,7 +172,7 @@
 	Duty  bool `json:"list_duty"`
 }
 
-func (p *plant) page(h *daemon) (*tallyPage, error) {
+func (p *plant) page(h *daemon) (*statePage, error) {
 	a, err := probes.Get("http://" + p.ground.at(h.ip, constants.PortTallyPage))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Unready, err, "page")
@@ -182,22 +182,22 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Unready, err, "page")
 	}
-	t := &tallyPage{}
+	t := &statePage{}
 	return t, errkind.Wrap(errkind.Unready, json.Unmarshal(b, t), "page")
 }
 
 // roles tells which controller is what: primary, backup, witness (in neither place) or relay (the others).
-func (p *plant) roles() (map[string]int, *tallyPage, error) {
+func (p *plant) roles() (map[string]int, *statePage, error) {
 	for i, h := range p.houses {
 		t, err := p.page(h)
-		if err != nil || !t.Tally.Active || t.Tally.View == nil {
+		if err != nil || !t.Replication.Active || t.Replication.View == nil {
 			continue
 		}
 		out := map[string]int{"primary": i}
 		for n, o := range p.houses {
 			at := p.ground.at(o.ip, constants.PortTally)
 			role := "relay"
-			for _, w := range t.Tally.View.Witnesses {
+			for _, w := range t.Replication.View.Witnesses {
 				if w.Address == at {
 					role = "witness"
 				}
@@ -205,7 +205,7 @@
 			if n == i {
 				continue
 			}
-			for _, b := range t.Tally.View.Backups {
+			for _, b := range t.Replication.View.Backups {
 				if b.Address == at {
 					role = "backup"
 				}
