At-most-once is decided by one typed state per attempt; a send checks its time before its first byte

Cause: whether a call may have run was kept in loose flags of the request; a router that was frozen after its last check sent a request 17 s after the client's deadline.

Change: coord/attempt holds the state of one sending (not sent, partly sent, sent, not executed, answered) and the sum over a try; connections, retries and handed-over jobs use it. internal/upstream looks at the clock right before the first byte and refuses what is late or whose checks are older than SendStale. A connection is not used again for the same Attempt-Id, nor before its request was written whole; a pool closes only connections it has taken out; a close can't overtake a told end. A request whose client is gone ends with a closed connection, not with a handler's empty 200.

--- a/coord/handoff/message.go
+++ b/coord/handoff/message.go
@@ -89,6 +89,7 @@
 	Job     uint64
 	Ticket  Ticket
 	Outcome Outcome
+	Since   clock.Span // Begin: when the offer came; the owner's time has run since then
 }
 
 // Bounds are the spans and counts that owner and taker keep to.
--- a/coord/handoff/taker.go
+++ b/coord/handoff/taker.go
@@ -24,6 +24,7 @@
 	peer   string
 	ticket uint64
 	status status
+	came   clock.Span // the offer came
 	until  clock.Span // accepted: the go-ahead must come before
 	heard  clock.Span // running: the owner's last word
 	parts  uint64
@@ -115,7 +116,7 @@
 			return []Effect{{Do: Send, Message: Message{Kind: Decline, Peer: m.Peer, Owner: m.Owner, Job: m.Job, Turn: m.Turn}}}
 		}
 		t.next++
-		e = &entry{place: at, peer: m.Peer, ticket: t.next, until: now + t.b.Accept, offer: m}
+		e = &entry{place: at, peer: m.Peer, ticket: t.next, came: now, until: now + t.b.Accept, offer: m}
 		t.entries = append(t.entries, e)
 	} else if e.status == over {
 		return nil
@@ -131,7 +132,7 @@
 		}
 		m := e.offer
 		e.status, e.heard, e.offer = running, now, Message{}
-		return []Effect{{Do: Begin, Ticket: Ticket{t.life, e.ticket}, Message: m}, {Do: Send, Message: t.message(e, Begun)}}
+		return []Effect{{Do: Begin, Ticket: Ticket{t.life, e.ticket}, Message: m, Since: e.came}, {Do: Send, Message: t.message(e, Begun)}}
 	case running:
 		e.heard = now
 		return []Effect{{Do: Send, Message: t.message(e, Begun)}}
--- a/internal/constants/plate.go
+++ b/internal/constants/plate.go
@@ -124,6 +124,7 @@
 	BudgetReserve = 15 * time.Millisecond   // taken off Time-Budget-Ms for the way back
 	LingerReady   = 2500 * time.Millisecond // after SIGTERM: the platform asks each second and notices at two misses
 	WatchFile     = 2 * time.Second         // the settings file is looked at this often
+	SendStale     = 250 * time.Millisecond  // a request whose first byte has not left this long after its checks is checked anew
 	DefaultBudget = 30 * time.Second        // a request that names no budget
 )
 
--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,354 @@
+package router
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"shaletrestle/coord/attempt"
+	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/upstream"
+)
+
+// send sends the request to replicas until one has answered or nothing more may be tried.
+func (q *request) send() {
+	if q.isLong() && q.haul() {
+		return
+	}
+	for {
+		left := clock.Until(q.deadline)
+		if left <= constants.BudgetReserve {
+			q.giveUp(errkind.Late, "time ran out")
+			return
+		}
+		if !q.try.MayRepeat(q.path.Repeatable(), q.path.Shots) {
+			q.giveUp(errkind.Broken, "replicas failed")
+			return
+		}
+		choice, ok := q.g.yard.Place(q.ask)
+		if !ok {
+			if !q.awaitPlace() {
+				return
+			}
+			continue
+		}
+		if q.try.Sent() == 0 && !letIn(choice, left) {
+			q.g.yard.Done(q.placed(choice))
+			q.refuse(errkind.Crowded)
+			return
+		}
+		if !q.attempt(choice) {
+			return
+		}
+	}
+}
+
+// placed is the end of a placement, for the books of package placement.
+func (q *request) placed(c placement.Choice) *placement.End {
+	return &placement.End{Replica: c.Replica.ID, Chain: q.ask.Chain, Matched: c.Matched, OutMost: q.ask.OutMost}
+}
+
+// awaitPlace waits a little while no replica can be used; false if the request was answered.
+func (q *request) awaitPlace() bool {
+	if !q.try.MayHaveRun() && clock.Until(q.refuseAt()) <= 0 {
+		q.refuse(errkind.Crowded)
+		return false
+	}
+	clear(q.ask.Not)
+	select {
+	case <-clock.After(constants.PlaceAgain):
+		return true
+	case <-q.r.Context().Done():
+		q.abandon()
+		return false
+	}
+}
+
+// letIn tells whether a request is worth sending: not if the line before it alone is predicted to
+// outlast what is left of its time. The length of its own prompt never counts against it.
+func letIn(c placement.Choice, left clock.Span) bool { return c.Expect-c.Alone < left }
+
+// refuseAt is when a request that could be sent nowhere is refused.
+func (q *request) refuseAt() clock.Moment {
+	return q.arrived.Add(clock.Span(float64(q.path.Aim) * constants.RefusePart))
+}
+
+// attempt sends to one replica; true means that another may be tried.
+func (q *request) attempt(c placement.Choice) bool {
+	end := q.placed(c)
+	defer q.g.yard.Done(end)
+	connection, again := q.connect(c)
+	if connection == nil {
+		return again
+	}
+	at := clock.Now()
+	if clock.Until(q.deadline) <= constants.BudgetReserve {
+		connection.Back()
+		return true
+	}
+	q.try.Begin()
+	answer, state, err := connection.Send(q.upstreamRequest(c, at))
+	q.try.Move(state)
+	if err != nil {
+		return q.sendFailed(c.Replica.ID, connection, state, err)
+	}
+	defer answer.Drop()
+	if q.ask.Chain != nil {
+		q.g.index.Sent(c.Replica.ID, q.ask.Capacity, q.ask.Chain, q.path.Name)
+	}
+	l := listener{q: q, connection: connection, answer: answer, choice: c, end: end, at: at}
+	return l.listen()
+}
+
+// connect gets what an attempt needs: a connection, a retry's share of the budget, and at last, since
+// there may have been waits, that the client is still there and the replica may still be sent to.
+// Without a connection, again tells whether another replica may be tried.
+func (q *request) connect(c placement.Choice) (connection *upstream.Connection, again bool) {
+	id := c.Replica.ID
+	left := clock.Until(q.deadline)
+	wait := min(left, max(constants.PlaceAgain, clock.Until(q.refuseAt())))
+	connection, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, wait, !q.path.Repeatable(), q.r.Context().Done())
+	if q.r.Context().Err() != nil {
+		if connection != nil {
+			connection.Back()
+		}
+		q.abandon()
+		return nil, false
+	}
+	if err != nil {
+		q.ask.Not[id] = true
+		if errkind.KindOf(err) == errkind.Broken {
+			q.blame(id, outlier.Refused)
+		} else {
+			q.g.long.short()
+		}
+		return nil, true
+	}
+	if q.try.Sent() > 0 {
+		if !q.g.further(q.pool.Name, left) {
+			connection.Back()
+			q.giveUp(errkind.Broken, "no further try is left")
+			return nil, false
+		}
+		if q.r.Context().Err() != nil {
+			connection.Back()
+			q.abandon()
+			return nil, false
+		}
+		q.g.count.further.Inc()
+	}
+	if !q.g.yard.May(id) {
+		connection.Back()
+		return nil, true
+	}
+	return connection, false
+}
+
+// upstreamRequest is the request as it goes to one replica. What it says of time, and what was looked at
+// before, is true for a little while only: it doesn't leave later than that.
+func (q *request) upstreamRequest(c placement.Choice, now clock.Moment) *upstream.Request {
+	left := q.deadline.Sub(now) - constants.BudgetReserve
+	head := q.head.Clone()
+	head.Set(upstream.HeadExpect, c.Replica.ID)
+	head.Set(upstream.HeadBudget, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if q.ask.Chain != nil {
+		head.Set(upstream.HeadUrgency, strconv.Itoa(q.urgency(c.Alone)))
+	}
+	if q.lastID >= 0 {
+		head.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
+	}
+	notAfter := now.Add(constants.SendStale)
+	if q.deadline.Before(notAfter) {
+		notAfter = q.deadline
+	}
+	return &upstream.Request{
+		Method:   q.r.Method,
+		Target:   q.r.RequestURI,
+		Host:     q.r.Host,
+		Header:   head,
+		Body:     q.body,
+		ID:       q.id,
+		Events:   q.path.Kind == routing.Stream,
+		NotAfter: notAfter,
+		Deadline: q.deadline,
+	}
+}
+
+// sendFailed deals with a request that was not sent whole; true means that another replica may be tried.
+func (q *request) sendFailed(id string, c *upstream.Connection, state attempt.State, err error) bool {
+	if !errors.Is(err, upstream.ErrTooLate) && !errors.Is(err, upstream.ErrSameAttempt) {
+		q.ended(id, c, outlier.Reset, true)
+	}
+	if !state.MayHaveRun() {
+		return true
+	}
+	return q.again("sending failed")
+}
+
+// urgency is the class that a replica is told: by the path's priority, behind all others if the prompt
+// alone takes longer than the aim.
+func (q *request) urgency(alone clock.Span) int {
+	if q.long {
+		return constants.UrgencyLong
+	}
+	if alone > q.path.Aim {
+		return constants.UrgencyLate
+	}
+	part := float64(alone) / float64(max(q.path.Aim, 1))
+	return min(constants.UrgencyLate-1, int(part*7))
+}
+
+// blame holds a failure against a replica; another one is tried next.
+func (q *request) blame(id string, k outlier.Kind) {
+	q.ask.Not[id] = true
+	q.g.blame(id, k)
+}
+
+// ended notes that a connection failed. One that had been idle and is reset before any answer was most
+// likely forgotten: that says little, and the same replica may be tried again on another; after silence
+// the other idle connections are in doubt too.
+func (q *request) ended(id string, c *upstream.Connection, k outlier.Kind, reset bool) {
+	if reset && c.Forgotten() {
+		q.g.blame(id, outlier.Stale)
+		return
+	}
+	q.blame(id, k)
+	if k == outlier.Silent {
+		c.Doubt()
+	}
+}
+
+// again tells whether another replica may be tried after one that did not answer as it should; if not,
+// the client is answered. A stream that was begun is taken up only where the next event can be told from
+// the last.
+func (q *request) again(why string) bool {
+	resumable := !q.began || q.lastID >= 0
+	if resumable && q.try.MayRepeat(q.path.Repeatable(), q.path.Shots) {
+		return true
+	}
+	q.giveUp(errkind.Broken, why)
+	return false
+}
+
+// patience is how long a replica may be silent before another one is tried; 0 if none may be.
+func (q *request) patience() clock.Span {
+	if !q.path.Repeatable() || q.try.Sent() >= q.path.Shots {
+		return 0
+	}
+	if q.began {
+		return clock.Span(float64(q.path.Gap) * constants.SilenceGaps)
+	}
+	return clock.Span(float64(q.path.Aim) * constants.SilenceAims)
+}
+
+// listener takes the parts of one attempt's answer.
+type listener struct {
+	q          *request
+	connection *upstream.Connection
+	answer     *upstream.Answer
+	choice     placement.Choice
+	end        *placement.End
+	at         clock.Moment // the attempt was sent
+	heard      clock.Moment // the newest part
+	head       upstream.Part
+	joined     bool // the events follow those that the client has
+}
+
+// listen takes an answer's parts; true means that another replica may be tried.
+func (l *listener) listen() bool {
+	q, id := l.q, l.choice.Replica.ID
+	l.joined = !q.began // the first event of a run that goes on must follow the last
+	l.heard = l.at
+	due, known := q.g.yard.Health().Due(id, l.choice.Expect, q.path.Aim)
+	for {
+		wait := clock.Until(q.deadline)
+		if p := q.patience(); p > 0 {
+			wait = min(wait, p-clock.Since(l.heard))
+		}
+		untilDue := due - clock.Since(l.at)
+		watch := known && !l.end.First && !l.end.Overdue && untilDue < wait
+		if watch {
+			wait = untilDue
+		}
+		late := clock.NewTimer(max(0, wait))
+		part, ok := l.answer.Next(late.C, q.r.Context().Done())
+		late.Stop()
+		if ok {
+			l.heard = clock.Now()
+			if again, done := l.take(&part); done {
+				return again
+			}
+			continue
+		}
+		if q.r.Context().Err() != nil {
+			q.abandon()
+			return false
+		}
+		if !watch {
+			return l.silent()
+		}
+		l.end.Overdue = true // it is waited for still
+		if !q.g.yard.Queued(id) {
+			q.g.blame(id, outlier.Slow)
+		}
+	}
+}
+
+// silent ends an attempt of which nothing was heard for too long.
+func (l *listener) silent() bool {
+	if clock.Until(l.q.deadline) <= 0 {
+		l.q.giveUp(errkind.Late, "time ran out")
+		return false
+	}
+	l.q.ended(l.choice.Replica.ID, l.connection, outlier.Silent, false)
+	return l.q.again("silence")
+}
+
+// take takes one part; done ends the attempt, and again tells whether another replica may be tried.
+func (l *listener) take(part *upstream.Part) (again, done bool) {
+	q, id := l.q, l.choice.Replica.ID
+	switch part.Kind {
+	case upstream.Head:
+		q.told(id, part.Head.Get(upstream.HeadLoad))
+		l.head = *part
+	case upstream.Event:
+		q.g.yard.Began(l.end, clock.Since(l.at), l.choice.Expect)
+		if !q.event(part, l.head.Head, &l.joined) {
+			q.blame(id, outlier.Cut)
+			return q.again("events out of order"), true
+		}
+	case upstream.Body:
+		l.head.Bytes = part.Bytes
+	case upstream.End:
+		q.try.Move(part.State)
+		if part.State == attempt.Answered && l.head.Status < http.StatusInternalServerError {
+			q.g.yard.Began(l.end, clock.Since(l.at), l.choice.Expect)
+		}
+		if part.State == attempt.NotExecuted {
+			return q.turnedAway(&l.head, id), true
+		}
+		return q.whole(&l.head, id), true
+	case upstream.Fail:
+		l.failed(part)
+		return q.again(part.Why), true
+	}
+	return false, false
+}
+
+// failed holds a failed answer against its replica.
+func (l *listener) failed(part *upstream.Part) {
+	id := l.choice.Replica.ID
+	switch {
+	case part.Reset:
+		l.q.ended(id, l.connection, outlier.Reset, true)
+	case part.Lost:
+		l.q.ended(id, l.connection, outlier.Silent, false)
+	default:
+		l.q.blame(id, outlier.Cut)
+	}
+}
--- a/internal/router/longwork.go
+++ b/internal/router/longwork.go
@@ -25,7 +25,7 @@
 	"shaletrestle/internal/upstream"
 )
 
-// longWork drives the machines of package handoff: it carries their messages, runs what was taken and tells the inquiries whose jobs they are.
+// longWork drives the machines of package handoff: it carries their messages, runs what was taken and tells the requests whose jobs they are.
 type longWork struct {
 	g      *Gate
 	sc     *task.Scope
@@ -43,7 +43,7 @@
 	rooms  map[string]neighbour
 	lacked atomic.Time // when a connection could not be had
 	queues map[string]*longQueue
-	held   map[*inquiry]struct{} // long work of our clients, from its body to its end
+	held   map[*request]struct{} // long work of our clients, from its body to its end
 	count  longCounts
 }
 
@@ -74,7 +74,7 @@
 	b := handoff.Bounds{Answer: constants.LongAnswer, Accept: constants.LongAccept, Renew: constants.LongRenew, Lease: constants.LongLease, Graves: constants.LongGraves}
 	h := &longWork{g: g, sc: g.sc.Part("longwork"), self: g.env.Load().Port(constants.PortGate), start: clock.Now(), owner: handoff.NewOwner(life, b), taker: handoff.NewTaker(life, b),
 		inbox: map[uint64]chan handoff.Effect{}, stops: map[uint64]context.CancelFunc{}, back: map[string]*rpc.Channel{}, rooms: map[string]neighbour{},
-		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*inquiry]struct{}{}}
+		queues: map[string]*longQueue{}, kick: make(chan struct{}, 1), held: map[*request]struct{}{}}
 	h.lines = rpc.NewLines(h.sc, g.net, g.handle)
 	return h
 }
@@ -250,7 +250,7 @@
 			h.count.taken++
 			ctx, stop := context.WithCancel(h.sc.Context())
 			h.stops[f.Ticket.Number] = stop
-			go h.runTaken(ctx, f)
+			go h.runTaken(ctx, f, h.start.Add(f.Since))
 		case handoff.Stop:
 			if stop := h.stops[f.Ticket.Number]; stop != nil {
 				stop()
@@ -277,7 +277,7 @@
 	}()
 }
 
-// tell hands an effect to the inquiry whose job it is; one that lags too far loses its job.
+// tell hands an effect to the request whose job it is; one that lags too far loses its job.
 func (h *longWork) tell(f handoff.Effect) {
 	in := h.inbox[f.Job]
 	if in == nil {
@@ -383,8 +383,8 @@
 		"lost": c.lost, "refused": c.refused, "broken": c.broken}
 }
 
-// isLong tells whether an inquiry is long work, once.
-func (q *inquiry) isLong() bool {
+// isLong tells whether a request is long work, once.
+func (q *request) isLong() bool {
 	e := q.pool.Engine
 	if !q.g.long.on() || e == nil {
 		return false
@@ -397,7 +397,7 @@
 }
 
 // promptCame measures prompt work: what its first event took of its aim.
-func (q *inquiry) promptCame() {
+func (q *request) promptCame() {
 	h := q.g.long
 	if q.long || q.taken || q.path.Aim <= 0 || q.ask.Chain == nil || !h.on() {
 		return
@@ -410,7 +410,7 @@
 }
 
 // haul places long work: with a neighbour if this node is crowded, else among what runs here. true: it is answered.
-func (q *inquiry) haul() bool {
+func (q *request) haul() bool {
 	h := q.g.long
 	h.mu.Lock()
 	h.held[q] = struct{}{}
@@ -423,14 +423,14 @@
 	return !q.enter()
 }
 
-// enter waits shortly for a place among the long work that runs here; if there is none the inquiry is refused.
-func (q *inquiry) enter() bool {
+// enter waits shortly for a place among the long work that runs here; if there is none the request is refused.
+func (q *request) enter() bool {
 	h := q.g.long
 	h.mu.Lock()
 	x := h.queue(q.ask.Pool)
 	until := h.now() + min(clock.Until(q.refuseAt()), clock.Until(q.deadline))
 	n, now, ok := uint64(0), true, true
-	if q.sent > 0 {
+	if q.try.Sent() > 0 {
 		x.q.Enter()
 	} else {
 		n, now, ok = x.q.Join(until, x.idle())
@@ -449,18 +449,8 @@
 		select {
 		case ok = <-wake:
 		case <-q.r.Context().Done():
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			x.q.Leave(n)
-			delete(x.wake, n)
-			select {
-			case now = <-wake: // it was woken all the same
-				if now {
-					x.q.Ended()
-				}
-			default:
-			}
-			return false
+			h.leaveQueue(x, n, wake)
+			q.abandon()
 		}
 	}
 	h.mu.Lock()
@@ -479,8 +469,23 @@
 	return ok
 }
 
-// leavePlace ends an inquiry's part in the long work.
-func (q *inquiry) leavePlace() {
+// leaveQueue takes out one that waits and whose client is gone.
+func (h *longWork) leaveQueue(x *longQueue, number uint64, wake <-chan bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x.q.Leave(number)
+	delete(x.wake, number)
+	select {
+	case runs := <-wake: // it was woken all the same
+		if runs {
+			x.q.Ended()
+		}
+	default:
+	}
+}
+
+// leavePlace ends a request's part in the long work.
+func (q *request) leavePlace() {
 	if !q.long {
 		return
 	}
@@ -496,8 +501,8 @@
 	h.pump(x)
 }
 
-// pack writes the inquiry as its taker is to send it.
-func (q *inquiry) pack() []byte {
+// pack writes the request as its taker is to send it.
+func (q *request) pack() []byte {
 	hd := q.head.Clone()
 	hd.Set(upstream.HeadBudget, strconv.FormatInt(max(1, (clock.Until(q.deadline)-constants.BudgetReserve).Milliseconds()), 10))
 	if q.lastID >= 0 {
@@ -515,8 +520,8 @@
 	return b.Bytes()
 }
 
-// away lets a neighbour run the inquiry; false if it came back and may be run here.
-func (q *inquiry) away(to string) bool {
+// away lets a neighbour run the request; false if it came back and may be run here.
+func (q *request) away(to string) bool {
 	h := q.g.long
 	body := q.pack()
 	if body == nil {
@@ -548,13 +553,13 @@
 				case head == nil:
 					head = &awayHead{}
 					if json.Unmarshal(f.Message.Body, head) != nil {
-						q.mayRun = true
+						q.try.Elsewhere(0, true)
 						q.giveUp(errkind.Broken, "head can't be read")
 						return true
 					}
 				case head.Events:
 					if !q.event(&upstream.Part{Kind: upstream.Event, Bytes: f.Message.Body, ID: eventID(f.Message.Body)}, head.Header, &joined) {
-						q.mayRun = true
+						q.try.Elsewhere(0, true)
 						q.giveUp(errkind.Broken, "events out of order")
 						return true
 					}
@@ -569,16 +574,16 @@
 				}
 				h.mu.Unlock()
 				if lost {
-					h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", to, "inquiry", q.id)
+					h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", to, "request", q.id)
 				}
-				q.mayRun, q.sent = q.mayRun || lost, q.path.Shots-shots
-				if !ok || q.sent >= q.path.Shots {
+				q.try.Elsewhere(q.path.Shots-shots-q.try.Sent(), lost)
+				if !ok || q.try.Sent() >= q.path.Shots {
 					q.giveUp(errkind.Broken, "the neighbour failed")
 					return true
 				}
 				return false
 			case handoff.End:
-				q.mayRun = f.Outcome != handoff.Refused
+				q.try.Elsewhere(f.Message.Shots, f.Outcome != handoff.Refused)
 				switch f.Outcome {
 				case handoff.Whole:
 					h.mu.Lock()
@@ -588,7 +593,6 @@
 						h.rooms[to] = x
 					}
 					h.mu.Unlock()
-					q.sent += f.Message.Shots
 					switch {
 					case head == nil || head.Events != q.began:
 						q.giveUp(errkind.Broken, "no whole answer")
@@ -603,13 +607,13 @@
 					h.mu.Lock()
 					h.count.broken++
 					h.mu.Unlock()
-					h.sc.Log().Warn("a neighbour was lost with a job that may have begun", "node", to, "inquiry", q.id)
+					h.sc.Log().Warn("a neighbour was lost with a job that may have begun", "node", to, "request", q.id)
 					q.giveUp(errkind.Broken, "the neighbour was lost")
 				}
 				return true
 			}
 		case <-q.r.Context().Done():
-			return true
+			q.abandon()
 		}
 	}
 }
@@ -633,7 +637,7 @@
 	Events bool        `json:"events"`
 }
 
-// awayWriter is where the inquiry of a taken job writes its answer. Our own refusals and faults are not sent: the owner says what is to be said.
+// awayWriter is where the request of a taken job writes its answer. Our own refusals and faults are not sent: the owner says what is to be said.
 type awayWriter struct {
 	h      *longWork
 	ticket uint64
@@ -680,30 +684,23 @@
 func (w *awayWriter) SetReadDeadline(clock.Moment) error  { return nil }
 func (w *awayWriter) SetWriteDeadline(clock.Moment) error { return nil }
 
-// runTaken runs a job for its owner, as an inquiry of our own.
-func (h *longWork) runTaken(ctx context.Context, f handoff.Effect) {
-	g, w := h.g, &awayWriter{h: h, ticket: f.Ticket.Number, head: http.Header{}}
-	g.inflight.Inc()
-	defer g.inflight.Dec()
-	var q *inquiry
-	as, shots := handoff.Returned, 0
+// runTaken runs a job for its owner, as a request of our own whose time counts from the owner's offer.
+func (h *longWork) runTaken(ctx context.Context, f handoff.Effect, offered clock.Moment) {
+	h.g.inflight.Inc()
+	defer h.g.inflight.Dec()
+	w := &awayWriter{h: h, ticket: f.Ticket.Number, head: http.Header{}}
+	q := h.takenRequest(ctx, w, &f, offered)
+	as := handoff.Returned
 	defer func() {
-		if x := recover(); x != nil {
-			if x != http.ErrAbortHandler {
-				panic(x)
-			}
-			as = handoff.Failed
+		x := recover()
+		if x != nil && x != http.ErrAbortHandler {
+			panic(x)
 		}
+		shots := 0
 		if q != nil {
 			q.release()
-			shots = q.sent
-			switch {
-			case as == handoff.Failed:
-			case w.status != 0 && !w.own:
-				as = handoff.Done
-			case q.mayRun:
-				as = handoff.Failed
-			}
+			shots = q.try.Sent()
+			as = q.outcome(w, x != nil)
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -711,22 +708,40 @@
 		delete(h.stops, w.ticket)
 		h.do(h.taker.Ended(w.ticket, as, shots))
 	}()
+	if q != nil {
+		q.follow()
+	}
+}
+
+// outcome is what the owner of a taken job is told.
+func (q *request) outcome(w *awayWriter, aborted bool) handoff.Kind {
+	passedOn := w.status != 0 && !w.own
+	switch {
+	case aborted && (passedOn || q.try.MayHaveRun()):
+		return handoff.Failed
+	case passedOn:
+		return handoff.Done
+	case q.try.MayHaveRun():
+		return handoff.Failed
+	}
+	return handoff.Returned
+}
+
+// takenRequest reads a job; nil if it can't be run here.
+func (h *longWork) takenRequest(ctx context.Context, w *awayWriter, f *handoff.Effect, offered clock.Moment) *request {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(f.Message.Body)))
 	if err != nil {
-		return
+		return nil
 	}
-	r = r.WithContext(ctx)
-	t := g.table.Load()
-	path := t.Match(r.Host, r.RequestURI)
+	q := newRequest(h.g, w, r.WithContext(ctx))
+	path := q.table.Match(r.Host, r.RequestURI)
 	if path == nil {
-		return
+		return nil
 	}
 	own := *path
 	own.Shots = min(own.Shots, f.Message.Shots)
-	q = &inquiry{g: g, w: w, r: r, rc: http.NewResponseController(w), table: t, path: &own, arrived: clock.Now(), lastID: -1, taken: true}
-	for _, op := range q.path.Steps {
-		if !q.do(op) {
-			return
-		}
-	}
+	q.path = &own
+	q.arrived = offered
+	q.taken = true
+	return q
 }
--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -69,14 +69,14 @@
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
-			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*request]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
 			for range int(constants.LongRoom) {
 				x.q.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+			q := &request{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
 				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,283 @@
+package router
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"shaletrestle/coord/attempt"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/errkind"
+	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/upstream"
+)
+
+const day = 24 * 3600 * 1e3 // ms; no client waits longer
+
+// request is one try of a client on its way.
+type request struct {
+	g        *Gate
+	w        http.ResponseWriter
+	r        *http.Request
+	rc       *http.ResponseController
+	table    *routing.Table
+	path     *routing.Path
+	pool     *routing.Pool
+	id       string
+	arrived  clock.Moment
+	deadline clock.Moment
+	body     []byte
+	head     http.Header
+	ask      *placement.Ask
+	try      attempt.Try // what may be said of it
+	began    bool        // the client has the head of an answer
+	lastID   int64       // of the newest event that the client has, -1 before the first
+	step     int64       // between the ids of two events
+	held     int64       // bytes booked for the body
+	long     bool        // long work (longwork.go)
+	taken    bool        // it is run for another router
+	place    string      // the service among whose long work it runs
+}
+
+func newRequest(g *Gate, w http.ResponseWriter, r *http.Request) *request {
+	return &request{
+		g:       g,
+		w:       w,
+		r:       r,
+		rc:      http.NewResponseController(w),
+		table:   g.table.Load(),
+		arrived: clock.Now(),
+		lastID:  -1,
+	}
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	g.inflight.Inc()
+	defer g.inflight.Dec()
+	g.count.inquiries.Inc()
+	if g.letsGo() {
+		w.Header().Set("Connection", "close")
+	}
+	q := newRequest(g, w, r)
+	defer q.release()
+	if !q.awaitReady() || !q.proper() {
+		return
+	}
+	q.path = q.table.Match(r.Host, r.RequestURI)
+	if q.path == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, constants.HeadBytes))
+		httpreply.Fault(w, errkind.New(errkind.NoPath, "no route"))
+		return
+	}
+	q.follow()
+}
+
+// awaitReady holds a request shortly while this process has no configuration or list yet; false if it
+// was answered.
+func (q *request) awaitReady() bool {
+	if q.g.ready.Load() {
+		return true
+	}
+	select {
+	case <-q.g.isReady:
+		q.table = q.g.table.Load()
+		return true
+	case <-clock.After(constants.UnreadyHold):
+		q.refuse(errkind.Unready)
+	case <-q.r.Context().Done():
+		q.abandon()
+	}
+	return false
+}
+
+// proper refuses a request whose framing or head is not acceptable.
+func (q *request) proper() bool {
+	if frontend.Doubtful(q.r) {
+		q.w.Header().Set("Connection", "close")
+		httpreply.Fault(q.w, errkind.New(errkind.BadInput, "both a length and chunks"))
+		return false
+	}
+	if limit := q.table.Limits.Head; limit > 0 && headSize(q.r) > limit {
+		q.w.Header().Set("Connection", "close")
+		httpreply.Fault(q.w, errkind.New(errkind.HeadLarge, "head over the limit"))
+		return false
+	}
+	return true
+}
+
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 20
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// follow goes through the steps of the path.
+func (q *request) follow() {
+	for _, op := range q.path.Steps {
+		if !q.do(op) {
+			return
+		}
+	}
+}
+
+// do is the interpreter: one step of a path; false ends it.
+func (q *request) do(op routing.Op) bool {
+	switch op {
+	case routing.TakeBody:
+		return q.takeBody()
+	case routing.SetClock:
+		return q.setClock()
+	case routing.Split:
+		return q.split()
+	case routing.Fence:
+		q.ask.Regions = func(zone string) bool { return q.path.Regions[q.g.env.Load().Zones[zone]] }
+		return true
+	case routing.Whole, routing.Events:
+		q.send()
+	}
+	return false
+}
+
+func (q *request) takeBody() bool {
+	most := q.table.Limits.Body
+	if most <= 0 {
+		most = constants.OrderBody
+	}
+	if q.r.ContentLength > most {
+		q.w.Header().Set("Connection", "close")
+		httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
+		return false
+	}
+	if n := max(q.r.ContentLength, 0); !q.hold(n) {
+		return false
+	}
+	_ = q.rc.SetReadDeadline(clock.Now().Add(constants.BodyWait))
+	var b bytes.Buffer
+	if q.held > 0 {
+		b.Grow(int(q.held) + bytes.MinRead)
+	}
+	n, err := b.ReadFrom(http.MaxBytesReader(q.w, q.r.Body, most))
+	if err != nil {
+		q.bodyFailed(err)
+		return false
+	}
+	if n > q.held && !q.hold(n-q.held) {
+		return false
+	}
+	_ = q.rc.SetReadDeadline(clock.Moment{})
+	q.body = b.Bytes()
+	return true
+}
+
+func (q *request) bodyFailed(err error) {
+	q.w.Header().Set("Connection", "close")
+	switch {
+	case strings.Contains(err.Error(), "too large"):
+		httpreply.Fault(q.w, errkind.New(errkind.TooLarge, "body over the limit"))
+	case strings.Contains(err.Error(), "timeout"):
+		httpreply.Fault(q.w, errkind.New(errkind.Slow, "body too slow"))
+	default:
+		httpreply.Fault(q.w, errkind.New(errkind.BadInput, "body can't be read"))
+	}
+}
+
+// hold books memory for a body; when it is crowded, a path that has its portion is refused and the
+// others are not.
+func (q *request) hold(n int64) bool {
+	if !q.g.bodies.Take(q.path.Name, n) {
+		q.w.Header().Set("Connection", "close")
+		q.refuse(errkind.Crowded)
+		return false
+	}
+	q.held += n
+	return true
+}
+
+func (q *request) release() {
+	q.leavePlace()
+	if q.held > 0 {
+		q.g.bodies.Give(q.path.Name, q.held)
+	}
+}
+
+func (q *request) setClock() bool {
+	q.id = q.r.Header.Get(upstream.HeadID)
+	q.deadline = q.arrived.Add(min(clientWaits(q.r.Header), q.path.Timeout))
+	return true
+}
+
+// clientWaits is how long a client says that it waits.
+func clientWaits(h http.Header) clock.Span {
+	ms, err := strconv.ParseFloat(strings.TrimSpace(h.Get(upstream.HeadBudget)), 64)
+	if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
+		return constants.DefaultBudget
+	}
+	return min(clock.Millis(min(ms, day)), 24*constants.DefaultBudget)
+}
+
+func (q *request) split() bool {
+	parts := prefixindex.ParseParts(q.r.Header.Get("Prompt-Prefix"))
+	key := q.id
+	if q.path.Sticky && len(parts) > 0 {
+		key = ""
+		for _, p := range parts[:max(1, len(parts)-1)] {
+			key += strconv.FormatUint(p.ID, 16) + ","
+		}
+	}
+	name := q.path.Choose(key)
+	q.pool = q.table.Pools[name]
+	if q.pool == nil {
+		q.refuse(errkind.Unready)
+		return false
+	}
+	q.head = passOn(q.r.Header)
+	q.ask = &placement.Ask{
+		Pool:     name,
+		Locality: q.g.env.Load().Locality,
+		Not:      map[string]bool{},
+		Bold:     q.path.Repeatable() && q.path.Shots > 1,
+		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) },
+	}
+	q.askEngine(parts)
+	if !q.taken {
+		q.g.budget.Asked(name)
+	}
+	return true
+}
+
+// askEngine adds what a model replica's choice depends on.
+func (q *request) askEngine(parts []prefixindex.Part) {
+	e := q.pool.Engine
+	if e == nil {
+		return
+	}
+	model := q.r.Header.Get("Model")
+	in, out := tokenCounts(q.r.Header.Get("Token-Counts"))
+	if len(parts) == 0 {
+		parts = []prefixindex.Part{{ID: uint64(q.arrived.UnixNano()), Tokens: in}}
+	}
+	weights := q.g.weights.Load().of(q.pool.Name, model)
+	q.ask.Chain = prefixindex.NewChain(prefixindex.Root(model, weights), parts)
+	q.ask.Capacity = int(e.Tokens)
+	q.ask.OutMost = out
+	q.ask.Aim = q.path.Aim
+}
+
+func tokenCounts(s string) (in, out int) {
+	a, b, _ := strings.Cut(s, ",")
+	in, _ = strconv.Atoi(strings.TrimSpace(a))
+	out, _ = strconv.Atoi(strings.TrimSpace(b))
+	return min(max(in, 0), 1<<28), min(max(out, 0), 1<<28)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,14 +51,14 @@
 	d    Dialer
 	keep *Keep
 	mu   sync.Mutex
-	free []*Channel
+	free []*Connection
 	open int
 	most int
 	shut bool
 	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
-	pie  *fairshare.Pie // channels in use, by owner
+	pie  *fairshare.Pie // connections in use, by owner
 }
 
 // NewPool makes a pool; most is this process's share of the replica's connections, keep what is known of how long the service's replicas keep idle ones.
@@ -76,16 +76,36 @@
 	p.most = most
 	p.pie.Resize(int64(most))
 	n := min(max(0, p.open-most), len(p.free))
-	over := append([]*Channel{}, p.free[:n]...)
+	over := p.free[:n:n]
+	p.free = append([]*Connection{}, p.free[n:]...)
 	p.signal()
 	p.mu.Unlock()
-	for _, ch := range over {
-		ch.Kill()
+	kill(over)
+}
+
+// kill closes connections that were taken out of their pool: nobody can get one of them meanwhile.
+func kill(taken []*Connection) {
+	for _, connection := range taken {
+		connection.Kill()
+	}
+}
+
+// takeOut takes the idle connections out that meet a condition; the caller holds the pool.
+func (p *Pool) takeOut(which func(*Connection) bool) (taken []*Connection) {
+	rest := make([]*Connection, 0, len(p.free))
+	for _, connection := range p.free {
+		if which(connection) {
+			taken = append(taken, connection)
+		} else {
+			rest = append(rest, connection)
+		}
 	}
+	p.free = rest
+	return taken
 }
 
-// Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten.
-func (p *Pool) Get(owner string, d clock.Span, wary bool) (*Channel, error) {
+// Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten. A wait ends when quit closes.
+func (p *Pool) Get(owner string, d clock.Span, wary bool, quit <-chan struct{}) (*Connection, error) {
 	end := clock.Now().Add(d)
 	for {
 		p.mu.Lock()
@@ -129,6 +149,8 @@
 		p.mu.Unlock()
 		select {
 		case <-w:
+		case <-quit:
+			return nil, ErrNotWanted
 		case <-clock.After(clock.Until(end)):
 			return nil, errkind.New(errkind.Crowded, "no connection is free")
 		}
@@ -136,7 +158,7 @@
 }
 
 // idle takes the connection used last, if it may still be used; the caller holds the pool.
-func (p *Pool) idle(wary bool) *Channel {
+func (p *Pool) idle(wary bool) *Connection {
 	now := clock.Now()
 	for len(p.free) > 0 {
 		ch := p.free[len(p.free)-1]
@@ -163,20 +185,13 @@
 	}
 	p.made.Forgot.Inc()
 	p.mu.Lock()
-	var old []*Channel
-	for _, ch := range p.free {
-		if now.Sub(ch.idle) >= rested {
-			old = append(old, ch)
-		}
-	}
+	old := p.takeOut(func(c *Connection) bool { return now.Sub(c.idle) >= rested })
 	p.mu.Unlock()
-	for _, ch := range old {
-		ch.Kill()
-	}
+	kill(old)
 	return true
 }
 
-func (p *Pool) dial(owner string, end clock.Moment) (*Channel, error) {
+func (p *Pool) dial(owner string, end clock.Moment) (*Connection, error) {
 	c, err := p.d.DialReplica(p.addr, min(constants.ReplicaDial, clock.Until(end)))
 	if err != nil {
 		p.mu.Lock()
@@ -200,28 +215,28 @@
 	p.wait = nil
 }
 
-// release ends an owner's use of a channel; the caller holds the pool.
-func (p *Pool) release(ch *Channel) {
+// release ends an owner's use of a connection; the caller holds the pool.
+func (p *Pool) release(ch *Connection) {
 	if ch.owner != "" {
 		p.pie.Give(ch.owner, 1)
 		ch.owner = ""
 	}
 }
 
-func (p *Pool) put(ch *Channel) {
+// put takes a connection back; false if it isn't wanted any more: the caller closes it.
+func (p *Pool) put(ch *Connection) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.release(ch)
 	if p.shut || p.open > p.most {
-		p.mu.Unlock()
-		ch.Kill()
-		return
+		return false
 	}
 	p.free = append(p.free, ch)
 	p.signal()
-	p.mu.Unlock()
+	return true
 }
 
-func (p *Pool) gone(ch *Channel) {
+func (p *Pool) gone(ch *Connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
@@ -239,25 +254,17 @@
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	now := clock.Now()
-	var old []*Channel
-	for _, ch := range p.free {
-		if !now.Before(ch.expires) {
-			old = append(old, ch)
-		}
-	}
+	old := p.takeOut(func(c *Connection) bool { return !now.Before(c.expires) })
 	p.mu.Unlock()
-	for _, ch := range old {
-		ch.Kill()
-	}
+	kill(old)
 }
 
 func (p *Pool) flush() {
 	p.mu.Lock()
-	free := append([]*Channel{}, p.free...)
+	free := p.free
+	p.free = nil
 	p.mu.Unlock()
-	for _, ch := range free {
-		ch.Kill()
-	}
+	kill(free)
 }
 
 // Shut closes idle connections and gives out no more.
@@ -267,6 +274,3 @@
 	p.mu.Unlock()
 	p.flush()
 }
-
-// Back returns a channel that was got and not used.
-func (ch *Channel) Back() { ch.pool.put(ch) }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,10 +56,13 @@
 	return s.open
 }
 
-func use(t *testing.T, p *Pool, wary bool) (*Channel, Part) {
-	ch, err := p.Get("o", time.Second, wary)
+var ids atomic.Int64 // every request has an id of its own
+
+func use(t *testing.T, p *Pool, wary bool) (*Connection, Part) {
+	ch, err := p.Get("o", time.Second, wary, nil)
 	require.NoError(t, err)
-	a, _, err := ch.Send(&Shot{Method: "GET", Target: "/", Host: "h", Head: http.Header{HeadID: {"x"}}, ID: "x"}, time.Second)
+	id, end := fmt.Sprint("x", ids.Add(1)), time.Now().Add(time.Second)
+	a, _, err := ch.Send(&Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{HeadID: {id}}, ID: id, NotAfter: end, Deadline: end})
 	require.NoError(t, err)
 	defer a.Drop()
 	for {
@@ -109,14 +114,14 @@
 		s := &server{}
 		p := NewPool("x", s, 4, &Keep{}, &Made{})
 		defer p.Shut()
-		var chs []*Channel
+		var chs []*Connection
 		for range 2 {
-			ch, err := p.Get("o", time.Second, false)
+			ch, err := p.Get("o", time.Second, false, nil)
 			require.NoError(t, err)
 			chs = append(chs, ch)
 		}
 		for _, o := range []string{"a", "b"} {
-			ch, err := p.Get(o, time.Second, false)
+			ch, err := p.Get(o, time.Second, false, nil)
 			require.NoError(t, err)
 			chs = append(chs, ch)
 		}
@@ -130,10 +135,10 @@
 		p.Limit(0)
 		synctest.Wait()
 		require.Zero(t, s.now())
-		_, err := p.Get("o", time.Hour, false)
+		_, err := p.Get("o", time.Hour, false, nil)
 		require.Equal(t, errkind.Crowded, errkind.KindOf(err), "without a share it fails at once")
 		p.Limit(3)
-		ch, err := p.Get("o", constants.LumpWait, false)
+		ch, err := p.Get("o", constants.LumpWait, false, nil)
 		require.NoError(t, err)
 		ch.Back()
 	})
