A resting client connection follows the idle limit now in force

Cause: the limit was that of the server which had accepted the connection, so that after a longer idle_timeout_ms a client that rested within it found its connection closed.

Change: the server has no idle limit of its own; the connection's tap closes what rests longer than the newest limit.

--- a/internal/clock/tick.go
+++ b/internal/clock/tick.go
@@ -34,6 +34,9 @@
 // After gives a channel that fires once.
 func After(d Span) <-chan Moment { return time.After(d) }
 
+// Later calls f in its own task after d; the timer may be stopped or set anew.
+func Later(d Span, f func()) *time.Timer { return time.AfterFunc(d, f) }
+
 // Rest waits for d or until the scope ends; false means that it ended.
 func Rest(sc *task.Scope, d Span) bool {
 	t := time.NewTimer(d)
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/atomic"
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
@@ -64,6 +65,8 @@
 	now *server
 	old []*server
 	lim routing.Limits
+	// how long a connection may rest: the newest limit, also for connections taken under an older one
+	idle atomic.Duration
 }
 
 // New makes the front over a listener.
@@ -96,17 +99,15 @@
 	if l.IdleWait <= 0 {
 		l.IdleWait = constants.IdleWait
 	}
+	f.idle.Store(l.IdleWait)
+	l.IdleWait = 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.now != nil && f.lim == l {
 		return
 	}
 	f.lim = l
-	s := &server{&http.Server{Handler: f.h, MaxHeaderBytes: l.Head, ReadHeaderTimeout: l.HeadWait, IdleTimeout: l.IdleWait, DisableGeneralOptionsHandler: true,
-		ErrorLog: quiet(f.sc),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, tapKey{}, c)
-		}}, &line{c: make(chan net.Conn), done: make(chan struct{}), addr: f.ln.Addr()}}
+	s := &server{f.httpServer(l), &line{c: make(chan net.Conn), done: make(chan struct{}), addr: f.ln.Addr()}}
 	if f.now != nil {
 		_ = f.now.l.Close()
 		f.old = append(f.old, f.now)
@@ -115,6 +116,26 @@
 	go func() { _ = s.s.Serve(s.l) }()
 }
 
+// httpServer makes the server for connections under the same limits. It has no idle limit of its own: a
+// connection that rests is closed by its tap.
+func (f *Front) httpServer(l routing.Limits) *http.Server {
+	return &http.Server{
+		Handler:                      f.h,
+		MaxHeaderBytes:               l.Head,
+		ReadHeaderTimeout:            l.HeadWait,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     quiet(f.sc),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, tapKey{}, c)
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if t, ok := c.(*tap); ok {
+				t.state(s)
+			}
+		},
+	}
+}
+
 // Run accepts until the listener closes.
 func (f *Front) Run() {
 	for {
@@ -126,7 +147,7 @@
 			clock.Rest(f.sc, constants.AcceptPause)
 			continue
 		}
-		f.hand(&tap{Conn: c})
+		f.hand(&tap{Conn: c, limit: f.idle.Load})
 	}
 }
 
