A job handed between nodes never begins after its deadline; restarts, resets and freezes in its model

Found by the extended model (one message kept back beside a freeze), failing before the change.

The model gets restarts of owner and taker, two troubles in one run, resets of the channel and a bound on when a run may begin.

--- a/coord/handoff/model_test.go
+++ b/coord/handoff/model_test.go
@@ -15,8 +15,9 @@
 
 // The model explores every order of one job between two nodes over the real machines. A message is delivered within its step of
 // time and in the order of sending, as a channel does. Each fault either keeps one back for any time (for ever: it is lost; past
-// others: they change order) or adds a copy that is kept back. One node may die or freeze once, at any point, and thaws at any
-// point. Moments are relative in a state, so that the exploration has an end though time has none.
+// others: they change order) or adds a copy that is kept back. Nodes may die, restart or freeze a bounded number of times, at any
+// point, and thaw at any point; a restarted owner takes a new job under the number of the old one. A reset of the channel loses all
+// that is under way at once. Moments are relative in a state, so that the exploration has an end though time has none.
 const (
 	modelTurns = 2
 	modelParts = 1
@@ -36,6 +37,7 @@
 }
 
 type runState struct {
+	owner  uint64 // the owner's life
 	ticket Ticket // zero: run by the owner
 	open   bool   // it may still begin work
 	ran    bool
@@ -49,14 +51,15 @@
 	taker     *Taker
 	ownerDead bool
 	frozen    [2]bool
-	trouble   bool
+	troubles  int // deaths, restarts and freezes that may still come
+	resets    int // resets of the channel that may still come
 	faults    int
 	net       []flight
 	held      bool
 	turns     int
 	runs      []runState
 	outcome   Outcome
-	left      bool
+	deadline  clock.Span
 	lastFrom  Ticket
 	delivered uint64
 	wrong     string
@@ -94,7 +97,7 @@
 // key tells states apart; moments count from now, and not beyond what can still matter.
 func (m *model) key() uint64 {
 	rel := func(x clock.Span) byte { return byte(max(-4, min(x-m.now, 12)) + 4) }
-	b := []byte{bits(m.ownerDead, m.frozen[0], m.frozen[1], m.trouble, m.held), byte(m.faults), byte(m.turns), byte(m.outcome),
+	b := []byte{bits(m.ownerDead, m.frozen[0], m.frozen[1], m.held), byte(m.troubles), byte(m.resets), byte(m.owner.life), byte(m.faults), byte(m.turns), byte(m.outcome),
 		byte(m.lastFrom.Life), byte(m.lastFrom.Number), byte(m.delivered), byte(m.taker.life), byte(m.taker.next)}
 	for _, j := range m.owner.jobs {
 		b = append(b, byte(j.shots), byte(j.lent), bits(j.lost), byte(j.stage), byte(j.turn), byte(j.ticket.Life), byte(j.ticket.Number), byte(j.parts), rel(j.deadline))
@@ -106,7 +109,7 @@
 		}
 	}
 	for _, e := range m.taker.entries {
-		b = append(b, byte(e.ticket), byte(e.place.turn), byte(e.status), byte(e.parts), byte(e.last.Kind), byte(e.last.Number))
+		b = append(b, byte(e.place.owner), byte(e.ticket), byte(e.place.turn), byte(e.status), byte(e.parts), byte(e.last.Kind), byte(e.last.Number))
 		switch e.status {
 		case accepted:
 			b = append(b, rel(e.until))
@@ -119,14 +122,14 @@
 	}
 	b = append(b, 254)
 	for _, r := range m.runs {
-		b = append(b, byte(r.ticket.Life), byte(r.ticket.Number), bits(r.open, r.ran), byte(r.parts))
+		b = append(b, byte(r.owner), byte(r.ticket.Life), byte(r.ticket.Number), bits(r.open, r.ran), byte(r.parts))
 	}
 	b = append(b, 254)
-	fs := make([][7]byte, len(m.net))
+	fs := make([][8]byte, len(m.net))
 	for i, f := range m.net {
-		fs[i] = [7]byte{bits(f.late, f.toOwner, f.fresh), byte(f.m.Kind), byte(f.m.Turn), byte(f.m.Ticket.Life), byte(f.m.Ticket.Number), byte(f.m.Number), byte(f.m.Shots)}
+		fs[i] = [8]byte{bits(f.late, f.toOwner, f.fresh), byte(f.m.Owner), byte(f.m.Kind), byte(f.m.Turn), byte(f.m.Ticket.Life), byte(f.m.Ticket.Number), byte(f.m.Number), byte(f.m.Shots)}
 	}
-	slices.SortStableFunc(fs, func(x, y [7]byte) int { // late ones are a set, the others keep their order by direction
+	slices.SortStableFunc(fs, func(x, y [8]byte) int { // late ones are a set, the others keep their order by direction
 		if x[0]>>1 != y[0]>>1 || x[0]>>2 == 0 {
 			return int(x[0]>>1) - int(y[0]>>1)
 		}
@@ -140,8 +143,11 @@
 
 func (m *model) fail(why string) { m.wrong = why }
 
-func (m *model) begin(t Ticket) {
+func (m *model) begin(owner uint64, t Ticket) {
 	for _, r := range m.runs {
+		if r.owner != owner {
+			continue
+		}
 		if !m.again && (r.open || r.ran) {
 			m.fail("a second run")
 		}
@@ -149,10 +155,13 @@
 			m.fail("one ticket run twice")
 		}
 	}
-	if m.outcome == Refused {
+	if owner == m.owner.life && m.outcome == Refused {
 		m.fail("run after the promise")
 	}
-	m.runs = append(m.runs, runState{ticket: t, open: true, ran: t == Ticket{}})
+	if owner == m.owner.life && m.now >= m.deadline+modelBounds.Accept {
+		m.fail("begun after its deadline")
+	}
+	m.runs = append(m.runs, runState{owner: owner, ticket: t, open: true, ran: t == Ticket{}})
 }
 
 func (m *model) end(as Outcome) {
@@ -162,7 +171,7 @@
 	m.outcome = as
 	if as == Refused {
 		for _, r := range m.runs {
-			if r.open || r.ran {
+			if r.owner == m.owner.life && (r.open || r.ran) {
 				m.fail("a promise that does not hold")
 			}
 		}
@@ -177,7 +186,7 @@
 				m.net = append(m.net, flight{m: f.Message, toOwner: !byOwner, fresh: m.faults > 0})
 			}
 		case Begin:
-			m.begin(f.Ticket)
+			m.begin(f.Message.Owner, f.Ticket)
 		case Stop:
 			for i := range m.runs {
 				if m.runs[i].ticket == f.Ticket {
@@ -226,7 +235,7 @@
 	m.net = slices.DeleteFunc(m.net, func(f flight) bool {
 		if f.toOwner {
 			drops := f.m.Kind == Accept || f.m.Kind == Begun || f.m.Kind == Part
-			return m.ownerDead || !drops && (j == nil || f.m.Turn < j.turn)
+			return m.ownerDead || f.m.Owner != m.owner.life || !drops && (j == nil || f.m.Turn < j.turn)
 		}
 		if f.m.Kind != Drop || f.m.Ticket == (Ticket{}) {
 			return false
@@ -294,7 +303,7 @@
 		}
 		try(func(c *model) {
 			c.held = false
-			lost, _, ok := c.owner.Here(1)
+			lost, _, ok := c.owner.Here(c.now, 1)
 			if !ok {
 				c.do(c.owner.GiveUp(1), true)
 				return
@@ -302,7 +311,7 @@
 			if lost && !c.again {
 				c.fail("run here after a loss")
 			}
-			c.begin(Ticket{})
+			c.begin(c.owner.life, Ticket{})
 			c.lastFrom = Ticket{}
 			c.end(Whole)
 		})
@@ -331,28 +340,14 @@
 			})
 		}
 	}
-	if !m.trouble {
-		if m.outcome == 0 {
-			try(func(c *model) {
-				c.trouble, c.ownerDead = true, true
-				c.owner.jobs, c.held = nil, false
-			})
-		}
+	if m.resets > 0 && len(m.net) > 0 {
 		try(func(c *model) {
-			c.trouble = true
-			c.taker = NewTaker(c.taker.life+1, modelBounds)
-			c.taker.Room(1)
-			for i := range c.runs {
-				if c.runs[i].open { // its replica may go on
-					c.runs[i].open, c.runs[i].ran = false, true
-				}
-			}
+			c.resets--
+			c.net = slices.DeleteFunc(c.net, func(f flight) bool { return !f.late })
 		})
-		for i := range m.frozen {
-			if i == 1 || m.outcome == 0 { // an owner without a job has nothing left to miss
-				try(func(c *model) { c.trouble, c.frozen[i] = true, true })
-			}
-		}
+	}
+	if m.troubles > 0 {
+		out = append(out, m.afterTrouble()...)
 	}
 	for i := range m.frozen {
 		if m.frozen[i] {
@@ -370,7 +365,7 @@
 			c.now++
 			if !c.frozen[0] && !c.ownerDead {
 				c.do(c.owner.Tick(c.now), true)
-				if c.now >= modelDeadline && c.outcome == 0 {
+				if c.now >= c.deadline && c.outcome == 0 {
 					c.fail("a job without a final answer at its deadline")
 				}
 			}
@@ -390,9 +385,51 @@
 	return out
 }
 
+// afterTrouble lists the states after one death, restart or freeze.
+func (m *model) afterTrouble() (out []*model) {
+	try := func(f func(c *model)) {
+		c := m.clone()
+		c.troubles--
+		f(c)
+		c.tidy()
+		out = append(out, c)
+	}
+	if m.outcome == 0 && !m.ownerDead {
+		try(func(c *model) {
+			c.ownerDead = true
+			c.owner.jobs, c.held = nil, false
+		})
+		try(func(c *model) { // its clients see their connections end; another asks for something else
+			c.owner = NewOwner(c.owner.life+1, modelBounds)
+			c.deadline = c.now + modelDeadline
+			c.owner.Take(c.deadline, c.again, 2)
+			c.held, c.turns, c.frozen[0] = true, 0, false
+			c.lastFrom, c.delivered = Ticket{}, 0
+		})
+	}
+	try(func(c *model) {
+		c.taker = NewTaker(c.taker.life+1, modelBounds)
+		c.taker.Room(1)
+		c.frozen[1] = false
+		for i := range c.runs {
+			if c.runs[i].open { // its replica may go on
+				c.runs[i].open, c.runs[i].ran = false, true
+			}
+		}
+	})
+	for i := range m.frozen {
+		if m.frozen[i] || i == 0 && (m.outcome != 0 || m.ownerDead) { // an owner without a job has nothing left to miss
+			continue
+		}
+		try(func(c *model) { c.frozen[i] = true })
+	}
+	return out
+}
+
 // explore judges every state that can be reached.
-func explore(t *testing.T, again bool, faults int, trouble bool) {
-	first := &model{again: again, owner: NewOwner(7, modelBounds), taker: NewTaker(100, modelBounds), faults: faults, trouble: !trouble, held: true}
+func explore(t *testing.T, again bool, faults, troubles, resets int) {
+	first := &model{again: again, owner: NewOwner(7, modelBounds), taker: NewTaker(100, modelBounds), faults: faults, troubles: troubles, resets: resets,
+		deadline: modelDeadline, held: true}
 	first.taker.Room(1)
 	require.Equal(t, uint64(1), first.owner.Take(modelDeadline, again, 2))
 	seen := map[uint64]bool{first.key(): true}
@@ -416,24 +453,27 @@
 			todo = append(todo, c)
 		}
 	}
-	t.Logf("again=%v faults=%d trouble=%v: %d states, ends %v", again, faults, trouble, len(seen), ends)
+	t.Logf("again=%v faults=%d troubles=%d resets=%d: %d states, ends %v", again, faults, troubles, resets, len(seen), ends)
 	for _, o := range []Outcome{Whole, Refused, Broken, Late} {
 		require.NotZero(t, ends[o], "outcome %d is never reached", o)
 	}
 }
 
-// TestEveryOrder explores three faults alone, and beside a death or freeze two where a second run breaks a rule and one where it
-// doesn't; -model.faults=3 explores three beside it for both, which takes minutes.
+// TestEveryOrder explores three faults alone; beside one death, restart or freeze two where a second run breaks a rule and one where
+// it doesn't; two of these troubles beside a reset; and one fault beside a trouble and a reset. -model.faults=3 explores three faults
+// beside a trouble and a reset for both, which takes minutes.
 func TestEveryOrder(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		t.Run(fmt.Sprintf("again=%v", again), func(t *testing.T) {
 			t.Parallel()
 			if *modelFaults > 0 {
-				explore(t, again, *modelFaults, true)
+				explore(t, again, *modelFaults, 1, 1)
 				return
 			}
-			explore(t, again, 3, false)
-			explore(t, again, map[bool]int{false: 2, true: 1}[again], true)
+			explore(t, again, 1, 1, 1)
+			explore(t, again, 0, 2, 1)
+			explore(t, again, map[bool]int{false: 2, true: 1}[again], 1, 0)
+			explore(t, again, 3, 0, 0)
 		})
 	}
 }
--- a/coord/handoff/owner.go
+++ b/coord/handoff/owner.go
@@ -45,6 +45,9 @@
 	return &Owner{life: life, b: b}
 }
 
+// Life is the life of the process that owns the jobs.
+func (o *Owner) Life() uint64 { return o.life }
+
 func (o *Owner) find(number uint64) (at int, j *job) {
 	at = sort.Search(len(o.jobs), func(i int) bool { return o.jobs[i].number >= number })
 	if at < len(o.jobs) && o.jobs[at].number == number {
@@ -83,10 +86,10 @@
 	return []Effect{{Do: Send, Message: m}}
 }
 
-// Here lets the owner run a held job itself; false if it is not held. The job leaves the machine: nothing is open elsewhere. lost tells that an earlier run may have begun, shots how many replicas are left.
-func (o *Owner) Here(number uint64) (lost bool, shots int, ok bool) {
+// Here lets the owner run a held job itself; false if it is not held or its time is over. The job leaves the machine: nothing is open elsewhere. lost tells that an earlier run may have begun, shots how many replicas are left.
+func (o *Owner) Here(now clock.Span, number uint64) (lost bool, shots int, ok bool) {
 	_, j := o.find(number)
-	if j == nil || j.stage != held || j.shots < 1 {
+	if j == nil || j.stage != held || j.shots < 1 || now >= j.deadline {
 		return false, 0, false
 	}
 	j.stage = here
@@ -119,7 +122,7 @@
 		return nil
 	}
 	_, j := o.find(m.Job)
-	if j == nil || m.Kind != Decline && m.Kind != Accept && !(j.stage == gone && j.ticket == m.Ticket) || m.Kind == Accept && !o.takes(j, &m) {
+	if j == nil || m.Kind != Decline && m.Kind != Accept && !(j.stage == gone && j.ticket == m.Ticket) || m.Kind == Accept && !o.takes(now, j, &m) {
 		if j != nil && j.stage == gone && j.ticket == m.Ticket {
 			return nil
 		}
@@ -167,7 +170,12 @@
 	return nil
 }
 
-func (o *Owner) takes(j *job, m *Message) bool {
+// takes tells whether an acceptance may be answered with a go-ahead. An owner that was frozen may read it
+// before it has looked at the time: what is over by then must not begin.
+func (o *Owner) takes(now clock.Span, j *job, m *Message) bool {
+	if now >= j.until || now >= j.deadline {
+		return false
+	}
 	return j.stage == offered && j.to == m.Peer && j.turn == m.Turn
 }
 
--- a/coord/handoff/schedule_test.go
+++ b/coord/handoff/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,6 +24,7 @@
 
 type townJob struct {
 	again     bool
+	deadline  clock.Span
 	owner     int
 	life      uint64
 	number    uint64
@@ -115,6 +117,7 @@
 			}
 			require.NotNil(w.t, j, "a run of no job")
 			require.Nil(w.t, w.runs[f.Ticket], "one ticket run twice")
+			require.Less(w.t, clock.Span(w.now), j.deadline+townBounds.Accept, "begun after its deadline")
 			w.runs[f.Ticket] = w.begin(j, f.Ticket)
 		case Stop:
 			w.runs[f.Ticket].open, w.runs[f.Ticket].ran = false, true
@@ -146,6 +149,10 @@
 func (w *town) step() {
 	w.now++
 	now := clock.Span(w.now)
+	if w.r.IntN(200) == 0 { // a node's channels are reset: what is under way to it is lost
+		to := w.r.IntN(len(w.nodes))
+		w.mail = slices.DeleteFunc(w.mail, func(x townMail) bool { return x.to == to })
+	}
 	for k := 0; k < len(w.mail); k++ {
 		x := w.mail[k]
 		if n := w.nodes[x.to]; x.at <= w.now && !n.frozen {
@@ -193,7 +200,7 @@
 			}
 			w.do(j.owner, fx)
 		case k == 6:
-			if lost, _, ok := n.owner.Here(j.number); ok {
+			if lost, _, ok := n.owner.Here(now, j.number); ok {
 				require.True(w.t, j.again || !lost, "run here after a loss")
 				w.begin(j, Ticket{}).ran = true
 				w.end(j, Whole)
@@ -233,7 +240,7 @@
 	}
 }
 
-// TestSchedules judges random schedules of five nodes and thirty jobs: losses, copies, delays, freezes and deaths at any point.
+// TestSchedules judges random schedules of five nodes and thirty jobs: losses, copies, delays, resets, freezes and deaths at any point.
 func TestSchedules(t *testing.T) {
 	ends := map[Outcome]int{}
 	for seed := range uint64(400) {
@@ -246,7 +253,8 @@
 				i := w.r.IntN(len(w.nodes))
 				if n := w.nodes[i]; !n.frozen {
 					j := &townJob{again: w.r.IntN(2) == 0, owner: i, life: n.life, held: true}
-					j.number = n.owner.Take(clock.Span(w.now+40+w.r.IntN(250)), j.again, 1+w.r.IntN(3))
+					j.deadline = clock.Span(w.now + 40 + w.r.IntN(250))
+					j.number = n.owner.Take(j.deadline, j.again, 1+w.r.IntN(3))
 					n.jobs[j.number] = j
 					w.jobs = append(w.jobs, j)
 				}
--- a/internal/router/longwork.go
+++ b/internal/router/longwork.go
@@ -567,21 +567,9 @@
 					whole = append(whole, f.Message.Body...)
 				}
 			case handoff.Back:
-				h.mu.Lock()
-				lost, shots, ok := h.owner.Here(job)
-				if lost {
-					h.count.lost++
+				if q.takeBack(job, to) {
+					return false
 				}
-				h.mu.Unlock()
-				if lost {
-					h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", to, "request", q.id)
-				}
-				q.try.Elsewhere(q.path.Shots-shots-q.try.Sent(), lost)
-				if !ok || q.try.Sent() >= q.path.Shots {
-					q.giveUp(errkind.Broken, "the neighbour failed")
-					return true
-				}
-				return false
 			case handoff.End:
 				q.try.Elsewhere(f.Message.Shots, f.Outcome != handoff.Refused)
 				switch f.Outcome {
@@ -618,6 +606,25 @@
 	}
 }
 
+// takeBack takes a job back that a neighbour does not run any more. If it may not be run here either, false:
+// its end follows, with what is known of it.
+func (q *request) takeBack(job uint64, from string) bool {
+	h := q.g.long
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lost, shots, ok := h.owner.Here(h.now(), job)
+	if !ok {
+		h.do(h.owner.GiveUp(job))
+		return false
+	}
+	if lost {
+		h.count.lost++
+		h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", from, "request", q.id)
+	}
+	q.try.Elsewhere(q.path.Shots-shots-q.try.Sent(), lost)
+	return true
+}
+
 // eventID reads the id of an event; -1 if it has none.
 func eventID(b []byte) int64 {
 	for _, l := range strings.Split(string(b), "\n") {
--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -65,6 +65,49 @@
 	require.Equal(t, int64(-1), eventID([]byte("id: x\n\n")))
 }
 
+func TestATakersTimeCountsFromTheOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, worldBudget, stepOK)
+		defer w.end()
+		offered := clock.Now()
+		<-clock.After(clock.Seconds(17)) // the taker was frozen before it came to run the job
+		f := handoff.Effect{Message: handoff.Message{Body: []byte(requestText("once", "a")), Shots: 1}}
+		h := w.g.long
+		h.stops[0] = func() {}
+		h.runTaken(t.Context(), f, offered)
+		require.Empty(t, w.deliveries, "its time was over")
+	})
+}
+
+func TestAJobWhoseTimeIsOverIsNotTakenBack(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, worldBudget, stepOK)
+			defer w.end()
+			h := w.g.long
+			q := &request{g: w.g, path: &routing.Path{Shots: 3}}
+			in := make(chan handoff.Effect, 4)
+			job := h.owner.Take(h.now()+clock.Seconds(1), true, 3)
+			h.inbox[job] = in
+			h.owner.Offer(h.now(), job, "n", nil)
+			answer := handoff.Message{Kind: handoff.Decline, Peer: "n", Owner: h.owner.Life(), Job: job, Turn: 1}
+			if lost {
+				answer.Kind = handoff.Accept
+				h.owner.Step(h.now(), answer)
+				answer.Kind = handoff.Failed
+			}
+			h.owner.Step(h.now(), answer)
+			<-clock.After(clock.Seconds(17))
+			require.False(t, q.takeBack(job, "n"))
+			want := handoff.Refused
+			if lost {
+				want = handoff.Broken
+			}
+			require.Equal(t, want, (<-in).Outcome, "its end says what is known of it")
+		})
+	}
+}
+
 func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/router/mutation_test.go
+++ b/internal/router/mutation_test.go
@@ -16,7 +16,7 @@
 	}
 	const attempts = "../../coord/attempt/attempt.go"
 	for _, m := range []mutation.Mutation{
-		{Name: "sent in part counts as not run", File: attempts, From: "return s == PartlySent || s == Sent", To: "return s == Sent", Run: "EveryByteOfARequest"},
+		{Name: "sent in part counts as not run", File: attempts, From: "return s == PartlySent || s == Sent || s == Answered", To: "return s == Sent || s == Answered", Run: "EveryByteOfARequest"},
 		{Name: "a silent replica counts as not run", File: attempts, From: "return s == PartlySent || s == Sent || s == Answered", To: "return s == PartlySent || s == Answered", Run: "EveryPair"},
 		{Name: "everything may be repeated", File: attempts, From: "return repeatable || !t.MayHaveRun()", To: "return true", Run: "EveryPair"},
 		{Name: "sendings are not counted", File: attempts, From: "\t\tt.sent++\n", To: "", Run: "EveryPair"},
