--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -65,18 +65,61 @@
 	require.Equal(t, int64(-1), eventID([]byte("id: x\n\n")))
 }
 
+func TestATakersTimeCountsFromTheOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, worldBudget, stepOK)
+		defer w.end()
+		offered := clock.Now()
+		<-clock.After(clock.Seconds(17)) // the taker was frozen before it came to run the job
+		f := handoff.Effect{Message: handoff.Message{Body: []byte(requestText("once", "a")), Shots: 1}}
+		h := w.g.long
+		h.stops[0] = func() {}
+		h.runTaken(t.Context(), f, offered)
+		require.Empty(t, w.deliveries, "its time was over")
+	})
+}
+
+func TestAJobWhoseTimeIsOverIsNotTakenBack(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, worldBudget, stepOK)
+			defer w.end()
+			h := w.g.long
+			q := &request{g: w.g, path: &routing.Path{Shots: 3}}
+			in := make(chan handoff.Effect, 4)
+			job := h.owner.Take(h.now()+clock.Seconds(1), true, 3)
+			h.inbox[job] = in
+			h.owner.Offer(h.now(), job, "n", nil)
+			answer := handoff.Message{Kind: handoff.Decline, Peer: "n", Owner: h.owner.Life(), Job: job, Turn: 1}
+			if lost {
+				answer.Kind = handoff.Accept
+				h.owner.Step(h.now(), answer)
+				answer.Kind = handoff.Failed
+			}
+			h.owner.Step(h.now(), answer)
+			<-clock.After(clock.Seconds(17))
+			require.False(t, q.takeBack(job, "n"))
+			want := handoff.Refused
+			if lost {
+				want = handoff.Broken
+			}
+			require.Equal(t, want, (<-in).Outcome, "its end says what is known of it")
+		})
+	}
+}
+
 func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
-			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*request]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
 			for range int(constants.LongRoom) {
 				x.q.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+			q := &request{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
 				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
