--- a/internal/sim/client.go
+++ b/internal/sim/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,7 +30,7 @@
 	transport := &http.Transport{
 		DisableKeepAlives:  !keeps,
 		DisableCompression: true,
-		Dial:               func(_, a string) (net.Conn, error) { return h.Dial(a, time.Second) },
+		DialContext:        func(_ context.Context, _, a string) (net.Conn, error) { return h.Dial(a, time.Second) },
 	}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/sim/configuration.go
+++ b/internal/sim/configuration.go
@@ -39,6 +39,9 @@
 	}
 	b := fmt.Sprintf(`{"revision":%d,"route_table":[%s%s],"backend_pools":[{"name":"svc","health_check_path":"/health","max_connections":100},{"name":"few","health_check_path":"/health","max_connections":2},{"name":"alt","health_check_path":"/health","max_connections":100},{"name":"lm","health_check_path":"/health","max_connections":100,"warmup_s":3,"warmup_per_s":20,"engine":{"slots":8,"kv_capacity_tokens":100000,"kv_token_bytes":1000,"link_mbps":1000,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
 		rev, strings.Join(rs, ","), second)
+	if idle, ok := strings.CutPrefix(extra, "idle"); ok { // another idle time-out in ms
+		b = strings.Replace(b, `"idle_timeout_ms":5000`, `"idle_timeout_ms":`+idle, 1)
+	}
 	if flaw == "cut_short" {
 		return b[:len(b)-10]
 	}
