--- /dev/null
+++ b/internal/router/failures.go
@@ -0,0 +1,43 @@
+package router
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shaletrestle/coord/outlier"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+)
+
+// words are the failures seen here since the last time, for the acknowledgement that is about to go; nil mostly.
+func (g *Gate) words() []byte {
+	now := clock.Now()
+	g.mu.Lock()
+	due := now.Sub(g.toldAt) >= constants.NewsBeat/2
+	if due {
+		g.toldAt = now
+	}
+	g.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(constants.PortGate)), now)
+	if len(ws) == 0 {
+		return nil
+	}
+	b, _ := json.Marshal(ws)
+	return b
+}
+
+// blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
+func (g *Gate) blame(id string, k outlier.Kind) {
+	now := clock.Now()
+	g.yard.Health().Bad(id, k, now)
+	g.mu.Lock()
+	due := now.Sub(g.toldAt) >= constants.NewsBeat
+	g.mu.Unlock()
+	if due {
+		g.follower.Tell()
+	}
+}
--- /dev/null
+++ b/internal/router/page.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"net/http"
+
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/metrics"
+)
+
+// page answers on the state port: the metrics under their path, else all that this process knows.
+func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == metrics.Path {
+		metrics.Serve(w, g.figures())
+		return
+	}
+	v := g.book.View()
+	httpreply.JSON(w, http.StatusOK, map[string]any{
+		"program":       "router",
+		"version":       constants.Version,
+		"node":          g.env.Load().NodeName,
+		"ready":         g.ready.Load(),
+		"leaving":       g.leaving.Load(),
+		"news":          g.newsSection(),
+		"setup":         map[string]any{"revision": v.Doc.Epoch, "routes": g.table.Load().Paths},
+		"evacuated":     v.Evac,
+		"fleet":         v.Fleet,
+		"inflight":      g.inflight.Load(),
+		"inquiries":     g.count.inquiries.Load(),
+		"refused":       g.count.refused.Load(),
+		"failed":        g.count.failed.Load(),
+		"further_tries": g.count.further.Load(),
+		"resumed":       g.count.resumed.Load(),
+		"channels_made": &g.made,
+		"budget_left":   g.budgetSection(),
+		"index":         g.indexSection(),
+		"bodies":        g.bodies.Slices(),
+		"yard":          g.yard.Stats(),
+		"suspected":     g.watcher.Suspected(),
+		"machine":       g.level.State(),
+		"long_work":     g.long.seen(),
+	})
+}
+
+func (g *Gate) newsSection() map[string]any {
+	epoch, number := g.cursor.At()
+	return map[string]any{
+		"epoch":        epoch,
+		"number":       number,
+		"source":       g.follower.Source(),
+		"heard_ago_ms": g.cursor.Age().Milliseconds(),
+	}
+}
+
+func (g *Gate) budgetSection() map[string]float64 {
+	left := map[string]float64{}
+	for pool := range g.table.Load().Pools {
+		left[pool] = g.budget.Left(pool, g.fleet())
+	}
+	return left
+}
+
+func (g *Gate) indexSection() map[string]any {
+	runs, asked, hits := g.index.Stats()
+	return map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()}
+}
--- /dev/null
+++ b/internal/router/retries.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+)
+
+// further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
+func (g *Gate) further(pool string, within clock.Span) bool {
+	if g.budget.Take(pool, g.fleet()) {
+		return true
+	}
+	now := clock.Now()
+	g.mu.Lock()
+	w := g.asking[pool]
+	if w == nil {
+		if now.Sub(g.refusedAt[pool]) < constants.LumpPause {
+			g.mu.Unlock()
+			return false
+		}
+		w = make(chan struct{})
+		g.asking[pool] = w
+		go g.borrow(pool, w)
+	}
+	g.mu.Unlock()
+	select {
+	case <-w:
+	case <-clock.After(min(within, constants.LumpWait)):
+	}
+	return g.budget.Take(pool, g.fleet())
+}
+
+// borrow asks the controller for further tries of a service and wakes who waits for them.
+func (g *Gate) borrow(pool string, w chan struct{}) {
+	start := clock.Now()
+	a, err := g.follower.Call(&rpc.Note{Kind: rpc.Lend, Word: pool, Number: constants.LumpTries}, constants.LumpWait)
+	ok := err == nil && a.OK && a.Number > 0 && a.Number <= constants.LumpTries
+	if ok {
+		g.budget.Lent(pool, int64(a.Number), start.Add(constants.LumpSpan))
+	}
+	g.mu.Lock()
+	if !ok {
+		g.refusedAt[pool] = clock.Now()
+	}
+	delete(g.asking, pool)
+	g.mu.Unlock()
+	close(w)
+}
--- /dev/null
+++ b/internal/router/source.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/state"
+)
+
+// pick names the controller to follow next: the own locality's first, others if it failed lately.
+func (g *Gate) pick(failed string) string {
+	e := g.env.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	if failed != "" && failed != g.dropped {
+		g.bad[failed] = now
+	}
+	g.dropped = ""
+	var near, far, all []string
+	seen := map[string]bool{}
+	for _, h := range g.book.View().Houses {
+		seen[h.Addr] = true
+		all = append(all, h.Addr)
+		switch {
+		case now.Sub(g.bad[h.Addr]) < e.Contact():
+		case h.Locality == e.Locality:
+			near = append(near, h.Addr)
+		default:
+			far = append(far, h.Addr)
+		}
+	}
+	for _, a := range e.SeedCrew() {
+		if !seen[a] {
+			all = append(all, a)
+			if now.Sub(g.bad[a]) >= e.Contact() {
+				far = append(far, a)
+			}
+		}
+	}
+	g.pickAt++
+	for _, s := range [][]string{near, far, all} {
+		if len(s) > 0 {
+			return s[(g.pickAt+int(xxhash.Sum64String(e.NodeName)%1024))%len(s)]
+		}
+	}
+	return ""
+}
+
+// nearer changes over to the own locality's controller once it is known, unless it failed lately.
+func (g *Gate) nearer(v *state.View) {
+	src := g.follower.Source()
+	if src == "" {
+		return
+	}
+	e := g.env.Load()
+	for _, h := range v.Houses {
+		if h.Addr == src && h.Locality == e.Locality {
+			return
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range v.Houses {
+		if h.Locality == e.Locality && clock.Since(g.bad[h.Addr]) >= 2*e.Contact() {
+			g.dropped = src
+			go g.follower.Drop()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/view.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/state"
+)
+
+// changed brings everything that is derived up to date with a new view.
+func (g *Gate) changed(old, v *state.View, e *state.Event) {
+	if e != nil && e.Kind == state.Health {
+		g.yard.Health().Suspected(e.Suspects, clock.Now())
+		return
+	}
+	if old.Doc != v.Doc {
+		g.useConfiguration(v)
+	}
+	if e.Places() {
+		g.useReplicas(v)
+	}
+	if e == nil || e.Kind == state.Fleet {
+		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(constants.PortGate)))
+	}
+	if old.Fleet != v.Fleet || old.Doc != v.Doc || e == nil {
+		g.share(v, g.table.Load())
+	}
+	if v.Doc.Epoch > 0 && v.Listed {
+		g.becomeReady(v)
+	}
+	if e == nil || e.Kind == state.Houses {
+		g.nearer(v)
+	}
+}
+
+// useConfiguration compiles a new configuration and puts its limits in force.
+func (g *Gate) useConfiguration(v *state.View) {
+	table := routing.Compile(v.Doc)
+	g.table.Store(table)
+	if g.front != nil {
+		g.front.Limit(table.Limits)
+	}
+}
+
+// useReplicas takes a new list of replicas or evacuations; connections to replicas that are gone end with their answers.
+func (g *Gate) useReplicas(v *state.View) {
+	back := clock.Millis(g.env.Load().Cloud.MaxLagMs) + 2*constants.ListEvery
+	g.yard.Set(v.Replicas, v.Evac, back)
+	g.weights.Store(newWeights(v.Replicas))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, pool := range g.pools {
+		if v.Replicas[id] == nil {
+			delete(g.pools, id)
+			go pool.Shut()
+		}
+	}
+}
+
+// becomeReady lets go the requests that waited for a first view.
+func (g *Gate) becomeReady(v *state.View) {
+	if !g.ready.CompareAndSwap(false, true) {
+		return
+	}
+	close(g.isReady)
+	g.sc.Log().Info("ready", "part", "router", "revision", v.Doc.Epoch, "replicas", len(v.Replicas))
+}
+
+// fleet is the number of routers that share the budgets; a guess until control has told it.
+func (g *Gate) fleet() int {
+	if n := g.book.View().Fleet; n > 0 {
+		return n
+	}
+	return constants.FleetGuess
+}
