--- a/internal/sim/command_order.go
+++ b/internal/sim/command_order.go
@@ -15,7 +15,7 @@
 var orderCommands = map[string]command{
 	"put":      putConfiguration,
 	"patch":    patchConfiguration,
-	"repeat":   repeatOrder,
+	"again":    repeatOrder,
 	"pester":   pester,
 	"evacuate": evacuate,
 	"return":   takeBack,
@@ -54,7 +54,7 @@
 		name, name, word("kind", "idempotent"), word("timeout", "3000"), word("aim", "400"), word("priority", "1"), word("service", "svc"), word("attempts", "2"))
 }
 
-// repeat at=h1 expect=200: the configuration order that was acknowledged last, once more
+// again at=h1 expect=200: the configuration order that was acknowledged last, once more
 func repeatOrder(s *Script, a args) error {
 	s.w.mu.Lock()
 	o := s.w.operator.newest
--- a/internal/sim/random_day_test.go
+++ b/internal/sim/random_day_test.go
@@ -124,7 +124,7 @@
 	}
 	d.revision = next
 	if d.draw.IntN(2) == 0 {
-		return d.do("repeat expect=200,0")
+		return d.do("again expect=200,0")
 	}
 	return nil
 }
