--- a/internal/sim/script_test.go
+++ b/internal/sim/script_test.go
@@ -19,6 +19,7 @@
 	require.NotEmpty(t, files)
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".scn"), func(t *testing.T) {
+			t.Parallel()
 			out := io.Writer(io.Discard)
 			if os.Getenv("SCENARIO_LOG") != "" {
 				out = os.Stderr
