--- a/internal/sim/random_day_test.go
+++ b/internal/sim/random_day_test.go
@@ -27,6 +27,9 @@
 	draw     *rand.Rand
 	revision int
 	zone     string   // evacuated, or empty
+	core     []string // the controllers of the moment
+	added    int      // machines added
+	pending  []string // lines that end troubles that last
 	lines    []string // what was done, for a failing seed
 }
 
@@ -74,6 +77,7 @@
 
 func (d *randomDay) start() error {
 	d.revision = 5
+	d.core = []string{"h1", "h2", "h3"}
 	return d.all(
 		"in_touch_only",
 		"fleet houses=3 gates=3",
@@ -93,10 +97,49 @@
 	)
 }
 
-// event brings one trouble or order, and mostly its end.
+// lasts begins a trouble whose end comes some time later, beside other troubles at times.
+func (d *randomDay) lasts(most time.Duration, begin, end string) error {
+	if err := d.do("%s", begin); err != nil {
+		return err
+	}
+	d.pending = append(d.pending, end)
+	if d.draw.IntN(3) == 0 {
+		if err := d.change(); err != nil {
+			return err
+		}
+	}
+	return d.pause(100*time.Millisecond, most)
+}
+
+// endPending ends the troubles that last.
+func (d *randomDay) endPending() error {
+	lines := d.pending
+	d.pending = nil
+	return d.all(lines...)
+}
+
+// coreMember draws a controller.
+func (d *randomDay) coreMember() string { return d.of(d.core...) }
+
+// othersOf names the other controllers.
+func (d *randomDay) othersOf(who string) (others []string) {
+	for _, name := range d.core {
+		if name != who {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// event brings one trouble or order; what lasts ends before it or goes on beside it.
 func (d *randomDay) event() error {
+	if d.draw.IntN(2) == 0 {
+		if err := d.endPending(); err != nil {
+			return err
+		}
+	}
 	events := []func() error{
-		d.change, d.change, d.evacuation, d.freeze, d.freeze, d.cut, d.cut, d.restart, d.resets, d.replicaFault, d.replicaFault, d.draining, d.diskFault, d.lostAnswers, d.platformDown,
+		d.change, d.change, d.evacuation, d.freeze, d.freeze, d.cut, d.cut, d.restart, d.replace, d.replace, d.resets, d.replicaFault, d.replicaFault, d.draining, d.diskFault, d.lostAnswers, d.platformDown,
 	}
 	if err := events[d.draw.IntN(len(events))](); err != nil {
 		return err
@@ -131,15 +174,10 @@
 
 // mend ends whatever may keep the control side from working.
 func (d *randomDay) mend() error {
-	if err := d.all("answers lost=0", "heal", "thaw h1 h2 h3 g1 g2 g3"); err != nil {
+	if err := d.endPending(); err != nil {
 		return err
 	}
-	for _, h := range []string{"h1", "h2", "h3"} {
-		if err := d.do("disk %s ok", h); err != nil {
-			return err
-		}
-	}
-	return d.do("wait 2s")
+	return d.all("answers lost=0", "wait 2s")
 }
 
 func (d *randomDay) evacuation() error {
@@ -153,41 +191,18 @@
 }
 
 func (d *randomDay) freeze() error {
-	who := d.of("h1", "h2", "h3", "g1", "g2")
-	if err := d.do("freeze %s", who); err != nil {
-		return err
-	}
-	if d.draw.IntN(2) == 0 {
-		if err := d.change(); err != nil {
-			return err
-		}
-	}
-	if err := d.pause(200*time.Millisecond, 5*time.Second); err != nil {
-		return err
-	}
-	return d.do("thaw %s", who)
+	who := d.of(d.coreMember(), d.coreMember(), "g1", "g2")
+	return d.lasts(5*time.Second, "freeze "+who, "thaw "+who)
 }
 
 func (d *randomDay) cut() error {
-	who := d.of("h1", "h2", "h3")
-	others := map[string]string{"h1": "h2,h3", "h2": "h1,h3", "h3": "h1,h2"}[who]
-	way := d.of("", " oneway=1")
-	if err := d.do("cut %s %s%s", who, others+d.of("", ",g1", ",g1,g2"), way); err != nil {
-		return err
-	}
-	if d.draw.IntN(2) == 0 {
-		if err := d.change(); err != nil {
-			return err
-		}
-	}
-	if err := d.pause(200*time.Millisecond, 5*time.Second); err != nil {
-		return err
-	}
-	return d.do("heal")
+	who := d.coreMember()
+	to := strings.Join(d.othersOf(who), ",") + d.of("", ",g1", ",g1,g2")
+	return d.lasts(5*time.Second, "cut "+who+" "+to+d.of("", " oneway=1"), "heal")
 }
 
 func (d *randomDay) restart() error {
-	who := d.of("h1", "h2", "h3", "g1", "g2", "h1 h2 h3")
+	who := d.of(d.coreMember(), d.coreMember(), "g1", "g2", strings.Join(d.core, " "))
 	if err := d.do("%s %s", d.of("kill", "power"), who); err != nil {
 		return err
 	}
@@ -197,42 +212,47 @@
 	return d.do("start %s", who)
 }
 
+// replace takes a controller away with its disk and puts an empty one up at another address, while nothing else is wrong.
+func (d *randomDay) replace() error {
+	if err := d.mend(); err != nil {
+		return err
+	}
+	who := d.coreMember()
+	others := d.othersOf(who)
+	d.added++
+	fresh := fmt.Sprintf("h%d", 3+d.added)
+	d.core = append(others, fresh)
+	err := d.all(
+		d.of("wipe "+who, "leave "+who),
+		"seeds "+strings.Join(others, " "),
+		fmt.Sprintf("add %s zone=%s", fresh, d.of("a", "b", "c")),
+		"start "+fresh,
+		"reload g1 g2 g3 "+strings.Join(d.core, " "),
+	)
+	if err != nil {
+		return err
+	}
+	return d.pause(4*time.Second, 5*time.Second)
+}
+
 func (d *randomDay) resets() error {
-	return d.do("reset_conns %s", d.of("h1", "h2", "h3", "g1", "g2", "g3"))
+	return d.do("reset_conns %s", d.of(d.coreMember(), d.coreMember(), d.coreMember(), "g1", "g2", "g3"))
 }
 
 func (d *randomDay) replicaFault() error {
 	who := d.of("r1", "r2", "r1,r2", "m1", "m2,m3")
 	how := d.of("full", "busy", "slow", "dark", "reset", "error", "unable", "noseal", "wrongid", "garble", "extra", "cut", "stall")
-	if err := d.do("does %s %s part=%d", who, how, 20+d.draw.IntN(81)); err != nil {
-		return err
-	}
-	if err := d.pause(200*time.Millisecond, 3*time.Second); err != nil {
-		return err
-	}
-	return d.do("does %s ok", who)
+	return d.lasts(3*time.Second, fmt.Sprintf("does %s %s part=%d", who, how, 20+d.draw.IntN(81)), "does "+who+" ok")
 }
 
 func (d *randomDay) draining() error {
 	who := d.of("r3", "m3")
-	if err := d.do("state %s draining", who); err != nil {
-		return err
-	}
-	if err := d.pause(500*time.Millisecond, 6*time.Second); err != nil {
-		return err
-	}
-	return d.do("state %s ready", who)
+	return d.lasts(6*time.Second, "state "+who+" draining", "state "+who+" ready")
 }
 
 func (d *randomDay) diskFault() error {
-	who := d.of("h1", "h2", "h3")
-	if err := d.do("disk %s %s", who, d.of("full", "stall", "slow")); err != nil {
-		return err
-	}
-	if err := d.pause(200*time.Millisecond, 3*time.Second); err != nil {
-		return err
-	}
-	return d.do("disk %s ok", who)
+	who := d.coreMember()
+	return d.lasts(3*time.Second, "disk "+who+" "+d.of("full", "stall", "slow"), "disk "+who+" ok")
 }
 
 func (d *randomDay) lostAnswers() error {
@@ -246,13 +266,7 @@
 }
 
 func (d *randomDay) platformDown() error {
-	if err := d.do("platform down"); err != nil {
-		return err
-	}
-	if err := d.pause(200*time.Millisecond, 3*time.Second); err != nil {
-		return err
-	}
-	return d.do("platform up")
+	return d.lasts(3*time.Second, "platform down", "platform up")
 }
 
 // end heals everything; then all that was acknowledged is there and all is served.
