--- a/internal/sim/rule.go
+++ b/internal/sim/rule.go
@@ -22,6 +22,7 @@
 	RuleFailback      Rule = "FAILBACK"           // a cold replica gets more than it bears
 	RuleSplit         Rule = "SPLIT"              // an affinity key goes to two services
 	RuleLost          Rule = "LOST"               // a connection ends without an answer beside planned work
+	RuleConfig        Rule = "CONFIG"             // clear answers to several operators don't fit one register
 	RuleRepeatRefused Rule = "CONFIG-REPEAT"      // a change that was acknowledged is sent again and refused
 	RuleLaterRoutes   Rule = "CONFIG-LATER"       // routes that were added later are served far less often
 	RuleStarvedRoute  Rule = "STARVED-KIND"       // a kind of request is served far less often than all
--- a/internal/sim/rule_test.go
+++ b/internal/sim/rule_test.go
@@ -212,6 +212,12 @@
 		w.orderSent(second)
 		w.orderAnswered(first, w.orderSent(first), 412)
 		require.Len(t, w.broken, 1, "another change was sent since")
+		w.orderAnswered(second, false, 200)
+		w.orderAnswered(second, w.orderSent(second), 412)
+		require.Len(t, w.broken, 2)
+		w.operator.open[first] = true
+		w.orderAnswered(second, w.orderSent(second), 412)
+		require.Len(t, w.broken, 2, "another change may still be taken")
 	})
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -56,6 +56,7 @@
 		troubles: newTroubles(),
 		planned:  newPlanned(),
 		counts:   newCounts(),
+		operator: operator{open: map[order]bool{}},
 		paid:     map[Rule]bool{},
 	}
 	w.serve("10.9.0.1:90", http.HandlerFunc(w.servePlatform))
