--- a/internal/sim/operators.go
+++ b/internal/sim/operators.go
@@ -100,7 +100,7 @@
 	o.count(status)
 	if status != 200 {
 		if status == 404 {
-			o.world.Broke("CONFIG", "%s says that there is none, version %d is known", node, floor)
+			o.world.Broke(RuleConfig, "%s says that there is none, version %d is known", node, floor)
 		}
 		return false
 	}
@@ -121,13 +121,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if got.Revision < floor {
-		o.world.Broke("CONFIG", "%s read version %d after %d was known", node, got.Revision, floor)
+		o.world.Broke(RuleConfig, "%s read version %d after %d was known", node, got.Revision, floor)
 	}
 	if was, known := o.content[got.Revision]; known && was != mark {
-		o.world.Broke("CONFIG", "version %d was read as %q and as %q", got.Revision, was, mark)
+		o.world.Broke(RuleConfig, "version %d was read as %q and as %q", got.Revision, was, mark)
 	}
 	if o.refused[o.orders[mark]] {
-		o.world.Broke("CONFIG", "version %d is in force, which was refused", got.Revision)
+		o.world.Broke(RuleConfig, "version %d is in force, which was refused", got.Revision)
 	}
 	o.content[got.Revision] = mark
 	o.newest = max(o.newest, got.Revision)
@@ -167,7 +167,7 @@
 	if at := strings.Index(text, "version "); status == 412 && at >= 0 {
 		_, _ = fmt.Sscanf(text[at:], "version %d is current", &current)
 		if current < floor {
-			o.world.Broke("CONFIG", "%s refused a change because version %d is current, %d was known", node, current, floor)
+			o.world.Broke(RuleConfig, "%s refused a change because version %d is current, %d was known", node, current, floor)
 		}
 	}
 	return status
@@ -244,23 +244,23 @@
 		return true
 	case 400, 412:
 		if o.acked[order] {
-			o.world.Broke("CONFIG", "a change on %d was acknowledged, sent again and answered %d", order.base, status)
+			o.world.Broke(RuleConfig, "a change on %d was acknowledged, sent again and answered %d", order.base, status)
 		}
 		o.refused[order] = true
 		return true
 	case 0, 307, 503, 502, 504:
 		return false
 	}
-	o.world.Broke("CONFIG", "a change on %d was answered %d", order.base, status)
+	o.world.Broke(RuleConfig, "a change on %d was answered %d", order.base, status)
 	return true
 }
 
 func (o *operators) judgeTaken(order sentOrder) {
 	if other, known := o.taken[order.base]; known && other != order {
-		o.world.Broke("CONFIG", "two changes on %d were acknowledged", order.base)
+		o.world.Broke(RuleConfig, "two changes on %d were acknowledged", order.base)
 	}
 	if o.refused[order] {
-		o.world.Broke("CONFIG", "a change on %d was refused and acknowledged", order.base)
+		o.world.Broke(RuleConfig, "a change on %d was refused and acknowledged", order.base)
 	}
 	o.taken[order.base] = order
 	o.acked[order] = true
@@ -301,7 +301,7 @@
 		o.count(status)
 		acked = status == 200
 		if status >= 400 && status < 500 {
-			o.world.Broke("EVAC", "%s was answered %d", method, status)
+			o.world.Broke(RuleEvacuation, "%s was answered %d", method, status)
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, 400*time.Millisecond)
--- a/internal/sim/script_control.go
+++ b/internal/sim/script_control.go
@@ -7,36 +7,37 @@
 	"time"
 )
 
-// controlLine runs the lines that are about orders and the machines that take them; ok is false for others.
-func (s *Script) controlLine(cmd string, a args) (ok bool, err error) {
-	arg := func(i int) string {
-		if i < len(a.pos) {
-			return a.pos[i]
-		}
-		return ""
-	}
-	switch cmd {
-	case "operators": // operators n=4 for=20s seed=1 from=5 at=h1,h2 pause=400ms: they change, read and evacuate all the time, from version 5 on
-		return true, s.startOperators(a)
-	case "press": // press h1 for=2s: the operators also read at this node, and send it changes that must be refused, fifty times a second
-		ops := s.operators(a)
-		s.bg.Add(1)
-		go func() {
-			defer s.bg.Done()
-			ops.press(arg(0), a.span("for", time.Second))
-		}()
-		return true, nil
-	case "settled": // settled changes=20 evacuations=90: their end is judged; at least so many changes were taken, and so many in a hundred of the evacuation orders
-		return true, s.settled(a)
-	case "changes": // changes 70 from=6: one after the other, each on the one before
-		return true, s.changes(mustInt(arg(0)), a)
-	case "repeat": // repeat patch of base=6 as sent by changes, expect=200
-		return true, s.order("PATCH", "/v1/config", a.kv["base"], numbered(a.num("base", 0)), a)
-	case "alone": // alone h1: nothing goes to it or comes from it, as if it stood still
-		s.isolate(arg(0))
-		return true, nil
-	}
-	return false, nil
+// controlCommands are about orders and the machines that take them.
+var controlCommands = map[string]command{
+	"operators": func(s *Script, a args) error { return s.startOperators(a) },
+	"press":     press,
+	"settled":   func(s *Script, a args) error { return s.settled(a) },
+	"changes":   func(s *Script, a args) error { return s.changes(mustInt(a.at(0)), a) },
+	"repeat":    repeatNumbered,
+	"alone":     standAlone,
+}
+
+// press h1 for=2s: the operators also read at this node, and send it changes that must be refused, fifty times a second
+func press(s *Script, a args) error {
+	ops := s.operators(a)
+	s.bg.Add(1)
+	go func() {
+		defer s.bg.Done()
+		ops.press(a.at(0), a.span("for", time.Second))
+	}()
+	return nil
+}
+
+// repeat patch of base=6 as sent by changes, expect=200
+func repeatNumbered(s *Script, a args) error {
+	return s.order(order{"PATCH", "/v1/config", a.kv["base"], numbered(a.num("base", 0))}, a)
+}
+
+// alone h1: nothing goes to it or comes from it, as if it stood still
+func standAlone(s *Script, a args) error {
+	s.isolate(a.at(0))
+	s.w.setOngoing(linkCut, a.at(0), true)
+	return nil
 }
 
 func (s *Script) controllers() (names []string) {
@@ -57,6 +58,7 @@
 	return s.ops
 }
 
+// operators n=4 for=20s seed=1 from=5 at=h1,h2 pause=400ms: they change, read and evacuate all the time, from version 5 on
 func (s *Script) startOperators(a args) error {
 	ops := s.operators(a)
 	if at := a.kv["at"]; at != "" {
@@ -72,6 +74,7 @@
 	return nil
 }
 
+// settled changes=20 evacuations=90: their end is judged; at least so many changes were taken, and so many in a hundred of the evacuation orders
 func (s *Script) settled(a args) error {
 	s.bg.Wait()
 	s.w.Log.Info(s.ops.report(), "part", "operators")
@@ -98,6 +101,7 @@
 	return fmt.Sprintf(`{"revision":%d,"upsert":{"route_table":[{"name":"r-c","hostname":"h.example","path_prefix":"/c/","route_type":"idempotent","timeout_ms":%d,"backend_pool":"svc","max_attempts":2}]}}`, base+1, 1000+base)
 }
 
+// changes 70 from=6: one after the other, each on the one before
 func (s *Script) changes(n int, a args) error {
 	from := a.num("from", 5)
 	for base := from; base < from+n; base++ {
@@ -109,7 +113,7 @@
 }
 
 func (s *Script) isolate(name string) {
-	ip := s.w.procs[name].ip
+	ip := s.w.process(name).ip
 	for _, other := range s.w.Net.addresses() {
 		if other != ip {
 			s.w.Net.Cut(ip, other)
