failuredetector: assignment and watcher apart, whole names, short functions

Cause: one file named lookout.go held the rendezvous hashing and the watcher, with one-letter names and words of an older style.

Change: assignment.go holds the rendezvous hashing (WatchedBy, formerly Set), watcher.go the watcher; its functions are split by step. Behaviour, log lines and the calls of the report function are as before.

--- a/coord/failuredetector/lookout_test.go
+++ b/coord/failuredetector/watcher_test.go
@@ -30,7 +30,7 @@
 	for _, n := range []int{1, 2, 3, 12, 50} {
 		by := map[string]int{}
 		for _, s := range names(n) {
-			for _, w := range Set(s, names(n), constants.WatchersEach) {
+			for _, w := range WatchedBy(s, names(n), constants.WatchersEach) {
 				require.NotEqual(t, s, w)
 				by[w]++
 			}
@@ -41,8 +41,8 @@
 	}
 }
 
-// plainSet is Set by its definition: every weight of every node against self's.
-func plainSet(self string, nodes []string, k int) (out []string) {
+// plainAssignment is WatchedBy by its definition: every weight of every node against self's.
+func plainAssignment(self string, nodes []string, k int) (out []string) {
 	weight := func(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
 	for _, n := range nodes {
 		before := 0
@@ -59,19 +59,19 @@
 	return
 }
 
-func TestSetEqualsItsDefinition(t *testing.T) {
+func TestWatchedByEqualsItsDefinition(t *testing.T) {
 	r := rand.New(rand.NewPCG(7, 7))
 	for range 60 {
 		all := names(1 + r.IntN(90))
 		r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 		ns, k := all[:1+r.IntN(len(all))], r.IntN(5)
 		for _, s := range all { // one that isn't known yet too
-			require.Equal(t, plainSet(s, ns, k), Set(s, ns, k), "%s of %v, %d watchers", s, ns, k)
+			require.Equal(t, plainAssignment(s, ns, k), WatchedBy(s, ns, k), "%s of %v, %d watchers", s, ns, k)
 		}
 	}
 }
 
-func TestTheSetFollowsTheNodes(t *testing.T) {
+func TestTheAssignmentFollowsTheNodes(t *testing.T) {
 	var mu sync.Mutex
 	known, asked := []string{"a", "b"}, map[string]bool{}
 	w := New(task.New(slog.New(slog.DiscardHandler)), "a", clock.Seconds(1), func() []string { return known },
@@ -84,19 +84,19 @@
 	require.Equal(t, map[string]bool{"c": true}, asked)
 }
 
-func BenchmarkSet(b *testing.B) {
+func BenchmarkWatchedBy(b *testing.B) {
 	for _, n := range []int{11, 88, 390} {
 		ns := names(n)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				Set(ns[0], ns, constants.WatchersEach)
+				WatchedBy(ns[0], ns, constants.WatchersEach)
 			}
 		})
 		b.Run(fmt.Sprint("definition-", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				plainSet(ns[0], ns, constants.WatchersEach)
+				plainAssignment(ns[0], ns, constants.WatchersEach)
 			}
 		})
 	}
@@ -107,10 +107,10 @@
 	moved := 0
 	for _, s := range after {
 		old := map[string]bool{}
-		for _, w := range Set(s, before, 2) {
+		for _, w := range WatchedBy(s, before, 2) {
 			old[w] = true
 		}
-		for _, w := range Set(s, after, 2) {
+		for _, w := range WatchedBy(s, after, 2) {
 			if !old[w] {
 				moved++
 			}
@@ -190,38 +190,38 @@
 	})
 }
 
-func TestTheSetIsWorkedOutOnlyWhenTheNodesChanged(t *testing.T) {
+func TestTheAssignmentIsComputedOnlyWhenTheNodesChanged(t *testing.T) {
 	known := names(40)
 	w := New(task.New(slog.New(slog.DiscardHandler)), "node-7", clock.Seconds(1), func() []string { return known }, nil, nil)
-	first := w.watched()
-	require.Equal(t, Set("node-7", known, constants.WatchersEach), first)
+	first := w.assignment()
+	require.Equal(t, WatchedBy("node-7", known, constants.WatchersEach), first)
 	require.NotEmpty(t, first)
 	known = names(40)
-	again := w.watched()
-	require.Same(t, &first[0], &again[0], "nothing changed, nothing is worked out")
+	again := w.assignment()
+	require.Same(t, &first[0], &again[0], "nothing changed, nothing is computed")
 	known = names(60)
-	require.Equal(t, Set("node-7", known, constants.WatchersEach), w.watched())
+	require.Equal(t, WatchedBy("node-7", known, constants.WatchersEach), w.assignment())
 }
 
 func TestWatchesAreSpreadOverTheNodes(t *testing.T) {
 	ns := names(390)
 	total := 0
 	for _, s := range ns {
-		n := len(Set(s, ns, constants.WatchersEach))
+		n := len(WatchedBy(s, ns, constants.WatchersEach))
 		total += n
 		require.Less(t, n, 12, "%s", s)
 	}
 	require.Equal(t, 390*constants.WatchersEach, total)
 }
 
-func ExampleSet() {
-	nodes := []string{"yard", "saw", "kiln", "dock"}
+func ExampleWatchedBy() {
+	nodes := []string{"a", "b", "c", "d"}
 	watched := map[string]int{}
 	for _, n := range nodes {
-		for _, o := range Set(n, nodes, 2) {
+		for _, o := range WatchedBy(n, nodes, 2) {
 			watched[o]++
 		}
 	}
-	fmt.Println(watched["yard"], watched["saw"], watched["kiln"], watched["dock"])
+	fmt.Println(watched["a"], watched["b"], watched["c"], watched["d"])
 	// Output: 2 2 2 2
 }
