fairshare: files named for shares and loans, whole names, one step a line

Change: shares.go holds the shares of a bounded resource, lender.go the loans of a budget; checks and sums are functions of their own. The exported names are unchanged, since other packages use them.

Measured: the package's tests pass unchanged.

--- a/coord/fairshare/lender.go
+++ b/coord/fairshare/lender.go
@@ -2,51 +2,66 @@
 
 import (
 	"sync"
-
-	"shaletrestle/internal/clock"
+	"time"
 )
 
+// loan is a part of a service's budget that was lent at once.
 type loan struct {
-	n  int64
-	at clock.Moment
+	amount int64
+	at     time.Time
 }
 
-// Lender lends a bounded thing in lumps: what is lent inside any span never exceeds the room, whether it is used, lost on its way, or its borrower dies.
+// Lender lends parts of a bounded budget. What is lent within any window never
+// exceeds the budget, whether it is used, lost on its way or its borrower fails.
 type Lender struct {
-	mu    sync.Mutex
-	room  int64
-	span  clock.Span
-	since clock.Moment
-	loans map[string][]loan
+	mu     sync.Mutex
+	budget int64
+	window time.Duration
+	since  time.Time // when this lender became responsible
+	loans  map[string][]loan
 }
 
-// NewLender makes a lender. span is the window in which use is bounded, and the life of a loan on top.
-func NewLender(room int64, span clock.Span) *Lender {
-	return &Lender{room: room, span: span, loans: map[string][]loan{}}
+// NewLender makes a lender of a budget for each service. The window is the time
+// in which use is bounded and the life of a loan together.
+func NewLender(budget int64, window time.Duration) *Lender {
+	return &Lender{budget: budget, window: window, loans: map[string][]loan{}}
 }
 
-// Lend gives at most want of a service's room. since is when this lender took over: what others lent before is not known here, so that nothing is lent until it has run out.
-func (l *Lender) Lend(service string, want int64, since, now clock.Moment) int64 {
+// Lend gives at most the wanted amount of a service's budget. The time since is
+// when this lender became responsible: what others lent before is not known
+// here, so nothing is lent until those loans have expired.
+func (l *Lender) Lend(service string, wanted int64, since, now time.Time) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !since.Equal(l.since) {
-		l.since, l.loans = since, map[string][]loan{}
+		l.since = since
+		l.loans = map[string][]loan{}
 	}
-	if now.Sub(since) <= l.span {
+	if now.Sub(since) <= l.window {
 		return 0
 	}
-	ls, out, i := l.loans[service], int64(0), 0
-	for i < len(ls) && now.Sub(ls[i].at) > l.span {
-		i++
+	open := l.unexpired(service, now)
+	amount := max(0, min(wanted, l.budget-total(open)))
+	if amount > 0 {
+		open = append(open, loan{amount: amount, at: now})
 	}
-	ls = ls[i:]
-	for _, x := range ls {
-		out += x.n
+	l.loans[service] = open
+	return amount
+}
+
+// unexpired lists the loans of a service that still count, oldest first.
+func (l *Lender) unexpired(service string, now time.Time) []loan {
+	loans := l.loans[service]
+	for len(loans) > 0 && now.Sub(loans[0].at) > l.window {
+		loans = loans[1:]
 	}
-	n := max(0, min(want, l.room-out))
-	if n > 0 {
-		ls = append(ls, loan{n, now})
+	return loans
+}
+
+func total(loans []loan) int64 {
+	var sum int64
+	for _, loan := range loans {
+		sum += loan.amount
 	}
-	l.loans[service] = ls
-	return n
+	return sum
 }
--- /dev/null
+++ b/coord/fairshare/shares.go
@@ -0,0 +1,145 @@
+// Package fairshare divides a bounded resource among its users. While there is
+// plenty, any user may take it; when it is crowded, no user takes more than a
+// fair share, so that a heavy user can't push a light one out.
+package fairshare
+
+import (
+	"sort"
+	"sync"
+)
+
+// Pie is one bounded resource.
+type Pie struct {
+	mu        sync.Mutex
+	capacity  int64
+	threshold float64 // part of the capacity below which nobody is held to a share
+	used      int64   // by all users
+	usedBy    map[string]int64
+	refusedTo map[string]int64 // number of refusals
+}
+
+// New makes a resource of a capacity. While no more than the threshold, a part
+// of the capacity, is used, nobody is held to a share.
+func New(capacity int64, threshold float64) *Pie {
+	return &Pie{
+		capacity:  capacity,
+		threshold: threshold,
+		usedBy:    map[string]int64{},
+		refusedTo: map[string]int64{},
+	}
+}
+
+// Resize changes the capacity; what is used beyond a smaller one stays until it
+// is given back.
+func (p *Pie) Resize(capacity int64) {
+	p.mu.Lock()
+	p.capacity = capacity
+	p.mu.Unlock()
+}
+
+// Take lets a user have an amount more if there is room and, when it is crowded,
+// if that stays inside a fair share.
+func (p *Pie) Take(user string, amount int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.allows(user, amount) {
+		p.refusedTo[user]++
+		return false
+	}
+	p.add(user, amount)
+	return true
+}
+
+func (p *Pie) allows(user string, amount int64) bool {
+	after := p.used + amount
+	if after > p.capacity {
+		return false
+	}
+	crowded := float64(after) > p.threshold*float64(p.capacity)
+	return !crowded || p.usedBy[user]+amount <= p.fairShare(user)
+}
+
+// Add books an amount without a check, for what is in use already.
+func (p *Pie) Add(user string, amount int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.add(user, amount)
+}
+
+// Give returns an amount.
+func (p *Pie) Give(user string, amount int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.add(user, -amount)
+}
+
+// add books an amount; a user who returns more than was taken returns what was
+// taken.
+func (p *Pie) add(user string, amount int64) {
+	p.usedBy[user] += amount
+	if p.usedBy[user] <= 0 {
+		amount -= p.usedBy[user]
+		delete(p.usedBy, user)
+	}
+	p.used += amount
+}
+
+// fairShare divides the capacity by one more than there are users, this one
+// included, so that a share is left for a newcomer.
+func (p *Pie) fairShare(user string) int64 {
+	shares := len(p.usedBy) + 1
+	if _, known := p.usedBy[user]; !known {
+		shares++
+	}
+	return max(1, p.capacity/int64(shares))
+}
+
+// Full tells whether more is used than the capacity.
+func (p *Pie) Full() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used > p.capacity
+}
+
+// Heaviest names the user that holds most; among equals, the first by name.
+func (p *Pie) Heaviest() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heaviest := ""
+	for user, amount := range p.usedBy {
+		most := p.usedBy[heaviest]
+		if heaviest == "" || amount > most || amount == most && user < heaviest {
+			heaviest = user
+		}
+	}
+	return heaviest
+}
+
+// Slice is one user's share.
+type Slice struct {
+	Who    string `json:"who"`
+	Used   int64  `json:"used"`
+	Turned int64  `json:"turned_away"` // number of refusals
+}
+
+// Slices lists the users, the heaviest first.
+func (p *Pie) Slices() []Slice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var shares []Slice
+	for user, amount := range p.usedBy {
+		shares = append(shares, Slice{Who: user, Used: amount, Turned: p.refusedTo[user]})
+	}
+	for user, refusals := range p.refusedTo {
+		if _, listed := p.usedBy[user]; !listed {
+			shares = append(shares, Slice{Who: user, Turned: refusals})
+		}
+	}
+	sort.Slice(shares, func(i, j int) bool {
+		if shares[i].Used != shares[j].Used {
+			return shares[i].Used > shares[j].Used
+		}
+		return shares[i].Who < shares[j].Who
+	})
+	return shares
+}
