--- a/coord/loadsum/excess.go
+++ b/coord/loadsum/excess.go
@@ -6,25 +6,32 @@
 	"shaletrestle/internal/constants"
 )
 
-// Services tells which service a replica belongs to, and how many replicas each has.
+// Services tells which service a replica belongs to, and how many replicas each
+// service has.
 type Services struct {
-	Of   map[uint32]string
+	Of   map[uint32]string // by the replica's key
 	Size map[string]int
 }
 
-// Excess leaves of a sum what stands out: at each replica what is beyond the usual of its service, the most first. Unknown replicas are left out.
-func Excess(ps []Pile, s *Services) []Pile {
-	sum := map[string]float64{}
-	for _, p := range ps {
-		sum[s.Of[p.Key]] += float64(p.Tokens)
+// Excess keeps of a sum what stands out: at each replica what is beyond the
+// usual load of its service, the most first. Unknown replicas are left out.
+func Excess(piles []Pile, services *Services) []Pile {
+	tokens := map[string]float64{} // by service
+	for _, pile := range piles {
+		tokens[services.Of[pile.Key]] += float64(pile.Tokens)
 	}
-	var out []Pile
-	for _, p := range ps {
-		of, ok := s.Of[p.Key]
-		usual := constants.DeckMean*sum[of]/float64(max(1, s.Size[of])) + constants.DeckLeast
-		if over := float64(p.Tokens) - usual; ok && over >= 1 {
-			out = append(out, Pile{p.Key, uint32(math.Round(over))})
+	var excess []Pile
+	for _, pile := range piles {
+		service, known := services.Of[pile.Key]
+		if !known {
+			continue
+		}
+		replicas := float64(max(1, services.Size[service]))
+		usual := constants.DeckMean*tokens[service]/replicas + constants.DeckLeast
+		over := float64(pile.Tokens) - usual
+		if over >= 1 {
+			excess = append(excess, Pile{Key: pile.Key, Tokens: uint32(math.Round(over))})
 		}
 	}
-	return Heaviest(out, constants.DeckSpread)
+	return heaviest(excess, constants.DeckSpread)
 }
--- a/coord/loadsum/sum.go
+++ b/coord/loadsum/sum.go
@@ -3,56 +3,63 @@
 import (
 	"math"
 	"sync"
+	"time"
 
-	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
 )
 
-type told struct {
+// report is the newest report of one source.
+type report struct {
 	piles []Pile
-	at    clock.Moment
+	at    time.Time
 }
 
-// Sum adds up what several sources tell. A source that has said nothing for a while counts no more.
+// Sum adds up what several sources report. A source that has reported nothing
+// for a while is left out.
 type Sum struct {
-	mu sync.Mutex
-	by map[uint64]told
+	mu      sync.Mutex
+	reports map[uint64]report // by source
 }
 
-// NewSum makes a sum of nothing.
-func NewSum() *Sum { return &Sum{by: map[uint64]told{}} }
+// NewSum makes a sum without sources.
+func NewSum() *Sum { return &Sum{reports: map[uint64]report{}} }
 
-// Put takes a source's newest word in place of its last.
-func (s *Sum) Put(source uint64, ps []Pile, now clock.Moment) {
+// Put replaces a source's report; an empty one removes the source.
+func (s *Sum) Put(source uint64, piles []Pile, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(ps) == 0 {
-		delete(s.by, source)
+	if len(piles) == 0 {
+		delete(s.reports, source)
 		return
 	}
-	s.by[source] = told{ps, now}
+	s.reports[source] = report{piles: piles, at: now}
 }
 
-// Total gives the sum by replica, the heaviest piles only where there are many.
-func (s *Sum) Total(now clock.Moment) []Pile {
+// Total gives the sum by replica; if there are many replicas, only the ones with
+// most work.
+func (s *Sum) Total(now time.Time) []Pile {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := map[uint32]int{}
-	var out []Pile
-	for src, t := range s.by {
-		if now.Sub(t.at) > constants.DeckStale {
-			delete(s.by, src)
+	position := map[uint32]int{} // in the total, by the replica's key
+	var total []Pile
+	for source, report := range s.reports {
+		if now.Sub(report.at) > constants.DeckStale {
+			delete(s.reports, source)
 			continue
 		}
-		for _, p := range t.piles {
-			i, ok := at[p.Key]
-			if !ok {
-				at[p.Key] = len(out)
-				out = append(out, p)
+		for _, pile := range report.piles {
+			i, seen := position[pile.Key]
+			if !seen {
+				position[pile.Key] = len(total)
+				total = append(total, pile)
 				continue
 			}
-			out[i].Tokens = uint32(min(uint64(out[i].Tokens)+uint64(p.Tokens), math.MaxUint32))
+			total[i].Tokens = saturatingAdd(total[i].Tokens, pile.Tokens)
 		}
 	}
-	return Heaviest(out, constants.DeckMost)
+	return heaviest(total, constants.DeckMost)
+}
+
+func saturatingAdd(a, b uint32) uint32 {
+	return uint32(min(uint64(a)+uint64(b), math.MaxUint32))
 }
--- /dev/null
+++ b/coord/loadsum/sum_bench_test.go
@@ -0,0 +1,43 @@
+package loadsum
+
+import (
+	"testing"
+	"time"
+)
+
+func BenchmarkTotal(b *testing.B) {
+	now := time.Unix(0, 0)
+	sum := NewSum()
+	for source := range uint64(20) {
+		var piles []Pile
+		for key := range uint32(100) {
+			piles = append(piles, Pile{key + uint32(source), 10 * key})
+		}
+		sum.Put(source, piles, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		sum.Total(now)
+	}
+}
+
+func BenchmarkExcess(b *testing.B) {
+	services := &Services{Of: map[uint32]string{}, Size: map[string]int{"a": 200}}
+	var piles []Pile
+	for key := range uint32(200) {
+		services.Of[key] = "a"
+		piles = append(piles, Pile{key, 1000 * key})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Excess(piles, services)
+	}
+}
+
+func BenchmarkEncodeAndDecode(b *testing.B) {
+	piles := make([]Pile, 96)
+	b.ReportAllocs()
+	for b.Loop() {
+		Decode(Encode(piles))
+	}
+}
--- a/coord/loadsum/sum_test.go
+++ b/coord/loadsum/sum_test.go
@@ -17,7 +17,7 @@
 	require.Empty(t, Decode(nil))
 }
 
-func TestTheSumIsThatOfTheNewestWords(t *testing.T) {
+func TestTheSumIsThatOfTheNewestReports(t *testing.T) {
 	r := rand.New(rand.NewPCG(5, 6))
 	now := time.Unix(0, 0)
 	s := NewSum()
