slowness: Level is Detector, steps written out in functions of their own

Cause: level.go packed the evidence, the counting and the decision into one function of one-letter names.

Change: detector.go holds the pure state machine, one function a step; watch.go what measures this process. Bounds, order of the steps and the log line are unchanged, and so are the names that the router uses.

Measured: the package's tests pass; only names changed in them.

--- /dev/null
+++ b/coord/slowness/detector.go
@@ -0,0 +1,177 @@
+// Package slowness tells whether this machine has become slow. The evidence is
+// the time that a small fixed piece of work takes, compared with its usual time,
+// and how late timers fire; it is weighed against what other nodes report of
+// themselves.
+package slowness
+
+import (
+	"sort"
+	"time"
+
+	"shaletrestle/internal/constants"
+)
+
+// peerReport is what another node reported of itself.
+type peerReport struct {
+	slow bool
+	step int // at which it was received
+}
+
+// Detector is the state of one process. It is a pure state machine: its time is
+// the number of its steps.
+type Detector struct {
+	step      int
+	samples   []float64 // of the work's time, until the usual one is known
+	usual     float64   // time of the piece of work in ns; 0: not known yet
+	badSteps  int       // steps in a row with evidence of slowness
+	goodSteps int       // steps in a row without
+	slow      bool
+	slowSince int // the step at which it became slow
+	outSteps  int // steps for which new connections have been turned away
+	peers     map[string]peerReport
+}
+
+// NewDetector makes a detector without observations.
+func NewDetector() *Detector { return &Detector{peers: map[string]peerReport{}} }
+
+// Step takes one observation: how long the piece of work took and how late the
+// timer before it fired.
+func (d *Detector) Step(work, late time.Duration) {
+	d.step++
+	d.expirePeers()
+	duration := float64(work)
+	bad := d.isBad(duration, late)
+	d.count(bad, d.isGood(duration, late))
+	d.decide()
+	if !bad && !d.slow {
+		d.learn(duration)
+	}
+	if d.slow && d.othersWell() {
+		d.outSteps++
+	} else {
+		d.outSteps = 0
+	}
+}
+
+// expirePeers drops reports that are too old to count.
+func (d *Detector) expirePeers() {
+	for node, report := range d.peers {
+		if d.step-report.step > constants.LevelHeard {
+			delete(d.peers, node)
+		}
+	}
+}
+
+// isBad tells whether an observation is evidence of slowness.
+func (d *Detector) isBad(duration float64, late time.Duration) bool {
+	if late >= constants.LevelLate {
+		return true
+	}
+	return d.usual > 0 && duration >= constants.LevelEnter*d.usual
+}
+
+// isGood tells whether an observation counts as well. One between the bounds of
+// isBad and isGood is neither.
+func (d *Detector) isGood(duration float64, late time.Duration) bool {
+	if d.usual == 0 {
+		return true
+	}
+	return duration < constants.LevelLeave*d.usual && late < constants.LevelLate/2
+}
+
+// count counts the steps in a row of the same kind.
+func (d *Detector) count(bad, good bool) {
+	switch {
+	case bad:
+		d.badSteps++
+		d.goodSteps = 0
+	case good:
+		d.badSteps = 0
+		d.goodSteps++
+	default:
+		d.badSteps = 0
+		d.goodSteps = 0
+	}
+}
+
+// decide turns the state to slow or back when enough steps in a row say so.
+func (d *Detector) decide() {
+	switch {
+	case !d.slow && d.badSteps >= constants.LevelBad:
+		d.slow = true
+		d.slowSince = d.step
+	case d.slow && d.goodSteps >= constants.LevelGood:
+		d.slow = false
+	}
+}
+
+// learn takes an observation into the usual time: the median of the first ones,
+// then a moving average.
+func (d *Detector) learn(duration float64) {
+	if duration <= 0 {
+		return
+	}
+	if d.usual > 0 {
+		d.usual += (duration - d.usual) * constants.LevelLearn
+		return
+	}
+	d.samples = append(d.samples, duration)
+	if len(d.samples) < constants.LevelFirst {
+		return
+	}
+	sort.Float64s(d.samples)
+	d.usual = d.samples[len(d.samples)/2]
+	d.samples = nil
+}
+
+// Hear takes what another node reported of itself.
+func (d *Detector) Hear(node string, slow bool) {
+	d.peers[node] = peerReport{slow: slow, step: d.step}
+}
+
+// othersWell tells whether at least half of the other nodes are well. It counts
+// those that reported after this one became slow and some steps later, so that
+// whatever slows all of them has shown. If most are slow, or none reported, no
+// node is better than this one.
+func (d *Detector) othersWell() bool {
+	well, all := 0, 0
+	for _, report := range d.peers {
+		if report.step < d.slowSince+constants.LevelAfter {
+			continue
+		}
+		all++
+		if !report.slow {
+			well++
+		}
+	}
+	return well > 0 && 2*well >= all
+}
+
+// Slow tells whether this machine is much slower than usual, whatever the other
+// nodes are.
+func (d *Detector) Slow() bool { return d.slow }
+
+// Out tells whether new connections should go to other nodes.
+func (d *Detector) Out() bool { return d.outSteps > 0 }
+
+// Shed tells whether open connections should move too: new ones have been turned
+// away long enough for the platform to have noticed.
+func (d *Detector) Shed() bool { return d.outSteps > constants.LevelShed }
+
+// State is what the state page shows.
+type State struct {
+	Slow    bool    `json:"slow"`
+	Out     bool    `json:"out"`
+	UsualUs float64 `json:"usual_us"`
+	Heard   int     `json:"heard"` // nodes whose report counts
+}
+
+// State gives the detector's state.
+func (d *Detector) State() State {
+	return State{
+		Slow:    d.slow,
+		Out:     d.Out(),
+		UsualUs: d.usual / 1e3,
+		Heard:   len(d.peers),
+	}
+}
--- a/coord/slowness/level_test.go
+++ b/coord/slowness/detector_test.go
@@ -8,15 +8,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
 )
 
 const us = time.Microsecond
 
-// calm is a level that knows its usual time and has heard well nodes.
-func calm(peers int) *Level {
-	l := NewLevel()
+// calm is a detector that knows its usual time and has heard well nodes.
+func calm(peers int) *Detector {
+	l := NewDetector()
 	for range constants.LevelFirst + 4 {
 		l.Step(10*us, time.Millisecond)
 	}
@@ -26,14 +25,14 @@
 	return l
 }
 
-func steps(l *Level, n int, work, late clock.Span) {
+func steps(l *Detector, n int, work, late time.Duration) {
 	for range n {
 		l.Step(work, late)
 	}
 }
 
-// slowly steps a level that is slow until others may speak, and has so many of them say that they are well.
-func slowly(l *Level, well int) {
+// slowly steps a detector that is slow until the others count, and has so many of them report that they are well.
+func slowly(l *Detector, well int) {
 	steps(l, constants.LevelBad+constants.LevelAfter, 50*us, 0)
 	for i := range well {
 		l.Hear(fmt.Sprint("n", i), false)
@@ -77,11 +76,11 @@
 	l := calm(3)
 	for i := range 4000 {
 		l.Hear("n1", false)
-		late := clock.Span(r.IntN(3000)) * us
+		late := time.Duration(r.IntN(3000)) * us
 		if i%10 == 0 {
 			late = time.Second
 		}
-		l.Step(clock.Span(6500+r.IntN(8500)), late)
+		l.Step(time.Duration(6500+r.IntN(8500)), late)
 		require.False(t, l.Slow())
 	}
 }
@@ -110,7 +109,7 @@
 	l.Step(50*us, 0)
 	require.True(t, l.Out(), "half are well")
 	steps(l, constants.LevelHeard, 50*us, 0)
-	require.False(t, l.Out(), "their word is old")
+	require.False(t, l.Out(), "their report is old")
 }
 
 func TestAMachineByTurnsSlowStaysOut(t *testing.T) {
@@ -131,14 +130,14 @@
 	steps(l, 400, 70*us, 0)
 	require.InDelta(t, 14, l.State().UsualUs, 0.1)
 	require.True(t, l.Slow(), "it stays slow for as long as it is")
-	l = NewLevel()
+	l = NewDetector()
 	steps(l, 50, 0, 0)
 	require.False(t, l.Slow(), "a clock that shows nothing is no evidence")
 }
 
-// fleet steps levels that hear two others each, as watchers' pings do; each notices up to a look later than the first. It gives the most that were out at a time.
+// fleet steps detectors that hear two others each, as watchers' pings do; each notices up to a look later than the first. It gives the most that were out at a time.
 func fleet(r *rand.Rand, slow func(i int) bool) (most int) {
-	var ls []*Level
+	var ls []*Detector
 	for range 88 {
 		ls = append(ls, calm(3))
 	}
--- a/coord/slowness/watch.go
+++ b/coord/slowness/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -10,59 +11,81 @@
 	"shaletrestle/internal/task"
 )
 
-// Watch steps a level on what this process measures of itself.
+// Watch steps a detector with what this process measures of itself.
 type Watch struct {
-	sc    *task.Scope
-	work  func() clock.Span
-	mu    sync.Mutex
-	level *Level
-	last  clock.Moment // of the look before
+	scope *task.Scope
+	work  func() time.Duration
+
+	mu       sync.Mutex
+	detector *Detector
+	lastLook time.Time
 }
 
-// NewWatch makes a watch; work does and times the piece of work, nil for the usual one.
-func NewWatch(sc *task.Scope, work func() clock.Span) *Watch {
-	w := &Watch{sc: sc.Part("slowness"), work: work, level: NewLevel()}
+// NewWatch makes a watch. The function work does the piece of work and gives its
+// time; nil stands for the usual piece of work.
+func NewWatch(scope *task.Scope, work func() time.Duration) *Watch {
 	if work == nil {
-		buf, sum := make([]byte, constants.LevelBytes), uint64(0)
-		w.work = func() clock.Span {
-			best := clock.Span(0)
-			for range constants.LevelTimes {
-				at := clock.Now()
-				sum ^= xxhash.Sum64(buf)
-				if d := clock.Since(at); best == 0 || d < best {
-					best = d
-				}
+		work = hashingWork()
+	}
+	return &Watch{scope: scope.Part("slowness"), work: work, detector: NewDetector()}
+}
+
+// hashingWork makes the usual piece of work: it hashes a buffer a few times and
+// gives the shortest time.
+func hashingWork() func() time.Duration {
+	buffer := make([]byte, constants.LevelBytes)
+	sum := uint64(0)
+	return func() time.Duration {
+		shortest := time.Duration(0)
+		for range constants.LevelTimes {
+			start := clock.Now()
+			sum ^= xxhash.Sum64(buffer)
+			took := clock.Since(start)
+			if shortest == 0 || took < shortest {
+				shortest = took
 			}
-			buf[0] = byte(sum)
-			return best
 		}
+		buffer[0] = byte(sum) // the result is used, so that the work isn't optimized away
+		return shortest
 	}
-	return w
 }
 
-// Look measures once. It is to be called each LevelEvery, and how much later it is called is part of what is seen.
+// Look measures once. It is to be called every LevelEvery; by how much a call is
+// late is part of the observation.
 func (w *Watch) Look() {
 	now := clock.Now()
 	work := w.work()
 	w.mu.Lock()
-	late := clock.Span(0)
-	if !w.last.IsZero() {
-		late = now.Sub(w.last) - constants.LevelEvery
-	}
-	w.last = now
-	was := w.level.Out()
-	w.level.Step(work, late)
-	out, s := w.level.Out(), w.level.State()
+	late := w.lateness(now)
+	outBefore := w.detector.Out()
+	w.detector.Step(work, late)
+	state := w.detector.State()
 	w.mu.Unlock()
-	if out != was {
-		w.sc.Log().Info("own machine", "slow", s.Slow, "out", out, "work_us", work.Microseconds(), "usual_us", int64(s.UsualUs), "late_ms", late.Milliseconds())
+	if state.Out != outBefore {
+		w.scope.Log().Info("own machine",
+			"slow", state.Slow,
+			"out", state.Out,
+			"work_us", work.Microseconds(),
+			"usual_us", int64(state.UsualUs),
+			"late_ms", late.Milliseconds())
+	}
+}
+
+// lateness is by how much a look is late after the one before it; the caller
+// holds the lock.
+func (w *Watch) lateness(now time.Time) time.Duration {
+	previous := w.lastLook
+	w.lastLook = now
+	if previous.IsZero() {
+		return 0
 	}
+	return now.Sub(previous) - constants.LevelEvery
 }
 
-// Hear takes what another node said of itself.
+// Hear takes what another node reported of itself.
 func (w *Watch) Hear(node string, slow bool) {
 	w.mu.Lock()
-	w.level.Hear(node, slow)
+	w.detector.Hear(node, slow)
 	w.mu.Unlock()
 }
 
@@ -70,26 +93,26 @@
 func (w *Watch) Slow() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.level.Slow()
+	return w.detector.Slow()
 }
 
-// Out tells whether new connections should go elsewhere.
+// Out tells whether new connections should go to other nodes.
 func (w *Watch) Out() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.level.Out()
+	return w.detector.Out()
 }
 
 // Shed tells whether open connections should move too.
 func (w *Watch) Shed() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.level.Shed()
+	return w.detector.Shed()
 }
 
-// State is for the state page.
+// State gives what the state page shows.
 func (w *Watch) State() State {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.level.State()
+	return w.detector.State()
 }
--- a/coord/slowness/watch_test.go
+++ b/coord/slowness/watch_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
@@ -16,7 +15,7 @@
 func TestAWatchSeesLateLooksAndSlowWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		work := 10 * us
-		w := NewWatch(task.New(slog.New(slog.DiscardHandler)), func() clock.Span { return work })
+		w := NewWatch(task.New(slog.New(slog.DiscardHandler)), func() time.Duration { return work })
 		look := func(n int, every time.Duration) {
 			for range n {
 				w.Hear("n1", false)
