--- /dev/null
+++ b/internal/discovery/differ.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/state"
+)
+
+// Differ turns whole listings into changes.
+type Differ struct {
+	missed map[string]int // listings in a row without a known replica, by its id
+}
+
+// NewDiffer makes a differ.
+func NewDiffer() *Differ { return &Differ{missed: map[string]int{}} }
+
+// Diff gives the event that turns the known replicas into the listed ones, nil
+// if nothing changed. A replica counts as gone at its second whole listing
+// without it; an empty listing changes nothing. The argument initialized tells
+// whether a listing was applied before: the first one is an event in any case.
+func (d *Differ) Diff(known map[string]*state.Replica, initialized bool, listed []*state.Replica) *state.Event {
+	if len(listed) == 0 && len(known) > 0 {
+		return nil
+	}
+	event := &state.Event{Kind: state.List}
+	seen := make(map[string]bool, len(listed))
+	for _, replica := range listed {
+		seen[replica.ID] = true
+		if !replica.Same(known[replica.ID]) {
+			event.Replicas = append(event.Replicas, replica)
+		}
+	}
+	event.Gone = d.gone(known, seen)
+	if initialized && len(event.Replicas) == 0 && len(event.Gone) == 0 {
+		return nil
+	}
+	return event
+}
+
+// gone counts the listings without each known replica and gives the ids of those
+// that have been missing often enough.
+func (d *Differ) gone(known map[string]*state.Replica, seen map[string]bool) []string {
+	var gone []string
+	for id := range known {
+		if seen[id] {
+			delete(d.missed, id)
+			continue
+		}
+		d.missed[id]++
+		if d.missed[id] >= constants.VanishTwice {
+			delete(d.missed, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
