--- a/internal/configcheck/fleet.go
+++ b/internal/configcheck/fleet.go
@@ -119,7 +119,8 @@
 // checkConnections reports a bound of connections that is too low for the nodes
 // that share it.
 func checkConnections(report *Report, pool *configpb.Service, capacity serviceCapacity, nodes int) {
-	if capacity.open == 0 || nodes <= 0 || pool.MaxConnections <= 0 {
+	bounded := capacity.open > 0 && nodes > 0 && pool.MaxConnections > 0
+	if !bounded {
 		return
 	}
 	about := "service " + pool.Name
