--- /dev/null
+++ b/internal/settings/addresses.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+)
+
+// Port gives the address of one of our own ports, by its offset in the range.
+func (e *Env) Port(offset int) string {
+	return net.JoinHostPort(e.IP, strconv.Itoa(e.Ports[0]+offset))
+}
+
+// rpcAddress turns a control address into the address for messages between own
+// processes on the same machine; empty if it can't be read.
+func (e *Env) rpcAddress(control string) string {
+	host, _, err := net.SplitHostPort(control)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(e.Ports[0]+constants.PortTally))
+}
+
+// ControlAddr turns an address for messages between own processes into the
+// control address of the same machine; empty if it can't be read.
+func (e *Env) ControlAddr(rpcAddress string) string {
+	host, _, err := net.SplitHostPort(rpcAddress)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(e.Bind.Control)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// SeedCrew lists the seeds' addresses for messages between own processes.
+func (e *Env) SeedCrew() []string {
+	var addresses []string
+	for _, seed := range e.Seeds {
+		if address := e.rpcAddress(seed); address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// Contact is the bound contact_ms.
+func (e *Env) Contact() time.Duration { return clock.Millis(e.Bounds.ContactMs) }
--- /dev/null
+++ b/internal/settings/reload.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/task"
+)
+
+// reloader reacts to signals and to changes of the settings file.
+type reloader struct {
+	scope   *task.Scope
+	log     *slog.Logger
+	daemon  Daemon
+	options *options
+	loaded  string // the stamp of the file that was read last
+}
+
+func newReloader(scope *task.Scope, daemon Daemon, options *options) *reloader {
+	return &reloader{
+		scope:   scope,
+		log:     scope.Part("settings").Log(),
+		daemon:  daemon,
+		options: options,
+	}
+}
+
+// run reacts until the program is told to end.
+func (r *reloader) run() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	r.loaded = fileStamp(r.options.file)
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				r.reload()
+				continue
+			}
+			r.log.Info("leaving")
+			r.daemon.Leave()
+			r.scope.Stop()
+			return
+		case <-clock.After(constants.WatchFile):
+			if fileStamp(r.options.file) != r.loaded {
+				r.reload()
+			}
+		case <-r.scope.Done():
+			return
+		}
+	}
+}
+
+// reload gives the daemon the file's settings; bad ones are not applied.
+func (r *reloader) reload() {
+	r.loaded = fileStamp(r.options.file)
+	env, err := r.options.load()
+	if err != nil {
+		r.log.Error("settings kept as they were", "err", err.Error())
+		return
+	}
+	r.log.Info("settings read again")
+	r.daemon.Reload(env)
+}
+
+// fileStamp is a text that changes when the file does.
+func fileStamp(file string) string {
+	info, err := os.Stat(file)
+	if err != nil {
+		return "none"
+	}
+	return fmt.Sprint(info.Size(), info.ModTime().UnixNano())
+}
