prefixindex: chain, parsing, sketch, lookup, store and eviction in files of their own

Cause: index.go mixed the lookup, the queue, the store, the eviction and the feedback, with one-letter names and several steps a line; its words (shelf, kerf) were no terms of the field.

Change: shelf is cacheView; one file a job (chain, parse, sketch, cache, queue, index, lookup, store, evict, fetch); bounds that stood as bare numbers are named. Exported names are unchanged, since placement and the router use them.

Measured: the package's tests pass (two field names changed in them).

--- a/internal/prefixindex/chain.go
+++ b/internal/prefixindex/chain.go
@@ -1,10 +1,8 @@
-// Package prefixindex is the hint index of the cache design: which replicas are believed to keep which prefix blocks. Keys chain over the parts of the prompt from the model and its exact weights; the client is not in the key.
 package prefixindex
 
 import (
 	"encoding/binary"
 	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -15,63 +13,44 @@
 	Tokens int
 }
 
-// Key is the chained key of a run of blocks; it stands for all that goes before it.
+// Key is the chained key of a run of blocks; it stands for all blocks before it
+// too.
 type Key uint64
 
-// Chain is a prompt with its keys: Keys[i] is the key of the run that ends with part i.
+// Chain is a prompt with its keys: Keys[i] is the key of the run that ends with
+// part i.
 type Chain struct {
 	Parts []Part
 	Keys  []Key
 	Upto  []int // tokens up to the end of part i
 }
 
-// Root is the key before the first block: model and exact weights.
+// Root is the key before the first block. It is made from the model and the
+// revision of its weights.
 func Root(model string, weights int64) Key {
 	return Key(xxhash.Sum64String(model + "\x00" + strconv.FormatInt(weights, 10)))
 }
 
-func next(k Key, p Part) Key {
-	var b [24]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(k))
-	binary.LittleEndian.PutUint64(b[8:], p.ID)
-	binary.LittleEndian.PutUint64(b[16:], uint64(p.Tokens))
-	return Key(xxhash.Sum64(b[:]))
-}
-
-// ParseParts reads a Prompt-Prefix; one that can't be read gives nothing, and the inquiry goes without the hint.
-func ParseParts(s string) []Part {
-	if s == "" {
-		return nil
-	}
-	var out []Part
-	for _, x := range strings.Split(s, ",") {
-		a, b, ok := strings.Cut(strings.TrimSpace(x), ":")
-		if !ok || a == "" || len(out) > 4096 {
-			return nil
-		}
-		id, err := strconv.ParseUint(a, 16, 64)
-		if err != nil {
-			id = xxhash.Sum64String(a)
-		}
-		n, err := strconv.Atoi(b)
-		if err != nil || n < 0 || n > 1<<28 {
-			return nil
-		}
-		out = append(out, Part{id, n})
-	}
-	return out
+// next is the key of the run that a part adds after the run of a key.
+func next(key Key, part Part) Key {
+	var buffer [24]byte
+	binary.LittleEndian.PutUint64(buffer[:], uint64(key))
+	binary.LittleEndian.PutUint64(buffer[8:], part.ID)
+	binary.LittleEndian.PutUint64(buffer[16:], uint64(part.Tokens))
+	return Key(xxhash.Sum64(buffer[:]))
 }
 
 // NewChain chains the parts' keys from a root.
-func NewChain(root Key, ps []Part) *Chain {
-	c := &Chain{Parts: ps}
-	k, n := root, 0
-	for _, p := range ps {
-		k, n = next(k, p), n+p.Tokens
-		c.Keys = append(c.Keys, k)
-		c.Upto = append(c.Upto, n)
+func NewChain(root Key, parts []Part) *Chain {
+	chain := &Chain{Parts: parts}
+	key, tokens := root, 0
+	for _, part := range parts {
+		key = next(key, part)
+		tokens += part.Tokens
+		chain.Keys = append(chain.Keys, key)
+		chain.Upto = append(chain.Upto, tokens)
 	}
-	return c
+	return chain
 }
 
 // Tokens is the length of the whole prompt.
@@ -82,15 +61,17 @@
 	return c.Upto[len(c.Upto)-1]
 }
 
-// Shared is the number of parts before the one that belongs to the inquiry or its session alone.
+// Shared is the number of parts before the last one, which belongs to the request
+// or its session alone.
 func (c *Chain) Shared() int { return max(0, len(c.Parts)-1) }
 
-// Head is the key of all shared parts, by which homes are found; the root's successor if there is one part only.
+// Head is the key of all shared parts, by which a prompt's preferred replicas are
+// found. If there is only one part, it is that part's key.
 func (c *Chain) Head() Key {
-	switch n := c.Shared(); {
-	case n > 0:
-		return c.Keys[n-1]
-	case len(c.Keys) > 0:
+	if shared := c.Shared(); shared > 0 {
+		return c.Keys[shared-1]
+	}
+	if len(c.Keys) > 0 {
 		return c.Keys[0]
 	}
 	return 0
--- /dev/null
+++ b/internal/prefixindex/evict.go
@@ -0,0 +1,122 @@
+package prefixindex
+
+import "shaletrestle/internal/constants"
+
+// evict removes one run from its replica's view.
+func (x *Index) evict(evicted *run) {
+	cache := evicted.cache
+	cache.recent.Remove(evicted.inCache)
+	x.drop(evicted)
+	delete(cache.runs, evicted.key)
+	cache.used -= evicted.tokens
+	cache.evicts++
+}
+
+// drop removes a run from its owner's list and from the holders of its key.
+func (x *Index) drop(dropped *run) {
+	owned := x.owners[dropped.owner]
+	owned.Remove(dropped.inOwner)
+	if owned.Len() == 0 {
+		delete(x.owners, dropped.owner)
+	}
+	x.memory.Give(dropped.owner, 1)
+	x.removeHolder(dropped)
+	x.runs--
+}
+
+// removeHolder puts the last holder of the run's key in the run's position.
+func (x *Index) removeHolder(removed *run) {
+	holders := x.holders[removed.key]
+	last := len(holders) - 1
+	moved := holders[last]
+	holders[removed.position] = moved
+	moved.position = removed.position
+	holders[last] = nil
+	if last == 0 {
+		delete(x.holders, removed.key)
+		return
+	}
+	x.holders[removed.key] = holders[:last]
+}
+
+// Contradicted records that a replica took as long as if it kept nothing of a
+// chain; a hint that is contradicted several times in a row is dropped.
+func (x *Index) Contradicted(replica string, chain *Chain) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	cache := x.caches[replica]
+	if cache == nil || chain == nil {
+		return
+	}
+	for _, key := range chain.Keys {
+		run := cache.get(key)
+		if run == nil {
+			return
+		}
+		run.contradictions++
+		if run.contradictions >= constants.HintContra {
+			x.evict(run)
+		}
+	}
+}
+
+// Confirmed records that a replica was as quick as hinted.
+func (x *Index) Confirmed(replica string, chain *Chain) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	cache := x.caches[replica]
+	if cache == nil || chain == nil {
+		return
+	}
+	for _, key := range chain.Keys {
+		if run := cache.get(key); run != nil {
+			run.contradictions = 0
+		}
+	}
+}
+
+// Keep forgets all replicas but the live ones. A replica that was restarted, or
+// has other weights, has another id and starts with an empty view.
+func (x *Index) Keep(live map[string]bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for replica := range x.caches {
+		if !live[replica] {
+			x.forget(replica)
+		}
+	}
+}
+
+// Forget drops what one replica is believed to keep.
+func (x *Index) Forget(replica string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.forget(replica)
+}
+
+func (x *Index) forget(replica string) {
+	cache := x.caches[replica]
+	if cache == nil {
+		return
+	}
+	for element := cache.recent.Front(); element != nil; element = element.Next() {
+		x.drop(element.Value.(*run))
+	}
+	delete(x.caches, replica)
+}
+
+// Room records that running requests hold so many tokens of a replica's memory.
+// Kept runs that the rest has no room for are taken as evicted, the longest unused
+// first.
+func (x *Index) Room(replica string, held float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	cache := x.caches[replica]
+	if cache == nil {
+		return
+	}
+	left := float64(cache.capacity) - held
+	for cache.recent.Len() > 0 && float64(cache.used) > left {
+		x.evict(cache.oldest())
+	}
+}
--- a/internal/prefixindex/holders_test.go
+++ b/internal/prefixindex/lookup_test.go
@@ -39,8 +39,8 @@
 		n := 0
 		for _, rs := range x.holders {
 			for i, o := range rs {
-				require.Equal(t, i, o.place)
-				require.Same(t, o, o.shelf.at[o.key].Value.(*run))
+				require.Equal(t, i, o.position)
+				require.Same(t, o, o.cache.runs[o.key].Value.(*run))
 				n++
 			}
 		}
--- /dev/null
+++ b/internal/prefixindex/queue.go
@@ -0,0 +1,50 @@
+package prefixindex
+
+// pending is a prompt that waits to be entered into the index.
+type pending struct {
+	replica  string
+	chain    *Chain
+	owner    string
+	upto     int // parts to enter
+	priority int // matched length times count
+	sequence int // order of arrival
+}
+
+// queue is a heap of pending prompts, the highest priority first.
+type queue []pending
+
+// Len is part of heap.Interface.
+func (q queue) Len() int { return len(q) }
+
+// Less is part of heap.Interface.
+func (q queue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority > q[j].priority
+	}
+	return q[i].sequence < q[j].sequence
+}
+
+// Swap is part of heap.Interface.
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is part of heap.Interface.
+func (q *queue) Push(item any) { *q = append(*q, item.(pending)) }
+
+// Pop is part of heap.Interface.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	*q = (*q)[:last]
+	return item
+}
+
+// lowest is the position of the prompt with the lowest priority.
+func (q queue) lowest() int {
+	lowest := 0
+	for i := range q {
+		if q.Less(lowest, i) {
+			lowest = i
+		}
+	}
+	return lowest
+}
--- a/internal/prefixindex/sketch.go
+++ b/internal/prefixindex/sketch.go
@@ -1,49 +1,66 @@
 package prefixindex
 
-import "shaletrestle/internal/constants"
+import (
+	"math"
 
-// Sketch counts sightings in little memory: a count-min sketch whose counts are halved now and then.
+	"shaletrestle/internal/constants"
+)
+
+// Sketch counts sightings of keys in little memory. It is a count-min sketch
+// whose counts are halved from time to time.
 type Sketch struct {
-	rows [constants.SketchRows][constants.SketchWidth]uint16
-	adds int
+	rows      [constants.SketchRows][constants.SketchWidth]uint16
+	additions int // since the counts were halved
 }
 
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+// Add counts one sighting and gives the key's count.
+func (s *Sketch) Add(key Key) int {
+	s.additions++
+	if s.additions >= constants.SketchDecay {
+		s.additions = 0
+		s.halve()
+	}
+	hash := mix(uint64(key))
+	for row := range s.rows {
+		counter := s.counter(row, hash)
+		if *counter < math.MaxUint16 {
+			*counter++
+		}
+	}
+	return s.Count(key)
 }
 
-func (s *Sketch) each(k Key, f func(*uint16)) {
-	h := mix(uint64(k))
-	for i := range s.rows {
-		f(&s.rows[i][(h+uint64(i)*(h>>32|1))%constants.SketchWidth])
+// Count is how often a key was seen, or a little more.
+func (s *Sketch) Count(key Key) int {
+	count := math.MaxUint16
+	hash := mix(uint64(key))
+	for row := range s.rows {
+		count = min(count, int(*s.counter(row, hash)))
 	}
+	return count
 }
 
-// Add counts one sighting and gives the count.
-func (s *Sketch) Add(k Key) int {
-	if s.adds++; s.adds >= constants.SketchDecay {
-		s.adds = 0
-		for i := range s.rows {
-			for j := range s.rows[i] {
-				s.rows[i][j] /= 2
-			}
+func (s *Sketch) halve() {
+	for row := range s.rows {
+		for column := range s.rows[row] {
+			s.rows[row][column] /= 2
 		}
 	}
-	s.each(k, func(c *uint16) {
-		if *c < 1<<16-1 {
-			*c++
-		}
-	})
-	return s.Count(k)
 }
 
-// Count is how often a key was seen, or a little more.
-func (s *Sketch) Count(k Key) int {
-	n := 1<<16 - 1
-	s.each(k, func(c *uint16) { n = min(n, int(*c)) })
-	return n
+// counter is the counter of a hash in a row. The rows use different columns by
+// double hashing: the upper half of the hash, made odd, is the step.
+func (s *Sketch) counter(row int, hash uint64) *uint16 {
+	step := hash>>32 | 1
+	column := (hash + uint64(row)*step) % constants.SketchWidth
+	return &s.rows[row][column]
+}
+
+// mix spreads the bits of a key; it is the finalizer of SplitMix64.
+func mix(bits uint64) uint64 {
+	bits ^= bits >> 30
+	bits *= 0xbf58476d1ce4e5b9
+	bits ^= bits >> 27
+	bits *= 0x94d049bb133111eb
+	return bits ^ bits>>31
 }
