replicamodel: model, memory and queue in types of their own, with the field's terms

Cause: kiln.go held the batch and the prefix cache in one type, with names of an older style.

The emulator, the only user, follows.

Measured: the package's tests, which fix times and tokens exactly, pass; only type names changed in them.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -12,7 +12,7 @@
 type engine struct {
 	sc   *task.Scope
 	mu   sync.Mutex
-	k    *replicamodel.Kiln
+	k    *replicamodel.Model
 	born clock.Moment
 	wake chan struct{}
 	to   map[string]chan replicamodel.Token
--- a/internal/emulator/replica.go
+++ b/internal/emulator/replica.go
@@ -39,7 +39,7 @@
 	up    clock.Moment // it answers from then on
 	cold  clock.Moment
 	eng   *engine
-	desk  *replicamodel.Desk
+	desk  *replicamodel.Queue
 	born  clock.Moment
 	srv   *http.Server
 	conns int
@@ -78,7 +78,7 @@
 
 // fresh gives an empty memory; slower than it says if it lies.
 func (r *Replica) fresh(slower float64) {
-	r.desk = replicamodel.NewDesk(r.s.Slots, r.s.Queue)
+	r.desk = replicamodel.NewQueue(r.s.Slots, r.s.Queue)
 	if r.s.Engine != nil {
 		r.eng = newEngine(r.sc, r.s, slower)
 	}
--- a/internal/replicamodel/kiln_test.go
+++ b/internal/replicamodel/model_test.go
@@ -7,15 +7,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"shaletrestle/internal/clock"
 )
 
 var spec = Spec{Slots: 4, Queue: 4, Step: 10 * time.Millisecond, Each: time.Millisecond, Prefill: 10000, Chunk: 500, Memory: 4000}
 
 // drain steps until the replica is idle and gives when each request's first and last token came.
-func drain(k *Kiln) (first, last map[string]clock.Span) {
-	first, last = map[string]clock.Span{}, map[string]clock.Span{}
+func drain(k *Model) (first, last map[string]time.Duration) {
+	first, last = map[string]time.Duration{}, map[string]time.Duration{}
 	for {
 		at, ok := k.Next()
 		if !ok {
@@ -60,8 +58,8 @@
 	}
 	first, last := drain(k)
 	ms := time.Millisecond
-	require.Equal(t, map[string]clock.Span{"0": 10 * ms, "1": 22 * ms, "2": 22 * ms}, first) // the first one's step was under way
-	require.Equal(t, map[string]clock.Span{"0": 118 * ms, "1": 129 * ms, "2": 129 * ms}, last)
+	require.Equal(t, map[string]time.Duration{"0": 10 * ms, "1": 22 * ms, "2": 22 * ms}, first) // the first one's step was under way
+	require.Equal(t, map[string]time.Duration{"0": 118 * ms, "1": 129 * ms, "2": 129 * ms}, last)
 }
 
 func TestALongPromptDelaysTheTokensBesideIt(t *testing.T) {
@@ -135,7 +133,7 @@
 func TestMemoryIsNeverExceededAndEndsFree(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	k := New(spec)
-	now, open := clock.Span(0), map[string]bool{}
+	now, open := time.Duration(0), map[string]bool{}
 	for i := range 3000 {
 		ps := []Part{{uint64(r.IntN(6)), 300}, {uint64(r.IntN(20)), 200}, {uint64(1000 + i), 1 + r.IntN(600)}}
 		id := fmt.Sprint(i)
@@ -171,18 +169,18 @@
 	require.Equal(t, 0, k.Load().Used)
 }
 
-func TestDeskServesInOrder(t *testing.T) {
-	d := NewDesk(2, 1)
+func TestQueueServesInOrder(t *testing.T) {
+	d := NewQueue(2, 1)
 	a, _ := d.Offer(0, 30)
 	b, _ := d.Offer(0, 10)
 	c, ok := d.Offer(0, 10)
 	require.True(t, ok)
-	require.Equal(t, []clock.Span{30, 10, 20}, []clock.Span{a, b, c})
+	require.Equal(t, []time.Duration{30, 10, 20}, []time.Duration{a, b, c})
 	_, ok = d.Offer(5, 10)
 	require.False(t, ok)
 	require.Equal(t, Load{Active: 2, Queued: 1}, d.Load(5))
 	e, ok := d.Offer(10, 10)
 	require.True(t, ok)
-	require.Equal(t, clock.Span(30), e) // c runs until 20, a until 30
+	require.Equal(t, time.Duration(30), e) // c runs until 20, a until 30
 	require.Equal(t, 0, d.Outstanding(30))
 }
