--- /dev/null
+++ b/coord/replication/core/simulation/changes_test.go
@@ -0,0 +1,151 @@
+package simulation
+
+import (
+	"time"
+
+	"shaletrestle/coord/replication/core"
+)
+
+// leave tells a machine to leave, and goes on once it has left, died, or used up its time.
+func (c *cluster) leave(h *host, done func()) {
+	finished := false
+	finish := func() {
+		if !finished {
+			finished = true
+			c.liveness.noteTrouble()
+			done()
+		}
+	}
+	p := h.process
+	if p == nil {
+		finish()
+		return
+	}
+	p.leaving = func() { c.after(time.Millisecond, finish) }
+	p.take(happening{kind: callHappening, next: func() { p.step(core.Leave{Deadline: p.clock() + graceTime - 500*time.Millisecond}) }})
+	c.after(graceTime, finish)
+}
+
+// restartPlanned lets a machine leave and start again with its disk.
+func (c *cluster) restartPlanned(h *host) {
+	heal := c.hurt(h)
+	c.leave(h, func() {
+		h.stop(false)
+		c.after(startWait, func() {
+			h.start()
+			heal()
+		})
+	})
+}
+
+// grow adds a member.
+func (c *cluster) grow(zone string) {
+	h := c.newcomer(zone, c.newAddress())
+	c.slots = append(c.slots, &slot{number: len(c.slots), zone: zone, host: h, extra: true})
+}
+
+// shrink takes an added member away for good. It counts as lost until the others have had their time to do without it.
+func (c *cluster) shrink(s *slot, planned bool) {
+	h := s.host
+	s.pending++
+	end := func() {
+		c.remove(h)
+		h.disk.gone = true
+		c.after(c.settings.SyncTime, func() {
+			s.pending--
+			s.retired = true
+		})
+	}
+	if planned {
+		c.leave(h, end)
+		return
+	}
+	end()
+}
+
+// returnOldDisk replaces a machine; much later its disk comes up at the address of another machine that is gone.
+func (c *cluster) returnOldDisk(s *slot, wait time.Duration) {
+	old := s.host
+	c.remove(old)
+	s.pending++
+	c.after(startWait, func() {
+		s.pending--
+		s.host = c.newcomer(s.zone, c.newAddress())
+	})
+	c.after(5*time.Second+wait, func() { c.startOldDisk(old) })
+}
+
+// startOldDisk puts a disk from earlier up as one more member.
+func (c *cluster) startOldDisk(old *host) {
+	if c.now >= c.settings.Horizon {
+		return
+	}
+	if c.profile == tolerated && len(c.lostSlots()) >= c.settings.Losses {
+		c.after(admissionWait, func() { c.startOldDisk(old) })
+		return
+	}
+	address := c.newAddress()
+	for _, h := range c.hosts {
+		if c.addresses[h.address] == nil && !c.reserved[h.address] && c.chance(0.5) {
+			address = h.address
+		}
+	}
+	h := c.addHost(old.zone, address)
+	h.disk = old.disk
+	old.disk = nil
+	c.trace("the old disk %d returns at %s", h.disk.id, address)
+	h.start()
+	h.lostUntil = c.now + c.settings.SyncTime
+	c.liveness.noteTrouble()
+	c.slots = append(c.slots, &slot{number: len(c.slots), zone: h.zone, host: h, extra: true})
+}
+
+// powerAll takes the power from all; up to the tolerance their disks go with it, if none is lost yet.
+func (c *cluster) powerAll(f fault) {
+	wiped := 0
+	if f.Amount%2 == 0 && len(c.lostSlots()) == 0 && c.disksLost == 0 {
+		wiped = c.settings.Losses
+	}
+	hosts := c.currentHosts()
+	first := f.Amount / 2 % len(hosts)
+	for i := range hosts {
+		h := hosts[(first+i)%len(hosts)]
+		down := c.between(10*time.Millisecond, time.Second)
+		if i < wiped && h.process != nil {
+			c.disksLost++
+			c.wipe(h, down)
+			continue
+		}
+		c.downFor(h, true, down)
+	}
+}
+
+// strikeZone takes the power from a zone, or cuts it off.
+func (c *cluster) strikeZone(zone string, f fault) {
+	for _, h := range c.currentHosts() {
+		switch {
+		case h.zone != zone:
+		case f.Kind == zonePowerFault:
+			c.downFor(h, true, min(f.For, 1500*time.Millisecond))
+		default:
+			heal := c.hurt(h)
+			end := h.cut(true, true, false)
+			c.after(f.For, func() {
+				end()
+				heal()
+			})
+		}
+	}
+}
+
+// loseAnswers loses answers on their way to the clients.
+func (c *cluster) loseAnswers(f fault) {
+	share := 0.3 + float64(f.Amount%50)/100
+	c.answerLoss += share
+	c.liveness.unchecked++
+	c.after(f.For, func() {
+		c.answerLoss -= share
+		c.liveness.unchecked--
+		c.liveness.noteTrouble()
+	})
+}
--- /dev/null
+++ b/coord/replication/core/simulation/process_test.go
@@ -0,0 +1,284 @@
+package simulation
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"shaletrestle/coord/replication/core"
+)
+
+// happeningKind orders what a thawed process finds waiting.
+type happeningKind uint8
+
+const (
+	messageHappening happeningKind = iota
+	diskHappening
+	callHappening
+	tickHappening
+	happeningKinds
+)
+
+// happening is an event for a process.
+type happening struct {
+	kind  happeningKind
+	event core.Event // nil: only what is next
+	next  func()     // after the step
+}
+
+// process is one life of a core on a machine.
+type process struct {
+	cluster *cluster
+	host    *host
+	core    *core.Core
+	store   *keyStore
+	timing  core.Timing
+	born    time.Duration
+	life    int
+	dead    bool
+	frozen  int
+	waiting []happening // while it is frozen
+
+	steps     uint64 // taken so far
+	lastToken core.Token
+	calls     map[core.Token]*call
+	primary   bool
+	epoch     core.Epoch // in which it is primary
+
+	roundBegun map[uint64]uint64        // confirmation round to the step of its first message
+	granted    map[core.MemberID]uint64 // by witness: the step in which the newest round that it granted began
+	leaving    func()                   // what follows once it has left
+}
+
+// start begins a new life on a machine.
+func (h *host) start() { h.startWith(h.cluster.seedsFor(h)) }
+
+func (h *host) startWith(seeds []string) {
+	if h.process != nil || h.gone {
+		return
+	}
+	c := h.cluster
+	store := newKeyStore(c.history)
+	config := core.Config{
+		Self:      h.member(),
+		Seeds:     seeds,
+		Losses:    c.settings.Losses,
+		Areas:     1,
+		Relay:     h.relay,
+		Bootstrap: h.disk.first,
+		Machine:   store,
+		Timing:    core.DefaultTiming(),
+		Limits:    c.settings.Limits,
+	}
+	started, err := core.New(config, h.disk.load())
+	if err != nil {
+		c.monitor.fail("%s does not start: %v", h, err)
+		return
+	}
+	setMutation(started, c.mutation)
+	c.lastLife++
+	p := &process{
+		cluster:    c,
+		host:       h,
+		core:       started,
+		store:      store,
+		timing:     config.Timing,
+		born:       c.now,
+		life:       c.lastLife,
+		calls:      map[core.Token]*call{},
+		roundBegun: map[uint64]uint64{},
+		granted:    map[core.MemberID]uint64{},
+	}
+	h.process = p
+	c.trace("%s starts, seeds %v", h, config.Seeds)
+	p.step(core.Started{})
+	p.scheduleTick()
+}
+
+// seedsFor are the addresses in a process's settings: any three machines of the group, one of them another that is not lost.
+func (c *cluster) seedsFor(h *host) []string {
+	var addresses []string
+	for _, s := range c.slots {
+		if s.host != nil && !s.retired {
+			addresses = append(addresses, s.host.address)
+		}
+	}
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	good := slices.IndexFunc(addresses, func(address string) bool {
+		other := c.addresses[address]
+		return other != h && !c.lostHost(other)
+	})
+	if good > 2 {
+		addresses[0], addresses[good] = addresses[good], addresses[0]
+	}
+	return addresses[:min(3, len(addresses))]
+}
+
+// stop ends a life; with the power goes what the disk had not synced.
+func (h *host) stop(powerLost bool) {
+	p := h.process
+	if p == nil {
+		return
+	}
+	h.cluster.trace("%s stops, power lost: %v", h, powerLost)
+	p.dead = true
+	h.process = nil
+	if powerLost {
+		h.powerLosses++
+	}
+	h.disk.stop(powerLost)
+	for _, token := range sortedTokens(p.calls) {
+		p.calls[token].lost()
+	}
+}
+
+func sortedTokens(calls map[core.Token]*call) []core.Token {
+	tokens := make([]core.Token, 0, len(calls))
+	for token := range calls {
+		tokens = append(tokens, token)
+	}
+	slices.Sort(tokens)
+	return tokens
+}
+
+// scheduleTick lets time pass for the process; timers come a little late.
+func (p *process) scheduleTick() {
+	late := p.cluster.between(0, 4*time.Millisecond)
+	p.cluster.after(p.timing.Tick+late, func() {
+		p.take(happening{kind: tickHappening, event: core.Tick{}, next: p.scheduleTick})
+	})
+}
+
+// take steps the core, or lets the event wait if the process is frozen.
+func (p *process) take(h happening) {
+	if p.dead {
+		return
+	}
+	if p.frozen > 0 {
+		p.waiting = append(p.waiting, h)
+		return
+	}
+	if h.event != nil {
+		p.step(h.event)
+	}
+	if h.next != nil && !p.dead {
+		h.next()
+	}
+}
+
+// freeze stops the process; what comes meanwhile waits.
+func (p *process) freeze() {
+	p.frozen++
+	p.cluster.trace("%s freezes", p.host)
+}
+
+// thaw gives the process what waits. Each kind keeps its order, and the kinds come in any order.
+func (p *process) thaw() {
+	if p.dead {
+		return
+	}
+	p.frozen--
+	if p.frozen > 0 {
+		return
+	}
+	p.cluster.trace("%s thaws, %d events wait", p.host, len(p.waiting))
+	waiting := p.waiting
+	p.waiting = nil
+	for _, kind := range p.cluster.random.Perm(int(happeningKinds)) {
+		for _, h := range waiting {
+			if h.kind == happeningKind(kind) {
+				p.take(h)
+			}
+		}
+	}
+}
+
+// clock is the steady clock of the process.
+func (p *process) clock() time.Duration { return p.cluster.now - p.born }
+
+// step gives the core an event and carries out the effects.
+func (p *process) step(event core.Event) {
+	p.steps++
+	if received, ok := event.(core.Received); ok {
+		p.noteReceived(received.Message)
+	}
+	for _, effect := range p.core.Step(p.clock(), event) {
+		if p.dead {
+			return
+		}
+		p.carryOut(effect)
+	}
+}
+
+func (p *process) carryOut(effect core.Effect) {
+	c := p.cluster
+	switch effect := effect.(type) {
+	case core.Send:
+		p.noteSent(effect.Message)
+		c.send(p.host, effect.Address, effect.Message)
+	case core.SaveRegister, core.AppendEntry, core.SaveSnapshot:
+		if p.host.relay {
+			c.monitor.fail("%s is a relay and writes to a disk", p.host)
+			return
+		}
+		p.host.disk.give(p, effect)
+	case core.Answer:
+		p.answered(effect)
+	case core.BecamePrimary:
+		p.primary = true
+		p.epoch = effect.Epoch
+		c.trace("%s is primary of epoch %d", p.host, effect.Epoch)
+		c.monitor.becamePrimary(p, effect.Epoch)
+	case core.StoppedBeingPrimary:
+		p.primary = false
+		c.trace("%s is no longer primary: %v", p.host, effect.Reason)
+	case core.LearnedView:
+		clear(p.granted)
+		c.monitor.learned(effect.View)
+	case core.Left:
+		c.trace("%s has left, complete: %v, roles %d", p.host, effect.Complete, effect.Roles)
+		if p.leaving != nil {
+			p.leaving()
+		}
+	case core.Log:
+		if c.tracing && effect.Level >= slog.LevelInfo {
+			c.trace("%s: %s %v", p.host, effect.Text, effect.Attributes)
+		}
+	}
+}
+
+// noteSent keeps what the monitors need of a message.
+func (p *process) noteSent(message core.Message) {
+	switch m := message.(type) {
+	case core.Confirm:
+		if _, known := p.roundBegun[m.Round]; !known {
+			p.roundBegun[m.Round] = p.steps
+		}
+	case core.PrepareReply, core.AcceptReply, core.ConfirmReply:
+		p.cluster.monitor.witnessSaid(p, message)
+	}
+}
+
+// noteReceived notes which witnesses have confirmed the view, and in which round.
+func (p *process) noteReceived(message core.Message) {
+	m, ok := message.(core.ConfirmReply)
+	if !ok || m.Refusal != core.Granted || m.To != p.host.disk.id || !p.primary {
+		return
+	}
+	begun, known := p.roundBegun[m.Round]
+	if known && m.Epoch == p.epoch {
+		p.granted[m.From.ID] = max(p.granted[m.From.ID], begun)
+	}
+}
+
+// answered ends a call.
+func (p *process) answered(answer core.Answer) {
+	made, known := p.calls[answer.Token]
+	if !known {
+		p.cluster.monitor.fail("%s answers call %d, which it does not have", p.host, answer.Token)
+		return
+	}
+	delete(p.calls, answer.Token)
+	p.cluster.monitor.answered(p, made, answer)
+	made.end(answer)
+}
