--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -279,6 +279,35 @@
 	})
 }
 
+// TestAnIdleMemberWakesSeldom counts the ticks of members that have nothing to do: the primary has one a heartbeat, the others have none while they hear it.
+func TestAnIdleMemberWakesSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrio()
+		defer tr.end()
+		time.Sleep(3 * time.Second)
+		p := tr.primary()
+		ticks := make([]map[time.Duration]bool, len(tr.m))
+		for range 1000 { // finer than a tick, for 10 s
+			time.Sleep(10 * time.Millisecond)
+			for i, m := range tr.m {
+				if ticks[i] == nil {
+					ticks[i] = map[time.Duration]bool{}
+				}
+				m.mu.Lock()
+				ticks[i][m.lastTick] = true
+				m.mu.Unlock()
+			}
+		}
+		for i := range tr.m {
+			most := 1
+			if i == p {
+				most = 41
+			}
+			require.LessOrEqual(t, len(ticks[i]), most, "member %d", i)
+		}
+	})
+}
+
 // spoiled is a disk whose state is whole and yet not understood.
 type spoiled struct {
 	memory
--- a/coord/replication/schedules_test.go
+++ b/coord/replication/schedules_test.go
@@ -29,146 +29,205 @@
 
 func schedule(t *testing.T, c *crowd, r *rand.Rand) {
 	defer c.end()
-	var mu sync.Mutex
-	var acked []string
-	missing := func(text string, n int) string {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, e := range acked[:n] {
-			i := strings.Index(text, e+";")
-			if i < 0 {
-				return e
-			}
-			text = text[i:] // in the order in which they were acknowledged
-		}
-		return ""
+	run := &scheduleRun{t: t, c: c, r: r}
+	for round := range 3 {
+		run.play(round)
+		run.settle()
 	}
-	judge := func(m *Member, l *lines, f *life) bool {
-		mu.Lock()
-		n := len(acked)
-		mu.Unlock()
-		if f.dead.Load() {
-			return false
-		}
-		var text string
-		if m.Read(time.Now().Add(patience), func() { text = string(l.Checkpoint()) }) != nil {
-			return false
-		}
-		require.Empty(t, missing(text, n), "acknowledged, and not read")
-		return true
+	require.NotEmpty(t, run.acked)
+}
+
+// scheduleRun is one schedule as it is played.
+type scheduleRun struct {
+	t     *testing.T
+	c     *crowd
+	r     *rand.Rand
+	steps []scheduleStep // of the round
+	busy  sync.WaitGroup
+
+	mu    sync.Mutex
+	acked []string
+}
+
+type scheduleStep struct {
+	at time.Duration
+	do func()
+}
+
+func (s *scheduleRun) plan(at time.Duration, do func()) {
+	s.steps = append(s.steps, scheduleStep{at, do})
+}
+
+func (s *scheduleRun) span(most time.Duration) time.Duration {
+	return time.Duration(s.r.Int63n(int64(most)))
+}
+
+// play plans a round and plays it.
+func (s *scheduleRun) play(round int) {
+	s.steps = nil
+	victims := s.r.Perm(len(s.c.m))[:1+s.r.Intn(s.c.losses)]
+	all := s.r.Intn(3) == 0
+	lossy, seed := s.r.Intn(2) == 0, s.r.Int63()
+	for _, victim := range victims {
+		s.planTrouble(victim)
 	}
-	var busy sync.WaitGroup
-	span := func(most time.Duration) time.Duration { return time.Duration(r.Int63n(int64(most))) }
-	for round := range 3 {
-		victims := r.Perm(len(c.m))[:1+r.Intn(c.losses)]
-		all := r.Intn(3) == 0
-		lossy, seed := r.Intn(2) == 0, r.Int63()
-		type act struct {
-			at time.Duration
-			do func()
-		}
-		var acts []act
-		plan := func(at time.Duration, f func()) { acts = append(acts, act{at, f}) }
-		for _, v := range victims {
-			from, long := span(2*time.Second), span(4*time.Second)
-			switch r.Intn(5) {
-			case 0:
-				plan(from, func() { c.stop(v) })
-			case 1, 2:
-				plan(from, func() { c.stop(v); c.wipe(v) })
-			case 3:
-				one := r.Intn(2) == 0
-				plan(from, func() {
-					c.h.mu.Lock()
-					for i := range c.m {
-						c.h.cut[[2]string{fmt.Sprint("m", v), fmt.Sprint("m", i)}] = true
-						c.h.cut[[2]string{fmt.Sprint("m", i), fmt.Sprint("m", v)}] = !one
-					}
-					c.h.mu.Unlock()
-				})
-			case 4:
-				plan(from, func() { c.st[v].full.Store(true) })
-			}
-			plan(from+long, func() {
-				c.st[v].full.Store(false)
-				if c.sc[v].Ended() {
-					c.start(v)
-				}
-			})
+	if all {
+		s.planPowerLoss()
+	}
+	s.planCalls(round)
+	if lossy {
+		s.loseMessages(seed)
+	}
+	slices.SortStableFunc(s.steps, func(a, b scheduleStep) int { return int(a.at - b.at) })
+	began := time.Now()
+	for _, step := range s.steps {
+		time.Sleep(step.at - time.Since(began))
+		step.do()
+	}
+}
+
+// planTrouble lets a member be killed, wiped, cut off or have a full disk for a while.
+func (s *scheduleRun) planTrouble(victim int) {
+	c := s.c
+	from, long := s.span(2*time.Second), s.span(4*time.Second)
+	switch s.r.Intn(5) {
+	case 0:
+		s.plan(from, func() { c.stop(victim) })
+	case 1, 2:
+		s.plan(from, func() { c.stop(victim); c.wipe(victim) })
+	case 3:
+		oneWay := s.r.Intn(2) == 0
+		s.plan(from, func() { s.cutOff(victim, oneWay) })
+	case 4:
+		s.plan(from, func() { c.st[victim].full.Store(true) })
+	}
+	s.plan(from+long, func() {
+		c.st[victim].full.Store(false)
+		if c.sc[victim].Ended() {
+			c.start(victim)
 		}
-		if all {
-			from := span(3 * time.Second)
-			plan(from, func() {
-				for i := range c.m {
-					if !c.sc[i].Ended() {
-						c.stop(i)
-					}
-				}
-			})
-			for i := range c.m {
-				plan(from+span(time.Second), func() {
-					if c.sc[i].Ended() {
-						c.start(i)
-					}
-				})
+	})
+}
+
+func (s *scheduleRun) cutOff(victim int, oneWay bool) {
+	h := s.c.h
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range s.c.m {
+		h.cut[[2]string{fmt.Sprint("m", victim), fmt.Sprint("m", i)}] = true
+		h.cut[[2]string{fmt.Sprint("m", i), fmt.Sprint("m", victim)}] = !oneWay
+	}
+}
+
+// planPowerLoss stops all members at once and starts them one by one.
+func (s *scheduleRun) planPowerLoss() {
+	c := s.c
+	from := s.span(3 * time.Second)
+	s.plan(from, func() {
+		for i := range c.m {
+			if !c.sc[i].Ended() {
+				c.stop(i)
 			}
 		}
-		for at := time.Duration(0); at < 6*time.Second; at += 30*time.Millisecond + span(150*time.Millisecond) {
-			name := fmt.Sprint(round, "-", at.Milliseconds())
-			plan(at, func() {
-				for i, m := range c.m {
-					f := c.lf[i]
-					if _, on := m.Active(); on && !f.dead.Load() {
-						busy.Add(1)
-						go func() {
-							defer busy.Done()
-							if m.Propose(time.Now().Add(patience), func() ([]byte, error) { return []byte(name), nil }) == nil && !f.dead.Load() {
-								mu.Lock()
-								acked = append(acked, name)
-								mu.Unlock()
-							}
-						}()
-					}
-				}
-			})
-			plan(at, func() {
-				for i, m := range c.m {
-					l, f := c.l[i], c.lf[i]
-					busy.Add(1)
-					go func() { defer busy.Done(); judge(m, l, f) }()
-				}
-			})
-		}
-		slices.SortStableFunc(acts, func(a, b act) int { return int(a.at - b.at) })
-		if lossy {
-			lr, lm := rand.New(rand.NewSource(seed)), sync.Mutex{}
-			c.h.setDrop(func(string, core.Message) bool {
-				lm.Lock()
-				defer lm.Unlock()
-				return lr.Intn(25) == 0
-			})
-		}
-		began := time.Now()
-		for _, a := range acts {
-			time.Sleep(a.at - time.Since(began))
-			a.do()
-		}
-		for i := range c.m {
+	})
+	for i := range c.m {
+		s.plan(from+s.span(time.Second), func() {
 			if c.sc[i].Ended() {
 				c.start(i)
 			}
+		})
+	}
+}
+
+// planCalls proposes to whoever is primary, and reads everywhere, again and again.
+func (s *scheduleRun) planCalls(round int) {
+	for at := time.Duration(0); at < 6*time.Second; at += 30*time.Millisecond + s.span(150*time.Millisecond) {
+		name := fmt.Sprint(round, "-", at.Milliseconds())
+		s.plan(at, func() { s.propose(name) })
+		s.plan(at, func() {
+			for i := range s.c.m {
+				m, l, f := s.c.m[i], s.c.l[i], s.c.lf[i]
+				s.busy.Go(func() { s.judge(m, l, f) })
+			}
+		})
+	}
+}
+
+func (s *scheduleRun) propose(name string) {
+	for i, m := range s.c.m {
+		f := s.c.lf[i]
+		if _, on := m.Active(); !on || f.dead.Load() {
+			continue
+		}
+		s.busy.Go(func() {
+			err := m.Propose(time.Now().Add(patience), func() ([]byte, error) { return []byte(name), nil })
+			if err != nil || f.dead.Load() {
+				return
+			}
+			s.mu.Lock()
+			s.acked = append(s.acked, name)
+			s.mu.Unlock()
+		})
+	}
+}
+
+// judge reads a member. If it is confirmed to be current, all that was acknowledged before must be in its text.
+func (s *scheduleRun) judge(m *Member, l *lines, f *life) (current bool) {
+	s.mu.Lock()
+	n := len(s.acked)
+	s.mu.Unlock()
+	if f.dead.Load() {
+		return false
+	}
+	var text string
+	if m.Read(time.Now().Add(patience), func() { text = string(l.Checkpoint()) }) != nil {
+		return false
+	}
+	require.Empty(s.t, s.missing(text, n), "acknowledged, and not read")
+	return true
+}
+
+// missing is the first of the first n acknowledged ones that a text doesn't have in their order.
+func (s *scheduleRun) missing(text string, n int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.acked[:n] {
+		i := strings.Index(text, e+";")
+		if i < 0 {
+			return e
+		}
+		text = text[i:]
+	}
+	return ""
+}
+
+func (s *scheduleRun) loseMessages(seed int64) {
+	var mu sync.Mutex
+	r := rand.New(rand.NewSource(seed))
+	s.c.h.setDrop(func(string, core.Message) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Intn(25) == 0
+	})
+}
+
+// settle ends all trouble, and requires that the members serve as they should.
+func (s *scheduleRun) settle() {
+	c := s.c
+	for i := range c.m {
+		if c.sc[i].Ended() {
+			c.start(i)
 		}
-		c.h.mu.Lock()
-		clear(c.h.cut)
-		c.h.mu.Unlock()
-		c.h.setDrop(nil)
-		busy.Wait()
-		time.Sleep(7 * time.Second) // they count as lost no more
-		p := c.primary()
-		require.GreaterOrEqual(t, p, 0, "nobody is primary")
-		require.True(t, judge(c.m[p], c.l[p], c.lf[p]))
-		require.Len(t, c.m[p].View().Copies(), c.losses+1)
-		require.Len(t, c.m[p].View().Witnesses, 2*c.losses+1)
 	}
-	require.NotEmpty(t, acked)
+	c.h.mu.Lock()
+	clear(c.h.cut)
+	c.h.mu.Unlock()
+	c.h.setDrop(nil)
+	s.busy.Wait()
+	time.Sleep(7 * time.Second) // they count as lost no more
+	p := c.primary()
+	require.GreaterOrEqual(s.t, p, 0, "nobody is primary")
+	require.True(s.t, s.judge(c.m[p], c.l[p], c.lf[p]))
+	require.Len(s.t, c.m[p].View().Copies(), c.losses+1)
+	require.Len(s.t, c.m[p].View().Witnesses, 2*c.losses+1)
 }
