--- a/coord/distribution/catchup_test.go
+++ b/coord/distribution/catchup_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"net"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/rpc"
@@ -65,18 +67,44 @@
 	return a, nil
 }
 
+// hashed is a board that keeps a digest of all changes in their order, beside 100 KB of weight.
+type hashed struct {
+	mu  sync.Mutex
+	sum uint64
+}
+
+func (h *hashed) Restore(b []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sum = binary.LittleEndian.Uint64(b)
+	return nil
+}
+
+func (h *hashed) Fold(b []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sum = xxhash.Sum64(append(binary.LittleEndian.AppendUint64(nil, h.sum), b...))
+	return nil
+}
+
+func (h *hashed) Checkpoint() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append(binary.LittleEndian.AppendUint64(nil, h.sum), make([]byte, 100<<10)...)
+}
+
 func TestAFollowerThatWasAwayForManyChangesCatchesUpWhileTheyGoOn(t *testing.T) {
 	for _, missed := range []int{10, 100, 400, 1000, 10000} {
 		synctest.Test(t, func(t *testing.T) {
 			sc := task.New(slog.New(slog.DiscardHandler))
 			defer func() { sc.Stop(); time.Sleep(time.Second) }()
-			b := &words{}
+			b := &hashed{}
 			f := NewFeed(sc, b, nil)
 			push := begin(f, 1)
 			l := &link{sc: sc, feed: f, rate: 1 << 20}
-			got := &words{}
+			got := &hashed{}
 			c := NewCursor(got)
-			require.NoError(t, c.Restore(Position{1, 0}, nil, true))
+			require.NoError(t, c.Restore(Position{1, 0}, b.Checkpoint(), true))
 			for i := range missed {
 				push(fmt.Sprintf("%06d;", i))
 			}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -100,13 +100,12 @@
 	c.feed.Wait(scope, number, max(0, min(constants.AckWait, left)))
 }
 
-// Read gives the view of the moment of the call, once most witnesses have confirmed after it that this was the
-// primary then. What is folded in meanwhile isn't looked at: a member that is followed takes over state that
-// nobody has confirmed yet.
+// Read gives the newest view, once most witnesses have confirmed after the call that it was that.
 func (c *Controller) Read(_ *task.Scope, deadline time.Time) (*state.View, error) {
-	view := c.state.View()
-	if err := c.replica.Confirm(deadline); err != nil {
+	var seen *state.View
+	err := c.replica.Read(deadline, func() { seen = c.state.View() })
+	if err != nil {
 		return nil, err
 	}
-	return view, nil
+	return seen, nil
 }
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -16,8 +16,9 @@
 	// is as wanted already. Nil means that the change is committed or in force, an error of decide's that this
 	// refusal was confirmed; errkind.NotHere that this member is not the primary, errkind.Unready that nothing is clear.
 	Propose(deadline time.Time, decide func() ([]byte, error)) error
-	// Confirm tells by nil that this member is primary, by the word of a majority of the witnesses since the call.
-	Confirm(deadline time.Time) error
+	// Read calls look; nil says that the state was the newest at that moment, by the word of a majority of the
+	// witnesses since the call. Else what look saw must not be used.
+	Read(deadline time.Time, look func()) error
 	// Primary is the member in office by the newest view known here, if it was heard from within the last moments.
 	Primary() (rpc.Seat, bool)
 	// Leave hands over what this member holds.
@@ -50,9 +51,16 @@
 	return m.within(deadline, func() error { return m.Member.Propose(inTime) })
 }
 
-func (m *boundedMember) Confirm(deadline time.Time) error {
+func (m *boundedMember) Read(deadline time.Time, look func()) error {
 	return m.within(deadline, func() error {
-		if !m.Member.Confirmed() {
+		before, active := m.Member.Active()
+		if !active {
+			return errkind.New(errkind.NotHere, "not the primary")
+		}
+		look()
+		confirmed := m.Member.Confirmed()
+		after, active := m.Member.Active()
+		if !confirmed || !active || before != after {
 			return errkind.New(errkind.Unready, "the witnesses do not confirm")
 		}
 		return nil
