--- a/coord/replication/links.go
+++ b/coord/replication/links.go
@@ -23,6 +23,7 @@
 // link is the way to one address.
 type link struct {
 	channel *rpc.Channel // nil: none yet
+	silent  *rpc.Channel // the one before, to be closed
 	dialing bool
 	pending []core.Message // that wait for the dial
 	sentAt  time.Time      // first message since anything was heard on the channel
@@ -58,7 +59,8 @@
 	}
 	if !to.dialing {
 		to.dialing = true
-		go l.dial(address, to)
+		go l.dial(address, to, to.silent)
+		to.silent = nil
 	}
 }
 
@@ -71,8 +73,11 @@
 	return known
 }
 
-// dial opens a channel and sends what waits for it, or drops that.
-func (l *Links) dial(address string, to *link) {
+// dial opens a channel, in place of one that was silent, and sends what waits for it, or drops that.
+func (l *Links) dial(address string, to *link, silent *rpc.Channel) {
+	if silent != nil {
+		silent.Close()
+	}
 	channel, err := l.lines.Get(address)
 	if err == nil && channel.Quiet() >= constants.CallWait { // one from before that may be dead
 		channel.Close()
@@ -100,7 +105,7 @@
 	k.sent = 0
 }
 
-// usable tells whether the channel is open and not silent. One on which nothing was heard for the wait of an answer, since something was sent on it, is closed: the path may be another by now.
+// usable tells whether the channel is open and not silent. One on which nothing was heard for the wait of an answer, since something was sent on it, is left: the path may be another by now.
 func (k *link) usable() bool {
 	if k.channel == nil {
 		return false
@@ -120,7 +125,7 @@
 	if now.Sub(k.sentAt) < patience {
 		return true
 	}
-	go k.channel.Close()
+	k.silent = k.channel
 	k.channel = nil
 	return false
 }
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -231,6 +231,8 @@
 		tr.stop(p)
 		tr.start(p) // proposes a new view and is lost in the middle of it
 		time.Sleep(10 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		require.NotNil(t, half)
 		require.Equal(t, before.Epoch+1, half.Epoch)
 		q := tr.primary()
