--- a/coord/distribution/order_test.go
+++ b/coord/distribution/order_test.go
@@ -156,9 +156,27 @@
 // labelled is a board whose state is its position: it notices whatever goes back, is left out or comes from
 // another sequence.
 type labelled struct {
+	mu     sync.Mutex
+	at     Position
+	faults *faults
+}
+
+// faults collects what boards notice.
+type faults struct {
 	mu   sync.Mutex
-	at   Position
-	errs *[]string
+	seen []string
+}
+
+func (f *faults) add(format string, a ...any) {
+	f.mu.Lock()
+	f.seen = append(f.seen, fmt.Sprintf(format, a...))
+	f.mu.Unlock()
+}
+
+func (f *faults) all() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen
 }
 
 func label(at Position) []byte { return []byte(fmt.Sprintf("%d/%d", at.Epoch, at.Number)) }
@@ -173,7 +191,7 @@
 	defer l.mu.Unlock()
 	at := unlabel(b)
 	if at.Before(l.at) {
-		*l.errs = append(*l.errs, fmt.Sprintf("%v restored over %v", at, l.at))
+		l.faults.add("%v restored over %v", at, l.at)
 	}
 	l.at = at
 	return nil
@@ -184,7 +202,7 @@
 	defer l.mu.Unlock()
 	at := unlabel(b)
 	if at != (Position{l.at.Epoch, l.at.Number + 1}) {
-		*l.errs = append(*l.errs, fmt.Sprintf("%v folded into %v", at, l.at))
+		l.faults.add("%v folded into %v", at, l.at)
 	}
 	l.at = at
 	return nil
@@ -196,16 +214,139 @@
 	return label(l.at)
 }
 
-// web is processes that each hold a feed and reach each other as the schedule wants.
+// web is controllers that each hold a feed, and end followers, which reach each other as the schedule wants.
 type web struct {
-	sc    *task.Scope
-	mu    sync.Mutex
-	feeds map[string]*Feed
-	conns map[net.Conn][2]string
-	cut   map[[2]string]bool
+	sc     *task.Scope
+	r      *rand.Rand
+	faults *faults
+
+	mu      sync.Mutex
+	feeds   map[string]*Feed
+	conns   map[net.Conn][2]string
+	cut     map[[2]string]bool
+	primary map[string]string // by each one's own belief
+
+	lives   map[string]*task.Scope
+	sources map[string]*Source // of those that think that they are primary
+	epoch   uint64
+}
+
+const webControllers, webEnds = 4, 6
+
+func controllerName(i int) string { return fmt.Sprint("c", i) }
+func endName(i int) string        { return fmt.Sprint("e", i) }
+
+func newWeb(sc *task.Scope, seed uint64) *web {
+	w := &web{
+		sc:      sc,
+		r:       rand.New(rand.NewPCG(seed, 13)),
+		faults:  &faults{},
+		feeds:   map[string]*Feed{},
+		conns:   map[net.Conn][2]string{},
+		cut:     map[[2]string]bool{},
+		primary: map[string]string{},
+		lives:   map[string]*task.Scope{},
+		sources: map[string]*Source{},
+	}
+	for i := range webControllers {
+		w.boot(controllerName(i))
+	}
+	for i := range webEnds {
+		pick := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		next := func(string) string { return controllerName(pick.IntN(webControllers)) }
+		cursor := NewCursor(&labelled{faults: w.faults})
+		go NewFollower(sc, &webNet{w, endName(i)}, cursor, rpc.Seat{ID: uint64(i + 1)}, false, next, nil).Run()
+	}
+	return w
+}
+
+// boot starts a controller with nothing.
+func (w *web) boot(name string) {
+	if life := w.lives[name]; life != nil {
+		life.Stop()
+	}
+	life := w.sc.Part("life")
+	w.lives[name] = life
+	var up *Follower
+	feed := NewFeed(life, &labelled{faults: w.faults}, func(uint64, uint64) { up.Tell() })
+	up = NewFollower(life, &webNet{w, name}, feed, rpc.Seat{ID: w.r.Uint64()}, true, func(string) string { return w.follows(name) }, feed.Reached)
+	w.mu.Lock()
+	w.feeds[name] = feed
+	w.mu.Unlock()
+	go up.Run()
+}
+
+func (w *web) follows(name string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.primary[name] == name {
+		return ""
+	}
+	return w.primary[name]
+}
+
+// takeOver makes a controller the source of a new epoch. Those that are told follow it, the others go on as before.
+func (w *web) takeOver(name string, allTold bool) {
+	w.epoch++
+	first := label(Position{Epoch: w.epoch})
+	w.sources[name] = w.feeds[name].Begin(w.epoch, func() []byte { return first })
+	for i := range webControllers {
+		other := controllerName(i)
+		if other != name && !allTold && w.r.IntN(2) == 0 {
+			continue
+		}
+		w.mu.Lock()
+		w.primary[other] = name
+		w.mu.Unlock()
+		if other != name && w.sources[other] != nil {
+			w.feeds[other].End()
+			delete(w.sources, other)
+		}
+	}
+}
+
+// pushAll lets everyone that thinks that it is the source push a change.
+func (w *web) pushAll() {
+	for name, source := range w.sources {
+		n, ok := source.Number()
+		if !ok {
+			delete(w.sources, name)
+			continue
+		}
+		source.Push(label(Position{source.epoch, n + 1}))
+	}
+}
+
+// sever breaks the connections between two processes; if cut is set no new ones come.
+func (w *web) sever(from, to string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]string{from, to}] = cut
+	for c, ends := range w.conns {
+		if ends == [2]string{from, to} {
+			_ = c.Close()
+			delete(w.conns, c)
+		}
+	}
 }
 
-func (w *web) from(name string) *webNet { return &webNet{w, name} }
+func (w *web) trouble() {
+	any1, any2 := controllerName(w.r.IntN(webControllers)), controllerName(w.r.IntN(webControllers))
+	switch w.r.IntN(8) {
+	case 0:
+		w.takeOver(any1, w.r.IntN(2) == 0)
+	case 1:
+		w.sever(any1, any2, w.r.IntN(2) == 0)
+	case 2:
+		w.sever(endName(w.r.IntN(webEnds)), any1, w.r.IntN(3) == 0)
+	case 3:
+		if w.sources[any1] == nil {
+			w.boot(any1)
+		}
+	default:
+		w.pushAll()
+	}
+}
 
 type webNet struct {
 	w    *web
@@ -236,109 +377,28 @@
 	return a, nil
 }
 
-// break1 breaks the connections between two processes, and keeps new ones from coming while cut is set.
-func (w *web) break1(from, to string, cut bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut[[2]string{from, to}] = cut
-	for c, ends := range w.conns {
-		if ends == [2]string{from, to} {
-			_ = c.Close()
-			delete(w.conns, c)
-		}
-	}
-}
-
 func TestNoFollowerEverGoesBackThroughTakeoversCutsAndRestarts(t *testing.T) {
-	const controllers, ends = 4, 6
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
-			r := rand.New(rand.NewPCG(seed, 13))
 			sc := task.New(slog.New(slog.DiscardHandler))
 			defer func() { sc.Stop(); time.Sleep(time.Second) }()
-			var errs []string
-			w := &web{sc: sc, feeds: map[string]*Feed{}, conns: map[net.Conn][2]string{}, cut: map[[2]string]bool{}}
-			name := func(i int) string { return fmt.Sprint("c", i) }
-			primary := make([]string, controllers) // by each one's own belief
-			lives := make([]*task.Scope, controllers)
-			boot := func(i int) {
-				lives[i] = sc.Part("life")
-				var up *Follower
-				f := NewFeed(lives[i], &labelled{errs: &errs}, func(uint64, uint64) { up.Tell() })
-				up = NewFollower(lives[i], w.from(name(i)), f, rpc.Seat{ID: uint64(100 + i)}, true, func(string) string {
-					if primary[i] == name(i) {
-						return ""
-					}
-					return primary[i]
-				}, f.Reached)
-				w.mu.Lock()
-				w.feeds[name(i)] = f
-				w.mu.Unlock()
-				go up.Run()
-			}
-			for i := range controllers {
-				boot(i)
-			}
-			for i := range ends {
-				pick := rand.New(rand.NewPCG(seed, uint64(100+i)))
-				cursor := NewCursor(&labelled{errs: &errs})
-				go NewFollower(sc, w.from(fmt.Sprint("e", i)), cursor, rpc.Seat{ID: uint64(i + 1)}, false, func(string) string { return name(pick.IntN(controllers)) }, nil).Run()
-			}
-			sources := map[int]*Source{}
-			epoch := uint64(0)
-			takeOver := func(i int, told bool) {
-				epoch++
-				e := epoch
-				sources[i] = w.feeds[name(i)].Begin(e, func() []byte { return label(Position{e, 0}) })
-				primary[i] = name(i)
-				for j := range controllers {
-					if told || r.IntN(2) == 0 {
-						primary[j] = name(i)
-					}
-					if j != i && primary[j] == name(i) && sources[j] != nil {
-						w.feeds[name(j)].End()
-						delete(sources, j)
-					}
-				}
-			}
-			takeOver(0, true)
+			w := newWeb(sc, seed)
+			w.takeOver("c0", true)
 			for range 120 {
-				switch r.IntN(8) {
-				case 0:
-					takeOver(r.IntN(controllers), r.IntN(2) == 0)
-				case 1:
-					a, b := name(r.IntN(controllers)), name(r.IntN(controllers))
-					w.break1(a, b, r.IntN(2) == 0)
-				case 2:
-					w.break1(fmt.Sprint("e", r.IntN(ends)), name(r.IntN(controllers)), r.IntN(3) == 0)
-				case 3: // a controller restarts with nothing
-					i := r.IntN(controllers)
-					if sources[i] == nil {
-						lives[i].Stop()
-						boot(i)
-					}
-				default: // every one that thinks that it is the source pushes
-					for i, s := range sources {
-						if n, ok := s.Number(); ok {
-							s.Push(label(Position{s.epoch, n + 1}))
-						} else {
-							delete(sources, i)
-						}
-					}
-				}
-				time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
-				require.Empty(t, errs, "seed %d", seed)
+				w.trouble()
+				time.Sleep(time.Duration(w.r.IntN(400)) * time.Millisecond)
+				require.Empty(t, w.faults.all(), "seed %d", seed)
 			}
 			w.mu.Lock()
 			w.cut = map[[2]string]bool{}
 			w.mu.Unlock()
-			takeOver(1, true)
+			w.takeOver("c1", true)
 			time.Sleep(10 * time.Second)
-			require.Empty(t, errs)
-			at, num := w.feeds["c1"].At()
-			require.Equal(t, epoch, at)
-			require.Len(t, w.feeds["c1"].Reached(), ends, "all came back to the newest source")
-			require.Equal(t, num, w.feeds["c1"].Acked())
+			require.Empty(t, w.faults.all())
+			epoch, number := w.feeds["c1"].At()
+			require.Equal(t, w.epoch, epoch)
+			require.Len(t, w.feeds["c1"].Reached(), webEnds, "all came back to the newest source")
+			require.Equal(t, number, w.feeds["c1"].Acked())
 		})
 	}
 }
--- a/coord/rpc/channel_test.go
+++ b/coord/rpc/channel_test.go
@@ -218,6 +218,7 @@
 			time.Sleep(time.Second)
 			require.LessOrEqual(t, ch.Quiet(), time.Second)
 		}
+		synctest.Wait()
 		require.Len(t, got, 1000)
 		time.Sleep(5 * time.Second)
 		require.GreaterOrEqual(t, ch.Quiet(), 5*time.Second)
