--- a/coord/distribution/order_test.go
+++ b/coord/distribution/order_test.go
@@ -299,21 +299,18 @@
 		w.primary[other] = name
 		w.mu.Unlock()
 		if other != name && w.sources[other] != nil {
-			w.feeds[other].End()
-			delete(w.sources, other)
+			w.feeds[other].End() // its handle is still used: it has not noticed everywhere
 		}
 	}
 }
 
-// pushAll lets everyone that thinks that it is the source push a change.
+// pushAll lets everyone that was a source push a change, also if it has ended: then nothing may come of it.
 func (w *web) pushAll() {
 	for name, source := range w.sources {
-		n, ok := source.Number()
-		if !ok {
+		n, _ := source.Number()
+		if _, ok := source.Push(label(Position{source.epoch, n + 1})); !ok {
 			delete(w.sources, name)
-			continue
 		}
-		source.Push(label(Position{source.epoch, n + 1}))
 	}
 }
 
@@ -340,9 +337,8 @@
 	case 2:
 		w.sever(endName(w.r.IntN(webEnds)), any1, w.r.IntN(3) == 0)
 	case 3:
-		if w.sources[any1] == nil {
-			w.boot(any1)
-		}
+		delete(w.sources, any1)
+		w.boot(any1)
 	default:
 		w.pushAll()
 	}
