--- a/internal/emulator/aim.go
+++ b/internal/emulator/aim.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"slices"
+
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
@@ -52,11 +54,13 @@
 		return
 	}
 	node := p.gates[0]
+	region := []int{zone, zone - 1, zone - 2}
+	region = slices.DeleteFunc(region, func(z int) bool { return z < 0 }) // of three controllers the last may be primary
 	for _, l := range []struct {
 		name   string
 		gates  []*daemon
 		houses []int
-	}{{"one_node", []*daemon{node}, nil}, {"zone", nil, []int{zone}}, {"region", nil, []int{zone, zone - 1, zone - 2}}} {
+	}{{"one_node", []*daemon{node}, nil}, {"zone", nil, []int{zone}}, {"region", nil, region}} {
 		if len(l.houses) > 0 {
 			l.gates, l.houses = in(l.houses...)
 		}
