Connection tests wait for what they read; the early-answer check holds no lock when it fails

Cause: two tests read what a replica's task writes, and one looked at the pool before it had heard of a closed connection: races and a rare failure in tests only.

--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,7 +148,7 @@
 				}
 				require.Equal(t, k > 0, got.state.MayHaveRun())
 				synctest.Wait()
-				require.Zero(t, p.open, "a connection that failed is closed")
+				require.Zero(t, openOf(p), "a connection that failed is closed")
 			})
 		}
 	}
@@ -309,7 +310,7 @@
 	first, next := modelRequest("a", false, ""), modelRequest(id, false, "")
 	second := strings.Replace(answerText(200, seal, "second"), "Id: a", "Id: "+id, 1)
 	d := &pipes{}
-	runs := 0
+	var runs atomic.Int64
 	d.play = func(number int, c net.Conn) {
 		if number == 1 {
 			if !readAll(c, requestBytes(first)) {
@@ -328,7 +329,7 @@
 		if !readAll(c, requestBytes(next)) {
 			return
 		}
-		runs++
+		runs.Add(1)
 		if when == 2 && number == 1 {
 			_, _ = io.WriteString(c, surplus)
 		}
@@ -347,7 +348,8 @@
 		require.Equal(t, attempt.NotSent, own.state)
 		own = exchangeOnce(get(t, p), next)
 	}
-	require.LessOrEqual(t, runs, 1)
+	synctest.Wait()
+	require.LessOrEqual(t, runs.Load(), int64(1))
 	if own.ended {
 		require.Equal(t, "second", string(own.body), "a surplus answer was taken for this one")
 	} else {
@@ -380,14 +382,24 @@
 		go func() { got <- exchangeOnce(c, first) }()
 		time.Sleep(time.Second / 2)
 		synctest.Wait()
-		p.mu.Lock()
-		require.Empty(t, p.free, "its request is still being written")
-		p.mu.Unlock()
+		require.Zero(t, freeOf(p), "its request is still being written")
 		require.Equal(t, attempt.NotExecuted, (<-got).state)
-		require.Len(t, p.free, 1)
+		require.Equal(t, 1, freeOf(p))
 	})
 }
 
+func freeOf(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.free)
+}
+
+func openOf(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // stalled is a connection whose owner is frozen between its last look at the clock outside and the write.
 type stalled struct {
 	net.Conn
@@ -415,21 +427,21 @@
 func TestWhatWakesLateSendsNothing(t *testing.T) {
 	for _, freeze := range []time.Duration{0, modelPatience - 1, modelPatience, 17 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
-			came := 0
+			var came atomic.Int64
 			d := &stalledDialer{freeze: freeze}
 			d.play = func(_ int, c net.Conn) {
 				n, _ := c.Read(make([]byte, 4096))
-				came += n
+				came.Add(int64(n))
 			}
 			p := NewPool("x", d, 1, &Keep{}, &Made{})
 			defer p.Shut()
 			got := exchangeOnce(get(t, p), modelRequest("a", false, ""))
 			synctest.Wait()
 			if freeze < modelPatience {
-				require.Positive(t, came)
+				require.Positive(t, came.Load())
 				return
 			}
-			require.Zero(t, came, "frozen for %s", freeze)
+			require.Zero(t, came.Load(), "frozen for %s", freeze)
 			require.Equal(t, attempt.NotSent, got.state)
 			require.ErrorIs(t, got.err, ErrTooLate)
 		})
@@ -458,7 +470,7 @@
 				}
 				require.True(t, exchangeOnceEnded(t, p, first))
 				synctest.Wait()
-				require.Zero(t, p.open)
+				require.Zero(t, openOf(p))
 			})
 		}
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -89,6 +89,7 @@
 		ch.Forgotten()
 		require.EqualValues(t, 1, made.Forgot.Load())
 		require.EqualValues(t, 1, made.First.Load())
+		synctest.Wait() // the pool has heard that the forgotten one is gone
 		ch, end = use(t, p, false)
 		require.Equal(t, End, end.Kind)
 		require.Zero(t, ch.rested)
