--- a/coord/handoff/model_test.go
+++ b/coord/handoff/model_test.go
@@ -459,9 +459,9 @@
 	}
 }
 
-// TestEveryOrder explores three faults alone; beside one death, restart or freeze two where a second run breaks a rule and one where
-// it doesn't; two of these troubles beside a reset; and one fault beside a trouble and a reset. -model.faults=3 explores three faults
-// beside a trouble and a reset for both, which takes minutes.
+// TestEveryOrder explores one fault beside a trouble (a death, restart or freeze) and a reset; two troubles beside a reset; two faults
+// beside a trouble where a second run breaks a rule; and three faults alone. It takes half a minute. -model.faults=3 explores three
+// faults beside a trouble and a reset for both, which takes minutes.
 func TestEveryOrder(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		t.Run(fmt.Sprintf("again=%v", again), func(t *testing.T) {
@@ -472,7 +472,9 @@
 			}
 			explore(t, again, 1, 1, 1)
 			explore(t, again, 0, 2, 1)
-			explore(t, again, map[bool]int{false: 2, true: 1}[again], 1, 0)
+			if !again {
+				explore(t, again, 2, 1, 0)
+			}
 			explore(t, again, 3, 0, 0)
 		})
 	}
