--- a/internal/router/longwork.go
+++ b/internal/router/longwork.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -508,7 +507,7 @@
 	if q.lastID >= 0 {
 		hd.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
-	r := &http.Request{Method: q.r.Method, URL: &url.URL{Scheme: "http", Opaque: q.r.RequestURI}, Host: q.r.Host, Header: hd, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	r := &http.Request{Method: q.r.Method, URL: upstream.Target(q.r.RequestURI), Host: q.r.Host, Header: hd, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(q.body)), Body: http.NoBody}
 	if len(q.body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(q.body))
@@ -567,21 +566,9 @@
 					whole = append(whole, f.Message.Body...)
 				}
 			case handoff.Back:
-				h.mu.Lock()
-				lost, shots, ok := h.owner.Here(job)
-				if lost {
-					h.count.lost++
+				if q.takeBack(job, to) {
+					return false
 				}
-				h.mu.Unlock()
-				if lost {
-					h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", to, "request", q.id)
-				}
-				q.try.Elsewhere(q.path.Shots-shots-q.try.Sent(), lost)
-				if !ok || q.try.Sent() >= q.path.Shots {
-					q.giveUp(errkind.Broken, "the neighbour failed")
-					return true
-				}
-				return false
 			case handoff.End:
 				q.try.Elsewhere(f.Message.Shots, f.Outcome != handoff.Refused)
 				switch f.Outcome {
@@ -618,6 +605,25 @@
 	}
 }
 
+// takeBack takes a job back that a neighbour does not run any more. If it may not be run here either, false:
+// its end follows, with what is known of it.
+func (q *request) takeBack(job uint64, from string) bool {
+	h := q.g.long
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lost, shots, ok := h.owner.Here(h.now(), job)
+	if !ok {
+		h.do(h.owner.GiveUp(job))
+		return false
+	}
+	if lost {
+		h.count.lost++
+		h.sc.Log().Warn("a neighbour was lost, its job is placed anew", "node", from, "request", q.id)
+	}
+	q.try.Elsewhere(q.path.Shots-shots-q.try.Sent(), lost)
+	return true
+}
+
 // eventID reads the id of an event; -1 if it has none.
 func eventID(b []byte) int64 {
 	for _, l := range strings.Split(string(b), "\n") {
