--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -51,6 +51,7 @@
 // call carries one order to a node.
 func (w *World) call(node string, o order) (int, string) {
 	at := "http://" + w.process(node).ip + ":82" + o.path
+	sentTo := map[string]bool{}
 	for range 3 {
 		q, _ := http.NewRequest(o.method, at, strings.NewReader(o.body))
 		if o.ifMatch != "" {
@@ -71,10 +72,22 @@
 			return a.StatusCode, string(b)
 		}
 		at = a.Header.Get("Location")
+		if wrong := checkRedirect(at, sentTo); wrong != "" {
+			w.Broke(RuleRedirect, "a call at %s %s", node, wrong)
+		}
+		sentTo[at] = true
 	}
 	return 0, ""
 }
 
+// checkRedirect holds the target of a 307 against those that the call was sent to before.
+func checkRedirect(target string, before map[string]bool) string {
+	if target == "" || before[target] {
+		return fmt.Sprintf("was sent to %q again", target)
+	}
+	return ""
+}
+
 // orderSent notes an order before it goes; true if it repeats the newest acknowledged change and no other was sent since.
 func (w *World) orderSent(o order) (repeated bool) {
 	w.mu.Lock()
