--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -72,14 +72,22 @@
 			return a.StatusCode, string(b)
 		}
 		at = a.Header.Get("Location")
-		if at == "" || sentTo[at] {
-			w.Broke(RuleRedirect, "a call at %s was sent to %q again", node, at)
+		if wrong := checkRedirect(at, sentTo); wrong != "" {
+			w.Broke(RuleRedirect, "a call at %s %s", node, wrong)
 		}
 		sentTo[at] = true
 	}
 	return 0, ""
 }
 
+// checkRedirect holds the target of a 307 against those that the call was sent to before.
+func checkRedirect(target string, before map[string]bool) string {
+	if target == "" || before[target] {
+		return fmt.Sprintf("was sent to %q again", target)
+	}
+	return ""
+}
+
 // orderSent notes an order before it goes; true if it repeats the newest acknowledged change and no other was sent since.
 func (w *World) orderSent(o order) (repeated bool) {
 	w.mu.Lock()
--- a/internal/sim/rule.go
+++ b/internal/sim/rule.go
@@ -13,7 +13,6 @@
 	RuleTwice         Rule = "TWICE"              // a request that may run once runs again
 	RuleRefused       Rule = "REFUSED"            // a promise that nothing ran is given for a request that ran
 	RuleDeadlineHead  Rule = "TIME-BUDGET"        // a request comes without the time that is left
-	RuleRedirect      Rule = "REDIRECT"           // a call is sent on to where it was sent before
 	RuleRetryAfter    Rule = "RETRY-AFTER"        // a refusal doesn't say when to come back
 	RuleAttempts      Rule = "BUDGET-ATTEMPTS"    // one try runs on more replicas than its route allows
 	RuleDrain         Rule = "DRAIN"              // a request reaches a replica too long after the list showed it leaving
@@ -24,6 +23,7 @@
 	RuleSplit         Rule = "SPLIT"              // an affinity key goes to two services
 	RuleLost          Rule = "LOST"               // a connection ends without an answer beside planned work
 	RuleConfig        Rule = "CONFIG"             // clear answers to several operators don't fit one register
+	RuleRedirect      Rule = "REDIRECT"           // a call is sent in a circle
 	RuleRepeatRefused Rule = "CONFIG-REPEAT"      // a change that was acknowledged is sent again and refused
 	RuleLaterRoutes   Rule = "CONFIG-LATER"       // routes that were added later are served far less often
 	RuleStarvedRoute  Rule = "STARVED-KIND"       // a kind of request is served far less often than all
