router: long work split by job, the job at a neighbour is a type, the state page is typed

Change: longwork.go (the loop), longwork_neighbours.go (load here and room there), longwork_messages.go (wire form and effects), longwork_queue.go (places), longwork_offer.go (the owner's side: offeredJob with one function an event), longwork_taken.go (the taker's side) and longwork_state.go. The section of the state page is a struct whose fields stand in the order in which the map's keys were written. Messages, logs and counters are unchanged; so are the method names that inquiry.go, gate.go and readiness.go call.

Measured: the router's tests pass, also with -race; only names changed in them.

--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -20,7 +20,7 @@
 func longOf(e *settings.Env) *longWork {
 	g := &Gate{}
 	g.env.Store(e)
-	return &longWork{g: g, rooms: map[string]neighbour{}}
+	return &longWork{gate: g, neighbours: map[string]neighbour{}}
 }
 
 func TestNeighbourHasRoomAndMayHaveTheRequest(t *testing.T) {
@@ -28,19 +28,19 @@
 		e := &settings.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: settings.LongWork{Enabled: true}}
 		h := longOf(e)
 		fill := func() {
-			h.rooms = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
+			h.neighbours = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
 		}
 		fill()
-		require.Equal(t, "near", h.neighbour(&routing.Path{}))
-		require.Empty(t, h.neighbour(&routing.Path{}), "its room is used up until it speaks again")
+		require.Equal(t, "near", h.reserveNeighbour(&routing.Path{}))
+		require.Empty(t, h.reserveNeighbour(&routing.Path{}), "its room is used up until it speaks again")
 		e.LongWork.OtherZones = true
 		fill()
-		require.Equal(t, "far", h.neighbour(&routing.Path{}))
-		require.Equal(t, "near", h.neighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
-		require.Empty(t, h.neighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
+		require.Equal(t, "far", h.reserveNeighbour(&routing.Path{}))
+		require.Equal(t, "near", h.reserveNeighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
+		require.Empty(t, h.reserveNeighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
 		fill()
 		<-clock.After(constants.LongKnown + 1)
-		require.Empty(t, h.neighbour(&routing.Path{}), "what is not heard of any more has no room")
+		require.Empty(t, h.reserveNeighbour(&routing.Path{}), "what is not heard of any more has no room")
 	})
 }
 
@@ -49,7 +49,7 @@
 	h.taker.Room(1)
 	h.taker.Step(0, handoff.Message{Kind: handoff.Offer, Owner: 1, Job: 1, Turn: 1})
 	h.taker.Step(0, handoff.Message{Kind: handoff.Go, Owner: 1, Job: 1, Turn: 1, Ticket: handoff.Ticket{Life: 5, Number: 1}})
-	w := &awayWriter{h: h, ticket: 1, head: http.Header{}}
+	w := &takenWriter{work: h, ticket: 1, head: http.Header{}}
 	w.WriteHeader(http.StatusServiceUnavailable)
 	n, err := w.Write([]byte("crowded"))
 	require.NoError(t, err)
@@ -69,14 +69,14 @@
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
-			h.g.long, h.start, h.queues, h.held = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
+			h.gate.long, h.start, h.queues, h.open = h, clock.Now(), map[string]*longQueue{}, map[*inquiry]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
 			for range int(constants.LongRoom) {
-				x.q.Join(0, false)
+				x.handoff.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &inquiry{g: h.g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+			q := &inquiry{g: h.gate, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
 				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
@@ -84,7 +84,7 @@
 				for range 10 {
 					<-clock.After(constants.LongTick)
 					h.mu.Lock()
-					h.pump(x)
+					h.admit(x)
 					h.mu.Unlock()
 				}
 			})
@@ -96,7 +96,7 @@
 			} else {
 				require.Equal(t, clock.Seconds(constants.RefusePart), took)
 			}
-			runs, waiting, _ := x.q.Seen()
+			runs, waiting, _ := x.handoff.Seen()
 			require.Equal(t, int(constants.LongRoom), runs)
 			require.Zero(t, waiting)
 		})
