--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -6,11 +6,8 @@
 	"io"
 	"os"
 	"os/exec"
-	"runtime"
-	"runtime/debug"
 	"sync"
-
-	"golang.org/x/sys/unix"
+	"time"
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
@@ -18,174 +15,204 @@
 	"shaletrestle/internal/task"
 )
 
-// A cell is a process that holds daemons of one role, so that their processor time and memory can be told apart from those of others. It is told what to do, and answers, in JSON lines.
+// A cell is a process that holds daemons of one role, so that their processor time
+// and memory can be told apart from those of others. It is told what to do, and
+// answers, in JSON lines.
+
+// The commands to a cell.
+const (
+	commandStart = "start"
+	commandStop  = "stop"
+	commandRead  = "read"
+)
 
-// seat names a daemon of a cell.
-type seat struct {
+// daemonSpec names a daemon of a cell.
+type daemonSpec struct {
 	Name string `json:"name"`
-	File string `json:"file"`
+	File string `json:"file"` // of the settings
 	Zone string `json:"zone"`
 }
 
-// word is one line to a cell.
-type word struct {
-	Do      string            `json:"do"` // start, stop or read
-	Seats   []seat            `json:"seats,omitempty"`
+// command is one line to a cell.
+type command struct {
+	Do      string            `json:"do"`
+	Daemons []daemonSpec      `json:"seats,omitempty"`
 	Zones   map[string]string `json:"zones,omitempty"` // by address
 	DelayMs float64           `json:"delay_ms,omitempty"`
 }
 
-// reading is a cell's answer.
-type reading struct {
-	Err     string           `json:"err,omitempty"`
-	Cpu     float64          `json:"cpu_s"`       // up to the word
-	CpuNext float64          `json:"cpu_next_s"`  // after the collection that the reading needed
-	Heap    float64          `json:"heap_bytes"`  // live objects
-	Stacks  float64          `json:"stack_bytes"` // of goroutines
-	Tasks   int              `json:"goroutines"`
-	In      map[string]int64 `json:"in"` // bytes, by daemon
-	Out     map[string]int64 `json:"out"`
-	at      clock.Moment
-}
-
-func cpuNow() float64 {
-	var u unix.Rusage
-	_ = unix.Getrusage(unix.RUSAGE_SELF, &u)
-	return float64(u.Utime.Sec+u.Stime.Sec) + float64(u.Utime.Usec+u.Stime.Usec)/1e6
-}
-
 // Cell serves as a cell until its input ends.
-func Cell(sc *task.Scope, in io.Reader, out io.Writer) error {
-	sc = sc.Part("cell")
-	ds := map[string]*daemon{}
-	defer func() {
-		var wg sync.WaitGroup
-		for _, d := range ds {
-			wg.Add(1)
-			go func() { defer wg.Done(); d.stop() }()
-		}
-		wg.Wait()
-		sc.Stop()
-	}()
-	r := bufio.NewReader(in)
+func Cell(scope *task.Scope, in io.Reader, out io.Writer) error {
+	server := &cellServer{scope: scope.Part("cell"), daemons: map[string]*daemon{}}
+	defer server.close()
+	lines := bufio.NewReader(in)
 	for {
-		line, err := r.ReadBytes('\n')
+		line, err := lines.ReadBytes('\n')
 		if err != nil {
-			return nil // whoever holds the cell has ended or wants it to
-		}
-		var w word
-		a := reading{}
-		if err := json.Unmarshal(line, &w); err != nil {
-			a.Err = err.Error()
-		} else if err := obey(sc, ds, &w); err != nil {
-			a.Err = err.Error()
-		} else if w.Do == "read" {
-			a.fill(ds)
+			return nil // the process that started the cell has ended or wants it to
 		}
-		b, err := json.Marshal(a)
+		answer, err := json.Marshal(server.answer(line))
 		if err != nil {
-			return errkind.Wrap(errkind.Internal, err, "cell")
+			return cellError(err)
+		}
+		if _, err := out.Write(append(answer, '\n')); err != nil {
+			return cellError(err)
 		}
-		if _, err := out.Write(append(b, '\n')); err != nil {
-			return errkind.Wrap(errkind.Internal, err, "cell")
+	}
+}
+
+func cellError(err error) error { return errkind.Wrap(errkind.Internal, err, "cell") }
+
+// cellServer is the cell's side.
+type cellServer struct {
+	scope   *task.Scope
+	daemons map[string]*daemon // by name
+}
+
+// answer carries out a command.
+func (s *cellServer) answer(line []byte) usage {
+	var received command
+	if err := json.Unmarshal(line, &received); err != nil {
+		return usage{Err: err.Error()}
+	}
+	switch received.Do {
+	case commandStart:
+		if err := s.start(&received); err != nil {
+			return usage{Err: err.Error()}
 		}
+	case commandStop:
+		s.stop(&received)
+	case commandRead:
+		return readUsage(s.daemons)
 	}
+	return usage{}
 }
 
-func obey(sc *task.Scope, ds map[string]*daemon, w *word) error {
-	for _, s := range w.Seats {
-		switch w.Do {
-		case "start":
-			d := &daemon{name: s.Name, file: s.File, zone: s.Zone}
-			if err := d.start(sc, &wire{zone: s.Zone, zoneOf: func(ip string) string { return w.Zones[ip] }, delay: clock.Millis(w.DelayMs)}); err != nil {
-				return err
-			}
-			ds[s.Name] = d
-		case "stop":
-			if d := ds[s.Name]; d != nil {
-				d.stop()
-				delete(ds, s.Name)
-			}
+func (s *cellServer) start(received *command) error {
+	for _, spec := range received.Daemons {
+		started := &daemon{name: spec.Name, file: spec.File, zone: spec.Zone}
+		network := &network{
+			zone:   spec.Zone,
+			zoneOf: func(ip string) string { return received.Zones[ip] },
+			delay:  clock.Millis(received.DelayMs),
 		}
+		if err := started.start(s.scope, network); err != nil {
+			return err
+		}
+		s.daemons[spec.Name] = started
 	}
 	return nil
 }
 
-func (a *reading) fill(ds map[string]*daemon) {
-	a.Cpu = cpuNow()
-	a.In, a.Out = map[string]int64{}, map[string]int64{}
-	for n, d := range ds {
-		a.In[n], a.Out[n] = d.wire.in.Load(), d.wire.out.Load()
+func (s *cellServer) stop(received *command) {
+	for _, spec := range received.Daemons {
+		if daemon := s.daemons[spec.Name]; daemon != nil {
+			daemon.stop()
+			delete(s.daemons, spec.Name)
+		}
 	}
-	debug.FreeOSMemory()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	a.Heap, a.Stacks, a.Tasks = float64(m.HeapAlloc), float64(m.StackInuse), runtime.NumGoroutine()
-	a.CpuNext = cpuNow()
 }
 
-// cell is the holder's side.
+// close ends all daemons.
+func (s *cellServer) close() {
+	var stopping sync.WaitGroup
+	for _, daemon := range s.daemons {
+		stopping.Go(daemon.stop)
+	}
+	stopping.Wait()
+	s.scope.Stop()
+}
+
+// cell is the side of the process that started it.
 type cell struct {
-	to   io.WriteCloser
-	from *bufio.Reader
-	wait func() error
+	commands io.WriteCloser
+	answers  *bufio.Reader
+	wait     func() error // for the cell's end
 }
 
-// spawn starts a cell in a process of its own: this program again.
-func spawn() (*cell, error) {
-	self, err := os.Executable()
+// newCell starts a cell.
+type newCell func() (*cell, error)
+
+// spawnCell starts a cell in a process of its own: this program again.
+func spawnCell() (*cell, error) {
+	program, err := os.Executable()
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "cell")
+		return nil, cellError(err)
 	}
-	c := exec.Command(self, "cell")
-	c.Stderr = os.Stderr
-	to, err := c.StdinPipe()
+	process := exec.Command(program, "cell")
+	process.Stderr = os.Stderr
+	commands, err := process.StdinPipe()
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "cell")
+		return nil, cellError(err)
 	}
-	from, err := c.StdoutPipe()
+	answers, err := process.StdoutPipe()
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "cell")
+		return nil, cellError(err)
 	}
-	if err := c.Start(); err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "cell")
+	if err := process.Start(); err != nil {
+		return nil, cellError(err)
 	}
-	return &cell{to, bufio.NewReaderSize(from, constants.YardLine), c.Wait}, nil
+	return &cell{
+		commands: commands,
+		answers:  bufio.NewReaderSize(answers, constants.YardLine),
+		wait:     process.Wait,
+	}, nil
 }
 
-// inside starts a cell in this process, for tests.
-func inside(sc *task.Scope) (*cell, error) {
-	inR, inW := io.Pipe()
-	outR, outW := io.Pipe()
+// startCellHere starts a cell in this process, for tests.
+func startCellHere(scope *task.Scope) (*cell, error) {
+	commandReader, commandWriter := io.Pipe()
+	answerReader, answerWriter := io.Pipe()
 	done := make(chan error, 1)
-	go func() { done <- Cell(sc, inR, outW) }()
-	return &cell{inW, bufio.NewReaderSize(outR, constants.YardLine), func() error { return <-done }}, nil
+	go func() { done <- Cell(scope, commandReader, answerWriter) }()
+	return &cell{
+		commands: commandWriter,
+		answers:  bufio.NewReaderSize(answerReader, constants.YardLine),
+		wait:     func() error { return <-done },
+	}, nil
 }
 
-func (c *cell) say(w word) (reading, error) {
-	var a reading
-	b, err := json.Marshal(w)
+// do sends a command and waits for its answer.
+func (c *cell) do(sent command) (usage, error) {
+	encoded, err := json.Marshal(sent)
 	if err != nil {
-		return a, errkind.Wrap(errkind.Internal, err, "cell")
+		return usage{}, cellError(err)
 	}
-	if _, err := c.to.Write(append(b, '\n')); err != nil {
-		return a, errkind.Wrap(errkind.Internal, err, "cell")
+	if _, err := c.commands.Write(append(encoded, '\n')); err != nil {
+		return usage{}, cellError(err)
 	}
-	line, err := c.from.ReadBytes('\n')
+	line, err := c.answers.ReadBytes('\n')
 	if err != nil {
-		return a, errkind.Wrap(errkind.Internal, err, "cell")
+		return usage{}, cellError(err)
 	}
-	if err := json.Unmarshal(line, &a); err != nil {
-		return a, errkind.Wrap(errkind.Internal, err, "cell")
+	var answer usage
+	if err := json.Unmarshal(line, &answer); err != nil {
+		return usage{}, cellError(err)
 	}
-	if a.Err != "" {
-		return a, errkind.New(errkind.Internal, "cell: %s", a.Err)
+	if answer.Err != "" {
+		return usage{}, errkind.New(errkind.Internal, "cell: %s", answer.Err)
 	}
-	a.at = clock.Now()
-	return a, nil
+	answer.at = clock.Now()
+	return answer, nil
 }
 
+// read measures what the cell's daemons use.
+func (c *cell) read() (usage, error) { return c.do(command{Do: commandRead}) }
+
 func (c *cell) close() {
-	_ = c.to.Close()
+	_ = c.commands.Close()
 	_ = c.wait()
 }
+
+// usage is a cell's answer: what its daemons use.
+type usage struct {
+	Err      string           `json:"err,omitempty"`
+	CPU      float64          `json:"cpu_s"`       // up to the command
+	CPUAfter float64          `json:"cpu_next_s"`  // after the garbage collection that the reading needed
+	Heap     float64          `json:"heap_bytes"`  // live objects
+	Stacks   float64          `json:"stack_bytes"` // of goroutines
+	Tasks    int              `json:"goroutines"`
+	In       map[string]int64 `json:"in"` // bytes, by daemon
+	Out      map[string]int64 `json:"out"`
+	at       time.Time        // of the answer
+}
--- /dev/null
+++ b/internal/emulator/components.go
@@ -0,0 +1,287 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"shaletrestle/coord/fairshare"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/constants"
+	"shaletrestle/internal/placement"
+	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/routing"
+	"shaletrestle/internal/state"
+)
+
+// What one component of a node holds and takes, measured by itself in this process.
+
+const (
+	componentReplicas = 58      // of one service at the target size: 1,500 over 26
+	componentLookups  = 2000    // timed at each point
+	componentChanges  = 40      // timed at each point
+	ample             = 1 << 30 // tokens; more than is ever used
+)
+
+// Units of the values.
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+	micros   = 1e6 // in a second
+	millisec = 1e3 // in a second
+)
+
+// componentChain is a prompt of two shared parts and one of its own.
+func componentChain(shared, own int) *prefixindex.Chain {
+	parts := []prefixindex.Part{
+		{ID: uint64(shared / 8), Tokens: 512},
+		{ID: 1<<32 + uint64(shared), Tokens: 512},
+		{ID: 1<<40 + uint64(own), Tokens: 256},
+	}
+	return prefixindex.NewChain(prefixindex.Root("m", 1), parts)
+}
+
+func componentReplica(i int) string { return fmt.Sprintf("i-%d", i) }
+
+func componentRoute(i int) string { return fmt.Sprintf("r-%d", i) }
+
+// measurePrefixes enters so many runs into one index and looks prompts up in it.
+func measurePrefixes(x float64) values {
+	var index *prefixindex.Index
+	heap, cpu := cost(func() any {
+		index = filledIndex(int(x))
+		return index
+	})
+	runs, _, _ := index.Stats()
+	_, lookupTime := cost(func() any { return lookUp(index) })
+	return values{
+		"runs":                float64(runs),
+		"heap_mb":             heap / megabyte,
+		"bytes_per_run":       heap / max(1, float64(runs)),
+		"fill_us_per_request": cpu / x * micros,
+		"lookup_us":           lookupTime / componentLookups * micros,
+	}
+}
+
+// filledIndex is an index with nearly all the runs that it may hold.
+func filledIndex(runs int) *prefixindex.Index {
+	index := prefixindex.SizedIndex(runs)
+	for i := 0; ; i++ {
+		shared := i / 2 // every shared part is seen twice
+		chain := componentChain(shared, i)
+		index.Sent(componentReplica(shared%componentReplicas), ample, chain, componentRoute(shared%100))
+		held, _, _ := index.Stats()
+		if held >= runs-8 || i > 4*runs {
+			return index
+		}
+	}
+}
+
+// lookUp looks prompts up as placement does: who holds them, and how much each.
+func lookUp(index *prefixindex.Index) int {
+	found := 0
+	var buffer [constants.HoldersMost]string
+	for i := range componentLookups {
+		chain := componentChain(i*7, i)
+		holders := index.Holders(chain, buffer[:0], func(string) bool { return true })
+		holder := func(i int) string { return holders[i] }
+		index.Each(chain, len(holders), holder, func(_, tokens int) { found += tokens })
+	}
+	return found
+}
+
+// measureOwners enters the same number of runs for more and more routes.
+func measureOwners(x float64) values {
+	routes := int(x)
+	enter := func(index *prefixindex.Index, from, to int) {
+		for i := from; i < to; i++ {
+			index.Sent("i-1", ample, componentChain(i/2, i), componentRoute(i%routes))
+		}
+	}
+	indexHeap, _ := cost(func() any {
+		index := prefixindex.SizedIndex(constants.IndexRuns)
+		enter(index, 0, constants.IndexRuns)
+		return index
+	})
+	sharesHeap, _ := cost(func() any {
+		shares := fairshare.New(ample, constants.CalmPart)
+		for i := range routes {
+			shares.Add(componentRoute(i), 1)
+		}
+		return shares
+	})
+	full := prefixindex.SizedIndex(constants.IndexRuns / 4)
+	enter(full, 0, constants.IndexRuns)
+	_, enterTime := cost(func() any {
+		enter(full, constants.IndexRuns, constants.IndexRuns+componentLookups)
+		return nil
+	})
+	return values{
+		"index_heap_kb":      indexHeap / kilobyte,
+		"pie_heap_kb":        sharesHeap / kilobyte,
+		"enter_when_full_us": enterTime / componentLookups * micros,
+	}
+}
+
+// measureSessions lets so many sessions send one prompt that no other session sends:
+// nothing but the sketch should remember them.
+func measureSessions(x float64) values {
+	heap, cpu := cost(func() any {
+		index := prefixindex.SizedIndex(constants.IndexRuns)
+		for i := range int(x) {
+			parts := []prefixindex.Part{
+				{ID: 1 << 33, Tokens: 512},
+				{ID: 1<<41 + uint64(i)*2654435761, Tokens: 256},
+			}
+			chain := prefixindex.NewChain(prefixindex.Root("m", 1), parts)
+			index.Sent(componentReplica(i%componentReplicas), ample, chain, "r")
+		}
+		return index
+	})
+	return values{
+		"heap_kb":        heap / kilobyte,
+		"us_per_request": cpu / x * micros,
+	}
+}
+
+// measurePlacing places prompts on more and more replicas of one service.
+func measurePlacing(x float64) values {
+	index := prefixindex.NewIndex()
+	placer := placement.NewYard(index)
+	placer.Set(placedReplicas(int(x)), map[string]bool{}, 0)
+	notPlaced := 0
+	_, cpu := cost(func() any {
+		for i := range componentLookups {
+			if !placeOne(placer, index, i) {
+				notPlaced++
+			}
+		}
+		return nil
+	})
+	return values{
+		"place_us":   cpu / componentLookups * micros,
+		"not_placed": float64(notPlaced),
+	}
+}
+
+func placedReplicas(count int) map[string]*state.Replica {
+	replicas := map[string]*state.Replica{}
+	for i := range count {
+		id := componentReplica(i)
+		replicas[id] = &state.Replica{
+			ID:       id,
+			Pool:     "p",
+			Addr:     "10.0.0.1:1",
+			Locality: fmt.Sprint(i % 3),
+			Slots:    replicaSlots,
+			State:    string(replicaReady),
+			Models:   []state.Model{{Name: "m", Revision: firstRevision}},
+		}
+	}
+	return replicas
+}
+
+// placeOne places one prompt and ends it; false if there was no replica for it.
+func placeOne(placer *placement.Yard, index *prefixindex.Index, number int) bool {
+	chain := componentChain(number%64, number)
+	ask := &placement.Ask{
+		Pool:     "p",
+		Locality: "0",
+		Chain:    chain,
+		Capacity: modelCapacity,
+		OutMost:  100,
+		Aim:      clock.Seconds(1),
+		Not:      map[string]bool{},
+	}
+	choice, ok := placer.Place(ask)
+	if !ok {
+		return false
+	}
+	index.Sent(choice.Replica.ID, ask.Capacity, chain, "r")
+	placer.Done(&placement.End{
+		Replica: choice.Replica.ID,
+		Chain:   chain,
+		Matched: choice.Matched,
+		OutMost: ask.OutMost,
+	})
+	return true
+}
+
+// measureFolding folds changes into the state of a node and compiles its table, for
+// more and more routes.
+func measureFolding(x float64) values {
+	size := targetSize
+	size.Routes = int(x)
+	book := state.NewBook(true)
+	book.Watch(func(old, now *state.View, _ *state.Event) {
+		if old.Doc != now.Doc {
+			routing.Compile(now.Doc)
+		}
+	})
+	first := size.configuration()
+	first.Revision = 1
+	body, _ := json.Marshal(first)
+	heap, _ := cost(func() any {
+		book.Fold((&state.Event{Kind: state.Put, Body: body}).Encode())
+		return book
+	})
+	changeBytes := 0
+	_, cpu := cost(func() any {
+		for i := range componentChanges {
+			event := patchEvent(size.route(i%size.Routes, 11000+i), i+1)
+			changeBytes = len(event)
+			book.Fold(event)
+		}
+		return nil
+	})
+	return values{
+		"fold_ms":       cpu / componentChanges * millisec,
+		"heap_kb":       heap / kilobyte,
+		"checkpoint_kb": float64(len(book.Checkpoint())) / kilobyte,
+		"change_bytes":  float64(changeBytes),
+		"revision":      float64(book.View().Doc.Epoch),
+	}
+}
+
+// patchEvent is the change of one route on top of a revision.
+func patchEvent(route routeConfig, revision int) []byte {
+	change := upsertRoute(route)
+	change.Revision = int64(revision + 1)
+	body, _ := json.Marshal(change)
+	return (&state.Event{Kind: state.Patch, Base: int64(revision), Body: body}).Encode()
+}
+
+// measureListing folds a list of more and more replicas, then changes of one of them;
+// the replicas known to placement are brought up to date with each.
+func measureListing(x float64) values {
+	book := state.NewBook(true)
+	placer := placement.NewYard(prefixindex.NewIndex())
+	book.Watch(func(_, now *state.View, _ *state.Event) { placer.Set(now.Replicas, now.Evac, 0) })
+	replicas := madeUpReplicas(int(x), targetSize.Models, targetSize.Controllers)
+	first := listEvent(replicas...)
+	heap, wholeTime := cost(func() any {
+		book.Fold(first)
+		return []any{book, placer}
+	})
+	changeBytes := 0
+	_, changeTime := cost(func() any {
+		for i := range componentChanges {
+			changed := *replicas[i%len(replicas)]
+			changed.ColdMs = float64(i + 1)
+			event := listEvent(&changed)
+			changeBytes = len(event)
+			book.Fold(event)
+		}
+		return nil
+	})
+	return values{
+		"whole_ms":      wholeTime * millisec,
+		"change_ms":     changeTime / componentChanges * millisec,
+		"heap_kb":       heap / kilobyte,
+		"checkpoint_kb": float64(len(book.Checkpoint())) / kilobyte,
+		"change_bytes":  float64(changeBytes),
+	}
+}
+
+func listEvent(replicas ...*state.Replica) []byte {
+	return (&state.Event{Kind: state.List, Replicas: replicas}).Encode()
+}
--- a/internal/emulator/demo.go
+++ b/internal/emulator/demo.go
@@ -1,6 +1,7 @@
 package emulator
 
-// Demo is the experiment that a newcomer sees first: three kinds of request, one of them streamed by model replicas, on one controller and two routers.
+// Demo is the experiment that a newcomer sees first: three kinds of request, one of
+// them streamed by model replicas, on one controller and two routers.
 func Demo() (*Experiment, error) {
 	return Parse([]byte(`
 name: demo
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/replicamodel"
@@ -10,75 +11,102 @@
 
 // engine runs the model of a replica in real time.
 type engine struct {
-	sc   *task.Scope
-	mu   sync.Mutex
-	k    *replicamodel.Model
-	born clock.Moment
-	wake chan struct{}
-	to   map[string]chan replicamodel.Token
+	scope  *task.Scope
+	start  time.Time // the model's time is counted from here
+	wakeup chan struct{}
+
+	mu      sync.Mutex
+	model   *replicamodel.Model
+	streams map[string]chan replicamodel.Token // by request
 }
 
-func newEngine(sc *task.Scope, s *Service, slower float64) *engine {
-	e := s.Engine
-	step := func(ms float64) clock.Span { return clock.Millis(ms * slower) }
-	g := &engine{sc: sc, born: clock.Now(), wake: make(chan struct{}, 1), to: map[string]chan replicamodel.Token{},
-		k: replicamodel.New(replicamodel.Spec{Slots: s.Slots, Queue: s.Queue, Step: step(e.StepMs), Each: step(e.EachMs), Prefill: e.Prefill / slower, Chunk: e.Chunk, Memory: e.Memory})}
-	go g.run()
-	return g
+// newEngine starts an engine for a service; it is slower by a factor than the
+// service says.
+func newEngine(scope *task.Scope, service *Service, slower float64) *engine {
+	spec := service.Engine
+	model := replicamodel.New(replicamodel.Spec{
+		Slots:   service.Slots,
+		Queue:   service.Queue,
+		Step:    clock.Millis(spec.StepMs * slower),
+		Each:    clock.Millis(spec.EachMs * slower),
+		Prefill: spec.Prefill / slower,
+		Chunk:   spec.Chunk,
+		Memory:  spec.Memory,
+	})
+	started := &engine{
+		scope:   scope,
+		start:   clock.Now(),
+		wakeup:  make(chan struct{}, 1),
+		model:   model,
+		streams: map[string]chan replicamodel.Token{},
+	}
+	go started.run()
+	return started
 }
 
-func (g *engine) run() {
+func (e *engine) run() {
 	for {
-		g.mu.Lock()
-		at, busy := g.k.Next()
-		g.mu.Unlock()
+		stepEnd, busy := e.nextStep()
 		if !busy {
 			select {
-			case <-g.wake:
+			case <-e.wakeup:
 				continue
-			case <-g.sc.Done():
+			case <-e.scope.Done():
 				return
 			}
 		}
-		if !clock.Rest(g.sc, clock.Until(g.born.Add(at))) {
+		if !clock.Rest(e.scope, clock.Until(e.start.Add(stepEnd))) {
 			return
 		}
-		g.mu.Lock()
-		for _, t := range g.k.Step() {
-			if c := g.to[t.ID]; c != nil {
-				c <- t // it has room for all tokens of the request
-			}
+		e.step()
+	}
+}
+
+func (e *engine) nextStep() (end time.Duration, busy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Next()
+}
+
+// step hands out the tokens of a step. A stream has room for all tokens of its
+// request.
+func (e *engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, token := range e.model.Step() {
+		if stream := e.streams[token.ID]; stream != nil {
+			stream <- token
 		}
-		g.mu.Unlock()
 	}
 }
 
-// offer takes a request; its tokens come over the channel. False if the replica is full.
-func (g *engine) offer(j replicamodel.Job) (<-chan replicamodel.Token, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.k.Offer(clock.Since(g.born), j) {
+// offer takes a request; its tokens come over the channel. False if the replica is
+// full.
+func (e *engine) offer(job replicamodel.Job) (<-chan replicamodel.Token, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.model.Offer(clock.Since(e.start), job) {
 		return nil, false
 	}
-	c := make(chan replicamodel.Token, j.Out+1)
-	g.to[j.ID] = c
+	stream := make(chan replicamodel.Token, job.Out+1)
+	e.streams[job.ID] = stream
 	select {
-	case g.wake <- struct{}{}:
+	case e.wakeup <- struct{}{}:
 	default:
 	}
-	return c, true
+	return stream, true
 }
 
 // done forgets a request, whether it ended or its caller left.
-func (g *engine) done(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.k.Drop(id)
-	delete(g.to, id)
+func (e *engine) done(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Drop(id)
+	delete(e.streams, id)
 }
 
-func (g *engine) load() replicamodel.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.k.Load()
+func (e *engine) load() replicamodel.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Load()
 }
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -1,18 +1,17 @@
-// Package emulator emulates what the fleet serves, on loopback addresses: model replicas, the platform's list, the operator and clients. It starts real daemons beside them, loads them and measures.
+// Package emulator emulates what the fleet serves, on loopback addresses: model
+// replicas, the platform's list, the operator and clients. It starts real daemons
+// beside them, loads them and measures.
 package emulator
 
 import (
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"os"
-	"strings"
+	"time"
 
 	"gopkg.in/yaml.v3"
 
-	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 )
 
@@ -91,6 +90,13 @@
 	Skew      float64 `yaml:"skew"`     // Zipf exponent of their use above 1; 0: even
 }
 
+// The types of requests.
+const (
+	typeIdempotent    = "idempotent"
+	typeNonIdempotent = "non_idempotent"
+	typeStreaming     = "streaming"
+)
+
 // Trouble is one fault of a replica.
 type Trouble struct {
 	AtS     float64 `yaml:"at_s"`
@@ -99,223 +105,90 @@
 	How     string  `yaml:"how"`
 }
 
-// The troubles that a replica can be in.
+// The faults that a replica can have.
 const (
 	Crash = "crash" // gone; back as a new life
-	Dark  = "dark"  // takes requests and says nothing
+	Dark  = "dark"  // takes requests and does not answer
 	Grey  = "grey"  // part of its requests fail, its health is good
-	Lying = "lying" // says that it is idle, and is slow
+	Lying = "lying" // reports that it is idle, and is slow
 	Flap  = "flap"  // down and up in turn
 	Reset = "reset" // part of its connections are reset
 	Drain = "drain" // leaves in order, comes back as a new life
-	Cold  = "cold"  // says that it has just started
+	Cold  = "cold"  // reports that it has just started
 )
 
-func bad(field, why string) error {
-	return errkind.New(errkind.BadEnv, "experiment: %s %s", field, why)
-}
-
 // Load reads and checks an experiment file.
 func Load(file string) (*Experiment, error) {
-	b, err := os.ReadFile(file)
+	content, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadEnv, err, "experiment")
 	}
-	return Parse(b)
+	return Parse(content)
 }
 
 // Parse reads and checks an experiment; a field that it does not know is an error.
-func Parse(b []byte) (*Experiment, error) {
-	x := &Experiment{}
-	d := yaml.NewDecoder(bytes.NewReader(b))
-	d.KnownFields(true)
-	if err := d.Decode(x); err != nil {
-		var te *yaml.TypeError
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil, bad("file", "is empty")
-		case errors.As(err, &te):
-			return nil, bad("file:", te.Errors[0])
-		}
-		return nil, errkind.Wrap(errkind.BadEnv, err, "experiment")
-	}
-	return x, x.check()
-}
-
-type number struct {
-	field string
-	value float64
-	most  float64
-}
-
-func (n number) check() error {
-	if !(n.value >= 0) {
-		return bad(n.field, "must be 0 or more")
-	}
-	if n.most > 0 && n.value > n.most {
-		return errkind.New(errkind.BadEnv, "experiment: %s must be at most %v", n.field, n.most)
+func Parse(content []byte) (*Experiment, error) {
+	experiment := &Experiment{}
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(experiment); err != nil {
+		return nil, parseError(err)
 	}
-	return nil
+	return experiment, experiment.check()
 }
 
-func orInt(v *int, d int) {
-	if *v == 0 {
-		*v = d
+// parseError makes one clear line of a decoder's error.
+func parseError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return badField("file", "is empty")
 	}
-}
-
-func orFloat(v *float64, d float64) {
-	if *v == 0 {
-		*v = d
+	var typeError *yaml.TypeError
+	if errors.As(err, &typeError) {
+		return badField("file:", typeError.Errors[0])
 	}
+	return errkind.Wrap(errkind.BadEnv, err, "experiment")
 }
 
-func millis(d clock.Span) float64 { return float64(d) / 1e6 }
-
-// check refuses what can't be and puts defaults in place of what is not said.
-func (x *Experiment) check() error {
-	ns := []number{{"duration_s", x.Duration, constants.YardDuration}, {"ready_s", x.Ready, constants.YardDuration}, {"port", float64(x.Port), 65535 - constants.YardPorts},
-		{"fleet.controllers", float64(x.Fleet.Controllers), constants.YardNodes}, {"fleet.routers", float64(x.Fleet.Routers), constants.YardNodes},
-		{"fleet.machine_losses", float64(x.Fleet.MachineLosses), 2}, {"fleet.zone_delay_ms", x.Fleet.ZoneDelayMs, 1000},
-		{"platform.lag_ms", x.Platform.LagMs, 0}, {"platform.rate_per_s", x.Platform.Rate, 0}, {"platform.page", float64(x.Platform.Page), 0},
-		{"changes_per_minute", x.Changes, 6000}}
-	known, all := map[string]*Service{}, 0
-	for i := range x.Services {
-		s := &x.Services[i]
-		at := "services[" + s.Name + "]."
-		ns = append(ns, number{at + "replicas", float64(s.Replicas), constants.YardReplicas}, number{at + "slots", float64(s.Slots), 0}, number{at + "queue", float64(s.Queue), 0},
-			number{at + "work_ms", s.WorkMs, 0}, number{at + "max_connections", float64(s.Channels), 0}, number{at + "start_s", s.StartS, 0}, number{at + "warmup_s", s.WarmupS, 0}, number{at + "warmup_per_s", s.WarmupPerS, 0})
-		if e := s.Engine; e != nil {
-			ns = append(ns, number{at + "engine.memory_tokens", float64(e.Memory), 0}, number{at + "engine.prefill_per_s", e.Prefill, 0}, number{at + "engine.step_ms", e.StepMs, 0},
-				number{at + "engine.step_each_ms", e.EachMs, 0}, number{at + "engine.chunk_tokens", float64(e.Chunk), 0})
-		}
-		if s.Name == "" || strings.ContainsAny(s.Name, "/ \"") {
-			return bad("services", "needs a plain name for each")
-		}
-		if known[s.Name] != nil {
-			return bad("services", "names "+s.Name+" twice")
-		}
-		known[s.Name] = s
-		all += s.Replicas
-	}
-	named := map[string]bool{}
-	for _, k := range x.Kinds {
-		at := "kinds[" + k.Name + "]."
-		ns = append(ns, number{at + "per_s", k.PerS, constants.YardRate}, number{at + "count", float64(k.Count), constants.YardRequests}, number{at + "aim_ms", k.AimMs, 0}, number{at + "timeout_ms", k.TimeoutMs, 0},
-			number{at + "gap_ms", k.GapMs, 0}, number{at + "max_attempts", float64(k.Attempts), 0}, number{at + "body_bytes", float64(k.Bytes), 1 << 20}, number{at + "tokens_in", float64(k.In), 0},
-			number{at + "tokens_out", float64(k.Out), 0}, number{at + "prefixes", float64(k.Prefixes), 0}, number{at + "skew", k.Skew, 10})
-		switch {
-		case k.Name == "" || strings.ContainsAny(k.Name, "/ \"") || named[k.Name]:
-			return bad("kinds", "needs a plain name of its own for each")
-		case known[k.Service] == nil:
-			return bad(at+"service", "is not among the services: "+k.Service)
-		case k.Type != "idempotent" && k.Type != "non_idempotent" && k.Type != "streaming":
-			return bad(at+"type", "must be idempotent, non_idempotent or streaming")
-		case k.Skew > 0 && k.Skew <= 1:
-			return bad(at+"skew", "must be 0 or above 1")
-		}
-		named[k.Name] = true
-	}
-	for _, t := range x.Troubles {
-		ns = append(ns, number{"troubles[" + t.Replica + "].at_s", t.AtS, constants.YardDuration}, number{"troubles[" + t.Replica + "].for_s", t.ForS, constants.YardDuration})
-		switch t.How {
-		case Crash, Dark, Grey, Lying, Flap, Reset, Drain, Cold:
-		default:
-			return bad("troubles.how", "is not one of crash, dark, grey, lying, flap, reset, drain, cold: "+t.How)
-		}
-	}
-	for _, n := range ns {
-		if err := n.check(); err != nil {
-			return err
-		}
-	}
-	x.fill()
-	if x.Fleet.MachineLosses > 0 && x.Fleet.Controllers < 3 {
-		return bad("fleet.machine_losses", "needs three controllers")
-	}
-	if all > constants.YardReplicas {
-		return bad("services", "have more replicas than are allowed")
-	}
-	if x.requests() > constants.YardRequests {
-		return bad("kinds", "ask for more requests than are allowed")
-	}
-	for _, t := range x.Troubles {
-		if !x.hasReplica(t.Replica) {
-			return bad("troubles.replica", "names none: "+t.Replica)
-		}
-	}
-	if x.Address != "" {
-		ip := net.ParseIP(x.Address).To4()
-		if ip == nil || ip[0] != 127 {
-			return bad("address", "must be a loopback address")
-		}
-	}
-	return nil
+func millis(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
 }
 
-func (x *Experiment) fill() {
-	if x.Name == "" {
-		x.Name = "experiment"
-	}
-	orFloat(&x.Duration, 10)
-	orFloat(&x.Ready, constants.YardReadyWait.Seconds())
-	orInt(&x.Fleet.Controllers, 1)
-	orInt(&x.Fleet.Routers, 1)
-	if len(x.Fleet.Zones) == 0 {
-		x.Fleet.Zones = []string{"here"}
-	}
-	orFloat(&x.Platform.LagMs, millis(constants.YardLag))
-	orFloat(&x.Platform.Rate, constants.YardListRate)
-	orInt(&x.Platform.Page, constants.YardPage)
-	for i := range x.Services {
-		s := &x.Services[i]
-		orInt(&s.Slots, constants.YardSlots)
-		orInt(&s.Queue, constants.YardQueue)
-		orFloat(&s.WorkMs, millis(constants.YardWork))
-		orInt(&s.Channels, constants.YardChannels)
-		if e := s.Engine; e != nil {
-			if e.Model == "" {
-				e.Model = "m"
-			}
-			orInt(&e.Memory, constants.YardMemory)
-			orFloat(&e.Prefill, constants.YardPrefill)
-			orFloat(&e.StepMs, millis(constants.YardStep))
-			orFloat(&e.EachMs, millis(constants.YardEach))
-			orInt(&e.Chunk, constants.YardChunk)
-		}
-	}
-	for i := range x.Kinds {
-		k := &x.Kinds[i]
-		orFloat(&k.AimMs, millis(constants.YardAim))
-		orFloat(&k.TimeoutMs, millis(constants.YardTimeout))
-		orFloat(&k.GapMs, millis(constants.YardGap))
-		orInt(&k.Attempts, 2)
-		orInt(&k.Out, 8)
-		orInt(&k.In, 64)
+// replicaCount is the number of replicas of all services.
+func (x *Experiment) replicaCount() int {
+	count := 0
+	for _, service := range x.Services {
+		count += service.Replicas
 	}
+	return count
 }
 
-// requests is the number of requests to come.
-func (x *Experiment) requests() (n int) {
-	for _, k := range x.Kinds {
-		n += k.total(x.Duration)
+// requestCount is the number of requests to come.
+func (x *Experiment) requestCount() int {
+	count := 0
+	for _, kind := range x.Kinds {
+		count += kind.total(x.Duration)
 	}
-	return
+	return count
 }
 
 // total is the number of requests of a kind in a duration of so many seconds.
 func (k *Kind) total(duration float64) int {
-	n := int(k.PerS * duration)
+	count := int(k.PerS * duration)
 	if k.Count > 0 {
-		n = min(n, k.Count)
+		count = min(count, k.Count)
 	}
-	return n
+	return count
+}
+
+// repeatable tells whether a request of this kind may run more than once.
+func (k *Kind) repeatable() bool {
+	return k.Type == typeIdempotent || k.Type == typeStreaming && k.Resume
 }
 
 func (x *Experiment) hasReplica(name string) bool {
-	for _, s := range x.Services {
-		for i := range s.Replicas {
-			if replicaName(s.Name, i) == name {
+	for _, service := range x.Services {
+		for i := range service.Replicas {
+			if replicaName(service.Name, i) == name {
 				return true
 			}
 		}
--- a/internal/emulator/experiment_test.go
+++ b/internal/emulator/experiment_test.go
@@ -26,7 +26,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, x.Fleet.Routers)
 	require.Positive(t, x.Services[1].Engine.Prefill)
-	require.Equal(t, 10, x.requests())
+	require.Equal(t, 10, x.requestCount())
 	_, err = Demo()
 	require.NoError(t, err)
 }
--- /dev/null
+++ b/internal/emulator/network.go
@@ -0,0 +1,215 @@
+package emulator
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/atomic"
+
+	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/clock"
+	"shaletrestle/internal/upstream"
+)
+
+// network is the network of a daemon under test: the real one, with bytes counted
+// and delay between zones.
+type network struct {
+	zone     string
+	zoneOf   func(ip string) string
+	delay    time.Duration // one way, to another zone
+	received atomic.Int64  // bytes
+	sent     atomic.Int64  // bytes
+}
+
+var _ rpc.Net = (*network)(nil)
+
+// Dial is part of rpc.Net.
+func (n *network) Dial(address string, timeout time.Duration) (net.Conn, error) {
+	host, _, _ := net.SplitHostPort(address)
+	delayed := n.delay > 0 && n.zoneOf(host) != n.zone
+	roundTrip := 2 * n.delay
+	if delayed && roundTrip > timeout {
+		<-clock.After(timeout)
+		return nil, os.ErrDeadlineExceeded
+	}
+	connection, err := rpc.TCP{}.Dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: connection, network: n}
+	if !delayed {
+		return counted, nil
+	}
+	<-clock.After(roundTrip) // the handshake
+	return newDelayedConn(counted, n.delay), nil
+}
+
+// Listen is part of rpc.Net.
+func (n *network) Listen(address string) (net.Listener, error) {
+	listener, err := rpc.TCP{}.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedListener{Listener: listener, network: n}, nil
+}
+
+// DialReplica is part of upstream.Dialer.
+func (n *network) DialReplica(address string, timeout time.Duration) (net.Conn, error) {
+	return upstream.TCP{}.DialReplica(address, timeout)
+}
+
+// countedListener counts the bytes of accepted connections.
+type countedListener struct {
+	net.Listener
+	network *network
+}
+
+// Accept is part of net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: connection, network: l.network}, nil
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	network *network
+}
+
+func (c *countedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.network.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.network.sent.Add(int64(n))
+	return n, err
+}
+
+// Bounds of a delayed connection.
+const (
+	maxChunks = 1024     // on their way in one direction
+	chunkSize = 16 << 10 // bytes that are read at once
+)
+
+// chunk is what is on its way over a delayed connection.
+type chunk struct {
+	due  time.Time
+	data []byte
+	err  error // of the read
+}
+
+// delayedConn delays both directions of a connection, in order.
+type delayedConn struct {
+	net.Conn
+	delay    time.Duration
+	outgoing chan chunk
+	incoming chan chunk
+	closed   chan struct{}
+	once     sync.Once
+	unread   []byte
+	err      error // of the read that gave unread
+}
+
+func newDelayedConn(connection net.Conn, delay time.Duration) *delayedConn {
+	c := &delayedConn{
+		Conn:     connection,
+		delay:    delay,
+		outgoing: make(chan chunk, maxChunks),
+		incoming: make(chan chunk, maxChunks),
+		closed:   make(chan struct{}),
+	}
+	go c.sendDelayed()
+	go c.receiveDelayed()
+	return c
+}
+
+// sendDelayed passes on what was written, when it is due.
+func (c *delayedConn) sendDelayed() {
+	for {
+		select {
+		case sent := <-c.outgoing:
+			if !c.waitUntil(sent.due) {
+				return
+			}
+			if _, err := c.Conn.Write(sent.data); err != nil {
+				_ = c.Close()
+				return
+			}
+		case <-c.closed:
+			return
+		}
+	}
+}
+
+// receiveDelayed reads ahead; Read waits until what was read is due.
+func (c *delayedConn) receiveDelayed() {
+	for {
+		buffer := make([]byte, chunkSize)
+		n, err := c.Conn.Read(buffer)
+		select {
+		case c.incoming <- chunk{due: clock.Now().Add(c.delay), data: buffer[:n], err: err}:
+		case <-c.closed:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// waitUntil waits; false if the connection was closed.
+func (c *delayedConn) waitUntil(due time.Time) bool {
+	timer := clock.NewTimer(clock.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.closed:
+		return false
+	}
+}
+
+func (c *delayedConn) Read(buffer []byte) (int, error) {
+	for len(c.unread) == 0 {
+		if c.err != nil {
+			return 0, c.err
+		}
+		select {
+		case received := <-c.incoming:
+			if !c.waitUntil(received.due) {
+				return 0, net.ErrClosed
+			}
+			c.unread = received.data
+			c.err = received.err
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	n := copy(buffer, c.unread)
+	c.unread = c.unread[n:]
+	return n, nil
+}
+
+func (c *delayedConn) Write(data []byte) (int, error) {
+	sent := chunk{due: clock.Now().Add(c.delay), data: append([]byte{}, data...)}
+	select {
+	case c.outgoing <- sent:
+		return len(data), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// Close is part of net.Conn.
+func (c *delayedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"time"
 
 	"shaletrestle/internal/clock"
 	"shaletrestle/internal/constants"
@@ -14,81 +15,116 @@
 	"shaletrestle/internal/task"
 )
 
-// platform is the stand-in for the platform's list: it runs behind, comes in pages and takes so many calls a second.
+// rateWindow is the time over which calls are counted against the rate.
+const rateWindow = time.Second
+
+// platform is the stand-in for the platform's list: it runs behind, comes in pages
+// and takes so many calls a second.
 type platform struct {
-	sc    *task.Scope
-	spec  ListSpec
-	now   func() []*state.Replica
-	mu    sync.Mutex
-	past  []snapshot
-	calls []clock.Moment
-	asked int
-	over  int
+	spec    ListSpec
+	current func() []*state.Replica
+
+	mu          sync.Mutex
+	snapshots   []snapshot  // oldest first; the first one is what is told
+	recentCalls []time.Time // within the window
+	calls       int
+	overRate    int // calls that got 429
 }
 
+// snapshot is the list at one time.
 type snapshot struct {
-	at  clock.Moment
-	all []*state.Replica
+	at       time.Time
+	replicas []*state.Replica
 }
 
-func newPlatform(sc *task.Scope, s ListSpec, now func() []*state.Replica) *platform {
-	p := &platform{sc: sc, spec: s, now: now}
-	p.look()
-	go clock.Every(sc, max(constants.YardLook, clock.Millis(s.LagMs)/4), func() bool { p.look(); return true })
+func newPlatform(scope *task.Scope, spec ListSpec, current func() []*state.Replica) *platform {
+	p := &platform{spec: spec, current: current}
+	p.record()
+	interval := max(constants.YardLook, clock.Millis(spec.LagMs)/4)
+	go clock.Every(scope, interval, func() bool {
+		p.record()
+		return true
+	})
 	return p
 }
 
-func (p *platform) look() {
-	all := p.now()
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+// record takes a snapshot and drops those that are too old to be told.
+func (p *platform) record() {
+	replicas := p.current()
+	sort.Slice(replicas, func(i, j int) bool { return replicas[i].ID < replicas[j].ID })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.past = append(p.past, snapshot{clock.Now(), all})
-	for len(p.past) > 1 && clock.Since(p.past[1].at) >= clock.Millis(p.spec.LagMs) {
-		p.past = p.past[1:]
+	p.snapshots = append(p.snapshots, snapshot{at: clock.Now(), replicas: replicas})
+	for len(p.snapshots) > 1 && clock.Since(p.snapshots[1].at) >= clock.Millis(p.spec.LagMs) {
+		p.snapshots = p.snapshots[1:]
 	}
 }
 
+// replicaPage is one page of the list.
+type replicaPage struct {
+	Next     *string          `json:"next_token"`
+	Replicas []*state.Replica `json:"replicas"`
+}
+
 // ServeHTTP answers GET /replicas.
-func (p *platform) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+func (p *platform) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	replicas, ok := p.delayedList()
+	if !ok {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	query := request.URL.Query()
+	if zone := query.Get("zone"); zone != "" {
+		replicas = inZone(replicas, zone)
+	}
+	from, _ := strconv.Atoi(query.Get("page_token"))
+	body, _ := json.Marshal(p.page(replicas, from))
+	httpreply.Bytes(w, http.StatusOK, body)
+}
+
+// delayedList counts a call and gives the list of a while ago; false if there are
+// too many calls.
+func (p *platform) delayedList() ([]*state.Replica, bool) {
 	p.mu.Lock()
-	p.asked++
+	defer p.mu.Unlock()
+	p.calls++
 	now := clock.Now()
-	for len(p.calls) > 0 && now.Sub(p.calls[0]) > clock.Seconds(1) {
-		p.calls = p.calls[1:]
+	for len(p.recentCalls) > 0 && now.Sub(p.recentCalls[0]) > rateWindow {
+		p.recentCalls = p.recentCalls[1:]
 	}
-	if float64(len(p.calls)) >= p.spec.Rate {
-		p.over++
-		p.mu.Unlock()
-		w.WriteHeader(http.StatusTooManyRequests)
-		return
+	if float64(len(p.recentCalls)) >= p.spec.Rate {
+		p.overRate++
+		return nil, false
 	}
-	p.calls = append(p.calls, now)
-	all := p.past[0].all
-	p.mu.Unlock()
-	if z := q.URL.Query().Get("zone"); z != "" {
-		var in []*state.Replica
-		for _, r := range all {
-			if r.Locality == z {
-				in = append(in, r)
-			}
+	p.recentCalls = append(p.recentCalls, now)
+	return p.snapshots[0].replicas, true
+}
+
+func inZone(replicas []*state.Replica, zone string) []*state.Replica {
+	var inside []*state.Replica
+	for _, replica := range replicas {
+		if replica.Locality == zone {
+			inside = append(inside, replica)
 		}
-		all = in
 	}
-	from, _ := strconv.Atoi(q.URL.Query().Get("page_token"))
-	from = min(max(from, 0), len(all))
-	to := min(from+p.spec.Page, len(all))
-	out := map[string]any{"replicas": append([]*state.Replica{}, all[from:to]...), "next_token": nil}
-	if to < len(all) {
-		out["next_token"] = strconv.Itoa(to)
+	return inside
+}
+
+// page is the page that begins at a position.
+func (p *platform) page(replicas []*state.Replica, from int) replicaPage {
+	from = min(max(from, 0), len(replicas))
+	to := min(from+p.spec.Page, len(replicas))
+	page := replicaPage{Replicas: append([]*state.Replica{}, replicas[from:to]...)}
+	if to < len(replicas) {
+		next := strconv.Itoa(to)
+		page.Next = &next
 	}
-	b, _ := json.Marshal(out)
-	httpreply.Bytes(w, http.StatusOK, b)
+	return page
 }
 
-// turned tells the calls and how many of them got 429.
-func (p *platform) turned() (asked, over int) {
+// counts gives the calls and how many of them got 429.
+func (p *platform) counts() (calls, overRate int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.asked, p.over
+	return p.calls, p.overRate
 }
--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -61,7 +61,7 @@
 		l, code = ask(t, p, "?zone=b&page_token=2")
 		require.Equal(t, http.StatusOK, code)
 		require.Len(t, l.Replicas, 1)
-		asked, over := p.turned()
+		asked, over := p.counts()
 		require.Equal(t, []int{5, 1}, []int{asked, over})
 	})
 }
@@ -69,7 +69,7 @@
 func TestASlowConnectionDelaysBothWaysInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := net.Pipe()
-		s := newSlow(a, 50*time.Millisecond)
+		s := newDelayedConn(a, 50*time.Millisecond)
 		start := time.Now()
 		go func() {
 			buf := make([]byte, 3)
--- a/internal/emulator/plots.go
+++ b/internal/emulator/plots.go
@@ -12,50 +12,89 @@
 	"shaletrestle/internal/errkind"
 )
 
-var quantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9}
+// Size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+var plottedQuantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9}
 
-// plot draws latency by quantile and what ended in each second, as SVG and PNG.
-func (r *report) plot(x *Experiment, dir string) error {
+// plot draws latency by quantile and the outcomes of each second, as SVG and PNG.
+func (r *report) plot(experiment *Experiment, dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errkind.Wrap(errkind.BadEnv, err, "plots")
 	}
-	lat, over := plot.New(), plot.New()
-	lat.Title.Text, lat.X.Label.Text, lat.Y.Label.Text = x.Name+": latency", "percent of what was served", "ms"
-	over.Title.Text, over.X.Label.Text, over.Y.Label.Text = x.Name+": outcomes by second of sending", "s", "requests"
-	lat.Legend.Top, lat.Legend.Left, over.Legend.Top = true, true, true
-	var args, outs []any
-	for _, k := range x.Kinds {
-		var xy plotter.XYs
-		for _, q := range quantiles {
-			xy = append(xy, plotter.XY{X: q, Y: float64(r.rows[k.Name].hist.ValueAtQuantile(q)) / 1000})
-		}
-		args = append(args, k.Name, xy)
+	latency, err := r.latencyPlot(experiment)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "plots")
 	}
-	by := map[string]map[int]int{Served: {}, Refused: {}, Failed: {}}
-	last := 0
-	for _, a := range r.all {
-		s := int(a.AtMs / 1000)
-		by[a.Outcome][s]++
-		last = max(last, s)
-	}
-	for _, o := range []string{Served, Refused, Failed} {
-		var xy plotter.XYs
-		for s := range last + 1 {
-			xy = append(xy, plotter.XY{X: float64(s), Y: float64(by[o][s])})
+	outcomes, err := r.outcomesPlot(experiment)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "plots")
+	}
+	if err := savePlot(latency, filepath.Join(dir, "latency")); err != nil {
+		return err
+	}
+	return savePlot(outcomes, filepath.Join(dir, "outcomes"))
+}
+
+// latencyPlot draws a line for each kind of request.
+func (r *report) latencyPlot(experiment *Experiment) (*plot.Plot, error) {
+	drawn := plot.New()
+	drawn.Title.Text = experiment.Name + ": latency"
+	drawn.X.Label.Text = "percent of what was served"
+	drawn.Y.Label.Text = "ms"
+	drawn.Legend.Top = true
+	drawn.Legend.Left = true
+	var lines []any // name and points in turn
+	for _, kind := range experiment.Kinds {
+		var points plotter.XYs
+		for _, percent := range plottedQuantiles {
+			points = append(points, plotter.XY{X: percent, Y: quantile(r.rows[kind.Name].latency, percent)})
 		}
-		outs = append(outs, o, xy)
+		lines = append(lines, kind.Name, points)
 	}
-	if err := plotutil.AddLinePoints(lat, args...); err != nil {
-		return errkind.Wrap(errkind.Internal, err, "plots")
+	return drawn, plotutil.AddLinePoints(drawn, lines...)
+}
+
+// outcomesPlot draws a line for each outcome.
+func (r *report) outcomesPlot(experiment *Experiment) (*plot.Plot, error) {
+	drawn := plot.New()
+	drawn.Title.Text = experiment.Name + ": outcomes by second of sending"
+	drawn.X.Label.Text = "s"
+	drawn.Y.Label.Text = "requests"
+	drawn.Legend.Top = true
+	counts, seconds := r.outcomesBySecond()
+	var lines []any // name and points in turn
+	for _, outcome := range []string{Served, Refused, Failed} {
+		var points plotter.XYs
+		for second := range seconds {
+			points = append(points, plotter.XY{X: float64(second), Y: float64(counts[outcome][second])})
+		}
+		lines = append(lines, outcome, points)
 	}
-	if err := plotutil.AddLinePoints(over, outs...); err != nil {
-		return errkind.Wrap(errkind.Internal, err, "plots")
+	return drawn, plotutil.AddLinePoints(drawn, lines...)
+}
+
+// outcomesBySecond counts requests by outcome and second of sending, and tells the
+// number of seconds.
+func (r *report) outcomesBySecond() (counts map[string]map[int]int, seconds int) {
+	counts = map[string]map[int]int{Served: {}, Refused: {}, Failed: {}}
+	last := 0
+	for _, result := range r.results {
+		second := int(result.AtMs / 1000)
+		counts[result.Outcome][second]++
+		last = max(last, second)
 	}
-	for name, p := range map[string]*plot.Plot{"latency": lat, "outcomes": over} {
-		for _, form := range []string{".svg", ".png"} {
-			if err := p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, name+form)); err != nil {
-				return errkind.Wrap(errkind.Internal, err, "plots")
-			}
+	return counts, last + 1
+}
+
+// savePlot writes a plot in both formats.
+func savePlot(drawn *plot.Plot, path string) error {
+	for _, extension := range []string{".svg", ".png"} {
+		if err := drawn.Save(plotWidth, plotHeight, path+extension); err != nil {
+			return errkind.Wrap(errkind.Internal, err, "plots")
 		}
 	}
 	return nil
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -10,6 +10,9 @@
 	"shaletrestle/internal/task"
 )
 
+// secondsPerMinute turns a rate by the minute into a pause in seconds.
+const secondsPerMinute = 60
+
 // Output is where an experiment's results go; each may be empty.
 type Output struct {
 	Lines    io.Writer // JSON lines
@@ -17,92 +20,102 @@
 	Plots    string    // folder for plots
 }
 
-func (o Output) say(format string, a ...any) {
+func (o Output) say(format string, args ...any) {
 	if o.Progress != nil {
-		fmt.Fprintf(o.Progress, format+"\n", a...)
+		fmt.Fprintf(o.Progress, format+"\n", args...)
 	}
 }
 
-// Run puts up an experiment's fleet and stand-ins, loads it, and takes everything down again. It ends early, with what was measured so far, when the scope does.
-func Run(sc *task.Scope, x *Experiment, o Output) (*Summary, error) {
-	o.say("%s: %d replicas, %d controllers, %d routers in this process", x.Name, x.replicas(), x.Fleet.Controllers, x.Fleet.Routers)
-	y, err := newYard(sc, x, nil)
+// Run starts an experiment's fleet and stand-ins, loads them, and ends everything
+// again. It ends early, with what was measured so far, when the scope does.
+func Run(scope *task.Scope, experiment *Experiment, output Output) (*Summary, error) {
+	output.say("%s: %d replicas, %d controllers, %d routers in this process",
+		experiment.Name, experiment.replicaCount(), experiment.Fleet.Controllers, experiment.Fleet.Routers)
+	bed, err := newTestbed(scope, experiment, nil)
 	if err != nil {
 		return nil, err
 	}
-	defer y.close()
-	if err := y.awaitReplicas(); err != nil {
+	defer bed.close()
+	if err := bed.awaitReplicas(); err != nil {
 		return nil, err
 	}
-	o.say("replicas answer; settings are in %s", y.dir)
-	at := clock.Now()
-	if err := y.startAll(); err != nil {
+	output.say("replicas answer; settings are in %s", bed.dir)
+	start := clock.Now()
+	if err := bed.startDaemons(); err != nil {
 		return nil, err
 	}
-	took, err := y.operator.order(y.sc, "PUT", x.setup(), clock.Seconds(x.Ready))
+	took, err := bed.operator.put(bed.scope, experiment.configuration(), bed.readyTimeout())
 	if err != nil {
 		return nil, err
 	}
-	o.say("configuration taken in %.0f ms", millis(took))
-	if err := y.awaitGates(y.gates); err != nil {
+	output.say("configuration taken in %.0f ms", millis(took))
+	if err := bed.awaitRouters(bed.routers); err != nil {
 		return nil, err
 	}
-	o.say("routers ready %.0f ms after their start; sending %d requests over %g s", millis(clock.Since(at)), x.requests(), x.Duration)
-	return y.load(o), nil
+	output.say("routers ready %.0f ms after their start; sending %d requests over %g s",
+		millis(clock.Since(start)), experiment.requestCount(), experiment.Duration)
+	return bed.load(output), nil
 }
 
-func (x *Experiment) replicas() (n int) {
-	for _, s := range x.Services {
-		n += s.Replicas
+// load sends the traffic, with faults and changes beside it.
+func (b *testbed) load(output Output) *Summary {
+	report := newReport(b.experiment, output.Lines)
+	beside := b.scope.Part("beside")
+	var besides sync.WaitGroup
+	for _, trouble := range b.experiment.Troubles {
+		besides.Go(func() { b.giveTrouble(beside, report, trouble) })
+	}
+	if b.experiment.Changes > 0 {
+		besides.Go(func() { b.changeConfiguration(beside, report) })
+	}
+	besides.Go(func() { sayProgress(beside, report, output) })
+	newTraffic(b.scope, b.experiment, b.rules, b.fronts(), report.add).run()
+	interrupted := b.scope.Ended()
+	beside.Stop()
+	besides.Wait()
+	summary := report.summary(b, interrupted)
+	if output.Plots != "" {
+		if err := report.plot(b.experiment, output.Plots); err != nil {
+			output.say("no plots: %v", err)
+		}
 	}
-	return
+	return summary
 }
 
-// load sends the traffic, with troubles and changes beside it.
-func (y *yard) load(o Output) *Summary {
-	x := y.x
-	rep := newReport(x, o.Lines)
-	var fronts []string
-	for _, g := range y.gates {
-		fronts = append(fronts, y.ground.at(g.ip, portFront))
-	}
-	beside := y.sc.Part("beside")
-	var wg sync.WaitGroup
-	also := func(f func()) { wg.Add(1); go func() { defer wg.Done(); f() }() }
-	for _, t := range x.Troubles {
-		also(func() {
-			if clock.Rest(beside, clock.Seconds(t.AtS)) {
-				rep.trouble(t)
-				y.replicas[t.Replica].trouble(t)
-			}
-		})
+// fronts lists the addresses at which routers serve clients.
+func (b *testbed) fronts() []string {
+	var addresses []string
+	for _, router := range b.routers {
+		addresses = append(addresses, b.addresses.address(router.ip, portFront))
 	}
-	if x.Changes > 0 {
-		also(func() {
-			n := 0
-			clock.Every(beside, clock.Seconds(60/x.Changes), func() bool {
-				n++
-				rep.change(y.operator.order(y.sc, "PATCH", x.change(n), clock.Seconds(x.Ready)))
-				return true
-			})
-		})
+	return addresses
+}
+
+// giveTrouble gives a replica a fault when it is due.
+func (b *testbed) giveTrouble(scope *task.Scope, report *report, trouble Trouble) {
+	if !clock.Rest(scope, clock.Seconds(trouble.AtS)) {
+		return
 	}
-	also(func() {
-		clock.Every(beside, constants.YardProgress, func() bool {
-			ended, served := rep.sent()
-			o.say("%6.1f s: %d ended, %d served", clock.Since(rep.start).Seconds(), ended, served)
-			return true
-		})
+	report.trouble(trouble)
+	b.replicas[trouble.Replica].trouble(trouble)
+}
+
+// changeConfiguration makes a small change at regular times.
+func (b *testbed) changeConfiguration(scope *task.Scope, report *report) {
+	number := 0
+	pause := clock.Seconds(secondsPerMinute / b.experiment.Changes)
+	clock.Every(scope, pause, func() bool {
+		number++
+		took, err := b.operator.patch(b.scope, b.experiment.spareRoute(number), b.readyTimeout())
+		report.change(took, err)
+		return true
+	})
+}
+
+func sayProgress(scope *task.Scope, report *report, output Output) {
+	clock.Every(scope, constants.YardProgress, func() bool {
+		ended, served := report.progress()
+		output.say("%6.1f s: %d ended, %d served", clock.Since(report.start).Seconds(), ended, served)
+		return true
 	})
-	newLoad(y.sc, x, y.judge, fronts, rep.add).run()
-	interrupted := y.sc.Ended()
-	beside.Stop()
-	wg.Wait()
-	s := rep.summary(x, y, interrupted)
-	if o.Plots != "" {
-		if err := rep.plot(x, o.Plots); err != nil {
-			o.say("no plots: %v", err)
-		}
-	}
-	return s
 }
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -30,7 +30,7 @@
 	x, err := Demo()
 	require.NoError(t, err)
 	x.Duration = 1
-	g, err := newGround("", 0)
+	g, err := newAddressPool("", 0)
 	require.NoError(t, err)
 	x.Address, x.Port = g.ip(0), g.port
 	var lines, progress bytes.Buffer
@@ -40,7 +40,7 @@
 	require.Empty(t, s.Rules)
 	require.True(t, s.Whole(), "%+v\n%s", s, lines.String())
 	require.Len(t, s.Rows, 3)
-	require.Equal(t, x.requests(), strings.Count(lines.String(), `"is":"request"`))
+	require.Equal(t, x.requestCount(), strings.Count(lines.String(), `"is":"request"`))
 	require.FileExists(t, filepath.Join(plots, "latency.svg"))
 	require.FileExists(t, filepath.Join(plots, "outcomes.png"))
 	var table bytes.Buffer
@@ -49,7 +49,7 @@
 	require.Empty(t, leftovers(t))
 	for n := range uint32(9) { // platform, five replicas, three daemons
 		for off := range 8 {
-			ln, err := listen(g.at(g.ip(n), off))
+			ln, err := listen(g.address(g.ip(n), off))
 			require.NoError(t, err, "everything was closed")
 			_ = ln.Close()
 		}
@@ -91,7 +91,7 @@
 		served += r.Served
 		require.Equal(t, r.Sent, r.Served+r.Refused+r.Failed)
 	}
-	require.Equal(t, x.requests(), all)
+	require.Equal(t, x.requestCount(), all)
 	require.Positive(t, served)
 	require.Equal(t, 8, strings.Count(lines.String(), `"is":"trouble"`))
 	require.Empty(t, leftovers(t))
@@ -128,16 +128,16 @@
 
 func TestWhatCannotBePutUpIsOneClearError(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
-	g, err := newGround("", 0)
+	g, err := newAddressPool("", 0)
 	require.NoError(t, err)
-	ln, err := listen(g.at(g.ip(1), portReplica))
+	ln, err := listen(g.address(g.ip(1), portReplica))
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
 	x, err := Parse([]byte(good))
 	require.NoError(t, err)
 	x.Address, x.Port = g.ip(0), g.port
 	_, err = Run(quiet(), x, Output{})
-	require.ErrorContains(t, err, g.at(g.ip(1), portReplica)+" is taken")
+	require.ErrorContains(t, err, g.address(g.ip(1), portReplica)+" is taken")
 	require.Equal(t, errkind.BadEnv, errkind.KindOf(err))
 
 	x, err = Parse([]byte(good))
@@ -152,18 +152,18 @@
 	t.Setenv("TMPDIR", t.TempDir())
 	x, err := Demo()
 	require.NoError(t, err)
-	y, err := newYard(quiet(), x, nil)
+	y, err := newTestbed(quiet(), x, nil)
 	require.NoError(t, err)
 	defer y.close()
-	require.NoError(t, y.startAll())
-	_, err = y.operator.order(y.sc, "PUT", x.setup(), constants.YardReadyWait)
+	require.NoError(t, y.startDaemons())
+	_, err = y.operator.put(y.scope, x.configuration(), constants.YardReadyWait)
 	require.NoError(t, err)
-	require.NoError(t, y.awaitGates(y.gates))
+	require.NoError(t, y.awaitRouters(y.routers))
 	page, err := os.ReadFile("../../docs/metrics.md")
 	require.NoError(t, err)
 	for at, want := range map[string]string{
-		y.ground.at(y.gates[0].ip, constants.PortGatePage):   "router_setup_revision 1\n",
-		y.ground.at(y.houses[0].ip, constants.PortTallyPage): "controller_primary 1\n",
+		y.addresses.address(y.routers[0].ip, constants.PortGatePage):      "router_setup_revision 1\n",
+		y.addresses.address(y.controllers[0].ip, constants.PortTallyPage): "controller_primary 1\n",
 	} {
 		a, err := probes.Get("http://" + at + "/metrics")
 		require.NoError(t, err)
@@ -179,28 +179,28 @@
 	}
 }
 
-func TestJudgeSeesWhatIsBroken(t *testing.T) {
-	for want, f := range map[string]func(*judge){
-		"TWICE":   func(j *judge) { j.runs("a", "s1"); j.runs("a", "s2") },
-		"MIXED":   func(j *judge) { j.runs("a", "s1"); j.success("a", "s2", true) },
-		"REFUSED": func(j *judge) { j.runs("a", "s1"); j.refused("a") },
-		"UNASKED": func(j *judge) { j.arrives("a", "POST /y changed") },
+func TestTheRuleCheckerSeesWhatIsBroken(t *testing.T) {
+	for want, f := range map[string]func(*ruleChecker){
+		"TWICE":   func(j *ruleChecker) { j.ran("a", "s1"); j.ran("a", "s2") },
+		"MIXED":   func(j *ruleChecker) { j.ran("a", "s1"); j.succeeded("a", "s2", true) },
+		"REFUSED": func(j *ruleChecker) { j.ran("a", "s1"); j.refused("a") },
+		"UNASKED": func(j *ruleChecker) { j.arrived("a", "POST /y changed") },
 	} {
-		j := newJudge()
-		j.sends("a", true, "POST /x body")
-		j.arrives("a", "POST /x body")
-		n, _ := j.rules()
+		j := newRuleChecker()
+		j.sent("a", true, "POST /x body")
+		j.arrived("a", "POST /x body")
+		n, _ := j.result()
 		require.Zero(t, n)
 		f(j)
-		n, what := j.rules()
+		n, what := j.result()
 		require.Equal(t, 1, n)
 		require.Contains(t, what[0], want)
 	}
-	j := newJudge()
-	j.sends("a", false, "")
-	j.runs("a", "s1")
-	j.runs("a", "s2")
-	j.success("a", "s2", true)
-	n, _ := j.rules()
+	j := newRuleChecker()
+	j.sent("a", false, "")
+	j.ran("a", "s1")
+	j.ran("a", "s2")
+	j.succeeded("a", "s2", true)
+	n, _ := j.result()
 	require.Zero(t, n, "what may be repeated may run again")
 }
--- a/internal/emulator/slopes_test.go
+++ b/internal/emulator/series_test.go
@@ -13,25 +13,25 @@
 )
 
 func TestAFitIsTheLineThroughThePoints(t *testing.T) {
-	f := fit([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	f := fitLine([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
 	require.InDelta(t, 2, f.Slope, 1e-9)
 	require.InDelta(t, 3, f.Intercept, 1e-9)
 	require.InDelta(t, 0, f.Error, 1e-9)
-	f = fit([]float64{1, 2, 3, 4}, []float64{1, 3, 2, 4}) // slope 0.8, rest 1.8 over 2 degrees, spread 5
+	f = fitLine([]float64{1, 2, 3, 4}, []float64{1, 3, 2, 4}) // slope 0.8, rest 1.8 over 2 degrees, spread 5
 	require.InDelta(t, 0.8, f.Slope, 1e-9)
 	require.InDelta(t, math.Sqrt(1.8/2/5), f.Error, 1e-9)
-	require.Zero(t, fit([]float64{1, 2, 3}, []float64{4, 4, 4}).R2)
+	require.Zero(t, fitLine([]float64{1, 2, 3}, []float64{4, 4, 4}).R2)
 }
 
-func TestAPlantIsMeasuredAndRebuilt(t *testing.T) {
+func TestAHollowFleetIsMeasuredAndRebuilt(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
 	sc := quiet()
 	defer sc.Stop()
-	hold := func() (*cell, error) { return inside(sc) }
-	z := size{Nodes: 6, Houses: 3, Replicas: 30, Models: 3, Routes: 9, Tenants: 3, DelayMs: 1, Changes: 600, Churn: 600}
-	s, err := whole(sc, z, hold, Output{}, 300*time.Millisecond)
+	start := func() (*cell, error) { return startCellHere(sc) }
+	z := fleetSize{Nodes: 6, Controllers: 3, Replicas: 30, Models: 3, Routes: 9, Tenants: 3, DelayMs: 1, Changes: 600, Churn: 600}
+	points, err := measureWhole(sc, z, start, Output{}, 300*time.Millisecond)
 	require.NoError(t, err)
-	v := s.Points[0].Values
+	v := points[0].Values
 	for _, k := range []string{"node_heap_kb", "node_in_bytes_per_s", "primary_out_bytes_per_s", "backup_in_bytes_per_s", "witness_heap_kb", "in_force_ms_mean", "rebuild_zone_ms", "order_taken_after_primary_lost_ms"} {
 		require.Positive(t, v[k], k)
 	}
@@ -51,19 +51,19 @@
 
 func TestASeriesIsFitted(t *testing.T) {
 	var out bytes.Buffer
-	g := growth{name: "x", at: []float64{1, 2, 3, 4}, alone: func(x float64) values { return values{"y": 2 * x} }}
+	g := seriesSpec{name: "x", at: []float64{1, 2, 3, 4}, component: func(x float64) values { return values{"y": 2 * x} }}
 	s, err := g.measure(quiet(), nil, Output{Progress: &out}, 0)
 	require.NoError(t, err)
 	require.InDelta(t, 2, s.Fits["y"].Slope, 1e-9)
 	require.Contains(t, out.String(), "y=8")
 }
 
-func TestACellAnswersEachWord(t *testing.T) {
-	c, err := inside(quiet())
+func TestACellAnswersEachCommand(t *testing.T) {
+	c, err := startCellHere(quiet())
 	require.NoError(t, err)
-	_, err = c.say(word{Do: "start", Seats: []seat{{Name: "router-1", File: filepath.Join(t.TempDir(), "none")}}})
+	_, err = c.do(command{Do: "start", Daemons: []daemonSpec{{Name: "router-1", File: filepath.Join(t.TempDir(), "none")}}})
 	require.ErrorContains(t, err, "settings file")
-	r, err := c.say(word{Do: "read"})
+	r, err := c.do(command{Do: "read"})
 	require.NoError(t, err)
 	require.Positive(t, r.Heap)
 	c.close()
