--- a/coord/replication/core/simulation/cluster_test.go
+++ b/coord/replication/core/simulation/cluster_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shaletrestle/coord/replication/core"
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 // settings are what one schedule's cluster is like. They follow from the seed.
@@ -28,6 +29,7 @@
 	DiskSync   time.Duration
 	Clients    int
 	Pause      time.Duration // between two calls of a client, at most
+	Lazy       bool          // ticks come only when the core wants them
 	Horizon    time.Duration // faults and calls come until then
 }
 
@@ -63,7 +65,7 @@
 	profile     profile
 	lastAddress int
 	reserved    map[string]bool // addresses that somebody will come to
-	mutation    mutation
+	mutation    mutation.Kind
 	random      *rand.Rand
 	now         time.Duration
 	order       uint64
@@ -77,6 +79,7 @@
 	links     map[[2]int]time.Duration // when the last message of an ordered link arrives
 	pairCuts  map[[2]int]int           // from host to host
 	nextID    core.MemberID
+	armed     []fault  // that wait for their moment
 	seeds     []string // at the first start
 
 	history    *history
@@ -128,7 +131,7 @@
 	lostUntil   time.Duration
 }
 
-func newCluster(s settings, p profile, m mutation, seed uint64) *cluster {
+func newCluster(s settings, p profile, m mutation.Kind, seed uint64) *cluster {
 	c := &cluster{
 		settings:  s,
 		profile:   p,
--- a/coord/replication/core/simulation/faults_test.go
+++ b/coord/replication/core/simulation/faults_test.go
@@ -10,6 +10,7 @@
 	admissionTries = 10
 	graceTime      = 8 * time.Second       // a member that is told to leave has this long
 	slowServed     = 60 * time.Millisecond // a member that is slower than this need not serve
+	strikeWait     = 15 * time.Millisecond // from a step of the protocol to the fault
 	startWait      = 300 * time.Millisecond
 	disksRenewed   = 8 * time.Second // beyond the tolerance: after so long without trouble disks may be lost again
 )
@@ -17,7 +18,29 @@
 // schedulePlan lets the faults of a plan come.
 func (c *cluster) schedulePlan(p plan) {
 	for _, f := range p {
-		c.after(f.At-c.now, func() { c.strike(f, admissionTries) })
+		c.after(f.At-c.now, func() {
+			if f.When != anyMoment {
+				c.armed = append(c.armed, f)
+				return
+			}
+			c.strike(f, admissionTries)
+		})
+	}
+}
+
+// moment lets the faults strike that wait for a step of the protocol. Half of them befall the process that takes it.
+func (c *cluster) moment(now moment, p *process) {
+	for i := 0; i < len(c.armed); i++ {
+		f := c.armed[i]
+		if f.When != now {
+			continue
+		}
+		c.armed = slices.Delete(c.armed, i, i+1)
+		i--
+		if f.Amount%2 == 0 {
+			f.actor = p.host
+		}
+		c.after(c.between(0, strikeWait), func() { c.strike(f, admissionTries) })
 	}
 }
 
@@ -56,6 +79,11 @@
 			return nil
 		}
 	}
+	for _, s := range there {
+		if f.actor == s.host {
+			return s
+		}
+	}
 	if p := c.monitor.writers[c.monitor.newest]; f.Slot%3 == 0 && p != nil {
 		for _, s := range there {
 			if s.host == p.host {
--- a/coord/replication/core/simulation/monitor_test.go
+++ b/coord/replication/core/simulation/monitor_test.go
@@ -15,6 +15,8 @@
 	writers   map[core.Epoch]*process
 	views     map[core.Epoch]core.View
 	votes     map[voteKey]vote
+	proposals map[core.StateTag]*proposal
+	chosen    map[core.Epoch]core.View
 	newest    core.Epoch // of a primary
 }
 
@@ -37,6 +39,9 @@
 		writers: map[core.Epoch]*process{},
 		views:   map[core.Epoch]core.View{},
 		votes:   map[voteKey]vote{},
+
+		proposals: map[core.StateTag]*proposal{},
+		chosen:    map[core.Epoch]core.View{},
 	}
 }
 
@@ -250,6 +255,7 @@
 
 // registerSaved checks that a register on disk never goes back.
 func (m *monitor) registerSaved(d *disk, register core.Register) {
+	m.noteAccepted(d, register)
 	before := d.register
 	was, is := epochOf(before.View), epochOf(register.View)
 	if is < was {
--- a/coord/replication/core/simulation/plan_test.go
+++ b/coord/replication/core/simulation/plan_test.go
@@ -69,11 +69,32 @@
 	Slot   int           // which member, among those there are then
 	For    time.Duration // how long it lasts, or the machine is down
 	Amount int           // of the kind's own meaning
+	When   moment        // it strikes at the first such moment after At
+	actor  *host         // of that moment
 }
 
+// moment is a step of the protocol at which a fault may strike.
+type moment uint8
+
+const (
+	anyMoment moment = iota
+	preparesMoment
+	offersMoment
+	proposesMoment
+	installsMoment
+	leadsMoment
+	appendsMoment
+	commitsMoment
+	moments
+)
+
+var momentNames = [moments]string{"any", "prepares", "offers", "proposes", "installs", "leads", "appends", "commits"}
+
+func (m moment) String() string { return momentNames[m] }
+
 // String is the fault as the source of a test writes it.
 func (f fault) String() string {
-	return fmt.Sprintf("{At: %d * time.Millisecond, Kind: %sFault, Slot: %d, For: %d * time.Millisecond, Amount: %d},", f.At.Milliseconds(), f.Kind, f.Slot, f.For.Milliseconds(), f.Amount)
+	return fmt.Sprintf("{At: %d * time.Millisecond, Kind: %sFault, Slot: %d, For: %d * time.Millisecond, Amount: %d, When: %sMoment},", f.At.Milliseconds(), f.Kind, f.Slot, f.For.Milliseconds(), f.Amount, f.When)
 }
 
 type plan []fault
@@ -110,7 +131,14 @@
 		if at >= s.Horizon {
 			return made
 		}
-		made = append(made, fault{At: at, Kind: drawKind(random, total), Slot: random.IntN(64), For: drawLength(random), Amount: random.IntN(1 << 16)})
+		made = append(made, fault{
+			At:     at,
+			Kind:   drawKind(random, total),
+			Slot:   random.IntN(64),
+			For:    drawLength(random),
+			Amount: random.IntN(1 << 16),
+			When:   drawMoment(random),
+		})
 	}
 }
 
@@ -125,6 +153,14 @@
 	panic("the weights don't add up")
 }
 
+// drawMoment lets half of the faults strike at a step of the protocol.
+func drawMoment(random *rand.Rand) moment {
+	if random.IntN(2) == 0 {
+		return anyMoment
+	}
+	return moment(random.IntN(int(moments)))
+}
+
 // drawLength prefers lengths around the time-outs of the core, and some that are much longer.
 func drawLength(random *rand.Rand) time.Duration {
 	longest := []time.Duration{50, 400, 1500, 1500, 4000, 20000}[random.IntN(6)] * time.Millisecond
@@ -154,6 +190,7 @@
 	}
 	s.LateRate = []float64{0, 0.005, 0.02}[random.IntN(3)]
 	s.DiskSync = time.Duration(2+random.IntN(8)) * time.Millisecond
+	s.Lazy = random.IntN(3) > 0
 	s.Clients = 2 + random.IntN(3)
 	s.Pause = time.Duration(20+random.IntN(150)) * time.Millisecond
 	s.Horizon = 25 * time.Second
--- a/coord/replication/core/simulation/process_test.go
+++ b/coord/replication/core/simulation/process_test.go
@@ -39,6 +39,9 @@
 	frozen  int
 	waiting []happening // while it is frozen
 
+	lastTick  time.Duration
+	tickDue   time.Duration
+	tickArmed bool
 	steps     uint64 // taken so far
 	lastToken core.Token
 	calls     map[core.Token]*call
@@ -47,6 +50,7 @@
 
 	roundBegun map[uint64]uint64        // confirmation round to the step of its first message
 	granted    map[core.MemberID]uint64 // by witness: the step in which the newest round that it granted began
+	sealed     core.StateTag            // the newest proposal that it made or took the state of
 	leaving    func()                   // what follows once it has left
 }
 
@@ -75,7 +79,7 @@
 		c.monitor.fail("%s does not start: %v", h, err)
 		return
 	}
-	setMutation(started, c.mutation)
+	started.Mutate(c.mutation)
 	c.lastLife++
 	p := &process{
 		cluster:    c,
@@ -92,7 +96,7 @@
 	h.process = p
 	c.trace("%s starts, seeds %v", h, config.Seeds)
 	p.step(core.Started{})
-	p.scheduleTick()
+	p.armTick()
 }
 
 // seedsFor are the addresses in a process's settings: any three machines of the group, one of them another that is not lost.
@@ -141,11 +145,24 @@
 	return tokens
 }
 
-// scheduleTick lets time pass for the process; timers come a little late.
-func (p *process) scheduleTick() {
-	late := p.cluster.between(0, 4*time.Millisecond)
-	p.cluster.after(p.timing.Tick+late, func() {
-		p.take(happening{kind: tickHappening, event: core.Tick{}, next: p.scheduleTick})
+// armTick lets the core be ticked at the time it wants, or regularly. Timers come a little late.
+func (p *process) armTick() {
+	c := p.cluster
+	due := p.lastTick + p.timing.Tick
+	if c.settings.Lazy {
+		due = p.core.NextWake(p.lastTick)
+	}
+	due = max(due, p.clock())
+	if p.tickArmed && p.tickDue <= due {
+		return
+	}
+	p.tickArmed = true
+	p.tickDue = due
+	late := c.between(0, 4*time.Millisecond)
+	c.after(due-p.clock()+late, func() {
+		if !p.dead && p.tickArmed && p.tickDue == due {
+			p.take(happening{kind: tickHappening, event: core.Tick{}})
+		}
 	})
 }
 
@@ -161,6 +178,9 @@
 	if h.event != nil {
 		p.step(h.event)
 	}
+	if !p.dead {
+		p.armTick()
+	}
 	if h.next != nil && !p.dead {
 		h.next()
 	}
@@ -199,6 +219,10 @@
 // step gives the core an event and carries out the effects.
 func (p *process) step(event core.Event) {
 	p.steps++
+	if _, ok := event.(core.Tick); ok {
+		p.lastTick = p.clock()
+		p.tickArmed = false
+	}
 	if received, ok := event.(core.Received); ok {
 		p.noteReceived(received.Message)
 	}
@@ -229,6 +253,7 @@
 		p.epoch = effect.Epoch
 		c.trace("%s is primary of epoch %d", p.host, effect.Epoch)
 		c.monitor.becamePrimary(p, effect.Epoch)
+		c.moment(leadsMoment, p)
 	case core.StoppedBeingPrimary:
 		p.primary = false
 		c.trace("%s is no longer primary: %v", p.host, effect.Reason)
@@ -249,13 +274,39 @@
 
 // noteSent keeps what the monitors need of a message.
 func (p *process) noteSent(message core.Message) {
+	monitor := p.cluster.monitor
 	switch m := message.(type) {
 	case core.Confirm:
 		if _, known := p.roundBegun[m.Round]; !known {
 			p.roundBegun[m.Round] = p.steps
 		}
+	case core.Prepare:
+		p.seal(core.StateTag{Epoch: m.Base.Epoch + 1, Ballot: m.Ballot})
+		p.cluster.moment(preparesMoment, p)
+	case core.SnapshotPart:
+		p.cluster.moment(offersMoment, p)
+	case core.Accept:
+		monitor.proposed(p, m)
+		p.cluster.moment(proposesMoment, p)
+	case core.Install:
+		p.cluster.moment(installsMoment, p)
+	case core.Append:
+		p.cluster.moment(appendsMoment, p)
+	case core.SnapshotPartReply:
+		if m.Refusal == core.Granted {
+			p.seal(m.Tag)
+		}
+	case core.AppendReply:
+		monitor.appended(p, m)
 	case core.PrepareReply, core.AcceptReply, core.ConfirmReply:
-		p.cluster.monitor.witnessSaid(p, message)
+		monitor.witnessSaid(p, message)
+	}
+}
+
+// seal notes that the process gave its word for the state of a proposal: it may take no entry of an older view.
+func (p *process) seal(tag core.StateTag) {
+	if !p.sealed.Covers(tag) {
+		p.sealed = tag
 	}
 }
 
@@ -281,4 +332,7 @@
 	delete(p.calls, answer.Token)
 	p.cluster.monitor.answered(p, made, answer)
 	made.end(answer)
+	if answer.Outcome == core.Committed {
+		p.cluster.moment(commitsMoment, p)
+	}
 }
--- a/coord/replication/core/simulation/schedule_test.go
+++ b/coord/replication/core/simulation/schedule_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"shaletrestle/coord/replication/core/internal/mutation"
 )
 
 var (
@@ -23,7 +25,7 @@
 type schedule struct {
 	Seed     uint64
 	Profile  profile
-	Mutation mutation
+	Mutation mutation.Kind
 	Plan     plan // nil: the seed's
 }
 
@@ -93,7 +95,7 @@
 const workers = 4
 
 // runMany plays many seeds, some at once, and gives the first failing ones.
-func runMany(profile profile, mutation mutation, first uint64, count int, each func(schedule, outcome)) {
+func runMany(profile profile, kind mutation.Kind, first uint64, count int, each func(schedule, outcome)) {
 	var next atomic.Uint64
 	var mutex sync.Mutex
 	var group sync.WaitGroup
@@ -104,7 +106,7 @@
 				if i >= uint64(count) {
 					return
 				}
-				s := schedule{Seed: first + i, Profile: profile, Mutation: mutation}
+				s := schedule{Seed: first + i, Profile: profile, Mutation: kind}
 				found := s.run(false)
 				mutex.Lock()
 				each(s, found)
@@ -119,7 +121,7 @@
 	for _, p := range []profile{tolerated, beyond} {
 		t.Run(p.String(), func(t *testing.T) {
 			sum := newSummary()
-			runMany(p, noMutation, *firstSeed, *schedules, sum.add)
+			runMany(p, mutation.None, *firstSeed, *schedules, sum.add)
 			t.Log(sum)
 			for _, failed := range sum.failed[:min(3, len(sum.failed))] {
 				t.Error(failed.schedule.report(failed.outcome))
