--- a/coord/replication/core/explore_model_test.go
+++ b/coord/replication/core/explore_model_test.go
@@ -125,6 +125,7 @@
 type modelRules struct {
 	calls    []callKind
 	faults   []faultKind
+	starting bool // the search begins with the first start; a lost disk is replaced by another first one
 	mutation mutation.Kind
 	scratch  []byte // of the digests; a search runs in one goroutine
 }
@@ -150,14 +151,19 @@
 	}
 }
 
-// firstModel starts three members and lets them make the first view and one entry.
-func firstModel(rules *modelRules) *model {
-	m := &model{rules: &modelRules{calls: []callKind{writeCall}}, cut: -1, mute: -1, frozen: -1}
+// startingModel starts three members at once.
+func startingModel(rules *modelRules) *model {
+	m := &model{rules: rules, cut: -1, mute: -1, frozen: -1}
 	for i := range m.nodes {
 		disk := storedDisk{id: MemberID(11 * (i + 1)), first: true}
 		m = m.start(i, disk, 0)
 	}
-	m = m.settle()
+	return m
+}
+
+// firstModel starts three members and lets them make the first view and one entry.
+func firstModel(rules *modelRules) *model {
+	m := startingModel(&modelRules{calls: []callKind{writeCall}}).settle()
 	for m.believers() == nil {
 		m = m.advance().settle()
 	}
--- a/coord/replication/core/explore_test.go
+++ b/coord/replication/core/explore_test.go
@@ -246,7 +246,7 @@
 	case wipeFault:
 		add(fmt.Sprintf("lose disk of m%d", i), func(next *model) *model {
 			next = next.crash(i, 0)
-			next.nodes[i].disk = storedDisk{id: next.nodes[i].disk.id + 100}
+			next.nodes[i].disk = storedDisk{id: next.nodes[i].disk.id + 100, first: m.rules.starting}
 			return next
 		})
 	case cutFault:
@@ -281,11 +281,16 @@
 	return fmt.Sprintf("%s %s>m%d", kindOf(h.message), h.message.Route().From.Address, h.node)
 }
 
-// explore searches from the first view and one entry on, with the first call just begun.
+// explore searches from the first view and one entry on, with the first call just begun; or from the first start on.
 func explore(rules *modelRules, left budgets) *search {
-	first := firstModel(rules)
+	var first *model
+	if rules.starting {
+		first = startingModel(rules)
+	} else {
+		first = firstModel(rules)
+		first = first.call(first.believers()[0])
+	}
 	first.left = left
-	first = first.call(first.believers()[0])
 	s := &search{seen: map[uint64]struct{}{}}
 	s.visit(first)
 	return s
@@ -303,14 +308,19 @@
 	second callKind
 	left   budgets
 	built  mutation.Kind
+	start  bool // from the first start on
 }
 
 func (s searchCase) String() string {
+	if s.start {
+		return fmt.Sprintf("first start, %s, %+v", faultNames[s.fault], s.left)
+	}
 	return fmt.Sprintf("%s, %s, %+v", faultNames[s.fault], callNames[s.second], s.left)
 }
 
 func (s searchCase) run() *search {
-	return explore(&modelRules{calls: []callKind{writeCall, s.second}, faults: []faultKind{s.fault}, mutation: s.built}, s.left)
+	rules := &modelRules{calls: []callKind{writeCall, s.second}, faults: []faultKind{s.fault}, mutation: s.built, starting: s.start}
+	return explore(rules, s.left)
 }
 
 // all allows one of each disturbance, and one fault.
@@ -332,6 +342,9 @@
 			searchCase{fault: fault, second: second, left: budgets{Deviations: 2, Faults: 1, Repeated: 1, Time: 3}},
 			searchCase{fault: fault, second: second, left: budgets{Deviations: 2, Faults: 1, Late: 1, Time: 3}})
 	}
+	for _, fault := range []faultKind{crashFault, wipeFault} {
+		cases = append(cases, searchCase{fault: fault, second: writeCall, start: true, left: all(1, 5)})
+	}
 	return append(cases, searchCase{fault: powerFault, second: writeCall, left: budgets{Deviations: 1, Faults: 1, Time: 4}})
 }
 
@@ -348,6 +361,10 @@
 			cases = append(cases, searchCase{fault: fault, second: second, left: left})
 		}
 	}
+	for _, fault := range []faultKind{crashFault, wipeFault} {
+		left := budgets{Deviations: deviations, Faults: 1, Lost: 1, Time: 5}
+		cases = append(cases, searchCase{fault: fault, second: writeCall, start: true, left: left})
+	}
 	return cases
 }
 
