--- a/coord/replication/core/bootstrap.go
+++ b/coord/replication/core/bootstrap.go
@@ -12,8 +12,7 @@
 	if !c.config.Bootstrap || c.config.Relay {
 		return nil, false
 	}
-	seeds := slices.Clone(c.config.Seeds)
-	slices.Sort(seeds)
+	seeds := c.firstSeeds()
 	rank := slices.Index(seeds, c.self.Address)
 	if rank < 0 || c.now-c.born < time.Duration(rank)*c.timing.WitnessLost {
 		return nil, false
@@ -34,3 +33,32 @@
 	}
 	return base, true
 }
+
+// firstSeeds are the addresses of the first start, sorted.
+func (c *Core) firstSeeds() []string {
+	seeds := c.config.FirstSeeds
+	if len(seeds) == 0 {
+		seeds = c.config.Seeds
+	}
+	return slices.Sorted(slices.Values(seeds))
+}
+
+// sharesSeeds tells whether the witnesses of a first base are those that this member would name: its seeds without the relays. Members that started with other seeds get no vote of it.
+func (c *Core) sharesSeeds(base *View) bool {
+	named := map[string]bool{}
+	for _, witness := range base.Witnesses {
+		named[witness.Address] = true
+	}
+	seeds := c.firstSeeds()
+	for _, address := range seeds {
+		if named[address] {
+			delete(named, address)
+			continue
+		}
+		p := c.peerAt(address)
+		if p == nil || !p.status.Relay {
+			return false
+		}
+	}
+	return len(named) == 0
+}
--- a/coord/replication/core/config.go
+++ b/coord/replication/core/config.go
@@ -11,16 +11,18 @@
 
 // Config is what a core needs to know.
 type Config struct {
-	Self      Member
-	Seeds     []string                 // addresses; at the first start the same for all
-	Losses    int                      // members that may be lost at once; 0: one member alone may be primary
-	Areas     int                      // areas that may be lost at once
-	Area      func(zone string) string // what a zone is lost with; nil: each zone by itself
-	Relay     bool                     // no disk: it holds nothing, witnesses nothing and only learns the view
-	Bootstrap bool                     // its disk was made for the first start: it may take part in the first view
-	Machine   StateMachine
-	Timing    Timing
-	Limits    Limits
+	Self  Member
+	Seeds []string // addresses at which other members are looked for
+	// FirstSeeds are the addresses whose members make the first view: the seeds when this disk was made, kept with its identity. Seeds may change later, and two lists must not make two first views. Empty: Seeds.
+	FirstSeeds []string
+	Losses     int                      // members that may be lost at once; 0: one member alone may be primary
+	Areas      int                      // areas that may be lost at once
+	Area       func(zone string) string // what a zone is lost with; nil: each zone by itself
+	Relay      bool                     // no disk: it holds nothing, witnesses nothing and only learns the view
+	Bootstrap  bool                     // its disk was made for the first start: it may take part in the first view
+	Machine    StateMachine
+	Timing     Timing
+	Limits     Limits
 }
 
 // Timing holds the waits.
--- a/coord/replication/core/core_test.go
+++ b/coord/replication/core/core_test.go
@@ -385,6 +385,22 @@
 	require.Zero(t, rolesOf(p.core.View(), w.nodes[0].disk.id))
 }
 
+// TestTwoListsOfSeedsMakeNoTwoFirstViews: two groups that share a member start with lists of their own.
+func TestTwoListsOfSeedsMakeNoTwoFirstViews(t *testing.T) {
+	lists := [][]string{{"m0", "m1", "m2"}, {"m0", "m1", "m2"}, {"m2", "m3", "m4"}, {"m2", "m3", "m4"}, {"m2", "m3", "m4"}}
+	w := newWorld(t, 1, "a", "b", "c", "d", "e")
+	for i, n := range w.nodes {
+		n.seeds = lists[i]
+	}
+	w.startAll()
+	w.run(20 * time.Second)
+	p := w.commit("first")
+	require.Equal(t, "m2", p.core.View().Witnesses[0].Address)
+	for _, n := range w.nodes {
+		require.Equal(t, p.core.View().Epoch, n.core.View().Epoch, "all follow the one view")
+	}
+}
+
 // TestAWipedWitnessIsSwapped within the time after which another loss may come.
 func TestAWipedWitnessIsSwapped(t *testing.T) {
 	eachLayout(t, func(t *testing.T, w *world) {
--- a/coord/replication/core/register.go
+++ b/coord/replication/core/register.go
@@ -156,6 +156,9 @@
 	if base.Epoch == 0 && !c.config.Bootstrap {
 		return NotFirstDisk
 	}
+	if base.Epoch == 0 && !c.sharesSeeds(base) {
+		return OtherSeeds
+	}
 	if ballot < c.register.Promised && c.mutation != mutation.ForgetPromise {
 		return Promised
 	}
--- a/coord/replication/core/types.go
+++ b/coord/replication/core/types.go
@@ -168,7 +168,7 @@
 	Fork                         // the history held differs from the one meant
 	Promised                     // a higher ballot was promised
 	NotFirstDisk                 // this disk was not made for the first start, so it makes no first view
-	OtherSeeds                   // the first view is under way here among other disks
+	OtherSeeds                   // this member is no witness of that view, or started with other seeds
 	Unfit                        // the disk takes no writes, or the member is leaving
 	Busy                         // another job of that kind is under way
 	DiskFailed                   // the disk gave an error
--- a/coord/replication/core/world_test.go
+++ b/coord/replication/core/world_test.go
@@ -74,6 +74,7 @@
 	address string
 	zone    string
 	relay   bool
+	seeds   []string // if not those of the world
 	life    int
 	up      bool
 	frozen  bool
@@ -111,10 +112,12 @@
 	cut     map[[2]string]bool               // one way
 	drop    func(from *node, m Message) bool // whether a message is lost
 	logging bool
+	views   map[Epoch]StateTag // chosen, as members learned them
+	writers map[Epoch]string   // who was primary, in which life
 }
 
 func newWorld(t testing.TB, losses int, zones ...string) *world {
-	w := &world{t: t, losses: losses, areas: 1, limits: DefaultLimits(), delay: time.Millisecond, cut: map[[2]string]bool{}, logging: os.Getenv("CORE_LOG") != ""}
+	w := &world{t: t, losses: losses, areas: 1, limits: DefaultLimits(), delay: time.Millisecond, cut: map[[2]string]bool{}, logging: os.Getenv("CORE_LOG") != "", views: map[Epoch]StateTag{}, writers: map[Epoch]string{}}
 	for _, zone := range zones {
 		w.add(zone).disk.first = true
 	}
@@ -181,8 +184,12 @@
 
 func (n *node) config() Config {
 	w := n.world
+	seeds := n.seeds
+	if seeds == nil {
+		seeds = []string{"m0", "m1", "m2"}[:min(3, len(w.nodes))]
+	}
 	return Config{
-		Self: n.member(), Seeds: []string{"m0", "m1", "m2"}[:min(3, len(w.nodes))], Losses: w.losses, Areas: w.areas, Area: w.area,
+		Self: n.member(), Seeds: seeds, Losses: w.losses, Areas: w.areas, Area: w.area,
 		Relay: n.relay, Bootstrap: n.disk.first, Machine: n.machine, Timing: DefaultTiming(), Limits: w.limits,
 	}
 }
@@ -258,6 +265,9 @@
 		n.answers[effect.Token] = effect
 	case BecamePrimary:
 		n.primary = true
+		w.oneWriter(n, effect.Epoch)
+	case LearnedView:
+		w.oneView(effect.View)
 	case StoppedBeingPrimary:
 		require.True(w.t, n.primary)
 		n.primary = false
@@ -270,6 +280,23 @@
 	}
 }
 
+// oneWriter requires that one member, in one life, writes in a view.
+func (w *world) oneWriter(n *node, epoch Epoch) {
+	writer := fmt.Sprint(n.disk.id, " in life ", n.life)
+	if w.writers[epoch] == "" {
+		w.writers[epoch] = writer
+	}
+	require.Equal(w.t, w.writers[epoch], writer, "primary of epoch %d", epoch)
+}
+
+// oneView requires that views are a chain.
+func (w *world) oneView(view View) {
+	if _, found := w.views[view.Epoch]; !found {
+		w.views[view.Epoch] = view.Tag()
+	}
+	require.Equal(w.t, w.views[view.Epoch], view.Tag(), "view of epoch %d", view.Epoch)
+}
+
 func (n *node) runDisk() {
 	if !n.up || n.frozen || len(n.disk.pending) == 0 {
 		return
