--- a/coord/replication/core/simulation/disk_test.go
+++ b/coord/replication/core/simulation/disk_test.go
@@ -107,6 +107,9 @@
 		d.leave(job)
 		return errFull
 	}
+	if save, ok := job.(core.SaveSnapshot); ok {
+		d.cluster.monitor.stateSaved(d, save)
+	}
 	d.apply(job)
 	return nil
 }
--- a/coord/replication/core/simulation/process_test.go
+++ b/coord/replication/core/simulation/process_test.go
@@ -284,8 +284,10 @@
 		p.seal(core.StateTag{Epoch: m.Base.Epoch + 1, Ballot: m.Ballot})
 		p.cluster.moment(preparesMoment, p)
 	case core.SnapshotPart:
+		monitor.offered(p, m.Tag)
 		p.cluster.moment(offersMoment, p)
 	case core.Accept:
+		monitor.offered(p, core.StateTag{Epoch: m.Base.Epoch + 1, Ballot: m.Ballot})
 		monitor.proposed(p, m)
 		p.cluster.moment(proposesMoment, p)
 	case core.Install:
--- a/coord/replication/core/simulation/proposals_test.go
+++ b/coord/replication/core/simulation/proposals_test.go
@@ -26,6 +26,33 @@
 	}
 }
 
+// offered checks that no two lives of a member offer state under one ballot.
+func (m *monitor) offered(p *process, tag core.StateTag) {
+	other, ok := m.offers[tag]
+	if ok && other != p {
+		m.fail("%s offers state under a ballot for epoch %d that an earlier life offered under", p.host, tag.Epoch)
+	}
+	m.offers[tag] = p
+}
+
+// stateSaved checks that a disk takes only state that is newer, or the same one.
+func (m *monitor) stateSaved(d *disk, job core.SaveSnapshot) {
+	if d.snapshot == nil {
+		return
+	}
+	before, after := d.snapshot.Tag, job.Snapshot.Tag
+	if !after.Covers(before) {
+		m.fail("disk %d takes state of epoch %d in place of epoch %d", d.id, after.Epoch, before.Epoch)
+	}
+	tip := m.cluster.history.ofSnapshot(job.Snapshot.Data)
+	for _, entry := range job.Tail {
+		tip = m.cluster.history.after(tip, entry.Data)
+	}
+	if after == before && !tip.includes(d.tip) {
+		m.fail("disk %d goes back from entry %d to entry %d of epoch %d", d.id, d.tip.index, tip.index, after.Epoch)
+	}
+}
+
 // noteAccepted counts the witnesses that have accepted a proposal, and checks that one view is chosen for an epoch.
 func (m *monitor) noteAccepted(d *disk, register core.Register) {
 	if register.Accepted == nil {
--- a/coord/replication/core/simulation/schedule_test.go
+++ b/coord/replication/core/simulation/schedule_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	Profile  profile
 	Mutation mutation.Kind
 	Plan     plan // nil: the seed's
+	Blind    bool // only the clients' history is checked
 }
 
 // outcome is what a run found.
@@ -46,6 +48,7 @@
 	}
 	c := newCluster(drawn, s.Profile, s.Mutation, s.Seed)
 	c.tracing = traced
+	c.monitor.blind = s.Blind
 	c.trace("settings %+v", drawn)
 	for _, h := range c.hosts {
 		c.after(c.between(0, 300*time.Millisecond), h.startFirst)
@@ -56,6 +59,7 @@
 	c.runUntil(drawn.Horizon)
 	c.settleDown()
 	if c.monitor.violation == "" {
+		c.monitor.blind = false
 		c.checkLinearizable()
 	}
 	return outcome{violation: c.monitor.violation, cluster: c, plan: made}
@@ -73,6 +77,7 @@
 		c.runUntil(c.now + 500*time.Millisecond)
 	}
 	c.runUntil(c.now + 3*time.Second)
+	c.liveness.checkServes()
 	c.stopped = true
 	c.runUntil(c.now + 1500*time.Millisecond)
 	if c.profile == tolerated && c.monitor.violation == "" {
@@ -117,6 +122,12 @@
 	group.Wait()
 }
 
+// TestMain lets the heap grow: the runs make much garbage and keep little.
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(1000)
+	os.Exit(m.Run())
+}
+
 func TestSchedules(t *testing.T) {
 	for _, p := range []profile{tolerated, beyond} {
 		t.Run(p.String(), func(t *testing.T) {
