--- a/coord/replication/core/simulation/changes_test.go
+++ b/coord/replication/core/simulation/changes_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"time"
 
 	"shaletrestle/coord/replication/core"
@@ -138,6 +139,40 @@
 	}
 }
 
+// split cuts some members off from the others, at most as many as may be lost where that matters. Clients reach both sides.
+func (c *cluster) split(s *slot, f fault) {
+	hosts := c.currentHosts()
+	size := c.settings.Losses
+	if c.profile == beyond {
+		size = 1 + f.Amount%(len(hosts)-1)
+	}
+	first := slices.Index(hosts, s.host)
+	var links [][2]int
+	var heals []func()
+	for i := range hosts {
+		h := hosts[(first+i)%len(hosts)]
+		if i >= size {
+			continue
+		}
+		heals = append(heals, c.hurt(h))
+		for j := size; j < len(hosts); j++ {
+			other := hosts[(first+j)%len(hosts)]
+			links = append(links, [2]int{h.number, other.number}, [2]int{other.number, h.number})
+		}
+	}
+	for _, link := range links {
+		c.pairCuts[link]++
+	}
+	c.after(f.For, func() {
+		for _, link := range links {
+			c.pairCuts[link]--
+		}
+		for _, heal := range heals {
+			heal()
+		}
+	})
+}
+
 // loseAnswers loses answers on their way to the clients.
 func (c *cluster) loseAnswers(f fault) {
 	share := 0.3 + float64(f.Amount%50)/100
--- a/coord/replication/core/simulation/monitor_test.go
+++ b/coord/replication/core/simulation/monitor_test.go
@@ -200,6 +200,23 @@
 	}
 }
 
+// left checks that a member that says it has no role left has none, in the newest view that anybody knows.
+func (m *monitor) left(p *process, effect core.Left) {
+	if !effect.Complete {
+		return
+	}
+	var newest core.View
+	for epoch, view := range m.views {
+		if epoch > newest.Epoch {
+			newest = view
+		}
+	}
+	members := append(newest.Copies(), newest.Witnesses...)
+	if slices.ContainsFunc(members, func(member core.Member) bool { return member.ID == p.host.disk.id }) {
+		m.fail("%s has left, and epoch %d names it", p.host, newest.Epoch)
+	}
+}
+
 // learned checks that views are a chain.
 func (m *monitor) learned(view core.View) {
 	known, ok := m.views[view.Epoch]
--- a/coord/replication/core/simulation/process_test.go
+++ b/coord/replication/core/simulation/process_test.go
@@ -262,6 +262,7 @@
 		c.monitor.learned(effect.View)
 	case core.Left:
 		c.trace("%s has left, complete: %v, roles %d", p.host, effect.Complete, effect.Roles)
+		c.monitor.left(p, effect)
 		if p.leaving != nil {
 			p.leaving()
 		}
