--- a/coord/replication/core/simulation/process_test.go
+++ b/coord/replication/core/simulation/process_test.go
@@ -262,6 +262,7 @@
 		c.monitor.learned(effect.View)
 	case core.Left:
 		c.trace("%s has left, complete: %v, roles %d", p.host, effect.Complete, effect.Roles)
+		c.monitor.left(p, effect)
 		if p.leaving != nil {
 			p.leaving()
 		}
@@ -284,8 +285,10 @@
 		p.seal(core.StateTag{Epoch: m.Base.Epoch + 1, Ballot: m.Ballot})
 		p.cluster.moment(preparesMoment, p)
 	case core.SnapshotPart:
+		monitor.offered(p, m.Tag)
 		p.cluster.moment(offersMoment, p)
 	case core.Accept:
+		monitor.offered(p, core.StateTag{Epoch: m.Base.Epoch + 1, Ballot: m.Ballot})
 		monitor.proposed(p, m)
 		p.cluster.moment(proposesMoment, p)
 	case core.Install:
