A first disk keeps the seeds of its first start; only they make the first view

The core votes only for a first view of its own first seeds; the store keeps these beside the identity.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -15,7 +15,7 @@
 		if !e.Keeps() {
 			return controller.New(sc, controller.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
-		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap)
+		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap, e.SeedCrew()...)
 		if err != nil {
 			return nil, err
 		}
--- a/coord/replication/config.go
+++ b/coord/replication/config.go
@@ -18,6 +18,7 @@
 // Store is a member's disk. What a method returned for without an error is synced, names of files included.
 type Store interface {
 	Identity() (id uint64, firstStart bool)
+	FirstSeeds() []string // of the first start, if the disk was made at that; the settings may name others by now
 	Load() core.Stored
 	SaveRegister(core.Register) error
 	// SaveSnapshot puts a whole state in place of the one before: after a crash in the middle either the old state or the new one is found.
--- a/coord/replication/hall_test.go
+++ b/coord/replication/hall_test.go
@@ -35,6 +35,8 @@
 
 func (m *memory) Identity() (uint64, bool) { return m.id, !m.late }
 
+func (m *memory) FirstSeeds() []string { return nil }
+
 func (m *memory) Load() core.Stored {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -72,16 +72,17 @@
 	id, firstStart := m.config.Store.Identity()
 	m.self = core.Member{ID: core.MemberID(id), Address: m.config.Address, Zone: m.config.Zone}
 	loaded, err := core.New(core.Config{
-		Self:      m.self,
-		Seeds:     m.config.Seeds,
-		Losses:    m.config.Losses,
-		Areas:     m.config.Areas,
-		Area:      m.config.Area,
-		Relay:     m.config.Relay,
-		Bootstrap: firstStart,
-		Machine:   machineAdapter{m.config.Machine},
-		Timing:    m.timing,
-		Limits:    core.DefaultLimits(),
+		Self:       m.self,
+		Seeds:      m.config.Seeds,
+		FirstSeeds: m.config.Store.FirstSeeds(),
+		Losses:     m.config.Losses,
+		Areas:      m.config.Areas,
+		Area:       m.config.Area,
+		Relay:      m.config.Relay,
+		Bootstrap:  firstStart,
+		Machine:    machineAdapter{m.config.Machine},
+		Timing:     m.timing,
+		Limits:     core.DefaultLimits(),
 	}, m.config.Store.Load())
 	m.core = loaded
 	return err
--- a/coord/replication/store/encoding.go
+++ b/coord/replication/store/encoding.go
@@ -12,15 +12,17 @@
 type identity struct {
 	id         uint64
 	firstStart bool
+	firstSeeds []string // of the first start; nobody else's count for the first view
 }
 
 // identityPayload is the payload of an identity record; the id is the record's owner.
 type identityPayload struct {
-	FirstStart bool `json:"first_start"`
+	FirstStart bool     `json:"first_start"`
+	FirstSeeds []string `json:"first_seeds,omitempty"`
 }
 
 func encodeIdentity(i identity) ([]byte, error) {
-	payload, err := json.Marshal(identityPayload{FirstStart: i.firstStart})
+	payload, err := json.Marshal(identityPayload{FirstStart: i.firstStart, FirstSeeds: i.firstSeeds})
 	if err != nil {
 		return nil, err
 	}
@@ -36,7 +38,7 @@
 	if json.Unmarshal(payload, &decoded) != nil {
 		return identity{}, false
 	}
-	return identity{id: owner, firstStart: decoded.FirstStart}, true
+	return identity{id: owner, firstStart: decoded.FirstStart, firstSeeds: decoded.FirstSeeds}, true
 }
 
 func encodeRegister(owner uint64, register core.Register) ([]byte, error) {
--- a/coord/replication/store/store.go
+++ b/coord/replication/store/store.go
@@ -58,13 +58,13 @@
 
 // Open opens the store in a folder, which is made if it is missing. What Load then gives is durable.
 //
-// An empty folder gets a new identity; firstStart is kept in it and means that the disk may take part in making the first view. A damaged one is emptied and gets a new identity without that right.
-func Open(files FileSystem, dir string, firstStart bool) (*Store, error) {
+// An empty folder gets a new identity; firstStart is kept in it and means that the disk may take part in making the first view, with the seeds of that start, which are kept as well: later settings may name others. A damaged one is emptied and gets a new identity without that right.
+func Open(files FileSystem, dir string, firstStart bool, seeds ...string) (*Store, error) {
 	s := &Store{files: files, dir: path.Clean(dir)}
 	if err := s.makeFolder(s.dir); err != nil {
 		return nil, errors.Wrap(err, "make the data folder")
 	}
-	err := s.load(firstStart)
+	err := s.load(identity{firstStart: firstStart, firstSeeds: seeds})
 	var damage *damageError
 	if errors.As(err, &damage) {
 		err = s.StartOver(damage.reason)
@@ -81,6 +81,11 @@
 	return s.identity.id, s.identity.firstStart
 }
 
+// FirstSeeds are the seeds of the first start, if the disk was made at that.
+func (s *Store) FirstSeeds() []string {
+	return s.identity.firstSeeds
+}
+
 // Load gives what the disk held when it was opened. It is meant to be called before the first write.
 func (s *Store) Load() core.Stored {
 	return s.loaded
@@ -102,7 +107,7 @@
 }
 
 // load reads the folder. Its error is a damageError if something that was saved can't be read.
-func (s *Store) load(firstStart bool) error {
+func (s *Store) load(fresh identity) error {
 	names, err := s.files.List(s.dir)
 	if err != nil {
 		return err
@@ -112,7 +117,7 @@
 		return err
 	}
 	if !found {
-		return s.saveIdentity(firstStart)
+		return s.saveIdentity(fresh)
 	}
 	if err := s.readRegister(names); err != nil {
 		return err
@@ -155,16 +160,20 @@
 func (s *Store) StartOver(reason string) error {
 	s.closeLog()
 	*s = Store{files: s.files, dir: s.dir, note: reason}
-	return s.saveIdentity(false)
+	return s.saveIdentity(identity{})
 }
 
-// saveIdentity gives the folder a new identity.
-func (s *Store) saveIdentity(firstStart bool) error {
+// saveIdentity gives the folder a new identity; the id is drawn here.
+func (s *Store) saveIdentity(fresh identity) error {
 	id, err := newID()
 	if err != nil {
 		return err
 	}
-	s.identity = identity{id: id, firstStart: firstStart}
+	fresh.id = id
+	if !fresh.firstStart {
+		fresh.firstSeeds = nil
+	}
+	s.identity = fresh
 	record, err := encodeIdentity(s.identity)
 	if err != nil {
 		return err
--- a/coord/replication/store/store_test.go
+++ b/coord/replication/store/store_test.go
@@ -157,3 +157,21 @@
 	require.Empty(t, s.Note())
 	require.Equal(t, []string{"identity", "lost+found"}, names(t, dir))
 }
+
+// TestTheSeedsOfTheFirstStartStay opens a disk again under settings that name other seeds.
+func TestTheSeedsOfTheFirstStartStay(t *testing.T) {
+	first := []string{"10.1.0.1:7720", "10.2.0.1:7720", "10.3.0.1:7720"}
+	dir := t.TempDir()
+	made, err := store.Open(store.OSFiles{}, dir, true, first...)
+	require.NoError(t, err)
+	require.Equal(t, first, made.FirstSeeds())
+	made.Close()
+	later, err := store.Open(store.OSFiles{}, dir, false, "10.9.0.1:7720")
+	require.NoError(t, err)
+	require.Equal(t, first, later.FirstSeeds())
+	later.Close()
+	joined, err := store.Open(store.OSFiles{}, t.TempDir(), false, first...)
+	require.NoError(t, err)
+	require.Empty(t, joined.FirstSeeds(), "made after the first start: it has no part in the first view")
+	joined.Close()
+}
--- a/internal/emulator/daemon.go
+++ b/internal/emulator/daemon.go
@@ -53,7 +53,7 @@
 }
 
 func (d *daemon) newController(env *settings.Env) (settings.Daemon, error) {
-	disk, err := store.Open(store.OSFiles{}, env.DataDir, env.Bootstrap)
+	disk, err := store.Open(store.OSFiles{}, env.DataDir, env.Bootstrap, env.SeedCrew()...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -14,6 +14,7 @@
 	mu       sync.Mutex
 	id       uint64
 	boot     bool
+	seeds    []string // of the first start
 	register core.Register
 	snapshot *core.Snapshot
 	entries  []core.Entry // after the snapshot
@@ -25,6 +26,9 @@
 // NewDisk makes an empty disk with a new identity.
 func NewDisk(id uint64, boot bool) *Disk { return &Disk{id: id, boot: boot} }
 
+// FirstSeeds is replication.Store's.
+func (d *Disk) FirstSeeds() []string { return d.seeds }
+
 // Fault sets what the disk does from now on: "ok", "full", "stall" or "slow".
 func (d *Disk) Fault(how string) {
 	d.mu.Lock()
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -171,6 +171,9 @@
 	if p.disk == nil {
 		w.ids++
 		p.disk = NewDisk(w.ids*1000003, bootstrap)
+		if bootstrap {
+			p.disk.seeds = env.SeedCrew()
+		}
 	}
 	w.mu.Lock()
 	if !bootstrap {
