--- a/coord/replication/core/simulation/monitor_test.go
+++ b/coord/replication/core/simulation/monitor_test.go
@@ -20,6 +20,7 @@
 	offers    map[core.StateTag]*process
 	chosen    map[core.Epoch]core.View
 	newest    core.Epoch // of a primary
+	grown     bool       // a view had as many copies and witnesses as the losses need
 }
 
 // voteKey is a witness and the epoch it votes for.
@@ -219,6 +220,10 @@
 
 // learned checks that views are a chain.
 func (m *monitor) learned(view core.View) {
+	losses := m.cluster.settings.Losses
+	if len(view.Copies()) > losses && len(view.Witnesses) > 2*losses {
+		m.grown = true
+	}
 	known, ok := m.views[view.Epoch]
 	if !ok {
 		m.views[view.Epoch] = view
