--- a/coord/replication/crowd_test.go
+++ b/coord/replication/crowd_test.go
@@ -66,6 +66,7 @@
 	st     []*memory
 	lf     []*life
 	ids    uint64
+	adjust func(i int, config *Config) // changes a member's configuration before it starts; nil: nothing
 }
 
 func (t *crowd) start(i int) {
@@ -73,10 +74,14 @@
 	t.sc[i] = task.New(slog.New(slog.DiscardHandler))
 	t.l[i] = &lines{}
 	t.lf[i] = &life{memory: t.st[i], h: t.h}
-	m, err := New(t.sc[i], Config{
+	config := Config{
 		Address: address, Zone: t.zone[i], Seeds: []string{"m0", "m1", "m2"}, Losses: t.losses, Areas: 1, Area: t.area,
 		Store: t.lf[i], Machine: t.l[i], Transport: t.lf[i],
-	})
+	}
+	if t.adjust != nil {
+		t.adjust(i, &config)
+	}
+	m, err := New(t.sc[i], config)
 	if err != nil {
 		panic(err)
 	}
--- /dev/null
+++ b/coord/replication/settings_test.go
@@ -0,0 +1,277 @@
+package replication
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"shaletrestle/coord/replication/core"
+	"shaletrestle/internal/errkind"
+)
+
+const (
+	changeBytes   = 3 << 10               // of one change
+	settingsCount = 100                   // 300 KB in a snapshot
+	changeEvery   = 20 * time.Millisecond // 50 changes a second
+	orderWait     = 900 * time.Millisecond
+	linkRate      = 8 << 20 // bytes a second of a link of 100 Mbit/s less a third
+	slowLinkRate  = 1 << 20
+)
+
+// settings is a machine with a state of bounded size: a change replaces one of the values. Changes are numbered from 1; each must follow the one before.
+type settings struct {
+	mu     sync.Mutex
+	last   uint64
+	values [][]byte
+	err    error // of the first change that did not follow
+}
+
+func newSettings(count int) *settings { return &settings{values: make([][]byte, count)} }
+
+func (s *settings) Apply(change []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := binary.LittleEndian.Uint64(change)
+	if number != s.last+1 && s.err == nil {
+		s.err = fmt.Errorf("change %d after %d", number, s.last)
+	}
+	s.last = number
+	s.values[number%uint64(len(s.values))] = change
+}
+
+func (s *settings) Checkpoint() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := binary.LittleEndian.AppendUint64(make([]byte, 0, 8+len(s.values)*(changeBytes+4)), s.last)
+	for _, value := range s.values {
+		out = binary.LittleEndian.AppendUint32(out, uint32(len(value)))
+		out = append(out, value...)
+	}
+	return out
+}
+
+func (s *settings) Restore(checkpoint []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = 0
+	s.values = make([][]byte, len(s.values))
+	if len(checkpoint) == 0 {
+		return nil
+	}
+	s.last = binary.LittleEndian.Uint64(checkpoint)
+	rest := checkpoint[8:]
+	for i := range s.values {
+		size := binary.LittleEndian.Uint32(rest)
+		s.values[i] = rest[4 : 4+size]
+		rest = rest[4+size:]
+	}
+	return nil
+}
+
+func (s *settings) lastChange() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// change is the entry with a number.
+func change(number uint64) []byte {
+	entry := binary.LittleEndian.AppendUint64(nil, number)
+	random := rand.New(rand.NewPCG(number, 1))
+	for len(entry) < changeBytes {
+		entry = binary.LittleEndian.AppendUint64(entry, random.Uint64())
+	}
+	return entry
+}
+
+// fleet is a crowd whose members keep settings, with a network that is watched.
+type fleet struct {
+	*crowd
+	settings []*settings
+
+	mu        sync.Mutex
+	frozen    map[string]chan struct{} // by address; closed when it thaws
+	partBytes map[string]int           // of state sent, by the address it is sent to
+	received  []int64                  // of the streams, as watched tells it
+	watched   string                   // address
+	onPart    func(address string, part core.SnapshotPart)
+
+	change  uint64 // the last one that was acknowledged
+	longest time.Duration
+}
+
+// newFleet starts a fleet that bears one loss over links of a rate and waits until it serves.
+func newFleet(count, rate int, zones ...string) *fleet {
+	f := makeFleet(count, rate, zones...)
+	f.startAll()
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+func makeFleet(count, rate int, zones ...string) *fleet {
+	f := &fleet{crowd: makeCrowd(1, zones...), frozen: map[string]chan struct{}{}, partBytes: map[string]int{}}
+	f.settings = make([]*settings, len(zones))
+	f.adjust = func(i int, config *Config) {
+		f.settings[i] = newSettings(count)
+		config.Machine = f.settings[i]
+	}
+	f.h.rate = rate
+	f.h.setDrop(f.watch)
+	return f
+}
+
+// watch sees each message as it is sent, by the goroutine that sends it. It loses none.
+func (f *fleet) watch(address string, message core.Message) bool {
+	f.mu.Lock()
+	gate := f.frozen[message.Route().From.Address]
+	f.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	f.mu.Lock()
+	onPart := f.onPart
+	switch message := message.(type) {
+	case core.SnapshotPart:
+		f.partBytes[address] += len(message.Data)
+	case core.SnapshotPartReply:
+		if message.From.Address == f.watched && !message.Complete && message.Refusal == core.Granted {
+			f.received = append(f.received, message.Received)
+		}
+	}
+	f.mu.Unlock()
+	if part, ok := message.(core.SnapshotPart); ok && onPart != nil {
+		onPart(address, part)
+	}
+	return false
+}
+
+// watchParts begins the count of state sent anew. onPart, if any, is called for each part before it goes out.
+func (f *fleet) watchParts(receiver int, onPart func(address string, part core.SnapshotPart)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.partBytes = map[string]int{}
+	f.received = nil
+	f.watched = address(receiver)
+	f.onPart = onPart
+}
+
+// stateSent is how many bytes of state were sent to a member, and how much of it the member said to have, answer by answer.
+func (f *fleet) stateSent(i int) (bytes int, received []int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.partBytes[address(i)], slices.Clone(f.received)
+}
+
+func address(i int) string { return fmt.Sprint("m", i) }
+
+// freeze makes a member stand still at the next message that it sends.
+func (f *fleet) freeze(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[address(i)] = make(chan struct{})
+}
+
+func (f *fleet) thaw(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.frozen[address(i)])
+	delete(f.frozen, address(i))
+}
+
+func (f *fleet) isFrozen(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen[address(i)] != nil
+}
+
+// newest is the primary of the newest epoch, negative if there is none.
+func (f *fleet) newest() int {
+	found, newest := -1, uint64(0)
+	for i, m := range f.m {
+		epoch, active := m.Active()
+		if active && epoch > newest && !f.sc[i].Ended() && !f.isFrozen(i) {
+			found, newest = i, epoch
+		}
+	}
+	return found
+}
+
+// order makes the next change, as a caller who sends it again until it is taken.
+func (f *fleet) order(t *testing.T) {
+	t.Helper()
+	number := f.change + 1
+	begun := time.Now()
+	for {
+		require.Less(t, time.Since(begun), 20*time.Second, "change %d is not taken", number)
+		p := f.newest()
+		if p < 0 {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		err := f.m[p].Propose(time.Now().Add(orderWait), func() ([]byte, error) {
+			last := f.settings[p].lastChange()
+			switch {
+			case last >= number:
+				return nil, nil
+			case last+1 < number:
+				return nil, errkind.New(errkind.Internal, "change %d was taken and is lost: %d is the last", number-1, last)
+			}
+			return change(number), nil
+		})
+		require.NotEqual(t, errkind.Internal, errkind.KindOf(err), "%v", err)
+		if err == nil {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.change = number
+	f.longest = max(f.longest, time.Since(begun))
+}
+
+// orders makes changes at the steady rate.
+func (f *fleet) orders(t *testing.T, count int) {
+	t.Helper()
+	next := time.Now()
+	for range count {
+		f.order(t)
+		next = next.Add(changeEvery)
+		time.Sleep(time.Until(next))
+	}
+}
+
+// roles gives the places of the primary, its backup and the third member.
+func (f *fleet) roles(t *testing.T) (primary, backup, witness int) {
+	t.Helper()
+	primary = f.newest()
+	require.GreaterOrEqual(t, primary, 0)
+	view := f.m[primary].View()
+	require.Len(t, view.Backups, 1)
+	backup = f.at(view.Backups[0])
+	for i := range f.m {
+		if i != primary && i != backup {
+			return primary, backup, i
+		}
+	}
+	return primary, backup, -1
+}
+
+// copiesAgree requires that all copies of the newest view have all that was acknowledged.
+func (f *fleet) copiesAgree(t *testing.T) {
+	t.Helper()
+	time.Sleep(100 * time.Millisecond)
+	p := f.newest()
+	require.GreaterOrEqual(t, p, 0)
+	want := f.settings[p].Checkpoint()
+	require.Equal(t, f.change, f.settings[p].lastChange())
+	for _, member := range f.m[p].View().Copies() {
+		i := f.at(member)
+		require.True(t, slices.Equal(want, f.settings[i].Checkpoint()), "copy m%d differs", i)
+		require.NoError(t, f.settings[i].err)
+	}
+}
