replication core: a seed's disk lost during the first start doesn't keep the first view away

Cause: the first view is prepared at all seeds, and a disk that was not made for the first start refused it. So one disk lost within the first milliseconds left the members without a view for good (TestASecondLoss, first view, m0 wiped at its first Prepare: nobody primary 11 s after its return).

Change: most of the witnesses of the first base must be first disks, not all. A first view was accepted by a majority of its witnesses, so it shows at one of the first disks, all of which are asked. The rank of proposers counts seeds with first disks only. The refusal NotFirstDisk is gone.

--- a/coord/replication/core/bootstrap.go
+++ b/coord/replication/core/bootstrap.go
@@ -5,21 +5,19 @@
 	"time"
 )
 
-// firstBase gives the view of epoch 0, whose witnesses make the first view, once every seed is there, with a disk or without any. The lowest address goes first, the others after some seconds.
+// firstBase gives the view of epoch 0, whose witnesses make the first view, once every seed is there, with a disk or without any. Of the seeds with first disks the lowest address goes first, the others after some seconds.
 //
-// Invariant: there is one first view. A seed's disk may be lost and another come in its place while the first view is made, so two proposers may mean different witnesses. The first view is prepared at all of the witnesses that its proposer means, not at a majority: whatever was chosen before, by another set of witnesses that one lost disk changed, shows at one of them.
+// Invariant: there is one first view. A seed's disk may be lost and another come in its place while the first view is made, so two proposers may mean different witnesses. The first view is prepared at all of the witnesses that its proposer means, not at a majority, and most of these must be first disks: whatever was chosen before was accepted by a majority, so it shows at one of them.
 func (c *Core) firstBase() (*View, bool) {
-	if !c.config.Bootstrap || c.config.Relay {
-		return nil, false
-	}
-	seeds := c.firstSeeds()
-	rank := slices.Index(seeds, c.self.Address)
-	if rank < 0 || c.now-c.born < time.Duration(rank)*c.timing.WitnessLost {
+	if !c.config.Bootstrap || c.config.Relay || !slices.Contains(c.firstSeeds(), c.self.Address) {
 		return nil, false
 	}
 	base := &View{}
-	for _, address := range seeds {
+	firstDisks, rank := 0, 0
+	for _, address := range c.firstSeeds() {
 		if address == c.self.Address {
+			rank = firstDisks
+			firstDisks++
 			base.Witnesses = append(base.Witnesses, c.self)
 			continue
 		}
@@ -27,9 +25,16 @@
 		if p == nil || !c.fresh(*p) {
 			return nil, false
 		}
-		if !p.status.Relay {
-			base.Witnesses = append(base.Witnesses, p.member)
+		if p.status.Relay {
+			continue
+		}
+		if p.status.FirstDisk {
+			firstDisks++
 		}
+		base.Witnesses = append(base.Witnesses, p.member)
+	}
+	if firstDisks < majority(len(base.Witnesses)) || c.now-c.born < time.Duration(rank)*c.timing.WitnessLost {
+		return nil, false
 	}
 	return base, true
 }
--- a/coord/replication/core/register.go
+++ b/coord/replication/core/register.go
@@ -153,9 +153,6 @@
 	if indexOf(base.Witnesses, c.self.ID) < 0 {
 		return OtherSeeds
 	}
-	if base.Epoch == 0 && !c.config.Bootstrap {
-		return NotFirstDisk
-	}
 	if base.Epoch == 0 && !c.sharesSeeds(base) {
 		return OtherSeeds
 	}
--- a/coord/replication/core/types.go
+++ b/coord/replication/core/types.go
@@ -167,7 +167,6 @@
 	Repeat                       // an older entry that is held already; nothing was done
 	Fork                         // the history held differs from the one meant
 	Promised                     // a higher ballot was promised
-	NotFirstDisk                 // this disk was not made for the first start, so it makes no first view
 	OtherSeeds                   // this member is no witness of that view, or started with other seeds
 	Unfit                        // the disk takes no writes, or the member is leaving
 	Busy                         // another job of that kind is under way
@@ -178,7 +177,7 @@
 
 var refusalNames = [...]string{
 	"granted", "other disk", "no disk", "newer view", "unknown view", "not joined", "gap", "repeat", "fork", "promised",
-	"not a first disk", "other seeds", "unfit", "busy", "disk failed", "not primary", "nobody instead",
+	"other seeds", "unfit", "busy", "disk failed", "not primary", "nobody instead",
 }
 
 // String is the reason in words.
