A second loss at the steps of each repair and replacement

What was acknowledged is read back, an order is acknowledged within 2.5 s of each loss, copies and witnesses are whole when sync_s is over, and then as many copies as may be are lost with their disks.

--- a/coord/replication/hall_test.go
+++ b/coord/replication/hall_test.go
@@ -92,7 +92,8 @@
 	off     map[string]bool
 	cut     map[[2]string]bool // one way
 	drop    func(address string, m core.Message) bool
-	rate    int // bytes a second of one way between two members; 0: no bound
+	arrived func(m core.Message) // called before a message is received
+	rate    int                  // bytes a second of one way between two members; 0: no bound
 	free    map[[2]string]time.Time
 	tapped  chan core.Message // gets what is sent to tapAddr
 	tapAddr string
@@ -140,8 +141,11 @@
 
 func (h *hall) deliver(address string, message core.Message) {
 	h.mu.Lock()
-	m, off := h.m[address], h.off[address]
+	m, off, arrived := h.m[address], h.off[address], h.arrived
 	h.mu.Unlock()
+	if arrived != nil {
+		arrived(message)
+	}
 	if m != nil && !off {
 		m.Receive(message)
 	}
--- /dev/null
+++ b/coord/replication/second_loss_test.go
@@ -0,0 +1,111 @@
+package replication
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	secondLossRuns  = flag.Int("second-loss.runs", 10, "runs of each scenario of a second loss on each layout, spread evenly over all steps, members and disks; 0: all")
+	secondLossUsual = flag.Int("second-loss.usual", 64, "of the messages that belong to no change of view, every so many is a step")
+)
+
+// lossScenario is a repair or a replacement, at each step of which a further member is lost.
+type lossScenario struct {
+	name    string
+	start   func(losses int, zones []string) *crowd // nil: all members serve
+	needs   int                                     // losses to bear
+	members int                                     // fewest members
+	play    func(r *lossRun)
+}
+
+// TestASecondLoss plays each scenario once to count its steps, and once for each step, member and fate of its disk, or as many of these as the flag allows.
+func TestASecondLoss(t *testing.T) {
+	for _, scenario := range lossScenarios {
+		for name, x := range layouts {
+			if x.losses < scenario.needs || len(x.zones) < scenario.members {
+				continue
+			}
+			t.Run(scenario.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				secondLosses(t, scenario, x.losses, x.zones)
+			})
+		}
+	}
+}
+
+func secondLosses(t *testing.T, scenario lossScenario, losses int, zones []string) {
+	steps := 0
+	synctest.Test(t, func(t *testing.T) { steps = playLosses(t, scenario, losses, zones, nil) })
+	all := 2 * steps * len(zones)
+	runs := all
+	if *secondLossRuns > 0 {
+		runs = min(all, *secondLossRuns)
+	}
+	t.Logf("%s: %d steps, %d runs of %d", t.Name(), steps, runs, all)
+	for i := range runs {
+		loss := spreadLoss(i, runs, steps, len(zones))
+		t.Run(loss.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playLosses(t, scenario, losses, zones, &loss) })
+		})
+	}
+}
+
+// spreadLoss is the further loss of one of some runs: steps are spread evenly, members and disks taken in turn.
+func spreadLoss(run, runs, steps, members int) furtherLoss {
+	kinds := 2 * members
+	kind := run % kinds
+	step := run * steps / runs
+	return furtherLoss{step: step + 1, victim: kind / 2, wiped: kind%2 == 1}
+}
+
+// playLosses plays a scenario and gives the number of its steps.
+func playLosses(t *testing.T, scenario lossScenario, losses int, zones []string, loss *furtherLoss) int {
+	start := scenario.start
+	if start == nil {
+		start = func(losses int, zones []string) *crowd { return newCrowd(losses, zones...) }
+	}
+	c := start(losses, zones)
+	defer c.end()
+	r := newLossRun(t, c, *secondLossUsual, loss)
+	defer r.stopOrders()
+	if scenario.start == nil {
+		time.Sleep(300 * time.Millisecond) // some orders are acknowledged
+	}
+	r.locked(func() { r.counting = true })
+	scenario.play(r)
+	r.finish(losses)
+	return r.steps
+}
+
+// TestASeedIsWipedDuringTheFirstStart wipes a seed at each moment until all know the first view.
+func TestASeedIsWipedDuringTheFirstStart(t *testing.T) {
+	for seed := range 3 {
+		for at := range 14 {
+			t.Run(fmt.Sprintf("m%d at %d ms", seed, at), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					c := startCrowd(1, "a", "b", "c", "d")
+					defer c.end()
+					time.Sleep(time.Duration(at)*time.Millisecond + time.Microsecond)
+					c.stop(seed)
+					c.wipe(seed)
+					time.Sleep(downTime)
+					c.start(seed)
+					time.Sleep(syncTime)
+					p := c.primary()
+					require.GreaterOrEqual(t, p, 0, "nobody is primary")
+					require.NoError(t, c.propose(p, "first"))
+					c.witnessesAreWell(t, c.m[p].View())
+					require.Len(t, c.m[p].View().Copies(), 2)
+				})
+			})
+		}
+	}
+}
