--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -11,11 +11,11 @@
 )
 
 func main() {
-	settings.Main("controller", "Keeps configuration and evacuations, reads the platform's list and tells the routers.", settings.Need{Control: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
-		if !e.Keeps() {
+	settings.Main("controller", "Keeps configuration and evacuations, reads the platform's list and tells the routers.", settings.Need{Control: true}, func(sc *task.Scope, e *settings.Settings) (settings.Daemon, error) {
+		if !e.HasDisk() {
 			return controller.New(sc, controller.Plan{Env: e, Net: rpc.TCP{}, Store: replication.NewNoDisk()})
 		}
-		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap, e.SeedCrew()...)
+		st, err := store.Open(store.OSFiles{}, e.DataDir, e.Bootstrap, e.SeedMembers()...)
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	settings.Main("router", "Carries clients' requests to model replicas.", settings.Need{Front: true}, func(sc *task.Scope, e *settings.Env) (settings.Daemon, error) {
+	settings.Main("router", "Carries clients' requests to model replicas.", settings.Need{Front: true}, func(sc *task.Scope, e *settings.Settings) (settings.Daemon, error) {
 		return router.New(sc, router.Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}}), nil
 	})
 }
--- a/coord/distribution/catchup_test.go
+++ b/coord/distribution/catchup_test.go
@@ -50,12 +50,12 @@
 
 func (l *link) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
 
-func (l *link) Dial(string, clock.Span) (net.Conn, error) {
+func (l *link) Dial(string, clock.Duration) (net.Conn, error) {
 	l.mu.Lock()
 	l.dials++
 	l.mu.Unlock()
 	a, b := net.Pipe()
-	rpc.Open(l.sc, slowConn{b, l}, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	rpc.Open(l.sc, slowConn{b, l}, func(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 		switch n.Kind {
 		case rpc.Follow:
 			l.feed.Follow(ch, n)
@@ -111,7 +111,7 @@
 			body := strings.Repeat("x", 2000) // at 250 a second half of the link's rate
 			stop := sc.Part("pushing")
 			go clock.Every(stop, 4*time.Millisecond, func() bool { push(body); return true })
-			go NewFollower(sc, l, c, rpc.Seat{ID: 1}, false, func(string) string { return "x" }, nil).Run()
+			go NewFollower(sc, l, c, rpc.Member{ID: 1}, false, func(string) string { return "x" }, nil).Run()
 			start := time.Now()
 			for time.Since(start) < 20*time.Second {
 				_, at := f.At()
@@ -150,7 +150,7 @@
 		start := time.Now()
 		for i := range cursors {
 			cursors[i] = NewCursor(&words{})
-			go NewFollower(sc, l, cursors[i], rpc.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil).Run()
+			go NewFollower(sc, l, cursors[i], rpc.Member{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil).Run()
 		}
 		most := 0
 		for f.Acked() == 0 && time.Since(start) < time.Minute {
--- a/coord/distribution/cursor.go
+++ b/coord/distribution/cursor.go
@@ -9,13 +9,13 @@
 // Cursor is the sink of an end follower: a board and how far it has come.
 type Cursor struct {
 	mu       sync.Mutex
-	board    Board
+	board    State
 	progress progress
-	heard    clock.Moment
+	heard    clock.Time
 }
 
 // NewCursor makes a cursor over a board.
-func NewCursor(b Board) *Cursor { return &Cursor{board: b} }
+func NewCursor(b State) *Cursor { return &Cursor{board: b} }
 
 // Restore takes a snapshot from a source that says whether it is current; one that is older than what is held is refused.
 func (c *Cursor) Restore(at Position, body []byte, current bool) error {
@@ -74,7 +74,7 @@
 }
 
 // Age is how long ago a source in touch with the primary was last heard.
-func (c *Cursor) Age() clock.Span {
+func (c *Cursor) Age() clock.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return clock.Since(c.heard)
--- a/coord/distribution/distribution_test.go
+++ b/coord/distribution/distribution_test.go
@@ -53,7 +53,7 @@
 	heard, seats atomic.Int64 // acknowledgements, and the seats in them
 }
 
-func (p *pipes) Dial(string, clock.Span) (net.Conn, error) {
+func (p *pipes) Dial(string, clock.Duration) (net.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.off {
@@ -61,7 +61,7 @@
 	}
 	a, b := net.Pipe()
 	p.last = b
-	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 		switch n.Kind {
 		case rpc.Follow:
 			p.feed.Follow(ch, n)
@@ -86,7 +86,7 @@
 		p := &pipes{sc: sc, feed: f}
 		got := &words{}
 		c := NewCursor(got)
-		go NewFollower(sc, p, c, rpc.Seat{ID: 1, Addr: "n1"}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, c, rpc.Member{ID: 1, Address: "n1"}, false, func(string) string { return "x" }, nil).Run()
 		push := begin(f, 1)
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, "old", string(got.Checkpoint()))
@@ -131,13 +131,13 @@
 	lists int // those that listed seats
 }
 
-func (p *tree) Dial(at string, _ clock.Span) (net.Conn, error) {
+func (p *tree) Dial(at string, _ clock.Duration) (net.Conn, error) {
 	a, b := net.Pipe()
 	p.mu.Lock()
 	f := p.feeds[at]
 	p.held = append(p.held, b)
 	p.mu.Unlock()
-	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	rpc.Open(p.sc, b, func(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 		switch n.Kind {
 		case rpc.Follow:
 			f.Follow(ch, n)
@@ -169,7 +169,7 @@
 		var fo *Follower
 		f := NewFeed(p.sc, &words{}, func(uint64, uint64) { fo.Tell() })
 		p.feeds[fmt.Sprint("relay", i)] = f
-		fo = NewFollower(p.sc, p, f, rpc.Seat{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
+		fo = NewFollower(p.sc, p, f, rpc.Member{ID: uint64(i) + 1000}, true, func(string) string { return "source" }, f.Reached)
 		go fo.Run()
 	}
 	push = begin(src, 1)
@@ -182,7 +182,7 @@
 
 func (p *tree) end(lives map[uint64]*task.Scope, id uint64, at string) {
 	lives[id] = p.sc.Part("end")
-	go NewFollower(lives[id], p, NewCursor(&words{}), rpc.Seat{ID: id, Addr: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
+	go NewFollower(lives[id], p, NewCursor(&words{}), rpc.Member{ID: id, Address: fmt.Sprint("n", id)}, false, func(string) string { return at }, nil).Run()
 }
 
 func TestReachedStaysRightThroughLosses(t *testing.T) {
@@ -300,7 +300,7 @@
 		begin(f, 1)
 		p := &pipes{sc: sc, feed: f}
 		var tried []string
-		fo := NewFollower(sc, p, NewCursor(&words{}), rpc.Seat{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
+		fo := NewFollower(sc, p, NewCursor(&words{}), rpc.Member{ID: 1}, false, func(bad string) string { tried = append(tried, bad); return fmt.Sprint("at", len(tried)) }, nil)
 		go fo.Run()
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
@@ -342,13 +342,13 @@
 		up := &pipes{sc: sc, feed: src}
 		var relay *Follower
 		mid := NewFeed(sc, &words{}, func(uint64, uint64) { relay.Tell() })
-		relay = NewFollower(sc, up, mid, rpc.Seat{ID: 1, Addr: "relay"}, true, func(string) string { return "src" }, mid.Reached)
+		relay = NewFollower(sc, up, mid, rpc.Member{ID: 1, Address: "relay"}, true, func(string) string { return "src" }, mid.Reached)
 		go relay.Run()
 		time.Sleep(time.Second)
 		const many = 30
 		for i := range many {
 			p := &pipes{sc: sc, feed: mid}
-			go NewFollower(sc, p, NewCursor(&words{}), rpc.Seat{ID: uint64(10 + i), Addr: fmt.Sprint("n", i)}, false, func(string) string { return "mid" }, nil).Run()
+			go NewFollower(sc, p, NewCursor(&words{}), rpc.Member{ID: uint64(10 + i), Address: fmt.Sprint("n", i)}, false, func(string) string { return "mid" }, nil).Run()
 		}
 		time.Sleep(5 * time.Second)
 		require.Len(t, src.Reached(), many)
@@ -392,8 +392,8 @@
 		cs := make([]*Cursor, 5)
 		for i := range cs {
 			cs[i] = NewCursor(&words{})
-			fo := NewFollower(sc, p, cs[i], rpc.Seat{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil)
-			fo.Others(func(n *rpc.Note) {
+			fo := NewFollower(sc, p, cs[i], rpc.Member{ID: uint64(i + 1)}, false, func(string) string { return "x" }, nil)
+			fo.Others(func(n *rpc.Message) {
 				if n.Kind == rpc.Deck && string(n.Body) == "sum" {
 					got.Add(1)
 				}
@@ -401,7 +401,7 @@
 			go fo.Run()
 		}
 		time.Sleep(constants.NewsBeat)
-		f.Spread(&rpc.Note{Kind: rpc.Deck, Body: []byte("sum")})
+		f.Spread(&rpc.Message{Kind: rpc.Deck, Body: []byte("sum")})
 		time.Sleep(constants.NewsBeat / 2)
 		require.Equal(t, int64(len(cs)), got.Load())
 		for _, c := range cs {
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -11,8 +11,8 @@
 	"shaletrestle/internal/task"
 )
 
-// Board is the view that changes are folded into. Its methods are never called at the same time.
-type Board interface {
+// State is the view that changes are folded into. Its methods are never called at the same time.
+type State interface {
 	Restore(checkpoint []byte) error
 	// Fold takes a change in; one that can't be folded changes nothing.
 	Fold(change []byte) error
@@ -29,9 +29,9 @@
 type Feed struct {
 	sc          *task.Scope
 	mu          sync.Mutex
-	board       Board
+	board       State
 	progress    progress
-	fresh       clock.Moment // a relay: when its own source was last heard to be in touch with the primary
+	fresh       clock.Time // a relay: when its own source was last heard to be in touch with the primary
 	source      *Source      // nil: this process is a relay
 	kept        []change     // the newest changes, without a gap, the last is at progress.at
 	snapshot    []byte       // the encoded snapshot message at progress.at, once somebody needed it
@@ -43,7 +43,7 @@
 }
 
 // NewFeed makes a feed over a board. onAck, which may be nil, is told the number that all followers have taken.
-func NewFeed(sc *task.Scope, b Board, onAck func(epoch, number uint64)) *Feed {
+func NewFeed(sc *task.Scope, b State, onAck func(epoch, number uint64)) *Feed {
 	f := &Feed{
 		sc:          sc.Part("distribution"),
 		board:       b,
@@ -119,7 +119,7 @@
 		return
 	}
 	f.source = nil
-	f.fresh = clock.Moment{}
+	f.fresh = clock.Time{}
 	f.sendBeats()
 }
 
@@ -137,7 +137,7 @@
 		return err
 	}
 	f.source = nil
-	f.fresh = clock.Moment{}
+	f.fresh = clock.Time{}
 	if current {
 		f.fresh = clock.Now()
 	}
@@ -209,7 +209,7 @@
 }
 
 // Wait waits until all connected followers have taken a number, at most d. It tells how many have and how many there are.
-func (f *Feed) Wait(sc *task.Scope, number uint64, d clock.Span) (have, of int) {
+func (f *Feed) Wait(sc *task.Scope, number uint64, d clock.Duration) (have, of int) {
 	end := clock.After(d)
 	for {
 		f.mu.Lock()
@@ -235,7 +235,7 @@
 }
 
 // Spread sends a note that is no news to all followers: it has no number and may be lost.
-func (f *Feed) Spread(n *rpc.Note) {
+func (f *Feed) Spread(n *rpc.Message) {
 	b := n.Encode()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -245,10 +245,10 @@
 }
 
 // Reached lists the end followers: those connected here and those that relays told of.
-func (f *Feed) Reached() []rpc.Seat {
+func (f *Feed) Reached() []rpc.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []rpc.Seat
+	var out []rpc.Member
 	for _, s := range f.subscribers {
 		if s.relay {
 			out = append(out, s.below...)
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -28,20 +28,20 @@
 	sc    *task.Scope
 	net   rpc.Net
 	sink  Sink
-	self  rpc.Seat
+	self  rpc.Member
 	relay bool
 	pick  func(failed string) string
-	seats func() []rpc.Seat
+	seats func() []rpc.Member
 	now   atomic.String
 	carry func() []byte
-	other func(*rpc.Note)
+	other func(*rpc.Message)
 	ch    atomic.Pointer[rpc.Channel]
 	mu    sync.Mutex
 	said  said
 }
 
 // NewFollower makes a follower. pick names the next address to follow, given the one that failed; seats, for a relay, lists its own followers.
-func NewFollower(sc *task.Scope, n rpc.Net, s Sink, self rpc.Seat, relay bool, pick func(string) string, seats func() []rpc.Seat) *Follower {
+func NewFollower(sc *task.Scope, n rpc.Net, s Sink, self rpc.Member, relay bool, pick func(string) string, seats func() []rpc.Member) *Follower {
 	return &Follower{sc: sc.Part("distribution"), net: n, sink: s, self: self, relay: relay, pick: pick, seats: seats}
 }
 
@@ -49,7 +49,7 @@
 func (f *Follower) Carry(c func() []byte) { f.carry = c }
 
 // Self is the seat that this follower tells of itself.
-func (f *Follower) Self() rpc.Seat { return f.self }
+func (f *Follower) Self() rpc.Member { return f.self }
 
 // Source is the address followed now, empty if none.
 func (f *Follower) Source() string { return f.now.Load() }
@@ -89,7 +89,7 @@
 }
 
 // receive takes one message of the source; a source that can't be followed on is left.
-func (f *Follower) receive(ch *rpc.Channel, n *rpc.Note) {
+func (f *Follower) receive(ch *rpc.Channel, n *rpc.Message) {
 	if n.Kind != rpc.News {
 		if f.other != nil {
 			f.other(n)
@@ -108,7 +108,7 @@
 	if err != nil {
 		return
 	}
-	ch := rpc.Open(f.sc, c, func(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+	ch := rpc.Open(f.sc, c, func(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 		f.receive(ch, n)
 		return nil
 	})
@@ -133,16 +133,16 @@
 }
 
 // Others sets what takes the source's notes that are no news. Call it before Run.
-func (f *Follower) Others(take func(*rpc.Note)) { f.other = take }
+func (f *Follower) Others(take func(*rpc.Message)) { f.other = take }
 
 // Send passes a note to the source followed now, if there is one.
-func (f *Follower) Send(n *rpc.Note) bool {
+func (f *Follower) Send(n *rpc.Message) bool {
 	ch := f.ch.Load()
 	return ch != nil && ch.Send(n)
 }
 
 // Call asks the source followed now.
-func (f *Follower) Call(n *rpc.Note, d clock.Span) (*rpc.Note, error) {
+func (f *Follower) Call(n *rpc.Message, d clock.Duration) (*rpc.Message, error) {
 	ch := f.ch.Load()
 	if ch == nil {
 		return nil, errkind.New(errkind.Unready, "nobody is followed")
@@ -163,7 +163,7 @@
 type said struct {
 	ch            *rpc.Channel
 	epoch, number uint64
-	seats         []rpc.Seat
+	seats         []rpc.Member
 }
 
 // ack acknowledges; a relay's followers are listed only if they are others than this channel was told before.
@@ -180,8 +180,8 @@
 	f.said = said{ch, ep, num, nil}
 	if f.seats != nil {
 		f.said.seats = f.seats()
-		slices.SortFunc(f.said.seats, func(a, b rpc.Seat) int {
-			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Locality, b.Locality))
+		slices.SortFunc(f.said.seats, func(a, b rpc.Member) int {
+			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Zone, b.Zone))
 		})
 		if was.ch != ch || !slices.Equal(was.seats, f.said.seats) {
 			n.Word, n.Seats = seatsListed, f.said.seats
@@ -197,7 +197,7 @@
 }
 
 // take puts one message of the source into the sink; false means that the source can't be followed on.
-func (f *Follower) take(n *rpc.Note) bool {
+func (f *Follower) take(n *rpc.Message) bool {
 	at := positionOf(n)
 	epoch, number := f.sink.At()
 	switch form(n.Word) {
--- a/coord/distribution/messages.go
+++ b/coord/distribution/messages.go
@@ -23,27 +23,27 @@
 // seatsListed marks an acknowledgement that lists all of a relay's followers; the others say nothing of them.
 const seatsListed = "seats"
 
-func changeMessage(at Position, body []byte) *rpc.Note {
-	return &rpc.Note{Kind: rpc.News, OK: true, Epoch: at.Epoch, Number: at.Number, Base: at.Number - 1, Body: body}
+func changeMessage(at Position, body []byte) *rpc.Message {
+	return &rpc.Message{Kind: rpc.News, OK: true, Epoch: at.Epoch, Number: at.Number, Base: at.Number - 1, Body: body}
 }
 
-func stateMessage(f form, at Position, current bool) *rpc.Note {
-	return &rpc.Note{Kind: rpc.News, OK: current, Epoch: at.Epoch, Number: at.Number, Word: string(f)}
+func stateMessage(f form, at Position, current bool) *rpc.Message {
+	return &rpc.Message{Kind: rpc.News, OK: current, Epoch: at.Epoch, Number: at.Number, Word: string(f)}
 }
 
-func snapshotMessage(at Position, current bool, body []byte) *rpc.Note {
+func snapshotMessage(at Position, current bool, body []byte) *rpc.Message {
 	n := stateMessage(formSnapshot, at, current)
 	n.Body = body
 	return n
 }
 
-func followMessage(self rpc.Seat, at Position, r role) *rpc.Note {
-	return &rpc.Note{Kind: rpc.Follow, From: self, Epoch: at.Epoch, Number: at.Number, Word: string(r)}
+func followMessage(self rpc.Member, at Position, r role) *rpc.Message {
+	return &rpc.Message{Kind: rpc.Follow, From: self, Epoch: at.Epoch, Number: at.Number, Word: string(r)}
 }
 
 // ackMessage says that its sender has taken all up to own, and all that follow it all up to below.
-func ackMessage(self rpc.Seat, epoch, own, below uint64) *rpc.Note {
-	return &rpc.Note{Kind: rpc.Heard, From: self, Epoch: epoch, Number: below, Base: own}
+func ackMessage(self rpc.Member, epoch, own, below uint64) *rpc.Message {
+	return &rpc.Message{Kind: rpc.Heard, From: self, Epoch: epoch, Number: below, Base: own}
 }
 
-func positionOf(n *rpc.Note) Position { return Position{n.Epoch, n.Number} }
+func positionOf(n *rpc.Message) Position { return Position{n.Epoch, n.Number} }
--- a/coord/distribution/order_test.go
+++ b/coord/distribution/order_test.go
@@ -97,7 +97,7 @@
 		push := begin(f, 1)
 		p := &pipes{sc: sc, feed: f}
 		got := &refusing{bad: "+b"}
-		go NewFollower(sc, p, NewCursor(got), rpc.Seat{ID: 1}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, NewCursor(got), rpc.Member{ID: 1}, false, func(string) string { return "x" }, nil).Run()
 		time.Sleep(time.Second)
 		push("+a")
 		push("+b")
@@ -118,14 +118,14 @@
 
 		held := NewCursor(&words{})
 		require.NoError(t, held.Restore(Position{1, 4}, []byte("held"), true))
-		go NewFollower(sc, p, held, rpc.Seat{ID: 1}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, held, rpc.Member{ID: 1}, false, func(string) string { return "x" }, nil).Run()
 		time.Sleep(5 * time.Second)
 		epoch, _ := held.At()
 		require.Equal(t, uint64(1), epoch)
 		require.GreaterOrEqual(t, held.Age(), 5*time.Second, "nothing current was heard")
 
 		empty := NewCursor(&words{})
-		go NewFollower(sc, p, empty, rpc.Seat{ID: 2}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, empty, rpc.Member{ID: 2}, false, func(string) string { return "x" }, nil).Run()
 		time.Sleep(5 * time.Second)
 		epoch, _ = empty.At()
 		require.Equal(t, uint64(2), epoch, "one that has nothing takes the last that is known")
@@ -143,7 +143,7 @@
 		got := &words{}
 		ahead := NewCursor(got)
 		require.NoError(t, ahead.Restore(Position{2, 5}, []byte("5"), true))
-		go NewFollower(sc, p, ahead, rpc.Seat{ID: 1}, false, func(string) string { return "x" }, nil).Run()
+		go NewFollower(sc, p, ahead, rpc.Member{ID: 1}, false, func(string) string { return "x" }, nil).Run()
 		time.Sleep(time.Second)
 		for n := uint64(4); n <= 7; n++ {
 			require.True(t, relay.Take(Position{2, n}, []byte(fmt.Sprint("+", n))))
@@ -255,7 +255,7 @@
 		pick := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		next := func(string) string { return controllerName(pick.IntN(webControllers)) }
 		cursor := NewCursor(&labelled{faults: w.faults})
-		go NewFollower(sc, &webNet{w, endName(i)}, cursor, rpc.Seat{ID: uint64(i + 1)}, false, next, nil).Run()
+		go NewFollower(sc, &webNet{w, endName(i)}, cursor, rpc.Member{ID: uint64(i + 1)}, false, next, nil).Run()
 	}
 	return w
 }
@@ -269,7 +269,7 @@
 	w.lives[name] = life
 	var up *Follower
 	feed := NewFeed(life, &labelled{faults: w.faults}, func(uint64, uint64) { up.Tell() })
-	up = NewFollower(life, &webNet{w, name}, feed, rpc.Seat{ID: w.r.Uint64()}, true, func(string) string { return w.follows(name) }, feed.Reached)
+	up = NewFollower(life, &webNet{w, name}, feed, rpc.Member{ID: w.r.Uint64()}, true, func(string) string { return w.follows(name) }, feed.Reached)
 	w.mu.Lock()
 	w.feeds[name] = feed
 	w.mu.Unlock()
@@ -351,7 +351,7 @@
 
 func (n *webNet) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
 
-func (n *webNet) Dial(at string, _ clock.Span) (net.Conn, error) {
+func (n *webNet) Dial(at string, _ clock.Duration) (net.Conn, error) {
 	w := n.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -361,7 +361,7 @@
 	}
 	a, b := net.Pipe()
 	w.conns[b] = [2]string{n.name, at}
-	rpc.Open(w.sc, b, func(ch *rpc.Channel, m *rpc.Note) *rpc.Note {
+	rpc.Open(w.sc, b, func(ch *rpc.Channel, m *rpc.Message) *rpc.Message {
 		switch m.Kind {
 		case rpc.Follow:
 			f.Follow(ch, m)
--- a/coord/distribution/subscriber.go
+++ b/coord/distribution/subscriber.go
@@ -21,20 +21,20 @@
 // its channel never overflows and a slow one always gets on.
 type subscriber struct {
 	ch       *rpc.Channel
-	seat     rpc.Seat
+	seat     rpc.Member
 	relay    bool
-	below    []rpc.Seat // a relay's own followers
+	below    []rpc.Member // a relay's own followers
 	need     need
 	sent     uint64 // newest number sent in this epoch
 	received uint64 // newest number that it has taken itself
 	acked    uint64 // newest number that it and all below it have taken
-	sentAt   clock.Moment
+	sentAt   clock.Time
 
 	snapshotBytes int // of the snapshot under way
 }
 
 // Follow takes on a follower: what it lacks is sent, then every change.
-func (f *Feed) Follow(ch *rpc.Channel, n *rpc.Note) {
+func (f *Feed) Follow(ch *rpc.Channel, n *rpc.Message) {
 	s := &subscriber{ch: ch, seat: n.From, relay: role(n.Word) == roleRelay}
 	f.mu.Lock()
 	f.subscribers[ch] = s
@@ -176,7 +176,7 @@
 }
 
 // patience is how long a subscriber may be silent: longer while a snapshot is on its way to it.
-func (f *Feed) patience(s *subscriber) clock.Span {
+func (f *Feed) patience(s *subscriber) clock.Duration {
 	if s.need != needUnderWay {
 		return constants.NewsLost
 	}
@@ -204,7 +204,7 @@
 }
 
 // Ack takes a follower's word on how far it and those below it have come.
-func (f *Feed) Ack(ch *rpc.Channel, n *rpc.Note) {
+func (f *Feed) Ack(ch *rpc.Channel, n *rpc.Message) {
 	f.mu.Lock()
 	s := f.subscribers[ch]
 	if s != nil {
@@ -218,7 +218,7 @@
 	}
 }
 
-func (f *Feed) acknowledge(s *subscriber, n *rpc.Note) {
+func (f *Feed) acknowledge(s *subscriber, n *rpc.Message) {
 	if n.Word == seatsListed {
 		s.below = n.Seats
 	}
--- a/coord/fairshare/shares.go
+++ b/coord/fairshare/shares.go
@@ -8,8 +8,8 @@
 	"sync"
 )
 
-// Pie is one bounded resource.
-type Pie struct {
+// Shares is one bounded resource.
+type Shares struct {
 	mu        sync.Mutex
 	capacity  int64
 	threshold float64 // part of the capacity below which nobody is held to a share
@@ -20,8 +20,8 @@
 
 // New makes a resource of a capacity. While no more than the threshold, a part
 // of the capacity, is used, nobody is held to a share.
-func New(capacity int64, threshold float64) *Pie {
-	return &Pie{
+func New(capacity int64, threshold float64) *Shares {
+	return &Shares{
 		capacity:  capacity,
 		threshold: threshold,
 		usedBy:    map[string]int64{},
@@ -31,7 +31,7 @@
 
 // Resize changes the capacity; what is used beyond a smaller one stays until it
 // is given back.
-func (p *Pie) Resize(capacity int64) {
+func (p *Shares) Resize(capacity int64) {
 	p.mu.Lock()
 	p.capacity = capacity
 	p.mu.Unlock()
@@ -39,7 +39,7 @@
 
 // Take lets a user have an amount more if there is room and, when it is crowded,
 // if that stays inside a fair share.
-func (p *Pie) Take(user string, amount int64) bool {
+func (p *Shares) Take(user string, amount int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.allows(user, amount) {
@@ -50,7 +50,7 @@
 	return true
 }
 
-func (p *Pie) allows(user string, amount int64) bool {
+func (p *Shares) allows(user string, amount int64) bool {
 	after := p.used + amount
 	if after > p.capacity {
 		return false
@@ -60,14 +60,14 @@
 }
 
 // Add books an amount without a check, for what is in use already.
-func (p *Pie) Add(user string, amount int64) {
+func (p *Shares) Add(user string, amount int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.add(user, amount)
 }
 
 // Give returns an amount.
-func (p *Pie) Give(user string, amount int64) {
+func (p *Shares) Give(user string, amount int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.add(user, -amount)
@@ -75,7 +75,7 @@
 
 // add books an amount; a user who returns more than was taken returns what was
 // taken.
-func (p *Pie) add(user string, amount int64) {
+func (p *Shares) add(user string, amount int64) {
 	p.usedBy[user] += amount
 	if p.usedBy[user] <= 0 {
 		amount -= p.usedBy[user]
@@ -86,7 +86,7 @@
 
 // fairShare divides the capacity by one more than there are users, this one
 // included, so that a share is left for a newcomer.
-func (p *Pie) fairShare(user string) int64 {
+func (p *Shares) fairShare(user string) int64 {
 	shares := len(p.usedBy) + 1
 	if _, known := p.usedBy[user]; !known {
 		shares++
@@ -95,14 +95,14 @@
 }
 
 // Full tells whether more is used than the capacity.
-func (p *Pie) Full() bool {
+func (p *Shares) Full() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.used > p.capacity
 }
 
 // Heaviest names the user that holds most; among equals, the first by name.
-func (p *Pie) Heaviest() string {
+func (p *Shares) Heaviest() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	heaviest := ""
@@ -123,7 +123,7 @@
 }
 
 // Slices lists the users, the heaviest first.
-func (p *Pie) Slices() []Slice {
+func (p *Shares) Slices() []Slice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var shares []Slice
--- a/coord/fairshare/shares_test.go
+++ b/coord/fairshare/shares_test.go
@@ -48,7 +48,7 @@
 	require.True(t, p.Full())
 }
 
-func ExamplePie() {
+func ExampleShares() {
 	p := New(4, 0.5)
 	fmt.Println(p.Take("ledgers", 2), p.Take("lookups", 1), p.Take("ledgers", 1))
 	// Output: true true false
--- a/coord/handoff/class.go
+++ b/coord/handoff/class.go
@@ -11,12 +11,12 @@
 // Ask is what the configuration and a request's own heads tell of it.
 type Ask struct {
 	Stream   bool       // the route answers with events
-	Aim      clock.Span // target_latency_ms
-	Timeout  clock.Span // timeout_ms
-	Gap      clock.Span // target_gap_ms: the longest pause between events
+	Aim      clock.Duration // target_latency_ms
+	Timeout  clock.Duration // timeout_ms
+	Gap      clock.Duration // target_gap_ms: the longest pause between events
 	Stride   float64    // tokens an event may carry
 	In, Out  int        // Token-Counts
-	PerToken clock.Span // time to read one token of a prompt
+	PerToken clock.Duration // time to read one token of a prompt
 }
 
 // Long tells whether a request is long work: people can wait for it, and it runs long. Where the configuration or the request does not say enough, it is prompt work.
--- a/coord/handoff/message.go
+++ b/coord/handoff/message.go
@@ -89,14 +89,14 @@
 	Job     uint64
 	Ticket  Ticket
 	Outcome Outcome
-	Since   clock.Span // Begin: when the offer came; the owner's time has run since then
+	Since   clock.Duration // Begin: when the offer came; the owner's time has run since then
 }
 
 // Bounds are the spans and counts that owner and taker keep to.
 type Bounds struct {
-	Answer clock.Span // an offer not answered for so long is void
-	Accept clock.Span // an accepted job waits so long for its go-ahead
-	Renew  clock.Span // the go-ahead is repeated this often
-	Lease  clock.Span // so long without a word, and the other side counts as lost
+	Answer clock.Duration // an offer not answered for so long is void
+	Accept clock.Duration // an accepted job waits so long for its go-ahead
+	Renew  clock.Duration // the go-ahead is repeated this often
+	Lease  clock.Duration // so long without a word, and the other side counts as lost
 	Graves int        // ended jobs that a taker remembers, so as to answer for them
 }
--- a/coord/lease/rota.go
+++ b/coord/lease/rota.go
@@ -15,13 +15,13 @@
 	holder uint64
 	life   uint64 // of the holder's process
 	number uint64 // of the request in that life
-	until  clock.Moment
+	until  clock.Time
 }
 
 // Grantor answers lease requests. It keeps nothing on disk: a new one refuses until any lease that its forerunner gave has ended.
 type Grantor struct {
 	mu    sync.Mutex
-	born  clock.Moment
+	born  clock.Time
 	given map[string]grant
 }
 
@@ -29,7 +29,7 @@
 func NewGrantor() *Grantor { return &Grantor{born: clock.Now(), given: map[string]grant{}} }
 
 // Handle answers a lease request.
-func (g *Grantor) Handle(n *rpc.Note) *rpc.Note {
+func (g *Grantor) Handle(n *rpc.Message) *rpc.Message {
 	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,36 +51,36 @@
 		holder: n.From.ID,
 		life:   n.Ballot,
 		number: n.Number,
-		until:  now.Add(min(clock.Span(n.Span), constants.LeaseSpan)),
+		until:  now.Add(min(clock.Duration(n.Span), constants.LeaseSpan)),
 	}
 	return n.Reply(true)
 }
 
 // Asker asks one grantor.
 type Asker interface {
-	Call(addr string, n *rpc.Note, d clock.Span) (*rpc.Note, error)
+	Call(addr string, n *rpc.Message, d clock.Duration) (*rpc.Message, error)
 }
 
 // Holder keeps one duty's lease while it is wanted.
 type Holder struct {
 	sc    *task.Scope
 	duty  string
-	self  rpc.Seat
+	self  rpc.Member
 	ask   Asker
-	from  func() []rpc.Seat
+	from  func() []rpc.Member
 	want  func() bool
 	local *Grantor
 	life  uint64 // of this holder: its requests are numbered within it
 
 	mu        sync.Mutex
-	until     clock.Moment
-	since     clock.Moment
+	until     clock.Time
+	since     clock.Time
 	requests  uint64 // sent
 	givenBack uint64 // times; a renewal that was under way then counts no more
 }
 
 // NewHolder makes a holder; from names the grantors of the moment, want says whether the duty is wanted, local is this process's own grantor.
-func NewHolder(sc *task.Scope, duty string, self rpc.Seat, ask Asker, from func() []rpc.Seat, want func() bool, local *Grantor) *Holder {
+func NewHolder(sc *task.Scope, duty string, self rpc.Member, ask Asker, from func() []rpc.Member, want func() bool, local *Grantor) *Holder {
 	return &Holder{
 		sc:    sc.Part("lease"),
 		duty:  duty,
@@ -101,7 +101,7 @@
 }
 
 // Since tells since when the duty is held without a gap; ok is false if it isn't held now.
-func (h *Holder) Since() (m clock.Moment, ok bool) {
+func (h *Holder) Since() (m clock.Time, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.since, clock.Now().Before(h.until)
@@ -116,7 +116,7 @@
 func (h *Holder) giveBack() {
 	h.mu.Lock()
 	had := !h.until.IsZero()
-	h.until = clock.Moment{}
+	h.until = clock.Time{}
 	h.givenBack++
 	h.mu.Unlock()
 	if had {
@@ -161,13 +161,13 @@
 	seats := h.from()
 	ch := make(chan bool, len(seats))
 	for _, s := range seats {
-		n := &rpc.Note{Kind: rpc.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span, Ballot: h.life, Number: number}
+		n := &rpc.Message{Kind: rpc.Lease, From: h.self, To: s.ID, Word: h.duty, Span: span, Ballot: h.life, Number: number}
 		go func() {
 			if s.ID == h.self.ID {
 				ch <- h.local.Handle(n).OK
 				return
 			}
-			a, err := h.ask.Call(s.Addr, n, constants.CallWait)
+			a, err := h.ask.Call(s.Address, n, constants.CallWait)
 			ch <- err == nil && a.OK
 		}()
 	}
--- a/coord/lease/rota_test.go
+++ b/coord/lease/rota_test.go
@@ -27,7 +27,7 @@
 	lag  time.Duration
 }
 
-func (f *fleet) Call(addr string, n *rpc.Note, _ clock.Span) (*rpc.Note, error) {
+func (f *fleet) Call(addr string, n *rpc.Message, _ clock.Duration) (*rpc.Message, error) {
 	var i int
 	_, _ = fmt.Sscan(addr, &i)
 	time.Sleep(f.lag)
@@ -37,9 +37,9 @@
 	return f.g[i].Handle(n), nil
 }
 
-func (f *fleet) seats() (out []rpc.Seat) {
+func (f *fleet) seats() (out []rpc.Member) {
 	for i := range f.g {
-		out = append(out, rpc.Seat{ID: uint64(100 + i), Addr: fmt.Sprint(i)})
+		out = append(out, rpc.Member{ID: uint64(100 + i), Address: fmt.Sprint(i)})
 	}
 	return
 }
@@ -53,7 +53,7 @@
 }
 
 func (f *fleet) holder(id uint64) *Holder {
-	return NewHolder(task.New(slog.New(slog.DiscardHandler)), "list", rpc.Seat{ID: id}, f, f.seats, func() bool { return true }, nil)
+	return NewHolder(task.New(slog.New(slog.DiscardHandler)), "list", rpc.Member{ID: id}, f, f.seats, func() bool { return true }, nil)
 }
 
 func TestOneHolderAtATime(t *testing.T) {
@@ -146,7 +146,7 @@
 	r  *rand.Rand
 }
 
-func (d *delayed) Call(addr string, n *rpc.Note, _ clock.Span) (*rpc.Note, error) {
+func (d *delayed) Call(addr string, n *rpc.Message, _ clock.Duration) (*rpc.Message, error) {
 	d.mu.Lock()
 	there, back := time.Duration(d.r.IntN(5)), time.Duration(d.r.IntN(5))
 	if d.r.IntN(4) == 0 {
@@ -154,7 +154,7 @@
 	}
 	lost := d.r.IntN(8) == 0
 	d.mu.Unlock()
-	answer := make(chan *rpc.Note, 1)
+	answer := make(chan *rpc.Message, 1)
 	go func() {
 		time.Sleep(there * time.Millisecond)
 		var i int
@@ -189,7 +189,7 @@
 			wants := make([]atomic.Bool, holders)
 			hs := make([]*Holder, holders)
 			for i := range hs {
-				hs[i] = NewHolder(sc, "list", rpc.Seat{ID: uint64(i + 1)}, d, f.seats, wants[i].Load, nil)
+				hs[i] = NewHolder(sc, "list", rpc.Member{ID: uint64(i + 1)}, d, f.seats, wants[i].Load, nil)
 				go hs[i].Run()
 			}
 			next := time.Now()
@@ -230,7 +230,7 @@
 		f := newFleet()
 		time.Sleep(constants.LeaseSpan)
 		a, b := f.holder(1), f.holder(2)
-		late := &rpc.Note{Kind: rpc.Lease, From: rpc.Seat{ID: 1}, Word: "list", Ballot: a.life, Number: 1}
+		late := &rpc.Message{Kind: rpc.Lease, From: rpc.Member{ID: 1}, Word: "list", Ballot: a.life, Number: 1}
 		require.True(t, a.Renew())
 		require.True(t, a.Renew())
 		for _, g := range f.g {
--- a/coord/loadsum/encoding.go
+++ b/coord/loadsum/encoding.go
@@ -12,8 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Pile is the work that waits at one replica.
-type Pile struct {
+// Load is the work that waits at one replica.
+type Load struct {
 	Key    uint32 // of the replica's id
 	Tokens uint32 // of prompts sent there that have had no event yet
 }
@@ -26,7 +26,7 @@
 const pileBytes = 8
 
 // Encode gives the bytes of a list.
-func Encode(piles []Pile) []byte {
+func Encode(piles []Load) []byte {
 	encoded := make([]byte, 0, len(piles)*pileBytes)
 	for _, pile := range piles {
 		encoded = binary.LittleEndian.AppendUint32(encoded, pile.Key)
@@ -36,10 +36,10 @@
 }
 
 // Decode reads a list; an incomplete entry at the end is left out.
-func Decode(encoded []byte) []Pile {
-	piles := make([]Pile, 0, len(encoded)/pileBytes)
+func Decode(encoded []byte) []Load {
+	piles := make([]Load, 0, len(encoded)/pileBytes)
 	for ; len(encoded) >= pileBytes; encoded = encoded[pileBytes:] {
-		piles = append(piles, Pile{
+		piles = append(piles, Load{
 			Key:    binary.LittleEndian.Uint32(encoded),
 			Tokens: binary.LittleEndian.Uint32(encoded[4:]),
 		})
@@ -49,11 +49,11 @@
 
 // heaviest keeps the entries with most tokens waiting, at most so many of them.
 // It sorts the list only if it is longer.
-func heaviest(piles []Pile, most int) []Pile {
+func heaviest(piles []Load, most int) []Load {
 	if len(piles) <= most {
 		return piles
 	}
-	slices.SortFunc(piles, func(a, b Pile) int {
+	slices.SortFunc(piles, func(a, b Load) int {
 		if a.Tokens != b.Tokens {
 			return cmp.Compare(b.Tokens, a.Tokens)
 		}
--- a/coord/loadsum/excess.go
+++ b/coord/loadsum/excess.go
@@ -15,12 +15,12 @@
 
 // Excess keeps of a sum what stands out: at each replica what is beyond the
 // usual load of its service, the most first. Unknown replicas are left out.
-func Excess(piles []Pile, services *Services) []Pile {
+func Excess(piles []Load, services *Services) []Load {
 	tokens := map[string]float64{} // by service
 	for _, pile := range piles {
 		tokens[services.Of[pile.Key]] += float64(pile.Tokens)
 	}
-	var excess []Pile
+	var excess []Load
 	for _, pile := range piles {
 		service, known := services.Of[pile.Key]
 		if !known {
@@ -30,7 +30,7 @@
 		usual := constants.DeckMean*tokens[service]/replicas + constants.DeckLeast
 		over := float64(pile.Tokens) - usual
 		if over >= 1 {
-			excess = append(excess, Pile{Key: pile.Key, Tokens: uint32(math.Round(over))})
+			excess = append(excess, Load{Key: pile.Key, Tokens: uint32(math.Round(over))})
 		}
 	}
 	return heaviest(excess, constants.DeckSpread)
--- a/coord/loadsum/excess_test.go
+++ b/coord/loadsum/excess_test.go
@@ -10,24 +10,24 @@
 
 func TestWhatStandsOutIsBeyondTheUsualOfItsService(t *testing.T) {
 	s := &Services{Of: map[uint32]string{}, Size: map[string]int{"a": 10, "b": 2}}
-	var ps []Pile
+	var ps []Load
 	for i := range uint32(10) {
 		s.Of[i] = "a"
-		ps = append(ps, Pile{i, 90000})
+		ps = append(ps, Load{i, 90000})
 	}
 	require.Empty(t, Excess(ps, s), "all are busy alike")
 	s.Of[20], s.Of[21] = "b", "b"
-	require.Equal(t, []Pile{{20, uint32(90000 - constants.DeckMean*90000/2 - constants.DeckLeast)}}, Excess(append(ps, Pile{20, 90000}), s), "by its own service, silent replicas counted in")
-	require.Empty(t, Excess([]Pile{{99, 1 << 31}}, s), "nobody knows it")
-	require.Empty(t, Excess([]Pile{{20, constants.DeckLeast}}, s))
+	require.Equal(t, []Load{{20, uint32(90000 - constants.DeckMean*90000/2 - constants.DeckLeast)}}, Excess(append(ps, Load{20, 90000}), s), "by its own service, silent replicas counted in")
+	require.Empty(t, Excess([]Load{{99, 1 << 31}}, s), "nobody knows it")
+	require.Empty(t, Excess([]Load{{20, constants.DeckLeast}}, s))
 }
 
 func TestOfManyThatStandOutTheHeaviestAreSpread(t *testing.T) {
 	s := &Services{Of: map[uint32]string{}, Size: map[string]int{"a": 10000}}
-	var ps []Pile
+	var ps []Load
 	for i := range uint32(3 * constants.DeckSpread) {
 		s.Of[i] = "a"
-		ps = append(ps, Pile{i, 50000 + 1000*i})
+		ps = append(ps, Load{i, 50000 + 1000*i})
 	}
 	out := Excess(ps, s)
 	require.Len(t, out, constants.DeckSpread)
--- a/coord/loadsum/sum.go
+++ b/coord/loadsum/sum.go
@@ -10,7 +10,7 @@
 
 // report is the newest report of one source.
 type report struct {
-	piles []Pile
+	piles []Load
 	at    time.Time
 }
 
@@ -25,7 +25,7 @@
 func NewSum() *Sum { return &Sum{reports: map[uint64]report{}} }
 
 // Put replaces a source's report; an empty one removes the source.
-func (s *Sum) Put(source uint64, piles []Pile, now time.Time) {
+func (s *Sum) Put(source uint64, piles []Load, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(piles) == 0 {
@@ -37,11 +37,11 @@
 
 // Total gives the sum by replica; if there are many replicas, only the ones with
 // most work.
-func (s *Sum) Total(now time.Time) []Pile {
+func (s *Sum) Total(now time.Time) []Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	position := map[uint32]int{} // in the total, by the replica's key
-	var total []Pile
+	var total []Load
 	for source, report := range s.reports {
 		if now.Sub(report.at) > constants.DeckStale {
 			delete(s.reports, source)
--- a/coord/loadsum/sum_bench_test.go
+++ b/coord/loadsum/sum_bench_test.go
@@ -9,9 +9,9 @@
 	now := time.Unix(0, 0)
 	sum := NewSum()
 	for source := range uint64(20) {
-		var piles []Pile
+		var piles []Load
 		for key := range uint32(100) {
-			piles = append(piles, Pile{key + uint32(source), 10 * key})
+			piles = append(piles, Load{key + uint32(source), 10 * key})
 		}
 		sum.Put(source, piles, now)
 	}
@@ -23,10 +23,10 @@
 
 func BenchmarkExcess(b *testing.B) {
 	services := &Services{Of: map[uint32]string{}, Size: map[string]int{"a": 200}}
-	var piles []Pile
+	var piles []Load
 	for key := range uint32(200) {
 		services.Of[key] = "a"
-		piles = append(piles, Pile{key, 1000 * key})
+		piles = append(piles, Load{key, 1000 * key})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -35,7 +35,7 @@
 }
 
 func BenchmarkEncodeAndDecode(b *testing.B) {
-	piles := make([]Pile, 96)
+	piles := make([]Load, 96)
 	b.ReportAllocs()
 	for b.Loop() {
 		Decode(Encode(piles))
--- a/coord/loadsum/sum_test.go
+++ b/coord/loadsum/sum_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestPilesComeBackFromTheirBytes(t *testing.T) {
-	ps := []Pile{{1, 2}, {Key("i-1"), 1 << 31}}
+	ps := []Load{{1, 2}, {Key("i-1"), 1 << 31}}
 	require.Equal(t, ps, Decode(Encode(ps)))
 	require.Equal(t, ps[:1], Decode(Encode(ps)[:pileBytes+3]), "half a pile is none")
 	require.Empty(t, Decode(nil))
@@ -21,14 +21,14 @@
 	r := rand.New(rand.NewPCG(5, 6))
 	now := time.Unix(0, 0)
 	s := NewSum()
-	last, at := map[uint64]map[uint32]Pile{}, map[uint64]time.Time{}
+	last, at := map[uint64]map[uint32]Load{}, map[uint64]time.Time{}
 	for range 2000 {
 		now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
 		src := r.Uint64N(12)
-		ps := map[uint32]Pile{}
-		var list []Pile
+		ps := map[uint32]Load{}
+		var list []Load
 		for range r.IntN(4) {
-			p := Pile{r.Uint32N(9), r.Uint32N(5000)}
+			p := Load{r.Uint32N(9), r.Uint32N(5000)}
 			if _, ok := ps[p.Key]; !ok {
 				ps[p.Key] = p
 				list = append(list, p)
@@ -36,17 +36,17 @@
 		}
 		s.Put(src, list, now)
 		last[src], at[src] = ps, now
-		want := map[uint32]Pile{}
+		want := map[uint32]Load{}
 		for src, ps := range last {
 			if now.Sub(at[src]) > constants.DeckStale {
 				continue
 			}
 			for k, p := range ps {
 				w := want[k]
-				want[k] = Pile{k, w.Tokens + p.Tokens}
+				want[k] = Load{k, w.Tokens + p.Tokens}
 			}
 		}
-		got := map[uint32]Pile{}
+		got := map[uint32]Load{}
 		for _, p := range s.Total(now) {
 			got[p.Key] = p
 		}
@@ -58,14 +58,14 @@
 	now := time.Unix(0, 0)
 	s := NewSum()
 	for i := range uint32(3 * constants.DeckMost) {
-		s.Put(uint64(i), []Pile{{i, i}}, now)
+		s.Put(uint64(i), []Load{{i, i}}, now)
 	}
 	ps := s.Total(now)
 	require.Len(t, ps, constants.DeckMost)
 	for _, p := range ps {
 		require.GreaterOrEqual(t, p.Tokens, uint32(2*constants.DeckMost))
 	}
-	s.Put(7, []Pile{{7, 1 << 31}}, now)
-	s.Put(8, []Pile{{7, 1 << 31}}, now)
-	require.Equal(t, Pile{7, 1<<32 - 1}, s.Total(now)[0], "a sum that is too large stays at the most")
+	s.Put(7, []Load{{7, 1 << 31}}, now)
+	s.Put(8, []Load{{7, 1 << 31}}, now)
+	require.Equal(t, Load{7, 1<<32 - 1}, s.Total(now)[0], "a sum that is too large stays at the most")
 }
--- a/coord/outlier/gauge_test.go
+++ b/coord/outlier/gauge_test.go
@@ -173,11 +173,11 @@
 	require.Empty(t, g.Words(7, at(0)))
 	g.Bad("r1", Failed, at(0))
 	g.Good("r1", time.Millisecond, time.Second, false, at(0))
-	require.Equal(t, []Word{{"r1", 7, 1, constants.BlameFailed}}, g.Words(7, at(0)))
+	require.Equal(t, []Report{{"r1", 7, 1, constants.BlameFailed}}, g.Words(7, at(0)))
 	require.Empty(t, g.Words(7, at(0)))
 	g.Suspected([]string{"r2"}, at(0))
 	g.Good("r2", time.Millisecond, time.Second, false, at(0))
-	require.Equal(t, []Word{{"r2", 7, 1, 0}}, g.Words(7, at(0)), "what works is told of a suspect")
+	require.Equal(t, []Report{{"r2", 7, 1, 0}}, g.Words(7, at(0)), "what works is told of a suspect")
 	for i := range 50 {
 		g.Bad(fmt.Sprintf("r%d", i), Shed, at(0))
 	}
--- a/coord/outlier/jury.go
+++ b/coord/outlier/jury.go
@@ -12,25 +12,25 @@
 type hearing struct {
 	pool       string
 	bad        fading
-	tellers    map[uint64]clock.Moment
-	since      clock.Moment // of the suspicion; zero if there is none
+	tellers    map[uint64]clock.Time
+	since      clock.Time // of the suspicion; zero if there is none
 	good, fail float64      // since then
 	episodes   fading
 }
 
-// Jury is the control primary's: it adds up what the nodes tell. One node's word is never enough for a suspicion, a suspicion ends by answers that work, or by its time.
-type Jury struct {
+// Verdicts is the control primary's: it adds up what the nodes tell. One node's word is never enough for a suspicion, a suspicion ends by answers that work, or by its time.
+type Verdicts struct {
 	mu   sync.Mutex
 	c    map[string]*hearing
 	told []string
-	at   clock.Moment
+	at   clock.Time
 }
 
 // NewJury makes a jury without a case.
-func NewJury() *Jury { return &Jury{c: map[string]*hearing{}} }
+func NewJury() *Verdicts { return &Verdicts{c: map[string]*hearing{}} }
 
 // Hear takes words; pool gives a replica's service, empty if it isn't known.
-func (j *Jury) Hear(ws []Word, pool func(id string) string, now clock.Moment) {
+func (j *Verdicts) Hear(ws []Report, pool func(id string) string, now clock.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, w := range ws {
@@ -40,7 +40,7 @@
 		}
 		c := j.c[w.ID]
 		if c == nil {
-			c = &hearing{pool: p, tellers: map[uint64]clock.Moment{}}
+			c = &hearing{pool: p, tellers: map[uint64]clock.Time{}}
 			j.c[w.ID] = c
 		}
 		if w.Bad > 0 {
@@ -55,7 +55,7 @@
 }
 
 // Verdict gives the replicas under suspicion; size tells how many a service has. News is true when it must be told: it changed, or the last telling runs out.
-func (j *Jury) Verdict(size map[string]int, now clock.Moment) (ids []string, news bool) {
+func (j *Verdicts) Verdict(size map[string]int, now clock.Time) (ids []string, news bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	sum, held := map[string]float64{}, map[string]int{}
@@ -72,7 +72,7 @@
 			}
 		}
 		if !c.since.IsZero() && (c.acquitted() || now.Sub(c.since) >= constants.SuspectMost) {
-			c.since, c.bad, c.tellers = clock.Moment{}, fading{}, map[uint64]clock.Moment{}
+			c.since, c.bad, c.tellers = clock.Time{}, fading{}, map[uint64]clock.Time{}
 		}
 		switch {
 		case !c.since.IsZero():
@@ -114,14 +114,14 @@
 }
 
 // Told gives the replicas under suspicion as they were told last.
-func (j *Jury) Told() []string {
+func (j *Verdicts) Told() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.told
 }
 
 // Clear drops all cases: another primary has heard what came meanwhile.
-func (j *Jury) Clear() {
+func (j *Verdicts) Clear() {
 	j.mu.Lock()
 	j.c, j.told = map[string]*hearing{}, nil
 	j.mu.Unlock()
--- a/coord/outlier/jury_test.go
+++ b/coord/outlier/jury_test.go
@@ -21,11 +21,11 @@
 
 func TestOneNodesWordIsNeverEnough(t *testing.T) {
 	j, size := NewJury(), map[string]int{"p": 20}
-	j.Hear([]Word{{"r1", 1, 0, 50}, {"nobody", 2, 0, 50}, {"r2", 1, 0, math.NaN()}, {"r2", 2, 0, 1e9}, {"r2", 3, 0, -5}}, pool, at(0))
+	j.Hear([]Report{{"r1", 1, 0, 50}, {"nobody", 2, 0, 50}, {"r2", 1, 0, math.NaN()}, {"r2", 2, 0, 1e9}, {"r2", 3, 0, -5}}, pool, at(0))
 	ids, news := j.Verdict(size, at(0))
 	require.Empty(t, ids)
 	require.False(t, news)
-	j.Hear([]Word{{"r1", 2, 0, 1}}, pool, at(0.1))
+	j.Hear([]Report{{"r1", 2, 0, 1}}, pool, at(0.1))
 	ids, news = j.Verdict(size, at(0.1))
 	require.Equal(t, []string{"r1"}, ids)
 	require.True(t, news)
@@ -37,19 +37,19 @@
 
 func TestASuspicionEndsByAnswersThatWorkOrByItsTime(t *testing.T) {
 	size := map[string]int{"p": 20}
-	start := func() *Jury {
+	start := func() *Verdicts {
 		j := NewJury()
-		j.Hear([]Word{{"r1", 1, 0, 3}, {"r1", 2, 0, 3}}, pool, at(0))
+		j.Hear([]Report{{"r1", 1, 0, 3}, {"r1", 2, 0, 3}}, pool, at(0))
 		ids, _ := j.Verdict(size, at(0))
 		require.Len(t, ids, 1)
 		return j
 	}
 	j := start()
-	j.Hear([]Word{{"r1", 1, 3, 3}, {"r1", 2, 4, 2}}, pool, at(1))
+	j.Hear([]Report{{"r1", 1, 3, 3}, {"r1", 2, 4, 2}}, pool, at(1))
 	ids, _ := j.Verdict(size, at(1))
 	require.Len(t, ids, 1, "half of them fail")
 	j = start()
-	j.Hear([]Word{{"r1", 1, constants.AcquitGood, 0}}, pool, at(1))
+	j.Hear([]Report{{"r1", 1, constants.AcquitGood, 0}}, pool, at(1))
 	ids, news := j.Verdict(size, at(1))
 	require.Empty(t, ids)
 	require.True(t, news)
@@ -73,7 +73,7 @@
 		for step := range 100 {
 			now := at(float64(step) * 0.4)
 			for range r.IntN(30) {
-				j.Hear([]Word{{fmt.Sprintf("r%d", r.IntN(n)), uint64(r.IntN(6)), r.Float64() * 3, r.Float64() * 10 * float64(r.IntN(2))}}, pool, now)
+				j.Hear([]Report{{fmt.Sprintf("r%d", r.IntN(n)), uint64(r.IntN(6)), r.Float64() * 3, r.Float64() * 10 * float64(r.IntN(2))}}, pool, now)
 			}
 			ids, _ := j.Verdict(size, now)
 			require.LessOrEqual(t, len(ids), max(1, n/constants.EjectPart))
@@ -85,7 +85,7 @@
 func TestFailuresThatAllShareMakeNobodySuspect(t *testing.T) {
 	j, size := NewJury(), map[string]int{"p": 10}
 	for i := range 10 {
-		j.Hear([]Word{{fmt.Sprintf("r%d", i), 1, 0, 5}, {fmt.Sprintf("r%d", i), 2, 0, 5}}, pool, at(0))
+		j.Hear([]Report{{fmt.Sprintf("r%d", i), 1, 0, 5}, {fmt.Sprintf("r%d", i), 2, 0, 5}}, pool, at(0))
 	}
 	ids, _ := j.Verdict(size, at(0))
 	require.Empty(t, ids)
--- a/coord/replication/config.go
+++ b/coord/replication/config.go
@@ -57,12 +57,12 @@
 func (a machineAdapter) Snapshot() []byte              { return a.machine.Checkpoint() }
 func (a machineAdapter) Restore(snapshot []byte) error { return a.machine.Restore(snapshot) }
 
-func seat(m core.Member) rpc.Seat {
-	return rpc.Seat{ID: uint64(m.ID), Addr: m.Address, Locality: m.Zone}
+func seat(m core.Member) rpc.Member {
+	return rpc.Member{ID: uint64(m.ID), Address: m.Address, Zone: m.Zone}
 }
 
-func seats(members []core.Member) []rpc.Seat {
-	out := make([]rpc.Seat, len(members))
+func seats(members []core.Member) []rpc.Member {
+	out := make([]rpc.Member, len(members))
 	for i, member := range members {
 		out[i] = seat(member)
 	}
--- a/coord/replication/figures_test.go
+++ b/coord/replication/figures_test.go
@@ -145,7 +145,7 @@
 		for i := range 1500 {
 			list.Replicas = append(list.Replicas, &state.Replica{
 				ID: fmt.Sprintf("replica-%05d", i), Pool: fmt.Sprintf("model-%02d", i%26), Addr: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
-				Locality: fmt.Sprintf("zone-%02d", i%15), Software: "r1", Slots: 8, State: "ready",
+				Zone: fmt.Sprintf("zone-%02d", i%15), Software: "r1", Slots: 8, State: "ready",
 			})
 		}
 		require.NoError(t, book.Fold(list.Encode()))
--- a/coord/replication/links.go
+++ b/coord/replication/links.go
@@ -131,7 +131,7 @@
 }
 
 func (k *link) send(message core.Message) {
-	note := &rpc.Note{Kind: rpc.Replication, Body: encodeMessage(message)}
+	note := &rpc.Message{Kind: rpc.Replication, Body: encodeMessage(message)}
 	frame := note.Encode()
 	k.sent += len(frame)
 	k.channel.SendRaw(frame)
--- a/coord/replication/links_test.go
+++ b/coord/replication/links_test.go
@@ -43,7 +43,7 @@
 func linked(scope *task.Scope, answer func(channel *rpc.Channel)) (*Links, *pipes, chan core.Message) {
 	arrived := make(chan core.Message, 100)
 	p := &pipes{scope: scope}
-	p.take = func(channel *rpc.Channel, note *rpc.Note) *rpc.Note {
+	p.take = func(channel *rpc.Channel, note *rpc.Message) *rpc.Message {
 		message, err := decodeMessage(note.Body)
 		if err == nil {
 			arrived <- message
@@ -53,7 +53,7 @@
 		}
 		return nil
 	}
-	links := NewLinks(rpc.NewLines(scope, p, func(*rpc.Channel, *rpc.Note) *rpc.Note { return nil }))
+	links := NewLinks(rpc.NewLines(scope, p, func(*rpc.Channel, *rpc.Message) *rpc.Message { return nil }))
 	return links, p, arrived
 }
 
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		scope := task.New(slog.New(slog.DiscardHandler))
 		defer scope.Stop()
-		links, network, _ := linked(scope, func(channel *rpc.Channel) { channel.Send(&rpc.Note{Kind: rpc.Replication}) })
+		links, network, _ := linked(scope, func(channel *rpc.Channel) { channel.Send(&rpc.Message{Kind: rpc.Replication}) })
 		for range 30 {
 			links.Send("b", confirmRound(1))
 			time.Sleep(time.Second)
@@ -132,12 +132,12 @@
 		defer scope.Stop()
 		links, network, _ := linked(scope, nil)
 		near, far := net.Pipe()
-		heard := make(chan *rpc.Note, 1)
-		rpc.Open(scope, far, func(_ *rpc.Channel, note *rpc.Note) *rpc.Note {
+		heard := make(chan *rpc.Message, 1)
+		rpc.Open(scope, far, func(_ *rpc.Channel, note *rpc.Message) *rpc.Message {
 			heard <- note
 			return nil
 		})
-		accepted := rpc.Open(scope, near, func(*rpc.Channel, *rpc.Note) *rpc.Note { return nil })
+		accepted := rpc.Open(scope, near, func(*rpc.Channel, *rpc.Message) *rpc.Message { return nil })
 		links.Heard("b", accepted)
 		links.Send("b", confirmRound(7))
 		synctest.Wait()
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -197,7 +197,7 @@
 }
 
 // Handle takes the notes that belong to this package; others give false.
-func (m *Member) Handle(channel *rpc.Channel, note *rpc.Note) bool {
+func (m *Member) Handle(channel *rpc.Channel, note *rpc.Message) bool {
 	if note.Kind != rpc.Replication {
 		return false
 	}
--- a/coord/replication/member_test.go
+++ b/coord/replication/member_test.go
@@ -199,7 +199,7 @@
 		synctest.Wait()
 		got := map[string]uint64{}
 		for _, s := range m.Members() {
-			got[s.Addr] = s.ID
+			got[s.Address] = s.ID
 		}
 		require.Equal(t, map[string]uint64{"m0": 11, "m1": 22, "m2": 33, "new": 7}, got)
 	})
--- a/coord/replication/query.go
+++ b/coord/replication/query.go
@@ -8,13 +8,13 @@
 )
 
 // Self is this member.
-func (m *Member) Self() rpc.Seat { return seat(m.self) }
+func (m *Member) Self() rpc.Member { return seat(m.self) }
 
 // View is the newest view known to be chosen, nil before the first. It must not be changed.
 func (m *Member) View() *core.View { return m.status.Load().view }
 
 // Witnesses are those of the newest view.
-func (m *Member) Witnesses() []rpc.Seat {
+func (m *Member) Witnesses() []rpc.Member {
 	view := m.View()
 	if view == nil {
 		return nil
@@ -29,7 +29,7 @@
 }
 
 // Primary is the member that was last heard to be primary, if it was heard lately.
-func (m *Member) Primary() (rpc.Seat, bool) {
+func (m *Member) Primary() (rpc.Member, bool) {
 	s := m.status.Load()
 	if s.active {
 		return m.Self(), true
@@ -37,7 +37,7 @@
 	if s.primary.ID != 0 && m.now()-s.heardAt < m.timing.PrimaryLost {
 		return seat(s.primary), true
 	}
-	return rpc.Seat{}, false
+	return rpc.Member{}, false
 }
 
 // SinceHeard is the time since the primary was heard, as this member knows it; nothing on the primary itself.
@@ -50,7 +50,7 @@
 }
 
 // Members are all members known, this one too.
-func (m *Member) Members() []rpc.Seat {
+func (m *Member) Members() []rpc.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return seats(m.core.Members())
--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -16,7 +16,7 @@
 )
 
 // Handler takes a note that came in; a non-nil result is sent back.
-type Handler func(*Channel, *Note) *Note
+type Handler func(*Channel, *Message) *Message
 
 // Channel is one held connection between own processes. A task owns each direction of its socket. Calls are
 // numbered within the channel's life, so that an answer finds the call that it belongs to, or nobody.
@@ -35,13 +35,13 @@
 // outgoing is an encoded note on its way to the socket.
 type outgoing struct {
 	encoded []byte
-	until   clock.Moment // a call that nobody waits for any more is not sent; zero: no bound
+	until   clock.Time // a call that nobody waits for any more is not sent; zero: no bound
 }
 
 // pending is a call that waits for its answer.
 type pending struct {
 	kind   Kind
-	answer chan *Note
+	answer chan *Message
 }
 
 // Open starts the tasks of a channel over a connection. Calls are handled each in a task of its own, other notes in order.
@@ -145,7 +145,7 @@
 
 // answered gives an answer to the call that waits for it; one that came after the call's time is dropped. False
 // means that it is no answer to that call: the other side can't be trusted.
-func (ch *Channel) answered(n *Note) bool {
+func (ch *Channel) answered(n *Message) bool {
 	ch.mu.Lock()
 	call, waits := ch.wait[n.Call]
 	delete(ch.wait, n.Call)
@@ -160,7 +160,7 @@
 	return true
 }
 
-func (ch *Channel) serve(h Handler, n *Note) {
+func (ch *Channel) serve(h Handler, n *Message) {
 	a := h(ch, n)
 	if a == nil {
 		return
@@ -170,7 +170,7 @@
 }
 
 // Send queues a note; a channel that lags too far is closed.
-func (ch *Channel) Send(n *Note) bool { return ch.SendRaw(n.Encode()) }
+func (ch *Channel) Send(n *Message) bool { return ch.SendRaw(n.Encode()) }
 
 // SendRaw queues an encoded note.
 func (ch *Channel) SendRaw(b []byte) bool { return ch.queue(outgoing{encoded: b}) }
@@ -186,9 +186,9 @@
 }
 
 // Call sends a note and waits for its answer.
-func (ch *Channel) Call(n *Note, d clock.Span) (*Note, error) {
+func (ch *Channel) Call(n *Message, d clock.Duration) (*Message, error) {
 	until := clock.Now().Add(d)
-	call := pending{n.Kind, make(chan *Note, 1)}
+	call := pending{n.Kind, make(chan *Message, 1)}
 	number := ch.register(call)
 	defer ch.unregister(number)
 	m := *n
@@ -223,7 +223,7 @@
 }
 
 // Quiet is how long nothing was heard.
-func (ch *Channel) Quiet() clock.Span { return clock.Span(clock.Now().UnixNano() - ch.heard.Load()) }
+func (ch *Channel) Quiet() clock.Duration { return clock.Duration(clock.Now().UnixNano() - ch.heard.Load()) }
 
 // OnClose adds what is to be done when the channel closes.
 func (ch *Channel) OnClose(f func()) {
--- a/coord/rpc/channel_test.go
+++ b/coord/rpc/channel_test.go
@@ -62,7 +62,7 @@
 
 func (n *roughNet) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
 
-func (n *roughNet) Dial(string, clock.Span) (net.Conn, error) {
+func (n *roughNet) Dial(string, clock.Duration) (net.Conn, error) {
 	a, b := net.Pipe()
 	seed := n.r.Uint64()
 	Open(n.sc, &rough{Conn: b, r: rand.New(rand.NewPCG(seed, 1)), breaks: n.breaks}, n.handler)
@@ -81,7 +81,7 @@
 			handled := map[string]int{}
 			lag := rand.New(rand.NewPCG(seed, 6))
 			n := &roughNet{sc: sc, r: rand.New(rand.NewPCG(seed, 7)), breaks: []int{0, 30, 200}[seed%3]}
-			n.handler = func(_ *Channel, q *Note) *Note {
+			n.handler = func(_ *Channel, q *Message) *Message {
 				mu.Lock()
 				handled[string(q.Body)]++
 				wait := time.Duration(lag.IntN(60)) * time.Millisecond
@@ -101,7 +101,7 @@
 				all.Add(1)
 				go func() {
 					defer all.Done()
-					a, err := l.Call("x", &Note{Kind: Hello, Body: []byte(body)}, wait)
+					a, err := l.Call("x", &Message{Kind: Hello, Body: []byte(body)}, wait)
 					mu.Lock()
 					defer mu.Unlock()
 					if err != nil {
@@ -132,7 +132,7 @@
 		sc := task.New(slog.New(slog.DiscardHandler))
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		a, b := net.Pipe()
-		Open(sc, b, func(_ *Channel, q *Note) *Note {
+		Open(sc, b, func(_ *Channel, q *Message) *Message {
 			if string(q.Body) == "slow" {
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -141,11 +141,11 @@
 			return answer
 		})
 		ch := Open(sc, a, nil)
-		_, err := ch.Call(&Note{Kind: Hello, Body: []byte("slow")}, 50*time.Millisecond)
+		_, err := ch.Call(&Message{Kind: Hello, Body: []byte("slow")}, 50*time.Millisecond)
 		require.Error(t, err)
 		for i := range 10 {
 			body := fmt.Sprint(i)
-			answer, err := ch.Call(&Note{Kind: Hello, Body: []byte(body)}, time.Second)
+			answer, err := ch.Call(&Message{Kind: Hello, Body: []byte(body)}, time.Second)
 			require.NoError(t, err)
 			require.Equal(t, body, string(answer.Body))
 			time.Sleep(10 * time.Millisecond)
@@ -160,11 +160,11 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		a, b := net.Pipe()
 		ch := Open(sc, a, nil)
-		_, err := ch.Call(&Note{Kind: Hello, Body: []byte("first")}, 10*time.Millisecond) // the socket takes nothing yet
+		_, err := ch.Call(&Message{Kind: Hello, Body: []byte("first")}, 10*time.Millisecond) // the socket takes nothing yet
 		require.Error(t, err)
-		_, err = ch.Call(&Note{Kind: Hello, Body: []byte("second")}, 10*time.Millisecond)
+		_, err = ch.Call(&Message{Kind: Hello, Body: []byte("second")}, 10*time.Millisecond)
 		require.Error(t, err)
-		ch.Send(&Note{Kind: Suspect})
+		ch.Send(&Message{Kind: Suspect})
 		var seen []string
 		go func() {
 			for {
@@ -194,10 +194,10 @@
 		ch := Open(sc, a, nil)
 		go func() {
 			_, _ = ReadFrame(b)
-			forged := (&Note{Kind: Lease, Call: 1, Answer: true, OK: true}).Encode()
+			forged := (&Message{Kind: Lease, Call: 1, Answer: true, OK: true}).Encode()
 			_, _ = b.Write(frame(forged))
 		}()
-		_, err := ch.Call(&Note{Kind: Lend}, time.Second)
+		_, err := ch.Call(&Message{Kind: Lend}, time.Second)
 		require.Error(t, err)
 		require.True(t, ch.sc.Ended())
 	})
@@ -209,8 +209,8 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		a, b := net.Pipe()
 		var got []byte
-		ch := Open(sc, a, func(_ *Channel, n *Note) *Note { got = n.Body; return nil })
-		whole := frame((&Note{Kind: News, Body: bytes.Repeat([]byte("x"), 1000)}).Encode())
+		ch := Open(sc, a, func(_ *Channel, n *Message) *Message { got = n.Body; return nil })
+		whole := frame((&Message{Kind: News, Body: bytes.Repeat([]byte("x"), 1000)}).Encode())
 		for len(whole) > 0 {
 			k := min(100, len(whole))
 			_, _ = b.Write(whole[:k])
@@ -233,10 +233,10 @@
 
 // FuzzChannel lets any bytes come in while a call waits: it gets an answer only if one with its number and kind came.
 func FuzzChannel(f *testing.F) {
-	good := frame((&Note{Kind: Hello, Call: 1, Answer: true, OK: true}).Encode())
+	good := frame((&Message{Kind: Hello, Call: 1, Answer: true, OK: true}).Encode())
 	f.Add(good)
 	f.Add(good[:len(good)-1])
-	f.Add(append(frame((&Note{Kind: Hello, Call: 2, Answer: true}).Encode()), good...))
+	f.Add(append(frame((&Message{Kind: Hello, Call: 2, Answer: true}).Encode()), good...))
 	f.Add([]byte{0, 0, 0, 0})
 	f.Add([]byte{255, 255, 255, 255, 1})
 	f.Fuzz(func(t *testing.T, in []byte) {
@@ -244,13 +244,13 @@
 			sc := task.New(slog.New(slog.DiscardHandler))
 			defer func() { sc.Stop(); time.Sleep(time.Second) }()
 			a, b := net.Pipe()
-			ch := Open(sc, a, func(*Channel, *Note) *Note { return nil })
+			ch := Open(sc, a, func(*Channel, *Message) *Message { return nil })
 			go func() { _, _ = io.Copy(io.Discard, b) }()
 			go func() {
 				time.Sleep(time.Millisecond)
 				_, _ = b.Write(in)
 			}()
-			answer, err := ch.Call(&Note{Kind: Hello}, 100*time.Millisecond)
+			answer, err := ch.Call(&Message{Kind: Hello}, 100*time.Millisecond)
 			_ = b.Close()
 			if err != nil {
 				return
--- a/coord/rpc/net.go
+++ b/coord/rpc/net.go
@@ -16,7 +16,7 @@
 
 // Net is what a process reaches others through; tests put a simulated one here.
 type Net interface {
-	Dial(addr string, d clock.Span) (net.Conn, error)
+	Dial(addr string, d clock.Duration) (net.Conn, error)
 	Listen(addr string) (net.Listener, error)
 }
 
@@ -24,7 +24,7 @@
 type TCP struct{}
 
 // Dial connects, with a bound on how long unacknowledged bytes may wait.
-func (TCP) Dial(addr string, d clock.Span) (net.Conn, error) {
+func (TCP) Dial(addr string, d clock.Duration) (net.Conn, error) {
 	x := net.Dialer{Timeout: d, KeepAlive: -1, Control: UserTimeout}
 	return x.Dial("tcp4", addr)
 }
@@ -119,7 +119,7 @@
 }
 
 // Call asks one address. A channel on which nothing came during a failed call is closed, so that the next call dials anew.
-func (l *Lines) Call(addr string, n *Note, d clock.Span) (*Note, error) {
+func (l *Lines) Call(addr string, n *Message, d clock.Duration) (*Message, error) {
 	if addr == "" {
 		return nil, errkind.New(errkind.Unready, "no address")
 	}
--- a/coord/rpc/net_test.go
+++ b/coord/rpc/net_test.go
@@ -17,7 +17,7 @@
 // silent is a network in which every dial hangs until its time is up.
 type silent struct{ dials int }
 
-func (s *silent) Dial(_ string, d clock.Span) (net.Conn, error) {
+func (s *silent) Dial(_ string, d clock.Duration) (net.Conn, error) {
 	s.dials++
 	time.Sleep(d)
 	return nil, os.ErrDeadlineExceeded
@@ -35,7 +35,7 @@
 		for range cap(took) {
 			go func() {
 				at := time.Now()
-				_, err := l.Call("10.0.0.1:1", &Note{Kind: Lend}, time.Second)
+				_, err := l.Call("10.0.0.1:1", &Message{Kind: Lend}, time.Second)
 				require.Error(t, err)
 				took <- time.Since(at)
 			}()
--- a/coord/rpc/note.go
+++ b/coord/rpc/note.go
@@ -25,20 +25,20 @@
 	Job                         // long work between routers
 )
 
-// Seat names a member: its id belongs to its disk, the address is only where it lives.
-type Seat struct {
+// Member names a member: its id belongs to its disk, the address is only where it lives.
+type Member struct {
 	ID       uint64
-	Addr     string
-	Locality string
+	Address     string
+	Zone string
 }
 
-// Note is one message.
-type Note struct {
+// Message is one message.
+type Message struct {
 	Kind       Kind
 	Call       uint64
 	Answer     bool
 	OK         bool
-	From       Seat
+	From       Member
 	To         uint64
 	Epoch      uint64
 	Ballot     uint64
@@ -48,11 +48,11 @@
 	HeldBallot uint64
 	Word       string
 	Body       []byte
-	Seats      []Seat
+	Seats      []Member
 }
 
-func putSeat(b *flatbuffers.Builder, s Seat) flatbuffers.UOffsetT {
-	a, l := b.CreateString(s.Addr), b.CreateString(s.Locality)
+func putSeat(b *flatbuffers.Builder, s Member) flatbuffers.UOffsetT {
+	a, l := b.CreateString(s.Address), b.CreateString(s.Zone)
 	rpcfb.SeatStart(b)
 	rpcfb.SeatAddId(b, s.ID)
 	rpcfb.SeatAddAddr(b, a)
@@ -60,7 +60,7 @@
 	return rpcfb.SeatEnd(b)
 }
 
-func putSeats(b *flatbuffers.Builder, ss []Seat, start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+func putSeats(b *flatbuffers.Builder, ss []Member, start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
 	os := make([]flatbuffers.UOffsetT, len(ss))
 	for i, s := range ss {
 		os[i] = putSeat(b, s)
@@ -73,7 +73,7 @@
 }
 
 // Encode puts a note into bytes.
-func (n *Note) Encode() []byte {
+func (n *Message) Encode() []byte {
 	b := flatbuffers.NewBuilder(256 + len(n.Body))
 	from := putSeat(b, n.From)
 	var wd, bd, st flatbuffers.UOffsetT
@@ -111,15 +111,15 @@
 	return b.FinishedBytes()
 }
 
-func getSeat(s *rpcfb.Seat) Seat {
+func getSeat(s *rpcfb.Seat) Member {
 	if s == nil {
-		return Seat{}
+		return Member{}
 	}
-	return Seat{s.Id(), string(s.Addr()), string(s.Locality())}
+	return Member{s.Id(), string(s.Addr()), string(s.Locality())}
 }
 
 // Decode reads a note; bytes that are none give an error, never a panic.
-func Decode(b []byte) (n *Note, err error) {
+func Decode(b []byte) (n *Message, err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			n, err = nil, errkind.New(errkind.BadInput, "note: %v", r)
@@ -129,7 +129,7 @@
 		return nil, errkind.New(errkind.BadInput, "note of %d bytes", len(b))
 	}
 	f := rpcfb.GetRootAsNote(b, 0)
-	n = &Note{
+	n = &Message{
 		Kind: Kind(f.Kind()), Call: f.Call(), Answer: f.Answer(), OK: f.Ok(), From: getSeat(f.From(nil)), To: f.To(),
 		Epoch: f.Epoch(), Ballot: f.Ballot(), Number: f.Number(), Base: f.Base(), Span: f.Span(),
 		HeldBallot: f.HeldBallot(),
@@ -145,4 +145,4 @@
 }
 
 // Reply starts the answer to a note.
-func (n *Note) Reply(ok bool) *Note { return &Note{Kind: n.Kind, Call: n.Call, Answer: true, OK: ok} }
+func (n *Message) Reply(ok bool) *Message { return &Message{Kind: n.Kind, Call: n.Call, Answer: true, OK: ok} }
--- a/internal/clock/tick.go
+++ b/internal/clock/tick.go
@@ -7,38 +7,38 @@
 	"shaletrestle/internal/task"
 )
 
-// Moment is a point on the steady clock.
-type Moment = time.Time
+// Time is a point on the steady clock.
+type Time = time.Time
 
-// Span is a length of time.
-type Span = time.Duration
+// Duration is a length of time.
+type Duration = time.Duration
 
 // Now reads the steady clock.
-func Now() Moment { return time.Now() }
+func Now() Time { return time.Now() }
 
 // Wall reads the time of day; nothing but what people are shown may depend on it.
-func Wall() Moment { return time.Now().Round(0) }
+func Wall() Time { return time.Now().Round(0) }
 
 // Since is the time passed since m.
-func Since(m Moment) Span { return time.Since(m) }
+func Since(m Time) Duration { return time.Since(m) }
 
 // Until is the time left to m.
-func Until(m Moment) Span { return time.Until(m) }
+func Until(m Time) Duration { return time.Until(m) }
 
 // Millis makes a span of milliseconds.
-func Millis(ms float64) Span { return Span(ms * float64(time.Millisecond)) }
+func Millis(ms float64) Duration { return Duration(ms * float64(time.Millisecond)) }
 
 // Seconds makes a span of seconds.
-func Seconds(s float64) Span { return Span(s * float64(time.Second)) }
+func Seconds(s float64) Duration { return Duration(s * float64(time.Second)) }
 
 // After gives a channel that fires once.
-func After(d Span) <-chan Moment { return time.After(d) }
+func After(d Duration) <-chan Time { return time.After(d) }
 
 // Later calls f in its own task after d; the timer may be stopped or set anew.
-func Later(d Span, f func()) *time.Timer { return time.AfterFunc(d, f) }
+func Later(d Duration, f func()) *time.Timer { return time.AfterFunc(d, f) }
 
 // Rest waits for d or until the scope ends; false means that it ended.
-func Rest(sc *task.Scope, d Span) bool {
+func Rest(sc *task.Scope, d Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -50,7 +50,7 @@
 }
 
 // Every calls f each d until the scope ends or f says false.
-func Every(sc *task.Scope, d Span, f func() bool) {
+func Every(sc *task.Scope, d Duration, f func() bool) {
 	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
@@ -67,12 +67,12 @@
 
 // Timer fires once.
 type Timer struct {
-	C <-chan Moment
+	C <-chan Time
 	t *time.Timer
 }
 
 // NewTimer makes a timer.
-func NewTimer(d Span) Timer {
+func NewTimer(d Duration) Timer {
 	t := time.NewTimer(d)
 	return Timer{t.C, t}
 }
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -23,8 +23,8 @@
 	v.Doc, err = v.Doc.Put([]byte(strings.Replace(strings.Replace(conf, `"revision":9`, `"revision":5`, 1), `"backend_pool":"u"`, `"backend_pool":"s"`, 1)))
 	require.NoError(t, err)
 	v.Fleet, v.Listed = 4, true
-	v.Replicas["1"] = &state.Replica{ID: "1", Pool: "s", State: "ready", Locality: "n", Slots: 8}
-	v.Replicas["2"] = &state.Replica{ID: "2", Pool: "u", State: "ready", Locality: "z", Slots: 8}
+	v.Replicas["1"] = &state.Replica{ID: "1", Pool: "s", State: "ready", Zone: "n", Slots: 8}
+	v.Replicas["2"] = &state.Replica{ID: "2", Pool: "u", State: "ready", Zone: "z", Slots: 8}
 	return v
 }
 
--- a/internal/configcheck/fleet.go
+++ b/internal/configcheck/fleet.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		capacity.ready++
-		if !view.Evac[replica.Locality] {
+		if !view.Evac[replica.Zone] {
 			capacity.open++
 			capacity.slots += replica.Slots
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,7 +27,7 @@
 
 // Plan is what a controller is built from.
 type Plan struct {
-	Env   *settings.Env
+	Env   *settings.Settings
 	Net   rpc.Net
 	Store replication.Store
 }
@@ -35,7 +35,7 @@
 // Controller is one control process.
 type Controller struct {
 	scope    *task.Scope
-	settings *settings.Env
+	settings *settings.Settings
 	net      rpc.Net
 	lines    *rpc.Lines
 
@@ -58,15 +58,15 @@
 	fails   atomic.Int64
 
 	lender *fairshare.Lender
-	jury   *outlier.Jury
+	jury   *outlier.Verdicts
 	deck   *loadsum.Sum
 
 	mu     sync.Mutex
-	judged clock.Moment            // when reports on replicas were last weighed
-	words  []outlier.Word          // followers' reports on their way to the primary
-	fleet  map[string]clock.Moment // routers, and when they were last reached
+	judged clock.Time            // when reports on replicas were last weighed
+	words  []outlier.Report          // followers' reports on their way to the primary
+	fleet  map[string]clock.Time // routers, and when they were last reached
 	most   int                     // the largest fleet of late
-	mostAt clock.Moment
+	mostAt clock.Time
 }
 
 // New builds a controller.
@@ -83,7 +83,7 @@
 		lender:   newLender(p.Env),
 		jury:     outlier.NewJury(),
 		deck:     loadsum.NewSum(),
-		fleet:    map[string]clock.Moment{},
+		fleet:    map[string]clock.Time{},
 	}
 	c.lines = rpc.NewLines(scope, p.Net, c.handle)
 	c.feed = distribution.NewFeed(scope, c.news, func(uint64, uint64) {
@@ -104,7 +104,7 @@
 	return c, nil
 }
 
-func newLender(env *settings.Env) *fairshare.Lender {
+func newLender(env *settings.Settings) *fairshare.Lender {
 	pot := constants.BudgetMargin * constants.BudgetPot * env.Bounds.BudgetSlack
 	window := clock.Seconds(env.Bounds.BudgetWindowS) + constants.LumpSpan
 	return fairshare.NewLender(int64(pot), window)
@@ -125,12 +125,12 @@
 	}
 	return replication.Config{
 		Address:   env.Port(constants.PortTally),
-		Zone:      env.Locality,
-		Seeds:     env.SeedCrew(),
+		Zone:      env.Zone,
+		Seeds:     env.SeedMembers(),
 		Losses:    losses,
 		Areas:     areas,
 		Area:      area,
-		Relay:     !env.Keeps(),
+		Relay:     !env.HasDisk(),
 		Store:     store,
 		Machine:   c.state,
 		Transport: replication.NewLinks(c.lines),
@@ -191,7 +191,7 @@
 }
 
 // handle takes the messages of other processes.
-func (c *Controller) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+func (c *Controller) handle(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 	if c.replica.Handle(ch, n) {
 		return nil
 	}
@@ -213,7 +213,7 @@
 	return nil
 }
 
-func (c *Controller) witnesses() []rpc.Seat { return c.replica.Witnesses() }
+func (c *Controller) witnesses() []rpc.Member { return c.replica.Witnesses() }
 
 // upstream is whom this process follows as a relay: the primary.
 func (c *Controller) upstream(string) string {
@@ -221,11 +221,11 @@
 	if !known || primary.ID == c.replica.Self().ID {
 		return ""
 	}
-	return primary.Addr
+	return primary.Address
 }
 
 // Reload takes new settings: nothing that this process holds depends on those that may change while it runs.
-func (c *Controller) Reload(*settings.Env) {}
+func (c *Controller) Reload(*settings.Settings) {}
 
 // View is the newest view of the replication known here.
 func (c *Controller) View() *core.View { return c.replica.View() }
--- a/internal/controller/deck.go
+++ b/internal/controller/deck.go
@@ -33,8 +33,8 @@
 	})
 }
 
-func (c *Controller) deckNote(ps []loadsum.Pile) *rpc.Note {
-	return &rpc.Note{Kind: rpc.Deck, From: c.replica.Self(), Body: loadsum.Encode(ps)}
+func (c *Controller) deckNote(ps []loadsum.Load) *rpc.Message {
+	return &rpc.Message{Kind: rpc.Deck, From: c.replica.Self(), Body: loadsum.Encode(ps)}
 }
 
 func services(v *state.View) *loadsum.Services {
@@ -47,7 +47,7 @@
 }
 
 // spread passes the primary's word on to this relay's followers.
-func (c *Controller) spread(n *rpc.Note) {
+func (c *Controller) spread(n *rpc.Message) {
 	if n.Kind == rpc.Deck {
 		c.feed.Spread(n)
 	}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -18,7 +18,7 @@
 	now := clock.Now()
 	c.mu.Lock()
 	for _, s := range c.feed.Reached() {
-		c.fleet[s.Addr] = now
+		c.fleet[s.Address] = now
 	}
 	var nodes []string
 	for a, at := range c.fleet {
@@ -37,9 +37,9 @@
 	if !slices.Equal(nodes, v.Nodes) && len(nodes) > 0 {
 		c.publish(state.FleetEvent(v.Nodes, nodes))
 	}
-	var hs []state.House
+	var hs []state.Controller
 	for _, s := range c.replica.Members() {
-		hs = append(hs, state.House{Addr: s.Addr, Locality: s.Locality})
+		hs = append(hs, state.Controller{Addr: s.Address, Zone: s.Zone})
 	}
 	if !slices.Equal(hs, v.Houses) {
 		c.publish(&state.Event{Kind: state.Houses, Houses: hs})
@@ -47,7 +47,7 @@
 }
 
 // suspect hears from watchers that a router does not answer. The primary takes it out of the fleet size if it isn't reached any more, at most a part of the fleet at a time: one that still runs keeps using its old share.
-func (c *Controller) suspect(n *rpc.Note) {
+func (c *Controller) suspect(n *rpc.Message) {
 	if !c.Acting() {
 		c.follower.Send(n)
 		return
@@ -56,7 +56,7 @@
 		return
 	}
 	for _, s := range c.feed.Reached() {
-		if s.Addr == n.Word {
+		if s.Address == n.Word {
 			return
 		}
 	}
--- a/internal/controller/lending.go
+++ b/internal/controller/lending.go
@@ -7,7 +7,7 @@
 )
 
 // lend gives further tries out of the common part of a service's budget. Only the holder of the list duty lends, of which there is one at a time; others ask it once.
-func (c *Controller) lend(n *rpc.Note) *rpc.Note {
+func (c *Controller) lend(n *rpc.Message) *rpc.Message {
 	if n.Call == 0 {
 		return nil
 	}
@@ -16,7 +16,7 @@
 		if !ok || n.OK || s.ID == c.replica.Self().ID {
 			return n.Reply(false)
 		}
-		a, err := c.lines.Call(s.Addr, &rpc.Note{Kind: rpc.Lend, OK: true, Word: n.Word, Number: n.Number}, constants.LumpWait)
+		a, err := c.lines.Call(s.Address, &rpc.Message{Kind: rpc.Lend, OK: true, Word: n.Word, Number: n.Number}, constants.LumpWait)
 		if err != nil {
 			return n.Reply(false)
 		}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -20,7 +20,7 @@
 	if !known {
 		return "", false
 	}
-	return c.settings.ControlAddr(seat.Addr), seat.ID == c.replica.Self().ID
+	return c.settings.ControlAddr(seat.Address), seat.ID == c.replica.Self().ID
 }
 
 // Take makes one order. It returns once the order is in force for good and the connected followers have it, as
@@ -48,7 +48,7 @@
 	case state.Put, state.Patch:
 		return state.OrderEvent(order.Kind, order.Base, order.Body)
 	}
-	return &state.Event{Kind: order.Kind, Locality: order.Zone}
+	return &state.Event{Kind: order.Kind, Zone: order.Zone}
 }
 
 // decideOn holds an order against the state as it is; a nil entry means that it is in force already.
@@ -72,7 +72,7 @@
 }
 
 func decideEvacuation(view *state.View, event *state.Event) ([]byte, error) {
-	if view.Evac[event.Locality] == (event.Kind == state.Evacuate) {
+	if view.Evac[event.Zone] == (event.Kind == state.Evacuate) {
 		return nil, nil
 	}
 	return event.Encode(), nil
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -11,7 +11,7 @@
 
 // hear takes what followers tell of replicas: the primary judges, others pass it on with their own acknowledgement.
 func (c *Controller) hear(body []byte) {
-	var ws []outlier.Word
+	var ws []outlier.Report
 	if len(body) == 0 || json.Unmarshal(body, &ws) != nil {
 		return
 	}
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -17,14 +17,14 @@
 	// Read calls look once a majority of the witnesses has said, after this call, that this member is primary.
 	Read(deadline time.Time, look func()) error
 	// Primary is the member in office by the newest view known here, if it was heard from within the last moments.
-	Primary() (rpc.Seat, bool)
+	Primary() (rpc.Member, bool)
 	// Leave gives up the roles that this member has; it tells whether others have all of them.
 	Leave(deadline time.Time) (complete bool)
 	Run()
-	Handle(channel *rpc.Channel, message *rpc.Note) bool
-	Self() rpc.Seat
-	Members() []rpc.Seat
-	Witnesses() []rpc.Seat
+	Handle(channel *rpc.Channel, message *rpc.Message) bool
+	Self() rpc.Member
+	Members() []rpc.Member
+	Witnesses() []rpc.Member
 	View() *core.View
 	Active() (epoch uint64, active bool)
 	State() replication.State
@@ -36,11 +36,11 @@
 // currentMember is a member that names a primary only if the newest view does and it was heard a moment ago.
 type currentMember struct{ *replication.Member }
 
-func (m currentMember) Primary() (rpc.Seat, bool) {
+func (m currentMember) Primary() (rpc.Member, bool) {
 	seat, heard := m.Member.Primary()
 	view := m.Member.View()
 	if !heard || view == nil || uint64(view.Primary.ID) != seat.ID {
-		return rpc.Seat{}, false
+		return rpc.Member{}, false
 	}
 	if seat.ID == m.Member.Self().ID {
 		_, active := m.Member.Active()
--- a/internal/controller/source.go
+++ b/internal/controller/source.go
@@ -72,7 +72,7 @@
 // wantsDuty tells whether this process should hold the duty. One that has just become primary waits for a lease's
 // span: its witnesses may be others than those that granted the lease of the primary before it.
 func (c *Controller) wantsDuty() bool {
-	inOffice := clock.Span(clock.Now().UnixNano() - c.officeFrom.Load())
+	inOffice := clock.Duration(clock.Now().UnixNano() - c.officeFrom.Load())
 	return c.Acting() && !c.leaving.Load() && inOffice >= constants.LeaseSpan
 }
 
--- a/internal/emulator/components.go
+++ b/internal/emulator/components.go
@@ -171,7 +171,7 @@
 			ID:       id,
 			Pool:     "p",
 			Addr:     "10.0.0.1:1",
-			Locality: fmt.Sprint(i % 3),
+			Zone: fmt.Sprint(i % 3),
 			Slots:    replicaSlots,
 			State:    string(replicaReady),
 			Models:   []state.Model{{Name: "m", Revision: firstRevision}},
@@ -181,9 +181,9 @@
 }
 
 // placeOne places one prompt and ends it; false if there was no replica for it.
-func placeOne(placer *placement.Yard, index *prefixindex.Index, number int) bool {
+func placeOne(placer *placement.Placer, index *prefixindex.Index, number int) bool {
 	chain := componentChain(number%64, number)
-	ask := &placement.Ask{
+	ask := &placement.Request{
 		Pool:     "p",
 		Locality: "0",
 		Chain:    chain,
--- a/internal/emulator/daemon.go
+++ b/internal/emulator/daemon.go
@@ -52,8 +52,8 @@
 	return nil
 }
 
-func (d *daemon) newController(env *settings.Env) (settings.Daemon, error) {
-	disk, err := store.Open(store.OSFiles{}, env.DataDir, env.Bootstrap, env.SeedCrew()...)
+func (d *daemon) newController(env *settings.Settings) (settings.Daemon, error) {
+	disk, err := store.Open(store.OSFiles{}, env.DataDir, env.Bootstrap, env.SeedMembers()...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/hollowfleet.go
+++ b/internal/emulator/hollowfleet.go
@@ -102,7 +102,7 @@
 			ID:       fmt.Sprintf("i-%08x", i*2654435761), // spreads the ids
 			Pool:     model,
 			Addr:     fmt.Sprintf("10.%d.%d.%d:8080", i/40000, i/200%200, i%200+1),
-			Locality: zoneName(i % zones),
+			Zone: zoneName(i % zones),
 			Software: softwareVersion,
 			Slots:    replicaSlots,
 			State:    string(replicaReady),
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -103,7 +103,7 @@
 func inZone(replicas []*state.Replica, zone string) []*state.Replica {
 	var inside []*state.Replica
 	for _, replica := range replicas {
-		if replica.Locality == zone {
+		if replica.Zone == zone {
 			inside = append(inside, replica)
 		}
 	}
--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -39,7 +39,7 @@
 		n.Store(5)
 		p := newPlatform(sc, ListSpec{LagMs: 400, Rate: 3, Page: 2}, func() (out []*state.Replica) {
 			for i := range int(n.Load()) {
-				out = append(out, &state.Replica{ID: fmt.Sprint(i), Locality: []string{"a", "b"}[i%2]})
+				out = append(out, &state.Replica{ID: fmt.Sprint(i), Zone: []string{"a", "b"}[i%2]})
 			}
 			return
 		})
--- a/internal/emulator/replica.go
+++ b/internal/emulator/replica.go
@@ -186,7 +186,7 @@
 		ID:       r.id(),
 		Pool:     r.service.Name,
 		Addr:     r.address,
-		Locality: r.zone,
+		Zone: r.zone,
 		Software: softwareVersion,
 		Slots:    r.service.Slots,
 		State:    string(replicaReady),
--- a/internal/emulator/testbed.go
+++ b/internal/emulator/testbed.go
@@ -181,18 +181,18 @@
 }
 
 // settings are a daemon's, as the platform would give them.
-func (b *testbed) settings(d *daemon, bootstrap bool) settings.Env {
+func (b *testbed) settings(d *daemon, bootstrap bool) settings.Settings {
 	regions := map[string]string{} // by zone
 	for _, zone := range b.experiment.Fleet.Zones {
 		regions[zone] = "region-" + zone
 	}
 	seeds := b.controllers[:min(maxSeeds, len(b.controllers))]
 	firstPort := b.addresses.port
-	return settings.Env{
+	return settings.Settings{
 		NodeName: d.name,
 		Role:     d.name,
 		IP:       d.ip,
-		Locality: d.zone,
+		Zone: d.zone,
 		Region:   regions[d.zone],
 		Zones:    regions,
 		Bind: settings.Bind{
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -175,7 +175,7 @@
 func (f *Front) Close() { f.Finish(0) }
 
 // Finish takes no more connections and waits for what is held, at most d.
-func (f *Front) Finish(d clock.Span) {
+func (f *Front) Finish(d clock.Duration) {
 	_ = f.ln.Close()
 	f.mu.Lock()
 	all := append(append([]*server{}, f.old...), f.now)
--- a/internal/frontend/tap.go
+++ b/internal/frontend/tap.go
@@ -15,12 +15,12 @@
 // framing can be looked at as it was sent, and closes itself when it has rested too long.
 type tap struct {
 	net.Conn
-	limit func() clock.Span // how long it may rest, as it is now
+	limit func() clock.Duration // how long it may rest, as it is now
 	mu    sync.Mutex
 	buf   []byte
 	whole bool // the head is in buf: what follows it isn't kept
 	rests bool // between two requests
-	since clock.Moment
+	since clock.Time
 	timer *time.Timer // nil before the first rest
 }
 
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -150,7 +150,7 @@
 }
 
 // addHomes adds the first homes that may be used, the best first.
-func (y *Yard) addHomes(s *bunch, p *pool, a *Ask, now clock.Moment) {
+func (y *Placer) addHomes(s *bunch, p *pool, a *Request, now clock.Time) {
 	var top [constants.Homes]ranked
 	n, head := 0, uint64(a.Chain.Head())
 	for _, b := range p.bucket(a.Chain.Head()) {
@@ -166,10 +166,10 @@
 	}
 }
 
-func (y *Yard) cut(tokens int) int { return tokens / y.opts.Block * y.opts.Block }
+func (y *Placer) cut(tokens int) int { return tokens / y.opts.Block * y.opts.Block }
 
 // sample draws one that may be used from a list; nil if none was found in some draws.
-func (y *Yard) sample(a *Ask, bs []*berth, now clock.Moment) *berth {
+func (y *Placer) sample(a *Request, bs []*berth, now clock.Time) *berth {
 	for range min(constants.SampleTries, 4*len(bs)) {
 		if b := bs[rand.IntN(len(bs))]; y.warm(a, b, now) {
 			return b
@@ -179,7 +179,7 @@
 }
 
 // scan looks through a whole list and draws one that may be used; it is needed only when hardly any may be.
-func (y *Yard) scan(a *Ask, bs []*berth, now clock.Moment) (pick *berth) {
+func (y *Placer) scan(a *Request, bs []*berth, now clock.Time) (pick *berth) {
 	n := 0
 	for _, b := range bs {
 		if y.warm(a, b, now) {
@@ -192,7 +192,7 @@
 }
 
 // coldest is the cold replica that may be sent to and was sent to longest ago, with its rate.
-func (y *Yard) coldest(a *Ask, p *pool, now clock.Moment) (cold *berth, rate float64) {
+func (y *Placer) coldest(a *Request, p *pool, now clock.Time) (cold *berth, rate float64) {
 	for _, b := range p.open {
 		if !y.fits(a, b, now) || !y.cold(b, now) || now.Before(b.coldNext) || cold != nil && !b.coldNext.Before(cold.coldNext) {
 			continue
@@ -205,12 +205,12 @@
 }
 
 // warm tells whether a replica may be used as one that is not cold.
-func (y *Yard) warm(a *Ask, b *berth, now clock.Moment) bool {
+func (y *Placer) warm(a *Request, b *berth, now clock.Time) bool {
 	return y.fits(a, b, now) && !y.cold(b, now)
 }
 
 // gather finds the candidates of a prompt: homes, those that the index names, and a few at random.
-func (y *Yard) gather(s *bunch, p *pool, a *Ask, now clock.Moment) {
+func (y *Placer) gather(s *bunch, p *pool, a *Request, now clock.Time) {
 	y.addHomes(s, p, a, now)
 	if len(p.open) <= len(s.at) { // so few that all are
 		for _, b := range p.open {
@@ -241,7 +241,7 @@
 }
 
 // engine weighs the candidates: the least cost wins, and of equal ones the first.
-func (y *Yard) engine(a *Ask, p *pool, now clock.Moment) (*berth, Choice) {
+func (y *Placer) engine(a *Request, p *pool, now clock.Time) (*berth, Choice) {
 	var s bunch
 	a.weight = y.opts.shared(a, y.prefill)
 	y.gather(&s, p, a, now)
@@ -251,7 +251,7 @@
 	return y.choose(s.at[:s.n], p, a, now)
 }
 
-func (y *Yard) choose(cs []candidate, p *pool, a *Ask, now clock.Moment) (*berth, Choice) {
+func (y *Placer) choose(cs []candidate, p *pool, a *Request, now clock.Time) (*berth, Choice) {
 	best := 0
 	y.index.Each(a.Chain, len(cs), func(i int) string { return cs[i].b.r.ID }, func(i, n int) { cs[i].matched = n })
 	for i := range cs {
@@ -279,7 +279,7 @@
 }
 
 // cost is what a candidate costs, its credit taken off.
-func (y *Yard) cost(c *candidate, p *pool, a *Ask, now clock.Moment) float64 {
+func (y *Placer) cost(c *candidate, p *pool, a *Request, now clock.Time) float64 {
 	var l Load
 	y.weigh(&l, c.b, p, a, now)
 	credit := y.opts.credit(a.Chain, max(c.matched, c.expect), a.weight)
@@ -288,7 +288,7 @@
 }
 
 // plain takes the less busy of two random ones, the first of them from the own locality if it has any.
-func (y *Yard) plain(a *Ask, p *pool, now clock.Moment) *berth {
+func (y *Placer) plain(a *Request, p *pool, now clock.Time) *berth {
 	near := p.near[a.Locality]
 	first := y.sample(a, near, now)
 	if first == nil {
@@ -305,7 +305,7 @@
 		return first
 	}
 	lp, lq := first.load(now), second.load(now)
-	if first.r.Locality != second.r.Locality && first.r.Locality == a.Locality {
+	if first.r.Zone != second.r.Zone && first.r.Zone == a.Locality {
 		lq += constants.NearBonus
 	}
 	if lq < lp {
@@ -315,7 +315,7 @@
 }
 
 // arrange brings the pools up to date with the replicas of the moment.
-func (y *Yard) arrange(of map[string][]*berth) {
+func (y *Placer) arrange(of map[string][]*berth) {
 	for name, p := range y.pools {
 		if len(of[name]) == 0 {
 			p.members(nil)
@@ -335,12 +335,12 @@
 }
 
 // reopen lists anew which of a service's replicas take inquiries.
-func (y *Yard) reopen(p *pool) {
+func (y *Placer) reopen(p *pool) {
 	p.open, p.near = nil, map[string][]*berth{}
 	for _, b := range p.all {
 		if y.open(b) {
 			p.open = append(p.open, b)
-			p.near[b.r.Locality] = append(p.near[b.r.Locality], b)
+			p.near[b.r.Zone] = append(p.near[b.r.Zone], b)
 		}
 	}
 }
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -17,7 +17,7 @@
 )
 
 // full is the choice that weighs every replica.
-func full(y *Yard, a *Ask, now clock.Moment) (best *candidate) {
+func full(y *Placer, a *Request, now clock.Time) (best *candidate) {
 	p := y.pools[a.Pool]
 	var s bunch
 	y.addHomes(&s, p, a, now)
@@ -107,9 +107,9 @@
 }
 
 // undo and redo take an inquiry's own weight off a replica and put it back, to weigh it as it was before.
-func (y *Yard) undo(a *Ask, b *berth) { y.shift(a, b, -1) }
-func (y *Yard) redo(a *Ask, b *berth) { y.shift(a, b, 1) }
-func (y *Yard) shift(a *Ask, b *berth, by int) {
+func (y *Placer) undo(a *Request, b *berth) { y.shift(a, b, -1) }
+func (y *Placer) redo(a *Request, b *berth) { y.shift(a, b, 1) }
+func (y *Placer) shift(a *Request, b *berth, by int) {
 	n := float64(a.Chain.Tokens() - y.index.Matched(b.r.ID, a.Chain))
 	b.inflight += by
 	b.tokens += float64(by) * n
@@ -146,7 +146,7 @@
 		}
 		for i := range r.IntN(12) {
 			id := fmt.Sprintf("n%d-%d", round, i)
-			next[id] = &state.Replica{ID: id, Pool: "p", State: "ready", Locality: "a", Slots: 8}
+			next[id] = &state.Replica{ID: id, Pool: "p", State: "ready", Zone: "a", Slots: 8}
 		}
 		rs = next
 		y.Set(rs, nil, 0)
@@ -225,7 +225,7 @@
 		a.Regions = func(loc string) bool { return loc == "b" }
 		got, ok = y.Place(a)
 		require.True(t, ok)
-		require.Equal(t, "b", got.Replica.Locality)
+		require.Equal(t, "b", got.Replica.Zone)
 	}
 }
 
@@ -257,7 +257,7 @@
 	require.Equal(t, 1, y.Count("p"))
 	keep("r0")
 	delete(rs, "r0")
-	rs["r0b"] = &state.Replica{ID: "r0b", Pool: "p", State: "ready", Locality: "a", Slots: 8}
+	rs["r0b"] = &state.Replica{ID: "r0b", Pool: "p", State: "ready", Zone: "a", Slots: 8}
 	y.Set(rs, nil, 0)
 	require.Zero(t, x.Matched("r0", c))
 	require.Zero(t, x.Matched("r0b", c), "a new life is an empty one")
@@ -290,7 +290,7 @@
 				y := NewYard(x)
 				y.Set(fleet(n), nil, 0)
 				r := rand.New(rand.NewPCG(1, 2))
-				var as []*Ask
+				var as []*Request
 				for i := range 4096 {
 					a := ask(nil)
 					if kind == "prompt" {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -26,7 +26,7 @@
 }
 
 // shared is what a shared block of an inquiry weighs: the less time the aim leaves beside reading the prompt's own part, the nearer to one, so that a prompt in a hurry goes where it is read soonest.
-func (o *Options) shared(a *Ask, perToken float64) float64 {
+func (o *Options) shared(a *Request, perToken float64) float64 {
 	own := a.Chain.Tokens()
 	if n := a.Chain.Shared(); n > 0 {
 		own -= a.Chain.Upto[n-1]
@@ -76,7 +76,7 @@
 }
 
 // read notes a time per token that was seen at a replica, waiting included, beside the mean of all.
-func (y *Yard) read(b *berth, per float64) {
+func (y *Placer) read(b *berth, per float64) {
 	if y.per == 0 {
 		y.per = per
 	}
@@ -88,7 +88,7 @@
 }
 
 // busyness is how many requests run at a replica: its own word, fading to the service's mean, and never less than this process has there.
-func (b *berth) busyness(p *pool, now clock.Moment) float64 {
+func (b *berth) busyness(p *pool, now clock.Time) float64 {
 	n := p.mean * b.places()
 	if age := now.Sub(b.toldAt); b.slots > 0 && age < constants.ToldSpan {
 		n += (b.running - n) * (1 - float64(age)/float64(constants.ToldSpan))
@@ -104,7 +104,7 @@
 }
 
 // queued is how many wait there by its own word.
-func (b *berth) queued(now clock.Moment) float64 {
+func (b *berth) queued(now clock.Time) float64 {
 	if age := now.Sub(b.toldAt); age < constants.ToldWait {
 		return b.waiting * (1 - float64(age)/float64(constants.ToldWait))
 	}
@@ -112,7 +112,7 @@
 }
 
 // late is the delay beyond the predicted that was seen there, fading.
-func (b *berth) late(now clock.Moment) float64 {
+func (b *berth) late(now clock.Time) float64 {
 	if age := now.Sub(b.extraAt); age < constants.ExtraSpan {
 		return b.extra * math.Exp(-age.Seconds()*constants.ExtraFade)
 	}
@@ -120,7 +120,7 @@
 }
 
 // weigh fills a load but for its credit.
-func (y *Yard) weigh(l *Load, b *berth, p *pool, a *Ask, now clock.Moment) {
+func (y *Placer) weigh(l *Load, b *berth, p *pool, a *Request, now clock.Time) {
 	block := float64(y.opts.Block)
 	l.IncomingPrompt = y.opts.incoming(a.Chain, a.weight)
 	l.IncomingActive = math.Ceil(float64(a.Chain.Tokens()+a.OutMost) / block)
@@ -139,7 +139,7 @@
 		l.ActiveRequest = y.opts.ActiveWeight * (run + wait)
 	}
 	l.Scale = y.opts.PrefillScale * b.rate()
-	if b.r.Locality != a.Locality {
+	if b.r.Zone != a.Locality {
 		l.ActivePrefill += y.opts.Away
 	}
 }
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -10,21 +10,21 @@
 )
 
 // Waiting is what this process has sent to replicas that they have not read yet, to be told to the fleet.
-func (y *Yard) Waiting() []loadsum.Pile {
+func (y *Placer) Waiting() []loadsum.Load {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	var ps []loadsum.Pile
+	var ps []loadsum.Load
 	for _, b := range y.b {
 		if b.said = uint32(b.tokens); b.said > 0 {
-			ps = append(ps, loadsum.Pile{Key: b.key, Tokens: b.said})
+			ps = append(ps, loadsum.Load{Key: b.key, Tokens: b.said})
 		}
 	}
-	slices.SortFunc(ps, func(a, b loadsum.Pile) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(ps, func(a, b loadsum.Load) int { return cmp.Compare(a.Key, b.Key) })
 	return ps
 }
 
 // Hear takes what stands out in the fleet's sum of what waits; elsewhere nothing does. It is some hundred ms old when it comes, and where all are busy alike a prompt is read soonest where its shared parts are.
-func (y *Yard) Hear(ps []loadsum.Pile) {
+func (y *Placer) Hear(ps []loadsum.Load) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := clock.Now()
@@ -39,7 +39,7 @@
 }
 
 // others is what other nodes have waiting at a replica beyond the usual, in tokens, fading.
-func (b *berth) others(now clock.Moment) float64 {
+func (b *berth) others(now clock.Time) float64 {
 	age := now.Sub(b.fleetAt)
 	if age >= constants.DeckSpan {
 		return 0
--- a/internal/placement/waiting_test.go
+++ b/internal/placement/waiting_test.go
@@ -19,7 +19,7 @@
 		here, there := NewYard(prefixindex.NewIndex()), NewYard(prefixindex.NewIndex())
 		here.Set(fleet(9), nil, 0)
 		there.Set(fleet(9), nil, 0)
-		short := func() *Ask { return ask(prefixindex.NewChain(prefixindex.Root("m", 1), chain(7, 50).Parts[:2])) }
+		short := func() *Request { return ask(prefixindex.NewChain(prefixindex.Root("m", 1), chain(7, 50).Parts[:2])) }
 		home, ok := here.Place(short())
 		require.True(t, ok)
 		here.Done(&End{Replica: home.Replica.ID, Chain: short().Chain})
@@ -53,10 +53,10 @@
 		b := y.b["r3"]
 		b.tokens = 50000
 		ps := y.Waiting()
-		require.Equal(t, []loadsum.Pile{{Key: loadsum.Key("r3"), Tokens: 50000}}, ps)
+		require.Equal(t, []loadsum.Load{{Key: loadsum.Key("r3"), Tokens: 50000}}, ps)
 		y.Hear(ps)
 		require.Zero(t, b.others(clock.Now()), "they are this process's own")
-		y.Hear([]loadsum.Pile{{Key: loadsum.Key("r4"), Tokens: 70000}, {Key: loadsum.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
+		y.Hear([]loadsum.Load{{Key: loadsum.Key("r4"), Tokens: 70000}, {Key: loadsum.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
 		require.InDelta(t, 70000, y.b["r4"].others(clock.Now()), 1)
 		require.InDelta(t, 10000, b.others(clock.Now()), 1)
 		time.Sleep(constants.DeckSpan / 2)
--- a/internal/placement/yard.go
+++ b/internal/placement/yard.go
@@ -14,14 +14,14 @@
 	"shaletrestle/internal/state"
 )
 
-// Ask is what is to be placed.
-type Ask struct {
+// Request is what is to be placed.
+type Request struct {
 	Pool     string
 	Locality string
 	Chain    *prefixindex.Chain // nil for services without an engine
 	Capacity int                // tokens of memory of one replica
 	OutMost  int                // most tokens that may come out
-	Aim      clock.Span         // time within which the first token is wanted
+	Aim      clock.Duration         // time within which the first token is wanted
 	Not      map[string]bool
 	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
@@ -34,8 +34,8 @@
 type Choice struct {
 	Replica *state.Replica
 	Matched int
-	Expect  clock.Span // predicted time to the first token
-	Alone   clock.Span // the same with nothing else there
+	Expect  clock.Duration // predicted time to the first token
+	Alone   clock.Duration // the same with nothing else there
 	Spilled bool
 	Warmer  bool
 	Cold    bool
@@ -51,21 +51,21 @@
 	running  float64
 	waiting  float64
 	slots    float64
-	toldAt   clock.Moment
+	toldAt   clock.Time
 	prefill  float64 // seconds per prompt token, learned
 	extra    float64 // seconds of delay beyond the predicted, learned
-	extraAt  clock.Moment
+	extraAt  clock.Time
 	wrong    bool    // another replica is at its address
 	key      uint32  // by which the fleet names it
 	said     uint32  // tokens that this process told the fleet of last
 	fleet    float64 // tokens of others that wait here beyond the usual, by the fleet's sum
-	fleetAt  clock.Moment
-	coldNext clock.Moment
-	coldTill clock.Moment // back from an evacuation: cold until the list has had time to say
+	fleetAt  clock.Time
+	coldNext clock.Time
+	coldTill clock.Time // back from an evacuation: cold until the list has had time to say
 }
 
-// Yard knows the replicas and how busy they seem from here.
-type Yard struct {
+// Placer knows the replicas and how busy they seem from here.
+type Placer struct {
 	mu      sync.Mutex
 	index   *prefixindex.Index
 	health  *outlier.Gauge
@@ -82,15 +82,15 @@
 }
 
 // NewYard makes an empty yard.
-func NewYard(x *prefixindex.Index) *Yard {
-	return &Yard{index: x, health: outlier.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: constants.PrefillToken.Seconds()}
+func NewYard(x *prefixindex.Index) *Placer {
+	return &Placer{index: x, health: outlier.New(), b: map[string]*berth{}, pools: map[string]*pool{}, opts: Defaults(), evac: map[string]bool{}, prefill: constants.PrefillToken.Seconds()}
 }
 
 // Health is the judgement of replicas that placing heeds.
-func (y *Yard) Health() *outlier.Gauge { return y.health }
+func (y *Placer) Health() *outlier.Gauge { return y.health }
 
 // Set takes the replicas and evacuated localities of the moment. back is how long a locality that takes inquiries again counts as cold.
-func (y *Yard) Set(rs map[string]*state.Replica, evac map[string]bool, back clock.Span) {
+func (y *Placer) Set(rs map[string]*state.Replica, evac map[string]bool, back clock.Duration) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	keeps := map[string]bool{}
@@ -102,7 +102,7 @@
 			b = &berth{prefill: y.prefill, hash: hashID(id), key: loadsum.Key(id)}
 			y.b[id] = b
 		}
-		if y.evac[r.Locality] && !evac[r.Locality] {
+		if y.evac[r.Zone] && !evac[r.Zone] {
 			b.coldTill = clock.Now().Add(back)
 		}
 		if b.r != nil && b.r.Pool == r.Pool && !slices.Equal(b.r.Models, r.Models) {
@@ -123,7 +123,7 @@
 }
 
 // Use takes other options.
-func (y *Yard) Use(o Options) {
+func (y *Placer) Use(o Options) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.opts = o
@@ -131,19 +131,19 @@
 }
 
 // May tells whether a replica may be sent to at this moment.
-func (y *Yard) May(id string) bool {
+func (y *Placer) May(id string) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[id]
 	return b != nil && y.open(b)
 }
 
-func (y *Yard) open(b *berth) bool {
-	return b.r.State == "ready" && !y.evac[b.r.Locality] && !b.wrong
+func (y *Placer) open(b *berth) bool {
+	return b.r.State == "ready" && !y.evac[b.r.Zone] && !b.wrong
 }
 
 // Count tells how many replicas of a service there are that take inquiries by the list.
-func (y *Yard) Count(pool string) (n int) {
+func (y *Placer) Count(pool string) (n int) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if p := y.pools[pool]; p != nil {
@@ -152,12 +152,12 @@
 	return
 }
 
-func (y *Yard) cold(b *berth, now clock.Moment) bool {
+func (y *Placer) cold(b *berth, now clock.Time) bool {
 	return b.r.ColdMs > 0 || now.Before(b.coldTill)
 }
 
 // Place chooses a replica and counts the inquiry as sent there; Done must follow. ok is false if none may be used now.
-func (y *Yard) Place(a *Ask) (c Choice, ok bool) {
+func (y *Placer) Place(a *Request) (c Choice, ok bool) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := clock.Now()
@@ -193,7 +193,7 @@
 }
 
 // pick chooses a warm replica, or a cold one if no other may be used; nil if none may. coldRate is what may be sent to a cold one in a second.
-func (y *Yard) pick(a *Ask, p *pool, now clock.Moment) (b *berth, c Choice, coldRate float64) {
+func (y *Placer) pick(a *Request, p *pool, now clock.Time) (b *berth, c Choice, coldRate float64) {
 	if a.Chain != nil {
 		b, c = y.engine(a, p, now)
 	} else {
@@ -206,8 +206,8 @@
 }
 
 // fits tells whether a replica may take an inquiry now.
-func (y *Yard) fits(a *Ask, b *berth, now clock.Moment) bool {
-	if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Locality) {
+func (y *Placer) fits(a *Request, b *berth, now clock.Time) bool {
+	if !y.open(b) || a.Not[b.r.ID] || a.Regions != nil && !a.Regions(b.r.Zone) {
 		return false
 	}
 	f := y.health.Fit(b.r.ID, a.Bold, now)
@@ -215,7 +215,7 @@
 }
 
 // delay is the predicted time before a new inquiry's own prompt is read.
-func (b *berth) delay(now clock.Moment, prompt float64) float64 {
+func (b *berth) delay(now clock.Time, prompt float64) float64 {
 	d := (b.tokens + b.others(now)) * b.prefill
 	if age := now.Sub(b.extraAt).Seconds(); age < 2 {
 		d = max(d, b.extra*math.Exp(-age*2))
@@ -226,7 +226,7 @@
 	return d
 }
 
-func (b *berth) load(now clock.Moment) float64 {
+func (b *berth) load(now clock.Time) float64 {
 	n := float64(b.inflight)
 	if b.slots > 0 {
 		if age := now.Sub(b.toldAt).Seconds(); age < 2 {
@@ -248,7 +248,7 @@
 }
 
 // Began notes that the first event came, took long after sending, while expect was predicted.
-func (y *Yard) Began(e *End, took, expect clock.Span) {
+func (y *Placer) Began(e *End, took, expect clock.Duration) {
 	y.mu.Lock()
 	b := y.b[e.Replica]
 	if b == nil || e.First {
@@ -294,7 +294,7 @@
 }
 
 // Done ends the count of a shot.
-func (y *Yard) Done(e *End) {
+func (y *Placer) Done(e *End) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[e.Replica]
@@ -315,7 +315,7 @@
 }
 
 // Told takes a replica's own word on its load.
-func (y *Yard) Told(id string, running, waiting, slots float64) {
+func (y *Placer) Told(id string, running, waiting, slots float64) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
@@ -328,7 +328,7 @@
 }
 
 // Queued tells whether a replica said lately that requests wait there.
-func (y *Yard) Queued(id string) bool {
+func (y *Placer) Queued(id string) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[id]
@@ -336,7 +336,7 @@
 }
 
 // Wrong notes that another replica answers at this one's address.
-func (y *Yard) Wrong(id string) {
+func (y *Placer) Wrong(id string) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if b := y.b[id]; b != nil {
@@ -369,13 +369,13 @@
 }
 
 // Stats tells what the yard sees.
-func (y *Yard) Stats() Stats {
+func (y *Placer) Stats() Stats {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	now := clock.Now()
 	s := Stats{y.placed, y.spills, y.warmer, y.prefill * 1e6, map[string]BerthStat{}, y.health.Stats(now)}
 	for id, b := range y.b {
-		s.Berths[id] = BerthStat{b.r.Pool, b.r.Locality, b.r.State, b.inflight, y.cold(b, now), b.wrong}
+		s.Berths[id] = BerthStat{b.r.Pool, b.r.Zone, b.r.State, b.inflight, y.cold(b, now), b.wrong}
 	}
 	return s
 }
--- a/internal/placement/yard_test.go
+++ b/internal/placement/yard_test.go
@@ -19,7 +19,7 @@
 	m := map[string]*state.Replica{}
 	for i := range n {
 		id := fmt.Sprintf("r%d", i)
-		m[id] = &state.Replica{ID: id, Pool: "p", State: "ready", Locality: string(rune('a' + i%3)), Slots: 8}
+		m[id] = &state.Replica{ID: id, Pool: "p", State: "ready", Zone: string(rune('a' + i%3)), Slots: 8}
 	}
 	return m
 }
@@ -28,8 +28,8 @@
 	return prefixindex.NewChain(prefixindex.Root("m", 1), []prefixindex.Part{{ID: 1, Tokens: 100}, {ID: doc, Tokens: 2000}, {ID: uint64(time.Now().UnixNano()), Tokens: own}})
 }
 
-func ask(c *prefixindex.Chain) *Ask {
-	return &Ask{Pool: "p", Locality: "a", Chain: c, Capacity: 100000, Aim: 800 * time.Millisecond, Not: map[string]bool{}, ColdRate: func(string) float64 { return 2 }}
+func ask(c *prefixindex.Chain) *Request {
+	return &Request{Pool: "p", Locality: "a", Chain: c, Capacity: 100000, Aim: 800 * time.Millisecond, Not: map[string]bool{}, ColdRate: func(string) float64 { return 2 }}
 }
 
 func TestNodesAgreeOnHomes(t *testing.T) {
@@ -93,22 +93,22 @@
 		y.Set(rs, map[string]bool{"b": true}, 0)
 		y.Wrong("r2")
 		for range 20 {
-			c, ok := y.Place(&Ask{Pool: "p", Locality: "a", Not: map[string]bool{}, ColdRate: func(string) float64 { return 0 }})
+			c, ok := y.Place(&Request{Pool: "p", Locality: "a", Not: map[string]bool{}, ColdRate: func(string) float64 { return 0 }})
 			require.True(t, ok)
 			require.Equal(t, "r3", c.Replica.ID)
 			require.True(t, y.May("r3"))
 			require.False(t, y.May("r0") || y.May("r1") || y.May("r2"))
 		}
 		y.Health().Bad("r3", outlier.Silent, clock.Now())
-		_, ok := y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
+		_, ok := y.Place(&Request{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.False(t, ok)
 		time.Sleep(constants.EjectFirst)
-		_, ok = y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
+		_, ok = y.Place(&Request{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.True(t, ok, "after the ejection one trial, whatever else is still out there")
-		_, ok = y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
+		_, ok = y.Place(&Request{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.False(t, ok, "and only one")
 		y.Began(&End{Replica: "r3"}, 0, 0)
-		_, ok = y.Place(&Ask{Pool: "p", ColdRate: func(string) float64 { return 0 }})
+		_, ok = y.Place(&Request{Pool: "p", ColdRate: func(string) float64 { return 0 }})
 		require.True(t, ok)
 	})
 }
@@ -149,14 +149,14 @@
 	y := NewYard(prefixindex.NewIndex())
 	y.Set(fleet(3), nil, 0)
 	for range 50 {
-		c, _ := y.Place(&Ask{Pool: "p", Locality: "a"})
+		c, _ := y.Place(&Request{Pool: "p", Locality: "a"})
 		require.Equal(t, "r0", c.Replica.ID)
 		y.Done(&End{Replica: c.Replica.ID})
 	}
 	y.Told("r0", 8, 3, 8)
 	away := 0
 	for range 50 {
-		c, _ := y.Place(&Ask{Pool: "p", Locality: "a"})
+		c, _ := y.Place(&Request{Pool: "p", Locality: "a"})
 		if c.Replica.ID != "r0" {
 			away++
 		}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -26,7 +26,7 @@
 			q.giveUp(errkind.Late, "time ran out")
 			return
 		}
-		if !q.try.MayRepeat(q.path.Repeatable(), q.path.Shots) {
+		if !q.try.MayRepeat(q.path.Repeatable(), q.path.Attempts) {
 			q.giveUp(errkind.Broken, "replicas failed")
 			return
 		}
@@ -71,11 +71,11 @@
 
 // letIn tells whether a request is worth sending: not if the line before it alone is predicted to
 // outlast what is left of its time. The length of its own prompt never counts against it.
-func letIn(c placement.Choice, left clock.Span) bool { return c.Expect-c.Alone < left }
+func letIn(c placement.Choice, left clock.Duration) bool { return c.Expect-c.Alone < left }
 
 // refuseAt is when a request that could be sent nowhere is refused.
-func (q *request) refuseAt() clock.Moment {
-	return q.arrived.Add(clock.Span(float64(q.path.Aim) * constants.RefusePart))
+func (q *request) refuseAt() clock.Time {
+	return q.arrived.Add(clock.Duration(float64(q.path.Aim) * constants.RefusePart))
 }
 
 // attempt sends to one replica; true means that another may be tried.
@@ -151,7 +151,7 @@
 
 // upstreamRequest is the request as it goes to one replica. What it says of time, and what was looked at
 // before, is true for a little while only: it doesn't leave later than that.
-func (q *request) upstreamRequest(c placement.Choice, now clock.Moment) *upstream.Request {
+func (q *request) upstreamRequest(c placement.Choice, now clock.Time) *upstream.Request {
 	left := q.deadline.Sub(now) - constants.BudgetReserve
 	head := q.head.Clone()
 	head.Set(upstream.HeadExpect, c.Replica.ID)
@@ -192,7 +192,7 @@
 
 // urgency is the class that a replica is told: by the path's priority, behind all others if the prompt
 // alone takes longer than the aim.
-func (q *request) urgency(alone clock.Span) int {
+func (q *request) urgency(alone clock.Duration) int {
 	if q.long {
 		return constants.UrgencyLong
 	}
@@ -228,7 +228,7 @@
 // the last.
 func (q *request) again(why string) bool {
 	resumable := !q.began || q.lastID >= 0
-	if resumable && q.try.MayRepeat(q.path.Repeatable(), q.path.Shots) {
+	if resumable && q.try.MayRepeat(q.path.Repeatable(), q.path.Attempts) {
 		return true
 	}
 	q.giveUp(errkind.Broken, why)
@@ -236,14 +236,14 @@
 }
 
 // patience is how long a replica may be silent before another one is tried; 0 if none may be.
-func (q *request) patience() clock.Span {
-	if !q.path.Repeatable() || q.try.Sent() >= q.path.Shots {
+func (q *request) patience() clock.Duration {
+	if !q.path.Repeatable() || q.try.Sent() >= q.path.Attempts {
 		return 0
 	}
 	if q.began {
-		return clock.Span(float64(q.path.Gap) * constants.SilenceGaps)
+		return clock.Duration(float64(q.path.Gap) * constants.SilenceGaps)
 	}
-	return clock.Span(float64(q.path.Aim) * constants.SilenceAims)
+	return clock.Duration(float64(q.path.Aim) * constants.SilenceAims)
 }
 
 // listener takes the parts of one attempt's answer.
@@ -253,8 +253,8 @@
 	answer     *upstream.Answer
 	choice     placement.Choice
 	end        *placement.End
-	at         clock.Moment // the attempt was sent
-	heard      clock.Moment // the newest part
+	at         clock.Time // the attempt was sent
+	heard      clock.Time // the newest part
 	head       upstream.Part
 	joined     bool // the events follow those that the client has
 }
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -9,11 +9,11 @@
 
 type lump struct {
 	n    int64
-	till clock.Moment
+	till clock.Time
 }
 
 type account struct {
-	asked, extra []clock.Moment
+	asked, extra []clock.Time
 	lumps        []lump
 }
 
@@ -22,13 +22,13 @@
 	mu     sync.Mutex
 	ratio  float64
 	slack  float64
-	window clock.Span
+	window clock.Duration
 	margin float64
 	a      map[string]*account
 }
 
 // NewBudget makes a budget; slack is the whole fleet's.
-func NewBudget(ratio, slack float64, window clock.Span, margin float64) *Budget {
+func NewBudget(ratio, slack float64, window clock.Duration, margin float64) *Budget {
 	return &Budget{ratio: ratio, slack: slack, window: window, margin: margin, a: map[string]*account{}}
 }
 
@@ -40,7 +40,7 @@
 	}
 	now := clock.Now()
 	old := now.Add(-b.window)
-	trim := func(ms []clock.Moment) []clock.Moment {
+	trim := func(ms []clock.Time) []clock.Time {
 		i := 0
 		for i < len(ms) && ms[i].Before(old) {
 			i++
@@ -63,7 +63,7 @@
 }
 
 // Lent adds borrowed tries; till is the end of the loan, counted from before it was asked for.
-func (b *Budget) Lent(pool string, n int64, till clock.Moment) {
+func (b *Budget) Lent(pool string, n int64, till clock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(pool)
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -11,7 +11,7 @@
 )
 
 // channels is this process's share of the connections that each replica of a service takes.
-func (g *Gate) channels(s *routing.Pool, id string) int {
+func (g *Router) channels(s *routing.Pool, id string) int {
 	if s == nil || s.Channels <= 0 {
 		return constants.ChannelsGuess
 	}
@@ -43,7 +43,7 @@
 	return rank
 }
 
-func (g *Gate) pool(r *state.Replica, t *routing.Table) *upstream.Pool {
+func (g *Router) pool(r *state.Replica, t *routing.Table) *upstream.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pools[r.ID]
@@ -60,7 +60,7 @@
 }
 
 // share gives every pool its share anew, after the fleet's size or the setup changed.
-func (g *Gate) share(v *state.View, t *routing.Table) {
+func (g *Router) share(v *state.View, t *routing.Table) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, p := range g.pools {
@@ -71,7 +71,7 @@
 }
 
 // keep looks at this process's own machine again and again, and through its idle connections now and then: one waking-up does for both.
-func (g *Gate) keep() {
+func (g *Router) keep() {
 	n := 0
 	clock.Every(g.sc, constants.LevelEvery, func() bool {
 		g.level.Look()
@@ -82,7 +82,7 @@
 	})
 }
 
-func (g *Gate) sweep() {
+func (g *Router) sweep() {
 	g.mu.Lock()
 	var ps []*upstream.Pool
 	for _, p := range g.pools {
--- a/internal/router/deck.go
+++ b/internal/router/deck.go
@@ -10,22 +10,22 @@
 )
 
 // tellDeck tells the relay what this process has waiting at the replicas, when it changed or its last word grows old.
-func (g *Gate) tellDeck() {
-	var last []loadsum.Pile
-	var at clock.Moment
+func (g *Router) tellDeck() {
+	var last []loadsum.Load
+	var at clock.Time
 	clock.Every(g.sc, constants.DeckTell, func() bool {
 		now, ps := clock.Now(), g.yard.Waiting()
 		if slices.Equal(ps, last) && (len(ps) == 0 || now.Sub(at) < constants.DeckAgain) {
 			return true
 		}
 		last, at = ps, now
-		g.follower.Send(&rpc.Note{Kind: rpc.Deck, From: g.follower.Self(), Body: loadsum.Encode(ps)})
+		g.follower.Send(&rpc.Message{Kind: rpc.Deck, From: g.follower.Self(), Body: loadsum.Encode(ps)})
 		return true
 	})
 }
 
 // hearDeck takes the fleet's sum.
-func (g *Gate) hearDeck(n *rpc.Note) {
+func (g *Router) hearDeck(n *rpc.Message) {
 	if n.Kind == rpc.Deck {
 		g.yard.Hear(loadsum.Decode(n.Body))
 	}
--- a/internal/router/failures.go
+++ b/internal/router/failures.go
@@ -11,7 +11,7 @@
 )
 
 // words are the failures seen here since the last time, for the acknowledgement that is about to go; nil mostly.
-func (g *Gate) words() []byte {
+func (g *Router) words() []byte {
 	now := clock.Now()
 	g.mu.Lock()
 	due := now.Sub(g.toldAt) >= constants.NewsBeat/2
@@ -31,7 +31,7 @@
 }
 
 // blame holds a failure against a replica, and tells of it at once if nothing was told for a beat.
-func (g *Gate) blame(id string, k outlier.Kind) {
+func (g *Router) blame(id string, k outlier.Kind) {
 	now := clock.Now()
 	g.yard.Health().Bad(id, k, now)
 	g.mu.Lock()
--- a/internal/router/figures.go
+++ b/internal/router/figures.go
@@ -3,7 +3,7 @@
 import "shaletrestle/internal/metrics"
 
 // figures are what the state port tells under meter.Path.
-func (g *Gate) figures() []metrics.Figure {
+func (g *Router) figures() []metrics.Figure {
 	v := g.book.View()
 	_, num := g.cursor.At()
 	runs, asked, hits := g.index.Stats()
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -29,16 +29,16 @@
 
 // Plan is what a router is built from.
 type Plan struct {
-	Env    *settings.Env
+	Env    *settings.Settings
 	Net    rpc.Net
 	Dialer upstream.Dialer
-	Work   func() clock.Span // does and times the piece of work that shows a slow machine; nil for the usual one
+	Work   func() clock.Duration // does and times the piece of work that shows a slow machine; nil for the usual one
 }
 
-// Gate is one traffic process.
-type Gate struct {
+// Router is one traffic process.
+type Router struct {
 	sc        *task.Scope
-	env       atomic.Pointer[settings.Env]
+	env       atomic.Pointer[settings.Settings]
 	net       rpc.Net
 	dialer    upstream.Dialer
 	book      *state.Book
@@ -48,7 +48,7 @@
 	watcher   *failuredetector.Watcher
 	level     *slowness.Watch
 	index     *prefixindex.Index
-	yard      *placement.Yard
+	yard      *placement.Placer
 	budget    *Budget
 	table     atomic.Pointer[routing.Table]
 	weights   atomic.Pointer[weights]
@@ -57,17 +57,17 @@
 	isReady   chan struct{}
 	leaving   atomic.Bool
 	inflight  atomic.Int64
-	bodies    *fairshare.Pie
+	bodies    *fairshare.Shares
 	made      upstream.Made
 	count     counts
 	mu        sync.Mutex
 	pools     map[string]*upstream.Pool
 	keeps     map[string]*upstream.Keep // by service
 	asking    map[string]chan struct{}  // services that a lump is being borrowed for
-	refusedAt map[string]clock.Moment   // when none was lent, by service
-	toldAt    clock.Moment              // when failures were told last
+	refusedAt map[string]clock.Time   // when none was lent, by service
+	toldAt    clock.Time              // when failures were told last
 	pickAt    int
-	bad       map[string]clock.Moment // controllers and when they failed last
+	bad       map[string]clock.Time // controllers and when they failed last
 	dropped   string                  // one that was left for a nearer one, not for failing
 	long      *longWork
 }
@@ -77,10 +77,10 @@
 }
 
 // New builds a router.
-func New(sc *task.Scope, p Plan) *Gate {
+func New(sc *task.Scope, p Plan) *Router {
 	env := p.Env
 	self := env.Port(constants.PortGate)
-	g := &Gate{
+	g := &Router{
 		sc:        sc,
 		net:       p.Net,
 		dialer:    p.Dialer,
@@ -89,9 +89,9 @@
 		pools:     map[string]*upstream.Pool{},
 		keeps:     map[string]*upstream.Keep{},
 		asking:    map[string]chan struct{}{},
-		refusedAt: map[string]clock.Moment{},
+		refusedAt: map[string]clock.Time{},
 		isReady:   make(chan struct{}),
-		bad:       map[string]clock.Moment{},
+		bad:       map[string]clock.Time{},
 	}
 	g.env.Store(env)
 	g.yard = placement.NewYard(g.index)
@@ -104,7 +104,7 @@
 	g.weights.Store(newWeights(nil))
 	g.cold.Store(newColdShares(nil, self))
 	g.cursor = distribution.NewCursor(g.book)
-	seat := rpc.Seat{ID: xxhash.Sum64String(self) | 1, Addr: self, Locality: env.Locality}
+	seat := rpc.Member{ID: xxhash.Sum64String(self) | 1, Address: self, Zone: env.Zone}
 	g.follower = distribution.NewFollower(sc, p.Net, g.cursor, seat, false, g.pick, nil)
 	g.level = slowness.NewWatch(sc, p.Work)
 	g.long = newLongWork(g)
@@ -116,18 +116,18 @@
 }
 
 // newWatcher makes the detector that asks other routers whether they are there and tells control of those that are not.
-func (g *Gate) newWatcher(self string) *failuredetector.Watcher {
+func (g *Router) newWatcher(self string) *failuredetector.Watcher {
 	every := max(clock.Millis(g.env.Load().BeatMs), constants.NewsBeat)
 	nodes := func() []string { return g.book.View().Nodes }
 	ping := g.pinger(rpc.NewLines(g.sc, g.net, g.handle), self)
 	tell := func(node string, alive bool) {
-		g.follower.Send(&rpc.Note{Kind: rpc.Suspect, OK: alive, Word: node})
+		g.follower.Send(&rpc.Message{Kind: rpc.Suspect, OK: alive, Word: node})
 	}
 	return failuredetector.New(g.sc, self, every, nodes, ping, tell)
 }
 
 // Run serves until the scope ends.
-func (g *Gate) Run() error {
+func (g *Router) Run() error {
 	e := g.env.Load()
 	fl, err := g.net.Listen(e.Bind.Front)
 	if err != nil {
@@ -172,7 +172,7 @@
 }
 
 // Leave finishes what is held and returns when the process may end.
-func (g *Gate) Leave() {
+func (g *Router) Leave() {
 	g.leaving.Store(true)
 	g.long.leave()
 	grace := clock.Seconds(g.env.Load().Bounds.GraceS)
@@ -184,20 +184,20 @@
 }
 
 // Reload takes new settings.
-func (g *Gate) Reload(e *settings.Env) {
+func (g *Router) Reload(e *settings.Settings) {
 	g.env.Store(e)
 	g.yard.Use(e.Placement)
 	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(constants.PortGate)))
 }
 
 // Takes tells whether a replica may be sent to, as this process knows it now.
-func (g *Gate) Takes(replica string) bool { return g.yard.May(replica) }
+func (g *Router) Takes(replica string) bool { return g.yard.May(replica) }
 
 // Holds tells which configuration and which evacuations are in force here.
-func (g *Gate) Holds() (revision int64, evacuated map[string]bool) {
+func (g *Router) Holds() (revision int64, evacuated map[string]bool) {
 	v := g.book.View()
 	return v.Doc.Epoch, v.Evac
 }
 
 // Health tells what is held against replicas here.
-func (g *Gate) Health() map[string]outlier.Stat { return g.yard.Health().Stats(clock.Now()) }
+func (g *Router) Health() map[string]outlier.Stat { return g.yard.Health().Stats(clock.Now()) }
--- a/internal/router/longwork.go
+++ b/internal/router/longwork.go
@@ -19,7 +19,7 @@
 // messages, runs the jobs that were taken and tells the requests whose jobs they
 // are.
 type longWork struct {
-	gate         *Gate
+	gate         *Router
 	scope        *task.Scope
 	self         string // own address for messages between routers
 	lines        *rpc.Lines
@@ -52,7 +52,7 @@
 	broken    int64 // lost with a neighbour that may have begun it
 }
 
-func newLongWork(gate *Gate) *longWork {
+func newLongWork(gate *Router) *longWork {
 	life := rand.Uint64() | 1
 	bounds := handoff.Bounds{
 		Answer: constants.LongAnswer,
--- a/internal/router/longwork_messages.go
+++ b/internal/router/longwork_messages.go
@@ -13,7 +13,7 @@
 const inboxReserve = 2
 
 // note takes a message of another router.
-func (l *longWork) note(channel *rpc.Channel, note *rpc.Note) {
+func (l *longWork) note(channel *rpc.Channel, note *rpc.Message) {
 	message := messageOf(note)
 	if message.Kind == 0 || message.Peer == "" {
 		return
@@ -52,10 +52,10 @@
 }
 
 // messageOf reads the wire form of a message.
-func messageOf(note *rpc.Note) handoff.Message {
+func messageOf(note *rpc.Message) handoff.Message {
 	return handoff.Message{
 		Kind:   handoff.KindOf(note.Word),
-		Peer:   note.From.Addr,
+		Peer:   note.From.Address,
 		Owner:  note.Epoch,
 		Job:    note.Number,
 		Turn:   note.Base,
@@ -67,10 +67,10 @@
 }
 
 // noteOf is the wire form of a message.
-func noteOf(self string, message handoff.Message) *rpc.Note {
-	return &rpc.Note{
+func noteOf(self string, message handoff.Message) *rpc.Message {
+	return &rpc.Message{
 		Kind:       rpc.Job,
-		From:       rpc.Seat{Addr: self},
+		From:       rpc.Member{Address: self},
 		Word:       message.Kind.String(),
 		Epoch:      message.Owner,
 		Number:     message.Job,
--- a/internal/router/longwork_neighbours.go
+++ b/internal/router/longwork_neighbours.go
@@ -61,7 +61,7 @@
 }
 
 // tellRoom puts the room left into the answer to a ping.
-func (l *longWork) tellRoom(answer *rpc.Note) *rpc.Note {
+func (l *longWork) tellRoom(answer *rpc.Message) *rpc.Message {
 	if !l.enabled() {
 		return answer
 	}
@@ -69,12 +69,12 @@
 	defer l.mu.Unlock()
 	accepted, running := l.taker.Jobs()
 	answer.Span = uint64(max(0, l.room()-accepted-running))
-	answer.From.Locality = l.gate.env.Load().Locality
+	answer.From.Zone = l.gate.env.Load().Zone
 	return answer
 }
 
 // roomOf takes a node's room from its answer to a ping.
-func (l *longWork) roomOf(node string, answer *rpc.Note) {
+func (l *longWork) roomOf(node string, answer *rpc.Message) {
 	if !l.enabled() {
 		return
 	}
@@ -82,7 +82,7 @@
 	defer l.mu.Unlock()
 	l.neighbours[node] = neighbour{
 		room: int(min(answer.Span, constants.LongTakeMost)),
-		zone: answer.From.Locality,
+		zone: answer.From.Zone,
 		at:   clock.Now(),
 	}
 }
@@ -113,8 +113,8 @@
 }
 
 // mayHave tells whether a request of a path may go to the neighbour's zone.
-func (n neighbour) mayHave(env *settings.Env, path *routing.Path) bool {
-	if n.zone != env.Locality && !env.LongWork.OtherZones {
+func (n neighbour) mayHave(env *settings.Settings, path *routing.Path) bool {
+	if n.zone != env.Zone && !env.LongWork.OtherZones {
 		return false
 	}
 	return path.Regions == nil || path.Regions[env.Zones[n.zone]]
--- a/internal/router/longwork_offer.go
+++ b/internal/router/longwork_offer.go
@@ -148,7 +148,7 @@
 	work.mu.Lock()
 	defer work.mu.Unlock()
 	deadline := work.now() + clock.Until(q.deadline) - constants.BudgetReserve
-	job.number = work.owner.Take(deadline, q.path.Repeatable(), q.path.Shots)
+	job.number = work.owner.Take(deadline, q.path.Repeatable(), q.path.Attempts)
 	work.inboxes[job.number] = job.inbox
 	work.counters.offered++
 	work.apply(work.owner.Offer(work.now(), job.number, node, body))
@@ -220,7 +220,7 @@
 		work.counters.lost++
 		work.scope.Log().Warn("a neighbour was lost, its job is placed anew", "node", j.node, "request", q.id)
 	}
-	q.try.Elsewhere(q.path.Shots-attemptsLeft-q.try.Sent(), lost)
+	q.try.Elsewhere(q.path.Attempts-attemptsLeft-q.try.Sent(), lost)
 	return true
 }
 
--- a/internal/router/longwork_taken.go
+++ b/internal/router/longwork_taken.go
@@ -48,7 +48,7 @@
 		return nil
 	}
 	limited := *path
-	limited.Shots = min(limited.Shots, message.Shots)
+	limited.Attempts = min(limited.Attempts, message.Shots)
 	q.path = &limited
 	q.arrived = offered
 	q.taken = true
--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -18,15 +18,15 @@
 	"shaletrestle/internal/settings"
 )
 
-func longOf(e *settings.Env) *longWork {
-	g := &Gate{}
+func longOf(e *settings.Settings) *longWork {
+	g := &Router{}
 	g.env.Store(e)
 	return &longWork{gate: g, neighbours: map[string]neighbour{}}
 }
 
 func TestNeighbourHasRoomAndMayHaveTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := &settings.Env{Locality: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: settings.LongWork{Enabled: true}}
+		e := &settings.Settings{Zone: "a", Zones: map[string]string{"a": "east", "b": "west"}, LongWork: settings.LongWork{Enabled: true}}
 		h := longOf(e)
 		fill := func() {
 			h.neighbours = map[string]neighbour{"near": {1, "a", clock.Now()}, "far": {3, "b", clock.Now()}, "full": {0, "a", clock.Now()}}
@@ -95,7 +95,7 @@
 			w := newWorld(t, worldBudget, stepOK)
 			defer w.end()
 			h := w.g.long
-			q := &request{g: w.g, path: &routing.Path{Shots: 3}}
+			q := &request{g: w.g, path: &routing.Path{Attempts: 3}}
 			in := make(chan handoff.Effect, 4)
 			job := h.owner.Take(h.now()+clock.Seconds(1), true, 3)
 			h.inboxes[job] = in
@@ -122,7 +122,7 @@
 func TestNoPlaceIsToldEarlyAndToAnOwnerAtOnce(t *testing.T) {
 	for _, taken := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			h := longOf(&settings.Env{LongWork: settings.LongWork{Enabled: true}})
+			h := longOf(&settings.Settings{LongWork: settings.LongWork{Enabled: true}})
 			h.gate.long, h.start, h.queues, h.open = h, clock.Now(), map[string]*longQueue{}, map[*request]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
@@ -130,7 +130,7 @@
 				x.handoff.Join(0, false)
 			}
 			w := httptest.NewRecorder()
-			q := &request{g: h.gate, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Ask{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
+			q := &request{g: h.gate, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ask: &placement.Request{Pool: "p"}, path: &routing.Path{Aim: clock.Seconds(1)},
 				arrived: clock.Now(), deadline: clock.Now().Add(clock.Seconds(9)), taken: taken, long: true}
 			var pumps sync.WaitGroup
 			defer pumps.Wait()
--- a/internal/router/page.go
+++ b/internal/router/page.go
@@ -9,7 +9,7 @@
 )
 
 // page answers on the state port: the metrics under their path, else all that this process knows.
-func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
+func (g *Router) page(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == metrics.Path {
 		metrics.Serve(w, g.figures())
 		return
@@ -42,7 +42,7 @@
 	})
 }
 
-func (g *Gate) newsSection() map[string]any {
+func (g *Router) newsSection() map[string]any {
 	epoch, number := g.cursor.At()
 	return map[string]any{
 		"epoch":        epoch,
@@ -52,7 +52,7 @@
 	}
 }
 
-func (g *Gate) budgetSection() map[string]float64 {
+func (g *Router) budgetSection() map[string]float64 {
 	left := map[string]float64{}
 	for pool := range g.table.Load().Pools {
 		left[pool] = g.budget.Left(pool, g.fleet())
@@ -60,7 +60,7 @@
 	return left
 }
 
-func (g *Gate) indexSection() map[string]any {
+func (g *Router) indexSection() map[string]any {
 	runs, asked, hits := g.index.Stats()
 	return map[string]any{"runs": runs, "asked": asked, "hits": hits, "portions": g.index.Portions()}
 }
--- a/internal/router/readiness.go
+++ b/internal/router/readiness.go
@@ -12,7 +12,7 @@
 // slowWord marks a ping or its answer of a node whose machine has turned slow.
 const slowWord = "slow"
 
-func (g *Gate) word() string {
+func (g *Router) word() string {
 	if g.level.Slow() {
 		return slowWord
 	}
@@ -20,9 +20,9 @@
 }
 
 // pinger gives what asks another router whether it is there; both sides say whether they are slow.
-func (g *Gate) pinger(lines *rpc.Lines, self string) func(node string) bool {
+func (g *Router) pinger(lines *rpc.Lines, self string) func(node string) bool {
 	return func(node string) bool {
-		a, err := lines.Call(node, &rpc.Note{Kind: rpc.Hello, From: rpc.Seat{Addr: self}, Word: g.word()}, constants.CallWait)
+		a, err := lines.Call(node, &rpc.Message{Kind: rpc.Hello, From: rpc.Member{Address: self}, Word: g.word()}, constants.CallWait)
 		if err != nil || !a.OK {
 			return false
 		}
@@ -33,7 +33,7 @@
 }
 
 // handle answers the pings of other routers and takes their notes on long work.
-func (g *Gate) handle(ch *rpc.Channel, n *rpc.Note) *rpc.Note {
+func (g *Router) handle(ch *rpc.Channel, n *rpc.Message) *rpc.Message {
 	if n.Kind == rpc.Job {
 		g.long.note(ch, n)
 		return nil
@@ -41,8 +41,8 @@
 	if n.Kind != rpc.Hello || n.Call == 0 {
 		return nil
 	}
-	if n.From.Addr != "" {
-		g.level.Hear(n.From.Addr, n.Word == slowWord)
+	if n.From.Address != "" {
+		g.level.Hear(n.From.Address, n.Word == slowWord)
 	}
 	a := n.Reply(true)
 	a.Word = g.word()
@@ -50,12 +50,12 @@
 }
 
 // takesNew tells whether the platform may send new connections here.
-func (g *Gate) takesNew() bool { return g.ready.Load() && !g.leaving.Load() && !g.level.Out() }
+func (g *Router) takesNew() bool { return g.ready.Load() && !g.leaving.Load() && !g.level.Out() }
 
 // letsGo tells whether clients should take their open connections elsewhere.
-func (g *Gate) letsGo() bool { return g.leaving.Load() || g.level.Shed() }
+func (g *Router) letsGo() bool { return g.leaving.Load() || g.level.Shed() }
 
-func (g *Gate) readiness(w http.ResponseWriter, r *http.Request) {
+func (g *Router) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == "/v1/readiness" {
 		if g.takesNew() {
 			httpreply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -24,7 +24,7 @@
 
 // request is one try of a client on its way.
 type request struct {
-	g        *Gate
+	g        *Router
 	w        http.ResponseWriter
 	r        *http.Request
 	rc       *http.ResponseController
@@ -32,11 +32,11 @@
 	path     *routing.Path
 	pool     *routing.Pool
 	id       string
-	arrived  clock.Moment
-	deadline clock.Moment
+	arrived  clock.Time
+	deadline clock.Time
 	body     []byte
 	head     http.Header
-	ask      *placement.Ask
+	ask      *placement.Request
 	try      attempt.Try // what may be said of it
 	began    bool        // the client has the head of an answer
 	lastID   int64       // of the newest event that the client has, -1 before the first
@@ -47,7 +47,7 @@
 	place    string      // the service among whose long work it runs
 }
 
-func newRequest(g *Gate, w http.ResponseWriter, r *http.Request) *request {
+func newRequest(g *Router, w http.ResponseWriter, r *http.Request) *request {
 	return &request{
 		g:       g,
 		w:       w,
@@ -59,7 +59,7 @@
 	}
 }
 
-func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+func (g *Router) serve(w http.ResponseWriter, r *http.Request) {
 	g.inflight.Inc()
 	defer g.inflight.Dec()
 	g.count.inquiries.Inc()
@@ -181,7 +181,7 @@
 	if n > q.held && !q.hold(n-q.held) {
 		return false
 	}
-	_ = q.rc.SetReadDeadline(clock.Moment{})
+	_ = q.rc.SetReadDeadline(clock.Time{})
 	q.body = b.Bytes()
 	return true
 }
@@ -224,7 +224,7 @@
 }
 
 // clientWaits is how long a client says that it waits.
-func clientWaits(h http.Header) clock.Span {
+func clientWaits(h http.Header) clock.Duration {
 	ms, err := strconv.ParseFloat(strings.TrimSpace(h.Get(upstream.HeadBudget)), 64)
 	if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
 		return constants.DefaultBudget
@@ -248,11 +248,11 @@
 		return false
 	}
 	q.head = passOn(q.r.Header)
-	q.ask = &placement.Ask{
+	q.ask = &placement.Request{
 		Pool:     name,
-		Locality: q.g.env.Load().Locality,
+		Locality: q.g.env.Load().Zone,
 		Not:      map[string]bool{},
-		Bold:     q.path.Repeatable() && q.path.Shots > 1,
+		Bold:     q.path.Repeatable() && q.path.Attempts > 1,
 		ColdRate: func(id string) float64 { return q.g.cold.Load().rate(q.pool.ColdPerS, id) },
 	}
 	q.askEngine(parts)
--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -7,7 +7,7 @@
 )
 
 // further draws one further try; when the own share is used up, it borrows a lump, which all who wait for that service share.
-func (g *Gate) further(pool string, within clock.Span) bool {
+func (g *Router) further(pool string, within clock.Duration) bool {
 	if g.budget.Take(pool, g.fleet()) {
 		return true
 	}
@@ -32,9 +32,9 @@
 }
 
 // borrow asks the controller for further tries of a service and wakes who waits for them.
-func (g *Gate) borrow(pool string, w chan struct{}) {
+func (g *Router) borrow(pool string, w chan struct{}) {
 	start := clock.Now()
-	a, err := g.follower.Call(&rpc.Note{Kind: rpc.Lend, Word: pool, Number: constants.LumpTries}, constants.LumpWait)
+	a, err := g.follower.Call(&rpc.Message{Kind: rpc.Lend, Word: pool, Number: constants.LumpTries}, constants.LumpWait)
 	ok := err == nil && a.OK && a.Number > 0 && a.Number <= constants.LumpTries
 	if ok {
 		g.budget.Lent(pool, int64(a.Number), start.Add(constants.LumpSpan))
--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -66,7 +66,7 @@
 func TestSharesAndWeightsFollowTheView(t *testing.T) {
 	sc := task.New(slog.New(slog.DiscardHandler))
 	defer sc.Stop()
-	e := &settings.Env{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
+	e := &settings.Settings{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
 	e.Limits.MemoryMB = 100
 	g := New(sc, Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}})
 	require.Equal(t, 20*constants.ColdMargin/constants.FleetGuess, g.cold.Load().rate(20, "r"))
@@ -81,7 +81,7 @@
 	fold(&state.Event{Kind: state.Fleet, Size: 1, Nodes: []string{"10.0.0.2:702"}})
 	require.Zero(t, g.cold.Load().rate(20, "r"))
 	require.True(t, g.yard.May("r"), "a change of the fleet leaves the replicas")
-	fold(&state.Event{Kind: state.Evacuate, Locality: ""})
+	fold(&state.Event{Kind: state.Evacuate, Zone: ""})
 	require.False(t, g.yard.May("r"))
 	o := *e
 	o.IP, o.Placement.PrefillScale = "10.0.0.2", 7
--- a/internal/router/source.go
+++ b/internal/router/source.go
@@ -8,7 +8,7 @@
 )
 
 // pick names the controller to follow next: the own locality's first, others if it failed lately.
-func (g *Gate) pick(failed string) string {
+func (g *Router) pick(failed string) string {
 	e := g.env.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -24,13 +24,13 @@
 		all = append(all, h.Addr)
 		switch {
 		case now.Sub(g.bad[h.Addr]) < e.Contact():
-		case h.Locality == e.Locality:
+		case h.Zone == e.Zone:
 			near = append(near, h.Addr)
 		default:
 			far = append(far, h.Addr)
 		}
 	}
-	for _, a := range e.SeedCrew() {
+	for _, a := range e.SeedMembers() {
 		if !seen[a] {
 			all = append(all, a)
 			if now.Sub(g.bad[a]) >= e.Contact() {
@@ -48,21 +48,21 @@
 }
 
 // nearer changes over to the own locality's controller once it is known, unless it failed lately.
-func (g *Gate) nearer(v *state.View) {
+func (g *Router) nearer(v *state.View) {
 	src := g.follower.Source()
 	if src == "" {
 		return
 	}
 	e := g.env.Load()
 	for _, h := range v.Houses {
-		if h.Addr == src && h.Locality == e.Locality {
+		if h.Addr == src && h.Zone == e.Zone {
 			return
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range v.Houses {
-		if h.Locality == e.Locality && clock.Since(g.bad[h.Addr]) >= 2*e.Contact() {
+		if h.Zone == e.Zone && clock.Since(g.bad[h.Addr]) >= 2*e.Contact() {
 			g.dropped = src
 			go g.follower.Drop()
 			return
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -8,7 +8,7 @@
 )
 
 // changed brings everything that is derived up to date with a new view.
-func (g *Gate) changed(old, v *state.View, e *state.Event) {
+func (g *Router) changed(old, v *state.View, e *state.Event) {
 	if e != nil && e.Kind == state.Health {
 		g.yard.Health().Suspected(e.Suspects, clock.Now())
 		return
@@ -34,7 +34,7 @@
 }
 
 // useConfiguration compiles a new configuration and puts its limits in force.
-func (g *Gate) useConfiguration(v *state.View) {
+func (g *Router) useConfiguration(v *state.View) {
 	table := routing.Compile(v.Doc)
 	g.table.Store(table)
 	if g.front != nil {
@@ -43,7 +43,7 @@
 }
 
 // useReplicas takes a new list of replicas or evacuations; connections to replicas that are gone end with their answers.
-func (g *Gate) useReplicas(v *state.View) {
+func (g *Router) useReplicas(v *state.View) {
 	back := clock.Millis(g.env.Load().Cloud.MaxLagMs) + 2*constants.ListEvery
 	g.yard.Set(v.Replicas, v.Evac, back)
 	g.weights.Store(newWeights(v.Replicas))
@@ -58,7 +58,7 @@
 }
 
 // becomeReady lets go the requests that waited for a first view.
-func (g *Gate) becomeReady(v *state.View) {
+func (g *Router) becomeReady(v *state.View) {
 	if !g.ready.CompareAndSwap(false, true) {
 		return
 	}
@@ -67,7 +67,7 @@
 }
 
 // fleet is the number of routers that share the budgets; a guess until control has told it.
-func (g *Gate) fleet() int {
+func (g *Router) fleet() int {
 	if n := g.book.View().Fleet; n > 0 {
 		return n
 	}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -37,7 +37,7 @@
 type noNet struct{}
 
 // Dial fails.
-func (noNet) Dial(string, clock.Span) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }
+func (noNet) Dial(string, clock.Duration) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }
 
 // Listen fails.
 func (noNet) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
@@ -45,7 +45,7 @@
 // world is one router with its clients and replicas.
 type world struct {
 	t          *testing.T
-	g          *Gate
+	g          *Router
 	front      *frontend.Front
 	doors      chan net.Conn
 	shut       chan struct{}
@@ -81,7 +81,7 @@
 
 // newWorld makes a router with replicas r1 to r3 that do the steps in turn, and then the last one for ever.
 func newWorld(t *testing.T, timeout time.Duration, steps ...step) *world {
-	env := &settings.Env{NodeName: "g", Locality: "a", IP: "10.0.0.1", Ports: []int{9000, 9100}, Bounds: settings.Bounds{BudgetRatio: 1, BudgetSlack: 100, BudgetWindowS: 10}, Limits: settings.Limits{MemoryMB: 64}}
+	env := &settings.Settings{NodeName: "g", Zone: "a", IP: "10.0.0.1", Ports: []int{9000, 9100}, Bounds: settings.Bounds{BudgetRatio: 1, BudgetSlack: 100, BudgetWindowS: 10}, Limits: settings.Limits{MemoryMB: 64}}
 	w := &world{t: t, doors: make(chan net.Conn), shut: make(chan struct{}), steps: steps}
 	w.g = New(task.New(slog.New(slog.DiscardHandler)), Plan{Env: env, Net: noNet{}, Dialer: w})
 	var routes []string
@@ -92,7 +92,7 @@
 	put := fmt.Sprintf(`{"revision":1,"route_table":[%s],"backend_pools":[{"name":"p","max_connections":4}]}`, strings.Join(routes, ","))
 	var replicas []*state.Replica
 	for i := range 3 {
-		replicas = append(replicas, &state.Replica{ID: fmt.Sprint("r", i+1), Pool: "p", Addr: fmt.Sprint("r", i+1), Locality: "a", State: "ready", Slots: 8})
+		replicas = append(replicas, &state.Replica{ID: fmt.Sprint("r", i+1), Pool: "p", Addr: fmt.Sprint("r", i+1), Zone: "a", State: "ready", Slots: 8})
 	}
 	for _, e := range []*state.Event{
 		{Kind: state.Fleet, Size: 1, Nodes: []string{env.Port(constants.PortGate)}},
@@ -125,7 +125,7 @@
 }
 
 // DialReplica connects to a replica.
-func (w *world) DialReplica(addr string, _ clock.Span) (net.Conn, error) {
+func (w *world) DialReplica(addr string, _ clock.Duration) (net.Conn, error) {
 	near, far := net.Pipe()
 	w.mu.Lock()
 	w.pipes = append(w.pipes, near, far)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -45,5 +45,5 @@
 	p := table(t, `{"name":"a","hostname":"h","path_prefix":"/","route_type":"streaming","stream_resume":true,"allowed_regions":["r"],"timeout_ms":1,"backend_pool":"s"}`).Match("h", "/")
 	require.Equal(t, []Op{TakeBody, SetClock, Split, Fence, Events}, p.Steps)
 	require.True(t, p.Repeatable())
-	require.Equal(t, 1, p.Shots)
+	require.Equal(t, 1, p.Attempts)
 }
--- a/internal/settings/addresses.go
+++ b/internal/settings/addresses.go
@@ -10,13 +10,13 @@
 )
 
 // Port gives the address of one of our own ports, by its offset in the range.
-func (e *Env) Port(offset int) string {
+func (e *Settings) Port(offset int) string {
 	return net.JoinHostPort(e.IP, strconv.Itoa(e.Ports[0]+offset))
 }
 
 // rpcAddress turns a control address into the address for messages between own
 // processes on the same machine; empty if it can't be read.
-func (e *Env) rpcAddress(control string) string {
+func (e *Settings) rpcAddress(control string) string {
 	host, _, err := net.SplitHostPort(control)
 	if err != nil {
 		return ""
@@ -26,7 +26,7 @@
 
 // ControlAddr turns an address for messages between own processes into the
 // control address of the same machine; empty if it can't be read.
-func (e *Env) ControlAddr(rpcAddress string) string {
+func (e *Settings) ControlAddr(rpcAddress string) string {
 	host, _, err := net.SplitHostPort(rpcAddress)
 	if err != nil {
 		return ""
@@ -38,8 +38,8 @@
 	return net.JoinHostPort(host, port)
 }
 
-// SeedCrew lists the seeds' addresses for messages between own processes.
-func (e *Env) SeedCrew() []string {
+// SeedMembers lists the seeds' addresses for messages between own processes.
+func (e *Settings) SeedMembers() []string {
 	var addresses []string
 	for _, seed := range e.Seeds {
 		if address := e.rpcAddress(seed); address != "" {
@@ -50,4 +50,4 @@
 }
 
 // Contact is the bound contact_ms.
-func (e *Env) Contact() time.Duration { return clock.Millis(e.Bounds.ContactMs) }
+func (e *Settings) Contact() time.Duration { return clock.Millis(e.Bounds.ContactMs) }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -20,7 +20,7 @@
 }
 
 // check refuses settings with which a program can't run, and sets defaults.
-func (e *Env) check(need Need) error {
+func (e *Settings) check(need Need) error {
 	checks := []func() error{
 		e.checkMachine,
 		func() error { return e.checkControl(need) },
@@ -43,11 +43,11 @@
 }
 
 // checkMachine checks what tells of the machine and of its place in the fleet.
-func (e *Env) checkMachine() error {
+func (e *Settings) checkMachine() error {
 	required := []field{
 		{"node_name", e.NodeName},
 		{"ip", e.IP},
-		{"zone", e.Locality},
+		{"zone", e.Zone},
 	}
 	for _, field := range required {
 		if field.value == "" {
@@ -75,7 +75,7 @@
 }
 
 // checkControl checks what only a controller needs.
-func (e *Env) checkControl(need Need) error {
+func (e *Settings) checkControl(need Need) error {
 	if !need.Control {
 		return nil
 	}
@@ -91,7 +91,7 @@
 }
 
 // checkAddresses checks the addresses that a program of these roles uses.
-func (e *Env) checkAddresses(need Need) error {
+func (e *Settings) checkAddresses(need Need) error {
 	for _, address := range e.addresses(need) {
 		if address.value == "" {
 			return badField(address.name, "is missing")
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (e *Env) addresses(need Need) []field {
+func (e *Settings) addresses(need Need) []field {
 	var addresses []field
 	if need.Front {
 		addresses = append(addresses,
@@ -122,7 +122,7 @@
 }
 
 // checkBounds checks the numbers.
-func (e *Env) checkBounds() error {
+func (e *Settings) checkBounds() error {
 	if e.Limits.MemoryMB <= 0 {
 		return badField("limits.memory_mb", "must be above 0")
 	}
--- a/internal/settings/losses.go
+++ b/internal/settings/losses.go
@@ -2,15 +2,15 @@
 
 import "shaletrestle/internal/constants"
 
-// Keeps tells whether this machine keeps the control state on its disk.
-func (e *Env) Keeps() bool { return e.Quorum && e.DataDir != "" }
+// HasDisk tells whether this machine keeps the control state on its disk.
+func (e *Settings) HasDisk() bool { return e.Quorum && e.DataDir != "" }
 
 // Losses is the number of control members whose loss at once must be tolerated:
 // the machines that may go, or as many members as the zones or regions that may
 // go hold, when 2 x losses + 1 witnesses are spread evenly over all. If no number
 // tolerates that, as with two zones of which one may go, ok is false and the
 // number is the largest of the three tolerances.
-func (e *Env) Losses() (losses int, ok bool) {
+func (e *Settings) Losses() (losses int, ok bool) {
 	regions := map[string]bool{}
 	for _, region := range e.Zones {
 		regions[region] = true
--- a/internal/settings/main.go
+++ b/internal/settings/main.go
@@ -21,15 +21,15 @@
 type Daemon interface {
 	Run() error
 	Leave()
-	Reload(*Env)
+	Reload(*Settings)
 }
 
 // Main is the command line that the daemons share. It never returns.
-func Main(name, description string, need Need, build func(*task.Scope, *Env) (Daemon, error)) {
+func Main(name, description string, need Need, build func(*task.Scope, *Settings) (Daemon, error)) {
 	os.Exit(run(name, description, need, build))
 }
 
-func run(name, description string, need Need, build func(*task.Scope, *Env) (Daemon, error)) int {
+func run(name, description string, need Need, build func(*task.Scope, *Settings) (Daemon, error)) int {
 	options, err := parseOptions(name, description, need)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
@@ -56,7 +56,7 @@
 }
 
 // serve runs the daemon until it ends.
-func serve(name string, options *options, env *Env, build func(*task.Scope, *Env) (Daemon, error)) int {
+func serve(name string, options *options, env *Settings, build func(*task.Scope, *Settings) (Daemon, error)) int {
 	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: options.logLevel})
 	log := slog.New(handler)
 	scope := task.New(log.With("program", name))
@@ -76,7 +76,7 @@
 }
 
 // limitMemory sets the collector's bounds for the memory that the settings grant.
-func limitMemory(env *Env) {
+func limitMemory(env *Settings) {
 	granted := env.Limits.MemoryMB * (1 << 20)
 	debug.SetMemoryLimit(int64(granted * constants.SoftMemory))
 	debug.SetGCPercent(constants.CollectAt)
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -64,7 +64,7 @@
 }
 
 // load reads the settings file and applies what the command line overrides.
-func (o *options) load() (*Env, error) {
+func (o *options) load() (*Settings, error) {
 	env, err := LoadFile(o.file, o.need)
 	if err != nil {
 		return env, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,13 +11,13 @@
 	"shaletrestle/internal/placement"
 )
 
-// Env is the content of the settings file. Unknown fields are ignored.
-type Env struct {
+// Settings is the content of the settings file. Unknown fields are ignored.
+type Settings struct {
 	NodeName  string            `yaml:"node_name"`
 	Role      string            `yaml:"role"`
 	Serves    []string          `yaml:"serves"`
 	IP        string            `yaml:"ip"`
-	Locality  string            `yaml:"zone"`
+	Zone  string            `yaml:"zone"`
 	Region    string            `yaml:"region"`
 	Zones     map[string]string `yaml:"zones"`
 	Bind      Bind              `yaml:"bind_addresses"`
@@ -107,7 +107,7 @@
 }
 
 // LoadFile reads and checks one file.
-func LoadFile(path string, need Need) (*Env, error) {
+func LoadFile(path string, need Need) (*Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadEnv, err, "settings file")
@@ -116,8 +116,8 @@
 }
 
 // Parse reads and checks settings.
-func Parse(content []byte, need Need) (*Env, error) {
-	env := &Env{Placement: placement.Defaults()}
+func Parse(content []byte, need Need) (*Settings, error) {
+	env := &Settings{Placement: placement.Defaults()}
 	if err := yaml.Unmarshal(content, env); err != nil {
 		return nil, errkind.Wrap(errkind.BadEnv, err, "settings file")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,7 +30,7 @@
 	e, err := Parse([]byte(good), Need{Front: true, Control: true})
 	require.NoError(t, err)
 	require.Equal(t, "10.1.0.13:7720", e.Port(0))
-	require.Equal(t, []string{"10.1.0.13:7720", "10.2.0.30:7720"}, e.SeedCrew())
+	require.Equal(t, []string{"10.1.0.13:7720", "10.2.0.30:7720"}, e.SeedMembers())
 	require.Equal(t, "10.2.0.30:83", e.ControlAddr("10.2.0.30:7720"))
 }
 
@@ -92,7 +92,7 @@
 	} {
 		e, err := Parse([]byte(x.yaml), Need{Control: true})
 		require.NoError(t, err)
-		require.Equal(t, x.want, e.Keeps())
+		require.Equal(t, x.want, e.HasDisk())
 	}
 }
 
@@ -115,7 +115,7 @@
 		{three, Tolerance{1, 0, 1}, 1, false},
 		{three, Tolerance{}, 0, true},
 	} {
-		n, ok := (&Env{Zones: x.zones, Tolerance: x.tol}).Losses()
+		n, ok := (&Settings{Zones: x.zones, Tolerance: x.tol}).Losses()
 		require.Equal(t, x.want, n, "%+v", x)
 		require.Equal(t, x.ok, ok, "%+v", x)
 	}
@@ -124,7 +124,7 @@
 func TestTheExampleSettingsServeAsTheyAre(t *testing.T) {
 	e, err := LoadFile("../../docs/example/node.yaml", Need{Front: true, Control: true})
 	require.NoError(t, err)
-	require.True(t, e.Keeps(), "one member that keeps the state")
+	require.True(t, e.HasDisk(), "one member that keeps the state")
 	n, ok := e.Losses()
 	require.True(t, ok)
 	require.Zero(t, n)
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -73,7 +73,7 @@
 	life  *life
 	sc    *task.Scope
 	house *controller.Controller
-	gate  *router.Gate
+	gate  *router.Router
 	slow  atomic.Int64 // so many times slower is its machine; none are 0 or 1
 	first bool
 
@@ -139,7 +139,7 @@
 }
 
 // settingsOf makes the settings of a process, with the seeds of the moment.
-func (w *World) settingsOf(p *Proc, bootstrap bool) (*settings.Env, error) {
+func (w *World) settingsOf(p *Proc, bootstrap bool) (*settings.Settings, error) {
 	seeds, _ := json.Marshal(w.seeds)
 	regions := map[string]string{}
 	for _, z := range w.zones {
@@ -172,7 +172,7 @@
 		w.ids++
 		p.disk = NewDisk(w.ids*1000003, bootstrap)
 		if bootstrap {
-			p.disk.seeds = env.SeedCrew()
+			p.disk.seeds = env.SeedMembers()
 		}
 	}
 	w.mu.Lock()
@@ -195,7 +195,7 @@
 	return nil
 }
 
-func (w *World) startController(p *Proc, env *settings.Env) error {
+func (w *World) startController(p *Proc, env *settings.Settings) error {
 	var store replication.Store = p.life
 	if p.relay {
 		store = replication.NewNoDisk()
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -28,13 +28,13 @@
 	Kind     string          `json:"k"`
 	Base     int64           `json:"base,omitempty"`
 	Body     json.RawMessage `json:"body,omitempty"`
-	Locality string          `json:"loc,omitempty"`
+	Zone string          `json:"loc,omitempty"`
 	Replicas []*Replica      `json:"rep,omitempty"`
 	Gone     []string        `json:"gone,omitempty"`
 	Size     int             `json:"size,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
 	Delta    bool            `json:"delta,omitempty"` // Nodes only came and Gone went, the others stayed
-	Houses   []House         `json:"houses,omitempty"`
+	Houses   []Controller         `json:"houses,omitempty"`
 	Suspects []string        `json:"sus,omitempty"`
 	Digest   []byte          `json:"digest,omitempty"` // of a configuration order, for the memory of those taken
 }
@@ -113,7 +113,7 @@
 	ID       string  `json:"replica_id"`
 	Pool     string  `json:"backend_pool"`
 	Addr     string  `json:"address"`
-	Locality string  `json:"zone"`
+	Zone string  `json:"zone"`
 	Software string  `json:"revision"`
 	Slots    int     `json:"slots"`
 	State    string  `json:"state"`
@@ -124,7 +124,7 @@
 
 // Same tells whether two entries say the same, cold or not counting but not for how long.
 func (r *Replica) Same(o *Replica) bool {
-	if o == nil || r.ID != o.ID || r.Pool != o.Pool || r.Addr != o.Addr || r.Locality != o.Locality || r.Software != o.Software ||
+	if o == nil || r.ID != o.ID || r.Pool != o.Pool || r.Addr != o.Addr || r.Zone != o.Zone || r.Software != o.Software ||
 		r.Slots != o.Slots || r.State != o.State || (r.ColdMs > 0) != (o.ColdMs > 0) || r.Stage != o.Stage || len(r.Models) != len(o.Models) {
 		return false
 	}
@@ -136,10 +136,10 @@
 	return true
 }
 
-// House is a control member.
-type House struct {
+// Controller is a control member.
+type Controller struct {
 	Addr     string `json:"addr"`
-	Locality string `json:"loc"`
+	Zone string `json:"loc"`
 }
 
 // View is the folded state. It is never changed after it was made.
@@ -151,7 +151,7 @@
 	Listed   bool
 	Fleet    int
 	Nodes    []string
-	Houses   []House
+	Houses   []Controller
 }
 
 type stored struct {
@@ -162,7 +162,7 @@
 	Listed   bool            `json:"listed,omitempty"`
 	Fleet    int             `json:"fleet,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
-	Houses   []House         `json:"houses,omitempty"`
+	Houses   []Controller         `json:"houses,omitempty"`
 }
 
 // EmptyView is the view before the first event.
@@ -187,9 +187,9 @@
 		for k := range v.Evac {
 			n.Evac[k] = true
 		}
-		delete(n.Evac, e.Locality)
+		delete(n.Evac, e.Zone)
 		if e.Kind == Evacuate {
-			n.Evac[e.Locality] = true
+			n.Evac[e.Zone] = true
 		}
 	case List:
 		n.Replicas = make(map[string]*Replica, len(v.Replicas)+len(e.Replicas))
--- a/internal/state/book_test.go
+++ b/internal/state/book_test.go
@@ -19,9 +19,9 @@
 	b.Watch(func(_, _ *View, _ *Event) { seen++ })
 	for _, e := range []*Event{
 		{Kind: Put, Body: doc("3")}, {Kind: Patch, Base: 3, Body: []byte(`{"revision":4,"remove":{"route_table":["a"]}}`)},
-		{Kind: Evacuate, Locality: "z"}, {Kind: Evacuate, Locality: "y"}, {Kind: Return, Locality: "z"},
+		{Kind: Evacuate, Zone: "z"}, {Kind: Evacuate, Zone: "y"}, {Kind: Return, Zone: "z"},
 		{Kind: List, Replicas: []*Replica{{ID: "1"}, {ID: "2"}}}, {Kind: List, Gone: []string{"1"}},
-		{Kind: Fleet, Size: 2, Nodes: []string{"n", "m"}}, {Kind: Houses, Houses: []House{{"a", "z"}}},
+		{Kind: Fleet, Size: 2, Nodes: []string{"n", "m"}}, {Kind: Houses, Houses: []Controller{{"a", "z"}}},
 	} {
 		require.NoError(t, b.Fold(e.Encode()))
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -50,8 +50,8 @@
 	Body     []byte
 	ID       string
 	Events   bool         // the answer is a stream of events
-	NotAfter clock.Moment // no first byte leaves from then on
-	Deadline clock.Moment // writing ends
+	NotAfter clock.Time // no first byte leaves from then on
+	Deadline clock.Time // writing ends
 }
 
 // exchange is one request on a connection and the answer to it.
@@ -74,9 +74,9 @@
 	written  chan struct{} // a token for each request that was written whole
 	dead     chan struct{}
 	killed   atomic.Bool
-	idle     clock.Moment
-	rested   clock.Span // how long it was idle before this use, 0 for a new one; set while the pool is held
-	expires  clock.Moment
+	idle     clock.Time
+	rested   clock.Duration // how long it was idle before this use, 0 for a new one; set while the pool is held
+	expires  clock.Time
 	owner    string // who uses it now; guarded by the pool
 	used     bool   // it has carried an exchange to its end
 	lastID   string // the Attempt-Id of that one
@@ -126,7 +126,7 @@
 // before the first of them, whatever was waited for till then.
 type sending struct {
 	conn     net.Conn
-	notAfter clock.Moment
+	notAfter clock.Time
 	state    attempt.State
 }
 
--- a/internal/upstream/keep.go
+++ b/internal/upstream/keep.go
@@ -10,14 +10,14 @@
 // Keep is what this process knows of how long one service's replicas keep idle connections, beside what their answers say. A replica may forget one sooner, without a word.
 type Keep struct {
 	mu    sync.Mutex
-	limit clock.Span // idle time at the newest loss, less a margin; 0 if none was lost
-	at    clock.Moment
-	proof clock.Span // longest idle time of late after which a connection worked
-	shown clock.Moment
+	limit clock.Duration // idle time at the newest loss, less a margin; 0 if none was lost
+	at    clock.Time
+	proof clock.Duration // longest idle time of late after which a connection worked
+	shown clock.Time
 }
 
 // Kept notes that a connection worked after it was idle that long.
-func (k *Keep) Kept(idle clock.Span, now clock.Moment) {
+func (k *Keep) Kept(idle clock.Duration, now clock.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if idle >= k.proof || now.Sub(k.shown) > constants.KeepProof {
@@ -26,25 +26,25 @@
 }
 
 // Forgot notes that a connection idle that long was reset when it was used again. It is false if others of the service worked lately after as long: then this one was not forgotten.
-func (k *Keep) Forgot(idle clock.Span, now clock.Moment) bool {
+func (k *Keep) Forgot(idle clock.Duration, now clock.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if idle < k.proof && now.Sub(k.shown) <= constants.KeepProof {
 		return false
 	}
-	k.limit = max(constants.KeepLeast, min(k.most(now), clock.Span(float64(idle)*constants.KeepPart)))
+	k.limit = max(constants.KeepLeast, min(k.most(now), clock.Duration(float64(idle)*constants.KeepPart)))
 	k.at = now
 	return true
 }
 
 // Most is how long a connection may have been idle to be used for what may be sent again. After a loss it grows back.
-func (k *Keep) Most(now clock.Moment) clock.Span {
+func (k *Keep) Most(now clock.Time) clock.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.most(now)
 }
 
-func (k *Keep) most(now clock.Moment) clock.Span {
+func (k *Keep) most(now clock.Time) clock.Duration {
 	if k.limit == 0 {
 		return constants.KeepLongest
 	}
@@ -53,7 +53,7 @@
 }
 
 // Sure is the same for what may not be sent again: half of it while a loss was seen lately.
-func (k *Keep) Sure(now clock.Moment) clock.Span {
+func (k *Keep) Sure(now clock.Time) clock.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.limit > 0 && now.Sub(k.at) < constants.KeepDoubt {
--- a/internal/upstream/model_lifetime_test.go
+++ b/internal/upstream/model_lifetime_test.go
@@ -61,7 +61,7 @@
 }
 
 // DialReplica connects.
-func (s *stalledDialer) DialReplica(addr string, d clock.Span) (net.Conn, error) {
+func (s *stalledDialer) DialReplica(addr string, d clock.Duration) (net.Conn, error) {
 	c, err := s.pipes.DialReplica(addr, d)
 	return &stalled{Conn: c, freeze: s.freeze}, err
 }
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -33,7 +33,7 @@
 }
 
 // DialReplica connects.
-func (p *pipes) DialReplica(string, clock.Span) (net.Conn, error) {
+func (p *pipes) DialReplica(string, clock.Duration) (net.Conn, error) {
 	near, far := net.Pipe()
 	p.made++
 	number := p.made
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,14 +17,14 @@
 
 // Dialer opens connections to replicas.
 type Dialer interface {
-	DialReplica(addr string, d clock.Span) (net.Conn, error)
+	DialReplica(addr string, d clock.Duration) (net.Conn, error)
 }
 
 // TCP is the real network: unacknowledged bytes and silent peers end a connection soon.
 type TCP struct{}
 
 // DialReplica connects.
-func (TCP) DialReplica(addr string, d clock.Span) (net.Conn, error) {
+func (TCP) DialReplica(addr string, d clock.Duration) (net.Conn, error) {
 	x := net.Dialer{Timeout: d, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(constants.UnackedMost.Milliseconds()))
@@ -58,7 +58,7 @@
 	used bool // a connection was opened before
 	wait []chan struct{}
 	made *Made
-	pie  *fairshare.Pie // connections in use, by owner
+	pie  *fairshare.Shares // connections in use, by owner
 }
 
 // NewPool makes a pool; most is this process's share of the replica's connections, keep what is known of how long the service's replicas keep idle ones.
@@ -105,7 +105,7 @@
 }
 
 // Get gives an owner an idle connection or a new one, waiting at most d. When they are nearly all in use, each owner has its portion. A wary one takes no connection that the replica may have forgotten. A wait ends when quit closes.
-func (p *Pool) Get(owner string, d clock.Span, wary bool, quit <-chan struct{}) (*Connection, error) {
+func (p *Pool) Get(owner string, d clock.Duration, wary bool, quit <-chan struct{}) (*Connection, error) {
 	end := clock.Now().Add(d)
 	for {
 		p.mu.Lock()
@@ -178,7 +178,7 @@
 }
 
 // forgot notes that a kept connection was reset when it was used again: those that were idle as long are closed, and the service's others are kept less long. It is false if that was no forgetting.
-func (p *Pool) forgot(rested clock.Span) bool {
+func (p *Pool) forgot(rested clock.Duration) bool {
 	now := clock.Now()
 	if !p.keep.Forgot(rested, now) {
 		return false
@@ -191,7 +191,7 @@
 	return true
 }
 
-func (p *Pool) dial(owner string, end clock.Moment) (*Connection, error) {
+func (p *Pool) dial(owner string, end clock.Time) (*Connection, error) {
 	c, err := p.d.DialReplica(p.addr, min(constants.ReplicaDial, clock.Until(end)))
 	if err != nil {
 		p.mu.Lock()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -25,7 +25,7 @@
 	open   int
 }
 
-func (s *server) DialReplica(string, clock.Span) (net.Conn, error) {
+func (s *server) DialReplica(string, clock.Duration) (net.Conn, error) {
 	a, b := net.Pipe()
 	s.mu.Lock()
 	s.open++
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -197,7 +197,7 @@
 }
 
 // keepFor is how long an idle connection may be used again: a little less than its Keep-Alive says.
-func keepFor(h http.Header) clock.Span {
+func keepFor(h http.Header) clock.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
 		if !ok {
