--- a/coord/distribution/catchup_test.go
+++ b/coord/distribution/catchup_test.go
@@ -116,7 +116,7 @@
 			for time.Since(start) < 20*time.Second {
 				_, at := f.At()
 				_, have := c.At()
-				if have >= uint64(missed) && at-have < constants.NewsWindow {
+				if have >= uint64(missed) && at-have < newsWindow {
 					break
 				}
 				time.Sleep(10 * time.Millisecond)
@@ -126,12 +126,12 @@
 			time.Sleep(3 * time.Second)
 			_, at := f.At()
 			_, have := c.At()
-			require.Less(t, at-have, uint64(2*constants.NewsWindow), "it stays near while changes go on")
+			require.Less(t, at-have, uint64(2*newsWindow), "it stays near while changes go on")
 			stop.Stop()
 			time.Sleep(5 * time.Second)
 			require.Equal(t, string(b.Checkpoint()), string(got.Checkpoint()))
 			require.Equal(t, 1, l.dials, "one connection did it all")
-			require.LessOrEqual(t, len(f.kept), constants.NewsKeep, "what is kept is bounded")
+			require.LessOrEqual(t, len(f.kept), newsKeep, "what is kept is bounded")
 		})
 	}
 }
@@ -165,7 +165,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		t.Logf("%d followers after %v", many, time.Since(start))
-		require.LessOrEqual(t, most, constants.SnapshotsAtOnce)
+		require.LessOrEqual(t, most, snapshotsAtOnce)
 		require.Less(t, time.Since(start), 20*time.Second, "the link needs %d s for the bytes alone", many*300<<10/constants.LinkBytes)
 		require.LessOrEqual(t, b.made, 2, "encoded once a state, for all")
 		require.Equal(t, many, l.dials, "nobody gave up")
--- a/coord/distribution/distribution_test.go
+++ b/coord/distribution/distribution_test.go
@@ -214,7 +214,7 @@
 					}
 					time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
 				}
-				time.Sleep(3 * constants.NewsLost)
+				time.Sleep(3 * newsLost)
 				got := map[uint64]bool{}
 				for _, s := range src.Reached() {
 					require.False(t, got[s.ID], "%d is listed twice", s.ID)
@@ -306,7 +306,7 @@
 		synctest.Wait()
 		require.Len(t, tried, 1)
 		f.End() // a relay that hears nothing says so after a while
-		time.Sleep(constants.RelayStale + constants.NewsLost)
+		time.Sleep(relayStale + newsLost)
 		synctest.Wait()
 		require.Greater(t, len(tried), 1)
 		require.True(t, strings.HasPrefix(tried[1], "at1"))
--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -32,9 +32,9 @@
 	board       State
 	progress    progress
 	fresh       clock.Time // a relay: when its own source was last heard to be in touch with the primary
-	source      *Source      // nil: this process is a relay
-	kept        []change     // the newest changes, without a gap, the last is at progress.at
-	snapshot    []byte       // the encoded snapshot message at progress.at, once somebody needed it
+	source      *Source    // nil: this process is a relay
+	kept        []change   // the newest changes, without a gap, the last is at progress.at
+	snapshot    []byte     // the encoded snapshot message at progress.at, once somebody needed it
 	subscribers map[*rpc.Channel]*subscriber
 	queue       []*subscriber // those that wait for a snapshot, in order
 	underWay    int           // snapshots sent and not acknowledged yet
@@ -181,7 +181,7 @@
 	f.progress.at = at
 	f.snapshot = nil
 	f.kept = append(f.kept, change{at.Number, changeMessage(at, body).Encode()})
-	if len(f.kept) > constants.NewsKeep {
+	if len(f.kept) > newsKeep {
 		f.kept = append([]change{}, f.kept[len(f.kept)/2:]...)
 	}
 	for _, s := range f.subscribers {
@@ -205,7 +205,7 @@
 
 // current tells whether what is held may be called current: this is the source, or a source was heard lately.
 func (f *Feed) current() bool {
-	return f.source != nil || clock.Since(f.fresh) < constants.RelayStale
+	return f.source != nil || clock.Since(f.fresh) < relayStale
 }
 
 // Wait waits until all connected followers have taken a number, at most d. It tells how many have and how many there are.
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -71,9 +71,9 @@
 			f.now.Store("")
 		}
 		bad = at
-		pause := constants.StepPause
+		pause := stepPause
 		if at == "" {
-			pause = constants.LookAgain
+			pause = lookAgain
 		}
 		if !clock.Rest(f.sc, pause) {
 			return
@@ -116,7 +116,7 @@
 	f.ch.Store(ch)
 	ch.Send(followMessage(f.self, f.sink.ResumeFrom(), f.role()))
 	f.now.Store(at)
-	t := clock.After(constants.NewsLost)
+	t := clock.After(newsLost)
 	for {
 		select {
 		case <-ch.Done():
@@ -124,10 +124,10 @@
 		case <-f.sc.Done():
 			return
 		case <-t:
-			if ch.Quiet() >= constants.NewsLost {
+			if ch.Quiet() >= newsLost {
 				return
 			}
-			t = clock.After(constants.NewsLost - ch.Quiet())
+			t = clock.After(newsLost - ch.Quiet())
 		}
 	}
 }
--- a/coord/distribution/order_test.go
+++ b/coord/distribution/order_test.go
@@ -14,7 +14,6 @@
 
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -113,7 +112,7 @@
 		defer func() { sc.Stop(); time.Sleep(time.Second) }()
 		relay := NewFeed(sc, &words{}, nil)
 		require.NoError(t, relay.Restore(Position{2, 0}, []byte("relayed"), true))
-		time.Sleep(constants.RelayStale)
+		time.Sleep(relayStale)
 		p := &pipes{sc: sc, feed: relay}
 
 		held := NewCursor(&words{})
--- a/coord/distribution/subscriber.go
+++ b/coord/distribution/subscriber.go
@@ -120,7 +120,7 @@
 // sendSnapshots sends to those whose turn it is. All share one encoded message; only some are under way at once, so
 // that many followers that come back together don't hold up what is new.
 func (f *Feed) sendSnapshots() {
-	for len(f.queue) > 0 && f.underWay < constants.SnapshotsAtOnce {
+	for len(f.queue) > 0 && f.underWay < snapshotsAtOnce {
 		s := f.queue[0]
 		f.queue = f.queue[1:]
 		f.underWay++
@@ -147,7 +147,7 @@
 	if s.need != needChanges {
 		return
 	}
-	for s.sent < f.progress.at.Number && s.sent < s.received+constants.NewsWindow {
+	for s.sent < f.progress.at.Number && s.sent < s.received+newsWindow {
 		next := s.sent + 1
 		if len(f.kept) == 0 || f.kept[0].number > next {
 			f.needSnapshot(s)
@@ -178,10 +178,10 @@
 // patience is how long a subscriber may be silent: longer while a snapshot is on its way to it.
 func (f *Feed) patience(s *subscriber) clock.Duration {
 	if s.need != needUnderWay {
-		return constants.NewsLost
+		return newsLost
 	}
-	bytes := s.snapshotBytes * constants.SnapshotsAtOnce
-	return constants.NewsLost + clock.Seconds(float64(bytes)/constants.LinkBytes)
+	bytes := s.snapshotBytes * snapshotsAtOnce
+	return newsLost + clock.Seconds(float64(bytes)/constants.LinkBytes)
 }
 
 func (f *Feed) sendBeats() {
--- a/coord/failuredetector/watcher.go
+++ b/coord/failuredetector/watcher.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -70,7 +69,7 @@
 // retryUntil asks the nodes that missed a ping again, several times before the
 // next round; false if the scope ended.
 func (w *Watcher) retryUntil(nextRound time.Time) bool {
-	pause := w.interval / constants.AgainPart
+	pause := w.interval / againPart
 	for len(w.unconfirmed()) > 0 && clock.Until(nextRound) > pause {
 		if !clock.Rest(w.scope, pause) {
 			return false
@@ -102,7 +101,7 @@
 	defer w.mu.Unlock()
 	if !slices.Equal(members, w.members) {
 		w.members = members
-		w.assigned = WatchedBy(w.self, members, constants.WatchersEach)
+		w.assigned = WatchedBy(w.self, members, watchersEach)
 	}
 	return w.assigned
 }
@@ -154,7 +153,7 @@
 		return before, false
 	}
 	w.misses[node]++
-	if w.misses[node] >= constants.MissesMost {
+	if w.misses[node] >= missesMost {
 		w.suspected[node] = true
 	}
 	return before, w.suspected[node]
--- a/coord/failuredetector/watcher_test.go
+++ b/coord/failuredetector/watcher_test.go
@@ -30,13 +30,13 @@
 	for _, n := range []int{1, 2, 3, 12, 50} {
 		by := map[string]int{}
 		for _, s := range names(n) {
-			for _, w := range WatchedBy(s, names(n), constants.WatchersEach) {
+			for _, w := range WatchedBy(s, names(n), watchersEach) {
 				require.NotEqual(t, s, w)
 				by[w]++
 			}
 		}
 		for _, s := range names(n) {
-			require.Equal(t, min(constants.WatchersEach, n-1), by[s], "%s of %d", s, n)
+			require.Equal(t, min(watchersEach, n-1), by[s], "%s of %d", s, n)
 		}
 	}
 }
@@ -90,13 +90,13 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				WatchedBy(ns[0], ns, constants.WatchersEach)
+				WatchedBy(ns[0], ns, watchersEach)
 			}
 		})
 		b.Run(fmt.Sprint("definition-", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				plainAssignment(ns[0], ns, constants.WatchersEach)
+				plainAssignment(ns[0], ns, watchersEach)
 			}
 		})
 	}
@@ -126,14 +126,14 @@
 		func(string) bool { return up }, func(n string, alive bool) { told = append(told, fmt.Sprint(n, alive)) })
 	w.Round()
 	up = false
-	for range constants.MissesMost - 1 {
+	for range missesMost - 1 {
 		w.Round()
 	}
 	up = true
 	w.Round()
 	require.Empty(t, told, "a few misses are chance")
 	up = false
-	for range constants.MissesMost - 1 {
+	for range missesMost - 1 {
 		w.Round()
 	}
 	require.Empty(t, told)
@@ -185,7 +185,7 @@
 		require.Less(t, told[0].Sub(lost)+constants.FleetEvery, 4*time.Second)
 		for i := 1; i < len(told); i++ {
 			require.Less(t, told[i].Sub(told[i-1]), 2*every)
-			require.Greater(t, told[i].Sub(told[i-1]), every/constants.AgainPart)
+			require.Greater(t, told[i].Sub(told[i-1]), every/againPart)
 		}
 	})
 }
@@ -194,24 +194,24 @@
 	known := names(40)
 	w := New(task.New(slog.New(slog.DiscardHandler)), "node-7", clock.Seconds(1), func() []string { return known }, nil, nil)
 	first := w.assignment()
-	require.Equal(t, WatchedBy("node-7", known, constants.WatchersEach), first)
+	require.Equal(t, WatchedBy("node-7", known, watchersEach), first)
 	require.NotEmpty(t, first)
 	known = names(40)
 	again := w.assignment()
 	require.Same(t, &first[0], &again[0], "nothing changed, nothing is computed")
 	known = names(60)
-	require.Equal(t, WatchedBy("node-7", known, constants.WatchersEach), w.assignment())
+	require.Equal(t, WatchedBy("node-7", known, watchersEach), w.assignment())
 }
 
 func TestWatchesAreSpreadOverTheNodes(t *testing.T) {
 	ns := names(390)
 	total := 0
 	for _, s := range ns {
-		n := len(WatchedBy(s, ns, constants.WatchersEach))
+		n := len(WatchedBy(s, ns, watchersEach))
 		total += n
 		require.Less(t, n, 12, "%s", s)
 	}
-	require.Equal(t, 390*constants.WatchersEach, total)
+	require.Equal(t, 390*watchersEach, total)
 }
 
 func ExampleWatchedBy() {
--- a/coord/handoff/class.go
+++ b/coord/handoff/class.go
@@ -10,12 +10,12 @@
 
 // Ask is what the configuration and a request's own heads tell of it.
 type Ask struct {
-	Stream   bool       // the route answers with events
+	Stream   bool           // the route answers with events
 	Aim      clock.Duration // target_latency_ms
 	Timeout  clock.Duration // timeout_ms
 	Gap      clock.Duration // target_gap_ms: the longest pause between events
-	Stride   float64    // tokens an event may carry
-	In, Out  int        // Token-Counts
+	Stride   float64        // tokens an event may carry
+	In, Out  int            // Token-Counts
 	PerToken clock.Duration // time to read one token of a prompt
 }
 
--- a/coord/handoff/message.go
+++ b/coord/handoff/message.go
@@ -98,5 +98,5 @@
 	Accept clock.Duration // an accepted job waits so long for its go-ahead
 	Renew  clock.Duration // the go-ahead is repeated this often
 	Lease  clock.Duration // so long without a word, and the other side counts as lost
-	Graves int        // ended jobs that a taker remembers, so as to answer for them
+	Graves int            // ended jobs that a taker remembers, so as to answer for them
 }
--- a/coord/handoff/owner.go
+++ b/coord/handoff/owner.go
@@ -29,7 +29,7 @@
 	until    clock.Duration // offered: the offer's end
 	heard    clock.Duration // gone: the taker's last word
 	told     clock.Duration // gone: the newest go-ahead
-	parts    uint64     // passed on under this ticket
+	parts    uint64         // passed on under this ticket
 }
 
 // Owner holds the jobs that this process took from clients. It alone answers them.
--- a/coord/handoff/queue.go
+++ b/coord/handoff/queue.go
@@ -8,12 +8,12 @@
 
 // Shares are what the queue learns with: by measurement of prompt work, never by a fixed part of the slots.
 type Shares struct {
-	Waiting int        // long jobs that may wait at once
-	Late    float64    // a prompt answer is late if its first event took more than this part of its aim
-	Most    float64    // so many of them may be late: some are, whatever long work does
-	Weight  float64    // of the newest in that share
-	Cut     float64    // the room for long work is cut to this part when more are late
-	Grow    float64    // and grows by so much for each prompt answer in time
+	Waiting int            // long jobs that may wait at once
+	Late    float64        // a prompt answer is late if its first event took more than this part of its aim
+	Most    float64        // so many of them may be late: some are, whatever long work does
+	Weight  float64        // of the newest in that share
+	Cut     float64        // the room for long work is cut to this part when more are late
+	Grow    float64        // and grows by so much for each prompt answer in time
 	Pause   clock.Duration // between two cuts: what a cut does is seen only after it
 }
 
--- /dev/null
+++ b/coord/lease/constants.go
@@ -0,0 +1,9 @@
+package lease
+
+import "time"
+
+// Leases.
+const (
+	leaseMargin = 120 * time.Millisecond // holder stops this much earlier: clock drift and late timers
+	leaseRenew  = 150 * time.Millisecond // three renewals fit into a span
+)
--- a/coord/lease/rota.go
+++ b/coord/lease/lease.go
@@ -109,7 +109,7 @@
 
 // Run renews until the scope ends, then gives back.
 func (h *Holder) Run() {
-	clock.Every(h.sc, constants.LeaseRenew, func() bool { h.Renew(); return true })
+	clock.Every(h.sc, leaseRenew, func() bool { h.Renew(); return true })
 	h.giveBack()
 }
 
@@ -145,7 +145,7 @@
 	if !start.Before(h.until) {
 		h.since = clock.Now()
 	}
-	end := start.Add(constants.LeaseSpan - constants.LeaseMargin)
+	end := start.Add(constants.LeaseSpan - leaseMargin)
 	if end.After(h.until) {
 		h.until = end
 	}
--- a/coord/loadsum/excess.go
+++ b/coord/loadsum/excess.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-
-	"shaletrestle/internal/constants"
 )
 
 // Services tells which service a replica belongs to, and how many replicas each
@@ -27,11 +25,11 @@
 			continue
 		}
 		replicas := float64(max(1, services.Size[service]))
-		usual := constants.DeckMean*tokens[service]/replicas + constants.DeckLeast
+		usual := deckMean*tokens[service]/replicas + deckLeast
 		over := float64(pile.Tokens) - usual
 		if over >= 1 {
 			excess = append(excess, Load{Key: pile.Key, Tokens: uint32(math.Round(over))})
 		}
 	}
-	return heaviest(excess, constants.DeckSpread)
+	return heaviest(excess, deckSpread)
 }
--- a/coord/loadsum/excess_test.go
+++ b/coord/loadsum/excess_test.go
@@ -4,8 +4,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"shaletrestle/internal/constants"
 )
 
 func TestWhatStandsOutIsBeyondTheUsualOfItsService(t *testing.T) {
@@ -17,19 +15,19 @@
 	}
 	require.Empty(t, Excess(ps, s), "all are busy alike")
 	s.Of[20], s.Of[21] = "b", "b"
-	require.Equal(t, []Load{{20, uint32(90000 - constants.DeckMean*90000/2 - constants.DeckLeast)}}, Excess(append(ps, Load{20, 90000}), s), "by its own service, silent replicas counted in")
+	require.Equal(t, []Load{{20, uint32(90000 - deckMean*90000/2 - deckLeast)}}, Excess(append(ps, Load{20, 90000}), s), "by its own service, silent replicas counted in")
 	require.Empty(t, Excess([]Load{{99, 1 << 31}}, s), "nobody knows it")
-	require.Empty(t, Excess([]Load{{20, constants.DeckLeast}}, s))
+	require.Empty(t, Excess([]Load{{20, deckLeast}}, s))
 }
 
 func TestOfManyThatStandOutTheHeaviestAreSpread(t *testing.T) {
 	s := &Services{Of: map[uint32]string{}, Size: map[string]int{"a": 10000}}
 	var ps []Load
-	for i := range uint32(3 * constants.DeckSpread) {
+	for i := range uint32(3 * deckSpread) {
 		s.Of[i] = "a"
 		ps = append(ps, Load{i, 50000 + 1000*i})
 	}
 	out := Excess(ps, s)
-	require.Len(t, out, constants.DeckSpread)
-	require.Equal(t, uint32(3*constants.DeckSpread-1), out[0].Key)
+	require.Len(t, out, deckSpread)
+	require.Equal(t, uint32(3*deckSpread-1), out[0].Key)
 }
--- a/coord/loadsum/sum.go
+++ b/coord/loadsum/sum.go
@@ -4,8 +4,6 @@
 	"math"
 	"sync"
 	"time"
-
-	"shaletrestle/internal/constants"
 )
 
 // report is the newest report of one source.
@@ -43,7 +41,7 @@
 	position := map[uint32]int{} // in the total, by the replica's key
 	var total []Load
 	for source, report := range s.reports {
-		if now.Sub(report.at) > constants.DeckStale {
+		if now.Sub(report.at) > deckStale {
 			delete(s.reports, source)
 			continue
 		}
@@ -57,7 +55,7 @@
 			total[i].Tokens = saturatingAdd(total[i].Tokens, pile.Tokens)
 		}
 	}
-	return heaviest(total, constants.DeckMost)
+	return heaviest(total, deckMost)
 }
 
 func saturatingAdd(a, b uint32) uint32 {
--- a/coord/loadsum/sum_test.go
+++ b/coord/loadsum/sum_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"shaletrestle/internal/constants"
 )
 
 func TestPilesComeBackFromTheirBytes(t *testing.T) {
@@ -38,7 +36,7 @@
 		last[src], at[src] = ps, now
 		want := map[uint32]Load{}
 		for src, ps := range last {
-			if now.Sub(at[src]) > constants.DeckStale {
+			if now.Sub(at[src]) > deckStale {
 				continue
 			}
 			for k, p := range ps {
@@ -57,13 +55,13 @@
 func TestOfManyPilesTheHeaviestAreTold(t *testing.T) {
 	now := time.Unix(0, 0)
 	s := NewSum()
-	for i := range uint32(3 * constants.DeckMost) {
+	for i := range uint32(3 * deckMost) {
 		s.Put(uint64(i), []Load{{i, i}}, now)
 	}
 	ps := s.Total(now)
-	require.Len(t, ps, constants.DeckMost)
+	require.Len(t, ps, deckMost)
 	for _, p := range ps {
-		require.GreaterOrEqual(t, p.Tokens, uint32(2*constants.DeckMost))
+		require.GreaterOrEqual(t, p.Tokens, uint32(2*deckMost))
 	}
 	s.Put(7, []Load{{7, 1 << 31}}, now)
 	s.Put(8, []Load{{7, 1 << 31}}, now)
--- a/coord/outlier/gauge.go
+++ b/coord/outlier/detector.go
@@ -29,7 +29,7 @@
 )
 
 // weights are the parts of a whole failure.
-var weights = [...]float64{Refused: 1, Silent: 1, Reset: constants.BlameReset, Cut: constants.BlameCut, Failed: constants.BlameFailed, Shed: constants.BlameShed, Slow: constants.BlameSlow, Stale: constants.BlameStale}
+var weights = [...]float64{Refused: 1, Silent: 1, Reset: blameReset, Cut: blameCut, Failed: blameFailed, Shed: blameShed, Slow: blameSlow, Stale: blameStale}
 
 // hard kinds pause a replica at once: nothing sent there now would arrive.
 func (k Kind) hard() bool { return k == Refused || k == Silent }
@@ -123,7 +123,7 @@
 	if n < 2 {
 		return 0
 	}
-	return max(1, n/constants.EjectPart)
+	return max(1, n/ejectPart)
 }
 
 // Fit tells whether a replica may be chosen now. A bold inquiry may be sent again if it fails: most trials of suspects are made with these.
@@ -139,7 +139,7 @@
 		return Fit
 	case now.Before(r.out), r.trial && r.trying:
 		return Out
-	case now.Before(r.suspect) && (bold && g.draw() >= constants.SuspectBold || !bold && g.draw() >= constants.SuspectPass):
+	case now.Before(r.suspect) && (bold && g.draw() >= suspectBold || !bold && g.draw() >= suspectPass):
 		return Passed
 	}
 	return Fit
@@ -173,12 +173,12 @@
 	}
 	if expect <= 0 {
 		s := g.s[r.pool]
-		if s.seen < constants.TookOver {
+		if s.seen < tookOver {
 			return 0, false
 		}
 		expect = clock.Seconds(s.took)
 	}
-	return max(clock.Duration(constants.SlowTimes*float64(expect))+constants.SlowLeast, clock.Duration(constants.SlowAims*float64(aim))), true
+	return max(clock.Duration(slowTimes*float64(expect))+slowLeast, clock.Duration(slowAims*float64(aim))), true
 }
 
 // Good notes that a replica's first word came, took after sending. overdue says that it was held against it already that it came late.
@@ -193,7 +193,7 @@
 	s := g.s[r.pool]
 	if expect <= 0 {
 		s.seen++
-		s.took += (took.Seconds() - s.took) / float64(min(s.seen, constants.TookOver))
+		s.took += (took.Seconds() - s.took) / float64(min(s.seen, tookOver))
 	}
 	if !overdue {
 		r.good++
@@ -213,21 +213,21 @@
 	s, w := g.s[r.pool], weights[k]
 	others := 0.0
 	if s.n > 1 {
-		others = max(0, s.bad.now(now, constants.BlameHalf)-r.bad.now(now, constants.BlameHalf)) / float64(s.n-1)
+		others = max(0, s.bad.now(now, blameHalf)-r.bad.now(now, blameHalf)) / float64(s.n-1)
 	}
-	r.bad.add(w, now, constants.BlameHalf)
-	s.bad.add(w, now, constants.BlameHalf)
+	r.bad.add(w, now, blameHalf)
+	s.bad.add(w, now, blameHalf)
 	r.fail += w
 	if now.Before(r.out) {
 		return
 	}
-	need := constants.BlameNeed
+	need := blameNeed
 	if now.Before(r.suspect) {
-		need = constants.BlameNeedSuspect
+		need = blameNeedSuspect
 	} else if k == Slow && !r.trial {
 		return // a line at a busy replica looks the same from one node: the fleet's word is wanted too
 	}
-	judged := r.bad.n >= need && r.bad.n >= constants.PeerTimes*others
+	judged := r.bad.n >= need && r.bad.n >= peerTimes*others
 	if r.trial {
 		judged = k != Stale
 	}
@@ -255,11 +255,11 @@
 	}
 	d := constants.EjectFirst
 	if out < room(g.s[r.pool].n) {
-		n := math.Floor(r.episodes.now(now, constants.EpisodeHalf) + 0.5)
-		d = min(constants.EjectMost, clock.Duration(float64(d)*math.Exp2(min(n, 4))))
+		n := math.Floor(r.episodes.now(now, episodeHalf) + 0.5)
+		d = min(ejectMost, clock.Duration(float64(d)*math.Exp2(min(n, 4))))
 	}
 	g.cases.Inc()
-	r.episodes.add(1, now, constants.EpisodeHalf)
+	r.episodes.add(1, now, episodeHalf)
 	r.out, r.judged, r.trial, r.trying = now.Add(d), judged, true, false
 }
 
@@ -274,7 +274,7 @@
 	for id, r := range g.r {
 		switch {
 		case on[id]:
-			r.suspect = now.Add(constants.SuspectSpan)
+			r.suspect = now.Add(suspectSpan)
 			g.cases.Inc()
 		default:
 			r.suspect = clock.Time{}
@@ -307,7 +307,7 @@
 	}
 	g.cases.Store(cases)
 	sort.Slice(ws, func(i, j int) bool { return ws[i].Bad > ws[j].Bad || ws[i].Bad == ws[j].Bad && ws[i].ID < ws[j].ID })
-	return ws[:min(len(ws), constants.WordsMost)]
+	return ws[:min(len(ws), wordsMost)]
 }
 
 // Stat is one replica on the state page.
@@ -325,8 +325,8 @@
 	defer g.mu.Unlock()
 	m := map[string]Stat{}
 	for id, r := range g.r {
-		s := Stat{r.bad.now(now, constants.BlameHalf), now.Before(r.out), r.trial, now.Before(r.suspect), r.episodes.now(now, constants.EpisodeHalf)}
-		if s.Failures > constants.StatLeast || s.Episodes > constants.StatLeast || s.Ejected || s.Suspected {
+		s := Stat{r.bad.now(now, blameHalf), now.Before(r.out), r.trial, now.Before(r.suspect), r.episodes.now(now, episodeHalf)}
+		if s.Failures > statLeast || s.Episodes > statLeast || s.Ejected || s.Suspected {
 			m[id] = s
 		}
 	}
--- a/coord/outlier/gauge_test.go
+++ b/coord/outlier/detector_test.go
@@ -36,7 +36,7 @@
 	require.Equal(t, constants.EjectFirst, first)
 	require.Greater(t, second, first)
 	require.Greater(t, third, second)
-	require.LessOrEqual(t, out(10), constants.EjectMost)
+	require.LessOrEqual(t, out(10), ejectMost)
 	require.Equal(t, constants.EjectFirst, out(200), "what was long ago is forgotten")
 }
 
@@ -88,7 +88,7 @@
 				out++
 			}
 		}
-		require.LessOrEqual(t, out, max(1, n/constants.EjectPart))
+		require.LessOrEqual(t, out, max(1, n/ejectPart))
 		require.Less(t, out, n)
 	}
 }
@@ -117,20 +117,20 @@
 		n[g.Fit("r1", false, at(0.1))]++
 	}
 	require.Zero(t, n[Out])
-	require.InDelta(t, 4000*constants.SuspectPass, n[Fit], 150)
+	require.InDelta(t, 4000*suspectPass, n[Fit], 150)
 	clear(n)
 	for range 4000 {
 		n[g.Fit("r1", true, at(0.1))]++
 	}
 	require.Zero(t, n[Out])
-	require.InDelta(t, 4000*constants.SuspectBold, n[Fit], 200)
+	require.InDelta(t, 4000*suspectBold, n[Fit], 200)
 	g.Bad("r2", Shed, at(0.2))
 	require.Equal(t, Fit, g.Fit("r2", false, at(0.2)))
 	g.Bad("r1", Shed, at(0.2))
 	require.Equal(t, Out, g.Fit("r1", false, at(0.3)))
 	h := of(9)
 	h.Suspected([]string{"r1"}, at(0))
-	require.Equal(t, Fit, h.Fit("r1", false, at(0).Add(constants.SuspectSpan)), "not repeated, it ends")
+	require.Equal(t, Fit, h.Fit("r1", false, at(0).Add(suspectSpan)), "not repeated, it ends")
 	h.Suspected([]string{"r1"}, at(0))
 	h.Suspected(nil, at(0))
 	require.Equal(t, Fit, h.Fit("r1", false, at(0.1)))
@@ -140,7 +140,7 @@
 	g := of(9)
 	d, ok := g.Due("r1", 400*time.Millisecond, time.Second)
 	require.True(t, ok)
-	require.Equal(t, 1600*time.Millisecond+constants.SlowLeast, d)
+	require.Equal(t, 1600*time.Millisecond+slowLeast, d)
 	_, ok = g.Due("nobody", time.Second, 0)
 	require.False(t, ok)
 	_, ok = g.Due("r1", 0, 0)
@@ -150,7 +150,7 @@
 	}
 	d, ok = g.Due("r8", 0, 0)
 	require.True(t, ok)
-	require.InDelta(t, 160*time.Millisecond+constants.SlowLeast, d, float64(time.Millisecond))
+	require.InDelta(t, 160*time.Millisecond+slowLeast, d, float64(time.Millisecond))
 	d, _ = g.Due("r8", 0, time.Second)
 	require.Equal(t, 1500*time.Millisecond, d, "not before the aim is missed by half")
 	for range 3 {
@@ -164,7 +164,7 @@
 	ws := g.Words(1, at(0))
 	require.Len(t, ws, 1)
 	require.Zero(t, ws[0].Good, "an overdue answer is no good one")
-	require.InDelta(t, 4*constants.BlameSlow, ws[0].Bad, 1e-9)
+	require.InDelta(t, 4*blameSlow, ws[0].Bad, 1e-9)
 }
 
 func TestWordsAreToldOnceAndNoneInCalmTimes(t *testing.T) {
@@ -173,7 +173,7 @@
 	require.Empty(t, g.Words(7, at(0)))
 	g.Bad("r1", Failed, at(0))
 	g.Good("r1", time.Millisecond, time.Second, false, at(0))
-	require.Equal(t, []Report{{"r1", 7, 1, constants.BlameFailed}}, g.Words(7, at(0)))
+	require.Equal(t, []Report{{"r1", 7, 1, blameFailed}}, g.Words(7, at(0)))
 	require.Empty(t, g.Words(7, at(0)))
 	g.Suspected([]string{"r2"}, at(0))
 	g.Good("r2", time.Millisecond, time.Second, false, at(0))
@@ -181,7 +181,7 @@
 	for i := range 50 {
 		g.Bad(fmt.Sprintf("r%d", i), Shed, at(0))
 	}
-	require.Len(t, g.Words(7, at(0)), constants.WordsMost)
+	require.Len(t, g.Words(7, at(0)), wordsMost)
 	require.NotEmpty(t, g.Stats(at(0)))
 	g.Bad("r3", Silent, at(0))
 	g.Words(7, at(0))
--- a/coord/outlier/jury.go
+++ b/coord/outlier/verdicts.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 type hearing struct {
@@ -14,7 +13,7 @@
 	bad        fading
 	tellers    map[uint64]clock.Time
 	since      clock.Time // of the suspicion; zero if there is none
-	good, fail float64      // since then
+	good, fail float64    // since then
 	episodes   fading
 }
 
@@ -35,7 +34,7 @@
 	defer j.mu.Unlock()
 	for _, w := range ws {
 		p := pool(w.ID)
-		if p == "" || !(w.Bad >= 0) || !(w.Good >= 0) || w.Bad+w.Good > constants.WordMost {
+		if p == "" || !(w.Bad >= 0) || !(w.Good >= 0) || w.Bad+w.Good > wordMost {
 			continue
 		}
 		c := j.c[w.ID]
@@ -44,7 +43,7 @@
 			j.c[w.ID] = c
 		}
 		if w.Bad > 0 {
-			c.bad.add(w.Bad, now, constants.JuryHalf)
+			c.bad.add(w.Bad, now, juryHalf)
 			c.tellers[w.Node] = now
 		}
 		if !c.since.IsZero() {
@@ -65,20 +64,20 @@
 			delete(j.c, id)
 			continue
 		}
-		sum[c.pool] += c.bad.now(now, constants.JuryHalf)
+		sum[c.pool] += c.bad.now(now, juryHalf)
 		for n, at := range c.tellers {
-			if now.Sub(at) > constants.TellerSpan {
+			if now.Sub(at) > tellerSpan {
 				delete(c.tellers, n)
 			}
 		}
-		if !c.since.IsZero() && (c.acquitted() || now.Sub(c.since) >= constants.SuspectMost) {
+		if !c.since.IsZero() && (c.acquitted() || now.Sub(c.since) >= suspectMost) {
 			c.since, c.bad, c.tellers = clock.Time{}, fading{}, map[uint64]clock.Time{}
 		}
 		switch {
 		case !c.since.IsZero():
 			held[c.pool]++
 			ids = append(ids, id)
-		case c.bad.n < constants.StatLeast && c.episodes.now(now, constants.EpisodeHalf) < constants.StatLeast:
+		case c.bad.n < statLeast && c.episodes.now(now, episodeHalf) < statLeast:
 			delete(j.c, id)
 		default:
 			fresh = append(fresh, id)
@@ -92,15 +91,15 @@
 		c := j.c[id]
 		n := size[c.pool]
 		others := (sum[c.pool] - c.bad.n) / float64(max(1, n-1))
-		if c.bad.n >= constants.SuspectNeed && len(c.tellers) >= constants.TellersLeast && c.bad.n >= constants.PeerTimes*others && held[c.pool] < room(n) {
+		if c.bad.n >= suspectNeed && len(c.tellers) >= tellersLeast && c.bad.n >= peerTimes*others && held[c.pool] < room(n) {
 			c.since, c.good, c.fail = now, 0, 0
-			c.episodes.add(1, now, constants.EpisodeHalf)
+			c.episodes.add(1, now, episodeHalf)
 			held[c.pool]++
 			ids = append(ids, id)
 		}
 	}
 	sort.Strings(ids)
-	news = !slices.Equal(ids, j.told) || len(ids) > 0 && now.Sub(j.at) >= constants.SuspectSpan/2
+	news = !slices.Equal(ids, j.told) || len(ids) > 0 && now.Sub(j.at) >= suspectSpan/2
 	if news {
 		j.told, j.at = ids, now
 	}
@@ -109,8 +108,8 @@
 
 // acquitted tells whether enough answers worked since the suspicion; after several episodes more are wanted.
 func (c *hearing) acquitted() bool {
-	need := constants.AcquitGood * max(1, min(c.episodes.n, 3))
-	return c.good >= need && c.fail <= constants.AcquitPart*c.good
+	need := acquitGood * max(1, min(c.episodes.n, 3))
+	return c.good >= need && c.fail <= acquitPart*c.good
 }
 
 // Told gives the replicas under suspicion as they were told last.
--- a/coord/outlier/jury_test.go
+++ b/coord/outlier/verdicts_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"shaletrestle/internal/constants"
 )
 
 func pool(id string) string {
@@ -31,7 +29,7 @@
 	require.True(t, news)
 	_, news = j.Verdict(size, at(0.2))
 	require.False(t, news, "told once")
-	_, news = j.Verdict(size, at(0.2).Add(constants.SuspectSpan/2))
+	_, news = j.Verdict(size, at(0.2).Add(suspectSpan/2))
 	require.True(t, news, "and again before it runs out")
 }
 
@@ -49,12 +47,12 @@
 	ids, _ := j.Verdict(size, at(1))
 	require.Len(t, ids, 1, "half of them fail")
 	j = start()
-	j.Hear([]Report{{"r1", 1, constants.AcquitGood, 0}}, pool, at(1))
+	j.Hear([]Report{{"r1", 1, acquitGood, 0}}, pool, at(1))
 	ids, news := j.Verdict(size, at(1))
 	require.Empty(t, ids)
 	require.True(t, news)
 	j = start()
-	ids, _ = j.Verdict(size, at(0).Add(constants.SuspectMost))
+	ids, _ = j.Verdict(size, at(0).Add(suspectMost))
 	require.Empty(t, ids)
 	j = start()
 	j.Clear()
@@ -76,7 +74,7 @@
 				j.Hear([]Report{{fmt.Sprintf("r%d", r.IntN(n)), uint64(r.IntN(6)), r.Float64() * 3, r.Float64() * 10 * float64(r.IntN(2))}}, pool, now)
 			}
 			ids, _ := j.Verdict(size, now)
-			require.LessOrEqual(t, len(ids), max(1, n/constants.EjectPart))
+			require.LessOrEqual(t, len(ids), max(1, n/ejectPart))
 			require.True(t, len(ids) < n || n == 0)
 		}
 	}
--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -10,7 +10,6 @@
 	"go.uber.org/atomic"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
 )
@@ -46,7 +45,7 @@
 
 // Open starts the tasks of a channel over a connection. Calls are handled each in a task of its own, other notes in order.
 func Open(sc *task.Scope, c net.Conn, h Handler) *Channel {
-	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan outgoing, constants.OutboxLen), wait: map[uint64]pending{}}
+	ch := &Channel{sc: sc.Part("channel"), c: c, out: make(chan outgoing, outboxLen), wait: map[uint64]pending{}}
 	ch.heard.Store(clock.Now().UnixNano())
 	go ch.write()
 	go ch.read(h)
@@ -92,7 +91,7 @@
 		return nil, err
 	}
 	n := binary.LittleEndian.Uint32(l[:])
-	if n > constants.FrameMax {
+	if n > frameMax {
 		return nil, errkind.New(errkind.BadInput, "frame of %d bytes", n)
 	}
 	var b []byte
@@ -223,7 +222,9 @@
 }
 
 // Quiet is how long nothing was heard.
-func (ch *Channel) Quiet() clock.Duration { return clock.Duration(clock.Now().UnixNano() - ch.heard.Load()) }
+func (ch *Channel) Quiet() clock.Duration {
+	return clock.Duration(clock.Now().UnixNano() - ch.heard.Load())
+}
 
 // OnClose adds what is to be done when the channel closes.
 func (ch *Channel) OnClose(f func()) {
--- a/coord/rpc/note.go
+++ b/coord/rpc/message.go
@@ -27,9 +27,9 @@
 
 // Member names a member: its id belongs to its disk, the address is only where it lives.
 type Member struct {
-	ID       uint64
-	Address     string
-	Zone string
+	ID      uint64
+	Address string
+	Zone    string
 }
 
 // Message is one message.
@@ -145,4 +145,6 @@
 }
 
 // Reply starts the answer to a note.
-func (n *Message) Reply(ok bool) *Message { return &Message{Kind: n.Kind, Call: n.Call, Answer: true, OK: ok} }
+func (n *Message) Reply(ok bool) *Message {
+	return &Message{Kind: n.Kind, Call: n.Call, Answer: true, OK: ok}
+}
--- a/coord/rpc/net.go
+++ b/coord/rpc/net.go
@@ -38,7 +38,7 @@
 // UserTimeout sets TCP_USER_TIMEOUT on a socket.
 func UserTimeout(_, _ string, c syscall.RawConn) error {
 	_ = c.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, constants.UserTimeout)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeout)
 	})
 	return nil
 }
@@ -52,7 +52,7 @@
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			if sc.Ended() || !clock.Rest(sc, constants.BeatEvery) {
+			if sc.Ended() || !clock.Rest(sc, beatEvery) {
 				return
 			}
 			continue
--- a/coord/slowness/detector.go
+++ b/coord/slowness/detector.go
@@ -7,8 +7,6 @@
 import (
 	"sort"
 	"time"
-
-	"shaletrestle/internal/constants"
 )
 
 // peerReport is what another node reported of itself.
@@ -56,7 +54,7 @@
 // expirePeers drops reports that are too old to count.
 func (d *Detector) expirePeers() {
 	for node, report := range d.peers {
-		if d.step-report.step > constants.LevelHeard {
+		if d.step-report.step > levelHeard {
 			delete(d.peers, node)
 		}
 	}
@@ -64,10 +62,10 @@
 
 // isBad tells whether an observation is evidence of slowness.
 func (d *Detector) isBad(duration float64, late time.Duration) bool {
-	if late >= constants.LevelLate {
+	if late >= levelLate {
 		return true
 	}
-	return d.usual > 0 && duration >= constants.LevelEnter*d.usual
+	return d.usual > 0 && duration >= levelEnter*d.usual
 }
 
 // isGood tells whether an observation counts as well. One between the bounds of
@@ -76,7 +74,7 @@
 	if d.usual == 0 {
 		return true
 	}
-	return duration < constants.LevelLeave*d.usual && late < constants.LevelLate/2
+	return duration < levelLeave*d.usual && late < levelLate/2
 }
 
 // count counts the steps in a row of the same kind.
@@ -97,10 +95,10 @@
 // decide turns the state to slow or back when enough steps in a row say so.
 func (d *Detector) decide() {
 	switch {
-	case !d.slow && d.badSteps >= constants.LevelBad:
+	case !d.slow && d.badSteps >= levelBad:
 		d.slow = true
 		d.slowSince = d.step
-	case d.slow && d.goodSteps >= constants.LevelGood:
+	case d.slow && d.goodSteps >= levelGood:
 		d.slow = false
 	}
 }
@@ -112,11 +110,11 @@
 		return
 	}
 	if d.usual > 0 {
-		d.usual += (duration - d.usual) * constants.LevelLearn
+		d.usual += (duration - d.usual) * levelLearn
 		return
 	}
 	d.samples = append(d.samples, duration)
-	if len(d.samples) < constants.LevelFirst {
+	if len(d.samples) < levelFirst {
 		return
 	}
 	sort.Float64s(d.samples)
@@ -136,7 +134,7 @@
 func (d *Detector) othersWell() bool {
 	well, all := 0, 0
 	for _, report := range d.peers {
-		if report.step < d.slowSince+constants.LevelAfter {
+		if report.step < d.slowSince+levelAfter {
 			continue
 		}
 		all++
@@ -156,7 +154,7 @@
 
 // Shed tells whether open connections should move too: new ones have been turned
 // away long enough for the platform to have noticed.
-func (d *Detector) Shed() bool { return d.outSteps > constants.LevelShed }
+func (d *Detector) Shed() bool { return d.outSteps > levelShed }
 
 // State is what the state page shows.
 type State struct {
--- a/coord/slowness/detector_test.go
+++ b/coord/slowness/detector_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"shaletrestle/internal/constants"
 )
 
 const us = time.Microsecond
@@ -16,7 +14,7 @@
 // calm is a detector that knows its usual time and has heard well nodes.
 func calm(peers int) *Detector {
 	l := NewDetector()
-	for range constants.LevelFirst + 4 {
+	for range levelFirst + 4 {
 		l.Step(10*us, time.Millisecond)
 	}
 	for i := range peers {
@@ -33,7 +31,7 @@
 
 // slowly steps a detector that is slow until the others count, and has so many of them report that they are well.
 func slowly(l *Detector, well int) {
-	steps(l, constants.LevelBad+constants.LevelAfter, 50*us, 0)
+	steps(l, levelBad+levelAfter, 50*us, 0)
 	for i := range well {
 		l.Hear(fmt.Sprint("n", i), false)
 	}
@@ -42,17 +40,17 @@
 
 func TestAMachineFiveTimesSlowerGoesOutAndComesBack(t *testing.T) {
 	l := calm(3)
-	steps(l, constants.LevelBad-1, 50*us, time.Millisecond)
+	steps(l, levelBad-1, 50*us, time.Millisecond)
 	require.False(t, l.Slow(), "one or two looks are chance")
 	l.Step(50*us, time.Millisecond)
 	require.True(t, l.Slow())
-	steps(l, constants.LevelAfter, 50*us, time.Millisecond)
+	steps(l, levelAfter, 50*us, time.Millisecond)
 	require.False(t, l.Out(), "what the others said before doesn't count")
 	l.Hear("n1", false)
 	l.Step(50*us, time.Millisecond)
 	require.True(t, l.Out())
 	require.False(t, l.Shed(), "the platform must notice first")
-	steps(l, constants.LevelGood-1, 10*us, 0)
+	steps(l, levelGood-1, 10*us, 0)
 	require.True(t, l.Out())
 	l.Step(10*us, 0)
 	require.False(t, l.Out())
@@ -61,13 +59,13 @@
 func TestOpenConnectionsMoveOnceThePlatformHasNoticed(t *testing.T) {
 	l := calm(3)
 	slowly(l, 3)
-	for range constants.LevelShed {
+	for range levelShed {
 		require.False(t, l.Shed())
 		l.Hear("n1", false)
 		l.Step(50*us, 0)
 	}
 	require.True(t, l.Shed())
-	steps(l, constants.LevelGood, 10*us, 0)
+	steps(l, levelGood, 10*us, 0)
 	require.False(t, l.Shed())
 }
 
@@ -87,7 +85,7 @@
 
 func TestTimersThatStayLateAreEvidence(t *testing.T) {
 	l := calm(3)
-	steps(l, constants.LevelBad, 10*us, 2*constants.LevelLate)
+	steps(l, levelBad, 10*us, 2*levelLate)
 	require.True(t, l.Slow())
 }
 
@@ -108,7 +106,7 @@
 	l.Hear("n1", false)
 	l.Step(50*us, 0)
 	require.True(t, l.Out(), "half are well")
-	steps(l, constants.LevelHeard, 50*us, 0)
+	steps(l, levelHeard, 50*us, 0)
 	require.False(t, l.Out(), "their report is old")
 }
 
@@ -117,7 +115,7 @@
 	slowly(l, 3)
 	for range 30 {
 		l.Hear("n1", false)
-		steps(l, constants.LevelGood-2, 10*us, 0)
+		steps(l, levelGood-2, 10*us, 0)
 		require.True(t, l.Out())
 		steps(l, 2, 50*us, 0)
 	}
--- a/coord/slowness/watch.go
+++ b/coord/slowness/watch.go
@@ -33,11 +33,11 @@
 // hashingWork makes the usual piece of work: it hashes a buffer a few times and
 // gives the shortest time.
 func hashingWork() func() time.Duration {
-	buffer := make([]byte, constants.LevelBytes)
+	buffer := make([]byte, levelBytes)
 	sum := uint64(0)
 	return func() time.Duration {
 		shortest := time.Duration(0)
-		for range constants.LevelTimes {
+		for range levelTimes {
 			start := clock.Now()
 			sum ^= xxhash.Sum64(buffer)
 			took := clock.Since(start)
--- a/coord/slowness/watch_test.go
+++ b/coord/slowness/watch_test.go
@@ -23,17 +23,17 @@
 				time.Sleep(every)
 			}
 		}
-		look(constants.LevelFirst+4, constants.LevelEvery)
+		look(levelFirst+4, constants.LevelEvery)
 		require.False(t, w.Slow())
-		look(constants.LevelBad+1, constants.LevelEvery+2*constants.LevelLate) // the first was on time
+		look(levelBad+1, constants.LevelEvery+2*levelLate) // the first was on time
 		require.True(t, w.Slow())
-		look(constants.LevelGood+1, constants.LevelEvery)
+		look(levelGood+1, constants.LevelEvery)
 		require.False(t, w.Slow())
 		work *= 5
-		look(constants.LevelBad+constants.LevelAfter+1, constants.LevelEvery)
+		look(levelBad+levelAfter+1, constants.LevelEvery)
 		require.True(t, w.Out())
 		require.False(t, w.Shed())
-		look(constants.LevelShed, constants.LevelEvery)
+		look(levelShed, constants.LevelEvery)
 		require.True(t, w.Shed())
 		require.InDelta(t, 10, w.State().UsualUs, 0.01)
 	})
--- a/internal/adminapi/constants.go
+++ b/internal/adminapi/constants.go
@@ -9,3 +9,8 @@
 	largeBody      = 256 << 10               // bytes; callers wait longer for the answer to more
 	afterLargeBody = 500 * time.Millisecond  // time that an order with a large body has from its end, at least
 )
+
+// Orders.
+const (
+	orderWait = 850 * time.Millisecond // from a call's arrival to its answer: callers move on after a second of silence
+)
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -51,7 +51,7 @@
 }
 
 func (s *Server) dispatch(w http.ResponseWriter, r *http.Request) {
-	c := &call{writer: w, request: r, deadline: clock.Now().Add(constants.OrderWait)}
+	c := &call{writer: w, request: r, deadline: clock.Now().Add(orderWait)}
 	path := strings.Split(strings.Trim(r.URL.EscapedPath(), "/"), "/")
 	name := r.Method + " " + strings.Join(path[:min(2, len(path))], "/")
 	switch {
--- a/internal/adminapi/server_test.go
+++ b/internal/adminapi/server_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
@@ -136,7 +135,7 @@
 		for range 2 {
 			code, took = timed()
 			require.Equal(t, 503, code)
-			require.Less(t, took, constants.OrderWait)
+			require.Less(t, took, orderWait)
 		}
 		time.Sleep(takeoverWait)
 		code, took = timed()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,9 +63,9 @@
 
 	mu     sync.Mutex
 	judged clock.Time            // when reports on replicas were last weighed
-	words  []outlier.Report          // followers' reports on their way to the primary
+	words  []outlier.Report      // followers' reports on their way to the primary
 	fleet  map[string]clock.Time // routers, and when they were last reached
-	most   int                     // the largest fleet of late
+	most   int                   // the largest fleet of late
 	mostAt clock.Time
 }
 
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -22,13 +22,13 @@
 	}
 	var nodes []string
 	for a, at := range c.fleet {
-		if now.Sub(at) > constants.FleetForget {
+		if now.Sub(at) > fleetForget {
 			delete(c.fleet, a)
 			continue
 		}
 		nodes = append(nodes, a)
 	}
-	if len(nodes) >= c.most || now.Sub(c.mostAt) > constants.FleetForget {
+	if len(nodes) >= c.most || now.Sub(c.mostAt) > fleetForget {
 		c.most, c.mostAt = len(nodes), now
 	}
 	c.mu.Unlock()
--- a/internal/controller/list.go
+++ b/internal/controller/list.go
@@ -9,7 +9,7 @@
 // read does the duty of reading the list: at once when the lease comes, then again and again.
 func (c *Controller) read() {
 	for !c.scope.Ended() {
-		pause := constants.LeaseAgain
+		pause := leaseAgain
 		if c.Acting() && (c.duty.Held() || c.duty.Renew()) {
 			c.poll(false)
 			pause = constants.ListEvery
--- a/internal/controller/deck.go
+++ b/internal/controller/loadsum.go
@@ -4,7 +4,6 @@
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/state"
 )
 
@@ -13,7 +12,7 @@
 	var seen *state.View
 	var s *loadsum.Services
 	told := false // something was spread the last time: an end of it is told too
-	clock.Every(c.scope, constants.DeckPush, func() bool {
+	clock.Every(c.scope, deckPush, func() bool {
 		ps := c.deck.Total(clock.Now())
 		if !c.Acting() {
 			if told = false; len(ps) > 0 {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -5,7 +5,6 @@
 
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
@@ -97,7 +96,7 @@
 		return
 	}
 	left := clock.Until(deadline) - answerMargin
-	c.feed.Wait(scope, number, max(0, min(constants.AckWait, left)))
+	c.feed.Wait(scope, number, max(0, min(ackWait, left)))
 }
 
 // Read gives the view that the witnesses confirmed to be the newest after the call.
--- a/internal/controller/outliers.go
+++ b/internal/controller/outliers.go
@@ -28,7 +28,7 @@
 	}
 	c.mu.Lock()
 	c.words = append(c.words, ws...)
-	c.words = c.words[max(0, len(c.words)-constants.WordsHeld):]
+	c.words = c.words[max(0, len(c.words)-wordsHeld):]
 	c.mu.Unlock()
 }
 
--- a/internal/discovery/differ.go
+++ b/internal/discovery/differ.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/state"
 )
 
@@ -46,7 +45,7 @@
 			continue
 		}
 		d.missed[id]++
-		if d.missed[id] >= constants.VanishTwice {
+		if d.missed[id] >= vanishTwice {
 			delete(d.missed, id)
 			gone = append(gone, id)
 		}
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -37,7 +37,7 @@
 	}
 	return &Reader{
 		url:    "http://" + address + "/replicas",
-		client: &http.Client{Transport: transport, Timeout: constants.ListWait},
+		client: &http.Client{Transport: transport, Timeout: listWait},
 	}
 }
 
--- a/internal/emulator/addresses.go
+++ b/internal/emulator/addresses.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 )
 
@@ -22,7 +21,7 @@
 // The range in which a first port is looked for.
 const (
 	lowestPort = 18000
-	portBlocks = 1500 // of constants.YardPorts ports each
+	portBlocks = 1500 // of yardPorts ports each
 )
 
 // addressPool gives out emulated machines: loopback addresses with a few ports
@@ -38,10 +37,10 @@
 // first machine's ports are free.
 func newAddressPool(address string, port int) (*addressPool, error) {
 	pool := &addressPool{port: port, zones: map[string]string{}}
-	for range constants.YardFind {
+	for range yardFind {
 		pool.first = firstAddress(address)
 		if port == 0 {
-			pool.port = lowestPort + constants.YardPorts*rand.IntN(portBlocks)
+			pool.port = lowestPort + yardPorts*rand.IntN(portBlocks)
 		}
 		err := pool.checkFree()
 		if err == nil {
@@ -67,7 +66,7 @@
 
 // checkFree tells whether the first machine's ports can be bound.
 func (p *addressPool) checkFree() error {
-	for offset := range constants.YardPorts {
+	for offset := range yardPorts {
 		listener, err := listen(p.address(p.ip(0), offset))
 		if err != nil {
 			return err
@@ -86,7 +85,7 @@
 
 // machine gives the address of a new machine in a zone.
 func (p *addressPool) machine(zone string) (string, error) {
-	if p.used >= constants.YardHosts {
+	if p.used >= yardHosts {
 		return "", errkind.New(errkind.BadEnv, "experiment: too many machines")
 	}
 	ip := p.ip(p.used)
--- a/internal/emulator/await.go
+++ b/internal/emulator/await.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
 )
@@ -18,7 +17,7 @@
 // probes is the client for what is asked of the emulated machines beside the
 // traffic.
 var probes = &http.Client{
-	Timeout:   constants.YardDial,
+	Timeout:   yardDial,
 	Transport: &http.Transport{DisableKeepAlives: true},
 }
 
@@ -41,7 +40,7 @@
 		if clock.Now().After(end) {
 			return errkind.New(errkind.Unready, "%s within %s", complaint, timeout)
 		}
-		if !clock.Rest(scope, constants.YardLook) {
+		if !clock.Rest(scope, yardLook) {
 			return errInterrupted
 		}
 	}
--- a/internal/emulator/cell.go
+++ b/internal/emulator/cell.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
 )
@@ -154,7 +153,7 @@
 	}
 	return &cell{
 		commands: commands,
-		answers:  bufio.NewReaderSize(answers, constants.YardLine),
+		answers:  bufio.NewReaderSize(answers, yardLine),
 		wait:     process.Wait,
 	}, nil
 }
@@ -167,7 +166,7 @@
 	go func() { done <- Cell(scope, commandReader, answerWriter) }()
 	return &cell{
 		commands: commandWriter,
-		answers:  bufio.NewReaderSize(answerReader, constants.YardLine),
+		answers:  bufio.NewReaderSize(answerReader, yardLine),
 		wait:     func() error { return <-done },
 	}, nil
 }
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/upstream"
 )
 
@@ -98,7 +97,7 @@
 		Kind:    kind.Name,
 		Outcome: Failed,
 	}
-	for result.Tries < constants.YardTries {
+	for result.Tries < yardTries {
 		result.Tries++
 		next := t.routers[(router+result.Tries-1)%len(t.routers)]
 		attempt := request.try(next, result.Tries)
@@ -207,7 +206,7 @@
 
 // broken is the result of an attempt without a whole answer.
 func (r *clientRequest) broken(err error) attemptResult {
-	return attemptResult{retry: r.kind.repeatable(), wait: constants.YardLook, why: rootCause(err)}
+	return attemptResult{retry: r.kind.repeatable(), wait: yardLook, why: rootCause(err)}
 }
 
 // rootCause is the text of the innermost error.
@@ -235,7 +234,7 @@
 		return attemptResult{status: status, retry: true, wait: r.waitAfter(response), why: response.Status}
 	}
 	retry := r.kind.repeatable() && status >= http.StatusInternalServerError
-	return attemptResult{status: status, retry: retry, wait: constants.YardLook, why: response.Status}
+	return attemptResult{status: status, retry: retry, wait: yardLook, why: response.Status}
 }
 
 // waitAfter is how long the client waits after a refusal: as long as it is told,
@@ -243,7 +242,7 @@
 func (r *clientRequest) waitAfter(response *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	if err != nil {
-		return constants.YardLook
+		return yardLook
 	}
 	return min(clock.Seconds(seconds), clock.Until(r.deadline)/3)
 }
--- a/internal/emulator/components.go
+++ b/internal/emulator/components.go
@@ -168,13 +168,13 @@
 	for i := range count {
 		id := componentReplica(i)
 		replicas[id] = &state.Replica{
-			ID:       id,
-			Pool:     "p",
-			Addr:     "10.0.0.1:1",
-			Zone: fmt.Sprint(i % 3),
-			Slots:    replicaSlots,
-			State:    string(replicaReady),
-			Models:   []state.Model{{Name: "m", Revision: firstRevision}},
+			ID:     id,
+			Pool:   "p",
+			Addr:   "10.0.0.1:1",
+			Zone:   fmt.Sprint(i % 3),
+			Slots:  replicaSlots,
+			State:  string(replicaReady),
+			Models: []state.Model{{Name: "m", Revision: firstRevision}},
 		}
 	}
 	return replicas
--- a/internal/emulator/experiment_check.go
+++ b/internal/emulator/experiment_check.go
@@ -4,7 +4,6 @@
 	"net"
 	"strings"
 
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 )
 
@@ -122,10 +121,10 @@
 	if x.Fleet.MachineLosses > 0 && x.Fleet.Controllers < 3 {
 		return badField("fleet.machine_losses", "needs three controllers")
 	}
-	if x.replicaCount() > constants.YardReplicas {
+	if x.replicaCount() > yardReplicas {
 		return badField("services", "have more replicas than are allowed")
 	}
-	if x.requestCount() > constants.YardRequests {
+	if x.requestCount() > yardRequests {
 		return badField("kinds", "ask for more requests than are allowed")
 	}
 	for _, trouble := range x.Troubles {
@@ -147,11 +146,11 @@
 // numbers lists all numbers of an experiment.
 func (x *Experiment) numbers() []number {
 	numbers := []number{
-		{"duration_s", x.Duration, constants.YardDuration},
-		{"ready_s", x.Ready, constants.YardDuration},
-		{"port", float64(x.Port), maxPort - constants.YardPorts},
-		{"fleet.controllers", float64(x.Fleet.Controllers), constants.YardNodes},
-		{"fleet.routers", float64(x.Fleet.Routers), constants.YardNodes},
+		{"duration_s", x.Duration, yardDuration},
+		{"ready_s", x.Ready, yardDuration},
+		{"port", float64(x.Port), maxPort - yardPorts},
+		{"fleet.controllers", float64(x.Fleet.Controllers), yardNodes},
+		{"fleet.routers", float64(x.Fleet.Routers), yardNodes},
 		{"fleet.machine_losses", float64(x.Fleet.MachineLosses), maxMachineLosses},
 		{"fleet.zone_delay_ms", x.Fleet.ZoneDelayMs, maxZoneDelayMs},
 		{"platform.lag_ms", x.Platform.LagMs, noMost},
@@ -168,8 +167,8 @@
 	for _, trouble := range x.Troubles {
 		prefix := "troubles[" + trouble.Replica + "]."
 		numbers = append(numbers,
-			number{prefix + "at_s", trouble.AtS, constants.YardDuration},
-			number{prefix + "for_s", trouble.ForS, constants.YardDuration})
+			number{prefix + "at_s", trouble.AtS, yardDuration},
+			number{prefix + "for_s", trouble.ForS, yardDuration})
 	}
 	return numbers
 }
@@ -177,7 +176,7 @@
 func (s *Service) numbers() []number {
 	prefix := "services[" + s.Name + "]."
 	numbers := []number{
-		{prefix + "replicas", float64(s.Replicas), constants.YardReplicas},
+		{prefix + "replicas", float64(s.Replicas), yardReplicas},
 		{prefix + "slots", float64(s.Slots), noMost},
 		{prefix + "queue", float64(s.Queue), noMost},
 		{prefix + "work_ms", s.WorkMs, noMost},
@@ -201,8 +200,8 @@
 func (k *Kind) numbers() []number {
 	prefix := "kinds[" + k.Name + "]."
 	return []number{
-		{prefix + "per_s", k.PerS, constants.YardRate},
-		{prefix + "count", float64(k.Count), constants.YardRequests},
+		{prefix + "per_s", k.PerS, yardRate},
+		{prefix + "count", float64(k.Count), yardRequests},
 		{prefix + "aim_ms", k.AimMs, noMost},
 		{prefix + "timeout_ms", k.TimeoutMs, noMost},
 		{prefix + "gap_ms", k.GapMs, noMost},
--- a/internal/emulator/experiment_defaults.go
+++ b/internal/emulator/experiment_defaults.go
@@ -1,7 +1,5 @@
 package emulator
 
-import "shaletrestle/internal/constants"
-
 // Defaults that are not among the constants.
 const (
 	defaultDuration = 10 // s
@@ -23,15 +21,15 @@
 func (x *Experiment) setDefaults() {
 	setDefault(&x.Name, "experiment")
 	setDefault(&x.Duration, defaultDuration)
-	setDefault(&x.Ready, constants.YardReadyWait.Seconds())
+	setDefault(&x.Ready, yardReadyWait.Seconds())
 	setDefault(&x.Fleet.Controllers, 1)
 	setDefault(&x.Fleet.Routers, 1)
 	if len(x.Fleet.Zones) == 0 {
 		x.Fleet.Zones = []string{"here"}
 	}
-	setDefault(&x.Platform.LagMs, millis(constants.YardLag))
-	setDefault(&x.Platform.Rate, constants.YardListRate)
-	setDefault(&x.Platform.Page, constants.YardPage)
+	setDefault(&x.Platform.LagMs, millis(yardLag))
+	setDefault(&x.Platform.Rate, yardListRate)
+	setDefault(&x.Platform.Page, yardPage)
 	for i := range x.Services {
 		x.Services[i].setDefaults()
 	}
@@ -41,26 +39,26 @@
 }
 
 func (s *Service) setDefaults() {
-	setDefault(&s.Slots, constants.YardSlots)
-	setDefault(&s.Queue, constants.YardQueue)
-	setDefault(&s.WorkMs, millis(constants.YardWork))
-	setDefault(&s.Channels, constants.YardChannels)
+	setDefault(&s.Slots, yardSlots)
+	setDefault(&s.Queue, yardQueue)
+	setDefault(&s.WorkMs, millis(yardWork))
+	setDefault(&s.Channels, yardChannels)
 	engine := s.Engine
 	if engine == nil {
 		return
 	}
 	setDefault(&engine.Model, defaultModel)
-	setDefault(&engine.Memory, constants.YardMemory)
-	setDefault(&engine.Prefill, constants.YardPrefill)
-	setDefault(&engine.StepMs, millis(constants.YardStep))
-	setDefault(&engine.EachMs, millis(constants.YardEach))
-	setDefault(&engine.Chunk, constants.YardChunk)
+	setDefault(&engine.Memory, yardMemory)
+	setDefault(&engine.Prefill, yardPrefill)
+	setDefault(&engine.StepMs, millis(yardStep))
+	setDefault(&engine.EachMs, millis(yardEach))
+	setDefault(&engine.Chunk, yardChunk)
 }
 
 func (k *Kind) setDefaults() {
-	setDefault(&k.AimMs, millis(constants.YardAim))
-	setDefault(&k.TimeoutMs, millis(constants.YardTimeout))
-	setDefault(&k.GapMs, millis(constants.YardGap))
+	setDefault(&k.AimMs, millis(yardAim))
+	setDefault(&k.TimeoutMs, millis(yardTimeout))
+	setDefault(&k.GapMs, millis(yardGap))
 	setDefault(&k.Attempts, defaultAttempts)
 	setDefault(&k.Out, defaultOut)
 	setDefault(&k.In, defaultIn)
--- a/internal/emulator/hollowfleet.go
+++ b/internal/emulator/hollowfleet.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
 )
@@ -57,8 +56,8 @@
 func newHollowFleet(scope *task.Scope, size fleetSize, start newCell, window time.Duration) (*hollowFleet, error) {
 	experiment := &Experiment{
 		Name:     "plant",
-		Duration: constants.YardDuration,
-		Ready:    readyFactor * constants.YardReadyWait.Seconds(),
+		Duration: yardDuration,
+		Ready:    readyFactor * yardReadyWait.Seconds(),
 		Fleet: FleetSpec{
 			Controllers:   size.Controllers,
 			Routers:       size.Nodes,
@@ -102,7 +101,7 @@
 			ID:       fmt.Sprintf("i-%08x", i*2654435761), // spreads the ids
 			Pool:     model,
 			Addr:     fmt.Sprintf("10.%d.%d.%d:8080", i/40000, i/200%200, i%200+1),
-			Zone: zoneName(i % zones),
+			Zone:     zoneName(i % zones),
 			Software: softwareVersion,
 			Slots:    replicaSlots,
 			State:    string(replicaReady),
--- a/internal/emulator/measure.go
+++ b/internal/emulator/measure.go
@@ -11,7 +11,6 @@
 	"gonum.org/v1/gonum/stat"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // values is what one point of a series measured, by name.
@@ -70,7 +69,7 @@
 // timeChanges adds how long changes take until they are in force.
 func (f *hollowFleet) timeChanges(measured values) error {
 	var times []float64 // ms
-	for i := range constants.YardTimed {
+	for i := range yardTimed {
 		took, err := f.timeChange(i)
 		if err != nil {
 			return err
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/task"
 )
@@ -25,7 +24,7 @@
 	return &operator{
 		controllers: controllers,
 		client: &http.Client{
-			Timeout:   constants.YardDial,
+			Timeout:   yardDial,
 			Transport: &http.Transport{MaxIdleConnsPerHost: 1},
 		},
 	}
@@ -68,7 +67,7 @@
 				break
 			}
 		}
-		if !clock.Rest(scope, constants.YardLook) {
+		if !clock.Rest(scope, yardLook) {
 			return 0, errInterrupted
 		}
 	}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/task"
@@ -40,7 +39,7 @@
 func newPlatform(scope *task.Scope, spec ListSpec, current func() []*state.Replica) *platform {
 	p := &platform{spec: spec, current: current}
 	p.record()
-	interval := max(constants.YardLook, clock.Millis(spec.LagMs)/4)
+	interval := max(yardLook, clock.Millis(spec.LagMs)/4)
 	go clock.Every(scope, interval, func() bool {
 		p.record()
 		return true
--- a/internal/emulator/recovery.go
+++ b/internal/emulator/recovery.go
@@ -6,14 +6,13 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
 // measureTarget measures the fleet of the target size, and how long it takes to come
 // back from losses.
 func measureTarget(scope *task.Scope, start newCell, output Output) ([]Point, error) {
-	return measureWhole(scope, targetSize, start, output, constants.YardWindow)
+	return measureWhole(scope, targetSize, start, output, yardWindow)
 }
 
 // measureFiveControllers is the same with five controllers for the same zones, as on
@@ -22,7 +21,7 @@
 	size := targetSize
 	size.Controllers = 5
 	size.Zones = targetSize.Controllers
-	return measureWhole(scope, size, start, output, constants.YardWindow)
+	return measureWhole(scope, size, start, output, yardWindow)
 }
 
 // measureWhole measures a fleet in use, then its recovery from several losses.
--- a/internal/emulator/replica.go
+++ b/internal/emulator/replica.go
@@ -105,7 +105,7 @@
 	return &http.Server{
 		Handler:           r,
 		ReadHeaderTimeout: constants.HeadWait,
-		IdleTimeout:       constants.YardKeepIdle,
+		IdleTimeout:       yardKeepIdle,
 		ConnState: func(connection net.Conn, state http.ConnState) {
 			r.countConnection(life, connection, state)
 		},
@@ -179,14 +179,14 @@
 func (r *Replica) entry() *state.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == replicaGone && (r.life == 0 || clock.Since(r.stateSince) > constants.YardCrashSeen) {
+	if r.state == replicaGone && (r.life == 0 || clock.Since(r.stateSince) > yardCrashSeen) {
 		return nil
 	}
 	entry := &state.Replica{
 		ID:       r.id(),
 		Pool:     r.service.Name,
 		Addr:     r.address,
-		Zone: r.zone,
+		Zone:     r.zone,
 		Software: softwareVersion,
 		Slots:    r.service.Slots,
 		State:    string(replicaReady),
--- a/internal/emulator/replica_faults.go
+++ b/internal/emulator/replica_faults.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // trouble gives the replica a fault and takes it away at the end.
@@ -45,13 +44,13 @@
 	end := clock.Now().Add(duration)
 	for clock.Now().Before(end) {
 		r.stop()
-		if !clock.Rest(r.scope, constants.YardFlap) {
+		if !clock.Rest(r.scope, yardFlap) {
 			return
 		}
 		if r.start(false) != nil {
 			return
 		}
-		if !clock.Rest(r.scope, constants.YardFlap) {
+		if !clock.Rest(r.scope, yardFlap) {
 			return
 		}
 	}
@@ -61,7 +60,7 @@
 	r.mu.Lock()
 	r.setState(replicaDraining)
 	r.mu.Unlock()
-	if clock.Rest(r.scope, constants.YardDrain+constants.YardLag+constants.YardDrain/2) {
+	if clock.Rest(r.scope, yardDrain+yardLag+yardDrain/2) {
 		r.stop()
 	}
 	if clock.Rest(r.scope, duration) {
@@ -76,7 +75,7 @@
 }
 
 func (r *Replica) lie(duration time.Duration) {
-	r.beginFault(Lying, constants.YardSlow)
+	r.beginFault(Lying, yardSlow)
 	clock.Rest(r.scope, duration)
 	r.beginFault("", 1)
 }
--- a/internal/emulator/replica_http.go
+++ b/internal/emulator/replica_http.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/replicamodel"
@@ -107,7 +106,7 @@
 func (r *Replica) fails(w http.ResponseWriter, id, fault string) bool {
 	r.mu.Lock()
 	r.requests++
-	failing := r.requests%constants.YardGrey == 0
+	failing := r.requests%yardGrey == 0
 	r.mu.Unlock()
 	if !failing {
 		return false
@@ -131,7 +130,7 @@
 func (r *Replica) work(w http.ResponseWriter, request *http.Request, view replicaView, id, seal string) {
 	work := clock.Millis(r.service.WorkMs)
 	if view.fault == Lying {
-		work *= constants.YardSlow
+		work *= yardSlow
 	}
 	end, ok := r.offer(view, work)
 	if !ok {
@@ -295,7 +294,7 @@
 func (r *Replica) delayedLoad() replicamodel.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if clock.Since(r.reportedAt) >= constants.YardReportLag {
+	if clock.Since(r.reportedAt) >= yardReportLag {
 		r.reported = r.load()
 		r.reportedAt = clock.Now()
 	}
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -10,7 +10,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // microsPerMilli turns a histogram's values, which are in µs, into ms.
@@ -29,7 +28,7 @@
 }
 
 func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, constants.YardLatencyMost, constants.YardDigits)
+	return hdrhistogram.New(1, yardLatencyMost, yardDigits)
 }
 
 // quantile is in ms.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -113,7 +112,7 @@
 }
 
 func sayProgress(scope *task.Scope, report *report, output Output) {
-	clock.Every(scope, constants.YardProgress, func() bool {
+	clock.Every(scope, yardProgress, func() bool {
 		ended, served := report.progress()
 		output.say("%6.1f s: %d ended, %d served", clock.Since(report.start).Seconds(), ended, served)
 		return true
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -156,7 +156,7 @@
 	require.NoError(t, err)
 	defer y.close()
 	require.NoError(t, y.startDaemons())
-	_, err = y.operator.put(y.scope, x.configuration(), constants.YardReadyWait)
+	_, err = y.operator.put(y.scope, x.configuration(), yardReadyWait)
 	require.NoError(t, err)
 	require.NoError(t, y.awaitRouters(y.routers))
 	page, err := os.ReadFile("../../docs/metrics.md")
--- a/internal/emulator/series.go
+++ b/internal/emulator/series.go
@@ -60,7 +60,7 @@
 		if len(names) > 0 && !slices.Contains(names, spec.name) {
 			continue
 		}
-		measured, err := spec.measure(scope, spawnCell, output, constants.YardWindow)
+		measured, err := spec.measure(scope, spawnCell, output, yardWindow)
 		if err != nil {
 			return err
 		}
--- a/internal/emulator/summary.go
+++ b/internal/emulator/summary.go
@@ -6,8 +6,6 @@
 	"text/tabwriter"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"shaletrestle/internal/constants"
 )
 
 // Row sums up one kind of request.
@@ -32,7 +30,7 @@
 	case Served:
 		r.Served++
 		micros := max(1, int64(result.Ms*microsPerMilli))
-		_ = r.latency.RecordValue(min(micros, constants.YardLatencyMost))
+		_ = r.latency.RecordValue(min(micros, yardLatencyMost))
 	case Refused:
 		r.Refused++
 	default:
--- a/internal/emulator/testbed.go
+++ b/internal/emulator/testbed.go
@@ -192,7 +192,7 @@
 		NodeName: d.name,
 		Role:     d.name,
 		IP:       d.ip,
-		Zone: d.zone,
+		Zone:     d.zone,
 		Region:   regions[d.zone],
 		Zones:    regions,
 		Bind: settings.Bind{
@@ -204,7 +204,7 @@
 		Seeds:     b.controlAddresses(seeds),
 		Bootstrap: bootstrap,
 		Quorum:    true,
-		Limits:    settings.Limits{MemoryMB: constants.YardMemoryMB},
+		Limits:    settings.Limits{MemoryMB: yardMemoryMB},
 		DataDir:   filepath.Join(b.dir, d.name),
 		BeatMs:    1200,
 		Tolerance: settings.Tolerance{Machines: b.experiment.Fleet.MachineLosses},
--- a/internal/emulator/traffic.go
+++ b/internal/emulator/traffic.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -49,7 +48,7 @@
 			DisableKeepAlives:   !keepAlive,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: idleConnections,
-			DialContext:         (&net.Dialer{Timeout: constants.YardDial}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: yardDial}).DialContext,
 		},
 	}
 }
--- a/internal/frontend/front.go
+++ b/internal/frontend/front.go
@@ -144,7 +144,7 @@
 			if f.sc.Ended() || strings.Contains(err.Error(), net.ErrClosed.Error()) {
 				return
 			}
-			clock.Rest(f.sc, constants.AcceptPause)
+			clock.Rest(f.sc, acceptPause)
 			continue
 		}
 		f.hand(&tap{Conn: c, limit: f.idle.Load})
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -68,7 +68,7 @@
 	}
 	last := rank(uint64(k), l[len(l)-1])
 	for _, b := range added {
-		if len(l) < constants.HomeDepth || rank(uint64(k), b) > last {
+		if len(l) < homeDepth || rank(uint64(k), b) > last {
 			return true
 		}
 	}
@@ -102,13 +102,13 @@
 // bucket gives the first replicas in the rendezvous order of a key's bucket.
 func (p *pool) bucket(key prefixindex.Key) []*berth {
 	if p.homes == nil {
-		p.homes = make([][]*berth, constants.HomeBuckets)
+		p.homes = make([][]*berth, homeBuckets)
 	}
-	k := int(mix(uint64(key)) % constants.HomeBuckets)
+	k := int(mix(uint64(key)) % homeBuckets)
 	if l := p.homes[k]; l != nil {
 		return l
 	}
-	var top [constants.HomeDepth]ranked
+	var top [homeDepth]ranked
 	n := 0
 	for _, b := range p.all {
 		n = enter(top[:], n, ranked{b, rank(uint64(k), b)})
@@ -132,7 +132,7 @@
 // bunch is a few candidates, each replica once.
 type bunch struct {
 	n  int
-	at [constants.Homes + constants.HoldersMost + constants.Samples]candidate
+	at [defaultHomes + constants.HoldersMost + samples]candidate
 }
 
 func (s *bunch) add(b *berth) *candidate {
@@ -151,7 +151,7 @@
 
 // addHomes adds the first homes that may be used, the best first.
 func (y *Placer) addHomes(s *bunch, p *pool, a *Request, now clock.Time) {
-	var top [constants.Homes]ranked
+	var top [defaultHomes]ranked
 	n, head := 0, uint64(a.Chain.Head())
 	for _, b := range p.bucket(a.Chain.Head()) {
 		if y.warm(a, b, now) {
@@ -170,7 +170,7 @@
 
 // sample draws one that may be used from a list; nil if none was found in some draws.
 func (y *Placer) sample(a *Request, bs []*berth, now clock.Time) *berth {
-	for range min(constants.SampleTries, 4*len(bs)) {
+	for range min(sampleTries, 4*len(bs)) {
 		if b := bs[rand.IntN(len(bs))]; y.warm(a, b, now) {
 			return b
 		}
@@ -224,7 +224,7 @@
 	for _, id := range y.index.Holders(a.Chain, hits[:0], func(id string) bool { b := y.b[id]; return b != nil && b.r.Pool == a.Pool && y.warm(a, b, now) }) {
 		s.add(y.b[id])
 	}
-	for i := range constants.Samples {
+	for i := range samples {
 		from := p.open
 		if near := p.near[a.Locality]; i%2 == 0 && len(near) > 0 {
 			from = near
@@ -273,7 +273,7 @@
 	if c.Spilled {
 		y.spills++
 	}
-	c.Alone = constants.FirstBase + clock.Seconds(float64(a.Chain.Tokens()-c.Matched)*pick.b.prefill)
+	c.Alone = firstBase + clock.Seconds(float64(a.Chain.Tokens()-c.Matched)*pick.b.prefill)
 	c.Expect = clock.Seconds(pick.b.delay(now, y.prompt*pick.b.prefill)) + c.Alone
 	return pick.b, c
 }
@@ -306,7 +306,7 @@
 	}
 	lp, lq := first.load(now), second.load(now)
 	if first.r.Zone != second.r.Zone && first.r.Zone == a.Locality {
-		lq += constants.NearBonus
+		lq += nearBonus
 	}
 	if lq < lp {
 		return second
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -89,7 +89,7 @@
 			}
 			x.Sent(got.Replica.ID, a.Capacity, c, "p")
 			e := &End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched, OutMost: a.OutMost}
-			read := constants.FirstBase + time.Duration(float64(c.Tokens()-got.Matched)*9e3)
+			read := firstBase + time.Duration(float64(c.Tokens()-got.Matched)*9e3)
 			hold, runs := time.Duration(r.IntN(2000))*time.Millisecond, float64(r.IntN(5))
 			go func() {
 				time.Sleep(read)
@@ -172,7 +172,7 @@
 	for doc := range uint64(20000) {
 		var s bunch
 		y.addHomes(&s, y.pools["p"], ask(chain(10+doc, 50)), clock.Now())
-		require.Equal(t, constants.Homes, s.n)
+		require.Equal(t, defaultHomes, s.n)
 		at[s.at[0].b.r.ID]++
 	}
 	for id := range y.b {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/prefixindex"
 )
 
@@ -31,7 +30,7 @@
 	if n := a.Chain.Shared(); n > 0 {
 		own -= a.Chain.Upto[n-1]
 	}
-	slack := 1 - (float64(own)*perToken+constants.FirstBase.Seconds())/max(a.Aim.Seconds(), constants.FirstBase.Seconds())
+	slack := 1 - (float64(own)*perToken+firstBase.Seconds())/max(a.Aim.Seconds(), firstBase.Seconds())
 	return 1 + (o.Reread-1)*min(max(slack, 0), 1)
 }
 
@@ -67,10 +66,10 @@
 // rate is how much slower than the service's mean a replica reads; a small difference is chance.
 func (b *berth) rate() float64 {
 	switch d := b.slow; {
-	case d > constants.RateBand:
-		return min(1+d-constants.RateBand, constants.RateMost)
-	case d < -constants.RateBand:
-		return max(1+d+constants.RateBand, 1/constants.RateMost)
+	case d > rateBand:
+		return min(1+d-rateBand, rateMost)
+	case d < -rateBand:
+		return max(1+d+rateBand, 1/rateMost)
 	}
 	return 1
 }
@@ -80,18 +79,18 @@
 	if y.per == 0 {
 		y.per = per
 	}
-	y.per += constants.RateSlice * (per - y.per)
+	y.per += rateSlice * (per - y.per)
 	if y.per > 0 {
-		d := min(per/y.per, 2*constants.RateMost) - 1
-		b.slow += constants.RateSlice * (d - b.slow)
+		d := min(per/y.per, 2*rateMost) - 1
+		b.slow += rateSlice * (d - b.slow)
 	}
 }
 
 // busyness is how many requests run at a replica: its own word, fading to the service's mean, and never less than this process has there.
 func (b *berth) busyness(p *pool, now clock.Time) float64 {
 	n := p.mean * b.places()
-	if age := now.Sub(b.toldAt); b.slots > 0 && age < constants.ToldSpan {
-		n += (b.running - n) * (1 - float64(age)/float64(constants.ToldSpan))
+	if age := now.Sub(b.toldAt); b.slots > 0 && age < toldSpan {
+		n += (b.running - n) * (1 - float64(age)/float64(toldSpan))
 	}
 	return max(n, float64(b.inflight))
 }
@@ -105,16 +104,16 @@
 
 // queued is how many wait there by its own word.
 func (b *berth) queued(now clock.Time) float64 {
-	if age := now.Sub(b.toldAt); age < constants.ToldWait {
-		return b.waiting * (1 - float64(age)/float64(constants.ToldWait))
+	if age := now.Sub(b.toldAt); age < toldWait {
+		return b.waiting * (1 - float64(age)/float64(toldWait))
 	}
 	return 0
 }
 
 // late is the delay beyond the predicted that was seen there, fading.
 func (b *berth) late(now clock.Time) float64 {
-	if age := now.Sub(b.extraAt); age < constants.ExtraSpan {
-		return b.extra * math.Exp(-age.Seconds()*constants.ExtraFade)
+	if age := now.Sub(b.extraAt); age < extraSpan {
+		return b.extra * math.Exp(-age.Seconds()*extraFade)
 	}
 	return 0
 }
--- a/internal/placement/cost_test.go
+++ b/internal/placement/cost_test.go
@@ -89,7 +89,7 @@
 func TestAPromptInAHurryWeighsSharedBlocksOnce(t *testing.T) {
 	o := Defaults()
 	a := ask(chain(7, 10))
-	slack := 1 - (10*35e-6+constants.FirstBase.Seconds())/a.Aim.Seconds()
+	slack := 1 - (10*35e-6+firstBase.Seconds())/a.Aim.Seconds()
 	require.InDelta(t, 1+(o.Reread-1)*slack, o.shared(a, 35e-6), 1e-9)
 	a.Chain = chain(7, 100000)
 	require.Equal(t, 1.0, o.shared(a, 35e-6))
@@ -105,10 +105,10 @@
 		b := y.b["r0"]
 		require.Equal(t, 8.0, b.busyness(p, clock.Now()))
 		require.Equal(t, 4.0, b.queued(clock.Now()))
-		time.Sleep(constants.ToldSpan / 2)
+		time.Sleep(toldSpan / 2)
 		require.InDelta(t, 5, b.busyness(p, clock.Now()), 1e-9)
 		require.Zero(t, b.queued(clock.Now()))
-		time.Sleep(constants.ToldSpan / 2)
+		time.Sleep(toldSpan / 2)
 		require.Equal(t, 2.0, b.busyness(p, clock.Now()))
 		require.Equal(t, 2.0, y.b["r1"].busyness(p, clock.Now()), "one that never told counts as the mean")
 		b.inflight = 7
@@ -135,9 +135,9 @@
 		}
 	}
 	b := &berth{slow: 50}
-	require.Equal(t, constants.RateMost, b.rate())
+	require.Equal(t, rateMost, b.rate())
 	b.slow = -1
-	require.Equal(t, 1/constants.RateMost, b.rate())
+	require.Equal(t, 1/rateMost, b.rate())
 }
 
 func TestOptionsAreChecked(t *testing.T) {
@@ -163,7 +163,7 @@
 	got, ok := y.Place(ask(c))
 	require.True(t, ok)
 	require.Equal(t, 2096, got.Matched)
-	require.Equal(t, constants.FirstBase+clock.Seconds(float64(c.Tokens()-2096)*constants.PrefillToken.Seconds()), got.Alone)
+	require.Equal(t, firstBase+clock.Seconds(float64(c.Tokens()-2096)*constants.PrefillToken.Seconds()), got.Alone)
 	b := y.b[got.Replica.ID]
 	require.Equal(t, float64(c.Tokens()-2096), b.tokens)
 	y.Done(&End{Replica: got.Replica.ID, Chain: c, Matched: got.Matched})
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -22,8 +22,8 @@
 
 // Defaults are the options of a settings file that names none.
 func Defaults() Options {
-	return Options{Block: constants.BlockTokens, Credit: constants.CreditHeld, Reread: constants.RereadWeight, PrefillScale: constants.PrefillScale, Active: true,
-		ActiveWeight: constants.ActiveWeight, Decay: constants.DecayBlocks, Away: constants.AwayBlocks, Full: constants.Spill}
+	return Options{Block: constants.BlockTokens, Credit: creditHeld, Reread: rereadWeight, PrefillScale: prefillScale, Active: true,
+		ActiveWeight: activeWeight, Decay: decayBlocks, Away: awayBlocks, Full: spill}
 }
 
 // Check tells what is wrong with the options.
--- a/internal/placement/yard.go
+++ b/internal/placement/placer.go
@@ -21,7 +21,7 @@
 	Chain    *prefixindex.Chain // nil for services without an engine
 	Capacity int                // tokens of memory of one replica
 	OutMost  int                // most tokens that may come out
-	Aim      clock.Duration         // time within which the first token is wanted
+	Aim      clock.Duration     // time within which the first token is wanted
 	Not      map[string]bool
 	Bold     bool                       // it may be sent again if it fails
 	Regions  func(locality string) bool // nil: everywhere
@@ -184,10 +184,10 @@
 	b.inflight++
 	if a.Chain != nil {
 		n := a.Chain.Tokens()
-		y.prompt += constants.LearnUp * (float64(n-c.Matched) - y.prompt)
+		y.prompt += learnUp * (float64(n-c.Matched) - y.prompt)
 		b.tokens += float64(n - c.Matched)
 		b.kv += float64(n + a.OutMost)
-		p.hold += constants.HolderSlice * (float64(n+a.OutMost) - p.hold)
+		p.hold += holderSlice * (float64(n+a.OutMost) - p.hold)
 	}
 	return c, true
 }
@@ -265,8 +265,8 @@
 	b.tokens = max(0, b.tokens-n)
 	b.extra, b.extraAt = max(0, (took-expect).Seconds()), clock.Now()
 	quiet := b.inflight <= 1
-	if n >= constants.LearnTokens {
-		per := max(0, took.Seconds()-constants.FirstBase.Seconds()) / n
+	if n >= learnTokens {
+		per := max(0, took.Seconds()-firstBase.Seconds()) / n
 		learn(&b.prefill, per)
 		y.read(b, per)
 		learn(&y.prefill, per)
@@ -286,9 +286,9 @@
 
 // learn moves a rate to an observation: quickly down, slowly up, since waiting only ever adds to what is observed.
 func learn(rate *float64, seen float64) {
-	w := constants.LearnUp
+	w := learnUp
 	if seen < *rate {
-		w = constants.LearnDown
+		w = learnDown
 	}
 	*rate += w * (seen - *rate)
 }
@@ -321,7 +321,7 @@
 	if b := y.b[id]; b != nil {
 		b.running, b.waiting, b.slots, b.toldAt = running, waiting, slots, clock.Now()
 		if p := y.pools[b.r.Pool]; p != nil && slots > 0 {
-			p.mean += constants.HolderSlice * (running/slots - p.mean)
+			p.mean += holderSlice * (running/slots - p.mean)
 			y.index.Room(id, running*p.hold)
 		}
 	}
@@ -332,7 +332,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	b := y.b[id]
-	return b != nil && b.waiting > 0 && clock.Since(b.toldAt) < constants.QueueSpan
+	return b != nil && b.waiting > 0 && clock.Since(b.toldAt) < queueSpan
 }
 
 // Wrong notes that another replica answers at this one's address.
--- a/internal/placement/yard_test.go
+++ b/internal/placement/placer_test.go
@@ -185,7 +185,7 @@
 		y.Told("r1", 8, 0, 8)
 		require.True(t, y.Queued("r0"))
 		require.False(t, y.Queued("r1") || y.Queued("nobody"))
-		time.Sleep(constants.QueueSpan)
+		time.Sleep(queueSpan)
 		require.False(t, y.Queued("r0"))
 	})
 }
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -6,7 +6,6 @@
 
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // Waiting is what this process has sent to replicas that they have not read yet, to be told to the fleet.
@@ -41,8 +40,8 @@
 // others is what other nodes have waiting at a replica beyond the usual, in tokens, fading.
 func (b *berth) others(now clock.Time) float64 {
 	age := now.Sub(b.fleetAt)
-	if age >= constants.DeckSpan {
+	if age >= deckSpan {
 		return 0
 	}
-	return b.fleet * (1 - float64(age)/float64(constants.DeckSpan))
+	return b.fleet * (1 - float64(age)/float64(deckSpan))
 }
--- a/internal/placement/waiting_test.go
+++ b/internal/placement/waiting_test.go
@@ -9,7 +9,6 @@
 
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/prefixindex"
 )
 
@@ -40,7 +39,7 @@
 		require.True(t, ok)
 		require.NotEqual(t, home.Replica.ID, next.Replica.ID)
 		here.Done(&End{Replica: next.Replica.ID, Chain: short().Chain})
-		time.Sleep(constants.DeckSpan)
+		time.Sleep(deckSpan)
 		again, _ := here.Place(short())
 		require.Equal(t, home.Replica.ID, again.Replica.ID, "what was heard has faded")
 	})
@@ -59,7 +58,7 @@
 		y.Hear([]loadsum.Load{{Key: loadsum.Key("r4"), Tokens: 70000}, {Key: loadsum.Key("r3"), Tokens: 60000}, {Key: 12345, Tokens: 1}})
 		require.InDelta(t, 70000, y.b["r4"].others(clock.Now()), 1)
 		require.InDelta(t, 10000, b.others(clock.Now()), 1)
-		time.Sleep(constants.DeckSpan / 2)
+		time.Sleep(deckSpan / 2)
 		require.InDelta(t, 35000, y.b["r4"].others(clock.Now()), 1)
 		y.Hear(nil)
 		require.Zero(t, y.b["r4"].others(clock.Now()))
--- a/internal/prefixindex/cache.go
+++ b/internal/prefixindex/cache.go
@@ -2,8 +2,6 @@
 
 import (
 	"container/list"
-
-	"shaletrestle/internal/constants"
 )
 
 // Bounds of the counters by which thrashing is noticed.
@@ -41,7 +39,7 @@
 
 // thrashes tells whether nearly as many runs were evicted as were stored.
 func (c *cacheView) thrashes() bool {
-	return c.evicts > constants.Thrash*c.stores && c.stores > minStores
+	return c.evicts > thrash*c.stores && c.stores > minStores
 }
 
 // fade halves the counters once they are large.
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -19,7 +19,7 @@
 	caches   map[string]*cacheView // by replica
 	queue    queue
 	sequence int                   // of the newest pending prompt
-	memory   *fairshare.Shares        // the runs that this process may hold, shared by the owners
+	memory   *fairshare.Shares     // the runs that this process may hold, shared by the owners
 	owners   map[string]*list.List // of *run, the one used last in front
 	holders  map[Key][]*run        // who keeps a run
 	block    int                   // tokens of a block
--- a/internal/prefixindex/lookup.go
+++ b/internal/prefixindex/lookup.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"shaletrestle/internal/constants"
 )
 
 // Matched is the number of tokens of a chain that a replica is believed to keep,
@@ -55,7 +53,7 @@
 	seen := 0
 	for i := len(chain.Keys) - 1; i >= 0; i-- {
 		for _, run := range x.holders[chain.Keys[i]] {
-			if len(ids) == cap(ids) || seen == constants.HoldersSeen {
+			if len(ids) == cap(ids) || seen == holdersSeen {
 				return ids
 			}
 			seen++
--- a/internal/prefixindex/sketch.go
+++ b/internal/prefixindex/sketch.go
@@ -2,21 +2,19 @@
 
 import (
 	"math"
-
-	"shaletrestle/internal/constants"
 )
 
 // Sketch counts sightings of keys in little memory. It is a count-min sketch
 // whose counts are halved from time to time.
 type Sketch struct {
-	rows      [constants.SketchRows][constants.SketchWidth]uint16
+	rows      [sketchRows][sketchWidth]uint16
 	additions int // since the counts were halved
 }
 
 // Add counts one sighting and gives the key's count.
 func (s *Sketch) Add(key Key) int {
 	s.additions++
-	if s.additions >= constants.SketchDecay {
+	if s.additions >= sketchDecay {
 		s.additions = 0
 		s.halve()
 	}
@@ -52,7 +50,7 @@
 // double hashing: the upper half of the hash, made odd, is the step.
 func (s *Sketch) counter(row int, hash uint64) *uint16 {
 	step := hash>>32 | 1
-	column := (hash + uint64(row)*step) % constants.SketchWidth
+	column := (hash + uint64(row)*step) % sketchWidth
 	return &s.rows[row][column]
 }
 
--- a/internal/prefixindex/store.go
+++ b/internal/prefixindex/store.go
@@ -35,10 +35,10 @@
 		priority: chain.Upto[upto-1] * count,
 		sequence: x.sequence,
 	})
-	if len(x.queue) > constants.StoreQueue {
+	if len(x.queue) > storeQueue {
 		heap.Remove(&x.queue, x.queue.lowest())
 	}
-	if len(x.queue) >= constants.StoreQueue/drainPart || !x.memory.Full() {
+	if len(x.queue) >= storeQueue/drainPart || !x.memory.Full() {
 		x.drain()
 	}
 }
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -7,7 +7,6 @@
 
 	"shaletrestle/coord/outlier"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/upstream"
@@ -16,9 +15,9 @@
 // refuse promises that nothing was run and never will be.
 func (q *request) refuse(k errkind.Kind) {
 	q.g.count.refused.Inc()
-	after := constants.RetryAfter
+	after := retryAfter
 	if k == errkind.Unready {
-		after = constants.RetryUnready
+		after = retryUnready
 	}
 	httpreply.Refuse(q.w, k, after)
 }
@@ -91,7 +90,7 @@
 		passBack(q.w.Header(), h)
 		q.w.WriteHeader(http.StatusOK)
 	}
-	_ = q.rc.SetWriteDeadline(clock.Now().Add(constants.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(writeWait))
 	if _, err := q.w.Write(p.Bytes); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -172,6 +171,6 @@
 	passBack(q.w.Header(), p.Head)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(p.Bytes)))
 	q.w.WriteHeader(p.Status)
-	_ = q.rc.SetWriteDeadline(clock.Now().Add(constants.WriteWait))
+	_ = q.rc.SetWriteDeadline(clock.Now().Add(writeWait))
 	_, _ = q.w.Write(p.Bytes)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -8,7 +8,6 @@
 	"shaletrestle/coord/attempt"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
@@ -22,7 +21,7 @@
 	}
 	for {
 		left := clock.Until(q.deadline)
-		if left <= constants.BudgetReserve {
+		if left <= budgetReserve {
 			q.giveUp(errkind.Late, "time ran out")
 			return
 		}
@@ -61,7 +60,7 @@
 	}
 	clear(q.ask.Not)
 	select {
-	case <-clock.After(constants.PlaceAgain):
+	case <-clock.After(placeAgain):
 		return true
 	case <-q.r.Context().Done():
 		q.abandon()
@@ -75,7 +74,7 @@
 
 // refuseAt is when a request that could be sent nowhere is refused.
 func (q *request) refuseAt() clock.Time {
-	return q.arrived.Add(clock.Duration(float64(q.path.Aim) * constants.RefusePart))
+	return q.arrived.Add(clock.Duration(float64(q.path.Aim) * refusePart))
 }
 
 // attempt sends to one replica; true means that another may be tried.
@@ -87,7 +86,7 @@
 		return again
 	}
 	at := clock.Now()
-	if clock.Until(q.deadline) <= constants.BudgetReserve {
+	if clock.Until(q.deadline) <= budgetReserve {
 		connection.Back()
 		return true
 	}
@@ -111,7 +110,7 @@
 func (q *request) connect(c placement.Choice) (connection *upstream.Connection, again bool) {
 	id := c.Replica.ID
 	left := clock.Until(q.deadline)
-	wait := min(left, max(constants.PlaceAgain, clock.Until(q.refuseAt())))
+	wait := min(left, max(placeAgain, clock.Until(q.refuseAt())))
 	connection, err := q.g.pool(c.Replica, q.table).Get(q.path.Name, wait, !q.path.Repeatable(), q.r.Context().Done())
 	if q.r.Context().Err() != nil {
 		if connection != nil {
@@ -152,7 +151,7 @@
 // upstreamRequest is the request as it goes to one replica. What it says of time, and what was looked at
 // before, is true for a little while only: it doesn't leave later than that.
 func (q *request) upstreamRequest(c placement.Choice, now clock.Time) *upstream.Request {
-	left := q.deadline.Sub(now) - constants.BudgetReserve
+	left := q.deadline.Sub(now) - budgetReserve
 	head := q.head.Clone()
 	head.Set(upstream.HeadExpect, c.Replica.ID)
 	head.Set(upstream.HeadBudget, strconv.FormatInt(max(1, left.Milliseconds()), 10))
@@ -162,7 +161,7 @@
 	if q.lastID >= 0 {
 		head.Set(upstream.HeadLastID, strconv.FormatInt(q.lastID, 10))
 	}
-	notAfter := now.Add(constants.SendStale)
+	notAfter := now.Add(sendStale)
 	if q.deadline.Before(notAfter) {
 		notAfter = q.deadline
 	}
@@ -194,13 +193,13 @@
 // alone takes longer than the aim.
 func (q *request) urgency(alone clock.Duration) int {
 	if q.long {
-		return constants.UrgencyLong
+		return urgencyLong
 	}
 	if alone > q.path.Aim {
-		return constants.UrgencyLate
+		return urgencyLate
 	}
 	part := float64(alone) / float64(max(q.path.Aim, 1))
-	return min(constants.UrgencyLate-1, int(part*7))
+	return min(urgencyLate-1, int(part*7))
 }
 
 // blame holds a failure against a replica; another one is tried next.
@@ -241,9 +240,9 @@
 		return 0
 	}
 	if q.began {
-		return clock.Duration(float64(q.path.Gap) * constants.SilenceGaps)
+		return clock.Duration(float64(q.path.Gap) * silenceGaps)
 	}
-	return clock.Duration(float64(q.path.Aim) * constants.SilenceAims)
+	return clock.Duration(float64(q.path.Aim) * silenceAims)
 }
 
 // listener takes the parts of one attempt's answer.
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -13,14 +13,14 @@
 // channels is this process's share of the connections that each replica of a service takes.
 func (g *Router) channels(s *routing.Pool, id string) int {
 	if s == nil || s.Channels <= 0 {
-		return constants.ChannelsGuess
+		return channelsGuess
 	}
 	v, n := g.book.View(), g.fleet()
 	if s.Channels >= n || len(v.Nodes) == 0 {
 		return s.Channels / n
 	}
 	// fewer connections than nodes: some nodes by rendezvous have one each, the others none
-	if rankOf(v.Nodes, id, g.env.Load().Port(constants.PortGate)) < s.Channels {
+	if rankOf(v.Nodes, id, g.env.Load().Port(portGate)) < s.Channels {
 		return 1
 	}
 	return 0
@@ -75,7 +75,7 @@
 	n := 0
 	clock.Every(g.sc, constants.LevelEvery, func() bool {
 		g.level.Look()
-		if n++; n%constants.SweepLooks == 0 {
+		if n++; n%sweepLooks == 0 {
 			g.sweep()
 		}
 		return true
--- a/internal/router/failures.go
+++ b/internal/router/failures.go
@@ -22,7 +22,7 @@
 	if !due {
 		return nil
 	}
-	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(constants.PortGate)), now)
+	ws := g.yard.Health().Words(xxhash.Sum64String(g.env.Load().Port(portGate)), now)
 	if len(ws) == 0 {
 		return nil
 	}
--- a/internal/router/deck.go
+++ b/internal/router/loadsum.go
@@ -6,16 +6,15 @@
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // tellDeck tells the relay what this process has waiting at the replicas, when it changed or its last word grows old.
 func (g *Router) tellDeck() {
 	var last []loadsum.Load
 	var at clock.Time
-	clock.Every(g.sc, constants.DeckTell, func() bool {
+	clock.Every(g.sc, deckTell, func() bool {
 		now, ps := clock.Now(), g.yard.Waiting()
-		if slices.Equal(ps, last) && (len(ps) == 0 || now.Sub(at) < constants.DeckAgain) {
+		if slices.Equal(ps, last) && (len(ps) == 0 || now.Sub(at) < deckAgain) {
 			return true
 		}
 		last, at = ps, now
--- a/internal/router/longwork.go
+++ b/internal/router/longwork.go
@@ -11,7 +11,6 @@
 	"shaletrestle/coord/handoff"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -55,16 +54,16 @@
 func newLongWork(gate *Router) *longWork {
 	life := rand.Uint64() | 1
 	bounds := handoff.Bounds{
-		Answer: constants.LongAnswer,
-		Accept: constants.LongAccept,
-		Renew:  constants.LongRenew,
-		Lease:  constants.LongLease,
-		Graves: constants.LongGraves,
+		Answer: longAnswer,
+		Accept: longAccept,
+		Renew:  longRenew,
+		Lease:  longLease,
+		Graves: longGraves,
 	}
 	work := &longWork{
 		gate:       gate,
 		scope:      gate.sc.Part("longwork"),
-		self:       gate.env.Load().Port(constants.PortGate),
+		self:       gate.env.Load().Port(portGate),
 		start:      clock.Now(),
 		wakeup:     make(chan struct{}, 1),
 		owner:      handoff.NewOwner(life, bounds),
@@ -92,7 +91,7 @@
 	reportedAt := clock.Now()
 	for l.sleep(l.interval()) {
 		counters := l.tick()
-		if counters == reported || clock.Since(reportedAt) < constants.LongReport {
+		if counters == reported || clock.Since(reportedAt) < longReport {
 			continue
 		}
 		reported = counters
@@ -113,11 +112,11 @@
 func (l *longWork) interval() time.Duration {
 	switch {
 	case l.pending(): // also what was begun before it was switched off
-		return constants.LongTick
+		return longTick
 	case l.enabled():
-		return constants.LongCalm
+		return longCalm
 	}
-	return constants.LongOff
+	return longOff
 }
 
 // sleep waits for an interval or until it is woken; false if the scope ended. By
@@ -141,7 +140,7 @@
 
 // fadedLag is what stays of the timers' lag until the next tick.
 func (l *longWork) fadedLag() time.Duration {
-	return time.Duration(float64(l.timerLag.Load()) * constants.LongFade)
+	return time.Duration(float64(l.timerLag.Load()) * longFade)
 }
 
 // tick does what has fallen due and gives the counters.
@@ -196,7 +195,7 @@
 		l.mu.Lock()
 		running := len(l.cancels)
 		l.mu.Unlock()
-		if running == 0 || !clock.Rest(l.scope, constants.LongTick) {
+		if running == 0 || !clock.Rest(l.scope, longTick) {
 			return
 		}
 	}
--- a/internal/router/longwork_neighbours.go
+++ b/internal/router/longwork_neighbours.go
@@ -22,13 +22,13 @@
 
 // overloaded tells whether this node should hand long work on.
 func (l *longWork) overloaded() bool {
-	if l.timerLag.Load() >= constants.LongLag {
+	if l.timerLag.Load() >= longLag {
 		return true
 	}
-	if clock.Since(l.lastShortage.Load()) < constants.LongShort {
+	if clock.Since(l.lastShortage.Load()) < longShort {
 		return true
 	}
-	return l.bodyMemoryUsed() > constants.CalmPart*constants.BodyMemory*l.memory()
+	return l.bodyMemoryUsed() > constants.CalmPart*bodyMemory*l.memory()
 }
 
 // bodyMemoryUsed is the memory that bodies hold, in bytes.
@@ -95,7 +95,7 @@
 	env := l.gate.env.Load()
 	best, most := "", 0
 	for node, candidate := range l.neighbours {
-		if clock.Since(candidate.at) > constants.LongKnown {
+		if clock.Since(candidate.at) > longKnown {
 			delete(l.neighbours, node)
 			continue
 		}
--- a/internal/router/longwork_offer.go
+++ b/internal/router/longwork_offer.go
@@ -55,7 +55,7 @@
 }
 
 func (q *request) mayBeOffered() bool {
-	if q.taken || clock.Until(q.refuseAt()) < constants.LongAnswer {
+	if q.taken || clock.Until(q.refuseAt()) < longAnswer {
 		return false
 	}
 	return q.g.env.Load().LongWork.Always || q.g.long.overloaded()
@@ -63,7 +63,7 @@
 
 // pack writes the request as its taker is to send it; nil if that is not possible.
 func (q *request) pack() []byte {
-	left := clock.Until(q.deadline) - constants.BudgetReserve
+	left := clock.Until(q.deadline) - budgetReserve
 	header := q.head.Clone()
 	header.Set(upstream.HeadBudget, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	if q.lastID >= 0 {
@@ -142,12 +142,12 @@
 		work:    work,
 		request: q,
 		node:    node,
-		inbox:   make(chan handoff.Effect, constants.LongInbox),
+		inbox:   make(chan handoff.Effect, longInbox),
 		joined:  !q.began,
 	}
 	work.mu.Lock()
 	defer work.mu.Unlock()
-	deadline := work.now() + clock.Until(q.deadline) - constants.BudgetReserve
+	deadline := work.now() + clock.Until(q.deadline) - budgetReserve
 	job.number = work.owner.Take(deadline, q.path.Repeatable(), q.path.Attempts)
 	work.inboxes[job.number] = job.inbox
 	work.counters.offered++
--- a/internal/router/longwork_queue.go
+++ b/internal/router/longwork_queue.go
@@ -5,7 +5,6 @@
 
 	"shaletrestle/coord/handoff"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 )
 
@@ -37,16 +36,16 @@
 
 func newLongQueue() *longQueue {
 	shares := handoff.Shares{
-		Waiting: constants.LongWaiting,
-		Late:    constants.LongLate,
-		Most:    constants.LongMost,
-		Weight:  constants.LongWeight,
-		Cut:     constants.LongCut,
-		Grow:    constants.LongGrow,
-		Pause:   constants.LongPause,
+		Waiting: longWaiting,
+		Late:    longLate,
+		Most:    longMost,
+		Weight:  longWeight,
+		Cut:     longCut,
+		Grow:    longGrow,
+		Pause:   longPause,
 	}
 	return &longQueue{
-		handoff: handoff.NewQueue(constants.LongRoom, shares),
+		handoff: handoff.NewQueue(longRoom, shares),
 		waiters: map[uint64]chan bool{},
 		loads:   map[string]longLoad{},
 	}
@@ -73,7 +72,7 @@
 func (x *longQueue) idle() bool {
 	var sum longLoad
 	for replica, load := range x.loads {
-		if clock.Since(load.at) > constants.LongTold {
+		if clock.Since(load.at) > longTold {
 			delete(x.loads, replica)
 			continue
 		}
@@ -81,7 +80,7 @@
 		sum.waiting += load.waiting
 		sum.slots += load.slots
 	}
-	return sum.waiting == 0 && sum.running <= constants.LongHalf*sum.slots
+	return sum.waiting == 0 && sum.running <= longHalf*sum.slots
 }
 
 // admit tells the waiters that may run now, and those that are too late; the caller
--- a/internal/router/longwork_test.go
+++ b/internal/router/longwork_test.go
@@ -12,7 +12,6 @@
 
 	"shaletrestle/coord/handoff"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/settings"
@@ -40,7 +39,7 @@
 		require.Equal(t, "near", h.reserveNeighbour(&routing.Path{Regions: map[string]bool{"east": true}}), "a body stays in the route's regions")
 		require.Empty(t, h.reserveNeighbour(&routing.Path{Regions: map[string]bool{"north": true}}))
 		fill()
-		<-clock.After(constants.LongKnown + 1)
+		<-clock.After(longKnown + 1)
 		require.Empty(t, h.reserveNeighbour(&routing.Path{}), "what is not heard of any more has no room")
 	})
 }
@@ -126,7 +125,7 @@
 			h.gate.long, h.start, h.queues, h.open = h, clock.Now(), map[string]*longQueue{}, map[*request]struct{}{}
 			x := h.queue("p")
 			x.loads["r"] = longLoad{running: 7, waiting: 2, slots: 8, at: clock.Now()}
-			for range int(constants.LongRoom) {
+			for range int(longRoom) {
 				x.handoff.Join(0, false)
 			}
 			w := httptest.NewRecorder()
@@ -136,7 +135,7 @@
 			defer pumps.Wait()
 			pumps.Go(func() {
 				for range 10 {
-					<-clock.After(constants.LongTick)
+					<-clock.After(longTick)
 					h.mu.Lock()
 					h.admit(x)
 					h.mu.Unlock()
@@ -148,10 +147,10 @@
 			if took := clock.Since(q.arrived); taken {
 				require.Zero(t, took)
 			} else {
-				require.Equal(t, clock.Seconds(constants.RefusePart), took)
+				require.Equal(t, clock.Seconds(refusePart), took)
 			}
 			runs, waiting, _ := x.handoff.Seen()
-			require.Equal(t, int(constants.LongRoom), runs)
+			require.Equal(t, int(longRoom), runs)
 			require.Zero(t, waiting)
 		})
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -90,7 +90,7 @@
 	case <-q.g.isReady:
 		q.table = q.g.table.Load()
 		return true
-	case <-clock.After(constants.UnreadyHold):
+	case <-clock.After(unreadyHold):
 		q.refuse(errkind.Unready)
 	case <-q.r.Context().Done():
 		q.abandon()
@@ -168,7 +168,7 @@
 	if n := max(q.r.ContentLength, 0); !q.hold(n) {
 		return false
 	}
-	_ = q.rc.SetReadDeadline(clock.Now().Add(constants.BodyWait))
+	_ = q.rc.SetReadDeadline(clock.Now().Add(bodyWait))
 	var b bytes.Buffer
 	if q.held > 0 {
 		b.Grow(int(q.held) + bytes.MinRead)
@@ -227,9 +227,9 @@
 func clientWaits(h http.Header) clock.Duration {
 	ms, err := strconv.ParseFloat(strings.TrimSpace(h.Get(upstream.HeadBudget)), 64)
 	if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
-		return constants.DefaultBudget
+		return defaultBudget
 	}
-	return min(clock.Millis(min(ms, day)), 24*constants.DefaultBudget)
+	return min(clock.Millis(min(ms, day)), 24*defaultBudget)
 }
 
 func (q *request) split() bool {
--- a/internal/router/retries.go
+++ b/internal/router/retries.go
@@ -15,7 +15,7 @@
 	g.mu.Lock()
 	w := g.asking[pool]
 	if w == nil {
-		if now.Sub(g.refusedAt[pool]) < constants.LumpPause {
+		if now.Sub(g.refusedAt[pool]) < lumpPause {
 			g.mu.Unlock()
 			return false
 		}
--- a/internal/router/gate.go
+++ b/internal/router/router.go
@@ -64,11 +64,11 @@
 	pools     map[string]*upstream.Pool
 	keeps     map[string]*upstream.Keep // by service
 	asking    map[string]chan struct{}  // services that a lump is being borrowed for
-	refusedAt map[string]clock.Time   // when none was lent, by service
-	toldAt    clock.Time              // when failures were told last
+	refusedAt map[string]clock.Time     // when none was lent, by service
+	toldAt    clock.Time                // when failures were told last
 	pickAt    int
 	bad       map[string]clock.Time // controllers and when they failed last
-	dropped   string                  // one that was left for a nearer one, not for failing
+	dropped   string                // one that was left for a nearer one, not for failing
 	long      *longWork
 }
 
@@ -79,7 +79,7 @@
 // New builds a router.
 func New(sc *task.Scope, p Plan) *Router {
 	env := p.Env
-	self := env.Port(constants.PortGate)
+	self := env.Port(portGate)
 	g := &Router{
 		sc:        sc,
 		net:       p.Net,
@@ -98,7 +98,7 @@
 	g.yard.Use(env.Placement)
 	bounds := env.Bounds
 	g.budget = NewBudget(bounds.BudgetRatio, bounds.BudgetSlack, clock.Seconds(bounds.BudgetWindowS), constants.BudgetMargin)
-	bodyBytes := int64(env.Limits.MemoryMB * (1 << 20) * constants.BodyMemory)
+	bodyBytes := int64(env.Limits.MemoryMB * (1 << 20) * bodyMemory)
 	g.bodies = fairshare.New(bodyBytes, constants.CalmPart)
 	g.table.Store(routing.Compile(state.EmptyView().Doc))
 	g.weights.Store(newWeights(nil))
@@ -141,7 +141,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "state page")
 	}
-	cl, err := g.net.Listen(e.Port(constants.PortGate))
+	cl, err := g.net.Listen(e.Port(portGate))
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "crew port")
 	}
@@ -177,7 +177,7 @@
 	g.long.leave()
 	grace := clock.Seconds(g.env.Load().Bounds.GraceS)
 	start := clock.Now()
-	linger := min(constants.LingerReady, grace/2)
+	linger := min(lingerReady, grace/2)
 	clock.Rest(g.sc, linger)
 	g.front.Finish(grace - constants.GraceMargin - clock.Since(start))
 	g.long.finish(grace - constants.GraceMargin - clock.Since(start))
@@ -187,7 +187,7 @@
 func (g *Router) Reload(e *settings.Settings) {
 	g.env.Store(e)
 	g.yard.Use(e.Placement)
-	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(constants.PortGate)))
+	g.cold.Store(newColdShares(g.book.View().Nodes, e.Port(portGate)))
 }
 
 // Takes tells whether a replica may be sent to, as this process knows it now.
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/state"
 )
 
@@ -21,18 +20,18 @@
 // rate is what this process may send a second to one cold replica that bears perS.
 func (c *coldShares) rate(perS float64, id string) float64 {
 	if len(c.nodes) == 0 {
-		return perS * constants.ColdMargin / constants.FleetGuess
+		return perS * coldMargin / fleetGuess
 	}
 	part, ok := c.part.Load(id)
 	if !ok {
 		part, _ = c.part.LoadOrStore(id, c.find(id))
 	}
-	return perS * constants.ColdMargin * part.(float64)
+	return perS * coldMargin * part.(float64)
 }
 
 // find is one in so many if this node is among the first for a replica.
 func (c *coldShares) find(id string) float64 {
-	k := min(constants.ColdNodes, len(c.nodes))
+	k := min(coldNodes, len(c.nodes))
 	if rankOf(c.nodes, id, c.self) >= k {
 		return 0
 	}
--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/rpc"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
@@ -28,23 +27,23 @@
 			rep := fmt.Sprintf("i-%d", id)
 			order := append([]string{}, nodes...)
 			sort.Slice(order, func(i, j int) bool { return xxhash.Sum64String(rep+order[i]) > xxhash.Sum64String(rep+order[j]) })
-			k := min(constants.ColdNodes, n)
+			k := min(coldNodes, n)
 			sum := 0.0
 			for i, self := range order {
 				c := newColdShares(nodes, self)
 				want := 0.0
 				if i < k {
-					want = 20 * constants.ColdMargin / float64(k)
+					want = 20 * coldMargin / float64(k)
 				}
 				require.InDelta(t, want, c.rate(20, rep), 1e-9)
 				require.InDelta(t, want, c.rate(20, rep), 1e-9, "as kept")
 				sum += want
 			}
-			require.LessOrEqual(t, sum, 20*constants.ColdMargin+1e-9)
+			require.LessOrEqual(t, sum, 20*coldMargin+1e-9)
 			if n > 0 {
 				require.Zero(t, newColdShares(nodes, "stranger").rate(20, rep))
 			} else {
-				require.Equal(t, 20*constants.ColdMargin/constants.FleetGuess, newColdShares(nil, "me").rate(20, rep))
+				require.Equal(t, 20*coldMargin/fleetGuess, newColdShares(nil, "me").rate(20, rep))
 			}
 		}
 	}
@@ -69,15 +68,15 @@
 	e := &settings.Settings{NodeName: "n", IP: "10.0.0.1", Ports: []int{700, 710}, Seeds: []string{"10.0.0.1:83"}, Placement: placement.Defaults()}
 	e.Limits.MemoryMB = 100
 	g := New(sc, Plan{Env: e, Net: rpc.TCP{}, Dialer: upstream.TCP{}})
-	require.Equal(t, 20*constants.ColdMargin/constants.FleetGuess, g.cold.Load().rate(20, "r"))
-	self := e.Port(constants.PortGate)
+	require.Equal(t, 20*coldMargin/fleetGuess, g.cold.Load().rate(20, "r"))
+	self := e.Port(portGate)
 	fold := func(e *state.Event) { g.book.Fold(e.Encode()) }
 	fold(&state.Event{Kind: state.Fleet, Size: 2, Nodes: []string{self, "10.0.0.2:702"}})
-	require.Equal(t, 20*constants.ColdMargin/2, g.cold.Load().rate(20, "r"))
+	require.Equal(t, 20*coldMargin/2, g.cold.Load().rate(20, "r"))
 	fold(&state.Event{Kind: state.List, Replicas: []*state.Replica{{ID: "r", Pool: "p", State: "ready", Models: []state.Model{{Name: "m", Revision: 4}}}}})
 	require.Equal(t, int64(4), g.weights.Load().of("p", "m"))
 	require.True(t, g.yard.May("r"))
-	require.Equal(t, 20*constants.ColdMargin/2, g.cold.Load().rate(20, "r"), "a list leaves the shares")
+	require.Equal(t, 20*coldMargin/2, g.cold.Load().rate(20, "r"), "a list leaves the shares")
 	fold(&state.Event{Kind: state.Fleet, Size: 1, Nodes: []string{"10.0.0.2:702"}})
 	require.Zero(t, g.cold.Load().rate(20, "r"))
 	require.True(t, g.yard.May("r"), "a change of the fleet leaves the replicas")
@@ -86,5 +85,5 @@
 	o := *e
 	o.IP, o.Placement.PrefillScale = "10.0.0.2", 7
 	g.Reload(&o)
-	require.Equal(t, 20*constants.ColdMargin, g.cold.Load().rate(20, "r"))
+	require.Equal(t, 20*coldMargin, g.cold.Load().rate(20, "r"))
 }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -20,7 +20,7 @@
 		g.useReplicas(v)
 	}
 	if e == nil || e.Kind == state.Fleet {
-		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(constants.PortGate)))
+		g.cold.Store(newColdShares(v.Nodes, g.env.Load().Port(portGate)))
 	}
 	if old.Fleet != v.Fleet || old.Doc != v.Doc || e == nil {
 		g.share(v, g.table.Load())
@@ -71,5 +71,5 @@
 	if n := g.book.View().Fleet; n > 0 {
 		return n
 	}
-	return constants.FleetGuess
+	return fleetGuess
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/settings"
@@ -95,7 +94,7 @@
 		replicas = append(replicas, &state.Replica{ID: fmt.Sprint("r", i+1), Pool: "p", Addr: fmt.Sprint("r", i+1), Zone: "a", State: "ready", Slots: 8})
 	}
 	for _, e := range []*state.Event{
-		{Kind: state.Fleet, Size: 1, Nodes: []string{env.Port(constants.PortGate)}},
+		{Kind: state.Fleet, Size: 1, Nodes: []string{env.Port(portGate)}},
 		{Kind: state.Put, Body: json.RawMessage(put)},
 		{Kind: state.List, Replicas: replicas},
 	} {
--- a/internal/routing/compile.go
+++ b/internal/routing/compile.go
@@ -84,7 +84,7 @@
 		Aim:      clock.Millis(route.TargetLatencyMs),
 		Gap:      clock.Millis(route.TargetGapMs),
 		Priority: int(route.Priority),
-		Attempts:    max(1, int(route.MaxAttempts)),
+		Attempts: max(1, int(route.MaxAttempts)),
 		Sticky:   route.SessionAffinity,
 		Resume:   route.StreamResume,
 		Regions:  compileRegions(route.AllowedRegions),
--- a/internal/routing/path.go
+++ b/internal/routing/path.go
@@ -46,7 +46,7 @@
 	Aim      time.Duration // target latency
 	Gap      time.Duration // target time between two events
 	Priority int
-	Attempts    int // attempts at most
+	Attempts int // attempts at most
 	Sticky   bool
 	Resume   bool
 	Regions  map[string]bool // nil: all are allowed
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -83,8 +83,8 @@
 		return badField("data_dir", "is missing")
 	}
 	for _, losses := range []int{e.Tolerance.Machines, e.Tolerance.Zones, e.Tolerance.Regions} {
-		if losses < 0 || losses > constants.LossesMost {
-			return badField("fault_tolerance", fmt.Sprintf("must be between 0 and %d", constants.LossesMost))
+		if losses < 0 || losses > lossesMost {
+			return badField("fault_tolerance", fmt.Sprintf("must be between 0 and %d", lossesMost))
 		}
 	}
 	return nil
@@ -161,19 +161,19 @@
 		return "patient"
 	}
 	if l.Patient == 0 {
-		l.Patient = constants.LongPatient
+		l.Patient = longPatient
 	}
 	if !validNumber(l.Heavy) {
 		return "heavy"
 	}
 	if l.Heavy == 0 {
-		l.Heavy = constants.LongHeavy
+		l.Heavy = longHeavy
 	}
 	if l.Takes < 0 || l.Takes > constants.LongTakeMost {
 		return "takes"
 	}
 	if l.Takes == 0 {
-		l.Takes = constants.LongTakes
+		l.Takes = longTakes
 	}
 	return ""
 }
--- a/internal/settings/losses.go
+++ b/internal/settings/losses.go
@@ -1,7 +1,5 @@
 package settings
 
-import "shaletrestle/internal/constants"
-
 // HasDisk tells whether this machine keeps the control state on its disk.
 func (e *Settings) HasDisk() bool { return e.Quorum && e.DataDir != "" }
 
@@ -17,7 +15,7 @@
 	}
 	tolerance := e.Tolerance
 	least := max(tolerance.Machines, tolerance.Zones, tolerance.Regions)
-	for losses = least; losses <= constants.LossesMost; losses++ {
+	for losses = least; losses <= lossesMost; losses++ {
 		witnesses := 2*losses + 1
 		inZones := tolerance.Zones * mostInOne(witnesses, len(e.Zones))
 		inRegions := tolerance.Regions * mostInOne(witnesses, len(regions))
--- a/internal/settings/main.go
+++ b/internal/settings/main.go
@@ -78,6 +78,6 @@
 // limitMemory sets the collector's bounds for the memory that the settings grant.
 func limitMemory(env *Settings) {
 	granted := env.Limits.MemoryMB * (1 << 20)
-	debug.SetMemoryLimit(int64(granted * constants.SoftMemory))
-	debug.SetGCPercent(constants.CollectAt)
+	debug.SetMemoryLimit(int64(granted * softMemory))
+	debug.SetGCPercent(collectAt)
 }
--- a/internal/settings/reload.go
+++ b/internal/settings/reload.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/task"
 )
 
@@ -46,7 +45,7 @@
 			r.daemon.Leave()
 			r.scope.Stop()
 			return
-		case <-clock.After(constants.WatchFile):
+		case <-clock.After(watchFile):
 			if fileStamp(r.options.file) != r.loaded {
 				r.reload()
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,7 @@
 	Role      string            `yaml:"role"`
 	Serves    []string          `yaml:"serves"`
 	IP        string            `yaml:"ip"`
-	Zone  string            `yaml:"zone"`
+	Zone      string            `yaml:"zone"`
 	Region    string            `yaml:"region"`
 	Zones     map[string]string `yaml:"zones"`
 	Bind      Bind              `yaml:"bind_addresses"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"shaletrestle/internal/constants"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/placement"
 )
@@ -48,10 +47,10 @@
 func TestLongWorkIsOffUnlessAskedFor(t *testing.T) {
 	e, err := Parse([]byte(good), Need{Front: true})
 	require.NoError(t, err)
-	require.Equal(t, LongWork{Patient: constants.LongPatient, Heavy: constants.LongHeavy, Takes: constants.LongTakes}, e.LongWork)
+	require.Equal(t, LongWork{Patient: longPatient, Heavy: longHeavy, Takes: longTakes}, e.LongWork)
 	e, err = Parse([]byte(good+"long_work: {enabled: true, takes: 9, other_zones: true}\n"), Need{Front: true})
 	require.NoError(t, err)
-	require.Equal(t, LongWork{Enabled: true, Patient: constants.LongPatient, Heavy: constants.LongHeavy, Takes: 9, OtherZones: true}, e.LongWork)
+	require.Equal(t, LongWork{Enabled: true, Patient: longPatient, Heavy: longHeavy, Takes: 9, OtherZones: true}, e.LongWork)
 }
 
 func TestParseNamesWhatIsWrong(t *testing.T) {
--- a/internal/sim/replica.go
+++ b/internal/sim/replica.go
@@ -78,7 +78,7 @@
 		ID:       r.ID,
 		Pool:     r.pool,
 		Addr:     r.at,
-		Zone: r.zone,
+		Zone:     r.zone,
 		Software: "v1",
 		Slots:    r.slots,
 		State:    r.state,
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -28,13 +28,13 @@
 	Kind     string          `json:"k"`
 	Base     int64           `json:"base,omitempty"`
 	Body     json.RawMessage `json:"body,omitempty"`
-	Zone string          `json:"loc,omitempty"`
+	Zone     string          `json:"loc,omitempty"`
 	Replicas []*Replica      `json:"rep,omitempty"`
 	Gone     []string        `json:"gone,omitempty"`
 	Size     int             `json:"size,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
 	Delta    bool            `json:"delta,omitempty"` // Nodes only came and Gone went, the others stayed
-	Houses   []Controller         `json:"houses,omitempty"`
+	Houses   []Controller    `json:"houses,omitempty"`
 	Suspects []string        `json:"sus,omitempty"`
 	Digest   []byte          `json:"digest,omitempty"` // of a configuration order, for the memory of those taken
 }
@@ -113,7 +113,7 @@
 	ID       string  `json:"replica_id"`
 	Pool     string  `json:"backend_pool"`
 	Addr     string  `json:"address"`
-	Zone string  `json:"zone"`
+	Zone     string  `json:"zone"`
 	Software string  `json:"revision"`
 	Slots    int     `json:"slots"`
 	State    string  `json:"state"`
@@ -138,7 +138,7 @@
 
 // Controller is a control member.
 type Controller struct {
-	Addr     string `json:"addr"`
+	Addr string `json:"addr"`
 	Zone string `json:"loc"`
 }
 
@@ -162,7 +162,7 @@
 	Listed   bool            `json:"listed,omitempty"`
 	Fleet    int             `json:"fleet,omitempty"`
 	Nodes    []string        `json:"nodes,omitempty"`
-	Houses   []Controller         `json:"houses,omitempty"`
+	Houses   []Controller    `json:"houses,omitempty"`
 }
 
 // EmptyView is the view before the first event.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -14,7 +14,6 @@
 
 	"shaletrestle/coord/attempt"
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // Wire names of the headers that matter here.
@@ -49,7 +48,7 @@
 	Header   http.Header
 	Body     []byte
 	ID       string
-	Events   bool         // the answer is a stream of events
+	Events   bool       // the answer is a stream of events
 	NotAfter clock.Time // no first byte leaves from then on
 	Deadline clock.Time // writing ends
 }
@@ -90,7 +89,7 @@
 		start:   make(chan *exchange, 1),
 		written: make(chan struct{}, 1),
 		dead:    make(chan struct{}),
-		expires: clock.Now().Add(constants.KeepIdle),
+		expires: clock.Now().Add(keepIdle),
 	}
 	go connection.read()
 	return connection
@@ -99,7 +98,7 @@
 // Forgotten tells whether a connection that was reset when it was used again had been forgotten by the
 // replica, as far as the idle time says; it is learned from.
 func (c *Connection) Forgotten() bool {
-	return c.rested >= constants.ForgotIdle && c.pool.forgot(c.rested)
+	return c.rested >= forgotIdle && c.pool.forgot(c.rested)
 }
 
 // Doubt closes the idle connections beside this one: after silence they are in doubt too, and the next
--- a/internal/upstream/keep.go
+++ b/internal/upstream/keep.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"shaletrestle/internal/clock"
-	"shaletrestle/internal/constants"
 )
 
 // Keep is what this process knows of how long one service's replicas keep idle connections, beside what their answers say. A replica may forget one sooner, without a word.
@@ -20,7 +19,7 @@
 func (k *Keep) Kept(idle clock.Duration, now clock.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if idle >= k.proof || now.Sub(k.shown) > constants.KeepProof {
+	if idle >= k.proof || now.Sub(k.shown) > keepProof {
 		k.proof, k.shown = idle, now
 	}
 }
@@ -29,10 +28,10 @@
 func (k *Keep) Forgot(idle clock.Duration, now clock.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if idle < k.proof && now.Sub(k.shown) <= constants.KeepProof {
+	if idle < k.proof && now.Sub(k.shown) <= keepProof {
 		return false
 	}
-	k.limit = max(constants.KeepLeast, min(k.most(now), clock.Duration(float64(idle)*constants.KeepPart)))
+	k.limit = max(keepLeast, min(k.most(now), clock.Duration(float64(idle)*keepPart)))
 	k.at = now
 	return true
 }
@@ -46,17 +45,17 @@
 
 func (k *Keep) most(now clock.Time) clock.Duration {
 	if k.limit == 0 {
-		return constants.KeepLongest
+		return keepLongest
 	}
-	n := min(16, int(now.Sub(k.at)/constants.KeepRelax))
-	return min(constants.KeepLongest, k.limit<<n)
+	n := min(16, int(now.Sub(k.at)/keepRelax))
+	return min(keepLongest, k.limit<<n)
 }
 
 // Sure is the same for what may not be sent again: half of it while a loss was seen lately.
 func (k *Keep) Sure(now clock.Time) clock.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.limit > 0 && now.Sub(k.at) < constants.KeepDoubt {
+	if k.limit > 0 && now.Sub(k.at) < keepDoubt {
 		return k.most(now) / 2
 	}
 	return k.most(now)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -192,7 +192,7 @@
 }
 
 func (p *Pool) dial(owner string, end clock.Time) (*Connection, error) {
-	c, err := p.d.DialReplica(p.addr, min(constants.ReplicaDial, clock.Until(end)))
+	c, err := p.d.DialReplica(p.addr, min(replicaDial, clock.Until(end)))
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -204,10 +204,10 @@
 			continue
 		}
 		if n, err := strconv.Atoi(value); err == nil {
-			return max(0, clock.Seconds(float64(n))-constants.KeepMargin)
+			return max(0, clock.Seconds(float64(n))-keepMargin)
 		}
 	}
-	return constants.KeepIdle
+	return keepIdle
 }
 
 // passEvents tells whole events.
@@ -218,7 +218,7 @@
 	for {
 		line, err := br.ReadSlice('\n')
 		event = append(event, line...)
-		if len(event) > constants.EventMax {
+		if len(event) > eventMax {
 			return errEventTooLarge
 		}
 		if err == bufio.ErrBufferFull {
