--- a/coord/replication/catchup_test.go
+++ b/coord/replication/catchup_test.go
@@ -94,6 +94,30 @@
 	f.copiesAgree(t)
 }
 
+// TestAMemberCatchesUpOverASlowLink loses the backup where the witness, to be given 300 KB, is reached at a low rate.
+func TestAMemberCatchesUpOverASlowLink(t *testing.T) {
+	for _, rate := range []int{512 << 10, 384 << 10, 128 << 10} {
+		t.Run(fmt.Sprint(rate>>10, " KiB a second"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(settingsCount, rate, "a", "b", "c")
+				defer f.end()
+				f.orders(t, 2*settingsCount)
+				_, other, member := f.roles(t)
+				size := len(f.settings[other].Checkpoint())
+				f.watchParts(member, nil)
+				lost := time.Now()
+				f.stop(other)
+				f.order(t)
+				sent, _ := f.stateSent(member)
+				took := time.Since(lost)
+				t.Logf("taken after %v, %d bytes sent for %d", took, sent, size)
+				require.Less(t, took, slowTakeoverWait+time.Duration(size)*time.Second/time.Duration(rate))
+				require.Less(t, sent, size+size/10, "what is on its way is not sent again")
+			})
+		})
+	}
+}
+
 // TestATransferThatBreaksOffGoesOn cuts the receiver off in the middle of parts, again and again. The state is so large that it has several parts.
 func TestATransferThatBreaksOffGoesOn(t *testing.T) {
 	const rate = 2 << 20
