--- a/coord/replication/core/explore_model_test.go
+++ b/coord/replication/core/explore_model_test.go
@@ -100,7 +100,7 @@
 type modelRules struct {
 	calls    []callKind
 	faults   []faultKind
-	starting bool // the search begins with the first start; a lost disk is replaced by another first one
+	starting bool // the search begins with the first start
 	mutation mutation.Kind
 	scratch  []byte // of the digests; a search runs in one goroutine
 }
--- a/coord/replication/core/explore_test.go
+++ b/coord/replication/core/explore_test.go
@@ -235,11 +235,10 @@
 			add(fmt.Sprintf("crash m%d, disk jobs done", i), func(next *model) *model { return next.crash(i, pending) })
 		}
 	case wipeFault:
-		add(fmt.Sprintf("lose disk of m%d", i), func(next *model) *model {
-			next = next.crash(i, 0)
-			next.nodes[i].disk = storedDisk{id: next.nodes[i].disk.id + 100, first: m.rules.starting}
-			return next
-		})
+		m.addWipe(i, false, add)
+		if m.rules.starting {
+			m.addWipe(i, true, add)
+		}
 	case cutFault:
 		add(fmt.Sprintf("cut m%d", i), func(next *model) *model {
 			next.cut = i
@@ -257,6 +256,15 @@
 	}
 }
 
+// addWipe loses a disk; the one in its place may have been made for the first start, too.
+func (m *model) addWipe(i int, first bool, add func(string, func(*model) *model)) {
+	add(fmt.Sprintf("lose disk of m%d, another first disk: %v", i, first), func(next *model) *model {
+		next = next.crash(i, 0)
+		next.nodes[i].disk = storedDisk{id: next.nodes[i].disk.id + 100, first: first}
+		return next
+	})
+}
+
 // touches tells whether a message goes to a member or comes from it.
 func (h happening) touches(i int) bool {
 	return h.message != nil && (h.node == i || memberIndex(h.message.Route().From.Address) == i)
--- a/coord/replication/core/start_test.go
+++ b/coord/replication/core/start_test.go
@@ -74,3 +74,22 @@
 	_, err = New(n.config(), Stored{Entries: []Entry{first}, TailIsOpen: true})
 	require.ErrorIs(t, err, ErrDamaged)
 }
+
+// TestASeedIsReplacedWhileTheFirstViewIsMade loses the disk of each seed at each moment of the first start; another comes in its place, which was not made for the first start.
+func TestASeedIsReplacedWhileTheFirstViewIsMade(t *testing.T) {
+	for seed := range 3 {
+		for at := time.Millisecond; at < 40*time.Millisecond; at += time.Millisecond {
+			w := newWorld(t, 1, "a", "b", "c")
+			w.startAll()
+			w.run(at)
+			w.nodes[seed].stop()
+			w.nodes[seed].wipe()
+			w.run(700 * time.Millisecond)
+			w.nodes[seed].start()
+			w.run(9 * time.Second)
+			p := w.commit("first")
+			require.Len(t, p.core.View().Witnesses, 3)
+			require.NotZero(t, rolesOf(p.core.View(), w.nodes[seed].disk.id))
+		}
+	}
+}
