--- a/coord/replication/core/failure.go
+++ b/coord/replication/core/failure.go
@@ -240,7 +240,9 @@
 	if m.View == nil {
 		return
 	}
-	c.saw(m.From, Status{Fit: true, Position: m.View.Base})
+	if p := c.touch(m.From); p != nil {
+		p.status.Fit = true // or it would not be primary
+	}
 	c.learn(m.View)
 	c.hearOf(m.Members)
 	if c.knownEpoch() == m.View.Epoch {
--- a/coord/replication/core/membership.go
+++ b/coord/replication/core/membership.go
@@ -241,7 +241,7 @@
 	return c.now-answered > c.timing.WitnessLost
 }
 
-// nextCandidate picks whom to give the state next: those that answer, then other areas, then the old copies, then witnesses, then the rest. Members that want to leave come last, only while fewer copies are to be had than before or than are wanted.
+// nextCandidate picks whom to give the state next: those that answer, then other areas, then the old copies, then witnesses, then the rest. Members that want to leave come last, when nobody else is to be had.
 func (c *Core) nextCandidate(base *View, asked, placed []Member) (Member, bool) {
 	notAsked := func(members []Member) []Member {
 		return slices.DeleteFunc(members, func(m Member) bool { return indexOf(asked, m.ID) >= 0 })
--- a/coord/replication/core/view_change.go
+++ b/coord/replication/core/view_change.go
@@ -69,7 +69,7 @@
 	return v.base.Witnesses
 }
 
-// grant counts a witness once and tells whether the quorum is complete.
+// grant counts a witness once.
 func (v *viewChange) grant(id MemberID) {
 	if indexOf(v.electorate(), id) >= 0 && !slices.Contains(v.granted, id) {
 		v.granted = append(v.granted, id)
