--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -11,8 +11,12 @@
 	"testing"
 )
 
-// atOnce bounds how many mutants are built and run at the same time.
-const atOnce = 2
+const (
+	// atOnce bounds how many mutants are built and run at the same time.
+	atOnce = 2
+	// runTime ends a mutant that hangs. A run takes a few seconds on a free machine, a minute on a crowded one.
+	runTime = "5m"
+)
 
 var slots = make(chan struct{}, atOnce)
 
@@ -37,7 +41,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%s: the mutant does not compile: %s", m.Name, out)
 	}
-	out, err := exec.Command(binary, "-test.run", m.Run, "-test.failfast", "-test.timeout", "60s").CombinedOutput()
+	out, err := exec.Command(binary, "-test.run", m.Run, "-test.failfast", "-test.timeout", runTime).CombinedOutput()
 	if err == nil {
 		t.Fatalf("%s: no test found it\n%s", m.Name, out)
 	}
