--- a/coord/replication/core/simulation/liveness_test.go
+++ b/coord/replication/core/simulation/liveness_test.go
@@ -8,7 +8,7 @@
 
 const (
 	serveWithin   = 2 * time.Second        // after the last trouble orders are acknowledged again
-	serveMargin   = 500 * time.Millisecond // on top of it
+	serveMargin   = 100 * time.Millisecond // on top of it
 	longestGap    = 1500 * time.Millisecond
 	livenessCheck = 100 * time.Millisecond
 )
--- a/coord/replication/core/simulation/process_test.go
+++ b/coord/replication/core/simulation/process_test.go
@@ -56,16 +56,12 @@
 
 // start begins a new life on a machine.
 func (h *host) start() {
-	if h.process != nil || h.gone {
-		return
-	}
-	if h.disk.first && h.disk.register.View == nil { // it is still about the first start
-		h.startWith(h.cluster.seeds)
-		return
+	if h.process == nil && !h.gone {
+		h.startWith(h.cluster.seedsFor(h))
 	}
-	h.startWith(h.cluster.seedsFor(h))
 }
 
+// startWith begins a life with a list of seeds. A disk of the first start keeps the list of its first life.
 func (h *host) startWith(seeds []string) {
 	c := h.cluster
 	store := newKeyStore(c.history)
@@ -76,9 +72,11 @@
 		Areas:     1,
 		Relay:     h.relay,
 		Bootstrap: h.disk.first,
-		Machine:   store,
-		Timing:    core.DefaultTiming(),
-		Limits:    c.settings.Limits,
+
+		FirstSeeds: h.disk.firstSeeds(),
+		Machine:    store,
+		Timing:     core.DefaultTiming(),
+		Limits:     c.settings.Limits,
 	}
 	started, err := core.New(config, h.disk.load())
 	if err != nil {
@@ -105,6 +103,14 @@
 	p.armTick()
 }
 
+// firstSeeds are the seeds of the first life of a disk of the first start.
+func (d *disk) firstSeeds() []string {
+	if !d.first {
+		return nil
+	}
+	return d.cluster.seeds
+}
+
 // seedsFor are the addresses in a process's settings: any three machines of the group, one of them another that is not lost.
 func (c *cluster) seedsFor(h *host) []string {
 	var addresses []string
--- a/coord/replication/core/simulation/schedule_test.go
+++ b/coord/replication/core/simulation/schedule_test.go
@@ -27,8 +27,9 @@
 	Seed     uint64
 	Profile  profile
 	Mutation mutation.Kind
-	Plan     plan // nil: the seed's
-	Blind    bool // only the clients' history is checked
+	Plan     plan      // nil: the seed's
+	Settings *settings // nil: the seed's
+	Blind    bool      // only the clients' history is checked
 }
 
 // outcome is what a run found.
@@ -42,6 +43,9 @@
 func (s schedule) run(traced bool) outcome {
 	random := rand.New(rand.NewPCG(s.Seed, 1+uint64(s.Profile)))
 	drawn := newSettings(s.Profile, random)
+	if s.Settings != nil {
+		drawn = *s.Settings
+	}
 	made := newPlan(drawn, s.Profile, random)
 	if s.Plan != nil {
 		made = s.Plan
@@ -85,15 +89,16 @@
 	}
 }
 
-// report describes a failing schedule: seed, plan and the end of the trace.
+// report describes a failing schedule: seed, the plan cut down to what it takes, and the end of the trace.
 func (s schedule) report(found outcome) string {
+	s, found = s.shrink(found)
 	again := s.run(true)
 	lines := again.cluster.lines
 	if *traceFile != "" {
 		_ = os.WriteFile(*traceFile, []byte(strings.Join(lines, "\n")+"\n"), 0o644)
 	}
 	last := lines[max(0, len(lines)-60):]
-	return fmt.Sprintf("seed %d, profile %v: %s\n%v\n%s", s.Seed, s.Profile, found.violation, found.plan, strings.Join(last, "\n"))
+	return fmt.Sprintf("seed %d, profile %v: %s\n%+v\n%v\n%s", s.Seed, s.Profile, found.violation, again.cluster.settings, s.Plan, strings.Join(last, "\n"))
 }
 
 // runMany plays many seeds, some at once, and gives the first failing ones.
