Lease: a give-back is numbered when the lease is given up; late requests change no order

By reading besides: a late renewal lowered the number of the grant, so that an older give-back counted again, and requests of a holder's earlier life could take back what its next life held. Each has a test.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -14,10 +14,25 @@
 type grant struct {
 	holder uint64
 	life   uint64 // of the holder's process
-	number uint64 // of the request in that life
+	mixed  bool   // requests of another life of the holder came meanwhile
+	number uint64 // the highest of a renewal in that life
 	until  clock.Time
 }
 
+// renew extends a grant that runs. A request may be a late one: it neither shortens the grant nor lowers its number, so that an old give-back stays older than what was granted since. Of two lives of the holder nobody here knows which is the later, so no give-back counts any more.
+func (g *grant) renew(life, number uint64, until clock.Time) {
+	g.mixed = g.mixed || g.life != life
+	g.number = max(g.number, number)
+	if until.After(g.until) {
+		g.until = until
+	}
+}
+
+// givenBackBy tells whether a give-back is newer than all that the grant stands for.
+func (g *grant) givenBackBy(life, number uint64) bool {
+	return !g.mixed && g.life == life && g.number < number
+}
+
 // Grantor answers lease requests. It keeps nothing on disk: a new one refuses until any lease that its forerunner gave has ended.
 type Grantor struct {
 	mu    sync.Mutex
@@ -37,22 +52,23 @@
 		return n.Reply(false)
 	}
 	held, known := g.given[n.Word]
-	mine := known && held.holder == n.From.ID
-	if known && !mine && now.Before(held.until) {
+	runs := known && now.Before(held.until)
+	if runs && held.holder != n.From.ID {
 		return n.Reply(false)
 	}
 	if n.Span == 0 {
-		if mine && held.life == n.Ballot && held.number < n.Number {
+		if runs && held.givenBackBy(n.Ballot, n.Number) {
 			delete(g.given, n.Word)
 		}
 		return n.Reply(true)
 	}
-	g.given[n.Word] = grant{
-		holder: n.From.ID,
-		life:   n.Ballot,
-		number: n.Number,
-		until:  now.Add(min(clock.Duration(n.Span), constants.LeaseSpan)),
+	until := now.Add(min(clock.Duration(n.Span), constants.LeaseSpan))
+	if runs {
+		held.renew(n.Ballot, n.Number, until)
+	} else {
+		held = grant{holder: n.From.ID, life: n.Ballot, number: n.Number, until: until}
 	}
+	g.given[n.Word] = held
 	return n.Reply(true)
 }
 
@@ -118,9 +134,10 @@
 	had := !h.until.IsZero()
 	h.until = clock.Time{}
 	h.givenBack++
+	number := h.nextRequest() // under the same lock: a renewal that begins after this has a higher one
 	h.mu.Unlock()
 	if had {
-		h.round(0)
+		h.round(0, number)
 	}
 }
 
@@ -132,9 +149,10 @@
 	}
 	h.mu.Lock()
 	givenBack := h.givenBack
+	number := h.nextRequest()
 	h.mu.Unlock()
 	start := clock.Now()
-	if !h.round(uint64(constants.LeaseSpan)) {
+	if !h.round(uint64(constants.LeaseSpan), number) {
 		return false
 	}
 	h.mu.Lock()
@@ -152,12 +170,14 @@
 	return true
 }
 
-// round asks all grantors and tells whether most of them agreed.
-func (h *Holder) round(span uint64) bool {
-	h.mu.Lock()
+// nextRequest numbers a request. The caller holds the lock.
+func (h *Holder) nextRequest() uint64 {
 	h.requests++
-	number := h.requests
-	h.mu.Unlock()
+	return h.requests
+}
+
+// round asks all grantors and tells whether most of them agreed.
+func (h *Holder) round(span, number uint64) bool {
 	seats := h.from()
 	ch := make(chan bool, len(seats))
 	for _, s := range seats {
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -240,3 +240,55 @@
 		require.True(t, a.Held())
 	})
 }
+
+// TestALateRenewalDoesNotMakeAnOlderGiveBackCount delivers a renewal and the give-back after it only when a newer renewal was granted.
+func TestALateRenewalDoesNotMakeAnOlderGiveBackCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(constants.LeaseSpan)
+		a, b := f.holder(1), f.holder(2)
+		a.requests = 2 // the first two are under way still
+		require.True(t, a.Renew())
+		renewal := &rpc.Message{Kind: rpc.Lease, From: rpc.Member{ID: 1}, Word: "list", Ballot: a.life, Number: 1, Span: uint64(constants.LeaseSpan)}
+		giveBack := &rpc.Message{Kind: rpc.Lease, From: rpc.Member{ID: 1}, Word: "list", Ballot: a.life, Number: 2}
+		for _, g := range f.g {
+			g.Handle(renewal)
+			g.Handle(giveBack)
+		}
+		require.False(t, b.Renew())
+		require.True(t, a.Held())
+	})
+}
+
+// TestAnEarlierLifeTakesNothingBack delivers requests of a holder's earlier life after its next one was granted the lease.
+func TestAnEarlierLifeTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(constants.LeaseSpan)
+		a, b := f.holder(1), f.holder(2)
+		require.True(t, a.Renew())
+		renewal := &rpc.Message{Kind: rpc.Lease, From: rpc.Member{ID: 1}, Word: "list", Ballot: a.life + 1, Number: 8, Span: uint64(constants.LeaseSpan)}
+		giveBack := &rpc.Message{Kind: rpc.Lease, From: rpc.Member{ID: 1}, Word: "list", Ballot: a.life + 1, Number: 9}
+		for _, g := range f.g {
+			g.Handle(renewal)
+			g.Handle(giveBack)
+		}
+		require.False(t, b.Renew())
+		require.True(t, a.Held())
+	})
+}
+
+// TestAGiveBackIsOlderThanARenewalThatBeginsAfterIt looks at the numbers that order them at the grantors.
+func TestAGiveBackIsOlderThanARenewalThatBeginsAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		time.Sleep(constants.LeaseSpan)
+		a := f.holder(1)
+		require.True(t, a.Renew())
+		f.lag = 20 * time.Millisecond
+		go a.giveBack()
+		synctest.Wait()
+		require.Equal(t, uint64(2), a.requests, "numbered when the lease is given up, not when it is sent")
+		time.Sleep(time.Second)
+	})
+}
