Request log: failed and slow requests are explained by Attempt-Id; durations by cause

Cause: metrics were totals, and nothing said afterwards which attempts a failed request had made, where, how each ended, what was waited for and which revision and update it was judged by. Change: package requestlog keeps the newest 128 failed and 128 slow requests, served at /requests and /requests/ID of the router's state port, writes a sampled line each (request failed, request slow) and holds a histogram router_request_duration_seconds by the cause of the end. Samples take any label.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,6 @@
 // Package metrics serves the figures of a program in the Prometheus text format.
 //
-// It owns no state: programs keep their counts themselves, and samples are made of them at each request. Its functions
+// It owns no state: programs keep their counts and histograms themselves, and samples are made of the counts at each request. Its functions
 // are safe for concurrent use.
 package metrics
 
@@ -17,22 +17,26 @@
 // Path is where metrics are served on a state port.
 const Path = "/metrics"
 
-// serviceLabel is the one label that samples have.
-const serviceLabel = "service"
+// Label is a name and a value that tell samples of one metric apart. Its zero value is no label.
+type Label struct{ Name, Value string }
 
-// Sample is one metric and its value of the moment. Samples of the same name must agree in all but Value and Service.
+// Service is the label of a sample that belongs to one service.
+func Service(name string) Label { return Label{Name: "service", Value: name} }
+
+// Sample is one metric and its value of the moment. Samples of the same name must agree in all but Value and the label's
+// value.
 type Sample struct {
 	Name      string // ends in its unit, as in _total, _seconds, _bytes
 	Help      string
 	IsCounter bool // it only rises while the process runs; others are gauges
 	Value     float64
-	Service   string // of its label "service"; empty: it has none
+	Label     Label
 }
 
 func (s *Sample) metric() prometheus.Metric {
 	var labels, values []string
-	if s.Service != "" {
-		labels, values = []string{serviceLabel}, []string{s.Service}
+	if s.Label.Name != "" {
+		labels, values = []string{s.Label.Name}, []string{s.Label.Value}
 	}
 	kind := prometheus.GaugeValue
 	if s.IsCounter {
@@ -54,13 +58,15 @@
 	}
 }
 
-// Serve writes samples as an answer. Samples that contradict each other, or that are given twice, are answered
-// with an internal error. A client that is gone is not reported.
-func Serve(w http.ResponseWriter, current []Sample) {
+// Serve writes samples, and what further collectors hold, as an answer. Samples that contradict each other, or that are
+// given twice, are answered with an internal error. A client that is gone is not reported.
+func Serve(w http.ResponseWriter, current []Sample, further ...prometheus.Collector) {
 	registry := prometheus.NewRegistry()
-	if err := registry.Register(samples(current)); err != nil {
-		httpreply.Error(w, errkind.Wrap(errkind.Internal, err, "metrics"))
-		return
+	for _, collector := range append(further, samples(current)) {
+		if err := registry.Register(collector); err != nil {
+			httpreply.Error(w, errkind.Wrap(errkind.Internal, err, "metrics"))
+			return
+		}
 	}
 	families, err := registry.Gather()
 	if err != nil {
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -11,6 +11,7 @@
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/longwork"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/requestlog"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/upstream"
@@ -44,9 +45,11 @@
 
 	// What is known of it.
 	history     attempt.History
-	started     bool  // the client has the head of a response
-	lastEventID int64 // of the newest event that the client has, -1 before the first
-	eventStep   int64 // between the ids of two events; 0: not known
+	trail       requestlog.Trail
+	started     bool      // the client has the head of a response
+	firstByteAt time.Time // when a response began; zero: none has
+	lastEventID int64     // of the newest event that the client has, -1 before the first
+	eventStep   int64     // between the ids of two events; 0: not known
 }
 
 func newRequest(router *Router, writer http.ResponseWriter, inbound *http.Request) *request {
@@ -70,13 +73,14 @@
 		writer.Header().Set("Connection", "close")
 	}
 	req := newRequest(r, writer, inbound)
-	defer req.release()
+	defer req.end()
 	if !req.awaitReady() || !req.validate() {
 		return
 	}
 	req.route = req.table.Match(inbound.Host, inbound.RequestURI)
 	if req.route == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(inbound.Body, settings.HeaderBytes))
+		req.trail.Finish(requestlog.NoRoute, "")
 		httpreply.Error(writer, errkind.New(errkind.NoRoute, "no route"))
 		return
 	}
@@ -94,7 +98,7 @@
 		req.table = req.router.table.Load()
 		return true
 	case <-time.After(readyTimeout):
-		req.reject(errkind.Unavailable)
+		req.reject(errkind.Unavailable, "no configuration or list of replicas yet")
 	case <-req.inbound.Context().Done():
 		req.abort()
 	}
@@ -118,6 +122,7 @@
 // refuseAndClose answers an unacceptable request and lets its connection end: its next bytes may be part of
 // this request. It returns false, for validate and readBody.
 func (req *request) refuseAndClose(kind errkind.Kind, text string) bool {
+	req.trail.Finish(requestlog.InvalidRequest, text)
 	req.writer.Header().Set("Connection", "close")
 	httpreply.Error(req.writer, errkind.New(kind, "%s", text))
 	return false
@@ -135,6 +140,35 @@
 	return size
 }
 
+// end records how the request ended, and gives back what it holds.
+func (req *request) end() {
+	req.router.requests.Finish(req.describe(), &req.trail)
+	req.release()
+}
+
+// describe sums the request up for its record.
+func (req *request) describe() *requestlog.Request {
+	position := req.router.cursor.Position()
+	summary := &requestlog.Request{
+		AttemptID:    req.inbound.Header.Get(upstream.HeaderAttemptID),
+		Method:       req.inbound.Method,
+		Target:       req.inbound.RequestURI,
+		ArrivedAt:    req.arrived,
+		FirstByteAt:  req.firstByteAt,
+		Deadline:     req.deadline,
+		Revision:     req.table.Revision,
+		UpdateEpoch:  position.Epoch,
+		UpdateNumber: position.Number,
+	}
+	if req.route != nil {
+		summary.Route, summary.LatencyTarget = req.route.Name, req.route.LatencyTarget
+	}
+	if req.service != nil {
+		summary.Service = req.service.Name
+	}
+	return summary
+}
+
 // release gives back what a request holds in this process, whatever became of it.
 func (req *request) release() {
 	if req.work != nil {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -58,7 +58,7 @@
 	name := req.route.ChooseService(req.affinityKey(parts))
 	req.service = req.table.Pools[name]
 	if req.service == nil {
-		req.reject(errkind.Unavailable)
+		req.reject(errkind.Unavailable, "the service is not configured")
 		return false
 	}
 	req.header = forwardHeader(req.inbound.Header)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -27,13 +27,16 @@
 func (req *request) attempt(choice placement.Choice) outcome {
 	placed := req.placed(choice)
 	defer req.router.placer.Release(placed)
+	req.trail.Begin(choice.Replica.ID)
 	connection, out := req.connect(choice)
 	if connection == nil {
 		return out
 	}
+	req.trail.Connected()
 	sentAt := time.Now()
 	if time.Until(req.deadline) <= responseReserve {
 		connection.Release()
+		req.endAttempt("no time is left")
 		return outcomeRetry // the loop says that the time ran out
 	}
 	req.history.BeginSend()
@@ -77,6 +80,7 @@
 		return nil, outcomeAnswered
 	}
 	if err != nil {
+		req.endAttempt(err.Error())
 		req.wanted.Excluded[id] = true
 		if errors.Is(err, upstream.ErrDial) {
 			req.recordFault(id, outlier.ConnectionRefused)
@@ -88,6 +92,7 @@
 	if req.history.Sends() > 0 {
 		if !req.router.budget.Take(req.service.Name, left) {
 			connection.Release()
+			req.endAttempt("no retry is left in the budget")
 			req.fail(errkind.UpstreamFailure, "no further try is left")
 			return nil, outcomeAnswered
 		}
@@ -100,6 +105,7 @@
 	}
 	if !req.router.placer.Allowed(id) {
 		connection.Release()
+		req.endAttempt("the replica may no longer be sent to")
 		return nil, outcomeRetry
 	}
 	return connection, outcomePending
@@ -150,6 +156,7 @@
 
 // handleSendError handles a request that was not sent completely.
 func (req *request) handleSendError(id string, connection *upstream.Connection, state attempt.State, err error) outcome {
+	req.endAttempt(err.Error())
 	if !errors.Is(err, upstream.ErrTooLate) && !errors.Is(err, upstream.ErrSameAttempt) {
 		req.handleLoss(id, connection, outlier.ConnectionReset, true)
 	}
@@ -159,6 +166,9 @@
 	return req.retry("sending failed")
 }
 
+// endAttempt records how the present attempt ended.
+func (req *request) endAttempt(how string) { req.trail.End(req.history.Current(), how) }
+
 // recordFault records a fault of a replica and excludes it from this request's next choice.
 func (req *request) recordFault(id string, kind outlier.FailureKind) {
 	req.wanted.Excluded[id] = true
@@ -182,6 +192,7 @@
 // retry ends an attempt that gave no usable response: another replica may be tried, or else the client is answered. A
 // stream that was begun is resumed only if its events have ids: without them the next event can't be recognized.
 func (req *request) retry(cause string) outcome {
+	req.endAttempt(cause)
 	resumable := !req.started || req.lastEventID >= 0
 	if resumable && req.mayRetry() {
 		return outcomeRetry
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -62,7 +62,7 @@
 func (req *request) reserveBody(size int64) bool {
 	if !req.router.bodies.TryAcquire(req.route.Name, size) {
 		req.writer.Header().Set("Connection", "close")
-		req.reject(errkind.Overloaded)
+		req.reject(errkind.Overloaded, "memory for bodies is short")
 		return false
 	}
 	req.reservedBytes += size
--- a/internal/router/finish.go
+++ b/internal/router/finish.go
@@ -5,6 +5,7 @@
 
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
+	"shaletrestle/internal/requestlog"
 )
 
 // What Retry-After says, in seconds.
@@ -13,13 +14,14 @@
 	retryAfterUnreadyS = 0.8 // while this process has no configuration or list yet: about what a start takes
 )
 
-// reject promises that nothing was run and never will be.
-func (req *request) reject(kind errkind.Kind) {
+// reject promises that nothing was run and never will be. The detail is for the record of the request only.
+func (req *request) reject(kind errkind.Kind, detail string) {
 	req.router.counts.rejected.Inc()
-	after := retryAfterS
+	after, cause := retryAfterS, requestlog.Overloaded
 	if kind == errkind.Unavailable {
-		after = retryAfterUnreadyS
+		after, cause = retryAfterUnreadyS, requestlog.NotReady
 	}
+	req.trail.Finish(cause, detail)
 	httpreply.Reject(req.writer, kind, after)
 }
 
@@ -29,18 +31,29 @@
 	switch {
 	case req.started:
 		req.router.counts.failed.Inc()
+		req.trail.Finish(requestlog.CutOff, cause)
 		panic(http.ErrAbortHandler) // the client must see that it is incomplete
 	case !req.history.MayHaveRun():
-		req.reject(errkind.Overloaded)
+		req.reject(errkind.Overloaded, cause)
 	default:
 		req.router.counts.failed.Inc()
+		req.trail.Finish(failureCause(kind), cause)
 		httpreply.Error(req.writer, errkind.New(kind, "%s", cause))
 	}
 }
 
+// failureCause is the cause of an end with an error of this router's own.
+func failureCause(kind errkind.Kind) requestlog.Cause {
+	if kind == errkind.DeadlineExceeded {
+		return requestlog.DeadlineExceeded
+	}
+	return requestlog.UpstreamFailure
+}
+
 // abort ends a request whose client is gone. The connection is closed: a handler that just returned would have an empty
 // success sent to a client that closed only its own direction.
 func (req *request) abort() {
+	req.trail.Finish(requestlog.ClientGone, "")
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -36,10 +36,10 @@
 	}
 	for service := range r.table.Load().Pools {
 		samples = append(samples, metrics.Sample{
-			Name:    "router_retry_budget_left",
-			Help:    "Retries that this node may still make, by service.",
-			Value:   r.budget.Remaining(service),
-			Service: service,
+			Name:  "router_retry_budget_left",
+			Help:  "Retries that this node may still make, by service.",
+			Value: r.budget.Remaining(service),
+			Label: metrics.Service(service),
 		})
 	}
 	return samples
--- a/internal/router/mutation_test.go
+++ b/internal/router/mutation_test.go
@@ -19,7 +19,7 @@
 		{Name: "a seal on an answer of our own", File: "relay.go", From: "\t\treq.fail(errkind.UpstreamFailure, \"the replica refused", To: "\t\tcopyResponseHeader(req.writer.Header(), response.Header)\n\t\treq.fail(errkind.UpstreamFailure, \"the replica refused", Run: "EveryPair"},
 		{Name: "a cut stream ends as complete", File: "finish.go", From: "panic(http.ErrAbortHandler) // the client must see that it is incomplete", To: "return", Run: "ResponseCutAtEveryByte"},
 		{Name: "events of any run are joined", File: "relay.go", From: "if !req.mayFollow(event.ID, *joined) {", To: "if false {", Run: "EveryPair|ResponseCutAtEveryByte|Joined"},
-		{Name: "a gone client gets an empty success", File: "finish.go", From: "func (req *request) abort() {\n\tpanic(http.ErrAbortHandler)", To: "func (req *request) abort() {", Run: "HalfClosed"},
+		{Name: "a gone client gets an empty success", File: "finish.go", From: "\treq.trail.Finish(requestlog.ClientGone, \"\")\n\tpanic(http.ErrAbortHandler)", To: "\treq.trail.Finish(requestlog.ClientGone, \"\")", Run: "HalfClosed"},
 		{Name: "no time before the first byte", File: "attempt.go", From: "NotAfter:  notAfter,", To: "NotAfter:  notAfter.Add(1 << 60),", Run: "Frozen"},
 		{Name: "the route's timeout is not looked at", File: "admit.go", From: "min(clientTimeout(req.inbound.Header), req.route.Timeout)", To: "clientTimeout(req.inbound.Header)", Run: "EveryRequestEndsInTime"},
 		{Name: "a wait goes on past the deadline", File: "receive.go", From: "wait := time.Until(req.deadline)\n", To: "wait := time.Until(req.deadline) + req.route.Timeout\n", Run: "EveryRequestEndsInTime"},
--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -9,6 +9,7 @@
 
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/longwork"
+	"shaletrestle/internal/requestlog"
 	"shaletrestle/internal/upstream"
 )
 
@@ -99,6 +100,7 @@
 		return outcomeAnswered
 	}
 	if update.IsStream {
+		req.trail.Finish(requestlog.Served, "by a peer")
 		return outcomeAnswered
 	}
 	return req.complete(update.Part, "")
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -38,7 +38,7 @@
 	}
 	if req.history.Sends() == 0 && !admits(choice, left) {
 		req.router.placer.Release(req.placed(choice))
-		req.reject(errkind.Overloaded)
+		req.reject(errkind.Overloaded, "the queue is predicted to outlast the deadline")
 		return outcomeAnswered
 	}
 	return req.attempt(choice)
@@ -63,10 +63,11 @@
 // and no replica can have run it. All replicas are candidates again afterwards.
 func (req *request) awaitReplica() outcome {
 	if !req.history.MayHaveRun() && time.Until(req.rejectAfter()) <= 0 {
-		req.reject(errkind.Overloaded)
+		req.reject(errkind.Overloaded, "no replica could be used")
 		return outcomeAnswered
 	}
 	clear(req.wanted.Excluded)
+	req.trail.Waited(placeRetryInterval)
 	select {
 	case <-time.After(placeRetryInterval):
 		return outcomeRetry
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -98,6 +98,7 @@
 	req, id := r.request, r.choice.Replica.ID
 	switch part.Kind {
 	case upstream.PartHead:
+		req.trail.Answered(part.Status)
 		req.recordLoad(id, part.Header.Get(upstream.HeaderLoad))
 		r.head = *part
 	case upstream.PartEvent:
@@ -110,6 +111,7 @@
 		r.head.Bytes = part.Bytes
 	case upstream.PartEnd:
 		req.history.Advance(part.State)
+		req.endAttempt(part.State.String())
 		if part.State == attempt.Answered && r.head.Status < http.StatusInternalServerError {
 			req.router.placer.FirstToken(r.placed, time.Since(r.sentAt), r.choice.PredictedTTFT)
 		}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -10,6 +10,7 @@
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/longwork"
 	"shaletrestle/internal/placement"
+	"shaletrestle/internal/requestlog"
 	"shaletrestle/internal/upstream"
 )
 
@@ -61,16 +62,17 @@
 	*joined = true
 	if !req.started {
 		req.started = true
+		req.firstByteAt = time.Now()
 		req.recordFirstEvent()
 		copyResponseHeader(req.writer.Header(), head)
 		req.writer.WriteHeader(http.StatusOK)
 	}
 	_ = req.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := req.writer.Write(event.Bytes); err != nil {
-		panic(http.ErrAbortHandler)
+		req.abort()
 	}
 	if req.control.Flush() != nil {
-		panic(http.ErrAbortHandler)
+		req.abort()
 	}
 	return true
 }
@@ -126,6 +128,7 @@
 		if response.Bytes != nil { // a resumed run answered with something else than events
 			return req.retry("not resumed")
 		}
+		req.trail.Finish(requestlog.Served, "")
 		return outcomeAnswered
 	}
 	switch {
@@ -139,8 +142,18 @@
 	return outcomeAnswered
 }
 
+// relayedCause is the cause of an end with a replica's own status.
+func relayedCause(status int) requestlog.Cause {
+	if status >= http.StatusInternalServerError {
+		return requestlog.ReplicaError
+	}
+	return requestlog.Served
+}
+
 // relay sends a replica's complete response on, its status and seal unchanged.
 func (req *request) relay(response *upstream.Part) {
+	req.firstByteAt = time.Now()
+	req.trail.Finish(relayedCause(response.Status), "")
 	copyResponseHeader(req.writer.Header(), response.Header)
 	req.writer.Header().Set("Content-Length", strconv.Itoa(len(response.Bytes)))
 	req.writer.WriteHeader(response.Status)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"shaletrestle/internal/longwork"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
+	"shaletrestle/internal/requestlog"
 	"shaletrestle/internal/retrybudget"
 	"shaletrestle/internal/routing"
 	"shaletrestle/internal/settings"
@@ -79,6 +80,7 @@
 	machine  *slowness.Monitor
 
 	counts     counts
+	requests   *requestlog.Log
 	dialCounts upstream.DialCounts
 
 	mu          sync.Mutex                     // guards the fields below
@@ -106,6 +108,7 @@
 		becameReady: make(chan struct{}),
 		bodies:      fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
 		prefixes:    prefixindex.NewIndex(),
+		requests:    requestlog.New(log),
 		machine:     slowness.NewMonitor(log, options.SlownessProbe),
 		pools:       map[string]*upstream.Pool{},
 		keepAlives:  map[string]*upstream.KeepAlive{},
--- a/internal/router/statepage.go
+++ b/internal/router/statepage.go
@@ -2,17 +2,25 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/version"
 )
 
-// serveState answers on the state port: the metrics under their path, else the state page. The keys of the page are an
+// requestsPath is where the newest failed and slow requests are; behind it, after a slash, may stand an Attempt-Id.
+const requestsPath = "/requests"
+
+// serveState answers on the state port: the metrics and the requests under their paths, else the state page. The keys of the page are an
 // interface: they don't follow the names in the code.
 func (r *Router) serveState(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == metrics.Path {
-		metrics.Serve(writer, r.samples())
+		metrics.Serve(writer, r.samples(), r.requests.Collectors()...)
+		return
+	}
+	if id, found := strings.CutPrefix(request.URL.Path, requestsPath); found {
+		httpreply.JSON(writer, http.StatusOK, r.requests.Page(strings.TrimPrefix(id, "/")))
 		return
 	}
 	view := r.store.View()
