--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/atomic"
 
+	"shaletrestle/coord/invariant"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/coord/wait"
 )
@@ -38,6 +40,7 @@
 
 	mu           sync.Mutex
 	acknowledged acknowledgement // guarded by mu: what was acknowledged last
+	highest      Position        // guarded by mu: that the sink was seen at
 }
 
 // FollowerOptions configure a follower.
@@ -59,10 +62,23 @@
 	AckBody func() []byte
 	// OnMessage takes the parent's messages that are no updates, one at a time. nil: they are dropped.
 	OnMessage func(*rpc.Message)
+	// Log takes lines on updates that can't be used. nil: nothing is logged.
+	Log *slog.Logger
+	// Invariants takes violations of InvariantUpdateOrder. nil: they are not recorded.
+	Invariants *invariant.Recorder
 }
 
+// InvariantUpdateOrder is that the position of a follower's sink never goes back, over all its parents.
+const InvariantUpdateOrder invariant.Name = "update_order"
+
 // NewFollower makes a follower, which does nothing until Run.
-func NewFollower(options FollowerOptions) *Follower { return &Follower{options: options} }
+func NewFollower(options FollowerOptions) *Follower {
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
+	options.Log = options.Log.With("part", "distribution")
+	return &Follower{options: options}
+}
 
 // Self is how this follower names itself to its parent.
 func (f *Follower) Self() rpc.Member { return f.options.Self }
@@ -112,13 +128,29 @@
 		}
 		return
 	}
-	if !f.apply(message) || !message.OK {
+	applied := f.apply(message)
+	f.checkOrder()
+	if !applied || !message.OK {
 		channel.Close()
 		return
 	}
 	f.ack(channel, false)
 }
 
+// checkOrder checks that the sink has not gone back. The position is read under the lock: the readers of an old and a new
+// channel may overlap.
+func (f *Follower) checkOrder() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.options.Sink.Position()
+	if at.Before(f.highest) {
+		f.options.Invariants.Violated(InvariantUpdateOrder,
+			"highest_epoch", f.highest.Epoch, "highest_number", f.highest.Number, "epoch", at.Epoch, "number", at.Number)
+		return
+	}
+	f.highest = at
+}
+
 // follow follows one parent until its channel ends or is silent.
 func (f *Follower) follow(ctx context.Context, address string) {
 	connection, err := f.options.Net.Dial(address, rpc.DialTimeout)
@@ -227,7 +259,7 @@
 	here := sink.Position()
 	switch form(message.Text) {
 	case formSnapshot:
-		return sink.Restore(at, message.Body, message.OK) == nil
+		return f.restore(at, message)
 	case formWait:
 		return at.Epoch >= here.Epoch
 	case formHeartbeat:
@@ -237,5 +269,27 @@
 		sink.MarkContact()
 		return true
 	}
-	return sink.Apply(at, message.Body)
+	return f.applyChange(at, message.Body)
+}
+
+// restore puts a snapshot into the sink. One that is older than what is here is usual after a change of parents.
+func (f *Follower) restore(at Position, message *rpc.Message) bool {
+	err := f.options.Sink.Restore(at, message.Body, message.OK)
+	if err != nil && !errors.Is(err, ErrStale) {
+		f.options.Log.Error("cannot restore snapshot", "parent", f.parent.Load(), "epoch", at.Epoch, "number", at.Number, "error", err.Error())
+	}
+	return err == nil
+}
+
+// applyChange puts a change into the sink. One that does not follow is usual, as after a change of parents; one that
+// follows and can't be applied is not.
+func (f *Follower) applyChange(at Position, body []byte) bool {
+	sink := f.options.Sink
+	if sink.Apply(at, body) {
+		return true
+	}
+	if here := sink.Position(); here.Epoch == at.Epoch && here.Number+1 == at.Number {
+		f.options.Log.Error("cannot apply received update", "parent", f.parent.Load(), "epoch", at.Epoch, "number", at.Number, "bytes", len(body))
+	}
+	return false
 }
--- a/coord/replication/config.go
+++ b/coord/replication/config.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"shaletrestle/coord/invariant"
 	"shaletrestle/coord/replication/core"
 	"shaletrestle/coord/rpc"
 )
@@ -69,6 +70,8 @@
 	Transport Transport
 	// OnBecomePrimary is called when this member became primary, before anything else is done as primary. It must not block. nil: nothing.
 	OnBecomePrimary func(epoch uint64)
+	// Invariants takes violations of the invariants that the member checks. nil: they are not recorded.
+	Invariants *invariant.Recorder
 	// OnStepDown is called when this member is no longer primary. It must not block. nil: nothing.
 	OnStepDown func()
 }
--- a/coord/replication/member.go
+++ b/coord/replication/member.go
@@ -133,6 +133,7 @@
 
 // step lets the core handle one event and performs the effects, all before the next event. It returns the time until the core must be ticked.
 func (m *Member) step(ctx context.Context, event core.Event) time.Duration {
+	m.checkReceived(event)
 	m.mu.Lock()
 	now := m.now()
 	if _, isTick := event.(core.Tick); isTick {
@@ -158,6 +159,7 @@
 	if known := m.core.KnownEpoch(); known > 0 && (old.view == nil || old.view.Epoch != known) {
 		next.view = m.core.View()
 	}
+	m.checkView(old.view, next.view)
 	if next != *old {
 		m.status.Store(&next)
 	}
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -45,8 +45,18 @@
 	log         *slog.Logger
 	control     ControlState
 	primaryLoss primaryLoss
+	counts      callCounts
 }
 
+// Handler answers the operator's calls. It is safe for concurrent use.
+type Handler struct {
+	http.Handler
+	server *server
+}
+
+// Counts lists how often each call was answered with each status.
+func (h *Handler) Counts() []CallCount { return h.server.counts.list() }
+
 // call is one call of the operator.
 type call struct {
 	writer   http.ResponseWriter
@@ -55,7 +65,7 @@
 }
 
 // New makes the operator's handler, for the control address. The context ends the waits of calls for a primary.
-func New(ctx context.Context, log *slog.Logger, control ControlState) http.Handler {
+func New(ctx context.Context, log *slog.Logger, control ControlState) *Handler {
 	s := &server{ctx: ctx, log: log.With("part", "adminapi"), control: control}
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
@@ -65,13 +75,20 @@
 	}
 	router.Any("/*", serve)
 	router.RouteNotFound("/*", serve)
-	return router
+	return &Handler{Handler: router, server: s}
 }
 
+// dispatch answers a call and counts its answer.
 func (s *server) dispatch(w http.ResponseWriter, r *http.Request) {
-	c := &call{writer: w, request: r, deadline: time.Now().Add(callTimeout)}
-	path := strings.Split(strings.Trim(r.URL.EscapedPath(), "/"), "/")
-	name := r.Method + " " + strings.Join(path[:min(2, len(path))], "/")
+	answered := &statusWriter{ResponseWriter: w}
+	name := s.answer(&call{writer: answered, request: r, deadline: time.Now().Add(callTimeout)})
+	s.counts.add(name, answered.status)
+}
+
+// answer answers a call and names it for the counts.
+func (s *server) answer(c *call) (name string) {
+	path := strings.Split(strings.Trim(c.request.URL.EscapedPath(), "/"), "/")
+	name = c.request.Method + " " + strings.Join(path[:min(2, len(path))], "/")
 	switch {
 	case len(path) == 2 && name == "GET v1/config":
 		s.onPrimary(c, s.readConfig)
@@ -92,14 +109,17 @@
 			s.changeZone(c, path[2], func(zone string) state.Event { return state.ReadmitZone{Zone: zone} })
 		})
 	default:
-		httpreply.Error(w, errNoSuchCall)
+		httpreply.Error(c.writer, errNoSuchCall)
+		return otherCall
 	}
+	return name
 }
 
 func (s *server) readConfig(c *call) {
 	view, err := s.control.Read(s.ctx, c.deadline)
 	switch {
 	case err != nil:
+		s.log.Info("config read not answered", "status", errkind.KindOf(err).Status(), "error", err.Error())
 		s.replyError(c, err)
 	case view.Config.Revision == 0:
 		httpreply.Error(c.writer, errNoConfiguration)
--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -34,16 +34,34 @@
 		}
 		return decideOn(c.replicated.View(), request.Event)
 	}
+	begun := time.Now()
 	if err := c.member.Propose(request.Deadline, decide); err != nil {
 		return withKind(err)
 	}
 	if superseded(c.replicated.View(), request.Event) {
 		return withKind(ErrSuperseded)
 	}
+	c.checkAcknowledged(request.Event)
+	c.logCommitted(request.Event, time.Since(begun))
 	c.awaitFollowers(ctx, request.Deadline)
 	return nil
 }
 
+// logCommitted logs a change that is committed, or was before, so that it can be followed from the operator to the routers.
+func (c *Controller) logCommitted(event state.Event, took time.Duration) {
+	epoch, _ := c.member.PrimaryEpoch()
+	log := c.log.With("kind", string(event.Kind()), "epoch", epoch, "took_ms", took.Milliseconds())
+	switch event := event.(type) {
+	case state.ConfigEvent:
+		log = log.With("base", event.BaseRevision(), "config_revision", c.replicated.View().Config.Revision)
+	case state.EvacuateZone:
+		log = log.With("zone", event.Zone)
+	case state.ReadmitZone:
+		log = log.With("zone", event.Zone)
+	}
+	log.Info("config change committed")
+}
+
 // decideOn checks an event against the state as it is and gives the entry to commit; no entry and no error mean that
 // it is in force already.
 func decideOn(view *state.View, event state.Event) ([]byte, error) {
@@ -108,10 +126,12 @@
 // Read gives the newest view; a majority of the witnesses confirmed in this call that it is. The deadline alone bounds
 // it, as it does Member.Read. Its errors carry a kind as those of Commit do.
 func (c *Controller) Read(_ context.Context, deadline time.Time) (*state.View, error) {
+	answeredBefore := c.answered.newest.Load()
 	var view *state.View
 	look := func() { view = c.replicated.View() }
 	if err := c.member.Read(deadline, look); err != nil {
 		return nil, withKind(err)
 	}
+	c.checkRead(view, answeredBefore)
 	return view, nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/coord/invariant"
 	"shaletrestle/coord/lease"
 	"shaletrestle/coord/loadsum"
 	"shaletrestle/coord/outlier"
@@ -41,8 +42,8 @@
 	log      *slog.Logger
 	settings *settings.Settings // not changed after New
 	net      rpc.Net
-	pool     *rpc.Pool    // channels to other members
-	api      http.Handler // of the operator
+	pool     *rpc.Pool         // channels to other members
+	api      *adminapi.Handler // of the operator
 
 	member       currentMember
 	replicated   *state.Store // configuration, evacuations, history; written by member alone
@@ -64,6 +65,9 @@
 	aggregator  *outlier.Aggregator // of the primary; emptied when it steps down
 	loadSums    *loadsum.Sum        // of the own followers
 	lender      *fairshare.Lender
+
+	invariants *invariant.Recorder
+	answered   answeredRevision
 }
 
 // New builds a controller and reads the member's state from its store. The context ends all its work, and must end
@@ -83,6 +87,7 @@
 		aggregator: outlier.NewAggregator(),
 		loadSums:   loadsum.NewSum(),
 		lender:     newLender(env),
+		invariants: newInvariants(log),
 	}
 	c.api = adminapi.New(ctx, log, c)
 	c.pool = rpc.NewPool(ctx, options.Net, c.handle)
@@ -104,6 +109,8 @@
 		EndFollowers: c.feed.EndFollowers,
 		AckBody:      c.reports.take,
 		OnMessage:    c.relayLoadSums,
+		Log:          log,
+		Invariants:   c.invariants,
 	})
 	c.listLease = lease.NewHolder(lease.HolderOptions{
 		Duty:     "list",
@@ -151,6 +158,7 @@
 		wait.Every(c.ctx, distribution.HeartbeatInterval, func() bool { c.publishSuspects(); return true })
 	})
 	work.Go(c.shareLoadSums)
+	work.Go(c.watchPrimary)
 	c.log.Info("controller started", "node", c.settings.NodeName)
 	<-c.ctx.Done()
 	_ = api.Close()
--- a/internal/controller/member.go
+++ b/internal/controller/member.go
@@ -58,6 +58,7 @@
 		Transport:         replication.NewLinks(c.pool),
 		OnBecomePrimary:   c.becomePrimary,
 		OnStepDown:        c.stepDown,
+		Invariants:        c.invariants,
 	}
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -1,6 +1,11 @@
 package controller
 
-import "shaletrestle/internal/metrics"
+import (
+	"runtime"
+	"strconv"
+
+	"shaletrestle/internal/metrics"
+)
 
 // metrics are what the state page shows under [metrics.Path].
 func (c *Controller) metrics() []metrics.Sample {
@@ -9,7 +14,8 @@
 	gauge := func(name, help string, value float64) metrics.Sample {
 		return metrics.Sample{Name: "controller_" + name, Help: help, Value: value}
 	}
-	return []metrics.Sample{
+	samples := []metrics.Sample{
+		{Name: "controller_discovery_empty_total", Help: "Readings that listed no replica.", IsCounter: true, Value: float64(c.list.empty.Load())},
 		{Name: "controller_discovery_reads_total", Help: "Readings of the platform's list of replicas.", IsCounter: true, Value: float64(c.list.reads.Load())},
 		{Name: "controller_discovery_failures_total", Help: "Readings that failed.", IsCounter: true, Value: float64(c.list.failures.Load())},
 		gauge("primary", "1 if this member is primary and publishes updates.", oneIf(c.IsActivePrimary())),
@@ -22,7 +28,19 @@
 		gauge("evacuated_zones", "Evacuated zones.", float64(len(replicated.Evacuated))),
 		gauge("replicas", "Replicas on the list.", float64(len(view.Replicas))),
 		gauge("fleet_nodes", "Routers that share the budgets.", float64(view.FleetSize)),
+		gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine())),
+		gauge("primary_contact_age_seconds", "Time since the primary was last heard from; 0 at the primary.", c.member.SincePrimaryContact().Seconds()),
+	}
+	for _, each := range c.api.Counts() {
+		samples = append(samples, metrics.Sample{
+			Name:      "controller_calls_total",
+			Help:      "Calls of operators, by call and by the status of the answer.",
+			IsCounter: true,
+			Value:     float64(each.Count),
+			Labels:    []metrics.Label{{Name: "call", Value: each.Call}, {Name: "status", Value: strconv.Itoa(each.Status)}},
+		})
 	}
+	return append(samples, metrics.Invariants("controller", c.invariants)...)
 }
 
 func oneIf(condition bool) float64 {
--- a/internal/controller/replica_list.go
+++ b/internal/controller/replica_list.go
@@ -26,6 +26,7 @@
 	reader   *discovery.Reader
 	reads    atomic.Int64
 	failures atomic.Int64
+	empty    atomic.Int64 // listings without any replica
 
 	mu     sync.Mutex // held while a reading is compared and published: readings don't overtake each other
 	differ *discovery.Differ
@@ -39,6 +40,13 @@
 	}
 }
 
+// reportEmpty counts an empty listing, and logs one of failuresPerLog.
+func (l *replicaList) reportEmpty() {
+	if empty := l.empty.Inc(); empty%failuresPerLog == 1 {
+		l.log.Warn("replica list is empty", "listings", empty)
+	}
+}
+
 // readListWhileHeld reads the list as soon as the lease is granted, then each [discovery.ListInterval] while it is held.
 func (c *Controller) readListWhileHeld() {
 	for c.ctx.Err() == nil {
@@ -70,6 +78,9 @@
 		}
 		return
 	}
+	if len(listed) == 0 {
+		c.list.reportEmpty()
+	}
 	c.list.mu.Lock()
 	defer c.list.mu.Unlock()
 	c.publishIf(allowed, func() state.Event {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
 
+	"shaletrestle/coord/invariant"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
 )
@@ -17,26 +18,26 @@
 // Path is where metrics are served on a state port.
 const Path = "/metrics"
 
-// Label is a name and a value that tell samples of one metric apart. Its zero value is no label.
+// Label is a name and a value that tell samples of one metric apart.
 type Label struct{ Name, Value string }
 
-// Service is the label of a sample that belongs to one service.
-func Service(name string) Label { return Label{Name: "service", Value: name} }
+// Service are the labels of a sample that belongs to one service.
+func Service(name string) []Label { return []Label{{Name: "service", Value: name}} }
 
-// Sample is one metric and its value of the moment. Samples of the same name must agree in all but Value and the label's
-// value.
+// Sample is one metric and its value of the moment. Samples of the same name must agree in all but Value and their labels'
+// values.
 type Sample struct {
 	Name      string // ends in its unit, as in _total, _seconds, _bytes
 	Help      string
 	IsCounter bool // it only rises while the process runs; others are gauges
 	Value     float64
-	Label     Label
+	Labels    []Label
 }
 
 func (s *Sample) metric() prometheus.Metric {
 	var labels, values []string
-	if s.Label.Name != "" {
-		labels, values = []string{s.Label.Name}, []string{s.Label.Value}
+	for _, label := range s.Labels {
+		labels, values = append(labels, label.Name), append(values, label.Value)
 	}
 	kind := prometheus.GaugeValue
 	if s.IsCounter {
@@ -45,6 +46,21 @@
 	return prometheus.MustNewConstMetric(prometheus.NewDesc(s.Name, s.Help, labels, nil), kind, s.Value, values...)
 }
 
+// Invariants are samples of the violations of a program's invariants, by their names.
+func Invariants(program string, invariants *invariant.Recorder) []Sample {
+	var samples []Sample
+	for _, count := range invariants.Counts() {
+		samples = append(samples, Sample{
+			Name:      program + "_invariant_violations_total",
+			Help:      "Violations of invariants that the process checks while it runs; always 0.",
+			IsCounter: true,
+			Value:     float64(count.Violations),
+			Labels:    []Label{{Name: "invariant", Value: string(count.Name)}},
+		})
+	}
+	return samples
+}
+
 // samples makes a Prometheus collector of given samples.
 type samples []Sample
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -11,8 +11,8 @@
 	recorder := httptest.NewRecorder()
 	Serve(recorder, []Sample{
 		{Name: "router_requests_total", Help: "Requests.", IsCounter: true, Value: 3},
-		{Name: "router_left", Help: "Left.", Value: 1.5, Label: Service("desk")},
-		{Name: "router_left", Help: "Left.", Value: 2, Label: Service("model")},
+		{Name: "router_left", Help: "Left.", Value: 1.5, Labels: Service("desk")},
+		{Name: "router_left", Help: "Left.", Value: 2, Labels: Service("model")},
 	})
 	require.Equal(t, 200, recorder.Code)
 	require.Contains(t, recorder.Header().Get("Content-Type"), "text/plain; version=0.0.4")
--- a/internal/placement/stats.go
+++ b/internal/placement/stats.go
@@ -51,3 +51,14 @@
 	}
 	return stats
 }
+
+// Inflight counts the requests that were placed and not released, at replicas that are still listed.
+func (p *Placer) Inflight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 0
+	for _, replica := range p.replicas {
+		sum += replica.sent.requests
+	}
+	return sum
+}
--- a/internal/requestlog/log.go
+++ b/internal/requestlog/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/atomic"
 )
 
 const (
@@ -25,6 +26,7 @@
 type Log struct {
 	log       *slog.Logger
 	durations [causeCount]prometheus.Histogram
+	finished  atomic.Int64
 
 	mu           sync.Mutex // guards the fields below
 	failed       ring
@@ -54,6 +56,7 @@
 // Finish takes a request that ends now, after [Trail.Finish].
 func (l *Log) Finish(request *Request, trail *Trail) {
 	now := time.Now()
+	l.finished.Inc()
 	l.durations[trail.cause].Observe(now.Sub(request.ArrivedAt).Seconds())
 	switch {
 	case trail.cause.isFailure():
@@ -63,6 +66,9 @@
 	}
 }
 
+// Finished counts the requests taken.
+func (l *Log) Finished() int64 { return l.finished.Load() }
+
 // isSlow reports whether the first byte of a response went out after the latency target.
 func isSlow(request *Request) bool {
 	return request.LatencyTarget > 0 && request.FirstByteAt.Sub(request.ArrivedAt) > request.LatencyTarget
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -45,6 +45,7 @@
 
 	// What is known of it.
 	history     attempt.History
+	ledger      sendLedger
 	trail       requestlog.Trail
 	started     bool      // the client has the head of a response
 	firstByteAt time.Time // when a response began; zero: none has
@@ -142,6 +143,7 @@
 
 // end records how the request ended, and gives back what it holds.
 func (req *request) end() {
+	req.checkEnd()
 	req.router.requests.Finish(req.describe(), &req.trail)
 	req.release()
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -39,9 +39,11 @@
 		req.endAttempt("no time is left")
 		return outcomeRetry // the loop says that the time ran out
 	}
+	req.checkBeforeSend(choice.Replica.ID)
 	req.history.BeginSend()
 	response, state, err := connection.Send(req.upstreamRequest(choice, sentAt))
 	req.history.Advance(state)
+	req.ledger.add(state != attempt.NotSent)
 	if err != nil {
 		return req.handleSendError(choice.Replica.ID, connection, state, err)
 	}
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -69,6 +69,7 @@
 		r.machine.Measure()
 		if measurements++; measurements%sweepEvery == 0 {
 			r.sweepIdle()
+			r.checkQuiet()
 		}
 		return true
 	})
--- a/internal/router/finish.go
+++ b/internal/router/finish.go
@@ -16,6 +16,7 @@
 
 // reject promises that nothing was run and never will be. The detail is for the record of the request only.
 func (req *request) reject(kind errkind.Kind, detail string) {
+	req.checkRejection()
 	req.router.counts.rejected.Inc()
 	after, cause := retryAfterS, requestlog.Overloaded
 	if kind == errkind.Unavailable {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -1,6 +1,10 @@
 package router
 
-import "shaletrestle/internal/metrics"
+import (
+	"runtime"
+
+	"shaletrestle/internal/metrics"
+)
 
 // samples are the metrics that the state port serves under metrics.Path (docs/metrics.md).
 func (r *Router) samples() []metrics.Sample {
@@ -32,14 +36,16 @@
 		gauge("update_contact_age_seconds", "Time since a controller was last heard from.", r.cursor.SinceContact().Seconds()),
 		gauge("fleet_nodes", "Routers that share the budgets.", float64(view.FleetSize)),
 		gauge("replicas", "Replicas on the list.", float64(len(view.Replicas))),
+		gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine())),
 		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(r.detector.Suspected()))),
 	}
+	samples = append(samples, metrics.Invariants("router", r.invariants)...)
 	for service := range r.table.Load().Pools {
 		samples = append(samples, metrics.Sample{
-			Name:  "router_retry_budget_left",
-			Help:  "Retries that this node may still make, by service.",
-			Value: r.budget.Remaining(service),
-			Label: metrics.Service(service),
+			Name:   "router_retry_budget_left",
+			Help:   "Retries that this node may still make, by service.",
+			Value:  r.budget.Remaining(service),
+			Labels: metrics.Service(service),
 		})
 	}
 	return samples
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -111,6 +111,7 @@
 		r.head.Bytes = part.Bytes
 	case upstream.PartEnd:
 		req.history.Advance(part.State)
+		req.ledger.takeBack(&r.head)
 		req.endAttempt(part.State.String())
 		if part.State == attempt.Answered && r.head.Status < http.StatusInternalServerError {
 			req.router.placer.FirstToken(r.placed, time.Since(r.sentAt), r.choice.PredictedTTFT)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -63,6 +63,7 @@
 	if !req.started {
 		req.started = true
 		req.firstByteAt = time.Now()
+		req.checkResponse(http.StatusOK, head)
 		req.recordFirstEvent()
 		copyResponseHeader(req.writer.Header(), head)
 		req.writer.WriteHeader(http.StatusOK)
@@ -153,6 +154,7 @@
 // relay sends a replica's complete response on, its status and seal unchanged.
 func (req *request) relay(response *upstream.Part) {
 	req.firstByteAt = time.Now()
+	req.checkResponse(response.Status, response.Header)
 	req.trail.Finish(relayedCause(response.Status), "")
 	copyResponseHeader(req.writer.Header(), response.Header)
 	req.writer.Header().Set("Content-Length", strconv.Itoa(len(response.Bytes)))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/failuredetector"
 	"shaletrestle/coord/fairshare"
+	"shaletrestle/coord/invariant"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/coord/rpc"
 	"shaletrestle/coord/slowness"
@@ -81,6 +82,8 @@
 
 	counts     counts
 	requests   *requestlog.Log
+	invariants *invariant.Recorder
+	newestView atomic.Pointer[timedView] // for the invariants; nil before the first change
 	dialCounts upstream.DialCounts
 
 	mu          sync.Mutex                     // guards the fields below
@@ -114,6 +117,7 @@
 		keepAlives:  map[string]*upstream.KeepAlive{},
 		controllers: controllerChoice{failedAt: map[string]time.Time{}},
 	}
+	r.invariants = r.newInvariants()
 	r.settings.Store(env)
 	r.table.Store(routing.Compile(state.EmptyView().Config))
 	r.revisions.Store(newModelRevisions(nil))
@@ -128,6 +132,8 @@
 		NextParent: r.nextController,
 		AckBody:    r.failureReports,
 		OnMessage:  r.receiveLoadSums,
+		Log:        log,
+		Invariants: r.invariants,
 	})
 	r.budget = retrybudget.New(retrybudget.Options{
 		Ratio:  env.Bounds.BudgetRatio,
--- a/internal/router/simulation_test.go
+++ b/internal/router/simulation_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -109,8 +110,11 @@
 	return sim
 }
 
-// end closes everything.
+// end closes everything. The router may not have found any of its invariants violated.
 func (sim *simulation) end() {
+	synctest.Wait()
+	sim.router.checkQuiet()
+	require.Empty(sim.t, sim.router.Invariants().Violations(), "invariants")
 	sim.front.Close()
 	sim.router.mu.Lock()
 	for _, p := range sim.router.pools {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -15,6 +15,8 @@
 
 // handleChange updates everything that is derived from the view after a change. event is nil after a checkpoint.
 func (r *Router) handleChange(old, view *state.View, event state.Event) {
+	r.newestView.Store(&timedView{view, time.Now()})
+	r.invariants.Check(view.Config.Revision >= old.Config.Revision, invariantRevisionOrder, "before", old.Config.Revision, "after", view.Config.Revision)
 	if suspects, ok := event.(state.UpdateSuspects); ok {
 		r.placer.Health().SetSuspects(suspects.Replicas, time.Now())
 		return
@@ -43,6 +45,7 @@
 func (r *Router) useConfiguration(view *state.View) {
 	table := routing.Compile(view.Config)
 	r.table.Store(table)
+	r.log.Info("configuration in force", "part", "router", "config_revision", table.Revision, "routes", table.RouteCount)
 	if r.server != nil {
 		r.server.SetLimits(table.Limits)
 	}
--- a/internal/simtest/process.go
+++ b/internal/simtest/process.go
@@ -162,6 +162,7 @@
 	sim.mu.Lock()
 	p.router = started
 	sim.mu.Unlock()
+	sim.watchInvariants(name, started.Invariants())
 	go func() { _ = started.Run() }()
 	return nil
 }
@@ -176,6 +177,7 @@
 		return err
 	}
 	p.controller = started
+	sim.watchInvariants(p.Name, started.Invariants())
 	go func() { _ = started.Run() }()
 	return nil
 }
--- a/internal/simtest/rule.go
+++ b/internal/simtest/rule.go
@@ -29,6 +29,7 @@
 	RuleStarvedRoute       Rule = "STARVED-KIND"       // a kind of request is served far less often than all
 	RuleStarved            Rule = "STARVED"            // subjects that are asked for through the scenario are never served
 	RuleIdle               Rule = "IDLE"               // a connection that rested within the limit is gone
+	RuleInvariant          Rule = "INVARIANT"          // a process found one of its own invariants violated
 	PriceUrgency           Rule = "PRICE-URGENCY"      // a more urgent kind of request is served less often than a less urgent one
 	PriceEvacuation        Rule = "PRICE-EVACUATION"   // an evacuation waits over a second in a calm time
 	PriceHeld              Rule = "PRICE-HELD"         // a request is held past its route's timeout
--- a/internal/simtest/rule_scenario.go
+++ b/internal/simtest/rule_scenario.go
@@ -5,6 +5,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"shaletrestle/coord/invariant"
 )
 
 // Bounds of the rules on a whole scenario.
@@ -33,10 +35,41 @@
 	{PriceUrgency, checkUrgency},
 }
 
+// processRecorder are the invariants of one incarnation of a process.
+type processRecorder struct {
+	process  string
+	recorder *invariant.Recorder
+}
+
+// watchInvariants has the invariants of a process that was started judged at the end.
+func (sim *Simulation) watchInvariants(process string, recorder *invariant.Recorder) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.recorders = append(sim.recorders, processRecorder{process, recorder})
+}
+
+// violatedInvariants names the invariants that processes found violated, for the text of another failure; empty if none.
+func (sim *Simulation) violatedInvariants() string {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	text := ""
+	for _, each := range sim.recorders {
+		for _, violated := range each.recorder.Violations() {
+			text += fmt.Sprintf("; %s: invariant %s violated %d times", each.process, violated.Name, violated.Violations)
+		}
+	}
+	return text
+}
+
 // judgeScenario checks the whole scenario against the rules.
 func (sim *Simulation) judgeScenario() {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
+	for _, each := range sim.recorders {
+		for _, violated := range each.recorder.Violations() {
+			sim.addViolationLocked(RuleInvariant, fmt.Sprintf("%s: %s, %d times", each.process, violated.Name, violated.Violations))
+		}
+	}
 	for _, r := range scenarioRules {
 		for _, wrong := range r.check(&sim.counts) {
 			sim.addViolationLocked(r.rule, wrong)
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		if err := s.run(f[0], f[1:]); err != nil {
-			return fmt.Errorf("%s:%d: %s: %w", file, i+1, strings.Join(f, " "), err)
+			return fmt.Errorf("%s:%d: %s: %w%s", file, i+1, strings.Join(f, " "), err, s.sim.violatedInvariants())
 		}
 	}
 	s.background.Wait()
--- a/internal/simtest/simulation.go
+++ b/internal/simtest/simulation.go
@@ -36,9 +36,10 @@
 	planned        planned
 	counts         counts
 	violations     []Violation
-	acceptedPrices map[Rule]bool // prices that the scenario declares to pay
-	connectedOnly  bool          // rules with a time bound apply only to connected machines
-	configured     bool          // a first configuration was acknowledged
+	recorders      []processRecorder // of all processes that were started
+	acceptedPrices map[Rule]bool     // prices that the scenario declares to pay
+	connectedOnly  bool              // rules with a time bound apply only to connected machines
+	configured     bool              // a first configuration was acknowledged
 }
 
 // NewSimulation makes a simulation with a platform in it.
