Soak: real processes and sockets under overlapping faults, judged inside and outside

Cause: all faults were played in simulated time or inside one process; cuts, lost answers, full disks, reloads and restarts of real processes that overlap had no test.

--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// maxViolations is how many violations of each rule are kept in words.
+const maxViolations = 8
+
+// Rule names what a run is held against.
+type Rule string
+
+// The rules.
+const (
+	RuleMixed       Rule = "MIXED"         // a success that is not the replica's complete answer to this request
+	RuleUnasked     Rule = "UNASKED"       // a replica got what no client sent, or something changed
+	RuleTwice       Rule = "TWICE"         // a request that may run once ran again
+	RuleRefused     Rule = "REFUSED"       // a request that may run once was rejected, and ran
+	RuleDenied      Rule = "DENIED"        // a proper request was answered with a 4xx of the router's own
+	RuleOrder       Rule = "ORDER"         // events of a stream are missing, doubled or out of order
+	RuleNoAnswer    Rule = "NO-ANSWER"     // a router without trouble ended a connection without an answer
+	RuleHang        Rule = "HANG"          // a router without trouble did not answer in time
+	RuleBudget      Rule = "BUDGET"        // a replica was handed more time than was left
+	RuleGone        Rule = "GONE"          // requests reached replicas long after their clients had left
+	RuleConfig      Rule = "CONFIG"        // the calls of the operators don't fit one register
+	RuleRepeat      Rule = "CONFIG-REPEAT" // an acknowledged change was sent again and rejected
+	RuleApply       Rule = "CONFIG-APPLY"  // a route was not served in a calm time after its acknowledgement
+	RuleBack        Rule = "CONFIG-BACK"   // a router went back to an older configuration
+	RuleEnded       Rule = "ENDED"         // a process ended by itself
+	RuleInvariant   Rule = "INVARIANT"     // a process found an invariant violated, or panicked
+	RuleRecover     Rule = "RECOVER"       // no service long after the last fault
+	RuleGraceMissed Rule = "GRACE"         // a process did not end within its grace
+)
+
+// Violation is one broken rule.
+type Violation struct {
+	Rule   Rule
+	At     time.Duration // since the start of the run
+	Detail string
+}
+
+// String gives the violation as it is reported.
+func (v Violation) String() string {
+	return fmt.Sprintf("%7.2f s %s: %s", v.At.Seconds(), v.Rule, v.Detail)
+}
+
+// sentAttempt is what is known of one attempt of a client.
+type sentAttempt struct {
+	unsafe   bool   // it may run once only
+	content  string // method, target and digest of the body
+	runs     int
+	seals    map[string]bool
+	rejected int // the status of a rejection; 0: none
+	leftAt   time.Time
+}
+
+// judge collects what clients, replicas and operators see.
+type judge struct {
+	start time.Time
+
+	mu         sync.Mutex
+	attempts   map[string]*sentAttempt
+	violations []Violation
+	counts     map[Rule]int
+	tallies    map[string]int
+}
+
+func newJudge() *judge {
+	return &judge{start: time.Now(), attempts: map[string]*sentAttempt{}, counts: map[Rule]int{}, tallies: map[string]int{}}
+}
+
+// add records a violation.
+func (j *judge) add(rule Rule, format string, arguments ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.addLocked(rule, format, arguments...)
+}
+
+func (j *judge) addLocked(rule Rule, format string, arguments ...any) {
+	j.counts[rule]++
+	if j.counts[rule] <= maxViolations {
+		j.violations = append(j.violations, Violation{rule, time.Since(j.start), fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// tally counts something that is reported and breaks no rule.
+func (j *judge) tally(what string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.tallies[what]++
+}
+
+// tallied is how often something was counted.
+func (j *judge) tallied(what string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.tallies[what]
+}
+
+// sent records an attempt before it leaves its client.
+func (j *judge) sent(id string, unsafe bool, content string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts[id] = &sentAttempt{unsafe: unsafe, content: content, seals: map[string]bool{}}
+}
+
+// left records that a client closed its connection before its answer.
+func (j *judge) left(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts[id].leftAt = time.Now()
+}
+
+// goneSlack is how long after its client has left a request may still reach a replica.
+const goneSlack = 500 * time.Millisecond
+
+// arrived records that a replica begins to run an attempt, and the seal of its answer.
+func (j *judge) arrived(id, content, seal string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	attempt := j.attempts[id]
+	if attempt == nil {
+		j.addLocked(RuleUnasked, "nobody sent %q", id)
+		return
+	}
+	if attempt.content != content {
+		j.addLocked(RuleUnasked, "%s came as %q, was sent as %q", id, content, attempt.content)
+	}
+	attempt.runs++
+	attempt.seals[seal] = true
+	if attempt.unsafe && attempt.runs > 1 {
+		j.addLocked(RuleTwice, "%s ran %d times", id, attempt.runs)
+	}
+	if !attempt.leftAt.IsZero() && time.Since(attempt.leftAt) > goneSlack {
+		j.tallies["arrived after the client had left"]++
+	}
+}
+
+// succeeded checks a success against what replicas answered.
+func (j *judge) succeeded(id, seal string, bodyRight bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if attempt := j.attempts[id]; !attempt.seals[seal] || !bodyRight {
+		j.addLocked(RuleMixed, "%s got an answer that no replica gave (seal %q, body right: %v)", id, seal, bodyRight)
+	}
+}
+
+// rejected records an answer that promises that an attempt never runs.
+func (j *judge) rejected(id string, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts[id].rejected = status
+}
+
+// goneAllowed is how many requests may reach replicas long after their clients have left.
+const goneAllowed = 3
+
+// finish checks what only the end shows.
+func (j *judge) finish() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id, attempt := range j.attempts {
+		if attempt.unsafe && attempt.rejected != 0 && attempt.runs > 0 {
+			j.addLocked(RuleRefused, "%s was answered %d and ran", id, attempt.rejected)
+		}
+	}
+	if late := j.tallies["arrived after the client had left"]; late > goneAllowed {
+		j.addLocked(RuleGone, "%d requests reached replicas over %v after their clients had left", late, goneSlack)
+	}
+}
+
+// summary lists the tallies in order.
+func (j *judge) summary() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var lines []string
+	for what, count := range j.tallies {
+		lines = append(lines, fmt.Sprintf("%s: %d", what, count))
+	}
+	sort.Strings(lines)
+	return lines
+}
