--- a/internal/simtest/behaviour.go
+++ b/internal/simtest/behaviour.go
@@ -107,6 +107,9 @@
 		from = last
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
+	r.mu.Lock()
+	gap := r.eventGap
+	r.mu.Unlock()
 	for i := from + 1; i <= a.events; i++ {
 		if a.behaviour == behavesCut && i == from+3 {
 			r.breakOff(a)
@@ -121,7 +124,7 @@
 		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d\n\n", i, i)
 		_ = http.NewResponseController(rw).Flush()
-		sleepUntilCancelled(q, usualWork)
+		sleepUntilCancelled(q, gap)
 	}
 }
 
@@ -131,6 +134,7 @@
 	defer r.sim.mu.Unlock()
 	if a.record != nil {
 		a.record.sealed[status] = true
+		a.record.events = a.events
 	}
 }
 
--- a/internal/simtest/command_replica.go
+++ b/internal/simtest/command_replica.go
@@ -12,6 +12,7 @@
 	"state":             {setReplicaState, ""},
 	"reuse_address":     {reuseAddress, ""},
 	"behaviour":         {setBehaviour, "work path percent from"},
+	"pace":              {setPace, "events gap"},
 	"health":            {setHealth, ""},
 	"warmup":            {setWarmup, ""},
 	"flap":              {flap, "gap for"},
@@ -66,6 +67,16 @@
 	return nil
 }
 
+// setPace is the command "pace m1 events=60 gap=100ms": how long its streams are, and the time between two events
+func setPace(s *Script, a args) error {
+	r := s.sim.replicas[a.argument(0)]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = a.number("events", usualEvents)
+	r.eventGap = a.duration("gap", usualWork)
+	return nil
+}
+
 // setHealth is the command "health r1 unhealthy|well": what its health answer says, whatever it does
 func setHealth(s *Script, a args) error {
 	r := s.sim.replicas[a.argument(0)]
--- a/internal/simtest/configuration.go
+++ b/internal/simtest/configuration.go
@@ -42,6 +42,9 @@
 	if idle, ok := strings.CutPrefix(extra, "idle"); ok { // another idle time-out in ms
 		b = strings.Replace(b, `"idle_timeout_ms":5000`, `"idle_timeout_ms":`+idle, 1)
 	}
+	if timeout, ok := strings.CutPrefix(extra, "timeout"); ok { // another timeout of all routes in ms
+		b = strings.ReplaceAll(b, `"timeout_ms":3000`, `"timeout_ms":`+timeout)
+	}
 	if flaw == "cut_short" {
 		return b[:len(b)-10]
 	}
--- a/internal/simtest/replica.go
+++ b/internal/simtest/replica.go
@@ -42,7 +42,8 @@
 	slowPath         string // the paths that take so long; the others are quick
 	busy             int
 	executed         int
-	events           int
+	events           int           // of a stream
+	eventGap         time.Duration // between two events
 	warmupArrivals   []time.Time
 	knownUnavailable map[string]time.Time // callers, and when they were first seen to know that it takes nothing more
 }
@@ -63,6 +64,7 @@
 		percent:          100,
 		workTime:         usualWork,
 		events:           usualEvents,
+		eventGap:         usualWork,
 		knownUnavailable: map[string]time.Time{},
 	}
 	sim.mu.Lock()
--- a/internal/simtest/request.go
+++ b/internal/simtest/request.go
@@ -21,6 +21,7 @@
 	runs     int             // how often it ran
 	ranOn    map[string]bool // replicas that ran it
 	sealed   map[int]bool    // statuses that replicas sealed for it
+	events   int             // of the stream that a replica gave; 0: of usual length
 	brokeOff bool            // a replica broke its answer off or gave none
 }
 
--- a/internal/simtest/rule_answer.go
+++ b/internal/simtest/rule_answer.go
@@ -1,6 +1,7 @@
 package simtest
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 )
@@ -12,7 +13,7 @@
 	}
 	want := answerTo(x.id)
 	if x.header.Get("Content-Type") == "text/event-stream" {
-		want = pieces(usualEvents)
+		want = pieces(cmp.Or(x.events, usualEvents))
 	}
 	if x.header.Get("Replica-Seal") != sealOf(x.id) || x.body != want {
 		return fmt.Sprintf("got %q", x.body)
