config: the work on an operator's body is bounded, and malformed bodies are not proposed

Class: recursion on input from outside, bounded only by its size; done on the goroutine that sends heartbeats. Change: one loop with a stack of its own, bounded at 10,000 like encoding/json itself, so that whatever was taken before is still read. A body that can't be read at all is known from its digest's parse and rejected with 400 before it is proposed: it no longer costs the stepping goroutine a second parse. The same cause elsewhere: protojson and encoding/json have the bound; the platform's pages (32 MB, flat decode), frames (24 MB) and settings (a file of the operator's) are bounded in size; headers by net/http.

--- a/internal/config/bounds_test.go
+++ b/internal/config/bounds_test.go
@@ -51,7 +51,7 @@
 
 // TestChange_NestedAsDeepAsAllowed_IsTaken holds that what the users' configurations may hold is far from the bound.
 func TestChange_NestedAsDeepAsAllowed_IsTaken(t *testing.T) {
-	const depth = 24
+	const depth = maxDepth - 2 // the body itself is one
 	body := `{"revision":6,"x":` + strings.Repeat(`{"a":[`, depth/2) + strings.Repeat("]}", depth/2) + "}"
 	document, err := newDocument(t).Put([]byte(body))
 	require.NoError(t, err)
--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -14,17 +14,25 @@
 // or the order of its keys. A body that is no single complete object has the digest of its bytes. The kind is the stored
 // one of the event.
 func Digest(kind string, base int64, body []byte) []byte {
+	digest, _ := Identify(kind, base, body)
+	return digest
+}
+
+// Identify gives the digest of a change, and an [InvalidError] if its body is no single complete object in which no key
+// stands twice: such a change is invalid on any configuration.
+func Identify(kind string, base int64, body []byte) (digest []byte, malformed error) {
+	_, malformed = parseObject(body)
+	if malformed == nil {
+		body = canonical(body)
+	}
 	hash := sha256.New()
 	hash.Write([]byte(kind + "\x00" + strconv.FormatInt(base, 10) + "\x00"))
-	hash.Write(canonical(body))
-	return hash.Sum(nil)[:DigestBytes]
+	hash.Write(body)
+	return hash.Sum(nil)[:DigestBytes], malformed
 }
 
 // canonical gives a JSON object without spaces and with sorted keys; numbers stay as they are written.
 func canonical(body []byte) []byte {
-	if _, err := parseObject(body); err != nil {
-		return body
-	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	var value any
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -29,40 +29,82 @@
 	return object, nil
 }
 
-// checkUniqueKeys reads one JSON value and fails if it is malformed, or if a key stands twice in an object at any depth.
-// encoding/json would silently take the last one of two.
+// maxDepth is how deep objects and lists may stand in each other: as deep as encoding/json reads, so that whatever was taken
+// before is still read. Configurations need about 6. The bound is checked before anything recurses.
+const maxDepth = 10_000
+
+// openValue is an object or a list that is being read.
+type openValue struct {
+	keys      map[string]bool // of an object, as far as it was read; nil: a list
+	awaitsKey bool            // the next token of an object is a key or its end
+}
+
+// keyChecker reads the tokens of one JSON value. Its zero value has read none.
+type keyChecker struct{ open []openValue }
+
+// checkUniqueKeys reads one JSON value and fails if it is malformed, nested deeper than maxDepth, or if a key stands twice in
+// an object at any depth. encoding/json would silently take the last one of two.
 func checkUniqueKeys(decoder *json.Decoder) error {
-	token, err := decoder.Token()
-	if err != nil {
-		return err
+	checker := &keyChecker{}
+	for {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		if err := checker.take(token); err != nil {
+			return err
+		}
+		if len(checker.open) == 0 {
+			return nil
+		}
 	}
+}
+
+// take takes the next token.
+func (c *keyChecker) take(token json.Token) error {
 	switch token {
 	case json.Delim('{'):
-		seen := map[string]bool{}
-		for decoder.More() {
-			token, err := decoder.Token()
-			if err != nil {
-				return err
-			}
-			key, _ := token.(string) // the decoder gives no other token here
-			if seen[key] {
-				return invalid("%q stands twice", key)
-			}
-			seen[key] = true
-			if err := checkUniqueKeys(decoder); err != nil {
-				return err
-			}
-		}
-		_, err = decoder.Token()
+		return c.begin(openValue{keys: map[string]bool{}, awaitsKey: true})
 	case json.Delim('['):
-		for decoder.More() {
-			if err := checkUniqueKeys(decoder); err != nil {
-				return err
-			}
-		}
-		_, err = decoder.Token()
+		return c.begin(openValue{})
+	case json.Delim('}'), json.Delim(']'):
+		c.open = c.open[:len(c.open)-1]
+		c.endValue()
+		return nil
+	}
+	if len(c.open) == 0 || !c.open[len(c.open)-1].awaitsKey {
+		c.endValue()
+		return nil
+	}
+	return c.takeKey(token)
+}
+
+// begin begins an object or a list.
+func (c *keyChecker) begin(value openValue) error {
+	if len(c.open) == maxDepth {
+		return invalid("nested deeper than %d", maxDepth)
+	}
+	c.open = append(c.open, value)
+	return nil
+}
+
+// takeKey takes a key of the innermost object: the decoder gives no other token here.
+func (c *keyChecker) takeKey(token json.Token) error {
+	object := &c.open[len(c.open)-1]
+	key, _ := token.(string)
+	if object.keys[key] {
+		return invalid("%q stands twice", key)
+	}
+	object.keys[key] = true
+	object.awaitsKey = false
+	return nil
+}
+
+// endValue ends a value: in an object, a key follows.
+func (c *keyChecker) endValue() {
+	if n := len(c.open); n > 0 && c.open[n-1].keys != nil {
+		c.open[n-1].awaitsKey = true
 	}
-	return err
 }
 
 // parseRevision reads the revision that a configuration or a change makes.
--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -28,6 +28,9 @@
 // followers have it, as far as the change's time allows to wait for them. Its errors carry the kind that [kindOf]
 // gives them.
 func (c *Controller) Commit(ctx context.Context, request *adminapi.ChangeRequest) error {
+	if change, ok := request.Event.(state.ConfigEvent); ok && change.Malformed() != nil {
+		return withKind(change.Malformed()) // not worth the time of the one goroutine that also sends heartbeats
+	}
 	decide := func() ([]byte, error) {
 		if request.Expired(time.Now()) {
 			return nil, ErrAbandoned
--- a/internal/controller/changes_test.go
+++ b/internal/controller/changes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +106,15 @@
 	require.False(t, request.Expired(time.Unix(99, 0)))
 	require.True(t, request.Expired(time.Unix(100, 0)))
 }
+
+// TestCommit_MalformedBody_RejectedWithoutProposal gives a controller without a member a body that can't be read: the state
+// is not asked.
+func TestCommit_MalformedBody_RejectedWithoutProposal(t *testing.T) {
+	c := newCheckedController(t)
+	for _, body := range []string{"", "[1]", `{"revision":7`, `{"revision":7,"revision":8}`, `{"revision":7,"x":` + strings.Repeat("[", 100_000)} {
+		for _, event := range []state.Event{state.NewPutConfig(5, []byte(body)), state.NewPatchConfig(5, []byte(body))} {
+			err := c.Commit(t.Context(), &adminapi.ChangeRequest{Event: event, Deadline: time.Now().Add(time.Second)})
+			require.Equal(t, errkind.InvalidInput, errkind.KindOf(err), "%.30s", body)
+		}
+	}
+}
--- a/internal/simtest/configuration.go
+++ b/internal/simtest/configuration.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// nestedLists is how many lists stand in each other in a configuration with the flaw "nested".
+const nestedLists = 200_000
+
 // configurationAt is the configuration of the scenarios at a revision; extra routes and flaws are asked for by name.
 func configurationAt(rev int, extra, flaw string) string {
 	pool, weight, timeout, second := "svc", "", "3000", ""
@@ -45,8 +48,11 @@
 	if timeout, ok := strings.CutPrefix(extra, "timeout"); ok { // another timeout of all routes in ms
 		b = strings.ReplaceAll(b, `"timeout_ms":3000`, `"timeout_ms":`+timeout)
 	}
-	if flaw == "cut_short" {
+	switch flaw {
+	case "cut_short":
 		return b[:len(b)-10]
+	case "nested":
+		return b[:len(b)-1] + `,"x":` + strings.Repeat("[", nestedLists) + strings.Repeat("]", nestedLists) + "}"
 	}
 	return b
 }
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -38,6 +38,8 @@
 	Event
 	// BaseRevision is the revision that the change was built on; it is rejected on any other.
 	BaseRevision() int64
+	// Malformed says that the change is invalid on any revision, as far as its body shows; nil if that is not known.
+	Malformed() error
 	// WithoutDigest is the event as followers get it: they keep no history.
 	WithoutDigest() ConfigEvent
 	// identity distinguishes this change from others on the same revision.
@@ -49,8 +51,14 @@
 	Base   int64           // the revision that the change was built on; 0 before the first configuration
 	Body   json.RawMessage // as the operator sent it
 	Digest []byte          // config.Digest of the change, for the history; entries of older logs carry none
+
+	malformed error // of a change that was made from a body that can't be read; nil for one that was decoded
 }
 
+// Malformed says that the body can't be read, so that the change is invalid on any revision; nil if it can, and for changes
+// that were decoded. It is known without the state: such a change need not be proposed.
+func (c ConfigChange) Malformed() error { return c.malformed }
+
 // BaseRevision is the revision that the change was built on.
 func (c ConfigChange) BaseRevision() int64 { return c.Base }
 
@@ -68,7 +76,8 @@
 func (c ConfigChange) withoutDigest() ConfigChange { return ConfigChange{Base: c.Base, Body: c.Body} }
 
 func newConfigChange(kind Kind, base int64, body []byte) ConfigChange {
-	return ConfigChange{Base: base, Body: body, Digest: config.Digest(string(kind), base, body)}
+	digest, malformed := config.Identify(string(kind), base, body)
+	return ConfigChange{Base: base, Body: body, Digest: digest, malformed: malformed}
 }
 
 // PutConfig replaces the configuration.
