frontend: a connection is the only reader of its bytes, and hands out one request at a time

And net/http watches for a client's end by reading on, which a part of the next request satisfies. Change: framing.go follows the bytes of a request to its end (length, chunks, trailer); clientConn hands out nothing behind it until the connection is idle again, so that the framing that is judged is that of the request, and meanwhile reads on, within 128 kB a connection and 4 MB a process, to see the client leave. Framing that is not known, as before, counts as ambiguous where it is chunked. A half-closed client counts as gone, as before. Eight planted faults are found. Looked at for the same cause: upstream.Connection reads replicas' bytes alone; adminapi has net/http's watch, where a second change behind the first hides the caller's end: the change is bounded by its deadline.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -1,66 +1,183 @@
 package frontend
 
 import (
-	"bytes"
 	"net"
 	"net/http"
-	"strings"
+	"os"
 	"sync"
 	"time"
-)
 
-// headLimit bounds the bytes of a request's head that a connection keeps. It bounds memory only: a longer head is served,
-// unless its body is chunked (see ambiguous).
-const headLimit = 4 << 10
+	"go.uber.org/atomic"
+)
 
-var headEnd = []byte("\r\n\r\n")
+const (
+	// watchBufferBytes is how much is read at once while a request is served; nothing comes then, as a rule.
+	watchBufferBytes = 64
+	// aheadReadBytes is how much is read at once when something does come.
+	aheadReadBytes = 4 << 10
+	// connectionAheadLimit bounds what a connection keeps of what its client sent behind the request that is served.
+	connectionAheadLimit = 128 << 10
+	// totalAheadLimit bounds the same for all connections of a server together.
+	totalAheadLimit = 4 << 20
+)
 
-// clientConn is a client's connection. It keeps the head of the request that is being read, so that ambiguous framing
-// can be seen as it was sent (net/http resolves it silently), and closes itself when it has been idle too long.
+// clientConn is a client's connection, and the only reader of its bytes. It hands net/http one request at a time: the bytes
+// behind it are kept until it has been served. So the framing that it sees is that of the request being served, and
+// the end of the connection is seen meanwhile although the client has sent more. It closes itself when it has been idle
+// too long.
+//
+// net/http calls Read from one goroutine at a time; all else may be called concurrently.
 type clientConn struct {
 	net.Conn
 	idleTimeout func() time.Duration // the limit in force now
+	ahead       *atomic.Int64        // bytes kept by all connections of the server
 
-	mu           sync.Mutex // guards the fields below
-	head         []byte
-	headComplete bool // what follows is body and isn't retained
-	idle         bool // between two requests
-	idleSince    time.Time
-	idleTimer    *time.Timer // nil before the connection was idle first
+	watchBuffer  [watchBufferBytes]byte // of Read
+	closed       chan struct{}
+	closeOnce    sync.Once
+	readDeadline chan time.Time // the newest one that was set and not yet looked at; holds one
+
+	mu        sync.Mutex // guards the fields below
+	framing   framing
+	kept      []byte // read and not handed out yet
+	isClosed  bool
+	idle      bool // between two requests
+	idleSince time.Time
+	idleTimer *time.Timer // nil before the connection was idle first
 }
 
-// Read reads from the client and keeps what belongs to the head.
+// newClientConn wraps an accepted connection.
+func newClientConn(conn net.Conn, idleTimeout func() time.Duration, ahead *atomic.Int64) *clientConn {
+	return &clientConn{
+		Conn:         conn,
+		idleTimeout:  idleTimeout,
+		ahead:        ahead,
+		closed:       make(chan struct{}),
+		readDeadline: make(chan time.Time, 1),
+	}
+}
+
+// Read gives the next bytes of the present request. Once all of it was given, it gives none until the connection is idle
+// again (setState), but reads on to see the connection's end.
 func (c *clientConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	for {
+		n, complete := c.handOut(buffer)
+		if n > 0 {
+			return n, nil
+		}
+		if complete {
+			if err := c.readAhead(); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		n, err := c.Conn.Read(buffer)
+		if n == 0 || err != nil {
+			return n, err
+		}
+		return c.takeIn(buffer[:n]), nil
+	}
+}
+
+// handOut gives what was kept of the present request, and reports whether the request is complete.
+func (c *clientConn) handOut(buffer []byte) (n int, complete bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.framing.state == messageComplete {
+		return 0, true
+	}
+	n = copy(buffer, c.kept)
 	if n > 0 {
+		n = c.framing.advance(buffer[:n])
+		c.drop(n)
 		c.endIdle()
 	}
-	if retained := min(n, headLimit-len(c.head)); retained > 0 && !c.headComplete {
-		if i := bytes.Index(buffer[:retained], headEnd); i >= 0 {
-			retained = i + len(headEnd)
-		}
-		from := max(0, len(c.head)-len(headEnd)+1) // the end may have come in two reads
-		c.head = append(c.head, buffer[:retained]...)
-		c.headComplete = bytes.Contains(c.head[from:], headEnd)
+	return n, false
+}
+
+// drop forgets bytes that were handed out; the caller holds the lock.
+func (c *clientConn) drop(n int) {
+	c.ahead.Sub(int64(n))
+	c.kept = c.kept[n:]
+	if len(c.kept) == 0 {
+		c.kept = nil
+	}
+}
+
+// takeIn takes bytes that are in the reader's buffer already, and keeps those behind the present request.
+func (c *clientConn) takeIn(data []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endIdle()
+	n := c.framing.advance(data)
+	c.keep(data[n:])
+	return n
+}
+
+// keep keeps bytes for the next request, unless the connection was closed; the caller holds the lock.
+func (c *clientConn) keep(data []byte) {
+	if len(data) > 0 && !c.isClosed {
+		c.kept = append(c.kept, data...)
+		c.ahead.Add(int64(len(data)))
 	}
-	c.mu.Unlock()
-	return n, err
 }
 
-// reset forgets the head of a request that has been served.
-func (c *clientConn) reset() {
+// readAhead reads what comes behind a complete request, and keeps it. It returns without an error when something came or the
+// connection may be idle again.
+func (c *clientConn) readAhead() error {
+	c.mu.Lock()
+	full := len(c.kept) >= connectionAheadLimit || c.ahead.Load() >= totalAheadLimit
+	buffer := c.watchBuffer[:]
+	if len(c.kept) > 0 {
+		buffer = make([]byte, aheadReadBytes)
+	}
+	c.mu.Unlock()
+	if full {
+		return c.awaitDeadline()
+	}
+	n, err := c.Conn.Read(buffer)
 	c.mu.Lock()
-	c.head, c.headComplete = c.head[:0], false
+	c.keep(buffer[:n])
 	c.mu.Unlock()
+	return err
 }
 
-// ambiguous reports whether the head of a chunked request also names a length, or was too long to be retained.
+// awaitDeadline waits, where no more may be kept, until the read is aborted or the connection closed.
+func (c *clientConn) awaitDeadline() error {
+	var passed <-chan time.Time
+	for {
+		select {
+		case deadline := <-c.readDeadline:
+			passed = nil
+			if !deadline.IsZero() {
+				passed = time.After(time.Until(deadline))
+			}
+		case <-passed:
+			return os.ErrDeadlineExceeded
+		case <-c.closed:
+			return net.ErrClosed
+		}
+	}
+}
+
+// SetReadDeadline bounds Read. net/http aborts a Read by a deadline in the past.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	select { // only the newest one is kept
+	case <-c.readDeadline:
+	default:
+	}
+	select {
+	case c.readDeadline <- deadline:
+	default:
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// ambiguous reports whether the body of the present request could be delimited in two ways.
 func (c *clientConn) ambiguous() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	head, _, complete := strings.Cut(strings.ToLower(string(c.head)), string(headEnd))
-	return !complete || strings.Contains(head, "\ncontent-length")
+	return c.framing.ambiguous()
 }
 
 // setState follows what http.Server reports of the connection.
@@ -71,6 +188,7 @@
 		c.endIdle()
 		return
 	}
+	c.endRequest()
 	c.idle, c.idleSince = true, time.Now()
 	if c.idleTimer == nil {
 		c.idleTimer = time.AfterFunc(c.idleTimeout(), c.closeIdle)
@@ -79,6 +197,14 @@
 	c.idleTimer.Reset(c.idleTimeout())
 }
 
+// endRequest lets the next request be handed out. Where the framing of the present one was not known, it stays so: where the
+// next one begins is not known then either. The caller holds the lock.
+func (c *clientConn) endRequest() {
+	if c.framing.state == messageComplete {
+		c.framing.reset()
+	}
+}
+
 // endIdle ends an idle time; the caller holds the lock.
 func (c *clientConn) endIdle() {
 	if c.idle {
@@ -107,6 +233,9 @@
 func (c *clientConn) Close() error {
 	c.mu.Lock()
 	c.endIdle()
+	c.isClosed = true
+	c.drop(len(c.kept))
 	c.mu.Unlock()
+	c.closeOnce.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -92,6 +94,7 @@
 		{"three in a row", chunkedRequest("one", "") + plainRequest("two") + chunkedRequest("three", ""), []string{"one", "two", "three"}},
 		{"long head", chunkedRequest("body", pad), []string{"body"}},
 		{"long head behind another", chunkedRequest("first", pad) + chunkedRequest("second", pad), []string{"first", "second"}},
+		{"long target", strings.Replace(chunkedRequest("body", ""), "/x", "/x?"+strings.Repeat("q", 3<<10), 1) + chunkedRequest("second", ""), []string{"body", "second"}},
 		{"length in the body", chunkedRequest("\r\nContent-Length: 4\r\n\r\n", "") + chunkedRequest("second", ""), []string{"\r\nContent-Length: 4\r\n\r\n", "second"}},
 		{"ambiguous", chunkedRequest("body", both), []string{ambiguousMark}},
 		{"ambiguous with a long head", chunkedRequest("body", pad+both), []string{ambiguousMark}},
@@ -109,3 +112,88 @@
 		}
 	}
 }
+
+// consumed reads one request by net/http and says where it ends; false if it is malformed.
+func consumed(data []byte) (end int, chunked, ok bool) {
+	source := bytes.NewReader(data)
+	reader := bufio.NewReaderSize(source, 64<<10)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return 0, false, false
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return 0, false, false
+	}
+	return len(data) - source.Len() - reader.Buffered(), len(request.TransferEncoding) > 0, true
+}
+
+// checkFraming compares where a request ends with what net/http says, in pieces of any size.
+func checkFraming(t *testing.T, data []byte, random *rand.Rand) {
+	t.Helper()
+	end, chunked, ok := consumed(data)
+	if !ok {
+		return
+	}
+	var f framing
+	taken := 0
+	for taken < len(data) && f.state != messageComplete {
+		piece := data[taken : taken+1+random.IntN(len(data)-taken)]
+		n := f.advance(piece)
+		taken += n
+		if n < len(piece) {
+			require.Equal(t, messageComplete, f.state)
+		}
+	}
+	if f.ambiguous() {
+		return // it is refused if it is chunked
+	}
+	require.Equal(t, messageComplete, f.state, "%q", data)
+	require.Equal(t, end, taken, "%q", data)
+	require.Equal(t, chunked, f.chunked, "%q", data)
+}
+
+// randomRequest makes a proper request, with what delimits its body written in many ways.
+func randomRequest(random *rand.Rand) string {
+	body := strings.Repeat("0\r\n\r\nPOST / HTTP/1.1\r\n", random.IntN(40))
+	target := "/" + strings.Repeat("x", random.IntN(2*linePrefixLimit))
+	head := "POST " + target + []string{" HTTP/1.1\r\nHost: h\r\n", " HTTP/1.1\nHost: h\n"}[random.IntN(2)]
+	head += strings.Repeat("X-Pad: content-length: 3\r\n", random.IntN(30))
+	name := func(text string) string {
+		return []string{text, strings.ToLower(text), strings.ToUpper(text)}[random.IntN(3)] + ":" + strings.Repeat(" ", random.IntN(3))
+	}
+	if random.IntN(2) == 0 {
+		return head + name("Content-Length") + fmt.Sprint(len(body)) + "\r\n\r\n" + body
+	}
+	text := head + name("Transfer-Encoding") + "chunked\r\n\r\n"
+	for len(body) > 0 {
+		n := 1 + random.IntN(len(body))
+		text += fmt.Sprintf([]string{"%x", "%X", "0%x", "%x;a=b"}[random.IntN(4)], n) + "\r\n" + body[:n] + "\r\n"
+		body = body[n:]
+	}
+	return text + "0\r\n" + strings.Repeat("X-Trailer: 1\r\n", random.IntN(3)) + "\r\n"
+}
+
+func TestFraming_ProperRequests_EndWhereNetHTTPEndsThem(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 4))
+	for range 3000 {
+		text := randomRequest(random) + randomRequest(random)
+		_, _, ok := consumed([]byte(text))
+		require.True(t, ok, "%q", text)
+		checkFraming(t, []byte(text), random)
+		var f framing
+		f.advance([]byte(text))
+		require.False(t, f.ambiguous(), "%q", text)
+	}
+}
+
+// FuzzFraming holds that a request that net/http takes ends where the connection takes it to end, or is known to be ambiguous.
+func FuzzFraming(f *testing.F) {
+	f.Add([]byte(chunkedRequest("body", "") + plainRequest("next")))
+	f.Add([]byte(plainRequest("body") + chunkedRequest("next", "")))
+	f.Add([]byte("GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\nHost: h\nContent-Length: 1\nContent-Length: 1\n\nx"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		checkFraming(t, data, rand.New(rand.NewPCG(1, uint64(len(data)))))
+	})
+}
--- /dev/null
+++ b/internal/frontend/mutation_test.go
@@ -0,0 +1,22 @@
+package frontend
+
+import (
+	"testing"
+
+	"shaletrestle/internal/mutation"
+)
+
+// TestMutants_Framing_AreFound shows that the tests see when a mechanism of the framing is missing.
+func TestMutants_Framing_AreFound(t *testing.T) {
+	const run = "ClientConn|ProperChunked|ClientLeaves|Framing_"
+	mutation.AllFound(t, []mutation.Mutation{
+		{Name: "the next request is handed out at once", File: "clientconn.go", From: "\tif c.framing.state == messageComplete {\n\t\treturn 0, true\n\t}\n", To: "\tif c.framing.state == messageComplete {\n\t\tc.framing.reset()\n\t}\n", Run: run},
+		{Name: "nothing is read ahead", File: "clientconn.go", From: "full := len(c.kept) >= connectionAheadLimit || ", To: "full := len(c.kept) > 0 || ", Run: run},
+		{Name: "no limit of a connection", File: "clientconn.go", From: "len(c.kept) >= connectionAheadLimit || ", To: "", Run: run},
+		{Name: "no limit of all connections", File: "clientconn.go", From: " || c.ahead.Load() >= totalAheadLimit", To: "", Run: run},
+		{Name: "a length beside chunks is not seen", File: "framing.go", From: "f.hasLength && f.chunked || ", To: "", Run: run},
+		{Name: "data of a chunk may be its end", File: "framing.go", From: "\tcase f.left > 0:\n", To: "", Run: run},
+		{Name: "a trailer is no part of its request", File: "framing.go", From: "\t\tf.state = inTrailer\n", To: "\t\tf.state = messageComplete\n", Run: run},
+		{Name: "a long start line is cut", File: "framing.go", From: "f.isHTTP11 = bytes", To: "f.isHTTP11 = !cut && bytes", Run: run},
+	})
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -71,6 +71,7 @@
 	listener    net.Listener
 	handler     http.Handler
 	idleTimeout atomic.Duration // the newest one, read by every connection
+	ahead       atomic.Int64    // bytes that connections keep for later requests
 
 	mu       sync.Mutex // guards the fields below
 	current  *generation
@@ -83,11 +84,7 @@
 	catchAll := echo.New()
 	catchAll.HideBanner, catchAll.HidePort = true, true
 	serve := func(c echo.Context) error {
-		writer, request := c.Response().Writer, c.Request()
-		if conn, ok := request.Context().Value(clientConnKey{}).(*clientConn); ok {
-			defer conn.reset()
-		}
-		handler.ServeHTTP(writer, request)
+		handler.ServeHTTP(c.Response().Writer, c.Request())
 		return nil
 	}
 	catchAll.RouteNotFound("/*", serve)
@@ -164,7 +161,7 @@
 			wait.Sleep(s.ctx, acceptPause)
 			continue
 		}
-		s.dispatch(&clientConn{Conn: conn, idleTimeout: s.idleTimeout.Load})
+		s.dispatch(newClientConn(conn, s.idleTimeout.Load, &s.ahead))
 	}
 }
 
