router: while it shuts down, a stream that can't end within the grace is rejected before it runs

Class: work is taken that its taker will not be there to end. Change: routers learn how long streams of a service take for each token of their answer (smoothed mean and deviation, as of round-trip times); while shutting down, a stream that is expected to outlast the grace is answered 503 with Retry-After 0.1 before it is sent anywhere, so that its client goes to another router. Unknown services and other kinds of requests are taken as before (open: a long answer that is no stream).

--- a/internal/router/finish.go
+++ b/internal/router/finish.go
@@ -12,6 +12,7 @@
 const (
 	retryAfterS        = 0.4 // while replicas are overloaded
 	retryAfterUnreadyS = 0.8 // while this process has no configuration or list yet: about what a start takes
+	retryAfterLeavingS = 0.1 // while this process shuts down: the client's next connection goes to another one
 )
 
 // reject promises that nothing was run and never will be. The detail is for the record of the request only.
@@ -19,8 +20,11 @@
 	req.checkRejection()
 	req.router.counts.rejected.Inc()
 	after, cause := retryAfterS, requestlog.Overloaded
-	if kind == errkind.Unavailable {
+	switch {
+	case kind == errkind.Unavailable:
 		after, cause = retryAfterUnreadyS, requestlog.NotReady
+	case req.router.draining.Load():
+		after = retryAfterLeavingS
 	}
 	req.trail.Finish(cause, detail)
 	httpreply.Reject(req.writer, kind, after)
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -41,6 +41,11 @@
 		req.reject(errkind.Overloaded, "the queue is predicted to outlast the deadline")
 		return outcomeAnswered
 	}
+	if req.history.Sends() == 0 && !req.endsBeforeShutdown(choice) {
+		req.router.placer.Release(req.placed(choice))
+		req.reject(errkind.Overloaded, "shutting down before it would end")
+		return outcomeAnswered
+	}
 	return req.attempt(choice)
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -129,6 +129,7 @@
 		if response.Bytes != nil { // a resumed run answered with something else than events
 			return req.retry("not resumed")
 		}
+		req.recordPace()
 		req.trail.Finish(requestlog.Served, "")
 		return outcomeAnswered
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,7 +74,10 @@
 	budget   *retrybudget.Budget
 	longWork *longwork.Coordinator
 	inflight atomic.Int64
-	draining atomic.Bool // Shutdown was called
+	paces    streamPaces
+	draining atomic.Bool   // Shutdown was called
+	endsAt   atomic.Time   // when this process will have ended; zero before Shutdown
+	serving  chan struct{} // closed once Run serves clients
 
 	// Other routers, and this machine among them.
 	detector *failuredetector.Watcher
@@ -109,6 +112,7 @@
 		dialer:      options.Dialer,
 		store:       state.NewStore(state.Options{Monotonic: true}),
 		becameReady: make(chan struct{}),
+		serving:     make(chan struct{}),
 		bodies:      fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
 		prefixes:    prefixindex.NewIndex(),
 		requests:    requestlog.New(log),
@@ -199,6 +203,7 @@
 	go r.maintain()
 	go r.longWork.Run()
 	go r.server.Run()
+	close(r.serving)
 	r.log.Info("router started", "part", "router", "node", env.NodeName)
 	<-r.ctx.Done()
 	_ = readinessServer.Close()
@@ -215,11 +220,17 @@
 // Shutdown says not ready, goes on accepting until the platform has noticed, and returns when the requests in flight have
 // ended, or the grace of the settings has.
 func (r *Router) Shutdown() {
-	r.draining.Store(true)
-	r.longWork.Drain()
 	grace := durations.FromSeconds(r.settings.Load().Bounds.GraceS)
 	start := time.Now()
+	r.endsAt.Store(start.Add(grace - settings.GraceMargin))
+	r.draining.Store(true)
+	r.longWork.Drain()
 	wait.Sleep(r.ctx, min(readinessLinger, grace/2))
+	select {
+	case <-r.serving:
+	default:
+		return // Run has not come so far: no client was taken
+	}
 	r.server.Shutdown(grace - settings.GraceMargin - time.Since(start))
 	r.longWork.Wait(grace - settings.GraceMargin - time.Since(start))
 }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -45,6 +45,10 @@
 func (r *Router) useConfiguration(view *state.View) {
 	table := routing.Compile(view.Config)
 	r.table.Store(table)
+	r.paces.retain(table.Pools)
+	if table.Revision == 0 {
+		return // a snapshot from before the first one
+	}
 	r.log.Info("configuration in force", "part", "router", "config_revision", table.Revision, "routes", table.RouteCount)
 	if r.server != nil {
 		r.server.SetLimits(table.Limits)
