daemon: signals are handled from the first moment

Class: something is remembered or registered after the moment it is needed for. Change: signals are notified before anything else; those that came while starting are taken once the program is built (SIGHUP: settings are read again; others: it ends, nothing having been taken); the stamp is taken before reading.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -54,7 +54,7 @@
 	file := exampleFile(t)
 	var lines bytes.Buffer
 	daemon := &fakeDaemon{}
-	r := newReloader(func() {}, slog.New(slog.NewTextHandler(&lines, nil)), daemon, &options{file: file})
+	r := newReloader(func() {}, slog.New(slog.NewTextHandler(&lines, nil)), daemon, &startup{options: &options{file: file}})
 	r.reload()
 	require.Len(t, daemon.reloaded, 1)
 	require.Equal(t, "trial", daemon.reloaded[0].NodeName)
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -54,6 +54,7 @@
 func Main(program Program) { os.Exit(run(program, os.Stdout, os.Stderr)) }
 
 func run(program Program, stdout, stderr io.Writer) int {
+	signals := notifySignals() // first of all: by default, SIGHUP ends a process
 	options, err := parseOptions(program)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, program.Name+":", err)
@@ -67,6 +68,7 @@
 		_, _ = fmt.Fprintln(stderr, program.Name+": --long-work takes on, off or always")
 		return exitUsage
 	}
+	stamp := fileStamp(options.file) // before reading: a change in between is seen at the first look
 	env, err := options.load()
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, program.Name+":", err)
@@ -76,22 +78,33 @@
 		_, _ = fmt.Fprintln(stdout, "the settings are fine")
 		return exitOK
 	}
-	return serve(program, options, env, stderr)
+	return serve(program, &startup{options: options, settings: env, stamp: stamp, signals: signals}, stderr)
+}
+
+// startup is what a program knows before it is built.
+type startup struct {
+	options  *options
+	settings *settings.Settings
+	stamp    string           // of the settings file as it was read
+	signals  <-chan os.Signal // since the start of the process
 }
 
 // serve runs the daemon until it ends.
-func serve(program Program, options *options, env *settings.Settings, stderr io.Writer) int {
-	handler := slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: options.logLevel})
+func serve(program Program, start *startup, stderr io.Writer) int {
+	handler := slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: start.options.logLevel})
 	log := slog.New(handler).With("program", program.Name)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	limitMemory(env)
-	daemon, err := program.Build(ctx, log, env)
+	limitMemory(start.settings)
+	daemon, err := program.Build(ctx, log, start.settings)
 	if err != nil {
 		log.Error("cannot start", "error", err.Error())
 		return exitError
 	}
-	reloader := newReloader(cancel, log, daemon, options)
+	reloader := newReloader(cancel, log, daemon, start)
+	if reloader.endedWhileStarting() {
+		return exitOK
+	}
 	go reloader.run(ctx) // it ends with the context, at the latest with the process
 	if err := daemon.Run(); err != nil {
 		log.Error("ended with an error", "error", err.Error())
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -13,32 +13,59 @@
 // fileCheckInterval is how often the settings file is looked at: it may change without a signal.
 const fileCheckInterval = 2 * time.Second
 
+// signalsKept is how many signals wait while the program starts, or while a reload or Shutdown runs.
+const signalsKept = 16
+
 // reloader reacts to signals and to changes of the settings file. Only run uses its fields.
 type reloader struct {
 	cancel  context.CancelFunc // ends the daemon
 	log     *slog.Logger
 	daemon  Daemon
 	options *options
+	signals <-chan os.Signal
 	loaded  string // the stamp of the file that was read last
 }
 
-func newReloader(cancel context.CancelFunc, log *slog.Logger, daemon Daemon, options *options) *reloader {
+func newReloader(cancel context.CancelFunc, log *slog.Logger, daemon Daemon, start *startup) *reloader {
 	return &reloader{
 		cancel:  cancel,
 		log:     log.With("part", "settings"),
 		daemon:  daemon,
-		options: options,
+		options: start.options,
+		signals: start.signals,
+		loaded:  start.stamp,
+	}
+}
+
+// notifySignals has the signals that a program knows sent to a channel.
+func notifySignals() <-chan os.Signal {
+	signals := make(chan os.Signal, signalsKept)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// endedWhileStarting takes the signals that came before the daemon runs, and reports whether one of them ends it: there is
+// nothing to hand over yet. Settings that were changed meanwhile are read again by run.
+func (r *reloader) endedWhileStarting() bool {
+	for {
+		select {
+		case received := <-r.signals:
+			if received != syscall.SIGHUP {
+				r.log.Info("ended while starting", "signal", received.String())
+				return true
+			}
+			r.loaded = ""
+		default:
+			return false
+		}
 	}
 }
 
 // run reacts until a signal ends the program or the context ends.
 func (r *reloader) run(ctx context.Context) {
-	signals := make(chan os.Signal, 4) // room for those that come while a reload or Shutdown runs
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	r.loaded = fileStamp(r.options.file)
 	for {
 		select {
-		case received := <-signals:
+		case received := <-r.signals:
 			if received == syscall.SIGHUP {
 				r.reload()
 				continue
