Lengths of time come from the monotonic clock: idle time of channels, time since a member became primary

Beside it: the time was stored after the source that it belongs to was visible, so that for a moment an old primacy's time counted; it is stored first now. All other uses of Unix times were looked at: file stamps and an identity.

--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -24,7 +24,8 @@
 	cancel       context.CancelFunc
 	conn         net.Conn
 	outbox       chan outgoing
-	lastReceived atomic.Int64 // when bytes came last, in Unix nanoseconds
+	openedAt     time.Time
+	lastReceived atomic.Duration // when bytes came last, since openedAt: by the monotonic clock
 
 	mu       sync.Mutex
 	pending  map[uint64]pendingCall // guarded by mu: by number
@@ -45,13 +46,13 @@
 func Open(ctx context.Context, conn net.Conn, handler Handler) *Channel {
 	ctx, cancel := context.WithCancel(ctx)
 	channel := &Channel{
-		ctx:     ctx,
-		cancel:  cancel,
-		conn:    conn,
-		outbox:  make(chan outgoing, outboxLen),
-		pending: map[uint64]pendingCall{},
+		ctx:      ctx,
+		cancel:   cancel,
+		conn:     conn,
+		outbox:   make(chan outgoing, outboxLen),
+		pending:  map[uint64]pendingCall{},
+		openedAt: time.Now(),
 	}
-	channel.lastReceived.Store(time.Now().UnixNano())
 	go channel.write()
 	go channel.read(handler)
 	return channel
@@ -83,7 +84,7 @@
 func (r activityReader) Read(b []byte) (int, error) {
 	n, err := r.channel.conn.Read(b)
 	if n > 0 {
-		r.channel.lastReceived.Store(time.Now().UnixNano())
+		r.channel.lastReceived.Store(time.Since(r.channel.openedAt))
 	}
 	return n, err
 }
@@ -198,7 +199,7 @@
 
 // IdleTime is how long ago bytes came in on the channel, or since it was opened if none came yet.
 func (ch *Channel) IdleTime() time.Duration {
-	return time.Duration(time.Now().UnixNano() - ch.lastReceived.Load())
+	return time.Since(ch.openedAt) - ch.lastReceived.Load()
 }
 
 // OnClose adds a function that is called when the channel closes, by whoever closes it; on a closed channel it is
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -53,7 +53,7 @@
 	feed         *distribution.Feed
 	follower     *distribution.Follower              // of the primary, as a relay
 	source       atomic.Pointer[distribution.Source] // nil while this process is not primary; written by member's callbacks
-	primarySince atomic.Int64                        // Unix time in nanoseconds, 0 before the first time; written with source
+	primarySince atomic.Time                         // zero before the first time; written with source
 
 	grantor   *lease.Grantor
 	listLease *lease.Holder // its holder reads the platform's list and lends retries
--- a/internal/controller/updates.go
+++ b/internal/controller/updates.go
@@ -12,9 +12,10 @@
 func (c *Controller) becomePrimary(epoch uint64) {
 	c.follower.Disconnect()
 	source := c.feed.Begin(epoch, c.firstSnapshot)
-	if c.source.Swap(source) == nil {
-		c.primarySince.Store(time.Now().UnixNano())
+	if c.source.Load() == nil {
+		c.primarySince.Store(time.Now()) // first: whoever sees the source goes by it
 	}
+	c.source.Store(source)
 	if source == nil {
 		c.log.Warn("updates not published: a newer epoch is known", "epoch", epoch)
 		return
@@ -79,7 +80,7 @@
 // wantsListLease reports whether this process should hold the list lease. One that has just become primary waits for a
 // lease's duration: its grantors may be others than those that granted the lease of the primary before it.
 func (c *Controller) wantsListLease() bool {
-	sincePrimary := time.Duration(time.Now().UnixNano() - c.primarySince.Load())
+	sincePrimary := time.Since(c.primarySince.Load()) // by the monotonic clock, which the stored time keeps
 	return c.IsActivePrimary() && !c.shuttingDown.Load() && sincePrimary >= lease.Duration
 }
 
