--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -39,6 +39,8 @@
 	kindPipelined                   // several requests at once on one connection
 	kindLeaving                     // closes its connection before the answer
 	kindSlow                        // sends and reads slowly
+	kindRested                      // lets its connection rest within the idle limit, and uses it again
+	kindHostile                     // sends what is no request, or never ends one
 	kindCount
 )
 
@@ -157,6 +159,10 @@
 		c.leave(connection)
 	case kindSlow:
 		c.slow(router, connection, reader)
+	case kindRested:
+		c.rest(router, connection, reader)
+	case kindHostile:
+		c.harass(connection, reader)
 	default:
 		c.exchange(router, connection, reader, c.next())
 	}
@@ -307,6 +313,57 @@
 	c.run.judge.tally("clients left")
 }
 
+// rest uses a connection again after a rest of up to four fifths of the idle limit: it must be there.
+func (c *client) rest(router *process, connection net.Conn, reader *bufio.Reader) {
+	if got := c.exchange(router, connection, reader, c.next()); got.closes {
+		return
+	}
+	rested := time.Now()
+	time.Sleep(time.Duration(c.random.Int64N(idleLimitMs*4/5)) * time.Millisecond)
+	r := c.next()
+	c.announce(r)
+	_ = connection.SetDeadline(time.Now().Add(clientBudget + answerSlack))
+	_, err := connection.Write(r.bytes())
+	if err == nil {
+		_, err = reader.Peek(1)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && router.undisturbedSince(rested) {
+		c.run.judge.add(RuleIdle, "%s at %s: the connection was gone after a rest of %d ms", r.id, router.name, time.Since(rested).Milliseconds())
+	}
+	if err == nil {
+		c.receive(router, reader, r, rested)
+	}
+}
+
+// hostileTexts are what a hostile client sends: none of it may end a router, or reach a replica.
+var hostileTexts = []string{
+	"",
+	"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+	"GET / HTTP/1.1\r\nHost: soak.example\r\nX-Endless: ",
+	"POST /repeat/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	"POST /repeat/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/x HTTP/1.1\r\n",
+	"POST /repeat/x HTTP/1.1\r\nHost: soak.example\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+	"POST /repeat/x HTTP/1.1\r\nHost: soak.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+}
+
+// harass sends one of them and waits a little.
+func (c *client) harass(connection net.Conn, reader *bufio.Reader) {
+	c.run.judge.tally("hostile connections")
+	_ = connection.SetDeadline(time.Now().Add(time.Duration(c.random.Int64N(int64(time.Second)))))
+	if _, err := connection.Write([]byte(hostileTexts[c.random.IntN(len(hostileTexts))])); err != nil {
+		return
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	if response.StatusCode < http.StatusBadRequest {
+		c.run.judge.add(RuleMixed, "what is no request was answered %d", response.StatusCode)
+	}
+}
+
 // slow sends a request in two parts and waits before it reads.
 func (c *client) slow(router *process, connection net.Conn, reader *bufio.Reader) {
 	r := c.next()
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -12,6 +12,7 @@
 	markerName   = "marker"
 	addedRoutes  = 12 // of those that come and go, so many stay
 	routeTimeout = 4000
+	idleLimitMs  = 2500
 )
 
 // route is a route as it is sent.
@@ -99,7 +100,7 @@
 		Revision: 1,
 		Routes:   append(stableRoutes(), markerRoute(marker)),
 		Pools:    []pool{newPool(serviceDesk), newPool(serviceModel)},
-		Limits:   &limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxRequestBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 8000},
+		Limits:   &limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxRequestBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: idleLimitMs},
 	}
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -23,6 +23,7 @@
 	RuleOrder       Rule = "ORDER"         // events of a stream are missing, doubled or out of order
 	RuleNoAnswer    Rule = "NO-ANSWER"     // a router without trouble ended a connection without an answer
 	RuleHang        Rule = "HANG"          // a router without trouble did not answer in time
+	RuleIdle        Rule = "IDLE"          // a connection that rested within the idle limit is gone
 	RuleBudget      Rule = "BUDGET"        // a replica was handed more time than was left
 	RuleGone        Rule = "GONE"          // requests reached replicas long after their clients had left
 	RuleConfig      Rule = "CONFIG"        // the calls of the operators don't fit one register
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -26,6 +26,8 @@
 	// loseAnswerEvery is one of how many answers to an operator's change is lost on its way.
 	loseAnswerEvery = 12
 	repeatEvery     = 9
+	hostileEvery    = 15
+	hostileDepth    = 300_000
 )
 
 // operator makes changes, one after the other, and repeats each until its answer is clear.
@@ -132,6 +134,9 @@
 	if o.base == 0 {
 		return
 	}
+	if o.random.IntN(hostileEvery) == 0 {
+		o.harass(ctx)
+	}
 	o.changes++
 	marker := fmt.Sprintf("%s-%d", o.name, o.changes)
 	revision := o.base + 1 + o.random.Int64N(3)
@@ -161,6 +166,16 @@
 	}
 }
 
+// harass sends a body that no configuration has: it must be rejected as invalid, or not clearly answered.
+func (o *operator) harass(ctx context.Context) {
+	body := `{"revision":999999,"x":` + strings.Repeat(`{"a":`, hostileDepth)
+	got := call(ctx, o.client, http.MethodPut, o.run.anyController(o.random), strconv.FormatInt(o.base, 10), []byte(body))
+	o.run.judge.tally(fmt.Sprintf("hostile changes answered %d", got.status))
+	if got.status == http.StatusOK {
+		o.run.judge.add(RuleConfig, "a body that can't be read was acknowledged")
+	}
+}
+
 // repeat sends an acknowledged change once more, at times.
 func (o *operator) repeat(ctx context.Context, base int64, marker string, body []byte) {
 	if o.random.IntN(repeatEvery) != 0 {
