adminapi: the body is read before a member points elsewhere, bounded in size and time

The same cause elsewhere: frontend answers 413, 400 and 503 before a body is read, with Connection: close: its client has broken a limit or memory is short, so that reading on would defeat the purpose; its retry is safe, as nothing ran. Left, and said here.

--- a/internal/adminapi/primary.go
+++ b/internal/adminapi/primary.go
@@ -1,6 +1,8 @@
 package adminapi
 
 import (
+	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -52,16 +54,30 @@
 			return
 		}
 		if address != "" {
+			c.discardBody()
 			redirect(c, address)
 			return
 		}
 		if !s.mayAwaitTakeover(c) || !wait.Sleep(s.ctx, takeoverPollInterval) {
+			c.discardBody()
 			httpreply.Error(c.writer, errNoPrimary)
 			return
 		}
 	}
 }
 
+// discardBody reads what the caller is still sending before it is answered: net/http would close the connection under a
+// large body, and the reset could overtake the answer. It is bounded in size and time.
+func (c *call) discardBody() {
+	c.boundBody()
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(c.writer, c.request.Body, MaxConfigurationBytes))
+}
+
+// boundBody bounds the time that the caller may take over its body from now on.
+func (c *call) boundBody() {
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
 // mayAwaitTakeover reports whether the primary was lost so recently that a takeover may be under way, and the caller
 // still has the time to wait for it. A member that has been cut off for longer answers at once, so that the caller asks
 // another one, which may know more.
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -25,6 +25,8 @@
 	callTimeout = 850 * time.Millisecond
 	// largeBodyBytes is the size of a body beyond which callers wait longer for the answer.
 	largeBodyBytes = 256 << 10
+	// bodyTimeout is how long a caller may take over its body, however large.
+	bodyTimeout = 10 * time.Second
 	// largeBodyTimeout is the time that a call with a large body has from its end, at least.
 	largeBodyTimeout = 500 * time.Millisecond
 )
@@ -130,6 +132,7 @@
 }
 
 func (s *server) changeConfig(c *call, newEvent func(base int64, body []byte) state.Event) {
+	c.boundBody()
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, MaxConfigurationBytes))
 	if err != nil {
 		httpreply.Error(c.writer, errBodyIncomplete)
