--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -15,14 +16,15 @@
 	programRouter     = "router"
 )
 
-// replacement is one changed place of a source file, as the overlay has it.
-type replacement struct{ file, from, to string }
+// Replacement is one changed place of a source file, as the overlay has it: the text From, which stands in it once, becomes
+// To.
+type Replacement struct{ File, From, To string }
 
 // faultPackage is the import path of the package that the overlay adds.
 const faultPackage = `"shaletrestle/coord/faultinjection"`
 
 // replacements connect the daemons' sockets and disk with the added package.
-var replacements = []replacement{
+var replacements = []Replacement{
 	{"coord/rpc/net.go", `	"context"`, "\t\"context\"\n\t" + faultPackage},
 	{"coord/rpc/net.go", `	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
 	return dialer.Dial("tcp4", address)`, `	return faultinjection.Dial(address, timeout, func(left time.Duration) (net.Conn, error) {
@@ -53,18 +55,27 @@
 	return l.log.Sync()`},
 }
 
-// Build compiles the daemons with faults injected into a folder. root is the repository's; race adds the race detector.
-func Build(root, dir string, race bool) error {
-	overlay, err := writeOverlay(root, dir)
+// BuildOptions say how the daemons are built.
+type BuildOptions struct {
+	Root    string        // of the repository
+	Dir     string        // for the programs
+	Race    bool          // with the race detector
+	Planted []Replacement // further changes, to see that a run finds them
+}
+
+// Build compiles the daemons with faults injected.
+func Build(options BuildOptions) error {
+	dir := options.Dir
+	overlay, err := writeOverlay(options.Root, dir, slices.Concat(replacements, options.Planted))
 	if err != nil {
 		return err
 	}
 	args := []string{"build", "-overlay", overlay, "-o", dir + string(filepath.Separator)}
-	if race {
+	if options.Race {
 		args = append(args, "-race")
 	}
 	build := exec.Command("go", append(args, "./cmd/"+programController, "./cmd/"+programRouter)...)
-	build.Dir = root
+	build.Dir = options.Root
 	if output, err := build.CombinedOutput(); err != nil {
 		return fmt.Errorf("build of the daemons: %w: %s", err, output)
 	}
@@ -72,10 +83,10 @@
 }
 
 // writeOverlay writes the changed sources beside an overlay file that names them, and returns the overlay's path.
-func writeOverlay(root, dir string) (string, error) {
+func writeOverlay(root, dir string, places []Replacement) (string, error) {
 	sources := map[string]string{}
-	for _, place := range replacements {
-		path := filepath.Join(root, place.file)
+	for _, place := range places {
+		path := filepath.Join(root, place.File)
 		if _, known := sources[path]; !known {
 			source, err := os.ReadFile(path)
 			if err != nil {
@@ -83,10 +94,10 @@
 			}
 			sources[path] = string(source)
 		}
-		if n := strings.Count(sources[path], place.from); n != 1 {
-			return "", fmt.Errorf("%s: the place %q appears %d times, want once", place.file, place.from, n)
+		if n := strings.Count(sources[path], place.From); n != 1 {
+			return "", fmt.Errorf("%s: the place %q appears %d times, want once", place.File, place.From, n)
 		}
-		sources[path] = strings.Replace(sources[path], place.from, place.to, 1)
+		sources[path] = strings.Replace(sources[path], place.From, place.To, 1)
 	}
 	injected, err := os.ReadFile(filepath.Join(root, "internal/soak/testdata/faultinjection/faults.go.txt"))
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 	soakOverlap  = flag.Int("soak.overlap", 3, "faults at the same time at most")
 	soakClients  = flag.Int("soak.clients", 6, "clients, each with one connection at a time")
 	soakDir      = flag.String("soak.dir", "", "folder for settings, data and logs, kept; none: a temporary one, kept only after a failure")
+	soakPlanted  = flag.Bool("soak.planted", false, "plant faults in the daemons and see that a run finds each; takes minutes")
 	soakRace     = flag.Bool("soak.race", false, "build the daemons with the race detector")
 )
 
@@ -65,7 +66,7 @@
 		t.Skip("with -soak.seeds only: it needs minutes and builds the daemons")
 	}
 	bin := t.TempDir()
-	require.NoError(t, Build("../..", bin, *soakRace))
+	require.NoError(t, Build(BuildOptions{Root: "../..", Dir: bin, Race: *soakRace}))
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			dir := runFolder(t, seed)
