Soak: the injected faults are really in the programs, and replicas' faults come beside the others

The overlay's names were relative to the test's folder, not to that of the build, and a name that fits nothing is ignored: cuts, delays and disk faults of the runs so far did nothing. Found by a planted fault that no run named and by the request log of such a run. The names are absolute now, and a build without the injected text fails. Faults of replicas and the platform have a lane of their own.

--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -66,7 +67,11 @@
 // Build compiles the daemons with faults injected.
 func Build(options BuildOptions) error {
 	dir := options.Dir
-	overlay, err := writeOverlay(options.Root, dir, slices.Concat(replacements, options.Planted))
+	root, err := filepath.Abs(options.Root) // the overlay's names are looked up from the folder of the build
+	if err != nil {
+		return err
+	}
+	overlay, err := writeOverlay(root, dir, slices.Concat(replacements, options.Planted))
 	if err != nil {
 		return err
 	}
@@ -75,10 +80,27 @@
 		args = append(args, "-race")
 	}
 	build := exec.Command("go", append(args, "./cmd/"+programController, "./cmd/"+programRouter)...)
-	build.Dir = options.Root
+	build.Dir = root
 	if output, err := build.CombinedOutput(); err != nil {
 		return fmt.Errorf("build of the daemons: %w: %s", err, output)
 	}
+	return checkInjected(dir)
+}
+
+// injectedMark is a text of the injected package.
+const injectedMark = "SOAK_FAULTS"
+
+// checkInjected makes sure that the programs have the faults in them: a run without would find nothing.
+func checkInjected(dir string) error {
+	for _, program := range []string{programController, programRouter} {
+		binary, err := os.ReadFile(filepath.Join(dir, program))
+		if err != nil {
+			return err
+		}
+		if !bytes.Contains(binary, []byte(injectedMark)) {
+			return fmt.Errorf("%s was built without the faults: the overlay names other files", program)
+		}
+	}
 	return nil
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -21,7 +21,7 @@
 const (
 	clientBudget    = 3 * time.Second         // Time-Budget-Ms of every request
 	answerSlack     = 1500 * time.Millisecond // an answer may come so long after the budget
-	clientPause     = 40 * time.Millisecond
+	clientPause     = 10 * time.Millisecond
 	dialTimeout     = 1 * time.Second
 	maxSmallBody    = 400
 	maxLargeBody    = 300 << 10
@@ -41,9 +41,14 @@
 	kindSlow                        // sends and reads slowly
 	kindRested                      // lets its connection rest within the idle limit, and uses it again
 	kindHostile                     // sends what is no request, or never ends one
-	kindCount
 )
 
+// clientKinds are the kinds as often as they are drawn.
+var clientKinds = []clientKind{
+	kindSimple, kindSimple, kindSimple, kindSimple, kindKept, kindKept, kindKept, kindPipelined, kindPipelined,
+	kindLeaving, kindSlow, kindRested, kindHostile,
+}
+
 // request is one request of a client.
 type request struct {
 	id       string
@@ -79,7 +84,7 @@
 func (c *client) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		routers := c.run.fleet.routers
-		c.session(routers[c.random.IntN(len(routers))], clientKind(c.random.IntN(int(kindCount))))
+		c.session(routers[c.random.IntN(len(routers))], clientKinds[c.random.IntN(len(clientKinds))])
 		wait.Sleep(ctx, time.Duration(c.random.Int64N(int64(clientPause))))
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,13 +38,14 @@
 	total    int
 }
 
-func newFaultInjector(run *Run) *faultInjector {
+// newFaultInjector makes an injector of some faults; stream tells its draws from those of others.
+func newFaultInjector(run *Run, faults []fault, overlap int, stream uint64) *faultInjector {
 	i := &faultInjector{
 		run:      run,
-		random:   rand.New(rand.NewPCG(run.options.Seed, 5)),
-		parallel: make(chan struct{}, run.options.Overlap),
+		random:   rand.New(rand.NewPCG(run.options.Seed, stream)),
+		parallel: make(chan struct{}, overlap),
 	}
-	for _, each := range allFaults {
+	for _, each := range faults {
 		for range each.weight {
 			i.faults = append(i.faults, each)
 		}
@@ -52,8 +53,8 @@
 	return i
 }
 
-// allFaults are the kinds, with their weights.
-var allFaults = []fault{
+// processFaults are the kinds that befall our own processes, with their weights.
+var processFaults = []fault{
 	{"kill controller", 3, func(i *faultInjector) error { return i.killOne(i.controller()) }},
 	{"kill router", 2, func(i *faultInjector) error { return i.killOne(i.router()) }},
 	{"terminate controller", 2, func(i *faultInjector) error { return i.terminate(i.controller()) }},
@@ -70,7 +71,11 @@
 	{"cut a router off", 2, (*faultInjector).cutRouter},
 	{"delay", 1, (*faultInjector).delay},
 	{"disk trouble", 2, (*faultInjector).disk},
-	{"replica trouble", 5, (*faultInjector).replicaMode},
+}
+
+// replicaFaults are the kinds that befall replicas and the platform. They come beside the others.
+var replicaFaults = []fault{
+	{"replica trouble", 9, (*faultInjector).replicaMode},
 	{"replica crashes", 2, (*faultInjector).replicaCrash},
 	{"replica drains and its address is reused", 2, (*faultInjector).replicaReplaced},
 	{"platform down", 1, (*faultInjector).platformDown},
@@ -113,8 +118,7 @@
 
 // begin injects a fault in a goroutine of its own.
 func (i *faultInjector) begin(drawn fault) {
-	i.run.faultCounts[drawn.name]++
-	i.run.faultBegins()
+	i.run.faultBegins(drawn.name)
 	child := &faultInjector{run: i.run, random: rand.New(rand.NewPCG(i.random.Uint64(), 1)), lastWipe: i.lastWipe}
 	if drawn.name == "lose a disk" {
 		i.lastWipe = time.Now()
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -62,7 +62,7 @@
 			bin := t.TempDir()
 			require.NoError(t, Build(BuildOptions{Root: "../..", Dir: bin, Planted: fault.places}))
 			for seed := range uint64(plantedSeeds) {
-				report, err := Execute(t.Context(), Options{Seed: 500 + seed, Duration: plantedDuration, Overlap: 3, Clients: 8, Dir: t.TempDir(), Bin: bin})
+				report, err := Execute(t.Context(), Options{Seed: 500 + seed, Duration: plantedDuration, Overlap: 3, Clients: 12, Dir: t.TempDir(), Bin: bin})
 				require.NoError(t, err)
 				for _, rule := range fault.rules {
 					if report.Counts[rule] > 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,13 +32,14 @@
 	deskReplicas    = 3
 	modelReplicas   = 3
 	readerCount     = 3
+	replicaOverlap  = 2 // faults of replicas and the platform at the same time at most
 )
 
 // Options say what a run does.
 type Options struct {
 	Seed     uint64
 	Duration time.Duration // of the faults; the start and the recovery come in addition
-	Overlap  int           // faults at the same time at most
+	Overlap  int           // faults of processes, paths and disks at the same time at most
 	Clients  int
 	Dir      string // of settings, data and logs; must be there
 	Bin      string // of the daemons, as Build made them
@@ -55,11 +56,10 @@
 	routes   addedRouteSet
 	logFile  *os.File
 
-	faultCounts map[string]int // by name; of the drawing goroutine
-
-	mu            sync.Mutex // guards the fields below
-	incarnations  int        // of replicas, to tell them apart
-	nextReplica   int        // last octet of the newest replica's address
+	mu            sync.Mutex     // guards the fields below
+	faultCounts   map[string]int // by name
+	incarnations  int            // of replicas, to tell them apart
+	nextReplica   int            // last octet of the newest replica's address
 	faultsNow     int
 	calmFrom      time.Time // when the last fault ended
 	starvedAt     time.Time // when a timer was too late last
@@ -211,7 +211,9 @@
 		all.Go(func() { r.readAll(load, uint64(60+number)) })
 	}
 	all.Go(func() { newProber(r).work(load) })
-	newFaultInjector(r).work(faults)
+	replicas := newFaultInjector(r, replicaFaults, replicaOverlap, 6)
+	all.Go(func() { replicas.work(faults) })
+	newFaultInjector(r, processFaults, r.options.Overlap, 5).work(faults)
 	r.log("no more faults")
 	wait.Sleep(ctx, aftermath)
 	stopLoad()
@@ -225,6 +227,7 @@
 	if err := r.awaitReady(ctx, recoverTimeout); err != nil {
 		r.judge.add(RuleRecover, "%v", err)
 	}
+	begun = time.Now()
 	last := newOperator(r, "last", 11)
 	acked := false
 	for !acked && time.Since(begun) < recoverTimeout {
@@ -338,9 +341,10 @@
 }
 
 // faultBegins and faultEnds count the faults under way.
-func (r *Run) faultBegins() {
+func (r *Run) faultBegins(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.faultCounts[name]++
 	r.faultsNow++
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,7 @@
 	soakSeeds    = flag.String("soak.seeds", "", "seeds to run, as 1-8 or 3; none: the soak is skipped")
 	soakDuration = flag.Duration("soak.duration", 30*time.Second, "time of faults in each run")
 	soakOverlap  = flag.Int("soak.overlap", 3, "faults at the same time at most")
-	soakClients  = flag.Int("soak.clients", 6, "clients, each with one connection at a time")
+	soakClients  = flag.Int("soak.clients", 12, "clients, each with one connection at a time")
 	soakDir      = flag.String("soak.dir", "", "folder for settings, data and logs, kept; none: a temporary one, kept only after a failure")
 	soakPlanted  = flag.Bool("soak.planted", false, "plant faults in the daemons and see that a run finds each; takes minutes")
 	soakRace     = flag.Bool("soak.race", false, "build the daemons with the race detector")
