--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -5,12 +5,9 @@
 package mutation
 
 import (
-	"encoding/json"
 	"flag"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 )
@@ -29,7 +26,7 @@
 
 // Replacement is one changed place of a source file.
 type Replacement struct {
-	File string // in the folder of the test's package, or a path relative to it
+	File string // a path relative to the folder of the test's package
 	From string // the text that is replaced; it appears in the file exactly once
 	To   string
 }
@@ -105,40 +102,15 @@
 // writeOverlay puts the mutant's files beside an overlay file that names them, and returns the overlay's path.
 func writeOverlay(t *testing.T, m Mutation) string {
 	t.Helper()
-	dir := t.TempDir()
-	sources := map[string]string{}
+	overlay := &Overlay{}
 	for _, place := range append([]Replacement{{m.File, m.From, m.To}}, m.More...) {
-		path, err := filepath.Abs(place.File)
-		if err != nil {
-			t.Fatal(err)
+		if err := overlay.Replace(place); err != nil {
+			t.Fatalf("%s: %v", m.Name, err)
 		}
-		if _, known := sources[path]; !known {
-			source, err := os.ReadFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			sources[path] = string(source)
-		}
-		if n := strings.Count(sources[path], place.From); n != 1 {
-			t.Fatalf("%s: the place %q appears %d times in %s, want once", m.Name, place.From, n, place.File)
-		}
-		sources[path] = strings.Replace(sources[path], place.From, place.To, 1)
 	}
-	replaced := map[string]string{}
-	for path, source := range sources {
-		mutant := filepath.Join(dir, strconv.Itoa(len(replaced))+filepath.Base(path))
-		if err := os.WriteFile(mutant, []byte(source), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		replaced[path] = mutant
-	}
-	text, err := json.Marshal(map[string]any{"Replace": replaced})
+	file, err := overlay.Write(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	overlay := filepath.Join(dir, "overlay.json")
-	if err := os.WriteFile(overlay, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return overlay
+	return file
 }
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"shaletrestle/internal/mutation"
 )
 
 const (
@@ -15,39 +17,39 @@
 // plantedFault is a wrong version of the daemons and the rules by which a run may name it.
 type plantedFault struct {
 	name   string
-	places []Replacement
+	places []mutation.Replacement
 	rules  []Rule
 }
 
 var plantedFaults = []plantedFault{
 	{
 		"everything may be repeated",
-		[]Replacement{{"coord/attempt/attempt.go", "return idempotent || !h.MayHaveRun()", "return true"}},
+		[]mutation.Replacement{place("coord/attempt/attempt.go", "return idempotent || !h.MayHaveRun()", "return true")},
 		[]Rule{RuleTwice, RuleInvariant},
 	},
 	{
 		"what may have run is rejected",
-		[]Replacement{{"coord/attempt/attempt.go", "return s == PartlySent || s == Sent || s == Answered", "return s == Answered"}},
+		[]mutation.Replacement{place("coord/attempt/attempt.go", "return s == PartlySent || s == Sent || s == Answered", "return s == Answered")},
 		[]Rule{RuleRefused, RuleTwice, RuleInvariant},
 	},
 	{
 		"signals are not handled while starting",
-		[]Replacement{{"internal/daemon/reload.go", "	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)\n", "	time.AfterFunc(5*time.Second, func() { signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) })\n"}},
+		[]mutation.Replacement{place("internal/daemon/reload.go", "	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)\n", "	time.AfterFunc(5*time.Second, func() { signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) })\n")},
 		[]Rule{RuleEnded, RuleGraceMissed},
 	},
 	{
 		"an entry is acknowledged without its backups",
-		[]Replacement{{"coord/replication/core/write.go", "if len(w.ackedBackups) < len(c.register.View.Backups) {", "if false {"}},
+		[]mutation.Replacement{place("coord/replication/core/write.go", "if len(w.ackedBackups) < len(c.register.View.Backups) {", "if false {")},
 		[]Rule{RuleConfig, RuleRepeat, RuleInvariant, RuleBack, RuleApply},
 	},
 	{
 		"a read is not confirmed",
-		[]Replacement{{"internal/controller/changes.go", "	if err := c.member.Read(deadline, look); err != nil {\n", "	look()\n	if err := error(nil); err != nil {\n"}},
+		[]mutation.Replacement{place("internal/controller/changes.go", "	if err := c.member.Read(deadline, look); err != nil {\n", "	look()\n	if err := error(nil); err != nil {\n")},
 		[]Rule{RuleConfig, RuleInvariant},
 	},
 	{
 		"a router forgets a request's end",
-		[]Replacement{{"internal/router/attempt.go", "	defer req.router.placer.Release(placed)\n", ""}},
+		[]mutation.Replacement{place("internal/router/attempt.go", "	defer req.router.placer.Release(placed)\n", "")},
 		[]Rule{RuleInvariant, RuleHang, RuleRecover},
 	},
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -222,12 +222,11 @@
 
 // finish checks that everything is served again, and what only the end shows.
 func (r *Run) finish(ctx context.Context) {
-	begun := time.Now()
 	client, random := newHTTPClient(), rand.New(rand.NewPCG(r.options.Seed, 10))
 	if err := r.awaitReady(ctx, recoverTimeout); err != nil {
 		r.judge.add(RuleRecover, "%v", err)
 	}
-	begun = time.Now()
+	begun := time.Now()
 	last := newOperator(r, "last", 11)
 	acked := false
 	for !acked && time.Since(begun) < recoverTimeout {
