--- a/internal/adminapi/large_body_test.go
+++ b/internal/adminapi/large_body_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +55,11 @@
 	control.set("", false)
 	require.Equal(t, http.StatusServiceUnavailable, sendSlowly(t, server.Listener.Addr().String(), 2<<20), "no primary is known")
 }
+
+// TestServer_BodyOverTheLimit_IsCalledTooLarge sends a change that is larger than any configuration may be.
+func TestServer_BodyOverTheLimit_IsCalledTooLarge(t *testing.T) {
+	control := &fakeControl{here: true}
+	response := ask(control, http.MethodPut, "/v1/config", "5", strings.Repeat("x", MaxConfigurationBytes+1))
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.Code)
+	require.Empty(t, control.got)
+}
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -36,7 +36,6 @@
 	errNoPrimary       = errkind.New(errkind.Unavailable, "no primary is known")
 	errNoSuchCall      = errkind.New(errkind.NoRoute, "no such call")
 	errNoConfiguration = errkind.New(errkind.NoRoute, "no configuration yet")
-	errBodyIncomplete  = errkind.New(errkind.InvalidInput, "body can't be read whole")
 	errNoBaseRevision  = errkind.New(errkind.InvalidInput, "If-Match must name the version built on")
 	errNoZone          = errkind.New(errkind.InvalidInput, "no zone")
 )
@@ -135,7 +134,7 @@
 	c.boundBody()
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, MaxConfigurationBytes))
 	if err != nil {
-		httpreply.Error(c.writer, errBodyIncomplete)
+		httpreply.Error(c.writer, errkind.Wrap(errkind.OfBody(err), err, "body can't be read whole"))
 		return
 	}
 	if after := time.Now().Add(largeBodyTimeout); len(body) > largeBodyBytes && c.deadline.Before(after) {
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
 	"time"
 
 	"shaletrestle/internal/adminapi"
@@ -48,13 +47,14 @@
 
 // refuseBody answers a request whose body could not be read.
 func (req *request) refuseBody(err error) bool {
-	switch {
-	case strings.Contains(err.Error(), "too large"):
-		return req.refuseAndClose(errkind.BodyTooLarge, "body over the limit")
-	case strings.Contains(err.Error(), "timeout"):
-		return req.refuseAndClose(errkind.ClientTimeout, "body too slow")
+	switch kind := errkind.OfBody(err); kind {
+	case errkind.BodyTooLarge:
+		return req.refuseAndClose(kind, "body over the limit")
+	case errkind.ClientTimeout:
+		return req.refuseAndClose(kind, "body too slow")
+	default:
+		return req.refuseAndClose(kind, "body can't be read")
 	}
-	return req.refuseAndClose(errkind.InvalidInput, "body can't be read")
 }
 
 // reserveBody reserves memory for a body. When it runs short, a route that has its fair share is rejected and the others
