--- a/coord/replication/core/heartbeat.go
+++ b/coord/replication/core/heartbeat.go
@@ -24,15 +24,23 @@
 	}
 }
 
+// memberListInterval is the number of heartbeats of which one lists the members: with N members the lists are N times N entries. A member that has just come gets its list with the answer to its Hello.
+const memberListInterval = 8
+
 func (c *Core) heartbeat() {
 	c.lastHeartbeat = c.now
+	var members []Member
+	if (c.now/c.timing.HeartbeatInterval)%memberListInterval == 0 {
+		members = c.contactedMembers()
+	}
 	for _, p := range c.peers {
-		c.heartbeatTo(p.member)
+		c.heartbeatTo(p.member, members)
 	}
 }
 
-func (c *Core) heartbeatTo(member Member) {
-	c.send(Heartbeat{Envelope: c.envelopeTo(member), View: c.View(), Members: c.contactedMembers()})
+// heartbeatTo sends a heartbeat; members may be nil.
+func (c *Core) heartbeatTo(member Member, members []Member) {
+	c.send(Heartbeat{Envelope: c.envelopeTo(member), View: c.View(), Members: members})
 }
 
 // checkView makes a view change due if a backup failed, or members are available that improve the view.
--- a/coord/replication/core/hello.go
+++ b/coord/replication/core/hello.go
@@ -53,7 +53,7 @@
 	c.learn(m.View)
 	c.send(HelloReply{Envelope: c.replyTo(m), Status: c.status(), View: c.View(), Members: c.contactedMembers()})
 	if c.isPrimary {
-		c.heartbeatTo(m.From) // its reply shows at once that it receives this member too
+		c.heartbeatTo(m.From, nil) // its reply shows at once that it receives this member too
 	}
 }
 
--- a/coord/replication/core/messages.go
+++ b/coord/replication/core/messages.go
@@ -44,7 +44,7 @@
 type Heartbeat struct {
 	Envelope
 	View    *View
-	Members []Member
+	Members []Member // that the primary heard itself, and it; nil in most
 }
 
 // HeartbeatReply answers a Heartbeat.
