--- a/coord/rpc/channel.go
+++ b/coord/rpc/channel.go
@@ -24,6 +24,7 @@
 	cancel       context.CancelFunc
 	conn         net.Conn
 	outbox       chan outgoing
+	counter      *channelCounter // nil: not counted
 	openedAt     time.Time
 	lastReceived atomic.Duration // when bytes came last, since openedAt: by the monotonic clock
 
@@ -51,6 +52,7 @@
 		conn:     conn,
 		outbox:   make(chan outgoing, outboxLen),
 		pending:  map[uint64]pendingCall{},
+		counter:  newChannelCounter(conn),
 		openedAt: time.Now(),
 	}
 	go channel.write()
@@ -65,9 +67,13 @@
 	for {
 		select {
 		case message := <-ch.outbox:
-			if writeFrame(w, message) != nil {
+			written, err := writeFrame(w, message)
+			if err != nil {
 				return
 			}
+			if written {
+				ch.counter.sent(message.encoded)
+			}
 			if len(ch.outbox) == 0 && w.Flush() != nil {
 				return
 			}
@@ -94,13 +100,17 @@
 	r := bufio.NewReader(activityReader{ch})
 	for {
 		frame, err := readFrame(r)
-		if err != nil {
-			return
+		var message *Message
+		if err == nil {
+			message, err = Decode(frame)
 		}
-		message, err := Decode(frame)
 		if err != nil {
+			if errors.Is(err, ErrInvalidMessage) {
+				ch.counter.receivedInvalid(ch.conn.RemoteAddr(), err)
+			}
 			return
 		}
+		ch.counter.received(message, len(frame))
 		switch {
 		case message.Answer:
 			if !ch.deliver(message) {
--- a/coord/rpc/compatibility_test.go
+++ b/coord/rpc/compatibility_test.go
@@ -68,7 +68,9 @@
 	w := bufio.NewWriter(&framed)
 	for i := range 2 {
 		message := &Message{Kind: Update, Text: fmt.Sprint("frame ", i)}
-		require.NoError(t, writeFrame(w, outgoing{encoded: message.Encode()}))
+		written, err := writeFrame(w, outgoing{encoded: message.Encode()})
+		require.NoError(t, err)
+		require.True(t, written)
 	}
 	require.NoError(t, w.Flush())
 	r := bytes.NewReader(recording.Same("two", framed.Bytes()))
--- a/coord/rpc/constants.go
+++ b/coord/rpc/constants.go
@@ -5,6 +5,8 @@
 const (
 	// frameLimitBytes bounds a frame; a snapshot of a very large configuration still fits.
 	frameLimitBytes = 24 << 20
+	// framePrefixBytes is the size of the length before a frame.
+	framePrefixBytes = 4
 	// frameReadBytes is how much of a frame is allocated and read at once: a length that only claims to be large costs
 	// no memory.
 	frameReadBytes = 1 << 16
--- a/coord/rpc/message.go
+++ b/coord/rpc/message.go
@@ -22,6 +22,7 @@
 	LoadSums                    // the work that waits at the replicas, as the sender knows it (package loadsum)
 	Loan                        // asks for a loan out of a shared budget (package fairshare)
 	Job                         // work handed over between nodes (package handoff)
+	List                        // asks another process to read a list that is nearer to it
 )
 
 // Member names a process: its id stays with its state, the address is only where it can be reached now.
--- a/internal/controller/compatibility_test.go
+++ b/internal/controller/compatibility_test.go
@@ -90,7 +90,7 @@
 
 	reports, err := json.Marshal([]outlier.Report{{ReplicaID: "replica-1", Node: 0x8006, Successes: 0.5, Failures: 2}})
 	require.NoError(t, err)
-	c.handleReports(recording.Same("reports", reports))
+	c.handleReports("10.0.0.9:7722", recording.Same("reports", reports))
 	require.Equal(t, reports, c.reports.take(), "a relay forwards what it received")
 	require.Nil(t, c.reports.take())
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,7 @@
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/durations"
+	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
 )
@@ -41,9 +42,10 @@
 	ctx      context.Context // ends the process's work; handlers and callbacks of the parts have no other
 	log      *slog.Logger
 	settings *settings.Settings // not changed after New
-	net      rpc.Net
-	pool     *rpc.Pool         // channels to other members
-	api      *adminapi.Handler // of the operator
+	net      rpc.Net            // for HTTP
+	peers    rpc.Net            // for messages between processes, which traffic counts
+	pool     *rpc.Pool          // channels to other members
+	api      *adminapi.Handler  // of the operator
 
 	member       currentMember
 	replicated   *state.Store // configuration, evacuations, history; written by member alone
@@ -66,6 +68,7 @@
 	loadSums    *loadsum.Sum        // of the own followers
 	lender      *fairshare.Lender
 
+	traffic    *rpc.Traffic
 	invariants *invariant.Recorder
 	answered   answeredRevision
 }
@@ -90,7 +93,9 @@
 		invariants: newInvariants(log),
 	}
 	c.api = adminapi.New(ctx, log, c)
-	c.pool = rpc.NewPool(ctx, options.Net, c.handle)
+	c.traffic = rpc.NewTraffic(env.Zone, rpc.TrafficOptions{ZoneOf: c.controllerZone, OnInvalid: c.logInvalidMessage})
+	c.peers = c.traffic.Net(options.Net)
+	c.pool = rpc.NewPool(ctx, c.peers, c.handle)
 	c.feed = distribution.NewFeed(ctx, log, c.updates, func(distribution.Position) {
 		if c.follower != nil {
 			c.follower.ReportProgress()
@@ -102,7 +107,7 @@
 	}
 	c.member = currentMember{member}
 	c.follower = distribution.NewFollower(distribution.FollowerOptions{
-		Net:          options.Net,
+		Net:          c.peers,
 		Sink:         c.feed,
 		Self:         member.Self(),
 		NextParent:   c.primaryToFollow,
@@ -126,15 +131,15 @@
 
 // Run serves until the context ends. An error says that an address could not be listened at.
 func (c *Controller) Run() error {
-	members, err := c.listen("member port", c.settings.Port(settings.ControlPortOffset))
+	members, err := listen(c.peers, "member port", c.settings.Port(settings.ControlPortOffset))
 	if err != nil {
 		return err
 	}
-	control, err := c.listen("control address", c.settings.Bind.Control)
+	control, err := listen(c.net, "control address", c.settings.Bind.Control)
 	if err != nil {
 		return err
 	}
-	pages, err := c.listen("state page", c.settings.Port(settings.ControlStatePortOffset))
+	pages, err := listen(c.net, "state page", c.settings.Port(settings.ControlStatePortOffset))
 	if err != nil {
 		return err
 	}
@@ -159,6 +164,7 @@
 	})
 	work.Go(c.shareLoadSums)
 	work.Go(c.watchPrimary)
+	metrics.ServePort(c.ctx, c.log, c.net, c.settings, c.serveMetrics)
 	c.log.Info("controller started", "node", c.settings.NodeName)
 	<-c.ctx.Done()
 	_ = api.Close()
@@ -167,8 +173,8 @@
 	return nil
 }
 
-func (c *Controller) listen(purpose, address string) (net.Listener, error) {
-	listener, err := c.net.Listen(address)
+func listen(network rpc.Net, purpose, address string) (net.Listener, error) {
+	listener, err := network.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", purpose, err)
 	}
@@ -202,7 +208,7 @@
 	case rpc.Subscribe:
 		c.feed.HandleSubscribe(channel, message)
 	case rpc.UpdateAck:
-		c.handleReports(message.Body)
+		c.handleReports(message.From.Address, message.Body)
 		c.feed.HandleAck(channel, message)
 	case rpc.Suspect:
 		c.handleSuspect(message)
--- a/internal/controller/member.go
+++ b/internal/controller/member.go
@@ -71,3 +71,13 @@
 	}
 	return primary.Address
 }
+
+// controllerZone gives the zone of a member's address; empty if it is not known.
+func (c *Controller) controllerZone(address string) string {
+	for _, member := range c.member.Members() {
+		if member.Address == address {
+			return member.Zone
+		}
+	}
+	return ""
+}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -18,6 +18,9 @@
 		{Name: "controller_discovery_empty_total", Help: "Readings that listed no replica.", IsCounter: true, Value: float64(c.list.empty.Load())},
 		{Name: "controller_discovery_reads_total", Help: "Readings of the platform's list of replicas.", IsCounter: true, Value: float64(c.list.reads.Load())},
 		{Name: "controller_discovery_failures_total", Help: "Readings that failed.", IsCounter: true, Value: float64(c.list.failures.Load())},
+		{Name: "controller_messages_invalid_total", Help: "Times that bytes came from another process that are no message.", IsCounter: true, Value: float64(c.traffic.Invalid())},
+		{Name: "controller_reports_invalid_total", Help: "Reports of followers on replicas that could not be read.", IsCounter: true, Value: float64(c.reports.invalid.Load())},
+		{Name: "controller_updates_refused_total", Help: "Updates refused because they were damaged, too large or of an unknown form.", IsCounter: true, Value: float64(c.follower.Refused())},
 		gauge("primary", "1 if this member is primary and publishes updates.", oneIf(c.IsActivePrimary())),
 		gauge("discovery_lease", "1 if this member holds the lease for reading the list.", oneIf(c.listLease.Held())),
 		gauge("members", "Control members known.", float64(len(c.member.Members()))),
@@ -40,6 +43,7 @@
 			Labels:    []metrics.Label{{Name: "call", Value: each.Call}, {Name: "status", Value: strconv.Itoa(each.Status)}},
 		})
 	}
+	samples = append(samples, metrics.Traffic("controller", c.traffic)...)
 	return append(samples, metrics.Invariants("controller", c.invariants)...)
 }
 
@@ -49,3 +53,8 @@
 	}
 	return 0
 }
+
+// logInvalidMessage says who sent what can't be read; its channel closes, so that there is one line for each.
+func (c *Controller) logInvalidMessage(peer string, err error) {
+	c.log.Warn("message cannot be read, channel closed", "part", "rpc", "peer", peer, "error", err.Error())
+}
--- a/internal/controller/outlier_reports.go
+++ b/internal/controller/outlier_reports.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/atomic"
+
 	"shaletrestle/coord/distribution"
 	"shaletrestle/coord/outlier"
 	"shaletrestle/internal/state"
@@ -15,6 +17,8 @@
 
 // outlierReports are the followers' reports on replicas that a relay has not passed on yet.
 type outlierReports struct {
+	invalid atomic.Int64 // messages that could not be read
+
 	mu      sync.Mutex
 	pending []outlier.Report // guarded by mu
 }
@@ -57,10 +61,17 @@
 }
 
 // handleReports takes what followers report on replicas: the primary evaluates it, others pass it on with their own next
-// acknowledgement. Reports that can't be read are dropped: they are hints, and followers send more.
-func (c *Controller) handleReports(encoded []byte) {
+// acknowledgement. Reports that can't be read are dropped: they are hints, and followers send more. The first of them is
+// logged, and one of each failuresPerLog after it.
+func (c *Controller) handleReports(follower string, encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
 	var reports []outlier.Report
-	if len(encoded) == 0 || json.Unmarshal(encoded, &reports) != nil {
+	if err := json.Unmarshal(encoded, &reports); err != nil {
+		if invalid := c.reports.invalid.Inc(); invalid%failuresPerLog == 1 {
+			c.log.Warn("reports of a follower cannot be read", "follower", follower, "reports", invalid, "error", err.Error())
+		}
 		return
 	}
 	if !c.IsActivePrimary() {
--- a/internal/controller/outlier_reports_test.go
+++ b/internal/controller/outlier_reports_test.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +35,17 @@
 	require.False(t, p.due(start.Add(distribution.HeartbeatInterval-1)))
 	require.True(t, p.due(start.Add(distribution.HeartbeatInterval)))
 }
+
+func TestHandleReports_Unreadable_CountedAndLoggedWithItsSender(t *testing.T) {
+	c := openRecorded(t, "whole")
+	var lines bytes.Buffer
+	c.log = slog.New(slog.NewTextHandler(&lines, nil))
+	for range failuresPerLog {
+		c.handleReports("10.0.0.9:7722", []byte("{no list"))
+	}
+	c.handleReports("10.0.0.9:7722", nil)
+	require.Equal(t, int64(failuresPerLog), c.reports.invalid.Load())
+	require.Equal(t, 1, strings.Count(lines.String(), "reports of a follower cannot be read"))
+	require.Contains(t, lines.String(), "follower=10.0.0.9:7722")
+	require.Nil(t, c.reports.take())
+}
--- a/internal/controller/state_page.go
+++ b/internal/controller/state_page.go
@@ -19,7 +19,7 @@
 func (c *Controller) serveStatePage(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case metrics.Path:
-		metrics.Serve(w, c.metrics())
+		c.serveMetrics(w, r)
 	case fleetPath:
 		httpreply.Bytes(w, http.StatusOK, c.fleetView().Encode())
 	default:
@@ -27,6 +27,10 @@
 	}
 }
 
+func (c *Controller) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.Serve(w, c.metrics())
+}
+
 // fleetView is the view that followers have; the primary's configuration and evacuations are the committed ones.
 func (c *Controller) fleetView() *state.View {
 	view := *c.updates.View()
--- a/internal/daemon/command_line.go
+++ b/internal/daemon/command_line.go
@@ -18,14 +18,21 @@
 	longWorkAlways = "always"
 )
 
-// errLogLevel rejects a --log-level.
-var errLogLevel = errors.New("--log-level takes debug, info, warn or error")
+// maxPort is the highest port number.
+const maxPort = 65535
+
+// Options that are rejected.
+var (
+	errLogLevel    = errors.New("--log-level takes debug, info, warn or error")
+	errMetricsPort = errors.New("--metrics-port takes a port")
+)
 
 // options are what the command line asks for.
 type options struct {
 	roles     settings.Roles
 	logLevel  slog.Level
 	longWork  string // one of the values of --long-work; empty: as the settings say
+	metrics   int    // --metrics-port; 0: as the settings say
 	checkOnly bool   // check-env: nothing is started
 	file      string // of the settings
 }
@@ -42,6 +49,7 @@
 	if program.Roles.Frontend {
 		parser.String(&parsed.longWork, "", "long-work", "on, off or always, whatever long_work says in the settings")
 	}
+	parser.Int(&parsed.metrics, "", "metrics-port", "port at which the metrics alone are served, whatever metrics_port says in the settings")
 	check := flaggy.NewSubcommand("check-env")
 	check.Description = "Check a settings file without starting."
 	check.AddPositionalValue(&parsed.file, "file", 1, false, "the file; that of "+FileVariable+" if none is named")
@@ -52,6 +60,9 @@
 	if err := parsed.logLevel.UnmarshalText([]byte(level)); err != nil {
 		return nil, errLogLevel
 	}
+	if parsed.metrics < 0 || parsed.metrics > maxPort {
+		return nil, errMetricsPort
+	}
 	if parsed.file == "" {
 		parsed.file = os.Getenv(FileVariable)
 	}
@@ -77,5 +88,8 @@
 		env.LongWork.Enabled = o.longWork != longWorkOff
 		env.LongWork.Always = o.longWork == longWorkAlways
 	}
+	if o.metrics != 0 {
+		env.MetricsPort = o.metrics
+	}
 	return env, nil
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/common/expfmt"
 
 	"shaletrestle/coord/invariant"
+	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/httpreply"
 )
@@ -61,6 +62,32 @@
 	return samples
 }
 
+// Traffic are samples of the messages between processes, by kind, direction and zone of the peer.
+func Traffic(program string, traffic *rpc.Traffic) []Sample {
+	var samples []Sample
+	for _, count := range traffic.Counts() {
+		labels := []Label{
+			{Name: "kind", Value: count.Kind.String()},
+			{Name: "direction", Value: count.Direction.String()},
+			{Name: "peer_zone", Value: count.Peer.String()},
+		}
+		samples = append(samples, Sample{
+			Name:      program + "_messages_total",
+			Help:      "Messages between processes, by kind, direction and whether the peer is in the own zone.",
+			IsCounter: true,
+			Value:     float64(count.Messages),
+			Labels:    labels,
+		}, Sample{
+			Name:      program + "_message_bytes_total",
+			Help:      "Bytes of the messages between processes, without the heads of TCP and IP.",
+			IsCounter: true,
+			Value:     float64(count.Bytes),
+			Labels:    labels,
+		})
+	}
+	return samples
+}
+
 // samples makes a Prometheus collector of given samples.
 type samples []Sample
 
--- a/internal/router/controllers.go
+++ b/internal/router/controllers.go
@@ -60,6 +60,16 @@
 	return ""
 }
 
+// controllerZone gives the zone of a controller's address; empty if it is not known, as of a seed before the first update.
+func (r *Router) controllerZone(address string) string {
+	for _, controller := range r.store.View().Controllers {
+		if controller.Address == address {
+			return controller.Zone
+		}
+	}
+	return ""
+}
+
 // preferNearController changes to a controller of this node's zone once one is known, unless it failed lately: within twice
 // the time for which nextController avoids it.
 func (r *Router) preferNearController(view *state.View) {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -28,6 +28,8 @@
 		counter("connections_opened_total", "Connections opened to replicas.", r.dialCounts.All.Load()),
 		counter("prefix_lookups_total", "Prompts looked up in the prefix index.", prefixes.Lookups),
 		counter("prefix_hits_total", "Lookups that found a cached prefix.", prefixes.Hits),
+		counter("messages_invalid_total", "Times that bytes came from another process that are no message.", r.traffic.Invalid()),
+		counter("updates_refused_total", "Updates refused because they were damaged, too large or of an unknown form.", r.follower.Refused()),
 		gauge("prefix_runs", "Runs of blocks held in the prefix index.", float64(prefixes.Runs)),
 		gauge("inflight_requests", "Requests being served.", float64(r.inflight.Load())),
 		gauge("ready", "1 if the node calls itself ready.", ready),
@@ -40,6 +42,7 @@
 		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(r.detector.Suspected()))),
 	}
 	samples = append(samples, metrics.Invariants("router", r.invariants)...)
+	samples = append(samples, metrics.Traffic("router", r.traffic)...)
 	for service := range r.table.Load().Pools {
 		samples = append(samples, metrics.Sample{
 			Name:   "router_retry_budget_left",
@@ -50,3 +53,8 @@
 	}
 	return samples
 }
+
+// logInvalidMessage says who sent what can't be read; its channel closes, so that there is one line for each.
+func (r *Router) logInvalidMessage(peer string, err error) {
+	r.log.Warn("message cannot be read, channel closed", "part", "rpc", "peer", peer, "error", err.Error())
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
 	"shaletrestle/internal/longwork"
+	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/placement"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/requestlog"
@@ -54,7 +55,8 @@
 type Router struct {
 	ctx    context.Context // of the process: all of it ends with it
 	log    *slog.Logger
-	net    rpc.Net
+	net    rpc.Net // for HTTP
+	peers  rpc.Net // for messages between processes, which traffic counts
 	dialer upstream.Dialer
 
 	settings atomic.Pointer[settings.Settings] // replaced by Reload
@@ -87,6 +89,7 @@
 	machine  *slowness.Monitor
 
 	counts     counts
+	traffic    *rpc.Traffic
 	requests   *requestlog.Log
 	invariants *invariant.Recorder
 	newestView atomic.Pointer[timedView] // for the invariants; nil before the first change
@@ -123,6 +126,8 @@
 		keepAlives:  map[string]*upstream.KeepAlive{},
 		controllers: controllerChoice{failedAt: map[string]time.Time{}},
 	}
+	r.traffic = rpc.NewTraffic(env.Zone, rpc.TrafficOptions{ZoneOf: r.controllerZone, OnInvalid: r.logInvalidMessage})
+	r.peers = r.traffic.Net(options.Net)
 	r.invariants = r.newInvariants()
 	r.settings.Store(env)
 	r.table.Store(routing.Compile(state.EmptyView().Config))
@@ -133,7 +138,7 @@
 	r.cursor = distribution.NewCursor(r.store)
 	r.requests = requestlog.New(log, r.updatePosition)
 	r.follower = distribution.NewFollower(distribution.FollowerOptions{
-		Net:        options.Net,
+		Net:        r.peers,
 		Sink:       r.cursor,
 		Self:       rpc.Member{ID: xxhash.Sum64String(self) | 1, Address: self, Zone: env.Zone},
 		NextParent: r.nextController,
@@ -152,7 +157,7 @@
 		Log:    log,
 		Router: longWorkRouter{r},
 		Self:   self,
-		Lines:  rpc.NewPool(ctx, options.Net, r.handle),
+		Lines:  rpc.NewPool(ctx, r.peers, r.handle),
 	})
 	r.detector = r.newDetector(self)
 	r.store.OnChange(r.handleChange)
@@ -167,7 +172,7 @@
 		Self:     self,
 		Interval: max(durations.FromMilliseconds(r.settings.Load().HeartbeatMs), distribution.HeartbeatInterval),
 		Nodes:    func() []string { return r.store.View().Nodes },
-		Ping:     r.newPing(rpc.NewPool(r.ctx, r.net, r.handle), self),
+		Ping:     r.newPing(rpc.NewPool(r.ctx, r.peers, r.handle), self),
 		Report: func(node string, alive bool) {
 			r.follower.Send(&rpc.Message{Kind: rpc.Suspect, OK: alive, Text: node})
 		},
@@ -189,7 +194,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "state page")
 	}
-	peers, err := r.net.Listen(env.Port(settings.RouterPortOffset))
+	peers, err := r.peers.Listen(env.Port(settings.RouterPortOffset))
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "router port")
 	}
@@ -206,6 +211,7 @@
 	go r.maintain()
 	go r.longWork.Run()
 	go r.server.Run()
+	metrics.ServePort(r.ctx, r.log, r.net, env, r.serveMetrics)
 	close(r.serving)
 	r.log.Info("router started", "part", "router", "node", env.NodeName)
 	<-r.ctx.Done()
--- a/internal/router/statepage.go
+++ b/internal/router/statepage.go
@@ -17,7 +17,7 @@
 // interface: they don't follow the names in the code.
 func (r *Router) serveState(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == metrics.Path {
-		metrics.Serve(writer, r.samples(), r.requests.Collectors()...)
+		r.serveMetrics(writer, request)
 		return
 	}
 	if id, found := strings.CutPrefix(request.URL.Path, requestsPath); found {
@@ -52,6 +52,10 @@
 	})
 }
 
+func (r *Router) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
+	metrics.Serve(writer, r.samples(), r.requests.Collectors()...)
+}
+
 // updatePosition is the position of the view in force, for the records of requests.
 func (r *Router) updatePosition() requestlog.UpdatePosition {
 	position := r.cursor.Position()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -68,6 +68,9 @@
 	if len(s.Seeds) == 0 {
 		return invalid("seed_nodes", "is missing")
 	}
+	if s.MetricsPort < 0 || s.MetricsPort > maxPort {
+		return invalid("metrics_port", fmt.Sprintf("must be between 0 and %d", maxPort))
+	}
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,8 @@
 	Placement placement.Options `yaml:"placement"`
 	// LongWork are the options of long work between nodes.
 	LongWork LongWork `yaml:"long_work"`
+	// MetricsPort is a port, beside those of the range, at which the metrics alone are served. Default 0: at none.
+	MetricsPort int `yaml:"metrics_port,omitempty"`
 }
 
 // BindAddresses holds the addresses to serve at, each a host and a port.
