--- a/coord/replication/core/status.go
+++ b/coord/replication/core/status.go
@@ -21,6 +21,18 @@
 	return Member{}, false
 }
 
+// WritableMembers are the other members that reported to this one that their disk takes writes, sorted by address. Only the primary hears it of all.
+func (c *Core) WritableMembers() []Member {
+	var members []Member
+	for _, p := range c.peers {
+		if p.status.Writable {
+			members = append(members, p.member)
+		}
+	}
+	sortByAddress(members)
+	return members
+}
+
 // State is what a member reports to operators of itself.
 type State struct {
 	Self                Member
--- a/coord/replication/query.go
+++ b/coord/replication/query.go
@@ -56,6 +56,13 @@
 	return rpcMembers(m.core.Members())
 }
 
+// WritableMembers returns the other members that reported to this one that their disk takes writes; the primary hears it of all.
+func (m *Member) WritableMembers() []rpc.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return rpcMembers(m.core.WritableMembers())
+}
+
 // State is what a member knows, as its state page shows it.
 type State struct {
 	Self                  MemberState   `json:"self"`
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -214,6 +214,8 @@
 		c.handleSuspect(message)
 	case rpc.Loan:
 		return c.handleLoan(message)
+	case rpc.List:
+		return c.handleList(message)
 	case rpc.LoadSums:
 		c.loadSums.Put(message.From.ID, loadsum.Decode(message.Body), time.Now())
 	}
--- a/internal/controller/replica_list.go
+++ b/internal/controller/replica_list.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 	reads    atomic.Int64
 	failures atomic.Int64
 	empty    atomic.Int64 // listings without any replica
+	readers  listReaders
 
 	mu     sync.Mutex // held while a reading is compared and published: readings don't overtake each other
 	differ *discovery.Differ
@@ -37,9 +39,19 @@
 		log:    log.With("part", "discovery"),
 		reader: reader,
 		differ: discovery.NewDiffer(),
+		readers: listReaders{
+			roundTrips: map[string]time.Duration{},
+			failedAt:   map[string]time.Time{},
+		},
 	}
 }
 
+// read reads the list from here.
+func (l *replicaList) read(ctx context.Context) (*discovery.Listing, error) {
+	l.reads.Inc()
+	return l.reader.Read(ctx)
+}
+
 // reportEmpty counts an empty listing, and logs one of failuresPerLog.
 func (l *replicaList) reportEmpty() {
 	if empty := l.empty.Inc(); empty%failuresPerLog == 1 {
@@ -70,8 +82,7 @@
 	if !allowed() {
 		return
 	}
-	c.list.reads.Inc()
-	listed, err := c.list.reader.Read(c.ctx)
+	listed, err := c.readListNearby()
 	if err != nil {
 		if failures := c.list.failures.Inc(); failures%failuresPerLog == 1 {
 			c.list.log.Warn("cannot read replica list", "failures", failures, "error", err.Error())
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -47,8 +47,11 @@
 		platform.connections <- far
 		return near, nil
 	})
-	replicas, err = reader.Read(t.Context())
-	return replicas, platform.calls, err
+	listing, err := reader.Read(t.Context())
+	if err != nil {
+		return nil, platform.calls, err
+	}
+	return listing.Replicas, platform.calls, nil
 }
 
 const entry = `{"replica_id":"a","backend_pool":"p","address":"x:1","zone":"z","slots":3,"state":"ready","warmup_left_ms":0,"unknown":1}`
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"time"
 
@@ -58,13 +59,20 @@
 // isLast reports whether no page follows.
 func (p *page) isLast() bool { return p.Next == nil || *p.Next == "" }
 
+// Listing is a complete list.
+type Listing struct {
+	Replicas []*state.Replica
+	// RoundTrip is the shortest time from a call on an open connection to the head of its answer: how far away the platform is.
+	RoundTrip time.Duration
+}
+
 // Read gives the complete list. If any page fails it gives none: the error is that of the call, a [StatusError], or one of
 // this package's for a list that can't be used.
-func (r *Reader) Read(ctx context.Context) ([]*state.Replica, error) {
-	var replicas []*state.Replica
+func (r *Reader) Read(ctx context.Context) (*Listing, error) {
+	listing := &Listing{RoundTrip: pageTimeout}
 	token := ""
 	for range maxPages {
-		body, err := r.fetch(ctx, token)
+		body, roundTrip, err := r.fetch(ctx, token)
 		if err != nil {
 			return nil, err
 		}
@@ -72,38 +80,44 @@
 		if err != nil {
 			return nil, err
 		}
-		replicas = append(replicas, *page.Replicas...)
+		listing.RoundTrip = min(listing.RoundTrip, roundTrip)
+		listing.Replicas = append(listing.Replicas, *page.Replicas...)
 		if page.isLast() {
-			return replicas, nil
+			return listing, nil
 		}
 		token = *page.Next
 	}
 	return nil, ErrTooManyPages
 }
 
-// fetch gets the page with a token, the first one if it is empty.
-func (r *Reader) fetch(ctx context.Context, token string) ([]byte, error) {
+// fetch gets the page with a token, the first one if it is empty, and the time to the head of the answer.
+func (r *Reader) fetch(ctx context.Context, token string) (body []byte, roundTrip time.Duration, err error) {
 	address := r.url
 	if token != "" {
 		address += "?page_token=" + url.QueryEscape(token)
 	}
+	var connectedAt time.Time
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connectedAt = time.Now() }, // called by Do, before it returns
+	})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	roundTrip = time.Since(connectedAt)
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	_ = response.Body.Close()
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: response.StatusCode}
+		return nil, 0, &StatusError{Status: response.StatusCode}
 	}
-	return body, nil
+	return body, roundTrip, nil
 }
 
 // parsePage reads a page and checks that each of its entries is complete.
--- a/internal/simtest/command_fault.go
+++ b/internal/simtest/command_fault.go
@@ -9,6 +9,8 @@
 var faultCommands = map[string]command{
 	// partition controller-1 controller-2,controller-3 oneway=true
 	"partition": {partitionLinks, "oneway"},
+	// move_away controller-1 by=3ms: all links of its machine have so much more delay, each way
+	"move_away": {moveAway, "by"},
 	// heal: all partitions end
 	"heal": {healLinks, ""},
 	// kill controller-1 controller-2
@@ -62,6 +64,15 @@
 	return nil
 }
 
+func moveAway(s *Script, a args) error {
+	by, err := time.ParseDuration(a.options["by"])
+	if err != nil {
+		return err
+	}
+	s.sim.Network.MoveAway(s.sim.process(a.argument(0)).ip, by)
+	return nil
+}
+
 func healLinks(s *Script, _ args) error {
 	s.sim.Network.Heal()
 	s.sim.endLasting(faultPartition)
--- a/internal/simtest/conn.go
+++ b/internal/simtest/conn.go
@@ -148,7 +148,7 @@
 		return len(data), nil
 	}
 	c.lastActive, c.peer.lastActive = now, now
-	c.peer.inbound = append(c.peer.inbound, chunk{now.Add(c.network.delay), append([]byte{}, data...)})
+	c.peer.inbound = append(c.peer.inbound, chunk{now.Add(c.network.delayBetween(c.from, c.to)), append([]byte{}, data...)})
 	c.network.wakeAll()
 	return len(data), nil
 }
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -13,12 +13,13 @@
 
 // Network is the simulated network. Times are those of the test's bubble. It may be used by several goroutines at once.
 type Network struct {
-	delay time.Duration // one way, between any two hosts
+	delay time.Duration // one way, between any two hosts that were not moved away
 
 	mu          sync.Mutex // guards all below, and all hosts, listeners and connections
 	hosts       map[string]*Host
 	cuts        map[link]bool
 	frozen      map[string]bool          // hosts whose process is stopped
+	farther     map[string]time.Duration // added to the delay of a host's links, each way
 	idleLimits  map[string]time.Duration // hosts that forget connections idle longer, silently
 	connections map[*conn]bool
 	wakeup      chan struct{} // closed and replaced at each change
@@ -34,12 +35,25 @@
 		hosts:       map[string]*Host{},
 		cuts:        map[link]bool{},
 		frozen:      map[string]bool{},
+		farther:     map[string]time.Duration{},
 		idleLimits:  map[string]time.Duration{},
 		connections: map[*conn]bool{},
 		wakeup:      make(chan struct{}),
 	}
 }
 
+// MoveAway adds to the delay of all links of a host, each way.
+func (n *Network) MoveAway(ip string, by time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.farther[ip] = by
+}
+
+// delayBetween is how long bytes take from one host to another; the caller holds the lock.
+func (n *Network) delayBetween(from, to string) time.Duration {
+	return n.delay + n.farther[from] + n.farther[to]
+}
+
 // Host gives the host with an address, a new one if there is none.
 func (n *Network) Host(ip string) *Host {
 	n.mu.Lock()
@@ -311,7 +325,10 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(2 * n.delay) // the handshake
+	n.mu.Lock()
+	oneWay := n.delayBetween(h.ip, ip)
+	n.mu.Unlock()
+	time.Sleep(2 * oneWay) // the handshake
 	n.waitAwake(h.ip)
 	if l == nil {
 		return nil, syscall.ECONNREFUSED
