--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -42,10 +41,6 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if c.subcommand == subcommandCell { // it ends with its input; signals are for the process that started it
-		signal.Ignore(syscall.SIGINT)
-		return c.cell(ctx)
-	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	switch c.subcommand {
@@ -53,31 +48,25 @@
 		return c.experiment(ctx, emulator.Demo)
 	case subcommandRun:
 		return c.experiment(ctx, func() (*emulator.Experiment, error) { return emulator.Load(c.file) })
-	case subcommandSlopes:
-		return c.slopes(ctx)
 	}
-	fmt.Fprintln(errs, "emulator: name a subcommand: demo, run or slopes; --help tells more")
+	fmt.Fprintln(errs, "emulator: name a subcommand: demo or run; --help tells more")
 	return exitUsage
 }
 
-// The subcommands. A cell is hidden: slopes starts it.
+// The subcommands.
 const (
-	subcommandDemo   = "demo"
-	subcommandRun    = "run"
-	subcommandSlopes = "slopes"
-	subcommandCell   = "cell"
+	subcommandDemo = "demo"
+	subcommandRun  = "run"
 )
 
 // command is a command line and where its output goes.
 type command struct {
 	out, errs  io.Writer
 	log        *slog.Logger
-	subcommand string   // empty: none was named
-	file       string   // of run: the experiment
-	lines      string   // of demo and run: file for the results as JSON lines; empty: none
-	plots      string   // of demo and run: folder for plots; empty: none
-	dir        string   // of slopes: folder for the data
-	series     []string // of slopes; empty: all
+	subcommand string // empty: none was named
+	file       string // of run: the experiment
+	lines      string // of demo and run: file for the results as JSON lines; empty: none
+	plots      string // of demo and run: folder for plots; empty: none
 }
 
 // parse reads the command line.
@@ -88,7 +77,7 @@
 	p.ShowHelpOnUnexpected = false
 	verbose := false
 	p.Bool(&verbose, "v", "verbose", "the daemons' logs on standard error")
-	subcommands := []*flaggy.Subcommand{c.demoCommand(), c.runCommand(), c.slopesCommand(), cellCommand()}
+	subcommands := []*flaggy.Subcommand{c.demoCommand(), c.runCommand()}
 	for _, s := range subcommands {
 		p.AttachSubcommand(s, 1)
 	}
@@ -128,34 +117,6 @@
 	s.String(&c.plots, "p", "plots", "folder for plots (SVG and PNG)")
 }
 
-func (c *command) slopesCommand() *flaggy.Subcommand {
-	c.dir = "docs/capacity"
-	s := flaggy.NewSubcommand(subcommandSlopes)
-	s.Description = "Grow one quantity of a fleet of hollow nodes at a time and write what it costs as JSON."
-	s.String(&c.dir, "o", "out", "folder for the data")
-	s.StringSlice(&c.series, "s", "series", "only these; may be given more than once: "+strings.Join(emulator.SeriesNames(), ", "))
-	return s
-}
-
-func cellCommand() *flaggy.Subcommand {
-	s := flaggy.NewSubcommand(subcommandCell)
-	s.Description = "Run daemons for slopes; commands come on standard input."
-	s.Hidden = true
-	return s
-}
-
-func (c *command) cell(ctx context.Context) exitCode {
-	if err := emulator.Cell(ctx, c.log, os.Stdin, c.out); err != nil {
-		return c.fail(exitIncomplete, err)
-	}
-	return exitOK
-}
-
-func (c *command) slopes(ctx context.Context) exitCode {
-	err := emulator.Slopes(ctx, c.log, c.series, c.dir, emulator.Output{Progress: c.out})
-	return c.exitCodeOf(ctx, err)
-}
-
 // experiment loads an experiment, runs it and prints its summary.
 func (c *command) experiment(ctx context.Context, load func() (*emulator.Experiment, error)) exitCode {
 	experiment, err := load()
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -2,7 +2,5 @@
 // time: model replicas, the platform's list, the operator and clients. It starts real
 // daemons in the same process, loads them and measures.
 //
-// [Run] carries out one [Experiment] (docs/emulator.md). [Slopes] grows one quantity of
-// a fleet of nodes without clients at a time and fits a line to what it costs
-// (docs/CAPACITY.md).
+// [Run] carries out one [Experiment] (docs/emulator.md).
 package emulator
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -6,20 +6,17 @@
 	"sync"
 	"time"
 
-	"go.uber.org/atomic"
-
 	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/upstream"
 )
 
-// network is the network of a daemon under test: the real one, with bytes counted
-// and delay between zones.
+// network is the network of a daemon under test: the real one, with delay between
+// zones.
 type network struct {
-	zone     string
-	zoneOf   func(ip string) string
-	delay    time.Duration // one way, to another zone
-	received atomic.Int64  // bytes
-	sent     atomic.Int64  // bytes
+	rpc.TCP
+	zone   string
+	zoneOf func(ip string) string
+	delay  time.Duration // one way, to another zone
 }
 
 var _ rpc.Net = (*network)(nil)
@@ -33,25 +30,15 @@
 		<-time.After(timeout)
 		return nil, os.ErrDeadlineExceeded
 	}
-	connection, err := rpc.TCP{}.Dial(address, timeout)
+	connection, err := n.TCP.Dial(address, timeout)
 	if err != nil {
 		return nil, err
 	}
-	counted := &countedConn{Conn: connection, network: n}
 	if !delayed {
-		return counted, nil
+		return connection, nil
 	}
 	<-time.After(roundTrip) // the handshake
-	return newDelayedConn(counted, n.delay), nil
-}
-
-// Listen is part of rpc.Net.
-func (n *network) Listen(address string) (net.Listener, error) {
-	listener, err := rpc.TCP{}.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	return &countedListener{Listener: listener, network: n}, nil
+	return newDelayedConn(connection, n.delay), nil
 }
 
 // DialReplica is part of upstream.Dialer.
@@ -59,39 +46,6 @@
 	return upstream.TCP{}.DialReplica(address, timeout)
 }
 
-// countedListener counts the bytes of accepted connections.
-type countedListener struct {
-	net.Listener
-	network *network
-}
-
-// Accept is part of net.Listener.
-func (l *countedListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: connection, network: l.network}, nil
-}
-
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	network *network
-}
-
-func (c *countedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.network.received.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.network.sent.Add(int64(n))
-	return n, err
-}
-
 // Bounds of a delayed connection.
 const (
 	maxChunks = 1024     // on their way in one direction
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -36,7 +36,7 @@
 func Run(ctx context.Context, log *slog.Logger, experiment *Experiment, output Output) (*Summary, error) {
 	output.printf("%s: %d replicas, %d controllers, %d routers in this process",
 		experiment.Name, experiment.replicaCount(), experiment.Fleet.Controllers, experiment.Fleet.Routers)
-	bed, err := newTestbed(ctx, log, experiment, nil)
+	bed, err := newTestbed(ctx, log, experiment)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -155,7 +155,7 @@
 	t.Setenv("TMPDIR", t.TempDir())
 	x, err := Demo()
 	require.NoError(t, err)
-	bed, err := newTestbed(t.Context(), quiet(), x, nil)
+	bed, err := newTestbed(t.Context(), quiet(), x)
 	require.NoError(t, err)
 	defer bed.close()
 	require.NoError(t, bed.startDaemons())
--- a/internal/emulator/testbed.go
+++ b/internal/emulator/testbed.go
@@ -45,10 +45,9 @@
 	operator     *operator
 }
 
-// newTestbed starts the stand-ins and writes the settings. The function list gives
-// what the platform lists; nil stands for the experiment's replicas. Whatever is
-// returned must be ended by close.
-func newTestbed(ctx context.Context, log *slog.Logger, experiment *Experiment, list func() []*state.Replica) (*testbed, error) {
+// newTestbed starts the stand-ins and writes the settings. Whatever is returned must
+// be ended by close.
+func newTestbed(ctx context.Context, log *slog.Logger, experiment *Experiment) (*testbed, error) {
 	addresses, err := newAddressPool(experiment.Address, experiment.Port)
 	if err != nil {
 		return nil, err
@@ -68,10 +67,7 @@
 		rules:      newRuleChecker(),
 		replicas:   map[string]*Replica{},
 	}
-	if list == nil {
-		list = bed.listReplicas
-	}
-	if err := bed.setUp(list); err != nil {
+	if err := bed.setUp(); err != nil {
 		bed.close()
 		return nil, err
 	}
@@ -79,7 +75,7 @@
 }
 
 // setUp gives every part its machine and starts the stand-ins.
-func (b *testbed) setUp(list func() []*state.Replica) error {
+func (b *testbed) setUp() error {
 	ip, err := b.addresses.machine("")
 	if err != nil {
 		return err
@@ -88,7 +84,7 @@
 	if err := b.startReplicas(); err != nil {
 		return err
 	}
-	if err := b.startPlatform(list); err != nil {
+	if err := b.startPlatform(); err != nil {
 		return err
 	}
 	b.controllers, err = b.newDaemons(roleController, b.experiment.Fleet.Controllers)
@@ -140,8 +136,8 @@
 	return replica.start(true)
 }
 
-func (b *testbed) startPlatform(list func() []*state.Replica) error {
-	b.platform = newPlatform(b.experiment.Platform, list)
+func (b *testbed) startPlatform() error {
+	b.platform = newPlatform(b.experiment.Platform, b.listReplicas)
 	listener, err := listen(b.listAddress)
 	if err != nil {
 		return err
