--- a/coord/distribution/feed.go
+++ b/coord/distribution/feed.go
@@ -26,8 +26,9 @@
 // Feed is a state and the followers of this process, to which it forwards whatever changes the state: as the source, or
 // as a relay, whose own Follower puts updates into it.
 type Feed struct {
-	log   *slog.Logger
-	onAck func(all Position)
+	log    *slog.Logger
+	onAck  func(all Position)
+	nearer func(zone string) []rpc.Member // nil: nobody is sent to a nearer parent
 
 	mu sync.Mutex // guards what follows
 	content
@@ -59,6 +60,11 @@
 	return f
 }
 
+// RedirectNew lets the feed send followers that have no state yet, and take it, to parents that are nearer to them: the
+// function gives those for a follower's zone, none if this process may keep it. It is called with the feed locked and must
+// not call it. RedirectNew must be called before the first subscription.
+func (f *Feed) RedirectNew(nearer func(zone string) []rpc.Member) { f.nearer = nearer }
+
 // Restore is part of Sink. All followers are sent a snapshot, or offered it. The error is ErrStale also if this process
 // is the source of the snapshot's epoch or a later one; else it is that of the state's Restore.
 func (f *Feed) Restore(at Position, snapshot []byte, current bool) error {
--- a/coord/distribution/follower.go
+++ b/coord/distribution/follower.go
@@ -42,12 +42,13 @@
 
 // Follower keeps a sink up to date from one parent at a time. It acknowledges each update and heartbeat.
 type Follower struct {
-	options FollowerOptions
-	parent  atomic.String               // address followed now; empty: none
-	channel atomic.Pointer[rpc.Channel] // the newest, perhaps closed; nil: none yet
-
-	refused     atomic.Int64 // updates that were not as they should be
-	wholeWanted atomic.Bool  // a snapshot in parts was refused: the next one is asked for as one
+	options     FollowerOptions
+	parent      atomic.String               // address followed now; empty: none
+	channel     atomic.Pointer[rpc.Channel] // the newest, perhaps closed; nil: none yet
+	redirected  atomic.Bool                 // it was sent to a nearer parent: that happens once
+	redialNow   atomic.Bool                 // the next parent is dialled without a pause
+	refused     atomic.Int64                // updates that were not as they should be
+	wholeWanted atomic.Bool                 // a snapshot in parts was refused: the next one is asked for as one
 
 	mu           sync.Mutex
 	acknowledged acknowledgement // guarded by mu: what was acknowledged last
@@ -71,6 +72,9 @@
 	// AckBody gives the body of an acknowledgement that is about to be sent, or nil for none. It is called with the
 	// follower locked and must not call its methods. nil: acknowledgements have no body.
 	AckBody func() []byte
+	// OnNearer takes parents that are nearer than the one followed, which sends this follower to them because it has no
+	// state yet. That happens once at most; NextParent is asked next. nil: this follower stays where it is.
+	OnNearer func(parents []rpc.Member)
 	// OnMessage takes the parent's messages that are no updates, one at a time. nil: they are dropped.
 	OnMessage func(*rpc.Message)
 	// Log takes lines on updates that can't be used. nil: nothing is logged.
@@ -115,6 +119,9 @@
 		}
 		failed = address
 		pause := reconnectDelay
+		if f.redialNow.Swap(false) {
+			pause = 0
+		}
 		if address == "" {
 			pause = noParentDelay
 		}
@@ -139,6 +146,11 @@
 		}
 		return
 	}
+	if form(message.Text) == formNearer {
+		f.leaveForNearer(message.Members)
+		channel.Close()
+		return
+	}
 	err := f.apply(message)
 	f.checkOrder()
 	switch {
@@ -160,7 +172,18 @@
 	if have != nil && f.options.Sink.Position() == (Position{}) {
 		have = manifest{}
 	}
-	channel.Send(subscribeMessage(f.options.Self, f.options.Sink.ResumeFrom(), f.role(), have))
+	message := subscribeMessage(f.options.Self, f.options.Sink.ResumeFrom(), f.role(), have)
+	message.OK = f.options.OnNearer != nil && !f.redirected.Load()
+	channel.Send(message)
+}
+
+// leaveForNearer takes the parents that this follower is sent to.
+func (f *Follower) leaveForNearer(parents []rpc.Member) {
+	if f.options.OnNearer == nil || f.redirected.Swap(true) {
+		return
+	}
+	f.options.OnNearer(parents)
+	f.redialNow.Store(true)
 }
 
 // Refused is how many updates were refused because they were damaged, too large or of an unknown form.
@@ -192,8 +215,8 @@
 	})
 	defer channel.Close()
 	f.channel.Store(channel)
-	f.subscribe(channel)
 	f.parent.Store(address)
+	f.subscribe(channel)
 	timeout := time.After(updateTimeout)
 	for {
 		select {
--- a/coord/distribution/messages.go
+++ b/coord/distribution/messages.go
@@ -15,6 +15,7 @@
 	formWait       form = "wait"   // a snapshot will come when it is this follower's turn
 	formCompressed form = "packed" // one change, compressed
 	formOffer      form = "offer"  // the digest of the complete state at a position: one that has it need not get it
+	formNearer     form = "nearer" // no update: the sender's members are nearer to this follower, and it should follow one
 	formParts      form = "parts"  // the complete state at a position, less the parts that this follower has
 )
 
@@ -56,6 +57,12 @@
 	return message
 }
 
+func nearerMessage(at Position, parents []rpc.Member) *rpc.Message {
+	message := stateMessage(formNearer, at, false)
+	message.Members = parents
+	return message
+}
+
 func partsMessage(at Position, current bool, partial []byte) *rpc.Message {
 	message := stateMessage(formParts, at, current)
 	message.Body = partial
--- a/coord/distribution/mutation_test.go
+++ b/coord/distribution/mutation_test.go
@@ -19,6 +19,8 @@
 		{Name: "a snapshot of an earlier position is sent", File: "feed.go", From: "\tclear(f.snapshots)\n\tf.changes = append", To: "\tf.changes = append", Run: "PartsUnder|Snapshot"},
 		{Name: "a change that does not fit is sent as if the snapshot was there", File: "subscriber.go", From: "if s.need != needChanges {\n\t\treturn\n\t}", To: "", Run: "WhileTheStateIsOffered"},
 		{Name: "followers of a relay are forgotten when it subscribes again", File: "subscriber.go", From: "\t\ts.endFollowers = previous.endFollowers // a relay lists them only when they change\n", To: "", Run: "Relay"},
+		{Name: "one that has a state is sent away", File: "subscriber.go", From: " || positionOf(message) != (Position{})", To: "", Run: "InAnotherZone"},
+		{Name: "one that was sent away is sent away again", File: "follower.go", From: " && !f.redirected.Load()", To: "", Run: "InAnotherZone"},
 		{Name: "a refused snapshot is asked for in parts again", File: "follower.go", From: "\t\tf.wholeWanted.Store(true)\n", To: "", Run: "UnusableParts"},
 	})
 }
--- a/coord/distribution/subscriber.go
+++ b/coord/distribution/subscriber.go
@@ -42,13 +42,29 @@
 		s.endFollowers = previous.endFollowers // a relay lists them only when they change
 	}
 	f.subscribers[channel] = s
-	f.startSubscriber(s, positionOf(message))
+	if !f.redirect(s, message) {
+		f.startSubscriber(s, positionOf(message))
+	}
 	f.mu.Unlock()
 	if previous == nil {
 		channel.OnClose(func() { f.remove(channel) })
 	}
 }
 
+// redirect sends a follower that has no state yet to nearer parents, if it goes there and there are any.
+func (f *Feed) redirect(s *subscriber, message *rpc.Message) bool {
+	if f.nearer == nil || !message.OK || positionOf(message) != (Position{}) {
+		return false
+	}
+	parents := f.nearer(s.member.Zone)
+	if len(parents) == 0 {
+		return false
+	}
+	s.need = needQueued // as one that is rejected: it is to leave
+	s.send(nearerMessage(f.progress.at, parents).Encode())
+	return true
+}
+
 // startSubscriber sends a new subscriber what it is missing, or rejects it.
 func (f *Feed) startSubscriber(s *subscriber, from Position) {
 	here := f.progress.at
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,7 @@
 			c.follower.ReportProgress()
 		}
 	})
+	c.feed.RedirectNew(c.controllersOf)
 	member, err := replication.New(log, c.replicationConfig(options.Store))
 	if err != nil {
 		return nil, err
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -105,3 +105,18 @@
 		c.log.Info("suspected node removed from fleet", "node", node)
 	}
 }
+
+// controllersOf lists the controllers of another zone, as followers know them: they serve the routers there. None are listed
+// for the own zone.
+func (c *Controller) controllersOf(zone string) []rpc.Member {
+	if zone == c.settings.Zone {
+		return nil
+	}
+	var members []rpc.Member
+	for _, controller := range c.updates.View().Controllers {
+		if controller.Zone == zone {
+			members = append(members, rpc.Member{Address: controller.Address, Zone: zone})
+		}
+	}
+	return members
+}
--- a/internal/router/compatibility_test.go
+++ b/internal/router/compatibility_test.go
@@ -92,11 +92,13 @@
 		time.Sleep(3 * time.Second)
 		cancel()
 		synctest.Wait()
-		// An earlier version's message has no body; its receiver ignores the one that lists the parts of the state here.
+		// An earlier version's message has no body and no mark; its receiver ignores the body, which lists the parts of the
+		// state here, and the mark, which says that this node may be sent to a nearer controller.
 		subscribe, err := rpc.Decode(received[rpc.Subscribe])
 		require.NoError(t, err)
 		require.Equal(t, []byte{}, subscribe.Body, "no part is here yet")
-		subscribe.Body = nil
+		require.True(t, subscribe.OK)
+		subscribe.Body, subscribe.OK = nil, false
 		recording.Same("follow", subscribe.Encode())
 		for kind, name := range map[rpc.Kind]string{
 			rpc.Subscribe: "follow-parts", rpc.Loan: "lend", 0: "lend-answer", rpc.Suspect: "suspect",
--- a/internal/router/controllers.go
+++ b/internal/router/controllers.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"shaletrestle/coord/rpc"
 	"shaletrestle/internal/state"
 )
 
@@ -13,6 +15,7 @@
 	picks    int                  // made so far
 	failedAt map[string]time.Time // by address
 	left     string               // one that was left for a nearer one, not for failing
+	offered  []string             // those of this zone that the first one named; none once one of them has failed
 }
 
 // nextController names the controller to follow next, after one that failed or was left: those of the own zone first,
@@ -27,10 +30,17 @@
 		choice.failedAt[failed] = now
 	}
 	choice.left = ""
-	var near, far, all []string
+	if slices.Contains(choice.offered, failed) {
+		choice.offered = nil
+	}
+	near, all := slices.Clone(choice.offered), slices.Clone(choice.offered)
+	var far []string
 	listed := map[string]bool{}
 	for _, controller := range r.store.View().Controllers {
 		address := controller.Address
+		if slices.Contains(choice.offered, address) {
+			continue
+		}
 		listed[address] = true
 		all = append(all, address)
 		switch {
@@ -60,6 +70,17 @@
 	return ""
 }
 
+// followNearer takes the controllers of this zone that another one named when this router had no state yet: the whole state
+// need not come from another zone.
+func (r *Router) followNearer(controllers []rpc.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.controllers.left = r.follower.ParentAddress()
+	for _, controller := range controllers {
+		r.controllers.offered = append(r.controllers.offered, controller.Address)
+	}
+}
+
 // controllerZone gives the zone of a controller's address; empty if it is not known, as of a seed before the first update.
 func (r *Router) controllerZone(address string) string {
 	for _, controller := range r.store.View().Controllers {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,6 +142,7 @@
 		Sink:       r.cursor,
 		Self:       rpc.Member{ID: xxhash.Sum64String(self) | 1, Address: self, Zone: env.Zone},
 		NextParent: r.nextController,
+		OnNearer:   r.followNearer,
 		AckBody:    r.failureReports,
 		OnMessage:  r.receiveLoadSums,
 		Log:        log,
