--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -40,6 +40,9 @@
 	return p, nil
 }
 
+// close frees the address.
+func (p *platform) close() { _ = p.server.Close() }
+
 // change changes the replicas that are there.
 func (p *platform) change(change func(replicas []*replica) []*replica) {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -145,7 +145,7 @@
 		prefix := fmt.Sprintf("127.%d.%d.", 100+rand.IntN(100), rand.IntN(250))
 		probe, err := startPlatform(address(prefix+strconv.Itoa(platformAddress), portPlatform))
 		if err == nil {
-			_ = probe.server.Close()
+			probe.close()
 			return prefix, nil
 		}
 	}
@@ -260,7 +260,7 @@
 	for _, each := range r.platform.current() {
 		each.stop()
 	}
-	_ = r.platform.server.Close()
+	r.platform.close()
 }
 
 // report sums the run up. The processes' logs are searched for violated invariants and panics.
