--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -15,7 +15,8 @@
 
 // platform is the stand-in for the platform's list of replicas, which runs platformLagMs behind.
 type platform struct {
-	server *http.Server
+	listener net.Listener
+	server   *http.Server
 
 	mu       sync.Mutex // guards the fields below
 	replicas []*replica
@@ -34,14 +35,17 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{}
+	p := &platform{listener: listener}
 	p.server = &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
 	go func() { _ = p.server.Serve(listener) }()
 	return p, nil
 }
 
-// close frees the address.
-func (p *platform) close() { _ = p.server.Close() }
+// close frees the address. The server may not know its listener yet: it closes that only once it has begun to serve.
+func (p *platform) close() {
+	_ = p.listener.Close()
+	_ = p.server.Close()
+}
 
 // change changes the replicas that are there.
 func (p *platform) change(change func(replicas []*replica) []*replica) {
