Incident: how a process ends can be seen: start and end lines, memory beside its limit, endings in the soak

Cause: of a process that was gone, neither its log nor the soak said how it had ended (signal, status, last words), how long after its start, or how much memory it had had beside memory_mb.

Change: the daemons log 'starting', 'disk read' and 'ended'; /metrics has resident memory, its limit, uptime and the memory accounted for bodies. The soak reports incarnation, signal or exit status, time since the start, largest resident memory and last words, counts an exit status other than 0 after SIGTERM as an end by itself, and judges resident memory against memory_mb (rule MEMORY). No logic of the daemons changes.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -39,5 +39,13 @@
 	if cut := disk.TruncatedBytes(); cut > 0 {
 		diskLog.Warn("torn tail of the log truncated", "bytes", cut)
 	}
+	logDisk(diskLog, disk)
 	return controller.New(ctx, log, controller.Options{Settings: env, Net: rpc.TCP{}, Store: disk})
 }
+
+// logDisk says what was read from the disk.
+func logDisk(log *slog.Logger, disk *store.Store) {
+	id, bootstrap := disk.Identity()
+	loaded := disk.Load()
+	log.Info("disk read", "disk_id", id, "made_at_bootstrap", bootstrap, "has_state", loaded.Snapshot != nil, "entries", len(loaded.Entries))
+}
--- a/coord/fairshare/shares.go
+++ b/coord/fairshare/shares.go
@@ -91,6 +91,13 @@
 	return max(1, s.capacity/int64(shares))
 }
 
+// Used is what all users hold together.
+func (s *Shares) Used() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
+
 // OverCapacity reports whether more is used than the capacity.
 func (s *Shares) OverCapacity() bool {
 	s.mu.Lock()
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,7 +8,9 @@
 	"os"
 	"runtime/debug"
 
+	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
+	"shaletrestle/internal/version"
 )
 
 // FileVariable names the environment variable that holds the path of the settings file ("What a process is told" in
@@ -95,8 +97,12 @@
 	log := slog.New(handler).With("program", program.Name)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	limitMemory(start.settings)
-	daemon, err := program.Build(ctx, log, start.settings)
+	env := start.settings
+	log.Info("starting", "version", version.Number, "pid", os.Getpid(), "node", env.NodeName, "bootstrap", env.Bootstrap,
+		"memory_mb", env.Limits.MemoryMB, "max_fds", env.Limits.MaxFds)
+	defer func() { log.Info("ended", "uptime_ms", metrics.Uptime().Milliseconds()) }()
+	limitMemory(env)
+	daemon, err := program.Build(ctx, log, env)
 	if err != nil {
 		log.Error("cannot start", "error", err.Error())
 		return exitError
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -39,8 +39,10 @@
 		gauge("fleet_nodes", "Routers that share the budgets.", float64(view.FleetSize)),
 		gauge("replicas", "Replicas on the list.", float64(len(view.Replicas))),
 		gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine())),
+		gauge("body_memory_bytes", "Memory accounted for request bodies.", float64(r.bodies.Used())),
 		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(r.detector.Suspected()))),
 	}
+	samples = append(samples, metrics.Process("router", r.settings.Load().Limits.MemoryMB)...)
 	samples = append(samples, metrics.Invariants("router", r.invariants)...)
 	samples = append(samples, metrics.Traffic("router", r.traffic)...)
 	for service := range r.table.Load().Pools {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -31,6 +31,7 @@
 	RuleApply       Rule = "CONFIG-APPLY"  // a route was not served in a calm time after its acknowledgement
 	RuleBack        Rule = "CONFIG-BACK"   // a router went back to an older configuration
 	RuleEnded       Rule = "ENDED"         // a process ended by itself
+	RuleMemory      Rule = "MEMORY"        // a process had more resident memory than its settings grant
 	RuleInvariant   Rule = "INVARIANT"     // a process found an invariant violated, or panicked
 	RuleRecover     Rule = "RECOVER"       // no service long after the last fault
 	RuleGraceMissed Rule = "GRACE"         // a process did not end within its grace
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,6 +26,7 @@
 	expected    bool // its end was asked for
 	incarnation int
 	startedAt   time.Time
+	peakMiB     float64   // resident memory of the largest incarnation that has ended
 	disturbed   time.Time // until when it counts as disturbed
 	busy        bool      // a fault that is to end by itself is on it
 }
@@ -34,7 +35,7 @@
 func (p *process) settingsFile() string { return filepath.Join(p.dir, "node.yaml") }
 
 // start runs the process. An end that nobody asked for is reported.
-func (p *process) start(unexpected func(*process, error)) error {
+func (p *process) start(unexpected func(*process, ending)) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.incarnation++
@@ -50,23 +51,36 @@
 	}
 	ended := make(chan struct{})
 	p.command, p.ended, p.expected, p.startedAt = command, ended, false, time.Now()
+	incarnation, startedAt := p.incarnation, p.startedAt
 	go func() {
-		err := command.Wait()
+		_ = command.Wait() // how it ended stands in ProcessState
+		end := endingOf(command, startedAt, incarnation, log)
 		_ = log.Close()
 		p.mu.Lock()
 		expected := p.expected
+		p.peakMiB = max(p.peakMiB, end.peakMiB)
 		if p.command == command {
 			p.command = nil
 		}
 		p.mu.Unlock()
 		close(ended)
-		if !expected {
-			unexpected(p, err)
+		if !expected || end.code > 0 { // after SIGTERM too, an exit status other than 0 is a failure
+			unexpected(p, end)
 		}
 	}()
 	return nil
 }
 
+// peakMemory is the largest resident memory of all incarnations so far, in MiB.
+func (p *process) peakMemory() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return p.peakMiB
+	}
+	return max(p.peakMiB, residentPeakMiB(p.command.Process.Pid))
+}
+
 // life numbers the incarnation that runs now; 0: none does.
 func (p *process) life() int {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -155,9 +155,9 @@
 // start starts a process; its end is a violation unless a fault asked for it.
 func (r *Run) start(p *process) error {
 	p.disturb(aftermath)
-	return p.start(func(p *process, err error) {
-		r.log("%s ended by itself: %v", p.name, err)
-		r.judge.add(RuleEnded, "%s ended by itself: %v", p.name, err)
+	return p.start(func(p *process, end ending) {
+		r.log("%s ended by itself: %v", p.name, end)
+		r.judge.add(RuleEnded, "%s ended by itself: %v", p.name, end)
 	})
 }
 
@@ -270,6 +270,7 @@
 		r.judge.add(RuleConfig, "the history of the operators' %d calls is not that of one register", r.register.size())
 	}
 	r.searchLogs()
+	r.checkMemory()
 	report := &Report{
 		Violations: r.judge.violations,
 		Counts:     r.judge.counts,
@@ -311,6 +312,19 @@
 	}
 }
 
+// checkMemory holds the largest resident memory of each process against its settings, and sums it up by program.
+func (r *Run) checkMemory() {
+	largest := map[string]float64{}
+	for _, p := range r.fleet.all() {
+		peak := p.peakMemory()
+		largest[p.program] = max(largest[p.program], peak)
+		if peak > daemonMemoryMB {
+			r.judge.add(RuleMemory, "%s had %.0f MiB resident, %d are granted", p.name, peak, daemonMemoryMB)
+		}
+	}
+	r.log("largest resident memory in MiB: %v", largest)
+}
+
 // newReplicaAddress gives an address that no replica had.
 func (r *Run) newReplicaAddress() string {
 	r.mu.Lock()
