--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -100,11 +100,10 @@
 	env := start.settings
 	log.Info("starting", "version", version.Number, "pid", os.Getpid(), "node", env.NodeName, "bootstrap", env.Bootstrap,
 		"memory_mb", env.Limits.MemoryMB, "max_fds", env.Limits.MaxFds)
-	defer func() { log.Info("ended", "uptime_ms", metrics.Uptime().Milliseconds()) }()
 	limitMemory(env)
 	daemon, err := program.Build(ctx, log, env)
 	if err != nil {
-		log.Error("cannot start", "error", err.Error())
+		log.Error("cannot start", "error", err.Error(), "uptime_ms", metrics.Uptime().Milliseconds())
 		return exitError
 	}
 	reloader := newReloader(cancel, log, daemon, start)
@@ -113,9 +112,10 @@
 	}
 	go reloader.run(ctx) // it ends with the context, at the latest with the process
 	if err := daemon.Run(); err != nil {
-		log.Error("ended with an error", "error", err.Error())
+		log.Error("ended with an error", "error", err.Error(), "uptime_ms", metrics.Uptime().Milliseconds())
 		return exitError
 	}
+	log.Info("ended", "uptime_ms", metrics.Uptime().Milliseconds())
 	return exitOK
 }
 
