An address that is taken at the start is waited for, in place of an end with status 1

Callers saw: a router or controller that found one of its addresses taken (by the incarnation before it, an outgoing connection, a tool) ended within 11 ms of its start, was started again into the same condition, and so on. A metrics port that was taken stayed unserved for the life of the process. A server of net/http also stops for good at an accept error that it doesn't count as temporary.

Cause: each address was tried once, in a row, and the first error ended the process; a condition that passes was taken as final.

Change: internal/listen. Only an address that can never be had ends the process. A router is ready once it has its front address and the port for other routers; a controller takes part once it has its member port, and SIGTERM before that ends it at once.

The metrics' unit test asked that a taken port is given up; it is replaced by one that asks that it is served once free, and one of a port that can never be had.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,6 +23,7 @@
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/discovery"
 	"shaletrestle/internal/durations"
+	"shaletrestle/internal/listen"
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/state"
@@ -48,7 +48,8 @@
 	api      *adminapi.Handler  // of the operator
 
 	member       currentMember
-	replicated   *state.Store // configuration, evacuations, history; written by member alone
+	replicated   *state.Store  // configuration, evacuations, history; written by member alone
+	running      chan struct{} // closed once Run takes part
 	shuttingDown atomic.Bool
 
 	updates      *state.Store // what followers get; written by feed alone
@@ -90,6 +91,7 @@
 		aggregator: outlier.NewAggregator(),
 		loadSums:   loadsum.NewSum(),
 		lender:     newLender(env),
+		running:    make(chan struct{}),
 		invariants: newInvariants(log),
 	}
 	c.api = adminapi.New(ctx, log, c)
@@ -130,27 +132,40 @@
 	return c, nil
 }
 
-// Run serves until the context ends. An error says that an address could not be listened at.
+// Run serves until the context ends. It begins to take part once it has its member port: others must reach a member that
+// reaches them. An error says that an address can never be listened at.
 func (c *Controller) Run() error {
-	members, err := listen(c.peers, "member port", c.settings.Port(settings.ControlPortOffset))
+	members, err := listen.Open(c.ctx, c.log, c.peers, "member port", c.settings.Port(settings.ControlPortOffset))
 	if err != nil {
 		return err
 	}
-	control, err := listen(c.net, "control address", c.settings.Bind.Control)
+	control, err := listen.Open(c.ctx, c.log, c.net, "control address", c.settings.Bind.Control)
 	if err != nil {
 		return err
 	}
-	pages, err := listen(c.net, "state page", c.settings.Port(settings.ControlStatePortOffset))
+	pages, err := listen.Open(c.ctx, c.log, c.net, "state page", c.settings.Port(settings.ControlStatePortOffset))
 	if err != nil {
 		return err
 	}
+	go rpc.Serve(c.ctx, members, c.handle)
+	select {
+	case <-members.Bound():
+	case <-c.ctx.Done():
+		return nil
+	}
+	close(c.running)
+	c.serve(control, pages)
+	return nil
+}
+
+// serve runs all parts until the context ends.
+func (c *Controller) serve(control, pages net.Listener) {
 	api := httpServer(c.api)
 	page := httpServer(http.HandlerFunc(c.serveStatePage))
 
 	// Goroutines of work end at once with the context, or with Close below. The others end with the context too, but may
 	// be in a write to a slow disk or in a last call to another machine: the process ends without waiting for that.
 	var work sync.WaitGroup
-	go rpc.Serve(c.ctx, members, c.handle)
 	work.Go(func() { _ = api.Serve(control) })
 	work.Go(func() { _ = page.Serve(pages) })
 	go c.member.Run(c.ctx)
@@ -171,15 +186,6 @@
 	_ = api.Close()
 	_ = page.Close()
 	work.Wait()
-	return nil
-}
-
-func listen(network rpc.Net, purpose, address string) (net.Listener, error) {
-	listener, err := network.Listen(address)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", purpose, err)
-	}
-	return listener, nil
 }
 
 func httpServer(handler http.Handler) *http.Server {
@@ -189,6 +195,11 @@
 // Shutdown releases the list lease and hands this member's roles over, for at most the grace that the settings give.
 // The caller ends the context afterwards.
 func (c *Controller) Shutdown() {
+	select {
+	case <-c.running:
+	default:
+		return // Run has not come so far: there is nothing to hand over
+	}
 	c.shuttingDown.Store(true)
 	c.listLease.Renew() // releases the lease: wantsListLease is false now
 	grace := durations.FromSeconds(c.settings.Bounds.GraceS) - settings.GraceMargin
--- a/internal/metrics/port_test.go
+++ b/internal/metrics/port_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,10 +48,38 @@
 	require.Equal(t, http.StatusNotFound, response.StatusCode)
 
 	var lines bytes.Buffer
-	ServePort(ctx, slog.New(slog.NewTextHandler(&lines, nil)), rpc.TCP{}, env, handler)
-	require.Contains(t, lines.String(), "metrics port not served", "taken already")
+	ServePort(ctx, slog.New(slog.NewTextHandler(&lines, nil)), failingNet{refusingNet{t}, syscall.EACCES}, env, handler)
+	require.Contains(t, lines.String(), "metrics port not served", "it can never be had")
 }
 
+// TestServePort_PortTaken_ServedOnceItIsFree guards against metrics that are missing for the whole life of a process.
+func TestServePort_PortTaken_ServedOnceItIsFree(t *testing.T) {
+	holder, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	env := &settings.Settings{IP: "127.0.0.1", MetricsPort: holder.Addr().(*net.TCPAddr).Port}
+	handler := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+	var lines bytes.Buffer
+	ServePort(t.Context(), slog.New(slog.NewTextHandler(&lines, nil)), rpc.TCP{}, env, handler)
+	require.Contains(t, lines.String(), "waiting for address")
+	require.NoError(t, holder.Close())
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + holder.Addr().String() + Path)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusNoContent
+	}, 30*time.Second, time.Millisecond)
+}
+
+// failingNet fails to listen.
+type failingNet struct {
+	refusingNet
+	err error
+}
+
+func (n failingNet) Listen(string) (net.Listener, error) { return nil, n.err }
+
 // refusingNet fails the test that uses it.
 type refusingNet struct{ *testing.T }
 
--- a/internal/router/readiness.go
+++ b/internal/router/readiness.go
@@ -9,7 +9,8 @@
 
 // acceptsConnections reports whether the platform may send new connections here.
 func (r *Router) acceptsConnections() bool {
-	return r.ready.Load() && !r.draining.Load() && !r.machine.ShouldRefuseNew()
+	own := r.listeners.Load()
+	return own != nil && own.reachable() && r.ready.Load() && !r.draining.Load() && !r.machine.ShouldRefuseNew()
 }
 
 // closesConnections reports whether clients should take their open connections elsewhere.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"shaletrestle/internal/durations"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/frontend"
+	"shaletrestle/internal/listen"
 	"shaletrestle/internal/longwork"
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/placement"
@@ -84,6 +85,8 @@
 	endsAt   atomic.Time   // when this process will have ended; zero before Shutdown
 	serving  chan struct{} // closed once Run serves clients
 
+	listeners atomic.Pointer[ownListeners] // nil before Run
+
 	// Other routers, and this machine among them.
 	detector *failuredetector.Watcher
 	machine  *slowness.Monitor
@@ -180,32 +183,53 @@
 	})
 }
 
-// Run serves until the context ends. The error says which address could not be listened on.
-func (r *Router) Run() error {
+// ownListeners are the addresses of a router.
+type ownListeners struct {
+	clients, readiness, statePage, peers *listen.Listener
+}
+
+// listen opens the addresses. The error names one that can never be listened at.
+func (r *Router) listen() (*ownListeners, error) {
 	env := r.settings.Load()
-	clients, err := r.net.Listen(env.Bind.Front)
-	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "front address")
-	}
-	readiness, err := r.net.Listen(env.Bind.Readiness)
-	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "readiness address")
+	own := &ownListeners{}
+	for _, each := range []struct {
+		purpose  string
+		address  string
+		network  rpc.Net
+		listener **listen.Listener
+	}{
+		{"front address", env.Bind.Front, r.net, &own.clients},
+		{"readiness address", env.Bind.Readiness, r.net, &own.readiness},
+		{"state page", env.Port(settings.RouterStatePortOffset), r.net, &own.statePage},
+		{"router port", env.Port(settings.RouterPortOffset), r.peers, &own.peers},
+	} {
+		opened, err := listen.Open(r.ctx, r.log, each.network, each.purpose, each.address)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.Internal, err, "listen")
+		}
+		*each.listener = opened
 	}
-	statePage, err := r.net.Listen(env.Port(settings.RouterStatePortOffset))
-	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "state page")
-	}
-	peers, err := r.peers.Listen(env.Port(settings.RouterPortOffset))
+	return own, nil
+}
+
+// reachable reports whether clients and other routers can connect to this process.
+func (o *ownListeners) reachable() bool { return o.clients.IsBound() && o.peers.IsBound() }
+
+// Run serves until the context ends. The error says which address can never be listened at.
+func (r *Router) Run() error {
+	env := r.settings.Load()
+	own, err := r.listen()
 	if err != nil {
-		return errkind.Wrap(errkind.Internal, err, "router port")
+		return err
 	}
-	go rpc.Serve(r.ctx, peers, r.handle)
-	r.server = frontend.New(r.ctx, r.log, clients, http.HandlerFunc(r.serve))
+	r.listeners.Store(own)
+	go rpc.Serve(r.ctx, own.peers, r.handle)
+	r.server = frontend.New(r.ctx, r.log, own.clients, http.HandlerFunc(r.serve))
 	r.server.SetLimits(r.table.Load().Limits)
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: settings.IdleTimeout}
 	stateServer := &http.Server{Handler: http.HandlerFunc(r.serveState), ReadHeaderTimeout: settings.HeaderTimeout}
-	go func() { _ = readinessServer.Serve(readiness) }()
-	go func() { _ = stateServer.Serve(statePage) }()
+	go func() { _ = readinessServer.Serve(own.readiness) }()
+	go func() { _ = stateServer.Serve(own.statePage) }()
 	go r.follower.Run(r.ctx)
 	go r.detector.Run(r.ctx)
 	go r.reportLoadSums()
--- a/internal/soak/lifecycle_test.go
+++ b/internal/soak/lifecycle_test.go
@@ -41,9 +41,6 @@
 	})
 }
 
-// waitingMessage begins the log line of a process that waits for something it needs.
-const waitingMessage = "waiting for "
-
 // eachProgram runs a test for both daemons.
 func eachProgram(t *testing.T, test func(t *testing.T, m *machine, program string)) {
 	for _, program := range []string{programController, programRouter} {
@@ -59,24 +56,22 @@
 func TestStart_AddressHeldBySomebodyElse_ServesOnceItIsFree(t *testing.T) {
 	eachProgram(t, func(t *testing.T, m *machine, program string) {
 		for purpose, address := range m.ownAddresses(program) {
-			t.Run(purpose, func(t *testing.T) {
-				release := m.hold(address)
-				defer release()
-				i := m.start(program)
-				i.awaitLogged(waitingMessage)
-				release()
-				i.awaitServing()
-				i.await("it takes connections at "+purpose, func() bool { return accepts(address) })
-				i.signal(syscall.SIGTERM)
-				i.requireEndsInOrder()
-			})
+			t.Log(purpose)
+			release := m.hold(address)
+			i := m.start(program)
+			i.awaitWaiting()
+			release()
+			i.awaitServing()
+			i.await("it takes connections at "+purpose, func() bool { return accepts(address) })
+			i.signal(syscall.SIGTERM)
+			i.requireEndsInOrder()
 		}
 	})
 }
 
 // TestStart_IncarnationBeforeStillDrains_ServesOnceItHasEnded guards against both of two incarnations being gone.
 func TestStart_IncarnationBeforeStillDrains_ServesOnceItHasEnded(t *testing.T) {
-	eachProgram(t, func(t *testing.T, m *machine, program string) {
+	eachProgram(t, func(_ *testing.T, m *machine, program string) {
 		before := m.start(program)
 		before.awaitServing()
 		before.signal(syscall.SIGTERM)
@@ -90,12 +85,12 @@
 
 // TestStart_TerminatedWhileItWaitsForAnAddress_EndsInOrder guards against a wait that SIGTERM does not end.
 func TestStart_TerminatedWhileItWaitsForAnAddress_EndsInOrder(t *testing.T) {
-	eachProgram(t, func(t *testing.T, m *machine, program string) {
+	eachProgram(t, func(_ *testing.T, m *machine, program string) {
 		for _, address := range m.ownAddresses(program) {
 			defer m.hold(address)()
 		}
 		i := m.start(program)
-		i.awaitLogged(waitingMessage)
+		i.awaitWaiting()
 		i.signal(syscall.SIGTERM)
 		i.requireEndsInOrder()
 	})
@@ -107,7 +102,7 @@
 		whole := encoded(t, m.settings(program))
 		require.NoError(t, os.WriteFile(m.settingsFile(program), whole[:len(whole)/3], 0o600))
 		i := m.start(program)
-		i.awaitLogged(waitingMessage)
+		i.awaitWaiting()
 		require.NoError(t, os.WriteFile(m.settingsFile(program), whole, 0o600))
 		i.awaitServing()
 	})
@@ -122,7 +117,7 @@
 	}
 	setDisk("full")
 	i := m.start(programController)
-	i.awaitLogged(waitingMessage)
+	i.awaitWaiting()
 	setDisk("")
 	i.awaitServing()
 }
@@ -139,7 +134,7 @@
 	s.DataDir = m.settings(programController).DataDir
 	require.NoError(t, os.WriteFile(other.settingsFile(programController), encoded(t, s), 0o600))
 	second := other.start(programController)
-	second.awaitLogged(waitingMessage)
+	second.awaitWaiting()
 	require.False(t, answers(other.servingAddress(programController)))
 	first.signal(syscall.SIGKILL)
 	second.awaitServing()
--- a/internal/soak/machine_test.go
+++ b/internal/soak/machine_test.go
@@ -212,12 +212,15 @@
 	i.await("it answers", func() bool { return answers(i.m.servingAddress(i.program)) })
 }
 
-// awaitLogged waits until the log has a text.
-func (i *incarnation) awaitLogged(text string) {
+// waitingMessage begins the log line of a process that waits for something it needs.
+const waitingMessage = "waiting for "
+
+// awaitWaiting waits until the process says that it waits for something.
+func (i *incarnation) awaitWaiting() {
 	i.m.t.Helper()
-	i.await("it logs "+text, func() bool {
+	i.await("it says what it waits for", func() bool {
 		content, err := os.ReadFile(i.log)
-		return err == nil && strings.Contains(string(content), text)
+		return err == nil && strings.Contains(string(content), waitingMessage)
 	})
 }
 
