A data directory is used by one process at a time; the next incarnation waits for it

Callers saw: an incarnation that was started while the one before it still drained ended with status 1 at the first taken port, then the old one ended too and nothing ran; with other ports, two controllers wrote to one data directory and nothing said so.

Cause: nothing locked the directory, and a program was built without an eye on its signals, so that it could not have waited for anything.

The daemon is built in a goroutine while signals are heeded: SIGTERM ends a start that waits, SIGHUP has the settings read again.

--- a/coord/replication/store/doc.go
+++ b/coord/replication/store/doc.go
@@ -6,7 +6,7 @@
 //
 // # Who may call
 //
-// A Store is used by one goroutine at a time; package replication has one for it. A data directory is used by one Store at a time; nothing locks it.
+// A Store is used by one goroutine at a time; package replication has one for it. A data directory is used by one Store at a time: a process takes it with LockDirectory before it opens it.
 //
 // # State
 //
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"syscall"
 
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
@@ -47,7 +48,7 @@
 	Name        string
 	Description string // a sentence for the help
 	Roles       settings.Roles
-	// Build makes the daemon. The context ends all its work.
+	// Build makes the daemon, as soon as it can. The context ends all its work.
 	Build func(ctx context.Context, log *slog.Logger, env *settings.Settings) (Daemon, error)
 }
 
@@ -87,10 +88,42 @@
 type startup struct {
 	options  *options
 	settings *settings.Settings
-	stamp    string           // of the settings file as it was read
+	stamp    string           // of the settings file as it was read; empty: it is to be read again
 	signals  <-chan os.Signal // since the start of the process
 }
 
+// buildResult is what Program.Build gave.
+type buildResult struct {
+	daemon Daemon
+	err    error
+}
+
+// beginBuild builds the daemon in a goroutine of its own: that may take as long as what it needs is missing.
+func beginBuild(ctx context.Context, log *slog.Logger, program Program, env *settings.Settings) <-chan buildResult {
+	built := make(chan buildResult, 1)
+	go func() {
+		daemon, err := program.Build(ctx, log, env)
+		built <- buildResult{daemon, err}
+	}()
+	return built
+}
+
+// awaitBuilt waits until the daemon is built, or until a signal ends it before, which is returned: there is nothing to
+// hand over yet. Settings that were changed meanwhile are to be read again.
+func (s *startup) awaitBuilt(built <-chan buildResult) (result buildResult, ended os.Signal) {
+	for {
+		select {
+		case received := <-s.signals:
+			if received != syscall.SIGHUP {
+				return buildResult{}, received
+			}
+			s.stamp = ""
+		case result := <-built:
+			return result, nil
+		}
+	}
+}
+
 // serve runs the daemon until it ends.
 func serve(program Program, start *startup, stderr io.Writer) int {
 	handler := slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: start.options.logLevel})
@@ -101,17 +134,17 @@
 	log.Info("starting", "version", version.Number, "pid", os.Getpid(), "node", env.NodeName, "bootstrap", env.Bootstrap,
 		"memory_mb", env.Limits.MemoryMB, "max_fds", env.Limits.MaxFds)
 	limitMemory(env)
-	daemon, err := program.Build(ctx, log, env)
-	if err != nil {
-		log.Error("cannot start", "error", err.Error(), "uptime_ms", metrics.Uptime().Milliseconds())
-		return exitError
-	}
-	reloader := newReloader(cancel, log, daemon, start)
-	if reloader.endedWhileStarting() {
+	result, received := start.awaitBuilt(beginBuild(ctx, log, program, env))
+	if received != nil {
+		log.Info("ended while starting", "signal", received.String(), "uptime_ms", metrics.Uptime().Milliseconds())
 		return exitOK
 	}
-	go reloader.run(ctx) // it ends with the context, at the latest with the process
-	if err := daemon.Run(); err != nil {
+	if result.err != nil {
+		log.Error("cannot start", "error", result.err.Error(), "uptime_ms", metrics.Uptime().Milliseconds())
+		return exitError
+	}
+	go newReloader(cancel, log, result.daemon, start).run(ctx) // it ends with the context, at the latest with the process
+	if err := result.daemon.Run(); err != nil {
 		log.Error("ended with an error", "error", err.Error(), "uptime_ms", metrics.Uptime().Milliseconds())
 		return exitError
 	}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -44,23 +44,6 @@
 	return signals
 }
 
-// endedWhileStarting takes the signals that came before the daemon runs, and reports whether one of them ends it: there is
-// nothing to hand over yet. Settings that were changed meanwhile are read again by run.
-func (r *reloader) endedWhileStarting() bool {
-	for {
-		select {
-		case received := <-r.signals:
-			if received != syscall.SIGHUP {
-				r.log.Info("ended while starting", "signal", received.String())
-				return true
-			}
-			r.loaded = ""
-		default:
-			return false
-		}
-	}
-}
-
 // run reacts until a signal ends the program or the context ends.
 func (r *reloader) run(ctx context.Context) {
 	for {
