A disk that is full or can't be used at the start is waited for

Cause: as with the addresses, a condition that passes was taken as final; a disk that turns full while the controller runs was borne already (disk write failed).

Change: OpenDisk tries again each 0.1 s, and logs 'waiting for data directory' each 10 s, until the directory can be opened; the format of an earlier version still ends the start with an error. Store.Open may be called again after an error, as its page says.

--- a/internal/controller/data_directory.go
+++ b/internal/controller/data_directory.go
@@ -19,13 +19,19 @@
 	directoryWarnInterval = 10 * time.Second
 )
 
-// OpenDisk opens the store in the data directory of the settings, as soon as no other process uses the directory. The errors are those that don't pass by themselves, and that of the context if it ends first.
+// OpenDisk opens the store in the data directory of the settings, as soon as no other process uses the directory and the disk
+// takes what must be written. The errors are those that don't pass by themselves, and that of the context if it ends first.
 func OpenDisk(ctx context.Context, log *slog.Logger, env *settings.Settings) (*store.Store, error) {
 	log = log.With("part", "replication")
 	if err := retryDirectory(ctx, log, func() error { return lockDirectory(log, env.DataDir) }); err != nil {
 		return nil, err
 	}
-	disk, err := store.Open(store.OSFiles{}, env.DataDir, store.Options{Bootstrap: env.Bootstrap, Seeds: env.SeedMembers()})
+	var disk *store.Store
+	err := retryDirectory(ctx, log, func() error {
+		var err error
+		disk, err = store.Open(store.OSFiles{}, env.DataDir, store.Options{Bootstrap: env.Bootstrap, Seeds: env.SeedMembers()})
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
