A log whose reader is gone does not end the process

Callers saw: when whoever read a daemon's standard error went away (a collector that is restarted), the next line that was logged ended the process by SIGPIPE (13).

Cause: Go's runtime raises SIGPIPE for a broken pipe on descriptors 1 and 2, and by default that signal ends a process.

Change: SIGPIPE is ignored, so that the write fails as on any other descriptor.

Evidence: TestLog_ReaderGone_ProcessGoesOn failed before (signal 13 after 18 ms), and passes now. Looked for elsewhere: writes to sockets give EPIPE in Go and were never affected.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -37,8 +37,10 @@
 	}
 }
 
-// notifySignals has the signals that a program knows sent to a channel.
+// notifySignals has the signals that a program knows sent to a channel. A broken pipe is an error of the write, on standard
+// output and error too, where it would end the process.
 func notifySignals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, signalsKept)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return signals
