Whoever logs never waits for the reader of the log

Callers saw: with a pipe of 4 kB that nobody read, a daemon that had logged some 100 lines (SIGHUPs in series) no longer obeyed SIGTERM: 30 s later it still ran. Any goroutine that logs stands still in that state, the replication's too. What had been tried before (the same pipe, few lines) showed nothing.

Cause: each line was written by the goroutine that logs it, under the handler's lock, on a blocking descriptor.

Change: lines go through a queue of 1,024 to one goroutine that writes them; those that find it full, or that the output refuses, are dropped and counted ('log lines dropped'). The end of a process waits 0.2 s at most for what is queued. Lines of libraries go the same way.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"log/slog"
 	"os"
 	"runtime/debug"
@@ -126,7 +127,10 @@
 
 // serve runs the daemon until it ends.
 func serve(program Program, start *startup, stderr io.Writer) int {
-	handler := slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: start.options.logLevel})
+	output := newLogWriter(stderr)
+	defer output.Close()
+	stdlog.SetOutput(output) // for libraries: net/http
+	handler := slog.NewTextHandler(output, &slog.HandlerOptions{Level: start.options.logLevel})
 	log := slog.New(handler).With("program", program.Name)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
