Settings that are still being written at the start are read again, for 5 s

Callers saw: a daemon that was started while its settings file was there in part ended with status 1 (10 ms after its start). Settings that change while it runs were read again already.

Cause: a condition that passes was taken as final, as with the addresses and the disk.

Change: awaitSettings reads them again each 50 ms for 5 s and says what it waits for; after that the end with status 1 is as before, and check-env reads once. SIGTERM ends the wait. What a program knows before it is built moves to startup.go.

Evidence: TestStart_SettingsStillBeingWritten_AreReadOnceWhole failed before and passes now; TestStart_SettingsStayWrong_EndsWithAnError holds the end of settings that nobody mends. Not covered: a file that is cut at a place where it is valid is taken as it is; what a process reads at the start only (addresses, the retry budget) then stays so.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
-	"syscall"
 
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
@@ -72,8 +71,11 @@
 		_, _ = fmt.Fprintln(stderr, program.Name+": --long-work takes on, off or always")
 		return exitUsage
 	}
-	stamp := fileStamp(options.file) // before reading: a change in between is seen at the first look
-	env, err := options.load()
+	start := &startup{options: options, signals: signals}
+	ended, err := start.awaitSettings(program.Name, stderr)
+	if ended != nil {
+		return exitOK
+	}
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, program.Name+":", err)
 		return exitError
@@ -82,47 +84,7 @@
 		_, _ = fmt.Fprintln(stdout, "the settings are fine")
 		return exitOK
 	}
-	return serve(program, &startup{options: options, settings: env, stamp: stamp, signals: signals}, stderr)
-}
-
-// startup is what a program knows before it is built.
-type startup struct {
-	options  *options
-	settings *settings.Settings
-	stamp    string           // of the settings file as it was read; empty: it is to be read again
-	signals  <-chan os.Signal // since the start of the process
-}
-
-// buildResult is what Program.Build gave.
-type buildResult struct {
-	daemon Daemon
-	err    error
-}
-
-// beginBuild builds the daemon in a goroutine of its own: that may take as long as what it needs is missing.
-func beginBuild(ctx context.Context, log *slog.Logger, program Program, env *settings.Settings) <-chan buildResult {
-	built := make(chan buildResult, 1)
-	go func() {
-		daemon, err := program.Build(ctx, log, env)
-		built <- buildResult{daemon, err}
-	}()
-	return built
-}
-
-// awaitBuilt waits until the daemon is built, or until a signal ends it before, which is returned: there is nothing to
-// hand over yet. Settings that were changed meanwhile are to be read again.
-func (s *startup) awaitBuilt(built <-chan buildResult) (result buildResult, ended os.Signal) {
-	for {
-		select {
-		case received := <-s.signals:
-			if received != syscall.SIGHUP {
-				return buildResult{}, received
-			}
-			s.stamp = ""
-		case result := <-built:
-			return result, nil
-		}
-	}
+	return serve(program, start, stderr)
 }
 
 // serve runs the daemon until it ends.
