SIGHUP is ignored from the first moment of a process, until the program registers for it

Callers saw: a process that got SIGHUP in its first milliseconds was ended by it.

Cause: the runtime and all packages are initialised before main can register, and until then SIGHUP has its default, which is to end the process.

Change: package hangup, a constructor of the C library that ignores SIGHUP before Go's runtime starts; the runtime leaves an ignored SIGHUP alone, and Notify ends that. What is ignored meanwhile loses nothing: the settings are read after Notify.

Evidence: TestMain_HangupBeforeItsCodeRuns_IsIgnored fails without the import. What is left is the time between exec and the loader's call of the constructor, which no program can close; whoever starts it can, by ignoring SIGHUP.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -8,6 +8,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	_ "shaletrestle/internal/daemon/hangup" // SIGHUP is ignored until notifySignals
 )
 
 // fileCheckInterval is how often the settings file is looked at: it may change without a signal.
--- a/internal/daemon/signal_test.go
+++ b/internal/daemon/signal_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/exec"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,9 @@
 func (*endlessDaemon) Shutdown()                 {}
 func (*endlessDaemon) Reload(*settings.Settings) {}
 
+// ignoredAtFirst is whether SIGHUP was ignored when this package was initialised.
+var ignoredAtFirst = signal.Ignored(syscall.SIGHUP)
+
 func TestMain(m *testing.M) {
 	if os.Getenv(helperVariable) == "" {
 		os.Exit(m.Run())
@@ -67,6 +71,11 @@
 	}
 }
 
+// TestMain_HangupBeforeItsCodeRuns_IsIgnored guards against an end by SIGHUP while the packages of a program are initialised.
+func TestMain_HangupBeforeItsCodeRuns_IsIgnored(t *testing.T) {
+	require.True(t, ignoredAtFirst)
+}
+
 // TestMain_HangupWhileItStarts_IsNoEnd sends SIGHUP, whose default is to end a process, before the daemon runs.
 func TestMain_HangupWhileItStarts_IsNoEnd(t *testing.T) {
 	process, awaitLine := startHelper(t)
