An outgoing connection no longer keeps its source port from a listener

Callers saw: nothing yet that is proved. Where a daemon's ports lie in the range from which the system takes source ports (on one loopback machine with chosen ports, not with the ports of the settings' page), a port freed by a kill could be given to a connection of another daemon, and be kept from its owner for as long as that connection lasts.

Cause: sockets of outgoing connections were without SO_REUSEADDR; a listener may share a port only with sockets that allow it.

Change: both dialers set it.

Connections of clients and replicas are not ours; a port that one of them has is waited for.

--- a/coord/rpc/net.go
+++ b/coord/rpc/net.go
@@ -25,7 +25,7 @@
 
 // Dial is part of Net.
 func (TCP) Dial(address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: prepareDial}
 	return dialer.Dial("tcp4", address)
 }
 
@@ -43,6 +43,23 @@
 	return nil
 }
 
+// prepareDial prepares a socket for an outgoing connection.
+func prepareDial(network, address string, socket syscall.RawConn) error {
+	if err := ShareSourcePort(socket); err != nil {
+		return err
+	}
+	return setUserTimeout(network, address, socket)
+}
+
+// ShareSourcePort lets a listener take the port that the system gives an outgoing connection: without it, a connection that
+// was given a port on which a process of this machine is to listen keeps it from that process as long as it lasts. It is
+// called before the socket is connected.
+func ShareSourcePort(socket syscall.RawConn) error {
+	return socket.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	})
+}
+
 // Serve opens a channel on each connection that the listener accepts, until the context ends. That closes the listener
 // and the channels. A failed accept is tried again after a pause.
 func Serve(ctx context.Context, listener net.Listener, handler Handler) {
--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -28,9 +28,9 @@
 // replacements connect the daemons' sockets and disk with the added package.
 var replacements = []mutation.Replacement{
 	place("coord/rpc/net.go", `	"context"`, "\t\"context\"\n\t"+faultPackage),
-	place("coord/rpc/net.go", `	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	place("coord/rpc/net.go", `	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: prepareDial}
 	return dialer.Dial("tcp4", address)`, `	return faultinjection.Dial(address, timeout, func(left time.Duration) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: left, KeepAlive: -1, Control: setUserTimeout, LocalAddr: faultinjection.Own()}
+		dialer := net.Dialer{Timeout: left, KeepAlive: -1, Control: prepareDial, LocalAddr: faultinjection.Own()}
 		return dialer.Dial("tcp4", address)
 	})`),
 	place("coord/rpc/net.go", `return config.Listen(context.Background(), "tcp4", address)`, `return faultinjection.Listen(config.Listen(context.Background(), "tcp4", address))`),
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/atomic"
 	"golang.org/x/sys/unix"
+
+	"shaletrestle/coord/rpc"
 )
 
 const (
@@ -37,6 +39,9 @@
 	dialer := net.Dialer{
 		Timeout: timeout,
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			if err := rpc.ShareSourcePort(raw); err != nil {
+				return err
+			}
 			return raw.Control(func(descriptor uintptr) {
 				_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnacknowledgedTimeout.Milliseconds()))
 			})
