A body of unknown length is accounted before it is taken, not when it is whole

Cause: memory was reserved only for bodies with a length; others grew in a buffer that doubles and were counted when complete. Class: memory that a stranger makes us hold without its being counted.

Change: bodyBuffer reserves what it takes before it takes it, with or without a length, and ends at the limit; a body that is granted no more gets 503 with Retry-After.

--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -1,10 +1,11 @@
 package router
 
 import (
-	"bytes"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/errkind"
 )
@@ -25,23 +26,17 @@
 	if req.inbound.ContentLength > limit {
 		return req.refuseAndClose(errkind.BodyTooLarge, "body over the limit")
 	}
-	if !req.reserveBody(max(req.inbound.ContentLength, 0)) {
-		return false
-	}
 	_ = req.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var body bytes.Buffer
-	if req.reservedBytes > 0 {
-		body.Grow(int(req.reservedBytes) + bytes.MinRead)
+	body := bodyBuffer{reserve: req.reserveBody, limit: limit}
+	err := body.readFrom(http.MaxBytesReader(req.writer, req.inbound.Body, limit), req.inbound.ContentLength)
+	if errors.Is(err, errBodyMemory) {
+		return false // answered by reserveBody
 	}
-	n, err := body.ReadFrom(http.MaxBytesReader(req.writer, req.inbound.Body, limit))
 	if err != nil {
 		return req.refuseBody(err)
 	}
-	if n > req.reservedBytes && !req.reserveBody(n-req.reservedBytes) {
-		return false
-	}
 	_ = req.control.SetReadDeadline(time.Time{})
-	req.body = body.Bytes()
+	req.body = body.content
 	return true
 }
 
