The soak starts and ends processes under the conditions of the incident

Why earlier soaks missed it: they sent no signal in a process's first 0.1 s, never started an incarnation while another one ran, nobody else held a port of theirs, settings were whole, disks sound at each start, logs went to files, each process had a machine of its own, and resident memory was not judged.

An incarnation is a thing of its own (life), so that two of one process may overlap. SIGHUP is sent as soon as /proc says that the process ignores or handles it, in place of 0.1 s after the start: a stricter check than before.

--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -37,18 +38,15 @@
 		e.incarnation, how, e.after.Seconds(), e.peakMiB, e.lastWords)
 }
 
-// endingOf reads how a command ended, after Wait. The log may be nil.
-func endingOf(command *exec.Cmd, startedAt time.Time, incarnation int, log *os.File) ending {
-	e := ending{incarnation: incarnation, after: time.Since(startedAt), code: command.ProcessState.ExitCode()}
+// endingOf reads how a command ended, after Wait. The log is a file.
+func endingOf(command *exec.Cmd, startedAt time.Time, incarnation int, log string) ending {
+	e := ending{incarnation: incarnation, after: time.Since(startedAt), code: command.ProcessState.ExitCode(), lastWords: lastLine(log)}
 	if status, ok := command.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() {
 		e.signal = status.Signal()
 	}
 	if usage, ok := command.ProcessState.SysUsage().(*syscall.Rusage); ok {
 		e.peakMiB = float64(usage.Maxrss) / kibPerMiB
 	}
-	if log != nil {
-		e.lastWords = lastLine(log.Name())
-	}
 	return e
 }
 
@@ -69,17 +67,33 @@
 
 // residentPeakMiB is the largest resident memory that a running process has had; 0 if it can't be read.
 func residentPeakMiB(pid int) float64 {
+	kibibytes, _ := strconv.ParseFloat(statusField(pid, "VmHWM"), 64)
+	return kibibytes / kibPerMiB
+}
+
+// hangupHandled reports whether a process ignores or catches SIGHUP.
+func hangupHandled(pid int) bool {
+	const hangupBit = 1 << (syscall.SIGHUP - 1)
+	for _, mask := range []string{"SigIgn", "SigCgt"} {
+		signals, err := strconv.ParseUint(statusField(pid, mask), 16, 64)
+		if err == nil && signals&hangupBit != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// statusField is the first word of a field of /proc/PID/status; empty if it can't be read.
+func statusField(pid int, name string) string {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0
-	}
-	_, line, found := strings.Cut(string(status), "VmHWM:")
-	if !found {
-		return 0
+		return ""
 	}
-	var kilobytes float64
-	if _, err := fmt.Sscan(line, &kilobytes); err != nil {
-		return 0
+	for line := range strings.Lines(string(status)) {
+		words := strings.Fields(line)
+		if len(words) > 1 && words[0] == name+":" {
+			return words[1]
+		}
 	}
-	return kilobytes / kibPerMiB
+	return ""
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,9 +19,6 @@
 	longestPause  = 1500 * time.Millisecond // between the beginnings of two faults
 	calmEvery     = 14                      // after so many faults there is a calm time
 	calmTime      = 9 * time.Second         // longer than the aftermath and applySlack together
-	// signalReadyAfter is how long after its start a process handles signals at the latest: in the first milliseconds none of
-	// its code has run, and SIGHUP ends it whatever it does (docs/incidents/promises-sweep.md, finding 5).
-	signalReadyAfter = 100 * time.Millisecond
 
 	wipePause = 12 * time.Second // between two lost disks at least
 )
@@ -30,6 +28,7 @@
 	name   string
 	weight int
 	inject func(*faultInjector) error
+	wipes  bool // it may take a disk away
 }
 
 // faultInjector draws faults from the seed and injects them, up to a number at the same time.
@@ -59,30 +58,30 @@
 
 // processFaults are the kinds that befall our own processes, with their weights.
 var processFaults = []fault{
-	{"kill controller", 3, func(i *faultInjector) error { return i.killOne(i.controller()) }},
-	{"kill router", 2, func(i *faultInjector) error { return i.killOne(i.router()) }},
-	{"terminate controller", 2, func(i *faultInjector) error { return i.terminate(i.controller()) }},
-	{"terminate router", 3, func(i *faultInjector) error { return i.terminate(i.router()) }},
-	{"pause controller", 3, func(i *faultInjector) error { return i.pause(i.controller()) }},
-	{"pause router", 2, func(i *faultInjector) error { return i.pause(i.router()) }},
-	{"reload with other seeds", 2, (*faultInjector).reload},
-	{"kill all controllers", 1, func(i *faultInjector) error { return i.killAll(i.run.fleet.controllerList()) }},
-	{"kill all", 1, func(i *faultInjector) error { return i.killAll(i.run.fleet.all()) }},
-	{"lose a disk", 1, (*faultInjector).wipe},
-	{"replace a controller", 1, (*faultInjector).replace},
-	{"cut a controller off", 3, (*faultInjector).cutController},
-	{"cut the controllers in halves", 2, (*faultInjector).cutHalves},
-	{"cut a router off", 2, (*faultInjector).cutRouter},
-	{"delay", 1, (*faultInjector).delay},
-	{"disk trouble", 2, (*faultInjector).disk},
+	{name: "kill controller", weight: 3, inject: func(i *faultInjector) error { return i.killOne(i.controller()) }},
+	{name: "kill router", weight: 2, inject: func(i *faultInjector) error { return i.killOne(i.router()) }},
+	{name: "terminate controller", weight: 2, inject: func(i *faultInjector) error { return i.terminate(i.controller()) }},
+	{name: "terminate router", weight: 3, inject: func(i *faultInjector) error { return i.terminate(i.router()) }},
+	{name: "pause controller", weight: 3, inject: func(i *faultInjector) error { return i.pause(i.controller()) }},
+	{name: "pause router", weight: 2, inject: func(i *faultInjector) error { return i.pause(i.router()) }},
+	{name: "reload with other seeds", weight: 2, inject: (*faultInjector).reload},
+	{name: "kill all controllers", weight: 1, inject: func(i *faultInjector) error { return i.killAll(i.run.fleet.controllerList()) }},
+	{name: "kill all", weight: 1, inject: func(i *faultInjector) error { return i.killAll(i.run.fleet.all()) }},
+	{name: "lose a disk", weight: 1, inject: (*faultInjector).wipe, wipes: true},
+	{name: "replace a controller", weight: 1, inject: (*faultInjector).replace},
+	{name: "cut a controller off", weight: 3, inject: (*faultInjector).cutController},
+	{name: "cut the controllers in halves", weight: 2, inject: (*faultInjector).cutHalves},
+	{name: "cut a router off", weight: 2, inject: (*faultInjector).cutRouter},
+	{name: "delay", weight: 1, inject: (*faultInjector).delay},
+	{name: "disk trouble", weight: 2, inject: (*faultInjector).disk},
 }
 
 // replicaFaults are the kinds that befall replicas and the platform. They come beside the others.
 var replicaFaults = []fault{
-	{"replica trouble", 9, (*faultInjector).replicaMode},
-	{"replica crashes", 2, (*faultInjector).replicaCrash},
-	{"replica drains and its address is reused", 2, (*faultInjector).replicaReplaced},
-	{"platform down", 1, (*faultInjector).platformDown},
+	{name: "replica trouble", weight: 9, inject: (*faultInjector).replicaMode},
+	{name: "replica crashes", weight: 2, inject: (*faultInjector).replicaCrash},
+	{name: "replica drains and its address is reused", weight: 2, inject: (*faultInjector).replicaReplaced},
+	{name: "platform down", weight: 1, inject: (*faultInjector).platformDown},
 }
 
 // work injects faults until the context ends, then waits for the end of those under way.
@@ -124,7 +123,7 @@
 func (i *faultInjector) begin(drawn fault) {
 	i.run.faultBegins(drawn.name)
 	child := &faultInjector{run: i.run, random: rand.New(rand.NewPCG(i.random.Uint64(), 1)), lastWipe: i.lastWipe}
-	if drawn.name == "lose a disk" {
+	if drawn.wipes {
 		i.lastWipe = time.Now()
 	}
 	go func() {
@@ -145,7 +144,9 @@
 	return all[i.random.IntN(len(all))]
 }
 
-func (i *faultInjector) router() *process { return i.run.fleet.routers[i.random.IntN(routerCount)] }
+func (i *faultInjector) router() *process {
+	return i.run.fleet.routers[i.random.IntN(len(i.run.fleet.routers))]
+}
 
 // on runs a fault on a process that no other fault has.
 func (i *faultInjector) on(p *process, name string, inject func() error) error {
@@ -195,7 +196,7 @@
 		if err := i.run.fleet.writeSettings(p, false, seeds); err != nil {
 			return err
 		}
-		time.Sleep(signalReadyAfter - p.upFor())
+		p.awaitHangupHandled()
 		p.signal(syscall.SIGHUP)
 		return nil
 	})
@@ -234,18 +235,28 @@
 	return nil
 }
 
-// wipe takes a controller's disk away, if the state of the group tolerates that.
+// mayWipe reports whether a disk may be lost now: the state of the group tolerates that.
+func (i *faultInjector) mayWipe() bool {
+	return time.Since(i.lastWipe) >= wipePause && i.run.toleratesLoss()
+}
+
+// emptyDisk takes away the disk of a controller that does not run.
+func (i *faultInjector) emptyDisk(p *process) error {
+	if err := os.RemoveAll(p.dataDir()); err != nil {
+		return err
+	}
+	return i.run.fleet.writeSettings(p, false, i.shuffledSeeds())
+}
+
+// wipe takes a controller's disk away.
 func (i *faultInjector) wipe() error {
 	p := i.controller()
-	if time.Since(i.lastWipe) < wipePause || !i.run.toleratesLoss() {
+	if !i.mayWipe() {
 		return nil
 	}
 	return i.on(p, "killed, its disk lost", func() error {
 		p.kill()
-		if err := os.RemoveAll(p.dataDir()); err != nil {
-			return err
-		}
-		if err := i.run.fleet.writeSettings(p, false, i.shuffledSeeds()); err != nil {
+		if err := i.emptyDisk(p); err != nil {
 			return err
 		}
 		return i.run.start(p)
@@ -279,9 +290,7 @@
 	for _, p := range from {
 		names = append(names, p.name)
 	}
-	for _, p := range append(append([]*process{}, from...), to...) {
-		p.disturb(down + aftermath)
-	}
+	i.run.fleet.disturb(slices.Concat(from, to), down+aftermath)
 	i.run.log("%s cut off for %v, both ways %v", strings.Join(names, ", "), down, both)
 	set := func(cut bool) error {
 		if err := i.run.fleet.cut(from, to, cut); err != nil || !both {
@@ -294,9 +303,7 @@
 	}
 	time.Sleep(down)
 	i.run.log("%s joined again", strings.Join(names, ", "))
-	for _, p := range append(append([]*process{}, from...), to...) {
-		p.disturb(aftermath)
-	}
+	i.run.fleet.disturb(slices.Concat(from, to), aftermath)
 	return set(false)
 }
 
@@ -332,8 +339,7 @@
 	all := i.run.fleet.all()
 	a, b := all[i.random.IntN(len(all))], all[i.random.IntN(len(all))]
 	down, ms := i.length(), float64(20+i.random.IntN(150))
-	a.disturb(down + aftermath)
-	b.disturb(down + aftermath)
+	i.run.fleet.disturb([]*process{a, b}, down+aftermath)
 	i.run.log("%s and %s: %g ms more for %v", a.name, b.name, ms, down)
 	links := []string{a.ip + " " + b.ip, b.ip + " " + a.ip}
 	set := func(change func(faults *linkFaults, link string)) error {
@@ -353,16 +359,16 @@
 // disk makes a controller's disk full, slow or stalled.
 func (i *faultInjector) disk() error {
 	p := i.controller()
-	kind := []string{"full", "slow", "stalled"}[i.random.IntN(3)]
+	kind := []string{diskFull, diskSlow, diskStalled}[i.random.IntN(3)]
 	down := i.length()
 	p.disturb(down + aftermath)
 	i.run.log("%s: disk %s for %v", p.name, kind, down)
-	if err := i.run.fleet.changeFaults(func(faults *linkFaults) { faults.Disk[p.ip] = kind }); err != nil {
+	if err := i.run.fleet.setDisk(p, kind); err != nil {
 		return err
 	}
 	time.Sleep(down)
 	p.disturb(aftermath)
-	return i.run.fleet.changeFaults(func(faults *linkFaults) { delete(faults.Disk, p.ip) })
+	return i.run.fleet.setDisk(p, "")
 }
 
 // platformDown lets the platform fail.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"gopkg.in/yaml.v3"
 
@@ -30,14 +31,14 @@
 // The size of the fleet: one loss is tolerated, and one controller more than that needs is there.
 const (
 	controllerCount  = 4
-	routerCount      = 3
 	toleratedLosses  = 1
 	maxSeeds         = 3
 	daemonMemoryMB   = 244
 	firstController  = 11 // last octets of the addresses
 	spareController  = 19
 	firstRouter      = 21
-	firstReplica     = 31
+	firstReplica     = 131 // the addresses before it are for routers
+	maxRouters       = firstReplica - firstRouter
 	platformAddress  = 2
 	contactMs        = 3000
 	graceSeconds     = 6
@@ -68,8 +69,9 @@
 	Disk    map[string]string  `json:"disk"`
 }
 
-// newFleet makes the processes, without starting them.
-func newFleet(prefix, dir, bin string) (*fleet, error) {
+// newFleet makes the processes, without starting them. With shared machines, routers and controllers stand at the same addresses
+// as far as both go.
+func newFleet(prefix, dir, bin string, routers int, shared bool) (*fleet, error) {
 	f := &fleet{
 		prefix:    prefix,
 		dir:       dir,
@@ -80,8 +82,12 @@
 	for i := range controllerCount {
 		f.controllers = append(f.controllers, f.newProcess(programController, fmt.Sprintf("controller-%d", i+1), firstController+i))
 	}
-	for i := range routerCount {
-		f.routers = append(f.routers, f.newProcess(programRouter, fmt.Sprintf("router-%d", i+1), firstRouter+i))
+	for i := range routers {
+		lastOctet := firstRouter + i
+		if shared && i < controllerCount {
+			lastOctet = firstController + i
+		}
+		f.routers = append(f.routers, f.newProcess(programRouter, fmt.Sprintf("router-%d", i+1), lastOctet))
 	}
 	for _, each := range f.all() {
 		if err := f.writeSettings(each, true, f.seeds()); err != nil {
@@ -218,12 +224,33 @@
 	return replaceFile(f.faultFile(), content)
 }
 
+// Troubles of a disk.
+const (
+	diskFull    = "full"
+	diskSlow    = "slow"
+	diskStalled = "stalled"
+)
+
+// setDisk puts the disk of a process's machine in trouble; without one it is sound.
+func (f *fleet) setDisk(p *process, trouble string) error {
+	return f.changeFaults(func(faults *linkFaults) { faults.Disk[p.ip] = trouble })
+}
+
+// disturb marks all processes on the machines of some as disturbed for a time from now.
+func (f *fleet) disturb(some []*process, duration time.Duration) {
+	for _, each := range f.all() {
+		if slices.ContainsFunc(some, func(p *process) bool { return p.ip == each.ip }) {
+			each.disturb(duration)
+		}
+	}
+}
+
 // cut cuts or joins what some addresses send to others.
 func (f *fleet) cut(from, to []*process, cut bool) error {
 	return f.changeFaults(func(faults *linkFaults) {
 		for _, a := range from {
 			for _, b := range to {
-				if a == b {
+				if a.ip == b.ip {
 					continue
 				}
 				if cut {
--- a/internal/soak/lifecycle_test.go
+++ b/internal/soak/lifecycle_test.go
@@ -28,7 +28,7 @@
 				i.signal(syscall.SIGHUP)
 				select {
 				case <-i.ended:
-					require.Equal(t, syscall.SIGHUP, endingOf(i.command, i.started, 1, nil).signal)
+					require.Equal(t, syscall.SIGHUP, endingOf(i.command, i.started, 1, i.log).signal)
 					ended[delay]++
 					total++
 				case <-time.After(100 * time.Millisecond):
@@ -55,14 +55,14 @@
 // TestStart_AddressHeldBySomebodyElse_ServesOnceItIsFree guards against an end by itself while a port is taken.
 func TestStart_AddressHeldBySomebodyElse_ServesOnceItIsFree(t *testing.T) {
 	eachProgram(t, func(t *testing.T, m *machine, program string) {
-		for purpose, address := range m.ownAddresses(program) {
-			t.Log(purpose)
+		for _, address := range m.ownAddresses(program) {
+			t.Log(address)
 			release := m.hold(address)
 			i := m.start(program)
 			i.awaitWaiting()
 			release()
 			i.awaitServing()
-			i.await("it takes connections at "+purpose, func() bool { return accepts(address) })
+			i.await("it takes connections at "+address, func() bool { return accepts(address) })
 			i.signal(syscall.SIGTERM)
 			i.requireEndsInOrder()
 		}
@@ -113,9 +113,9 @@
 	m := newMachine(t)
 	m.writeSettings(programController)
 	setDisk := func(trouble string) {
-		require.NoError(t, m.fleet.changeFaults(func(faults *linkFaults) { faults.Disk[m.ip] = trouble }))
+		require.NoError(t, m.fleet.setDisk(&process{ip: m.ip}, trouble))
 	}
-	setDisk("full")
+	setDisk(diskFull)
 	i := m.start(programController)
 	i.awaitWaiting()
 	setDisk("")
--- a/internal/soak/machine_test.go
+++ b/internal/soak/machine_test.go
@@ -101,30 +101,17 @@
 	require.NoError(m.t, os.WriteFile(m.settingsFile(program), encoded(m.t, s), 0o600))
 }
 
-// ownAddresses are what a program listens at, by purpose.
-func (m *machine) ownAddresses(program string) map[string]string {
-	s := m.settings(program)
-	if program == programRouter {
-		return map[string]string{
-			"front":       s.Bind.Front,
-			"readiness":   s.Bind.Readiness,
-			"router port": s.Port(settings.RouterPortOffset),
-			"state page":  s.Port(settings.RouterStatePortOffset),
-		}
-	}
-	return map[string]string{
-		"control":     s.Bind.Control,
-		"member port": s.Port(settings.ControlPortOffset),
-		"state page":  s.Port(settings.ControlStatePortOffset),
-	}
+// ownAddresses are what a program listens at.
+func (m *machine) ownAddresses(program string) []string {
+	return ownAddresses(program, m.settings(program))
 }
 
 // servingAddress is where a program answers HTTP in any state.
 func (m *machine) servingAddress(program string) string {
 	if program == programRouter {
-		return m.ownAddresses(program)["readiness"]
+		return m.settings(program).Bind.Readiness
 	}
-	return m.ownAddresses(program)["control"]
+	return m.settings(program).Bind.Control
 }
 
 // incarnation is one run of a program.
@@ -182,11 +169,7 @@
 
 // ending describes the end of a process that is gone.
 func (i *incarnation) ending() string {
-	e := endingOf(i.command, i.started, 1, nil)
-	if i.log != "" {
-		e.lastWords = lastLine(i.log)
-	}
-	return i.program + ": " + e.String()
+	return i.program + ": " + endingOf(i.command, i.started, 1, i.log).String()
 }
 
 // requireRuns fails if the process is gone.
@@ -268,9 +251,6 @@
 	return true
 }
 
-// smallestPipe is the least that a pipe holds.
-const smallestPipe = 4096
-
 func setPipeSize(t *testing.T, pipe *os.File) {
 	t.Helper()
 	_, err := unix.FcntlInt(pipe.Fd(), unix.F_SETPIPE_SZ, smallestPipe)
--- a/internal/soak/prober.go
+++ b/internal/soak/prober.go
@@ -74,7 +74,7 @@
 func (p *prober) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		if marker := p.run.routes.any(); marker != "" {
-			p.probe(p.run.fleet.routers[p.random.IntN(routerCount)], marker)
+			p.probe(p.run.fleet.routers[p.random.IntN(len(p.run.fleet.routers))], marker)
 		}
 		wait.Sleep(ctx, probePause)
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,127 +20,149 @@
 	binary  string
 	faults  string // the file of the injected faults
 
-	mu          sync.Mutex // guards the fields below
-	command     *exec.Cmd  // nil: it does not run
-	ended       chan struct{}
-	expected    bool // its end was asked for
-	incarnation int
-	startedAt   time.Time
-	peakMiB     float64   // resident memory of the largest incarnation that has ended
-	disturbed   time.Time // until when it counts as disturbed
-	busy        bool      // a fault that is to end by itself is on it
+	mu          sync.Mutex // guards the fields below, and those of its lives
+	current     *life      // the newest incarnation; nil: it does not run
+	incarnation int        // number of the newest incarnation
+	peakMiB     float64    // resident memory of the largest incarnation that has ended
+	disturbed   time.Time  // until when it counts as disturbed
+	busy        bool       // a fault that is to end by itself is on it
+}
+
+// life is one incarnation of a process.
+type life struct {
+	number    int
+	command   *exec.Cmd
+	log       *logFile
+	startedAt time.Time
+	ended     chan struct{}
+	expected  bool // its end was asked for
 }
 
 func (p *process) dataDir() string      { return filepath.Join(p.dir, "data") }
 func (p *process) settingsFile() string { return filepath.Join(p.dir, "node.yaml") }
 
-// start runs the process. An end that nobody asked for is reported.
-func (p *process) start(unexpected func(*process, ending)) error {
+// start runs a new incarnation; one that still runs is no longer the current one. An end that nobody asked for is reported.
+func (p *process) start(kind logKind, unexpected func(*process, ending)) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.incarnation++
-	log, err := os.OpenFile(filepath.Join(p.dir, fmt.Sprintf("log-%03d.txt", p.incarnation)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	log, err := openLog(filepath.Join(p.dir, fmt.Sprintf("log-%03d.txt", p.incarnation)), kind)
 	if err != nil {
 		return err
 	}
 	command := exec.Command(p.binary)
 	command.Env = append(os.Environ(), "SHALETRESTLE_NODE_FILE="+p.settingsFile(), "SOAK_FAULTS="+p.faults, "SOAK_ADDRESS="+p.ip)
-	command.Stdout, command.Stderr = log, log
+	command.Stdout, command.Stderr = log.output, log.output
 	if err := command.Start(); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
-	p.command, p.ended, p.expected, p.startedAt = command, ended, false, time.Now()
-	incarnation, startedAt := p.incarnation, p.startedAt
-	go func() {
-		_ = command.Wait() // how it ended stands in ProcessState
-		end := endingOf(command, startedAt, incarnation, log)
-		_ = log.Close()
-		p.mu.Lock()
-		expected := p.expected
-		p.peakMiB = max(p.peakMiB, end.peakMiB)
-		if p.command == command {
-			p.command = nil
-		}
-		p.mu.Unlock()
-		close(ended)
-		if !expected || end.code > 0 { // after SIGTERM too, an exit status other than 0 is a failure
-			unexpected(p, end)
-		}
-	}()
+	log.started()
+	started := &life{number: p.incarnation, command: command, log: log, startedAt: time.Now(), ended: make(chan struct{})}
+	p.current = started
+	go p.await(started, unexpected)
 	return nil
 }
 
+// await waits for the end of an incarnation.
+func (p *process) await(l *life, unexpected func(*process, ending)) {
+	_ = l.command.Wait() // how it ended stands in ProcessState
+	l.log.close()
+	end := endingOf(l.command, l.startedAt, l.number, l.log.name)
+	p.mu.Lock()
+	expected := l.expected
+	p.peakMiB = max(p.peakMiB, end.peakMiB)
+	if p.current == l {
+		p.current = nil
+	}
+	p.mu.Unlock()
+	close(l.ended)
+	if !expected || end.code > 0 { // after SIGTERM too, an exit status other than 0 is a failure
+		unexpected(p, end)
+	}
+}
+
+// running is the current incarnation; nil: none runs.
+func (p *process) running() *life {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current
+}
+
 // peakMemory is the largest resident memory of all incarnations so far, in MiB.
 func (p *process) peakMemory() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command == nil {
+	if p.current == nil {
 		return p.peakMiB
 	}
-	return max(p.peakMiB, residentPeakMiB(p.command.Process.Pid))
+	return max(p.peakMiB, residentPeakMiB(p.current.command.Process.Pid))
 }
 
 // life numbers the incarnation that runs now; 0: none does.
 func (p *process) life() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.command == nil {
-		return 0
+	if current := p.running(); current != nil {
+		return current.number
 	}
-	return p.incarnation
+	return 0
 }
 
-// upFor is how long the present incarnation has been running.
-func (p *process) upFor() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.startedAt)
+// signal sends the current incarnation a signal, and remembers that an end is asked for by it if it is one that ends.
+func (p *process) signal(signal syscall.Signal) {
+	if current := p.running(); current != nil {
+		p.signalLife(current, signal)
+	}
 }
 
-// signal sends a signal, and remembers that an end is asked for by it if it is one that ends.
-func (p *process) signal(signal syscall.Signal) {
+func (p *process) signalLife(l *life, signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command == nil {
-		return
-	}
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
-		p.expected = true
+		l.expected = true
 	}
-	_ = p.command.Process.Signal(signal)
+	_ = l.command.Process.Signal(signal)
 }
 
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
-	p.mu.Lock()
-	ended, running := p.ended, p.command != nil
-	p.mu.Unlock()
-	if !running {
-		return
+	if current := p.running(); current != nil {
+		p.signalLife(current, syscall.SIGKILL)
+		<-current.ended
 	}
-	p.signal(syscall.SIGKILL)
-	<-ended
 }
 
 // terminate asks the process to end, and kills it after the grace. It reports whether it ended by itself.
 func (p *process) terminate(grace time.Duration) bool {
-	p.mu.Lock()
-	ended, running := p.ended, p.command != nil
-	p.mu.Unlock()
-	if !running {
+	current := p.running()
+	if current == nil {
 		return true
 	}
-	p.signal(syscall.SIGTERM)
+	p.signalLife(current, syscall.SIGTERM)
+	return p.awaitEnd(current, grace)
+}
+
+// awaitEnd waits for the end of an incarnation that was asked to end, and kills it after the grace. It reports whether it
+// ended by itself.
+func (p *process) awaitEnd(l *life, grace time.Duration) bool {
 	select {
-	case <-ended:
+	case <-l.ended:
 		return true
 	case <-time.After(grace):
-		p.kill()
+		p.signalLife(l, syscall.SIGKILL)
+		<-l.ended
 		return false
 	}
 }
 
+// awaitHangupHandled waits until SIGHUP does not end the current incarnation by default any more: before its first
+// constructor has run no program can do anything about that (docs/soak.md).
+func (p *process) awaitHangupHandled() {
+	for current := p.running(); current != nil && current == p.running(); time.Sleep(time.Millisecond) {
+		if hangupHandled(current.command.Process.Pid) {
+			return
+		}
+	}
+}
+
 // disturb marks the process as disturbed for a time from now.
 func (p *process) disturb(duration time.Duration) {
 	p.mu.Lock()
@@ -154,7 +176,7 @@
 func (p *process) undisturbedSince(moment time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.command != nil && p.disturbed.Before(moment) && p.startedAt.Before(moment) && !p.busy
+	return p.current != nil && p.disturbed.Before(moment) && p.current.startedAt.Before(moment) && !p.busy
 }
 
 // claim takes the process for a fault that ends by itself; false if another one has it.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -41,10 +41,22 @@
 	Duration time.Duration // of the faults; the start and the recovery come in addition
 	Overlap  int           // faults of processes, paths and disks at the same time at most
 	Clients  int
+	Routers  int    // 3 if 0, 110 at most
+	Shared   bool   // routers and controllers stand on the same machines, as far as both go
 	Dir      string // of settings, data and logs; must be there
 	Bin      string // of the daemons, as Build made them
 }
 
+// defaultRouters is the number of routers if none is asked for.
+const defaultRouters = 3
+
+func (o *Options) routers() int {
+	if o.Routers == 0 {
+		return defaultRouters
+	}
+	return min(o.Routers, maxRouters)
+}
+
 // Run is one soak run.
 type Run struct {
 	options  Options
@@ -111,7 +123,7 @@
 		return err
 	}
 	r.log("seed %d, addresses %s*", r.options.Seed, prefix)
-	if r.fleet, err = newFleet(prefix, r.options.Dir, r.options.Bin); err != nil {
+	if r.fleet, err = newFleet(prefix, r.options.Dir, r.options.Bin, r.options.routers(), r.options.Shared); err != nil {
 		return err
 	}
 	if r.platform, err = startPlatform(address(prefix+strconv.Itoa(platformAddress), portPlatform)); err != nil {
@@ -153,9 +165,11 @@
 }
 
 // start starts a process; its end is a violation unless a fault asked for it.
-func (r *Run) start(p *process) error {
+func (r *Run) start(p *process) error { return r.startLogging(p, logToFile) }
+
+func (r *Run) startLogging(p *process, kind logKind) error {
 	p.disturb(aftermath)
-	return p.start(func(p *process, end ending) {
+	return p.start(kind, func(p *process, end ending) {
 		r.log("%s ended by itself: %v", p.name, end)
 		r.judge.add(RuleEnded, "%s ended by itself: %v", p.name, end)
 	})
@@ -213,7 +227,7 @@
 	all.Go(func() { newProber(r).work(load) })
 	replicas := newFaultInjector(r, replicaFaults, replicaOverlap, 6)
 	all.Go(func() { replicas.work(faults) })
-	newFaultInjector(r, processFaults, r.options.Overlap, 5).work(faults)
+	newFaultInjector(r, allFaults(), r.options.Overlap, 5).work(faults)
 	r.log("no more faults")
 	wait.Sleep(ctx, aftermath)
 	stopLoad()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	soakDuration = flag.Duration("soak.duration", 30*time.Second, "time of faults in each run")
 	soakOverlap  = flag.Int("soak.overlap", 3, "faults at the same time at most")
 	soakClients  = flag.Int("soak.clients", 12, "clients, each with one connection at a time")
+	soakRouters  = flag.Int("soak.routers", 0, "routers, 110 at most; 0: three")
 	soakDir      = flag.String("soak.dir", "", "folder for settings, data and logs, kept; none: a temporary one, kept only after a failure")
 	soakPlanted  = flag.Bool("soak.planted", false, "plant faults in the daemons and see that a run finds each; takes minutes")
 	soakRace     = flag.Bool("soak.race", false, "build the daemons with the race detector")
@@ -71,7 +72,9 @@
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			dir := runFolder(t, seed)
 			report, err := Execute(t.Context(), Options{
-				Seed: seed, Duration: *soakDuration, Overlap: *soakOverlap, Clients: *soakClients, Dir: dir, Bin: bin,
+				Seed: seed, Duration: *soakDuration, Overlap: *soakOverlap, Clients: *soakClients, Routers: *soakRouters,
+				Shared: seed%2 == 0, // as on himal-saw, with every other seed
+				Dir:    dir, Bin: bin,
 			})
 			require.NoError(t, err, "logs in %s", dir)
 			t.Logf("faults: %v", report.Faults)
