Of many large bodies without a length some are complete, in place of none

Cause: bodies that grow side by side each hold a part of the memory, and none is granted its rest.

Change: up to 64 KiB memory is granted as a body grows; beyond that, all that it may need at once, an eighth of the memory for bodies at most, and what it did not need is given back. What is granted that can always be read to its end.

--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -13,6 +13,8 @@
 const (
 	// bodyMemoryFraction is the part of memory_mb that bodies in flight may take.
 	bodyMemoryFraction = 0.25
+	// bodiesAtOnce is how many bodies of unknown length, each as large as it may be, find room at least.
+	bodiesAtOnce = 8
 	// bodyTimeout is how long a client may take over its body.
 	bodyTimeout = 10 * time.Second
 )
@@ -27,7 +29,7 @@
 		return req.refuseAndClose(errkind.BodyTooLarge, "body over the limit")
 	}
 	_ = req.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body := bodyBuffer{reserve: req.reserveBody, limit: limit}
+	body := bodyBuffer{reserve: req.reserveBody, release: req.releaseBody, limit: min(limit, req.router.largestBody())}
 	err := body.readFrom(http.MaxBytesReader(req.writer, req.inbound.Body, limit), req.inbound.ContentLength)
 	if errors.Is(err, errBodyMemory) {
 		return false // answered by reserveBody
@@ -63,3 +65,14 @@
 	req.reservedBytes += size
 	return true
 }
+
+// releaseBody gives back memory that a body did not need.
+func (req *request) releaseBody(size int64) {
+	req.router.bodies.Release(req.route.Name, size)
+	req.reservedBytes -= size
+}
+
+// largestBody is the most memory that a body of unknown length is granted at once.
+func (r *Router) largestBody() int64 {
+	return int64(r.settings.Load().Limits.MemoryMB * bytesPerMB * bodyMemoryFraction / bodiesAtOnce)
+}
