Complete answers of replicas are counted before they are read whole

Cause: a complete answer was read into memory as long as it came, up to 32 MiB each, and counted nowhere.

Change: AnswerMemory, a quarter of memory_mb. An answer of over 64 KiB is read on only once there is room for all of it, in the order of coming (semaphore.Weighted of x/sync); until then the replica's connection holds it back. What was granted is given back when the response is closed, after it was passed on. One larger than all of it is read alone. router_answer_memory_bytes tells it.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,6 +36,8 @@
 
 const (
 	bytesPerMB = 1 << 20
+	// answerMemoryFraction is the part of memory_mb that complete answers of replicas may take until they are passed on.
+	answerMemoryFraction = 0.25
 	// shutdownMargin is how long before the end of its grace a router ends: it has nothing to save, and each stream that
 	// still runs may be finished meanwhile.
 	shutdownMargin = 300 * time.Millisecond
@@ -75,6 +77,7 @@
 	// The way of a request. Each of these guards its own state.
 	server   *frontend.Server
 	bodies   *fairshare.Shares // memory for bodies, in bytes, by route
+	answers  *upstream.AnswerMemory
 	prefixes *prefixindex.Index
 	placer   *placement.Placer
 	budget   *retrybudget.Budget
@@ -123,6 +126,7 @@
 		becameReady: make(chan struct{}),
 		serving:     make(chan struct{}),
 		bodies:      fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
+		answers:     upstream.NewAnswerMemory(int64(env.Limits.MemoryMB * bytesPerMB * answerMemoryFraction)),
 		prefixes:    prefixindex.NewIndex(),
 		machine:     slowness.NewMonitor(log, options.SlownessProbe),
 		pools:       map[string]*upstream.Pool{},
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -53,6 +53,7 @@
 	request   *Request
 	http      *http.Request
 	parts     chan Part
+	memory    *AnswerMemory
 	abandoned chan struct{} // closed when nobody wants the response any more
 }
 
@@ -148,7 +149,13 @@
 		c.Close()
 		return nil, attempt.NotSent, ErrSameAttempt
 	}
-	x := &exchange{request: request, http: request.http(), parts: make(chan Part, partsAhead), abandoned: make(chan struct{})}
+	x := &exchange{
+		request:   request,
+		http:      request.http(),
+		parts:     make(chan Part, partsAhead),
+		memory:    c.pool.answers,
+		abandoned: make(chan struct{}),
+	}
 	c.exchange.Store(x)
 	select {
 	case <-c.closed:
@@ -165,6 +172,7 @@
 	}
 	if err != nil {
 		c.Close()
+		close(x.abandoned)
 		return nil, out.state, err
 	}
 	c.written <- struct{}{}
--- a/internal/upstream/mutation_test.go
+++ b/internal/upstream/mutation_test.go
@@ -14,7 +14,7 @@
 		{Name: "sent in part counts as not sent", File: "connection.go", From: "w.state = attempt.PartlySent", To: "_ = n", Run: "Request_Cut"},
 		{Name: "no look at the clock", File: "connection.go", From: "time.Until(w.notAfter) <= 0", To: "time.Until(w.notAfter) < -1<<62", Run: "FrozenPastNotAfter"},
 		{Name: "reused before it was written", File: "reader.go", From: "case <-c.written: // an answer may come before its request was written completely", To: "default:\n\t\tgo func() { <-c.written }()", Run: "EarlyResponse"},
-		{Name: "a cut body is complete", File: "reader.go", From: "err != nil || len(body) > MaxResponseBytes", To: "errors.Is(err, io.ErrShortWrite) || len(body) > MaxResponseBytes", Run: "Response_Cut"},
+		{Name: "a cut body is complete", File: "reader.go", From: "if err != nil {\n\t\treturn errBodyCut", To: "if errors.Is(err, io.ErrShortWrite) {\n\t\treturn errBodyCut", Run: "Response_Cut"},
 		{Name: "a cut event is an end", File: "reader.go", From: "return errEventCut", To: "return nil", Run: "Response_Cut"},
 		{Name: "a success without a seal", File: "reader.go", From: "return errNoSeal", To: "return nil", Run: "Response_Cut"},
 		{Name: "a success not executed is a promise", File: "reader.go", From: "return errContradiction", To: "return nil", Run: "Response_Cut"},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,6 +30,7 @@
 	dialer    Dialer
 	keepAlive *KeepAlive // of the service
 	counts    *DialCounts
+	answers   *AnswerMemory     // nil: not bounded
 	shares    *fairshare.Shares // connections in use, by owner
 
 	mu      sync.Mutex // guards the fields below, and Connection.owner and idleBefore
@@ -54,6 +55,9 @@
 	}
 }
 
+// BoundAnswers has the complete responses of this pool counted, with those of others. It must come before the first Get.
+func (p *Pool) BoundAnswers(memory *AnswerMemory) { p.answers = memory }
+
 // SetLimit changes the share. Idle connections over a smaller one are closed; those in use end with their responses.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -164,8 +164,11 @@
 	if x.request.Events && response.StatusCode == http.StatusOK && stream {
 		return deliverEvents(response.Body, x)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
-	if err != nil || len(body) > MaxResponseBytes {
+	body, err := x.readComplete(response)
+	if errors.Is(err, errAbandoned) {
+		return errAbandoned
+	}
+	if err != nil {
 		return errBodyCut
 	}
 	if !x.deliver(Part{Kind: PartBody, Bytes: body}) {
