--- a/internal/upstream/answer_memory_test.go
+++ b/internal/upstream/answer_memory_test.go
@@ -46,9 +46,9 @@
 		for range answers {
 			x := newLargeExchange(memory)
 			go func() {
-				_, err := x.readComplete(largeResponse(bytes.NewReader(make([]byte, size)), size))
-				require.NoError(t, err)
-				done <- x
+				if _, err := x.readComplete(largeResponse(bytes.NewReader(make([]byte, size)), size)); err == nil {
+					done <- x
+				}
 			}()
 		}
 		for len(read) < answers {
