The items of a configuration are read once, not with every change of another item

Cause: each change wrote the whole document as JSON and read it again, to have its typed form and to check it.

Change: an item is kept as it was sent and typed, and shared by the documents that have it. A change reads its own items; the whole is still checked for unknown services and for places that are taken twice.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"shaletrestle/internal/config/configpb"
 )
 
@@ -23,29 +21,43 @@
 // replaces, nil if there is none.
 func (d *Document) check(before *Document) error {
 	if before != nil && d.Revision <= before.Revision {
-		return invalid("%s %d is not above %d", keyRevision, d.Revision, before.Revision)
+		return notAbove(d.Revision, before.Revision)
 	}
-	parsed := &configpb.Configuration{}
-	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(d.JSON(), parsed); err != nil {
-		return invalid("can't be read: %v", err)
+	if err := d.setTyped(); err != nil {
+		return err
 	}
-	d.Parsed = parsed
 	pools := map[string]bool{}
-	for _, pool := range parsed.BackendPools {
+	for _, pool := range d.Parsed.BackendPools {
 		pools[pool.Name] = true
 	}
-	return checkRoutes(parsed.RouteTable, pools)
+	return checkRoutes(d.Parsed.RouteTable, pools)
+}
+
+func notAbove(revision, before int64) error {
+	return invalid("%s %d is not above %d", keyRevision, revision, before)
+}
+
+// setTyped sets the typed form. Its items are typed already.
+func (d *Document) setTyped() error {
+	parsed := &configpb.Configuration{}
+	if err := unmarshalKnown(d.encode(nil), parsed); err != nil {
+		return err
+	}
+	parsed.RouteTable = typed[*configpb.Route](d.lists[keyRoutes])
+	parsed.BackendPools = typed[*configpb.Service](d.lists[keyPools])
+	d.Parsed = parsed
+	return nil
 }
 
 // routeKey is the hostname and path prefix that a route matches; no two routes have the same.
-type routeKey string
+type routeKey struct{ hostname, pathPrefix string }
 
 func routeKeyOf(route *configpb.Route) routeKey {
-	return routeKey(route.Hostname + "\x00" + route.PathPrefix)
+	return routeKey{route.Hostname, route.PathPrefix}
 }
 
 func checkRoutes(routes []*configpb.Route, pools map[string]bool) error {
-	names := map[routeKey]string{} // of the routes seen so far
+	names := make(map[routeKey]string, len(routes)) // of the routes seen so far
 	for _, route := range routes {
 		if route.TimeoutMs <= 0 {
 			return invalid("route %q: timeout_ms is 0", route.Name)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -31,52 +32,34 @@
 	lists  map[string]itemList        // by key, of all itemLists
 }
 
-// itemList is a list of items with different names.
-type itemList struct {
-	names []string // in their order
-	items map[string]json.RawMessage
-}
-
-func newItemList() itemList { return itemList{items: map[string]json.RawMessage{}} }
-
-func (l itemList) clone() itemList {
-	items := make(map[string]json.RawMessage, len(l.items))
-	for name, item := range l.items {
-		items[name] = item
-	}
-	return itemList{names: slices.Clone(l.names), items: items}
-}
-
 // Empty is the configuration before the first.
 func Empty() *Document {
 	return &Document{
 		Parsed: &configpb.Configuration{},
 		values: map[string]json.RawMessage{},
-		lists:  map[string]itemList{keyRoutes: newItemList(), keyPools: newItemList()},
+		lists:  map[string]itemList{keyRoutes: {}, keyPools: {}},
 	}
 }
 
 // JSON gives the complete configuration, each item as it was sent. Two calls give the same bytes.
-func (d *Document) JSON() []byte {
+func (d *Document) JSON() []byte { return d.encode(d.lists) }
+
+// encode gives the configuration with some lists in place of its own.
+func (d *Document) encode(lists map[string]itemList) []byte {
 	var out bytes.Buffer
 	out.WriteString(`{"` + keyRevision + `":` + strconv.FormatInt(d.Revision, 10))
 	for _, key := range itemLists {
 		out.WriteString(`,"` + key + `":[`)
-		list := d.lists[key]
+		list := lists[key]
 		for i, name := range list.names {
 			if i > 0 {
 				out.WriteByte(',')
 			}
-			out.Write(list.items[name])
+			out.Write(list.items[name].raw)
 		}
 		out.WriteByte(']')
 	}
-	keys := make([]string, 0, len(d.values))
-	for key := range d.values {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	for _, key := range keys {
+	for _, key := range slices.Sorted(maps.Keys(d.values)) {
 		quoted, _ := json.Marshal(key) // a string always has a JSON form
 		out.WriteByte(',')
 		out.Write(quoted)
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -9,6 +9,15 @@
 // Put makes the configuration that replaces d: body holds all of it. An [InvalidError] says what is wrong with it, a
 // revision that is not above that of d included.
 func (d *Document) Put(body []byte) (*Document, error) {
+	next, err := parseDocument(body)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.check(d)
+}
+
+// parseDocument reads a complete configuration, without its typed form.
+func parseDocument(body []byte) (*Document, error) {
 	object, err := parseObject(body)
 	if err != nil {
 		return nil, err
@@ -23,69 +32,81 @@
 		switch key {
 		case keyRevision:
 		case keyRoutes, keyPools:
-			if next.lists[key], err = parseItemList(value); err != nil {
+			if next.lists[key], err = parseItemList(key, value); err != nil {
 				return nil, err
 			}
 		default:
 			next.values[key] = value
 		}
 	}
-	return next, next.check(d)
+	return next, nil
 }
 
 // Patch makes the configuration that d becomes by a change: body names items to remove and items or keys to upsert.
 // Items are known by their name; removing one that isn't there changes nothing. An [InvalidError] says what is wrong
 // with the change or with the configuration that it makes, a revision that is not above that of d included.
 func (d *Document) Patch(body []byte) (*Document, error) {
-	object, err := parseObject(body)
+	change, err := parsePatch(body)
 	if err != nil {
 		return nil, err
 	}
-	revision, err := parseRevision(object)
+	next := d.clone()
+	next.apply(change)
+	return next, next.check(d)
+}
+
+// clone copies a document, without its typed form; the items are shared.
+func (d *Document) clone() *Document {
+	next := &Document{Revision: d.Revision, values: maps.Clone(d.values), lists: make(map[string]itemList, len(d.lists))}
+	for key, list := range d.lists {
+		next.lists[key] = list.clone()
+	}
+	return next
+}
+
+// patch is a change of a document, as it was read.
+type patch struct {
+	revision int64
+	removed  map[string][]string        // names, by list
+	values   map[string]json.RawMessage // by key, of all but the lists
+	lists    map[string]itemList        // by key
+}
+
+// parsePatch reads a change.
+func parsePatch(body []byte) (*patch, error) {
+	object, err := parseObject(body)
 	if err != nil {
 		return nil, err
 	}
-	next := &Document{Revision: revision, values: maps.Clone(d.values), lists: make(map[string]itemList, len(d.lists))}
-	for key, list := range d.lists {
-		next.lists[key] = list.clone()
+	p := &patch{values: map[string]json.RawMessage{}, lists: map[string]itemList{}}
+	if p.revision, err = parseRevision(object); err != nil {
+		return nil, err
 	}
-	if err := next.remove(object[keyRemove]); err != nil {
+	if err := p.parseRemoved(object[keyRemove]); err != nil {
 		return nil, err
 	}
-	if err := next.upsert(object[keyUpsert]); err != nil {
+	if err := p.parseUpserted(object[keyUpsert]); err != nil {
 		return nil, err
 	}
-	return next, next.check(d)
+	return p, nil
 }
 
-// remove takes out the items that a change names, by list.
-func (d *Document) remove(value json.RawMessage) error {
+func (p *patch) parseRemoved(value json.RawMessage) error {
 	if value == nil {
 		return nil
 	}
-	var removed map[string][]string
-	if err := json.Unmarshal(value, &removed); err != nil {
+	if err := json.Unmarshal(value, &p.removed); err != nil {
 		return invalid("%s: not lists of names", keyRemove)
 	}
-	for key, names := range removed {
-		list, known := d.lists[key]
-		if !known {
+	for key := range p.removed {
+		if !slices.Contains(itemLists, key) {
 			return invalid("%s: no list %q", keyRemove, key)
 		}
-		for _, name := range names {
-			delete(list.items, name)
-		}
-		list.names = slices.DeleteFunc(list.names, func(name string) bool {
-			_, remains := list.items[name]
-			return !remains
-		})
-		d.lists[key] = list
 	}
 	return nil
 }
 
-// upsert puts the items and keys of a change in place of those of the same name, or behind the last ones.
-func (d *Document) upsert(value json.RawMessage) error {
+func (p *patch) parseUpserted(value json.RawMessage) error {
 	if value == nil {
 		return nil
 	}
@@ -95,21 +116,33 @@
 	}
 	for key, value := range upserted {
 		if !slices.Contains(itemLists, key) {
-			d.values[key] = value
+			p.values[key] = value
 			continue
 		}
-		added, err := parseItemList(value)
+		list, err := parseItemList(key, value)
 		if err != nil {
 			return err
 		}
+		p.lists[key] = list
+	}
+	return nil
+}
+
+// apply changes a document that nobody else has: first what is removed, then what is put in place of items and keys of the
+// same name, or behind the last ones.
+func (d *Document) apply(change *patch) {
+	d.Revision = change.revision
+	for key, names := range change.removed {
+		list := d.lists[key]
+		list.remove(names)
+		d.lists[key] = list
+	}
+	maps.Copy(d.values, change.values)
+	for key, added := range change.lists {
 		list := d.lists[key]
 		for _, name := range added.names {
-			if _, known := list.items[name]; !known {
-				list.names = append(list.names, name)
-			}
-			list.items[name] = added.items[name]
+			list.put(name, added.items[name])
 		}
 		d.lists[key] = list
 	}
-	return nil
 }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -115,37 +115,3 @@
 	}
 	return int64(revision), nil
 }
-
-// parseItemList reads a list of named items; nil gives an empty one.
-func parseItemList(value json.RawMessage) (itemList, error) {
-	list := newItemList()
-	if value == nil {
-		return list, nil
-	}
-	var items []json.RawMessage
-	if err := json.Unmarshal(value, &items); err != nil {
-		return list, invalid("not a list")
-	}
-	for _, item := range items {
-		name, err := itemName(item)
-		if err != nil {
-			return list, err
-		}
-		if _, twice := list.items[name]; twice {
-			return list, invalid("%q stands twice", name)
-		}
-		list.names = append(list.names, name)
-		list.items[name] = item
-	}
-	return list, nil
-}
-
-func itemName(item json.RawMessage) (string, error) {
-	var named struct {
-		Name *string `json:"name"`
-	}
-	if err := json.Unmarshal(item, &named); err != nil || named.Name == nil || *named.Name == "" {
-		return "", invalid("an item has no name")
-	}
-	return *named.Name, nil
-}
