After a restart the log is replayed at a cost that does not grow with the configuration

Cause: a member applies its log in one step, on the goroutine that answers the protocol, and each entry copied, read and checked the whole configuration. Class: work on the core's goroutine that grows with the configuration.

Change: the core hands a tail of several entries to the state machine at once (BatchStateMachine). The store replays them on one copy: a change that was checked when it was accepted is not checked as a whole again; those on another revision, or that can't be read, change nothing, as before.

Not done: an order of some MB is still read on that goroutine.

--- a/coord/replication/core/config.go
+++ b/coord/replication/core/config.go
@@ -9,6 +9,12 @@
 	Restore(snapshot []byte) error // an empty snapshot is the initial state
 }
 
+// BatchStateMachine is a StateMachine that applies many entries at once for less than one by one. ApplyAll must come to the same state as Apply of each; every entry was accepted by a primary.
+type BatchStateMachine interface {
+	StateMachine
+	ApplyAll(entries [][]byte)
+}
+
 // Config is what New needs. All of it stays the same for an incarnation.
 type Config struct {
 	Self  Member
--- a/coord/replication/core/state.go
+++ b/coord/replication/core/state.go
@@ -84,13 +84,26 @@
 
 // applyTail applies all that is on disk.
 func (c *Core) applyTail() {
-	for _, entry := range c.state.tail {
-		c.config.StateMachine.Apply(entry.Data)
+	batch, ok := c.config.StateMachine.(BatchStateMachine)
+	if ok && len(c.state.tail) > 1 {
+		batch.ApplyAll(entryData(c.state.tail))
+	} else {
+		for _, entry := range c.state.tail {
+			c.config.StateMachine.Apply(entry.Data)
+		}
 	}
 	c.state.tail = nil
 	c.state.applied = c.state.position
 }
 
+func entryData(entries []Entry) [][]byte {
+	data := make([][]byte, 0, len(entries))
+	for _, entry := range entries {
+		data = append(data, entry.Data)
+	}
+	return data
+}
+
 // snapshot is the state as the machine has it; the entries of tail follow it.
 func (c *Core) snapshot() Snapshot {
 	return Snapshot{Tag: c.state.tag, Position: c.state.applied, Data: c.config.StateMachine.Snapshot()}
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -44,6 +44,8 @@
 	WithoutDigest() ConfigEvent
 	// identity distinguishes this change from others on the same revision.
 	identity() string
+	// replay applies a change that was checked when it was accepted.
+	replay(*config.Replay) error
 }
 
 // ConfigChange is what the two events of the configuration have in common.
@@ -105,6 +107,8 @@
 	return err
 }
 
+func (e PutConfig) replay(to *config.Replay) error { return to.Put(e.Body) }
+
 // PatchConfig upserts and removes named items of the configuration.
 type PatchConfig struct{ ConfigChange }
 
@@ -130,6 +134,8 @@
 	return err
 }
 
+func (e PatchConfig) replay(to *config.Replay) error { return to.Patch(e.Body) }
+
 // EvacuateZone takes a zone out of use: its replicas get no more requests.
 type EvacuateZone struct{ Zone string }
 
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -82,6 +82,18 @@
 // [View.Outcome] whether it was the one applied.
 func (s *Store) Apply(entry []byte) { _ = s.Update(entry) }
 
+// ApplyAll is Apply for many entries that were checked when they were accepted: the configuration is not checked as a whole
+// again for each of them, and the change is notified once, as that of a snapshot is.
+func (s *Store) ApplyAll(entries [][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	replay := newReplay(s.view.Load())
+	for _, entry := range entries {
+		replay.apply(entry)
+	}
+	s.publish(replay.result(), nil)
+}
+
 // Snapshot gives the bytes of the newest view, for Restore.
 func (s *Store) Snapshot() []byte { return s.view.Load().Encode() }
 
