A request that comes as its connection is closed for idleness is given to nobody

Cause: the end of the idle time was decided under the lock, but a Read that had its bytes already gave them away without looking at it. Class: a state read at one moment and acted upon at another.

Change: the decision closes the connection for readers in the same step; what is read after it is given to nobody, and from the first byte read before it the connection is not idle. A request whose connection a shutdown of net/http has closed meanwhile is not passed on either.

Open: between the look of the handler and a close by net/http's shutdown a gap of some microseconds stays.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -61,9 +61,9 @@
 // again (setState), but reads on to see the connection's end.
 func (c *clientConn) Read(buffer []byte) (int, error) {
 	for {
-		n, complete := c.handOut(buffer)
-		if n > 0 {
-			return n, nil
+		n, complete, err := c.handOut(buffer)
+		if n > 0 || err != nil {
+			return n, err
 		}
 		if complete {
 			if err := c.readAhead(); err != nil {
@@ -71,20 +71,24 @@
 			}
 			continue
 		}
-		n, err := c.Conn.Read(buffer)
+		n, err = c.Conn.Read(buffer)
 		if n == 0 || err != nil {
 			return n, err
 		}
-		return c.takeIn(buffer[:n]), nil
+		return c.takeIn(buffer[:n])
 	}
 }
 
-// handOut gives what was kept of the present request, and reports whether the request is complete.
-func (c *clientConn) handOut(buffer []byte) (n int, complete bool) {
+// handOut gives what was kept of the present request, and reports whether the request is complete. A connection that was
+// closed gives nothing.
+func (c *clientConn) handOut(buffer []byte) (n int, complete bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isClosed {
+		return 0, false, net.ErrClosed
+	}
 	if c.framing.state == messageComplete {
-		return 0, true
+		return 0, true, nil
 	}
 	n = copy(buffer, c.kept)
 	if n > 0 {
@@ -92,7 +96,7 @@
 		c.drop(n)
 		c.endIdle()
 	}
-	return n, false
+	return n, false, nil
 }
 
 // drop forgets bytes that were handed out; the caller holds the lock.
@@ -104,14 +108,18 @@
 	}
 }
 
-// takeIn takes bytes that are in the reader's buffer already, and keeps those behind the present request.
-func (c *clientConn) takeIn(data []byte) int {
+// takeIn takes bytes that are in the reader's buffer already, and keeps those behind the present request. From the first of
+// them on the connection is not idle; those of a connection that was closed before are not given away.
+func (c *clientConn) takeIn(data []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isClosed {
+		return 0, net.ErrClosed
+	}
 	c.endIdle()
 	n := c.framing.advance(data)
 	c.keep(data[n:])
-	return n
+	return n, nil
 }
 
 // keep keeps bytes for the next request, unless the connection was closed; the caller holds the lock.
@@ -213,7 +221,8 @@
 	}
 }
 
-// closeIdle closes a connection that has been idle for as long as the limit now in force allows.
+// closeIdle closes a connection that has been idle for as long as the limit now in force allows. What is read after that was
+// decided here is given to nobody.
 func (c *clientConn) closeIdle() {
 	c.mu.Lock()
 	left := c.idleTimeout() - time.Since(c.idleSince)
@@ -224,11 +233,18 @@
 		c.mu.Unlock()
 		return
 	}
-	c.idle = false
+	c.idle, c.isClosed = false, true
 	c.mu.Unlock()
 	_ = c.Close()
 }
 
+// wasClosed reports whether the connection was closed from this side.
+func (c *clientConn) wasClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isClosed
+}
+
 // Close ends the connection and its timer.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -84,6 +84,9 @@
 	catchAll := echo.New()
 	catchAll.HideBanner, catchAll.HidePort = true, true
 	serve := func(c echo.Context) error {
+		if conn, ok := c.Request().Context().Value(clientConnKey{}).(*clientConn); ok && conn.wasClosed() {
+			panic(http.ErrAbortHandler) // closed as idle by a shutdown that did not see this request: it is not passed on
+		}
 		handler.ServeHTTP(c.Response().Writer, c.Request())
 		return nil
 	}
