Hosts are compared in one canonical form, by the check and by the routes

Cause: the check compared hosts byte by byte, the routes in lower case and without a port. Class: two texts that mean one thing.

Change: config.CanonicalHost (no port, lower case, no final dot) serves both. What was stored is taken as it is and served as before; the controller reports such routes at its start, and a change of something else is not rejected for them.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -30,7 +30,7 @@
 	for _, pool := range d.Parsed.BackendPools {
 		pools[pool.Name] = true
 	}
-	return checkRoutes(d.Parsed.RouteTable, pools)
+	return d.checkRoutes(before, pools)
 }
 
 func notAbove(revision, before int64) error {
@@ -49,24 +49,44 @@
 	return nil
 }
 
-// routeKey is the hostname and path prefix that a route matches; no two routes have the same.
-type routeKey struct{ hostname, pathPrefix string }
+// routeKey is the canonical host and the path prefix that a route matches; no two routes have the same.
+type routeKey struct{ host, pathPrefix string }
 
 func routeKeyOf(route *configpb.Route) routeKey {
-	return routeKey{route.Hostname, route.PathPrefix}
+	return routeKey{CanonicalHost(route.Hostname), route.PathPrefix}
 }
 
-func checkRoutes(routes []*configpb.Route, pools map[string]bool) error {
-	names := make(map[routeKey]string, len(routes)) // of the routes seen so far
-	for _, route := range routes {
-		if route.TimeoutMs <= 0 {
-			return invalid("route %q: timeout_ms is 0", route.Name)
-		}
+// Collision is two routes that match the same requests, of which only the first gets any. Earlier versions took hosts that
+// differ in the case of letters as two.
+type Collision struct{ First, Second string } // names of the routes
+
+// Collisions lists the routes that match the same requests.
+func (d *Document) Collisions() []Collision {
+	var found []Collision
+	names := make(map[routeKey]string, len(d.Parsed.RouteTable)) // of the routes seen so far
+	for _, route := range d.Parsed.RouteTable {
 		key := routeKeyOf(route)
 		if other, taken := names[key]; taken {
-			return invalid("routes %q and %q have the same place", other, route.Name)
+			found = append(found, Collision{other, route.Name})
+			continue
 		}
 		names[key] = route.Name
+	}
+	return found
+}
+
+// checkRoutes checks the routes. Two that match the same requests are let be if both were there before, as they are: who changes
+// something else need not mend them first.
+func (d *Document) checkRoutes(before *Document, pools map[string]bool) error {
+	for _, collision := range d.Collisions() {
+		if !d.sharesRoute(before, collision.First) || !d.sharesRoute(before, collision.Second) {
+			return invalid("routes %q and %q have the same place", collision.First, collision.Second)
+		}
+	}
+	for _, route := range d.Parsed.RouteTable {
+		if route.TimeoutMs <= 0 {
+			return invalid("route %q: timeout_ms is 0", route.Name)
+		}
 		if err := checkBackends(route, pools); err != nil {
 			return err
 		}
@@ -74,6 +94,15 @@
 	return nil
 }
 
+// sharesRoute reports whether a route is the very item of a document before this one.
+func (d *Document) sharesRoute(before *Document, name string) bool {
+	if before == nil {
+		return false
+	}
+	route, known := before.lists[keyRoutes].items[name]
+	return known && route.parsed == d.lists[keyRoutes].items[name].parsed
+}
+
 // checkBackends checks the one service of a route or, if it has them, its weighted ones.
 func checkBackends(route *configpb.Route, pools map[string]bool) error {
 	if len(route.WeightedBackends) == 0 {
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -16,6 +16,16 @@
 	return next, next.check(d)
 }
 
+// Stored makes the configuration of a stored one, as JSON gave it. It was checked when it was accepted, maybe by a version with
+// other checks, and is taken as it is. An [InvalidError] says that it can't be read.
+func Stored(body []byte) (*Document, error) {
+	document, err := parseDocument(body)
+	if err != nil {
+		return nil, err
+	}
+	return document, document.setTyped()
+}
+
 // parseDocument reads a complete configuration, without its typed form.
 func parseDocument(body []byte) (*Document, error) {
 	object, err := parseObject(body)
--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -138,3 +138,10 @@
 	c.checkRead(view, answeredBefore)
 	return view, nil
 }
+
+// logCollisions reports routes of the stored configuration that match the same requests: this version would not accept them.
+func (c *Controller) logCollisions() {
+	for _, collision := range c.replicated.View().Config.Collisions() {
+		c.log.Warn("routes have the same place", "first", collision.First, "second", collision.Second)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -129,6 +129,7 @@
 		Local:    c.grantor,
 	})
 	c.replicated.OnChange(c.publishCommitted)
+	c.logCollisions()
 	return c, nil
 }
 
--- a/internal/routing/compile.go
+++ b/internal/routing/compile.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strings"
 
 	"shaletrestle/internal/config"
 	"shaletrestle/internal/config/configpb"
@@ -35,7 +34,7 @@
 func compileHosts(routes []*configpb.Route) map[string][]*Route {
 	hosts := map[string][]*Route{}
 	for _, route := range routes {
-		host := strings.ToLower(route.Hostname)
+		host := config.CanonicalHost(route.Hostname)
 		hosts[host] = append(hosts[host], compileRoute(route))
 	}
 	for _, group := range hosts {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"shaletrestle/internal/config"
 )
 
 // Pool is one compiled service.
@@ -36,7 +38,7 @@
 // Table holds what was compiled from one revision of the configuration.
 type Table struct {
 	Revision   int64               // of the configuration
-	hosts      map[string][]*Route // by lower-case host, longest prefix first
+	hosts      map[string][]*Route // by canonical host, longest prefix first
 	Pools      map[string]*Pool    // by name
 	Limits     Limits
 	RouteCount int // routes in the configuration
@@ -45,23 +47,13 @@
 // Match finds the route with the longest prefix for a host, with or without a port, and the raw target of a request;
 // nil if there is none. It allocates only for a host that is not in lower case.
 func (t *Table) Match(host, target string) *Route {
-	host = withoutPort(host)
 	if i := strings.IndexAny(target, "?#"); i >= 0 {
 		target = target[:i]
 	}
-	for _, route := range t.hosts[strings.ToLower(host)] {
+	for _, route := range t.hosts[config.CanonicalHost(host)] {
 		if strings.HasPrefix(target, route.Prefix) {
 			return route
 		}
 	}
 	return nil
 }
-
-// withoutPort cuts the port off a host; the colons of a bare IPv6 address in brackets stay.
-func withoutPort(host string) string {
-	colon := strings.LastIndexByte(host, ':')
-	if colon < 0 || strings.HasSuffix(host, "]") {
-		return host
-	}
-	return host[:colon]
-}
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -156,7 +156,7 @@
 	if bytes.Equal(read.Document, v.Config.JSON()) {
 		return nil
 	}
-	document, err := config.Empty().Put(read.Document)
+	document, err := config.Stored(read.Document)
 	if err != nil {
 		return &PartError{Part: part.Name, Err: err}
 	}
--- a/internal/state/view_json.go
+++ b/internal/state/view_json.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"shaletrestle/internal/config"
 )
 
 // viewJSON is the stored form of a view: of snapshots on disk and in updates, and of the state page /fleet. The keys
@@ -49,7 +51,7 @@
 	}
 	view := EmptyView()
 	if stored.Config != nil {
-		document, err := view.Config.Put(stored.Config)
+		document, err := config.Stored(stored.Config)
 		if err != nil {
 			return nil, err
 		}
