Kept connections follow the limits in force

Cause: a change of limits made a new http.Server for the connections that come later; those that were there kept the limits of the server that had taken them. Class: a limit copied at the start of something long-lived.

Change: one server without limits of its own; each connection holds the head that it reads, and its time, against the limits in force, as it did with the idle time already. A head over the limit is answered 431 by the connection; bytes whose framing is not known are bounded too. The servers' generations and the hand-over between them are gone. max_body_bytes is read with each request and needed no change.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -29,8 +29,8 @@
 // net/http calls Read from one goroutine at a time; all else may be called concurrently.
 type clientConn struct {
 	net.Conn
-	idleTimeout func() time.Duration // the limit in force now
-	ahead       *atomic.Int64        // bytes kept by all connections of the server
+	limits func() *connLimits // those in force now
+	ahead  *atomic.Int64      // bytes kept by all connections of the server
 
 	watchBuffer  [watchBufferBytes]byte // of Read
 	closed       chan struct{}
@@ -44,17 +44,24 @@
 	idle      bool // between two requests
 	idleSince time.Time
 	idleTimer *time.Timer // nil before the connection was idle first
+	headSince time.Time   // when the head that is being read began, or the connection; zero: none is
+	headTimer *time.Timer
 }
 
 // newClientConn wraps an accepted connection.
-func newClientConn(conn net.Conn, idleTimeout func() time.Duration, ahead *atomic.Int64) *clientConn {
-	return &clientConn{
+func newClientConn(conn net.Conn, limits func() *connLimits, ahead *atomic.Int64) *clientConn {
+	c := &clientConn{
 		Conn:         conn,
-		idleTimeout:  idleTimeout,
+		limits:       limits,
 		ahead:        ahead,
 		closed:       make(chan struct{}),
 		readDeadline: make(chan time.Time, 1),
+		headSince:    time.Now(),
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headTimer = time.AfterFunc(limits().headTimeout, c.closeSlowHead)
+	return c
 }
 
 // Read gives the next bytes of the present request. Once all of it was given, it gives none until the connection is idle
@@ -63,7 +70,7 @@
 	for {
 		n, complete, err := c.handOut(buffer)
 		if n > 0 || err != nil {
-			return n, err
+			return c.answerTooLarge(n, err)
 		}
 		if complete {
 			if err := c.readAhead(); err != nil {
@@ -75,7 +82,7 @@
 		if n == 0 || err != nil {
 			return n, err
 		}
-		return c.takeIn(buffer[:n])
+		return c.answerTooLarge(c.takeIn(buffer[:n]))
 	}
 }
 
@@ -95,8 +102,9 @@
 		n = c.framing.advance(buffer[:n])
 		c.drop(n)
 		c.endIdle()
+		err = c.checkHead()
 	}
-	return n, false, nil
+	return n, false, err
 }
 
 // drop forgets bytes that were handed out; the caller holds the lock.
@@ -119,7 +127,7 @@
 	c.endIdle()
 	n := c.framing.advance(data)
 	c.keep(data[n:])
-	return n, nil
+	return n, c.checkHead()
 }
 
 // keep keeps bytes for the next request, unless the connection was closed; the caller holds the lock.
@@ -199,10 +207,10 @@
 	c.endRequest()
 	c.idle, c.idleSince = true, time.Now()
 	if c.idleTimer == nil {
-		c.idleTimer = time.AfterFunc(c.idleTimeout(), c.closeIdle)
+		c.idleTimer = time.AfterFunc(c.limits().idleTimeout, c.closeIdle)
 		return
 	}
-	c.idleTimer.Reset(c.idleTimeout())
+	c.idleTimer.Reset(c.limits().idleTimeout)
 }
 
 // endRequest lets the next request be handed out. Where the framing of the present one was not known, it stays so: where the
@@ -225,7 +233,7 @@
 // decided here is given to nobody.
 func (c *clientConn) closeIdle() {
 	c.mu.Lock()
-	left := c.idleTimeout() - time.Since(c.idleSince)
+	left := c.limits().idleTimeout - time.Since(c.idleSince)
 	if !c.idle || left > 0 {
 		if c.idle {
 			c.idleTimer.Reset(left)
@@ -249,6 +257,7 @@
 func (c *clientConn) Close() error {
 	c.mu.Lock()
 	c.endIdle()
+	c.headTimer.Stop()
 	c.isClosed = true
 	c.drop(len(c.kept))
 	c.mu.Unlock()
--- a/internal/frontend/clientconn_test.go
+++ b/internal/frontend/clientconn_test.go
@@ -77,7 +77,7 @@
 		}
 		var ahead atomic.Int64
 		inner := &chunkedConn{unread: []byte(requests[0] + requests[1]), random: random}
-		conn := newClientConn(inner, func() time.Duration { return time.Hour }, &ahead)
+		conn := newClientConn(inner, fixedLimits(time.Hour), &ahead)
 		for i, want := range requests {
 			require.Equal(t, want, readRequest(conn))
 			require.Equal(t, ambiguous[i], conn.ambiguous())
@@ -106,7 +106,7 @@
 			var ahead atomic.Int64
 			ahead.Add(x.keptByOthers)
 			inner := &chunkedConn{unread: []byte(plainRequest("a") + behind), random: rand.New(rand.NewPCG(8, 2))}
-			conn := newClientConn(inner, func() time.Duration { return time.Hour }, &ahead)
+			conn := newClientConn(inner, fixedLimits(time.Hour), &ahead)
 			require.Equal(t, plainRequest("a"), readRequest(conn))
 			watched := make(chan error)
 			go func() {
--- a/internal/frontend/close_order_test.go
+++ b/internal/frontend/close_order_test.go
@@ -25,6 +25,12 @@
 func (*lateConn) Close() error                    { return nil }
 func (*lateConn) SetReadDeadline(time.Time) error { return nil }
 
+// fixedLimits are limits that stay.
+func fixedLimits(idle time.Duration) func() *connLimits {
+	limits := &connLimits{headBytes: 16 << 10, headTimeout: time.Hour, idleTimeout: idle}
+	return func() *connLimits { return limits }
+}
+
 const orderRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // TestClientConn_BytesAndIdleEndInAnyOrder_ClosedOrHandedOut guards against a request that is passed on by a connection which
@@ -42,7 +48,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				inner := &lateConn{incoming: make(chan []byte)}
-				conn := newClientConn(inner, func() time.Duration { return idle }, &atomic.Int64{})
+				conn := newClientConn(inner, fixedLimits(idle), &atomic.Int64{})
 				conn.setState(http.StateIdle)
 				time.AfterFunc(test.comes, func() { inner.incoming <- []byte(orderRequest) })
 				buffer := make([]byte, 100)
@@ -63,7 +69,7 @@
 
 // TestClientConn_KeptBytesOfAClosedConnection_AreNotHandedOut guards the same for what was read ahead.
 func TestClientConn_KeptBytesOfAClosedConnection_AreNotHandedOut(t *testing.T) {
-	conn := newClientConn(&lateConn{}, func() time.Duration { return time.Hour }, &atomic.Int64{})
+	conn := newClientConn(&lateConn{}, fixedLimits(time.Hour), &atomic.Int64{})
 	conn.mu.Lock()
 	conn.keep([]byte(orderRequest))
 	conn.isClosed = true
@@ -85,10 +91,15 @@
 			passedOn++
 			w.WriteHeader(http.StatusOK)
 		}))
+		var conn *clientConn
+		follow := server.http.ConnState
+		server.http.ConnState = func(c net.Conn, state http.ConnState) {
+			conn = c.(*clientConn)
+			follow(c, state)
+		}
 		go server.Run()
 		client, inner := net.Pipe()
-		conn := newClientConn(inner, func() time.Duration { return time.Hour }, &server.ahead)
-		go func() { server.current.listener.conns <- conn }()
+		listener.conns <- inner
 		_, err := io.WriteString(client, orderRequest[:len(orderRequest)-2]) // the server has begun to read it
 		require.NoError(t, err)
 		synctest.Wait()
--- a/internal/frontend/framing.go
+++ b/internal/frontend/framing.go
@@ -44,6 +44,7 @@
 	line      []byte // the part of the present line that is looked at
 	isHTTP11  bool   // net/http ignores chunks in others
 	lineBytes int64  // of that line, with those that are not kept
+	headBytes int64  // of the head as far as it came; with a framing that is not known, all bytes since the message began
 	left      int64  // bytes of the fixed body or chunk that are still to come
 	length    int64  // named by Content-Length
 	hasLength bool
@@ -57,6 +58,11 @@
 // that is not known here.
 func (f *framing) ambiguous() bool { return f.hasLength && f.chunked || f.state == unknownFraming }
 
+// inHead reports whether a head has begun and not ended.
+func (f *framing) inHead() bool {
+	return f.headBytes > 0 && (f.state == inStartLine || f.state == inHeader)
+}
+
 // advance takes the next bytes of a connection and returns how many of them belong to the present message. Fewer than were
 // given are taken only if the message is complete with them.
 func (f *framing) advance(data []byte) (taken int) {
@@ -64,7 +70,12 @@
 		rest := data[taken:]
 		switch f.state {
 		case unknownFraming:
+			f.headBytes += int64(len(rest))
 			return len(data)
+		case inStartLine, inHeader:
+			n := f.takeLine(rest)
+			f.headBytes += int64(n)
+			taken += n
 		case inFixedBody, inChunkData:
 			n := min(f.left, int64(len(rest)))
 			f.left -= n
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -33,50 +33,21 @@
 	return !ok || conn.ambiguous()
 }
 
-// handoverListener gives accepted connections to one http.Server.
-type handoverListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-	addr   net.Addr
+// connLimits are the limits that connections follow, those that are there too.
+type connLimits struct {
+	headBytes   int           // of a request's head, its start line included
+	headTimeout time.Duration // from the first byte of a head, or the beginning of the connection, to the head's end
+	idleTimeout time.Duration // between two requests
 }
 
-// Accept waits for the next connection. After Close it gives net.ErrClosed.
-func (l *handoverListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close ends the listener; connections that it has given out stay.
-func (l *handoverListener) Close() error { l.once.Do(func() { close(l.closed) }); return nil }
-
-// Addr is the address that clients connect to.
-func (l *handoverListener) Addr() net.Addr { return l.addr }
-
-// generation serves the connections that were accepted under one set of limits.
-type generation struct {
-	server   *http.Server
-	listener *handoverListener
-}
-
-// Server accepts clients. A change of limits begins a new generation, for the connections that come later; the limit on
-// idle connections is the only one that also applies to those that are there.
+// Server accepts clients. A change of limits applies to the connections that are there as to those that come later.
 type Server struct {
-	ctx         context.Context
-	log         *slog.Logger
-	listener    net.Listener
-	handler     http.Handler
-	idleTimeout atomic.Duration // the newest one, read by every connection
-	ahead       atomic.Int64    // bytes that connections keep for later requests
-
-	mu       sync.Mutex // guards the fields below
-	current  *generation
-	draining []*generation
-	limits   routing.Limits
+	ctx      context.Context
+	log      *slog.Logger
+	listener net.Listener
+	http     *http.Server
+	limits   atomic.Pointer[connLimits] // the newest ones, read by every connection
+	ahead    atomic.Int64               // bytes that connections keep for later requests
 }
 
 // New returns a server of the connections of a listener, with the default limits. It accepts none before Run.
@@ -92,49 +63,37 @@
 	}
 	catchAll.RouteNotFound("/*", serve)
 	catchAll.Any("/*", serve)
-	s := &Server{ctx: ctx, log: log.With("part", "frontend"), listener: listener, handler: catchAll}
+	s := &Server{ctx: ctx, log: log.With("part", "frontend"), listener: listener}
+	s.http = s.httpServer(catchAll)
 	s.SetLimits(routing.Limits{})
 	return s
 }
 
 // SetLimits puts limits in force; zero or negative ones mean the defaults of package settings.
 func (s *Server) SetLimits(limits routing.Limits) {
-	if limits.MaxHeaderBytes <= 0 {
-		limits.MaxHeaderBytes = settings.HeaderBytes
+	next := &connLimits{
+		headBytes:   settings.HeaderBytes,
+		headTimeout: settings.HeaderTimeout,
+		idleTimeout: settings.IdleTimeout,
 	}
-	if limits.HeaderTimeout <= 0 {
-		limits.HeaderTimeout = settings.HeaderTimeout
+	if limits.MaxHeaderBytes > 0 {
+		next.headBytes = limits.MaxHeaderBytes
 	}
-	if limits.IdleTimeout <= 0 {
-		limits.IdleTimeout = settings.IdleTimeout
+	if limits.HeaderTimeout > 0 {
+		next.headTimeout = limits.HeaderTimeout
 	}
-	s.idleTimeout.Store(limits.IdleTimeout)
-	limits.IdleTimeout = 0
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current != nil && s.limits == limits {
-		return
+	if limits.IdleTimeout > 0 {
+		next.idleTimeout = limits.IdleTimeout
 	}
-	s.limits = limits
-	next := &generation{
-		server:   s.httpServer(limits),
-		listener: &handoverListener{conns: make(chan net.Conn), closed: make(chan struct{}), addr: s.listener.Addr()},
-	}
-	if s.current != nil {
-		_ = s.current.listener.Close()
-		s.draining = append(s.draining, s.current)
-	}
-	s.current = next
-	go func() { _ = next.server.Serve(next.listener) }()
+	s.limits.Store(next)
 }
 
-// httpServer returns the server of a generation. It has no idle timeout of its own: an idle connection closes itself
-// (see clientConn).
-func (s *Server) httpServer(limits routing.Limits) *http.Server {
+// httpServer returns the server that reads requests. It has no limits of its own: connections follow those in force (see
+// clientConn).
+func (s *Server) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:                      s.handler,
-		MaxHeaderBytes:               limits.MaxHeaderBytes,
-		ReadHeaderTimeout:            limits.HeaderTimeout,
+		Handler:                      handler,
+		MaxHeaderBytes:               math.MaxInt32,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     debugLogger(s.log),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -153,63 +112,40 @@
 	return slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
 }
 
-// Run accepts connections until the listener closes or the context ends.
-func (s *Server) Run() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			if s.ctx.Err() != nil || strings.Contains(err.Error(), net.ErrClosed.Error()) {
-				return
-			}
-			wait.Sleep(s.ctx, acceptPause)
-			continue
-		}
-		s.dispatch(newClientConn(conn, s.idleTimeout.Load, &s.ahead))
-	}
-}
+// Run serves connections until the listener closes or the context ends.
+func (s *Server) Run() { _ = s.http.Serve(clientListener{s}) }
+
+// clientListener makes a clientConn of each connection of a server's listener.
+type clientListener struct{ server *Server }
 
-// dispatch gives a connection to the current generation, and closes it if that is the last one and has ended.
-func (s *Server) dispatch(conn net.Conn) {
+// Accept waits for the next connection. A failed accept is tried again after a pause; after Close it gives net.ErrClosed.
+func (l clientListener) Accept() (net.Conn, error) {
 	for {
-		s.mu.Lock()
-		current := s.current
-		s.mu.Unlock()
-		select {
-		case current.listener.conns <- conn:
-			return
-		case <-current.listener.closed:
-			s.mu.Lock()
-			isLast := s.current == current
-			s.mu.Unlock()
-			if isLast {
-				_ = conn.Close()
-				return
-			}
+		conn, err := l.server.listener.Accept()
+		if err == nil {
+			return newClientConn(conn, l.server.limits.Load, &l.server.ahead), nil
+		}
+		if errors.Is(err, net.ErrClosed) || !wait.Sleep(l.server.ctx, acceptPause) {
+			return nil, net.ErrClosed
 		}
 	}
 }
 
+// Close ends the listener; connections that it has given out stay.
+func (l clientListener) Close() error { return l.server.listener.Close() }
+
+// Addr is the address that clients connect to.
+func (l clientListener) Addr() net.Addr { return l.server.listener.Addr() }
+
 // Close ends the server and its connections at once.
 func (s *Server) Close() { s.Shutdown(0) }
 
 // Shutdown accepts no more connections and waits, at most for the timeout, until the requests in flight have ended; then
 // it closes what is left.
 func (s *Server) Shutdown(timeout time.Duration) {
-	_ = s.listener.Close()
-	s.mu.Lock()
-	all := append(append([]*generation{}, s.draining...), s.current)
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
-	var ended sync.WaitGroup
-	for _, each := range all {
-		ended.Add(1)
-		go func() {
-			defer ended.Done()
-			if each.server.Shutdown(ctx) != nil {
-				_ = each.server.Close()
-			}
-		}()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
 	}
-	ended.Wait()
 }
