--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -47,6 +47,7 @@
 	control     ControlState
 	primaryLoss primaryLoss
 	counts      callCounts
+	unknown     unknownCalls
 }
 
 // Handler answers the operator's calls. It is safe for concurrent use.
@@ -110,6 +111,9 @@
 			s.changeZone(c, path[2], func(zone string) state.Event { return state.ReadmitZone{Zone: zone} })
 		})
 	default:
+		if s.unknown.isNew(name) {
+			s.log.Warn("call that does not exist", "call", name)
+		}
 		httpreply.Error(c.writer, errNoSuchCall)
 		return otherCall
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -99,6 +99,9 @@
 	env := start.settings
 	log.Info("starting", "version", version.Number, "pid", os.Getpid(), "node", env.NodeName, "bootstrap", env.Bootstrap,
 		"memory_mb", env.Limits.MemoryMB, "max_fds", env.Limits.MaxFds)
+	if unknown := env.UnknownContracts(); len(unknown) > 0 {
+		log.Warn("contracts in force that this version does not know", "contracts", unknown)
+	}
 	limitMemory(env)
 	result, received := start.awaitBuilt(beginBuild(ctx, log, program, env))
 	if received != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,9 @@
 	// HeartbeatMs is the time in milliseconds between two health checks of a router by its neighbours; the interval of
 	// the updates' heartbeat if that is longer (docs/nodes.md).
 	HeartbeatMs float64 `yaml:"heartbeat_ms"`
+	// Contracts names the parts of the rules that are in force. A part that this version doesn't know is logged at the
+	// start ([Settings.UnknownContracts]) and otherwise ignored.
+	Contracts []string `yaml:"contracts"`
 	// Tolerance is what may be lost at once with all rules kept.
 	Tolerance Tolerance `yaml:"fault_tolerance"`
 	// Bounds are the figures of the rules.
@@ -130,6 +133,9 @@
 	LossSlackMs float64 `yaml:"loss_slack_ms"`
 	// PassMs is the time in milliseconds within which an event of a stream is passed on. It is not used.
 	PassMs float64 `yaml:"pass_ms"`
+	// MergeMs is the time in milliseconds after the end of a partition within which all members have all additions to
+	// tallies. 0: not bounded.
+	MergeMs float64 `yaml:"merge_ms"`
 	// RecoverS is the time in seconds after which requests are served again when all machines are back. It is not used.
 	RecoverS float64 `yaml:"recover_s"`
 	// StretchMaxMs is the time in milliseconds by which an unsettled core stretches bounds at most. It is not used.
