Tallies: counters that every member keeps, on both sides of a partition

Callers saw 404 for every addition and every read of a tally on the apart deployments. Nothing answered these calls.

coord/counter keeps a grow-only set of additions, by origin, with the sum of each counter; the core is a state machine without input or output. An addition is acknowledged once it is synced on as many disks and in as many failure domains as the settings' tolerance asks; behind a partition, on all disks of the side. What members lack is told by vectors, pushed by its origin, and pulled from others where that is out of reach. coord/counter/store has the disk, internal/controller drives, internal/adminapi answers. Only where the contract apart is in force.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -31,5 +31,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return controller.New(ctx, log, controller.Options{Settings: env, Net: rpc.TCP{}, Store: disk})
+	options := controller.Options{Settings: env, Net: rpc.TCP{}, Store: disk}
+	if env.HasContract(settings.ContractApart) {
+		if options.Counters, err = controller.OpenCounters(ctx, log, env); err != nil {
+			return nil, err
+		}
+	}
+	return controller.New(ctx, log, options)
 }
--- a/coord/rpc/message.go
+++ b/coord/rpc/message.go
@@ -23,6 +23,7 @@
 	Loan                        // asks for a loan out of a shared budget (package fairshare)
 	Job                         // work handed over between nodes (package handoff)
 	List                        // asks another process to read a list that is nearer to it
+	Counters                    // a message of package counter, in the body
 )
 
 // Member names a process: its id stays with its state, the address is only where it can be reached now.
--- a/coord/rpc/traffic.go
+++ b/coord/rpc/traffic.go
@@ -35,11 +35,12 @@
 func (z PeerZone) String() string { return [peerZones]string{"unknown", "own", "other"}[z] }
 
 // kinds is the number of kinds, with one for all that this version doesn't know.
-const kinds = int(List) + 1
+const kinds = int(Counters) + 1
 
 var kindNames = [kinds]string{
 	0: "unknown", Hello: "hello", Replication: "replication", Lease: "lease", Subscribe: "subscribe", Update: "update",
 	UpdateAck: "update_ack", Suspect: "suspect", LoadSums: "load_sums", Loan: "loan", Job: "job", List: "list",
+	Counters: "counters",
 }
 
 // String is the kind's name in metrics; "unknown" for a kind that this version doesn't know.
--- a/internal/adminapi/large_body_test.go
+++ b/internal/adminapi/large_body_test.go
@@ -47,7 +47,7 @@
 // primary: their callers must get the answer that says whom to ask, not a reset connection.
 func TestServer_LargeBodyAtAnotherMember_GetsTheRedirect(t *testing.T) {
 	control := &fakeControl{primary: "10.0.0.1:80"}
-	server := httptest.NewServer(New(context.Background(), slog.New(slog.DiscardHandler), control))
+	server := httptest.NewServer(New(context.Background(), slog.New(slog.DiscardHandler), control, nil))
 	defer server.Close()
 	for _, size := range []int{1 << 10, 200 << 10, 600 << 10, 4 << 20} {
 		require.Equal(t, http.StatusTemporaryRedirect, sendSlowly(t, server.Listener.Addr().String(), size), "%d bytes", size)
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -45,6 +45,7 @@
 	ctx         context.Context // ends waits for a primary
 	log         *slog.Logger
 	control     ControlState
+	tallies     TallyState // nil: this deployment has none
 	primaryLoss primaryLoss
 	counts      callCounts
 	unknown     unknownCalls
@@ -66,9 +67,10 @@
 	deadline time.Time
 }
 
-// New makes the operator's handler, for the control address. The context ends the waits of calls for a primary.
-func New(ctx context.Context, log *slog.Logger, control ControlState) *Handler {
-	s := &server{ctx: ctx, log: log.With("part", "adminapi"), control: control}
+// New makes the handler for the control address. The context ends the waits of calls for a primary. Without tallies, which
+// may be nil, their calls don't exist.
+func New(ctx context.Context, log *slog.Logger, control ControlState, tallies TallyState) *Handler {
+	s := &server{ctx: ctx, log: log.With("part", "adminapi"), control: control, tallies: tallies}
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
 	serve := func(c echo.Context) error {
@@ -110,6 +112,8 @@
 		s.onPrimary(c, func(c *call) {
 			s.changeZone(c, path[2], func(zone string) state.Event { return state.ReadmitZone{Zone: zone} })
 		})
+	case s.tallies != nil && len(path) == 3 && (name == "POST v1/tallies" || name == "GET v1/tallies"):
+		s.answerTally(c, path[2])
 	default:
 		if s.unknown.isNew(name) {
 			s.log.Warn("call that does not exist", "call", name)
--- a/internal/adminapi/server_test.go
+++ b/internal/adminapi/server_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/coord/counter"
 	"shaletrestle/internal/errkind"
 	"shaletrestle/internal/state"
 )
@@ -59,10 +60,24 @@
 		request.Header.Set("If-Match", ifMatch)
 	}
 	recorder := httptest.NewRecorder()
-	New(context.Background(), slog.New(slog.DiscardHandler), control).ServeHTTP(recorder, request)
+	New(context.Background(), slog.New(slog.DiscardHandler), control, &fakeTallies{}).ServeHTTP(recorder, request)
 	return recorder
 }
 
+// fakeTallies are tallies that record what they are asked.
+type fakeTallies struct {
+	answer TallyAnswer
+	fail   error
+	added  []counter.Addition
+}
+
+func (f *fakeTallies) AddToTally(addition counter.Addition) (TallyAnswer, error) {
+	f.added = append(f.added, addition)
+	return f.answer, f.fail
+}
+
+func (f *fakeTallies) Tally(string) (TallyAnswer, error) { return f.answer, f.fail }
+
 func TestServer_Calls_BecomeTheirEvents(t *testing.T) {
 	control := &fakeControl{here: true}
 	for _, x := range []struct {
@@ -153,7 +168,7 @@
 			control := &fakeControl{here: true, fail: errkind.New(x.fail, "x")}
 			request := httptest.NewRequest(x.method, x.target, strings.NewReader("{}"))
 			request.Header.Set("If-Match", "7")
-			New(t.Context(), log, control).ServeHTTP(httptest.NewRecorder(), request)
+			New(t.Context(), log, control, nil).ServeHTTP(httptest.NewRecorder(), request)
 			_, got, _ := strings.Cut(strings.TrimSpace(lines.String()), " ") // without the time
 			require.Equal(t, x.want, got)
 		})
@@ -184,7 +199,7 @@
 func TestServer_NoPrimary_WaitsForATakeoverOnlyWhileOneMayBeUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		control := &fakeControl{}
-		handler := New(context.Background(), slog.New(slog.DiscardHandler), control)
+		handler := New(context.Background(), slog.New(slog.DiscardHandler), control, nil)
 		timed := func() (int, time.Duration) {
 			start := time.Now()
 			recorder := httptest.NewRecorder()
--- a/internal/adminapi/slow_body_test.go
+++ b/internal/adminapi/slow_body_test.go
@@ -37,7 +37,7 @@
 func TestServer_BodySlowerThanItsBound_IsNotCalledInvalid(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		listener := &onePipe{conns: make(chan net.Conn), closed: make(chan struct{})}
-		server := &http.Server{Handler: New(context.Background(), slog.New(slog.DiscardHandler), &fakeControl{here: true})}
+		server := &http.Server{Handler: New(context.Background(), slog.New(slog.DiscardHandler), &fakeControl{here: true}, nil)}
 		go func() { _ = server.Serve(listener) }()
 		defer func() { _ = server.Close() }()
 		near, far := net.Pipe()
--- a/internal/adminapi/unknown_calls_test.go
+++ b/internal/adminapi/unknown_calls_test.go
@@ -14,7 +14,7 @@
 
 func TestServer_CallsThatDoNotExist_AreLoggedOnceEach(t *testing.T) {
 	var lines bytes.Buffer
-	handler := New(context.Background(), slog.New(slog.NewTextHandler(&lines, nil)), &fakeControl{})
+	handler := New(context.Background(), slog.New(slog.NewTextHandler(&lines, nil)), &fakeControl{}, nil)
 	call := func(method, target string) {
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(method, target, nil))
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,11 +29,12 @@
 	"shaletrestle/internal/state"
 )
 
-// Options are what a controller is built from; all are needed.
+// Options are what a controller is built from. All but Counters are needed.
 type Options struct {
 	Settings *settings.Settings
 	Net      rpc.Net
 	Store    replication.Store // the member's disk, or replication.NewNoDisk
+	Counters CounterStore      // the disk for tallies; nil: none
 }
 
 // Controller is one control process. It is an [adminapi.ControlState], and a Daemon of package daemon. Its methods may be
@@ -46,6 +47,7 @@
 	peers    rpc.Net            // for messages between processes, which traffic counts
 	pool     *rpc.Pool          // channels to other members
 	api      *adminapi.Handler  // of the operator
+	tallies  *tallies           // nil: the deployment has none
 
 	member       currentMember
 	replicated   *state.Store  // configuration, evacuations, history; written by member alone
@@ -94,7 +96,6 @@
 		running:    make(chan struct{}),
 		invariants: newInvariants(log),
 	}
-	c.api = adminapi.New(ctx, log, c)
 	c.traffic = rpc.NewTraffic(env.Zone, rpc.TrafficOptions{ZoneOf: c.controllerZone, OnInvalid: c.logInvalidMessage})
 	c.peers = c.traffic.Net(options.Net)
 	c.pool = rpc.NewPool(ctx, c.peers, c.handle)
@@ -109,6 +110,7 @@
 		return nil, err
 	}
 	c.member = currentMember{member}
+	c.api = adminapi.New(ctx, log, c, c.makeTallies(options.Counters))
 	c.follower = distribution.NewFollower(distribution.FollowerOptions{
 		Net:          c.peers,
 		Sink:         c.feed,
@@ -181,6 +183,9 @@
 	})
 	work.Go(c.shareLoadSums)
 	work.Go(c.watchPrimary)
+	if c.tallies != nil {
+		work.Go(c.tallies.run)
+	}
 	metrics.ServePort(c.ctx, c.log, c.net, c.settings, c.serveMetrics)
 	c.log.Info("controller started", "node", c.settings.NodeName)
 	<-c.ctx.Done()
@@ -203,8 +208,11 @@
 	}
 	c.shuttingDown.Store(true)
 	c.listLease.Renew() // releases the lease: wantsListLease is false now
-	grace := durations.FromSeconds(c.settings.Bounds.GraceS) - settings.GraceMargin
-	if !c.member.Leave(time.Now().Add(grace)) {
+	end := time.Now().Add(durations.FromSeconds(c.settings.Bounds.GraceS) - settings.GraceMargin)
+	if c.tallies != nil {
+		c.tallies.leave()
+	}
+	if !c.member.Leave(end) {
 		c.log.Warn("shut down while still holding leases") // roles in the view, that is; the list lease was released
 	}
 }
@@ -229,6 +237,10 @@
 		return c.handleLoan(message)
 	case rpc.List:
 		return c.handleList(message)
+	case rpc.Counters:
+		if c.tallies != nil {
+			return c.tallies.handle(message)
+		}
 	case rpc.LoadSums:
 		c.loadSums.Put(message.From.ID, loadsum.Decode(message.Body), time.Now())
 	}
--- a/internal/controller/data_directory.go
+++ b/internal/controller/data_directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	counterstore "shaletrestle/coord/counter/store"
 	"shaletrestle/coord/replication/store"
 	"shaletrestle/coord/wait"
 	"shaletrestle/internal/settings"
@@ -39,6 +40,27 @@
 	return disk, nil
 }
 
+// OpenCounters opens the store of tallies in the data directory of the settings, which [OpenDisk] has opened. The errors are
+// those of OpenDisk.
+func OpenCounters(ctx context.Context, log *slog.Logger, env *settings.Settings) (*counterstore.Store, error) {
+	log = log.With("part", "tallies")
+	var opened *counterstore.Store
+	err := retryDirectory(ctx, log, func() error {
+		var err error
+		opened, err = counterstore.Open(store.OSFiles{}, env.DataDir)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if opened.Damaged() {
+		log.Error("stored tallies damaged, merging what others hold")
+	}
+	loaded := opened.Load()
+	log.Info("tallies read", "runs", len(loaded.Runs), "complete", loaded.Complete)
+	return opened, nil
+}
+
 // lockDirectory locks the data directory. A system that has no locks is not waited for.
 func lockDirectory(log *slog.Logger, dir string) error {
 	err := store.LockDirectory(dir)
--- a/internal/controller/member.go
+++ b/internal/controller/member.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"shaletrestle/coord/counter"
 	"shaletrestle/coord/replication"
 	"shaletrestle/coord/rpc"
+	"shaletrestle/internal/adminapi"
 	"shaletrestle/internal/settings"
 )
 
@@ -39,12 +41,7 @@
 	if !tolerable {
 		c.log.Warn("fault tolerance of the settings is not reachable in these zones", "zones", len(env.Zones), "max_failures", losses)
 	}
-	domainFailures := env.Tolerance.Zones
-	failureDomain := func(zone string) string { return zone }
-	if env.Tolerance.Regions > 0 {
-		domainFailures = env.Tolerance.Regions
-		failureDomain = func(zone string) string { return env.Zones[zone] }
-	}
+	domainFailures, failureDomain := c.failureDomains()
 	return replication.Config{
 		Address:           env.Port(settings.ControlPortOffset),
 		Zone:              env.Zone,
@@ -62,6 +59,27 @@
 	}
 }
 
+// failureDomains gives how many failure domains may be lost at once, and the domain of a zone.
+func (c *Controller) failureDomains() (maxFailures int, domainOf func(zone string) string) {
+	env := c.settings
+	if env.Tolerance.Regions > 0 {
+		return env.Tolerance.Regions, func(zone string) string { return env.Zones[zone] }
+	}
+	return env.Tolerance.Zones, func(zone string) string { return zone }
+}
+
+// makeTallies makes the tallies if the deployment has them. They bear the failures that the replication bears.
+func (c *Controller) makeTallies(store CounterStore) adminapi.TallyState {
+	if !c.settings.HasContract(settings.ContractApart) {
+		return nil
+	}
+	losses, _ := c.settings.MaxFailures()
+	domainFailures, domainOf := c.failureDomains()
+	policy := counter.Policy{MaxFailures: losses, MaxDomainFailures: domainFailures}
+	c.tallies = newTallies(c, store, policy, domainOf)
+	return c.tallies
+}
+
 // primaryToFollow is the address of the process that this one follows as a relay: the primary; empty if it is this one
 // or not known. It doesn't depend on the parent that failed: relays follow the primary alone.
 func (c *Controller) primaryToFollow(string) string {
