--- a/coord/counter/add.go
+++ b/coord/counter/add.go
@@ -5,25 +5,25 @@
 // add begins an addition, or ends it at once.
 func (c *Core) add(event AddRequested) {
 	addition := event.Addition
-	known := c.set.find(addition.Counter, addition.ID)
+	found, known := c.set.find(addition.Counter, addition.ID)
 	switch {
 	case !c.config.HasDisk:
 		c.emit(Added{event.Token, AddElsewhere})
 		return
-	case known != nil && known.amount != addition.Amount:
+	case known && found.amount != addition.Amount:
 		c.emit(Added{event.Token, AddConflict})
 		return
-	case !c.mayAdd(known != nil):
+	case !c.mayAdd(known):
 		c.emit(Added{event.Token, NotAdded})
 		return
 	}
 	// An id that came by way of another member is listed once more under the own origin: what is known of the disks that
 	// have an addition is known for the own ones.
-	if known == nil || known.ownNumber == 0 {
+	if found.ownNumber == 0 {
 		c.set.append(c.config.Origin, addition)
-		known = c.set.find(addition.Counter, addition.ID)
+		found, _ = c.set.find(addition.Counter, addition.ID)
 	}
-	c.adds = append(c.adds, pendingAdd{event.Token, known.ownNumber, c.now + addTimeout})
+	c.adds = append(c.adds, pendingAdd{event.Token, found.ownNumber, c.now + addTimeout})
 }
 
 // mayAdd reports whether an addition can be expected to be acknowledged. If not, nothing is begun.
--- a/coord/counter/core.go
+++ b/coord/counter/core.go
@@ -103,7 +103,7 @@
 	c.disk.durable, c.disk.digest = c.set.Vector(), c.set.Digest()
 	c.disk.complete = config.Stored.Complete
 	for _, addition := range orphans {
-		if c.set.find(addition.Counter, addition.ID) == nil {
+		if _, known := c.set.find(addition.Counter, addition.ID); !known {
 			c.set.append(config.Origin, addition)
 		}
 	}
@@ -150,6 +150,7 @@
 	c.pull()
 	c.finishPushes()
 	c.finishAdds()
+	c.noteWaiting()
 }
 
 // Total gives the sum of a counter; false if this member has no totals, so that another one must be asked.
--- a/coord/counter/peers.go
+++ b/coord/counter/peers.go
@@ -30,6 +30,8 @@
 	pushAt  time.Duration // no push before
 	held    uint64        // how many additions of the own origin it holds
 	durable uint64        // how many of those are synced there
+
+	waitingSince time.Duration // when it had all of those last
 }
 
 func (p *peer) isReachable() bool { return p.answered && p.missed < pingsToLose }
--- a/coord/counter/set.go
+++ b/coord/counter/set.go
@@ -18,7 +18,7 @@
 type Set struct {
 	own     Origin                // of this incarnation
 	origins map[Origin][]Addition // the first additions of each, without gaps
-	known   map[additionKey]*knownAddition
+	known   map[additionKey]knownAddition
 	totals  map[string]uint64
 	names   map[string]string // each counter's name once, so that additions share it
 	digest  uint64
@@ -38,7 +38,7 @@
 	return &Set{
 		own:     own,
 		origins: map[Origin][]Addition{},
-		known:   map[additionKey]*knownAddition{},
+		known:   map[additionKey]knownAddition{},
 		totals:  map[string]uint64{},
 		names:   map[string]string{},
 	}
@@ -63,10 +63,8 @@
 func (s *Set) append(origin Origin, addition Addition) {
 	addition.Counter = s.sharedName(addition.Counter)
 	key := additionKey{addition.Counter, addition.ID}
-	known := s.known[key]
-	if known == nil {
-		known = &knownAddition{}
-		s.known[key] = known
+	known, isKnown := s.known[key]
+	if !isKnown {
 		s.bytes += idBytes + len(addition.ID)
 	}
 	if addition.Amount > known.amount {
@@ -77,6 +75,7 @@
 	if origin == s.own {
 		known.ownNumber = uint64(len(held)) + 1
 	}
+	s.known[key] = known
 	s.digest ^= originDigest(origin, uint64(len(held)))
 	s.origins[origin] = append(held, addition)
 	s.digest ^= originDigest(origin, uint64(len(held))+1)
@@ -149,8 +148,11 @@
 	return run
 }
 
-// find gives what counts for an id; nil if the id is not known.
-func (s *Set) find(counter, id string) *knownAddition { return s.known[additionKey{counter, id}] }
+// find gives what counts for an id; false if the id is not known.
+func (s *Set) find(counter, id string) (found knownAddition, known bool) {
+	found, known = s.known[additionKey{counter, id}]
+	return found, known
+}
 
 // Total is the sum of a counter, 0 for one that is not known.
 func (s *Set) Total(counter string) uint64 { return s.totals[counter] }
--- a/internal/adminapi/primary.go
+++ b/internal/adminapi/primary.go
@@ -41,16 +41,20 @@
 	return now.Sub(l.since)
 }
 
-// onPrimary answers a call here if this process is primary, points to the primary if another is, and says so if none
-// is known. While a takeover may be under way it waits a little for its end.
-func (s *server) onPrimary(c *call, answer func(*call)) {
+// onPrimary makes a handler that answers a call here if this process is primary, points to the primary if another is, and
+// says so if none is known. While a takeover may be under way it waits a little for its end.
+func (s *server) onPrimary(answer handler) handler {
+	return func(c *call, segment string) { s.answerOnPrimary(c, segment, answer) }
+}
+
+func (s *server) answerOnPrimary(c *call, segment string, answer handler) {
 	for {
 		address, here := s.control.Primary()
 		if here || address != "" {
 			s.primaryLoss.clear()
 		}
 		if here {
-			answer(c)
+			answer(c, segment)
 			return
 		}
 		if address != "" {
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -89,39 +89,65 @@
 	s.counts.add(name, answered.status)
 }
 
+// handler answers a call; segment is the last one of its path, escaped.
+type handler func(c *call, segment string)
+
 // answer answers a call and names it for the counts.
 func (s *server) answer(c *call) (name string) {
 	path := strings.Split(strings.Trim(c.request.URL.EscapedPath(), "/"), "/")
 	name = c.request.Method + " " + strings.Join(path[:min(2, len(path))], "/")
-	switch {
-	case len(path) == 2 && name == "GET v1/config":
-		s.onPrimary(c, s.readConfig)
-	case len(path) == 2 && name == "PUT v1/config":
-		s.onPrimary(c, func(c *call) {
+	var answer handler
+	switch len(path) {
+	case 2:
+		answer = s.configHandler(name)
+	case 3:
+		answer = s.itemHandler(name)
+	}
+	if answer == nil {
+		if s.unknown.isNew(name) {
+			s.log.Warn("call that does not exist", "call", name)
+		}
+		httpreply.Error(c.writer, errNoSuchCall)
+		return otherCall
+	}
+	answer(c, path[len(path)-1])
+	return name
+}
+
+// configHandler is that of a call on the whole configuration; nil if there is none.
+func (s *server) configHandler(name string) handler {
+	switch name {
+	case "GET v1/config":
+		return s.onPrimary(func(c *call, _ string) { s.readConfig(c) })
+	case "PUT v1/config":
+		return s.onPrimary(func(c *call, _ string) {
 			s.changeConfig(c, func(base int64, body []byte) state.Event { return state.NewPutConfig(base, body) })
 		})
-	case len(path) == 2 && name == "PATCH v1/config":
-		s.onPrimary(c, func(c *call) {
+	case "PATCH v1/config":
+		return s.onPrimary(func(c *call, _ string) {
 			s.changeConfig(c, func(base int64, body []byte) state.Event { return state.NewPatchConfig(base, body) })
 		})
-	case len(path) == 3 && name == "POST v1/evacuation":
-		s.onPrimary(c, func(c *call) {
-			s.changeZone(c, path[2], func(zone string) state.Event { return state.EvacuateZone{Zone: zone} })
+	}
+	return nil
+}
+
+// itemHandler is that of a call on what the last segment of its path names; nil if there is none.
+func (s *server) itemHandler(name string) handler {
+	switch name {
+	case "POST v1/evacuation":
+		return s.onPrimary(func(c *call, segment string) {
+			s.changeZone(c, segment, func(zone string) state.Event { return state.EvacuateZone{Zone: zone} })
 		})
-	case len(path) == 3 && name == "DELETE v1/evacuation":
-		s.onPrimary(c, func(c *call) {
-			s.changeZone(c, path[2], func(zone string) state.Event { return state.ReadmitZone{Zone: zone} })
+	case "DELETE v1/evacuation":
+		return s.onPrimary(func(c *call, segment string) {
+			s.changeZone(c, segment, func(zone string) state.Event { return state.ReadmitZone{Zone: zone} })
 		})
-	case s.tallies != nil && len(path) == 3 && (name == "POST v1/tallies" || name == "GET v1/tallies"):
-		s.answerTally(c, path[2])
-	default:
-		if s.unknown.isNew(name) {
-			s.log.Warn("call that does not exist", "call", name)
+	case "POST v1/tallies", "GET v1/tallies":
+		if s.tallies != nil {
+			return s.answerTally
 		}
-		httpreply.Error(c.writer, errNoSuchCall)
-		return otherCall
 	}
-	return name
+	return nil
 }
 
 func (s *server) readConfig(c *call) {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -43,6 +43,7 @@
 			Labels:    []metrics.Label{{Name: "call", Value: each.Call}, {Name: "status", Value: strconv.Itoa(each.Status)}},
 		})
 	}
+	samples = append(samples, c.tallies.metrics()...)
 	samples = append(samples, metrics.Process("controller", c.settings.Limits.MemoryMB)...)
 	samples = append(samples, metrics.Traffic("controller", c.traffic)...)
 	return append(samples, metrics.Invariants("controller", c.invariants)...)
--- a/internal/controller/state_page.go
+++ b/internal/controller/state_page.go
@@ -45,7 +45,7 @@
 func (c *Controller) processState() map[string]any {
 	position := c.feed.Position()
 	view, replicated := c.updates.View(), c.replicated.View()
-	return map[string]any{
+	page := map[string]any{
 		"program":     "controller",
 		"version":     version.Number,
 		"node":        c.settings.NodeName,
@@ -67,6 +67,10 @@
 		"list_calls":     c.list.reads.Load(),
 		"list_failures":  c.list.failures.Load(),
 	}
+	if state := c.tallies.state(); state != nil {
+		page["tallies"] = state
+	}
+	return page
 }
 
 // maintenance lists the windows open now, or says why the calendar is ignored; nil unless one is set.
--- a/internal/simtest/disk.go
+++ b/internal/simtest/disk.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"shaletrestle/coord/counter"
 	"shaletrestle/coord/replication/core"
 )
 
@@ -18,6 +19,7 @@
 	register  core.Register
 	snapshot  *core.Snapshot
 	entries   []core.Entry // after the snapshot
+	counters  counter.Stored
 	full      bool
 	delay     time.Duration
 	stalled   chan struct{}
--- a/internal/simtest/process.go
+++ b/internal/simtest/process.go
@@ -168,11 +168,12 @@
 }
 
 func (sim *Simulation) startController(p *Process, env *settings.Settings) error {
-	var store replication.Store = p.incarnation
+	options := controller.Options{Settings: env, Net: p.incarnation, Store: p.incarnation, Counters: counterDisk{p.incarnation}}
 	if p.relay {
-		store = replication.NewNoDisk()
+		options.Store = replication.NewNoDisk()
+		options.Counters = nil
 	}
-	started, err := controller.New(p.ctx, p.log, controller.Options{Settings: env, Net: p.incarnation, Store: store})
+	started, err := controller.New(p.ctx, p.log, options)
 	if err != nil {
 		return err
 	}
