--- a/coord/counter/core.go
+++ b/coord/counter/core.go
@@ -179,10 +179,17 @@
 	return best.member.Address
 }
 
-// IsFlushed reports whether every member that answers holds all that this one holds.
+// IsFlushed reports whether every member that answers has what would be missing without this one: the additions that it
+// took, synced, and those of incarnations that do not answer themselves.
 func (c *Core) IsFlushed() bool {
+	held := c.set.Vector()
+	delete(held, c.config.Origin)
 	for p := range c.peers.reachable() {
-		if p.digest != c.set.Digest() && !p.vector.Covers(c.set.Vector()) {
+		delete(held, p.origin)
+	}
+	own := c.set.Count(c.config.Origin)
+	for p := range c.peers.reachable() {
+		if p.durable < own || !p.vector.Covers(held) {
 			return false
 		}
 	}
--- a/coord/counter/peers.go
+++ b/coord/counter/peers.go
@@ -15,8 +15,7 @@
 	answered  bool   // it answered in this incarnation of ours, so that what follows is its own word
 	complete  bool   // it has totals
 	origin    Origin // of its incarnation
-	vector    Vector // what it holds, as it said last; empty if that was no more than this member held
-	digest    uint64 // of what it holds
+	vector    Vector // what it holds, as it said last, or less
 	candidate bool   // the driver names it
 
 	missed     int // pings in a row without an answer
@@ -150,10 +149,12 @@
 	p.missed = 0
 	p.refused = false
 	p.answered = true
-	p.digest = reply.Digest
 	p.vector = reply.Vector
-	if p.vector == nil {
-		p.vector = Vector{} // it holds what this member held when the ping was sent: no more than now
+	if p.vector == nil { // it holds what this member held when the ping was sent: no more than now
+		p.vector = Vector{}
+		if reply.Digest == c.set.Digest() {
+			p.vector = c.set.Vector()
+		}
 	} else if !p.pushing {
 		p.held = min(p.vector[c.config.Origin], c.set.Count(c.config.Origin))
 	}
--- a/coord/counter/scenario_test.go
+++ b/coord/counter/scenario_test.go
@@ -226,6 +226,33 @@
 	s.step(m, counter.Leaving{})
 	require.Equal(t, counter.NotAdded, s.result(m, "y"))
 	require.True(t, m.core.IsFlushed())
+	s.add(s.machines[1], counter.Addition{Counter: "t", ID: "z", Amount: 1}, func(counter.AddResult) {})
+	s.wait(20 * time.Millisecond)
+	require.True(t, m.core.IsFlushed(), "others spread by themselves what they take")
+}
+
+func TestLeaving_OnlyHolderOfAnotherIncarnation_IsNotFlushed(t *testing.T) {
+	s := settled(bearsTwo, "a", "a", "b", "b", "c", "c")
+	first, second := s.machines[0], s.machines[1]
+	s.cut(s.machines[:2], s.machines[2:], false)
+	s.wait(2 * time.Second)
+	require.Equal(t, counter.AddAcknowledged, s.result(first, "x"))
+	s.stop(first, false)
+	s.wait(time.Second)
+	s.heal()
+	s.step(second, counter.Leaving{})
+	seen := 0
+	for range 1000 {
+		s.wait(time.Millisecond)
+		reached := second.core.Status().Peers[1]
+		if reached.Reachable && s.machines[2].core.Status().IDs == 0 {
+			require.False(t, second.core.IsFlushed())
+			seen++
+		}
+	}
+	require.Positive(t, seen)
+	require.True(t, second.core.IsFlushed())
+	requireTotal(t, s.machines[5], 1)
 }
 
 func TestAdd_SetAtItsBound_IsRejectedAndRepeatsAreNot(t *testing.T) {
