--- a/internal/controller/tallies_status.go
+++ b/internal/controller/tallies_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"shaletrestle/coord/counter"
+	"shaletrestle/internal/durations"
 	"shaletrestle/internal/metrics"
 )
 
@@ -36,6 +37,24 @@
 	return t.core.Status()
 }
 
+// checkMerged logs when a member that answers has lacked additions for longer than merge_ms, and when none does any more.
+func (t *tallies) checkMerged() {
+	bound := durations.FromMilliseconds(t.settings.Bounds.MergeMs)
+	late := ""
+	for _, peer := range t.status().Peers {
+		if bound > 0 && peer.Reachable && peer.WaitingFor > bound {
+			late = peer.Address
+		}
+	}
+	switch {
+	case late != "" && !t.unmerged:
+		t.log.Warn("tallies not merged in time", "peer", late, "bound_ms", bound.Milliseconds())
+	case late == "" && t.unmerged:
+		t.log.Info("tallies merged")
+	}
+	t.unmerged = late != ""
+}
+
 // state is what the state page shows; nil where the deployment has no tallies.
 func (t *tallies) state() *tallyState {
 	if t == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,7 +134,7 @@
 	// PassMs is the time in milliseconds within which an event of a stream is passed on. It is not used.
 	PassMs float64 `yaml:"pass_ms"`
 	// MergeMs is the time in milliseconds after the end of a partition within which all members have all additions to
-	// tallies. 0: not bounded.
+	// tallies; one that answers and lacks some for longer is logged. 0: not bounded.
 	MergeMs float64 `yaml:"merge_ms"`
 	// RecoverS is the time in seconds after which requests are served again when all machines are back. It is not used.
 	RecoverS float64 `yaml:"recover_s"`
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -177,6 +177,7 @@
 		Limits:       settings.Limits{MemoryMB: daemonMemoryMB},
 		DataDir:      p.dataDir(),
 		HeartbeatMs:  1200,
+		Contracts:    []string{"base", settings.ContractApart},
 		Tolerance:    settings.Tolerance{Machines: toleratedLosses},
 		Bounds: settings.Bounds{
 			ContactMs: contactMs, AckMs: 4000, DrainMs: 3000, GraceS: graceSeconds, ConfigApplyMs: configApplyMs,
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -30,6 +30,7 @@
 	RuleRepeat      Rule = "CONFIG-REPEAT" // an acknowledged change was sent again and rejected
 	RuleApply       Rule = "CONFIG-APPLY"  // a route was not served in a calm time after its acknowledgement
 	RuleBack        Rule = "CONFIG-BACK"   // a router went back to an older configuration
+	RuleTally       Rule = "TALLY"         // a tally reads more than could have counted, or lacks what was acknowledged
 	RuleEnded       Rule = "ENDED"         // a process ended by itself
 	RuleMemory      Rule = "MEMORY"        // a process had more resident memory than its settings grant
 	RuleInvariant   Rule = "INVARIANT"     // a process found an invariant violated, or panicked
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -65,6 +65,7 @@
 	fleet    *fleet
 	platform *platform
 	register registerHistory
+	tallies  tallyHistory
 	routes   addedRouteSet
 	logFile  *os.File
 
@@ -224,6 +225,9 @@
 	for number := range readerCount {
 		all.Go(func() { r.readAll(load, uint64(60+number)) })
 	}
+	for number := range tallyCallers {
+		all.Go(func() { r.callTallies(load, number) })
+	}
 	all.Go(func() { newProber(r).work(load) })
 	replicas := newFaultInjector(r, replicaFaults, replicaOverlap, 6)
 	all.Go(func() { replicas.work(faults) })
@@ -255,6 +259,7 @@
 	for range controllerCount {
 		r.read(ctx, client, random)
 	}
+	r.checkTallies(ctx)
 	r.judge.finish()
 	r.log("finished")
 }
