--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -56,7 +56,7 @@
 	startedAt  time.Time
 	candidates func() []counter.Candidate
 	writes     chan counter.Write
-	unmerged   bool // a member that answers lacks additions for too long; of the goroutine of run
+	merge      mergeWatch // of the goroutine of run
 
 	mu        sync.Mutex // guards the following
 	core      *counter.Core
@@ -145,7 +145,7 @@
 		if now := time.Now(); now.Sub(lookedAt) >= tallyCandidatesInterval {
 			lookedAt = now
 			t.step(counter.MembersChanged{Candidates: t.candidates()})
-			t.checkMerged()
+			t.checkMerged(now)
 		}
 		t.step(counter.Tick{})
 		return true
--- a/internal/controller/tallies_status.go
+++ b/internal/controller/tallies_status.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"shaletrestle/coord/counter"
 	"shaletrestle/internal/durations"
 	"shaletrestle/internal/metrics"
@@ -37,22 +39,42 @@
 	return t.core.Status()
 }
 
+// mergeWatch remembers since when a member that answers has lacked additions. The zero value is ready.
+type mergeWatch struct {
+	lateSince time.Time // zero: none does
+	logged    bool
+}
+
 // checkMerged logs when a member that answers has lacked additions for longer than merge_ms, and when none does any more.
-func (t *tallies) checkMerged() {
+func (t *tallies) checkMerged(now time.Time) {
 	bound := durations.FromMilliseconds(t.settings.Bounds.MergeMs)
-	late := ""
-	for _, peer := range t.status().Peers {
-		if bound > 0 && peer.Reachable && peer.WaitingFor > bound {
-			late = peer.Address
-		}
+	if bound == 0 {
+		return
 	}
+	watch := &t.merge
+	late := lateMember(t.status(), bound)
 	switch {
-	case late != "" && !t.unmerged:
+	case late == "":
+		if watch.logged {
+			t.log.Info("tallies merged")
+		}
+		*watch = mergeWatch{}
+	case watch.lateSince.IsZero():
+		watch.lateSince = now // it may have answered for the first time a moment ago
+	case !watch.logged && now.Sub(watch.lateSince) >= bound:
+		watch.logged = true
 		t.log.Warn("tallies not merged in time", "peer", late, "bound_ms", bound.Milliseconds())
-	case late == "" && t.unmerged:
-		t.log.Info("tallies merged")
 	}
-	t.unmerged = late != ""
+}
+
+// lateMember is the address of a member that answers and has lacked additions for longer than a bound; empty if there is none.
+func lateMember(status counter.Status, bound time.Duration) string {
+	for _, peer := range status.Peers {
+		if peer.Reachable && peer.WaitingFor > bound {
+			return peer.Address
+		}
+	}
+	return ""
 }
 
 // state is what the state page shows; nil where the deployment has no tallies.
