--- a/coord/counter/schedule_test.go
+++ b/coord/counter/schedule_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"shaletrestle/coord/counter"
+	"shaletrestle/coord/counter/countertest"
 )
 
 var scheduleSeeds = flag.Uint64("counter.seeds", 12, "random schedules to play")
@@ -17,19 +18,24 @@
 	faultsFor   = 30 * time.Second // of traffic under faults
 	syncTime    = 6 * time.Second  // for which a machine counts as lost after it is back
 	callersEach = 25 * time.Millisecond
+	// mergeBound is the time after the end of the faults within which all members have all additions.
+	mergeBound = 3 * time.Second
+	// detectionSlack is how long a machine may take to see that a partition has ended.
+	detectionSlack = 500 * time.Millisecond
 )
 
 // schedule plays random faults over callers.
 type schedule struct {
 	*simulation
-	judge    *judge
-	lost     map[int]time.Duration // machines that count as lost, until when
-	callerID int
-	endCalls time.Duration
+	history    *countertest.History
+	violations []string
+	lost       map[int]time.Duration // machines that count as lost, until when
+	callerID   int
+	endCalls   time.Duration
 }
 
 func newSchedule(seed uint64, policy counter.Policy, domains ...string) *schedule {
-	return &schedule{simulation: newSimulation(seed, policy, domains...), judge: newJudge(), lost: map[int]time.Duration{}}
+	return &schedule{simulation: newSimulation(seed, policy, domains...), history: countertest.NewHistory(countertest.Bounds{Merge: mergeBound, Detection: detectionSlack}), lost: map[int]time.Duration{}}
 }
 
 // callers add and read all the time, each at any machine, and repeat what they have no answer to elsewhere.
@@ -52,33 +58,44 @@
 	}
 	name := fmt.Sprintf("t%d", s.random.IntN(4))
 	if total, known := m.core.Total(name); known {
-		s.judge.read(s.now, m, name, total)
+		s.judge(m, name, total)
+	}
+}
+
+// judge holds what a machine reads against what callers know.
+func (s *schedule) judge(m *machine, name string, total uint64) {
+	least, most := s.history.Limits(s.now, name, m.member.Address, m.incarnation)
+	if total > most {
+		s.violations = append(s.violations, fmt.Sprintf("TWICE: %v: machine %d reads %d of %s, at most %d could have counted", s.now, m.index, total, name, most))
+	}
+	if total < least {
+		s.violations = append(s.violations, fmt.Sprintf("STALE: %v: machine %d reads %d of %s, %d are owed", s.now, m.index, total, name, least))
 	}
 }
 
 func (s *schedule) addOne(m *machine) {
-	var addition counter.Addition
-	if made := len(s.judge.order); made > 0 && s.random.IntN(5) == 0 { // a repeat, of a newer one mostly
-		id := s.judge.order[made-1-s.random.IntN(min(made, 40))]
-		addition = counter.Addition{Counter: s.judge.ids[id].counter, ID: id, Amount: s.judge.ids[id].amount}
-	} else {
-		s.callerID++
-		addition = counter.Addition{Counter: fmt.Sprintf("t%d", s.random.IntN(4)), ID: fmt.Sprint(s.callerID), Amount: 1 + s.random.Uint64N(9)}
+	made := s.history.Additions()
+	if len(made) > 0 && s.random.IntN(5) == 0 { // a repeat, of a newer one mostly
+		s.send(m, made[len(made)-1-s.random.IntN(min(len(made), 40))], nil)
+		return
 	}
-	s.send(m, addition)
+	s.callerID++
+	s.send(m, s.history.Begin(fmt.Sprintf("t%d", s.random.IntN(4)), fmt.Sprint(s.callerID), 1+s.random.Uint64N(9)), nil)
 }
 
-func (s *schedule) send(m *machine, addition counter.Addition) {
-	id := s.judge.called(addition)
+// send makes a call on an id; then is called if it is acknowledged.
+func (s *schedule) send(m *machine, addition *countertest.Addition, then func()) {
 	incarnation := m.incarnation
-	before := id.mayCount
-	id.mayCount = true // until the answer says otherwise: reads may see it sooner
-	s.add(m, addition, func(result counter.AddResult) {
+	rejected := s.history.Call(addition)
+	s.add(m, counter.Addition{Counter: addition.Counter, ID: addition.ID, Amount: addition.Amount}, func(result counter.AddResult) {
 		switch result {
 		case counter.AddAcknowledged:
-			id.acks = append(id.acks, acknowledgement{s.now, m.index, incarnation})
+			s.history.Acknowledge(addition, countertest.Acknowledgement{At: s.now, Member: m.member.Address, Incarnation: incarnation})
+			if then != nil {
+				then()
+			}
 		case counter.NotAdded:
-			id.mayCount = before
+			rejected()
 		}
 	})
 }
@@ -110,7 +127,7 @@
 	for _, m := range machines {
 		s.lost[m.index] = max(s.lost[m.index], s.now+wait+syncTime)
 	}
-	s.judge.faultsEnd = max(s.judge.faultsEnd, s.now+wait)
+	s.history.FaultUntil(s.now + wait)
 }
 
 // fault begins a random fault, if the tolerance allows it now.
@@ -153,7 +170,7 @@
 	s.stop(m, killed)
 	if wipe {
 		s.wipe(m)
-		s.judge.wiped[m.index] = m.wipedAt
+		s.history.LoseDisk(s.now, m.member.Address)
 	}
 	s.after(wait, func() { s.start(m) })
 }
@@ -191,7 +208,7 @@
 	s.lose(side, wait)
 	s.refusing = s.random.IntN(3) == 0
 	s.cut(side, other, s.random.IntN(3) == 0)
-	s.judge.partitions = append(s.judge.partitions, interval{s.now, s.now + wait})
+	s.history.Partition(s.now, s.now+wait)
 	s.after(wait, s.heal)
 }
 
@@ -211,16 +228,7 @@
 // may be lost are, all others lose power, and all come back.
 func (s *schedule) loseDisksAfterAcknowledgement() {
 	m := s.machines[s.random.IntN(len(s.machines))]
-	addition := counter.Addition{Counter: "t0", ID: "last", Amount: 7}
-	id := s.judge.called(addition)
-	id.mayCount = true
-	s.add(m, addition, func(result counter.AddResult) {
-		if result != counter.AddAcknowledged {
-			return
-		}
-		id.acks = append(id.acks, acknowledgement{s.now, m.index, m.incarnation})
-		s.after(0, func() { s.loseDisks(m) })
-	})
+	s.send(m, s.history.Begin("t0", "last", 7), func() { s.after(0, func() { s.loseDisks(m) }) })
 }
 
 func (s *schedule) loseDisks(first *machine) {
@@ -236,15 +244,15 @@
 	}
 	for _, m := range victims {
 		s.wipe(m)
-		s.judge.wiped[m.index] = m.wipedAt
+		s.history.LoseDisk(s.now, m.member.Address)
 	}
-	s.judge.faultsEnd = s.now + time.Second
+	s.history.FaultUntil(s.now + time.Second)
 }
 
 // play runs one schedule to its end and judges what all machines read then.
 func (s *schedule) play() {
 	s.endCalls = faultsFor
-	s.judge.faultsEnd = 300 * time.Millisecond // the first start
+	s.history.FaultUntil(300 * time.Millisecond) // the first start
 	s.after(time.Second, s.callers)
 	s.after(3*time.Second, s.fault)
 	s.runUntil(faultsFor + 12*time.Second) // the newest fault has ended, and its time for the merge
@@ -259,10 +267,10 @@
 			name := fmt.Sprintf("t%d", i)
 			total, known := m.core.Total(name)
 			if !known {
-				s.judge.violate("LOST: machine %d has no total of %s at the end", m.index, name)
+				s.violations = append(s.violations, fmt.Sprintf("LOST: machine %d has no total of %s at the end", m.index, name))
 				continue
 			}
-			s.judge.read(s.now, m, name, total)
+			s.judge(m, name, total)
 		}
 	}
 }
@@ -278,17 +286,14 @@
 		{"three in three zones", counter.Policy{MaxFailures: 1, MaxDomainFailures: 1}, []string{"a", "b", "c"}},
 	} {
 		t.Run(group.name, func(t *testing.T) {
-			acknowledged, reads := 0, 0
+			acknowledged := 0
 			for seed := uint64(1); seed <= *scheduleSeeds; seed++ {
 				s := newSchedule(seed, group.policy, group.domains...)
 				s.play()
-				require.Empty(t, s.judge.violations, "schedule %d", seed)
-				for _, id := range s.judge.ids {
-					acknowledged += min(1, len(id.acks))
-				}
-				reads++
+				require.Empty(t, s.violations, "schedule %d", seed)
+				acknowledged += s.history.Acknowledged()
 			}
-			t.Logf("%d schedules, %d additions acknowledged", reads, acknowledged)
+			t.Logf("%d schedules, %d additions acknowledged", *scheduleSeeds, acknowledged)
 			require.Greater(t, acknowledged, int(*scheduleSeeds)*300, "too little was served for the schedules to show anything")
 		})
 	}
--- a/coord/counter/simulation_test.go
+++ b/coord/counter/simulation_test.go
@@ -35,7 +35,6 @@
 	lastToken   counter.Token
 	adds        map[counter.Token]func(counter.AddResult)
 	replies     map[counter.Token]func(counter.Message)
-	wipedAt     []time.Duration
 }
 
 // disk is what is synced on a machine.
@@ -274,7 +273,6 @@
 func (s *simulation) wipe(m *machine) {
 	m.disk = disk{}
 	m.member.ID = s.newID()
-	m.wipedAt = append(m.wipedAt, s.now)
 }
 
 // cut blocks packets between two sets of machines: both ways, or from the first to the second only.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -242,7 +242,7 @@
 
 // emptyDisk takes away the disk of a controller that does not run.
 func (i *faultInjector) emptyDisk(p *process) error {
-	i.run.tallies.loseDisk(i.run.now(), p.ip)
+	i.run.tallies.LoseDisk(i.run.now(), p.ip)
 	if err := os.RemoveAll(p.dataDir()); err != nil {
 		return err
 	}
@@ -280,7 +280,7 @@
 		}
 		time.Sleep(time.Second)
 		p.terminate(graceSeconds * time.Second)
-		i.run.tallies.loseDisk(i.run.now(), p.ip)
+		i.run.tallies.LoseDisk(i.run.now(), p.ip)
 		return nil
 	})
 }
@@ -305,7 +305,7 @@
 		return err
 	}
 	time.Sleep(down)
-	defer func() { i.run.tallies.partitioned(begun, i.run.now()) }()
+	defer func() { i.run.tallies.Partition(begun, i.run.now()) }()
 	i.run.log("%s joined again", strings.Join(names, ", "))
 	i.run.fleet.disturb(slices.Concat(from, to), aftermath)
 	return set(false)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"shaletrestle/coord/counter/countertest"
 	"shaletrestle/coord/invariant"
 	"shaletrestle/coord/wait"
 	"shaletrestle/internal/adminapi"
@@ -65,7 +66,7 @@
 	fleet    *fleet
 	platform *platform
 	register registerHistory
-	tallies  tallyHistory
+	tallies  *countertest.History
 	routes   addedRouteSet
 	logFile  *os.File
 
@@ -92,7 +93,7 @@
 
 // Execute makes a run. An error says that it could not be put up.
 func Execute(ctx context.Context, options Options) (*Report, error) {
-	r := &Run{options: options, start0: time.Now(), judge: newJudge(), faultCounts: map[string]int{}, nextReplica: firstReplica - 1}
+	r := &Run{options: options, start0: time.Now(), judge: newJudge(), tallies: newTallyHistory(), faultCounts: map[string]int{}, nextReplica: firstReplica - 1}
 	logFile, err := os.Create(filepath.Join(options.Dir, "run.txt"))
 	if err != nil {
 		return nil, err
--- a/internal/soak/tally_callers.go
+++ b/internal/soak/tally_callers.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
+	"shaletrestle/coord/counter/countertest"
 	"shaletrestle/coord/wait"
 )
 
@@ -24,100 +24,9 @@
 	tallyEndTimeout = 20 * time.Second
 )
 
-// tallyHistory is what callers of tallies sent and were answered, and which faults excuse a loss.
-type tallyHistory struct {
-	mu         sync.Mutex
-	additions  []*tallyAddition // guarded by mu, as are the following
-	partitions []tallyPartition
-	lostDisks  []lostDisk
-}
-
-// tallyAddition is one id.
-type tallyAddition struct {
-	tally    string
-	amount   uint64
-	mayCount bool // some call on it may have been carried out
-	acks     []tallyAck
-}
-
-type tallyAck struct {
-	at time.Duration
-	ip string
-}
-
-type tallyPartition struct{ from, to time.Duration }
-
-type lostDisk struct {
-	at time.Duration
-	ip string
-}
-
-func (h *tallyHistory) begin(addition *tallyAddition) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.additions = append(h.additions, addition)
-}
-
-func (h *tallyHistory) setMayCount(addition *tallyAddition, mayCount bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	addition.mayCount = mayCount
-}
-
-func (h *tallyHistory) acknowledge(addition *tallyAddition, at time.Duration, ip string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	addition.acks = append(addition.acks, tallyAck{at, ip})
-}
-
-// partitioned records a partition of controllers.
-func (h *tallyHistory) partitioned(from, to time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.partitions = append(h.partitions, tallyPartition{from, to})
-}
-
-func (h *tallyHistory) loseDisk(at time.Duration, ip string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.lostDisks = append(h.lostDisks, lostDisk{at, ip})
-}
-
-// bounds are the least and the most that a tally may read once all is merged.
-func (h *tallyHistory) bounds(tally string) (least, most uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, addition := range h.additions {
-		if addition.tally != tally {
-			continue
-		}
-		if addition.mayCount {
-			most += addition.amount
-		}
-		for _, ack := range addition.acks {
-			if !h.isExcused(ack) {
-				least += addition.amount
-				break
-			}
-		}
-	}
-	return least, most
-}
-
-// isExcused reports whether an addition was acknowledged during a partition by a controller that lost its disk before the
-// merge. The caller holds mu.
-func (h *tallyHistory) isExcused(ack tallyAck) bool {
-	for _, partition := range h.partitions {
-		if ack.at < partition.from || ack.at > partition.to+time.Second {
-			continue
-		}
-		for _, lost := range h.lostDisks {
-			if lost.ip == ack.ip && lost.at >= ack.at && lost.at <= partition.to+tallyMergeBound {
-				return true
-			}
-		}
-	}
-	return false
+// newTallyHistory returns the history of the callers of a run.
+func newTallyHistory() *countertest.History {
+	return countertest.NewHistory(countertest.Bounds{Merge: tallyMergeBound, Detection: time.Second})
 }
 
 // callTallies adds to tallies and reads them until the context ends.
@@ -147,23 +56,21 @@
 
 // addToTally makes one addition, and at times repeats it though it was acknowledged.
 func (r *Run) addToTally(ctx context.Context, client *http.Client, random *rand.Rand, id string) {
-	addition := &tallyAddition{tally: tallyName(random.IntN(tallyNames)), amount: 1 + random.Uint64N(maxTallyStep)}
-	r.tallies.begin(addition)
-	body := fmt.Appendf(nil, `{"replica_id":%q,"actor":%d}`, id, addition.amount)
+	addition := r.tallies.Begin(tallyName(random.IntN(tallyNames)), id, 1+random.Uint64N(maxTallyStep))
+	body := fmt.Appendf(nil, `{"replica_id":%q,"actor":%d}`, id, addition.Amount)
 	for range tallyAttempts {
 		p := r.drawController(random)
-		mayHaveCounted := addition.mayCount
-		r.tallies.setMayCount(addition, true) // a read may see it before its answer comes
-		got := call(ctx, client, http.MethodPost, tallyURL(p, addition.tally), "", body)
+		rejected := r.tallies.Call(addition)
+		got := call(ctx, client, http.MethodPost, tallyURL(p, addition.Counter), "", body)
 		r.judge.tally(fmt.Sprintf("additions to tallies answered %d", got.status))
 		switch {
 		case got.status == http.StatusOK:
-			r.tallies.acknowledge(addition, r.now(), p.ip)
+			r.tallies.Acknowledge(addition, countertest.Acknowledgement{At: r.now(), Member: p.ip})
 			if random.IntN(repeatEvery) != 0 {
 				return
 			}
 		case got.status == http.StatusServiceUnavailable:
-			r.tallies.setMayCount(addition, mayHaveCounted)
+			rejected()
 		case got.status >= 400 && got.status < 500:
 			r.judge.add(RuleDenied, "an addition to a tally was answered %d: %s", got.status, got.body)
 			return
@@ -185,7 +92,7 @@
 		r.judge.add(RuleTally, "a read of %s can't be read: %s", name, got.body)
 		return 0, false
 	}
-	if _, most := r.tallies.bounds(name); page.Total > most {
+	if _, most := r.tallies.MergedLimits(name); page.Total > most {
 		r.judge.add(RuleTally, "%s reads %d of %s, %d could have counted", p.name, page.Total, name, most)
 	}
 	return page.Total, true
@@ -198,7 +105,7 @@
 	for _, p := range r.fleet.controllerList() {
 		for number := range tallyNames {
 			name := tallyName(number)
-			least, _ := r.tallies.bounds(name)
+			least, _ := r.tallies.MergedLimits(name)
 			total, ok := r.readTally(ctx, client, p, name)
 			for (!ok || total < least) && time.Since(begun) < tallyEndTimeout {
 				wait.Sleep(ctx, recordInterval)
