Counters: the member writes a new file from its set, the store keeps and reads no second copy

A restart read all files twice: once for the member, once to write their union to a new file. The first write of an incarnation, and the one after a failed write, is now a Rewrite of what the member holds, one run an origin.

--- a/coord/counter/core.go
+++ b/coord/counter/core.go
@@ -56,6 +56,7 @@
 	writingComplete bool
 	writingSince    time.Duration
 	failed          bool          // the newest Write failed
+	rewrite         bool          // the next Write is a Rewrite
 	retryAt         time.Duration // no Write before
 }
 
@@ -102,6 +103,7 @@
 	}
 	c.disk.durable, c.disk.digest = c.set.Vector(), c.set.Digest()
 	c.disk.complete = config.Stored.Complete
+	c.disk.rewrite = true
 	for _, addition := range orphans {
 		if _, known := c.set.find(addition.Counter, addition.ID); !known {
 			c.set.append(config.Origin, addition)
--- a/coord/counter/disk.go
+++ b/coord/counter/disk.go
@@ -1,5 +1,7 @@
 package counter
 
+import "math"
+
 // write begins a write of what is held and not on the disk yet, one at a time.
 func (c *Core) write() {
 	if c.disk.writing != nil || c.now < c.disk.retryAt {
@@ -8,21 +10,23 @@
 	if c.disk.digest == c.set.Digest() && c.disk.complete == c.complete {
 		return
 	}
+	write := Write{Rewrite: c.disk.rewrite, Complete: c.complete && (c.disk.rewrite || !c.disk.complete)}
 	held := c.set.Vector()
-	var runs []Run
 	target := c.disk.durable.Clone()
 	for _, origin := range sortedOrigins(held) {
-		if held[origin] <= c.disk.durable[origin] {
-			continue
+		first, limitBytes := c.disk.durable[origin]+1, runBytes
+		if write.Rewrite {
+			first, limitBytes = 1, math.MaxInt
+		}
+		if run := c.set.Run(origin, first, limitBytes); len(run.Additions) > 0 {
+			target[origin] = run.Last()
+			write.Runs = append(write.Runs, run)
 		}
-		run := c.set.Run(origin, c.disk.durable[origin]+1, runBytes)
-		target[origin] = run.Last()
-		runs = append(runs, run)
 	}
 	c.disk.writing = target
 	c.disk.writingComplete = c.complete
 	c.disk.writingSince = c.now
-	c.emit(Write{Runs: runs, Complete: c.complete && !c.disk.complete})
+	c.emit(write)
 }
 
 // diskDone takes the end of a write.
@@ -30,6 +34,7 @@
 	written := c.disk.writing
 	c.disk.writing = nil
 	c.disk.failed = err != nil
+	c.disk.rewrite = err != nil
 	if err != nil {
 		c.disk.retryAt = c.now + retryInterval
 		return
--- a/coord/counter/events.go
+++ b/coord/counter/events.go
@@ -66,6 +66,9 @@
 type Write struct {
 	Runs     []Run
 	Complete bool // from now on the disk is that of a member that has totals
+	// Rewrite says that the runs are everything held, and take the place of what was written before. The first Write of an
+	// incarnation and the one after a failed Write are of this kind.
+	Rewrite bool
 }
 
 // Reply answers a Received.
--- a/coord/counter/explore_test.go
+++ b/coord/counter/explore_test.go
@@ -193,6 +193,9 @@
 	}
 	write := *m.writing
 	m.writing = nil
+	if err == nil && write.Rewrite {
+		m.disk = counter.Stored{}
+	}
 	if err == nil {
 		m.disk.Runs = append(append([]counter.Run{}, m.disk.Runs...), write.Runs...)
 		m.disk.Complete = m.disk.Complete || write.Complete
--- a/coord/counter/simulation_test.go
+++ b/coord/counter/simulation_test.go
@@ -256,6 +256,9 @@
 			s.step(m, counter.DiskDone{Err: errFull})
 			return
 		}
+		if write.Rewrite {
+			m.disk.stored = counter.Stored{}
+		}
 		m.disk.stored.Runs = append(m.disk.stored.Runs, write.Runs...)
 		m.disk.stored.Complete = m.disk.stored.Complete || write.Complete
 		s.step(m, counter.DiskDone{})
--- a/coord/counter/store/compatibility_test.go
+++ b/coord/counter/store/compatibility_test.go
@@ -16,7 +16,7 @@
 	disk := newDisk(t)
 	s, err := store.Open(disk, dir)
 	require.NoError(t, err)
-	require.NoError(t, s.Append([]counter.Run{run(0xa1a2a3a4a5a6a7a8, 1, "a", "b")}, true))
+	require.NoError(t, s.Rewrite([]counter.Run{run(0xa1a2a3a4a5a6a7a8, 1, "a", "b")}, true))
 	require.NoError(t, s.Append([]counter.Run{run(0xa1a2a3a4a5a6a7a8, 3, "c"), run(7, 1, "d")}, false))
 	s.Close()
 	const name = dir + "/counters-00000000000000000001"
--- a/coord/counter/store/doc.go
+++ b/coord/counter/store/doc.go
@@ -5,8 +5,8 @@
 // one record, synced before it returns.
 //
 // What is stored is a grow-only set, so that files are merged, never chosen between: Open takes the union of all files
-// that are there, writes it to a new one, and only when that is safe removes the older ones. A torn record at the end of
-// a file was never acknowledged. Records behind a damaged one still count, but others may be missing, so that the member
+// that are there. The first write of an incarnation, and the one after a failed write, is a Rewrite of everything to a
+// new file; only when that is safe are the older ones removed. A torn record at the end of a file was never acknowledged. Records behind a damaged one still count, but others may be missing, so that the member
 // is one without totals then.
 //
 // The directory is shared with package replication/store, whose lock covers it; the names differ. A Store is used by one
--- a/coord/counter/store/store.go
+++ b/coord/counter/store/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io/fs"
 	"path"
 	"slices"
 	"strconv"
@@ -23,6 +22,9 @@
 	SyncDir(path string) error
 }
 
+// ErrNoFile is returned by Append while a Rewrite must come first.
+var ErrNoFile = errors.New("no file of counters is open")
+
 // filePrefix begins the names of the files; a number in twenty digits follows.
 const filePrefix = "counters-"
 
@@ -33,14 +35,12 @@
 	loaded  counter.Stored
 	damaged bool
 
-	complete bool       // the member had totals
-	number   uint64     // of the newest file tried
-	file     store.File // open for records; nil: none
-	stale    []string   // names of older files, which the next one replaces
+	number uint64     // of the newest file tried
+	file   store.File // open for records; nil: none
+	stale  []string   // names of older files, which the next one replaces
 }
 
-// Open reads a directory that exists. If the disk takes no writes now the store is usable all the same: Append tries
-// again. The errors are those of reading.
+// Open reads a directory that exists; it writes nothing. The first write must be a Rewrite. The errors are those of reading.
 func Open(files FileSystem, dir string) (*Store, error) {
 	s := &Store{files: files, dir: path.Clean(dir)}
 	names, err := files.List(s.dir)
@@ -54,24 +54,20 @@
 			s.stale = append(s.stale, name)
 		}
 	}
-	s.loaded, s.damaged, err = s.readStale()
+	s.loaded, s.damaged, err = s.readAll()
 	if err != nil {
 		return nil, err
 	}
 	if s.damaged {
 		s.loaded.Complete = false
 	}
-	s.complete = s.loaded.Complete
 	return s, nil
 }
 
-// readStale reads all files but the open one.
-func (s *Store) readStale() (all counter.Stored, damaged bool, err error) {
+// readAll reads all files.
+func (s *Store) readAll() (all counter.Stored, damaged bool, err error) {
 	for _, name := range s.stale {
 		content, err := s.files.ReadFile(path.Join(s.dir, name))
-		if errors.Is(err, fs.ErrNotExist) {
-			continue // removed when it could not be written
-		}
 		if err != nil {
 			return counter.Stored{}, false, errors.Wrap(err, "read counters")
 		}
@@ -94,27 +90,25 @@
 	return number, err == nil
 }
 
-// Load is what the directory contained when it was opened, until the first Append; after that it is nothing.
+// Load is what the directory contained when it was opened, until the first write; after that it is nothing.
 func (s *Store) Load() counter.Stored { return s.loaded }
 
 // Damaged reports whether records were found damaged when the directory was opened.
 func (s *Store) Damaged() bool { return s.damaged }
 
-// Append adds runs, and that the member has totals. They are synced when it returns without an error. After an error it
-// is not known whether they are stored; the next Append begins a new file.
+// Append adds runs, and that the member has totals, to what the newest Rewrite wrote. They are synced when it returns
+// without an error. After an error it is not known whether they are stored, and only a Rewrite can be next: without one
+// the error is ErrNoFile, and nothing was done.
 func (s *Store) Append(runs []counter.Run, complete bool) error {
-	s.loaded = counter.Stored{}
-	record := counter.Stored{Runs: runs, Complete: complete}
 	if s.file == nil {
-		return s.beginFile(record)
+		return ErrNoFile
 	}
-	if err := writeSynced(s.file, record); err != nil {
+	if err := writeSynced(s.file, counter.Stored{Runs: runs, Complete: complete}); err != nil {
 		_ = s.file.Close()
 		s.file = nil
 		s.stale = append(s.stale, fileName(s.number))
 		return errors.Wrap(err, "append counters")
 	}
-	s.complete = s.complete || complete
 	return nil
 }
 
@@ -136,21 +130,22 @@
 	return content
 }
 
-// beginFile writes everything stored and what is new to a new file, and removes the older ones once it is safe.
-func (s *Store) beginFile(added counter.Stored) error {
-	all, _, err := s.readStale()
-	if err != nil {
-		return err
+// Rewrite writes everything that the member holds, which includes what was loaded, to a new file, and removes the older ones
+// once it is safe. It is synced when it returns without an error; after one the older files are as they were.
+func (s *Store) Rewrite(all []counter.Run, complete bool) error {
+	s.loaded = counter.Stored{}
+	if s.file != nil {
+		_ = s.file.Close()
+		s.file = nil
+		s.stale = append(s.stale, fileName(s.number))
 	}
-	all.Runs = append(all.Runs, added.Runs...)
-	all.Complete = s.complete || added.Complete
 	s.number++
 	name := path.Join(s.dir, fileName(s.number))
 	file, err := s.files.Create(name)
 	if err != nil {
 		return errors.Wrap(err, "create a file of counters")
 	}
-	err = writeSynced(file, all)
+	err = writeSynced(file, counter.Stored{Runs: all, Complete: complete})
 	if err == nil {
 		err = s.files.SyncDir(s.dir)
 	}
@@ -159,9 +154,8 @@
 		if s.files.Remove(name) != nil {
 			s.stale = append(s.stale, fileName(s.number))
 		}
-		return errors.Wrap(err, "begin a file of counters")
+		return errors.Wrap(err, "rewrite counters")
 	}
-	s.complete = all.Complete
 	s.file = file
 	stale := s.stale
 	s.stale = nil
--- a/coord/counter/store/store_test.go
+++ b/coord/counter/store/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,7 @@
 
 // history is what was given to a store, and what of it was reported as stored.
 type history struct {
+	held     []counter.Run // what the member holds
 	given    map[string]bool
 	stored   map[string]bool
 	complete bool // reported as stored
@@ -43,13 +45,19 @@
 
 func newHistory() *history { return &history{given: map[string]bool{}, stored: map[string]bool{}} }
 
+// append writes runs as a member does: a rewrite of everything where that must come first.
 func (h *history) append(s *store.Store, complete bool, runs ...counter.Run) error {
 	for key := range keysOf(runs) {
 		h.given[key] = true
 	}
-	if err := s.Append(runs, complete); err != nil {
+	err := s.Append(runs, complete)
+	if errors.Is(err, store.ErrNoFile) {
+		err = s.Rewrite(append(slices.Clone(h.held), runs...), complete || h.complete)
+	}
+	if err != nil {
 		return err
 	}
+	h.held = append(h.held, runs...)
 	for key := range keysOf(runs) {
 		h.stored[key] = true
 	}
@@ -102,6 +110,7 @@
 		if err != nil {
 			return err
 		}
+		h.held = slices.Clone(s.Load().Runs)
 		for _, write := range writes {
 			if err := write(s); err != nil {
 				return err
@@ -169,7 +178,8 @@
 	disk := newDisk(t)
 	s, err := store.Open(disk, dir)
 	require.NoError(t, err)
-	require.NoError(t, s.Append([]counter.Run{run(1, 1, "a")}, true))
+	require.ErrorIs(t, s.Append([]counter.Run{run(1, 1, "a")}, true), store.ErrNoFile)
+	require.NoError(t, s.Rewrite([]counter.Run{run(1, 1, "a")}, true))
 	require.NoError(t, s.Append([]counter.Run{run(1, 2, "b")}, false))
 	require.NoError(t, s.Append([]counter.Run{run(1, 3, "c")}, false))
 	s.Close()
--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -44,6 +44,8 @@
 	Load() counter.Stored
 	// Append adds runs, and that the member has totals, synced when it returns without an error.
 	Append(runs []counter.Run, complete bool) error
+	// Rewrite puts runs, which are everything, and whether the member has totals, in place of what was written before.
+	Rewrite(all []counter.Run, complete bool) error
 }
 
 // tallies drives the counters of this process: it carries out what the core asks for. It is an [adminapi.TallyState].
@@ -201,7 +203,11 @@
 	for {
 		select {
 		case write := <-t.writes:
-			err := t.store.Append(write.Runs, write.Complete)
+			save := t.store.Append
+			if write.Rewrite {
+				save = t.store.Rewrite
+			}
+			err := save(write.Runs, write.Complete)
 			t.noteWrite(err)
 			t.step(counter.DiskDone{Err: err})
 		case <-t.ctx.Done():
--- a/internal/controller/tallies_test.go
+++ b/internal/controller/tallies_test.go
@@ -26,6 +26,14 @@
 
 func (m *memoryCounters) Load() counter.Stored { return m.stored }
 
+func (m *memoryCounters) Rewrite(all []counter.Run, complete bool) error {
+	if m.fail != nil {
+		return m.fail
+	}
+	m.stored = counter.Stored{Runs: all, Complete: complete}
+	return nil
+}
+
 func (m *memoryCounters) Append(runs []counter.Run, complete bool) error {
 	if m.fail != nil {
 		return m.fail
--- a/internal/simtest/counter_disk.go
+++ b/internal/simtest/counter_disk.go
@@ -18,14 +18,26 @@
 
 // Append is controller.CounterStore's.
 func (d counterDisk) Append(runs []counter.Run, complete bool) error {
+	return d.save(func() {
+		d.counters.Runs = append(d.counters.Runs, runs...)
+		d.counters.Complete = d.counters.Complete || complete
+	})
+}
+
+// Rewrite is controller.CounterStore's.
+func (d counterDisk) Rewrite(all []counter.Run, complete bool) error {
+	return d.save(func() { d.counters = counter.Stored{Runs: all, Complete: complete} })
+}
+
+// save changes the disk by a write.
+func (d counterDisk) save(change func()) error {
 	return d.ifAlive(func() error {
 		if err := d.Disk.write(); err != nil {
 			return err
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.counters.Runs = append(d.counters.Runs, runs...)
-		d.counters.Complete = d.counters.Complete || complete
+		change()
 		return nil
 	})
 }
