--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -146,7 +146,7 @@
 func (c *client) session(router *process, kind clientKind) {
 	connection, err := net.DialTimeout("tcp4", address(router.ip, portFront), dialTimeout)
 	if err != nil {
-		c.run.judge.tally("no connection to a router")
+		c.run.judge.count("no connection to a router")
 		return
 	}
 	defer func() { _ = connection.Close() }()
@@ -183,7 +183,7 @@
 	begun := time.Now()
 	_ = connection.SetDeadline(begun.Add(clientBudget + answerSlack))
 	if _, err := connection.Write(r.bytes()); err != nil {
-		c.run.judge.tally("not sent completely")
+		c.run.judge.count("not sent completely")
 		return requestOutcome{closes: true}
 	}
 	return c.receive(router, reader, r, begun)
@@ -193,7 +193,7 @@
 func (c *client) receive(router *process, reader *bufio.Reader, r *request, begun time.Time) requestOutcome {
 	got := c.readAnswer(reader, r)
 	calm := router.undisturbedSince(begun)
-	c.run.judge.tally(fmt.Sprintf("requests answered %d", got.status))
+	c.run.judge.count(fmt.Sprintf("requests answered %d", got.status))
 	switch {
 	case got.timedOut && calm && !c.run.starved(begun):
 		c.run.judge.add(RuleHang, "%s (%s) at %s: no answer within %v", r.id, r.path, router.name, clientBudget+answerSlack)
@@ -253,7 +253,7 @@
 		return false
 	}
 	if err != nil {
-		c.run.judge.tally("streams cut")
+		c.run.judge.count("streams cut")
 		return false
 	}
 	if number < streamEvents {
@@ -315,7 +315,7 @@
 	time.Sleep(time.Duration(c.random.Int64N(int64(30 * time.Millisecond))))
 	_ = connection.Close()
 	c.run.judge.left(r.id)
-	c.run.judge.tally("clients left")
+	c.run.judge.count("clients left")
 }
 
 // rest uses a connection again after a rest of up to four fifths of the idle limit: it must be there.
@@ -354,7 +354,7 @@
 
 // harass sends one of them and waits a little.
 func (c *client) harass(connection net.Conn, reader *bufio.Reader) {
-	c.run.judge.tally("hostile connections")
+	c.run.judge.count("hostile connections")
 	_ = connection.SetDeadline(time.Now().Add(time.Duration(c.random.Int64N(int64(time.Second)))))
 	if _, err := connection.Write([]byte(hostileTexts[c.random.IntN(len(hostileTexts))])); err != nil {
 		return
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -68,11 +68,11 @@
 	attempts   map[string]*sentAttempt
 	violations []Violation
 	counts     map[Rule]int
-	tallies    map[string]int
+	outcomes   map[string]int
 }
 
 func newJudge() *judge {
-	return &judge{start: time.Now(), attempts: map[string]*sentAttempt{}, counts: map[Rule]int{}, tallies: map[string]int{}}
+	return &judge{start: time.Now(), attempts: map[string]*sentAttempt{}, counts: map[Rule]int{}, outcomes: map[string]int{}}
 }
 
 // add records a violation.
@@ -89,18 +89,18 @@
 	}
 }
 
-// tally counts something that is reported and breaks no rule.
-func (j *judge) tally(what string) {
+// count counts something that is reported and breaks no rule.
+func (j *judge) count(what string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.tallies[what]++
+	j.outcomes[what]++
 }
 
-// tallied is how often something was counted.
-func (j *judge) tallied(what string) int {
+// counted is how often something was counted.
+func (j *judge) counted(what string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.tallies[what]
+	return j.outcomes[what]
 }
 
 // sent records an attempt before it leaves its client.
@@ -138,7 +138,7 @@
 		j.addLocked(RuleTwice, "%s ran %d times", id, attempt.runs)
 	}
 	if !attempt.leftAt.IsZero() && time.Since(attempt.leftAt) > goneSlack {
-		j.tallies["arrived after the client had left"]++
+		j.outcomes["arrived after the client had left"]++
 	}
 }
 
@@ -170,17 +170,17 @@
 			j.addLocked(RuleRefused, "%s was answered %d and ran", id, attempt.rejected)
 		}
 	}
-	if late := j.tallies["arrived after the client had left"]; late > goneAllowed {
+	if late := j.outcomes["arrived after the client had left"]; late > goneAllowed {
 		j.addLocked(RuleGone, "%d requests reached replicas over %v after their clients had left", late, goneSlack)
 	}
 }
 
-// summary lists the tallies in order.
+// summary lists the outcomes in order.
 func (j *judge) summary() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var lines []string
-	for what, count := range j.tallies {
+	for what, count := range j.outcomes {
 		lines = append(lines, fmt.Sprintf("%s: %d", what, count))
 	}
 	sort.Strings(lines)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -151,7 +151,7 @@
 	o.run.routes.remove(oldest) // from now on it may be gone
 	base := o.base
 	status := o.settle(ctx, base, registerState{revision, marker}, body)
-	o.run.judge.tally(fmt.Sprintf("changes answered %d", status))
+	o.run.judge.count(fmt.Sprintf("changes answered %d", status))
 	switch status {
 	case http.StatusOK:
 		o.base = revision
@@ -170,7 +170,7 @@
 func (o *operator) harass(ctx context.Context) {
 	body := `{"revision":999999,"x":` + strings.Repeat(`{"a":`, hostileDepth)
 	got := call(ctx, o.client, http.MethodPut, o.run.anyController(o.random), strconv.FormatInt(o.base, 10), []byte(body))
-	o.run.judge.tally(fmt.Sprintf("hostile changes answered %d", got.status))
+	o.run.judge.count(fmt.Sprintf("hostile changes answered %d", got.status))
 	if got.status == http.StatusOK {
 		o.run.judge.add(RuleConfig, "a body that can't be read was acknowledged")
 	}
@@ -199,7 +199,7 @@
 	begun := r.now()
 	got := call(ctx, client, http.MethodGet, r.anyController(random), "", nil)
 	if got.status != http.StatusOK {
-		r.judge.tally(fmt.Sprintf("reads answered %d", got.status))
+		r.judge.count(fmt.Sprintf("reads answered %d", got.status))
 		return 0, false
 	}
 	found, err := parseConfiguration(got.body)
@@ -207,7 +207,7 @@
 		r.judge.add(RuleConfig, "a read gave what can't be read: %v", err)
 		return 0, false
 	}
-	r.judge.tally("reads answered 200")
+	r.judge.count("reads answered 200")
 	r.register.read(found, begun, r.now())
 	return found.revision, true
 }
--- a/internal/soak/prober.go
+++ b/internal/soak/prober.go
@@ -89,7 +89,7 @@
 	if status == 0 || life == 0 || life != router.life() {
 		return
 	}
-	p.run.judge.tally(fmt.Sprintf("probes answered %d", status))
+	p.run.judge.count(fmt.Sprintf("probes answered %d", status))
 	acked, there := p.run.routes.acknowledged(marker)
 	if !there {
 		return // a change that removes it was sent meanwhile
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -193,7 +193,7 @@
 	select {
 	case <-time.After(work):
 	case <-request.Context().Done():
-		r.judge.tally("runs cancelled")
+		r.judge.count("runs cancelled")
 		return
 	}
 	w.Header().Set(upstream.HeaderSeal, run.seal)
@@ -243,7 +243,7 @@
 		select {
 		case <-time.After(interval):
 		case <-request.Context().Done():
-			r.judge.tally("runs cancelled")
+			r.judge.count("runs cancelled")
 			return
 		}
 		if number == breakAt {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -250,9 +250,9 @@
 	acked := false
 	for !acked && time.Since(begun) < recoverTimeout {
 		last.readBase(ctx)
-		before := r.judge.tallied("changes answered 200")
+		before := r.judge.counted("changes answered 200")
 		last.makeChange(ctx)
-		acked = r.judge.tallied("changes answered 200") > before
+		acked = r.judge.counted("changes answered 200") > before
 	}
 	if !acked && !r.starved(begun) {
 		r.judge.add(RuleRecover, "no change was acknowledged within %v after the last fault", recoverTimeout)
--- a/internal/soak/tally_callers.go
+++ b/internal/soak/tally_callers.go
@@ -62,7 +62,7 @@
 		p := r.drawController(random)
 		rejected := r.tallies.Call(addition)
 		got := call(ctx, client, http.MethodPost, tallyURL(p, addition.Counter), "", body)
-		r.judge.tally(fmt.Sprintf("additions to tallies answered %d", got.status))
+		r.judge.count(fmt.Sprintf("additions to tallies answered %d", got.status))
 		switch {
 		case got.status == http.StatusOK:
 			r.tallies.Acknowledge(addition, countertest.Acknowledgement{At: r.now(), Member: p.ip})
@@ -81,7 +81,7 @@
 // readTally reads a tally once; ok is false if it was not answered.
 func (r *Run) readTally(ctx context.Context, client *http.Client, p *process, name string) (total uint64, ok bool) {
 	got := call(ctx, client, http.MethodGet, tallyURL(p, name), "", nil)
-	r.judge.tally(fmt.Sprintf("reads of tallies answered %d", got.status))
+	r.judge.count(fmt.Sprintf("reads of tallies answered %d", got.status))
 	if got.status != http.StatusOK {
 		return 0, false
 	}
