--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,12 +20,13 @@
 	binary  string
 	faults  string // the file of the injected faults
 
-	mu          sync.Mutex // guards the fields below, and those of its lives
-	current     *life      // the newest incarnation; nil: it does not run
-	incarnation int        // number of the newest incarnation
-	peakMiB     float64    // resident memory of the largest incarnation that has ended
-	disturbed   time.Time  // until when it counts as disturbed
-	busy        bool       // a fault that is to end by itself is on it
+	mu          sync.Mutex    // guards the fields below, and those of its lives
+	current     *life         // the newest incarnation; nil: it does not run
+	incarnation int           // number of the newest incarnation
+	peakMiB     float64       // resident memory of the largest incarnation that has ended
+	slowestEnd  time.Duration // from the end of an incarnation to the end of the reading of its log
+	disturbed   time.Time     // until when it counts as disturbed
+	busy        bool          // a fault that is to end by itself is on it
 }
 
 // life is one incarnation of a process.
@@ -34,8 +35,9 @@
 	command   *exec.Cmd
 	log       *logFile
 	startedAt time.Time
-	ended     chan struct{}
-	expected  bool // its end was asked for
+	exited    chan struct{} // closed when the system has reported the end
+	ended     chan struct{} // closed after that, when the log has been read too
+	expected  bool          // its end was asked for
 }
 
 func (p *process) dataDir() string      { return filepath.Join(p.dir, "data") }
@@ -57,7 +59,7 @@
 		return err
 	}
 	log.started()
-	started := &life{number: p.incarnation, command: command, log: log, startedAt: time.Now(), ended: make(chan struct{})}
+	started := &life{number: p.incarnation, command: command, log: log, startedAt: time.Now(), exited: make(chan struct{}), ended: make(chan struct{})}
 	p.current = started
 	go p.await(started, unexpected)
 	return nil
@@ -66,6 +68,8 @@
 // await waits for the end of an incarnation.
 func (p *process) await(l *life, unexpected func(*process, ending)) {
 	_ = l.command.Wait() // how it ended stands in ProcessState
+	exitedAt := time.Now()
+	close(l.exited)
 	l.log.close()
 	end := endingOf(l.command, l.startedAt, l.number, l.log.name)
 	p.mu.Lock()
@@ -75,12 +79,22 @@
 		p.current = nil
 	}
 	p.mu.Unlock()
+	p.mu.Lock()
+	p.slowestEnd = max(p.slowestEnd, time.Since(exitedAt))
+	p.mu.Unlock()
 	close(l.ended)
 	if !expected || end.code > 0 { // after SIGTERM too, an exit status other than 0 is a failure
 		unexpected(p, end)
 	}
 }
 
+// slowestLogRead is the longest time between the end of an incarnation and the end of the reading of its log.
+func (p *process) slowestLogRead() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slowestEnd
+}
+
 // running is the current incarnation; nil: none runs.
 func (p *process) running() *life {
 	p.mu.Lock()
@@ -144,7 +158,8 @@
 // ended by itself.
 func (p *process) awaitEnd(l *life, grace time.Duration) bool {
 	select {
-	case <-l.ended:
+	case <-l.exited:
+		<-l.ended
 		return true
 	case <-time.After(grace):
 		p.signalLife(l, syscall.SIGKILL)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -335,7 +335,9 @@
 // checkMemory holds the largest resident memory of each process against its settings, and sums it up by program.
 func (r *Run) checkMemory() {
 	largest := map[string]float64{}
+	slowestRead := time.Duration(0)
 	for _, p := range r.fleet.all() {
+		slowestRead = max(slowestRead, p.slowestLogRead())
 		peak := p.peakMemory()
 		largest[p.program] = max(largest[p.program], peak)
 		if peak > daemonMemoryMB {
@@ -343,6 +345,7 @@
 		}
 	}
 	r.log("largest resident memory in MiB: %v", largest)
+	r.log("longest time from the end of a process to the end of the reading of its log: %v", slowestRead)
 }
 
 // newReplicaAddress gives an address that no replica had.
