emulator: tallies on both sides of a partition, with a plot

Applications in each zone add to tallies, one zone is cut off, and both totals, what was acknowledged and what is unmerged are sampled and drawn.

--- a/internal/emulator/daemon.go
+++ b/internal/emulator/daemon.go
@@ -66,7 +66,13 @@
 	if err != nil {
 		return nil, err
 	}
-	program, err := controller.New(d.ctx, d.log, controller.Options{Settings: env, Net: d.network, Store: disk})
+	options := controller.Options{Settings: env, Net: d.network, Store: disk}
+	if env.HasContract(settings.ContractApart) {
+		if options.Counters, err = controller.OpenCounters(d.ctx, d.log, env); err != nil {
+			return nil, err
+		}
+	}
+	program, err := controller.New(d.ctx, d.log, options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -26,6 +26,9 @@
 	Kinds            []Kind    `yaml:"kinds"`
 	Faults           []Fault   `yaml:"troubles"`
 	ChangesPerMinute float64   `yaml:"changes_per_minute"`
+
+	Tallies   *TallySpec     `yaml:"tallies"`   // nil: controllers keep none
+	Partition *PartitionSpec `yaml:"partition"` // nil: none
 }
 
 // FleetSpec tells which daemons run.
--- a/internal/emulator/experiment_check.go
+++ b/internal/emulator/experiment_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"shaletrestle/internal/errkind"
@@ -20,7 +21,9 @@
 	maxChangesPerMinute = 6000
 	maxBodyBytes        = 1 << 20
 	maxSkew             = 10
-	unbounded           = 0 // of a number without an upper bound
+	maxTallyNames       = 100
+	maxTalliesPerS      = 500 // additions a second
+	unbounded           = 0   // of a number without an upper bound
 
 	// nameBreakers are the characters that a name must not have: names stand in
 	// paths and in quotes.
@@ -72,6 +75,9 @@
 	if err := checkNumbers(x.numbers()); err != nil {
 		return err
 	}
+	if err := x.checkPartition(); err != nil {
+		return err
+	}
 	x.setDefaults()
 	return x.checkTotals()
 }
@@ -110,6 +116,14 @@
 	return nil
 }
 
+// checkPartition checks the zone of the partition.
+func (x *Experiment) checkPartition() error {
+	if x.Partition != nil && !slices.Contains(x.Fleet.Zones, x.Partition.Zone) {
+		return badField("partition.zone", "is not among the fleet's zones: "+x.Partition.Zone)
+	}
+	return nil
+}
+
 func (x *Experiment) checkFaults() error {
 	for _, fault := range x.Faults {
 		switch fault.Kind {
@@ -169,6 +183,16 @@
 	for i := range x.Kinds {
 		numbers = append(numbers, x.Kinds[i].numbers()...)
 	}
+	if tallies := x.Tallies; tallies != nil {
+		numbers = append(numbers,
+			number{"tallies.per_s", tallies.PerS, maxTalliesPerS},
+			number{"tallies.names", float64(tallies.Names), maxTallyNames})
+	}
+	if partition := x.Partition; partition != nil {
+		numbers = append(numbers,
+			number{"partition.at_s", partition.AtS, maxDurationS},
+			number{"partition.for_s", partition.ForS, maxDurationS})
+	}
 	for _, fault := range x.Faults {
 		prefix := "troubles[" + fault.Replica + "]."
 		numbers = append(numbers,
--- a/internal/emulator/experiment_defaults.go
+++ b/internal/emulator/experiment_defaults.go
@@ -25,6 +25,8 @@
 	defaultAttempts       = 2
 	defaultTokensOut      = 8  // tokens
 	defaultTokensIn       = 64 // tokens
+	defaultTalliesPerS    = 20 // additions a second
+	defaultTallyNames     = 2
 )
 
 // setDefault replaces a value that is not given.
@@ -48,6 +50,10 @@
 	setDefault(&x.Platform.LagMs, milliseconds(defaultListLag))
 	setDefault(&x.Platform.RatePerS, defaultListRatePerS)
 	setDefault(&x.Platform.Page, defaultListPage)
+	if x.Tallies != nil {
+		setDefault(&x.Tallies.PerS, defaultTalliesPerS)
+		setDefault(&x.Tallies.Names, defaultTallyNames)
+	}
 	for i := range x.Services {
 		x.Services[i].setDefaults()
 	}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -10,13 +10,15 @@
 	"shaletrestle/internal/upstream"
 )
 
-// network is the network of a daemon under test: the real one, with delay between
-// zones.
+// network is the network of a daemon under test: the real one, with delay and
+// partitions between zones.
 type network struct {
 	rpc.TCP
 	zone   string
 	zoneOf func(ip string) string
 	delay  time.Duration // one way, to another zone
+
+	partition *partition
 }
 
 var _ rpc.Net = (*network)(nil)
@@ -24,7 +26,12 @@
 // Dial is part of rpc.Net.
 func (n *network) Dial(address string, timeout time.Duration) (net.Conn, error) {
 	host, _, _ := net.SplitHostPort(address)
-	delayed := n.delay > 0 && n.zoneOf(host) != n.zone
+	zone := n.zoneOf(host)
+	if n.partition.separates(n.zone, zone) {
+		<-time.After(timeout)
+		return nil, os.ErrDeadlineExceeded
+	}
+	delayed := n.delay > 0 && zone != n.zone
 	roundTrip := 2 * n.delay
 	if delayed && roundTrip > timeout {
 		<-time.After(timeout)
@@ -34,6 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
+	connection = n.partition.track(connection, n.zone, zone)
 	if !delayed {
 		return connection, nil
 	}
--- a/internal/emulator/plots.go
+++ b/internal/emulator/plots.go
@@ -20,8 +20,9 @@
 
 var plottedQuantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9}
 
-// plot draws latency by quantile and the outcomes of each second, as SVG and PNG.
-func (r *report) plot(experiment *Experiment, dir string) error {
+// plot draws latency by quantile, the outcomes of each second and, if there are samples, the totals of tallies on both
+// sides, as SVG and PNG.
+func (r *report) plot(experiment *Experiment, samples []TallySample, dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "plots")
 	}
@@ -36,7 +37,32 @@
 	if err := savePlot(latency, filepath.Join(dir, "latency")); err != nil {
 		return err
 	}
-	return savePlot(outcomes, filepath.Join(dir, "outcomes"))
+	if err := savePlot(outcomes, filepath.Join(dir, "outcomes")); err != nil {
+		return err
+	}
+	if len(samples) == 0 {
+		return nil
+	}
+	tallies, err := talliesPlot(experiment, samples)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "plots")
+	}
+	return savePlot(tallies, filepath.Join(dir, "tallies"))
+}
+
+// talliesPlot draws what both sides read, what was acknowledged, and what the side that lacks more lacks of it.
+func talliesPlot(experiment *Experiment, samples []TallySample) (*plot.Plot, error) {
+	drawn := newPlot(experiment.Name+": tallies", "s", "sum over all tallies")
+	drawn.Legend.Left = true
+	var cutOff, others, acknowledged, unmerged plotter.XYs
+	for _, sample := range samples {
+		cutOff = append(cutOff, plotter.XY{X: sample.AtS, Y: float64(sample.CutOff)})
+		others = append(others, plotter.XY{X: sample.AtS, Y: float64(sample.Others)})
+		acknowledged = append(acknowledged, plotter.XY{X: sample.AtS, Y: float64(sample.Acknowledged)})
+		least := min(sample.CutOff, sample.Others, sample.Acknowledged)
+		unmerged = append(unmerged, plotter.XY{X: sample.AtS, Y: float64(sample.Acknowledged - least)})
+	}
+	return drawn, plotutil.AddLines(drawn, "acknowledged", acknowledged, "other zones", others, "zone cut off", cutOff, "unmerged", unmerged)
 }
 
 // newPlot makes an empty plot with its legend at the top.
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -60,6 +60,9 @@
 	lineFault   = "trouble"
 	lineChange  = "change"
 	lineSummary = "summary"
+
+	linePartition = "partition"
+	lineTallies   = "tallies"
 )
 
 // line is one JSON line.
@@ -90,6 +93,18 @@
 	r.write(lineRequest, result)
 }
 
+func (r *report) recordPartition(spec PartitionSpec) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write(linePartition, spec)
+}
+
+func (r *report) recordTallies(sample TallySample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write(lineTallies, sample)
+}
+
 func (r *report) recordFault(fault Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -126,7 +141,7 @@
 }
 
 // summary sums up what was collected and what the testbed counted.
-func (r *report) summary(bed *testbed, interrupted bool) *Summary {
+func (r *report) summary(bed *testbed, tallies *TallySummary, interrupted bool) *Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	summary := &Summary{
@@ -135,6 +150,7 @@
 		Changes:     int(r.changes.TotalCount()),
 		ChangeP99Ms: quantile(r.changes, 99),
 		Interrupted: interrupted,
+		Tallies:     tallies,
 	}
 	for _, kind := range r.experiment.Kinds {
 		row := r.rows[kind.Name]
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -99,6 +99,13 @@
 	c.addViolation("ORDER", "%s got %q after %d", request, event, received)
 }
 
+// recordTally records a tally that reads what it must not.
+func (c *ruleChecker) recordTally(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("TALLY", format, args...)
+}
+
 // result gives how many violations there were, and the first of them.
 func (c *ruleChecker) result() (int, []string) {
 	c.mu.Lock()
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -75,19 +75,44 @@
 		besides.Go(func() { b.changeConfiguration(besideCtx, report) })
 	}
 	besides.Go(func() { printProgress(besideCtx, report, output) })
+	tallies := b.beginTallies(besideCtx, report, &besides)
 	newTraffic(b.experiment, b.rules, b.fronts(), report.add).run(b.ctx)
 	interrupted := b.ctx.Err() != nil
 	stopBeside()
 	besides.Wait()
-	summary := report.summary(b, interrupted)
+	var samples []TallySample
+	var tallySummary *TallySummary
+	if tallies != nil {
+		tallySummary, samples = tallies.result()
+	}
+	summary := report.summary(b, tallySummary, interrupted)
 	if output.Plots != "" {
-		if err := report.plot(b.experiment, output.Plots); err != nil {
+		if err := report.plot(b.experiment, samples, output.Plots); err != nil {
 			output.printf("no plots: %v", err)
 		}
 	}
 	return summary
 }
 
+// beginTallies begins the additions to tallies, if the experiment has them, and its partition, if it has one. They end with
+// the context and the wait group.
+func (b *testbed) beginTallies(ctx context.Context, report *report, besides *sync.WaitGroup) *tallyLoad {
+	var tallies *tallyLoad
+	if b.experiment.Tallies != nil {
+		tallies = newTallyLoad(b, report)
+		besides.Go(func() { tallies.run(ctx) })
+	}
+	if b.experiment.Partition != nil {
+		besides.Go(func() {
+			b.partitionWhenDue(ctx, report)
+			if tallies != nil {
+				tallies.healed()
+			}
+		})
+	}
+	return tallies
+}
+
 // fronts lists the addresses at which routers serve clients.
 func (b *testbed) fronts() []string {
 	var addresses []string
--- a/internal/emulator/summary.go
+++ b/internal/emulator/summary.go
@@ -53,6 +53,8 @@
 	ListCalls         int      `json:"list_calls"`
 	ListCallsOverRate int      `json:"list_calls_over_rate"`
 	Interrupted       bool     `json:"interrupted"`
+
+	Tallies *TallySummary `json:"tallies,omitempty"` // nil: the experiment has none
 }
 
 // IsComplete reports whether everything that was to be sent was served and no rule was
@@ -80,6 +82,10 @@
 	if s.Changes > 0 {
 		fmt.Fprintf(w, "changes of the configuration: %d, p99 %.1f ms\n", s.Changes, s.ChangeP99Ms)
 	}
+	if tallies := s.Tallies; tallies != nil {
+		fmt.Fprintf(w, "additions to tallies: %d acknowledged, %d rejected, %d unclear; merged %.0f ms after the partition\n",
+			tallies.Acknowledged, tallies.Rejected, tallies.Unclear, tallies.MergeMs)
+	}
 	fmt.Fprintf(w, "calls to the platform's list: %d, over its rate: %d\n", s.ListCalls, s.ListCallsOverRate)
 	fmt.Fprintf(w, "rules broken: %d\n", s.Broken)
 	for _, violation := range s.Rules {
--- a/internal/emulator/testbed.go
+++ b/internal/emulator/testbed.go
@@ -43,6 +43,7 @@
 	servers      []*http.Server
 	background   sync.WaitGroup // of the platform and its server
 	operator     *operator
+	partition    *partition
 }
 
 // newTestbed starts the stand-ins and writes the settings. Whatever is returned must
@@ -65,6 +66,7 @@
 		dir:        dir,
 		addresses:  addresses,
 		rules:      newRuleChecker(),
+		partition:  newPartition(),
 		replicas:   map[string]*Replica{},
 	}
 	if err := bed.setUp(); err != nil {
@@ -213,6 +215,7 @@
 		Limits:       settings.Limits{MemoryMB: daemonMemoryMB},
 		DataDir:      filepath.Join(b.dir, d.name),
 		HeartbeatMs:  1200,
+		Contracts:    b.contracts(),
 		Tolerance:    settings.Tolerance{Machines: b.experiment.Fleet.MachineLosses},
 		Bounds:       usualBounds(),
 		Cloud: settings.CloudAPI{
@@ -224,6 +227,14 @@
 	}
 }
 
+// contracts are the parts of the rules that the daemons' settings name.
+func (b *testbed) contracts() []string {
+	if b.experiment.Tallies == nil {
+		return nil
+	}
+	return []string{settings.ContractApart}
+}
+
 // usualBounds are the bounds in the daemons' settings.
 func usualBounds() settings.Bounds {
 	return settings.Bounds{
@@ -258,6 +269,8 @@
 			zone:   daemon.zone,
 			zoneOf: b.addresses.zoneOf,
 			delay:  durations.FromMilliseconds(b.experiment.Fleet.ZoneDelayMs),
+
+			partition: b.partition,
 		}
 		if err := daemon.start(b.ctx, b.log, network); err != nil {
 			return err
