--- a/internal/soak/start_faults.go
+++ b/internal/soak/start_faults.go
@@ -27,7 +27,7 @@
 	{name: "log collector goes away", weight: 1, inject: (*faultInjector).loseCollector},
 	{name: "log collector stands still", weight: 1, inject: (*faultInjector).stickCollector},
 	{name: "settings half written at the start", weight: 1, inject: (*faultInjector).tearSettings},
-	{name: "start on a full disk", weight: 1, inject: (*faultInjector).startOnFullDisk},
+	{name: "start on a full disk", weight: 1, inject: (*faultInjector).startOnFullDisk, wipes: true},
 }
 
 // anyProcess draws a process.
