Sight of what replicas send: bytes and reads by phase, failures by replica and reason

Cause: nothing told memory of heads from that of bodies, or named the replica. Change: an intake under the parser counts, the errors of responses are a closed set with labels.

--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -46,6 +46,7 @@
 	samples = append(samples, metrics.Process("router", r.settings.Load().Limits.MemoryMB)...)
 	samples = append(samples, metrics.Invariants("router", r.invariants)...)
 	samples = append(samples, metrics.Traffic("router", r.traffic)...)
+	samples = append(samples, r.responseSamples()...)
 	for service := range r.table.Load().Pools {
 		samples = append(samples, metrics.Sample{
 			Name:   "router_retry_budget_left",
@@ -57,6 +58,41 @@
 	return samples
 }
 
+// responseSamples are of what replicas sent: by phase, and by replica and reason what could not be used of it.
+func (r *Router) responseSamples() []metrics.Sample {
+	var samples []metrics.Sample
+	for _, count := range r.dialCounts.Received.All() {
+		labels := []metrics.Label{{Name: "phase", Value: count.Phase.String()}}
+		samples = append(samples, metrics.Sample{
+			Name:      "router_replica_bytes_total",
+			Help:      "Bytes read from replicas, by the phase of the response.",
+			IsCounter: true,
+			Value:     float64(count.Bytes),
+			Labels:    labels,
+		}, metrics.Sample{
+			Name:      "router_replica_reads_total",
+			Help:      "Reads from connections to replicas, by the phase of the response.",
+			IsCounter: true,
+			Value:     float64(count.Reads),
+			Labels:    labels,
+		})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, pool := range r.pools {
+		for _, count := range pool.Failures() {
+			samples = append(samples, metrics.Sample{
+				Name:      "router_response_failures_total",
+				Help:      "Responses of a replica that could not be used, by reason.",
+				IsCounter: true,
+				Value:     float64(count.Count),
+				Labels:    []metrics.Label{{Name: "replica", Value: id}, {Name: "reason", Value: count.Reason.String()}},
+			})
+		}
+	}
+	return samples
+}
+
 // logInvalidMessage says who sent what can't be read; its channel closes, so that there is one line for each.
 func (r *Router) logInvalidMessage(peer string, err error) {
 	r.log.Warn("message cannot be read, channel closed", "part", "rpc", "peer", peer, "error", err.Error())
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/internal/metrics"
+	"shaletrestle/internal/settings"
 	"shaletrestle/internal/upstream"
 )
 
@@ -38,6 +42,7 @@
 	t        *testing.T
 	router   *incarnation
 	front    string
+	state    string // where the router's metrics are
 	platform *platform
 	form     endlessForm
 	trickle  bool
@@ -97,13 +102,13 @@
 		}
 	}()
 	m.writeSettings(programController)
-	settings := m.settings(programRouter)
-	settings.Limits.MemoryMB = endlessMemoryMB
-	require.NoError(t, os.MkdirAll(settings.DataDir, 0o700))
-	require.NoError(t, os.WriteFile(m.settingsFile(programRouter), encoded(t, settings), 0o600))
+	ownSettings := m.settings(programRouter)
+	ownSettings.Limits.MemoryMB = endlessMemoryMB
+	require.NoError(t, os.MkdirAll(ownSettings.DataDir, 0o700))
+	require.NoError(t, os.WriteFile(m.settingsFile(programRouter), encoded(t, ownSettings), 0o600))
 	controller := m.start(programController)
 	s.router = m.start(programRouter)
-	s.front = settings.Bind.Front
+	s.front, s.state = ownSettings.Bind.Front, ownSettings.Port(settings.RouterStatePortOffset)
 	client := newHTTPClient()
 	body := s.configuration()
 	controller.awaitServing()
@@ -181,6 +186,24 @@
 	return good, faulty
 }
 
+// logMetrics logs what the router's metrics say of replicas and memory.
+func (s *endlessStand) logMetrics() {
+	answer, err := newHTTPClient().Get("http://" + s.state + metrics.Path)
+	if err != nil {
+		s.t.Logf("no metrics: %v", err)
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		for _, prefix := range []string{"router_replica_", "router_response_", "router_answer_memory", "router_retries", "router_inflight", "router_failed", "router_rejected"} {
+			if strings.HasPrefix(lines.Text(), prefix) {
+				s.t.Log(lines.Text())
+			}
+		}
+	}
+}
+
 // TestEndless_FaultyReplica_MemoryHoldsAndOthersAreServed guards against replicas that send bytes without end.
 func TestEndless_FaultyReplica_MemoryHoldsAndOthersAreServed(t *testing.T) {
 	for _, trickle := range []bool{false, true} {
@@ -196,6 +219,7 @@
 				t.Logf("%.0f MiB resident at most; good: %d of %d served; faulty: %d of %d taken for complete",
 					peak, good.succeeded.Load(), good.all.Load(), faulty.succeeded.Load(), faulty.all.Load())
 				s.router.requireRuns()
+				s.logMetrics()
 				require.Less(t, peak, memoryShare*endlessMemoryMB)
 				require.Equal(t, good.all.Load(), good.succeeded.Load())
 				if form != endlessLargeAnswers { // whose answers are complete, before more bytes follow
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -61,4 +61,5 @@
 	Untrusted atomic.Int64 `json:"wary"`    // an idle one was there, and too old for a request that may not be retried
 	Stale     atomic.Int64 `json:"forgot"`  // not dials: idle connections that the replica had dropped
 	Closing   atomic.Int64 `json:"closing"` // not dials: responses that said Connection: close
+	Received  ByteCounts   `json:"-"`
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/atomic"
+
 	"shaletrestle/coord/fairshare"
 )
 
@@ -32,6 +34,7 @@
 	counts    *DialCounts
 	answers   *AnswerMemory     // nil: not bounded
 	shares    *fairshare.Shares // connections in use, by owner
+	failures  [reasonCount]atomic.Int64
 
 	mu      sync.Mutex // guards the fields below, and Connection.owner and idleBefore
 	idle    []*Connection
@@ -58,6 +61,23 @@
 // BoundAnswers has the complete responses of this pool counted, with those of others. It must come before the first Get.
 func (p *Pool) BoundAnswers(memory *AnswerMemory) { p.answers = memory }
 
+// FailureCount is how often one reason came up.
+type FailureCount struct {
+	Reason FailureReason
+	Count  int64
+}
+
+// Failures lists the reasons for which responses of this replica could not be used, those that came up.
+func (p *Pool) Failures() []FailureCount {
+	var found []FailureCount
+	for reason := range reasonCount {
+		if count := p.failures[reason].Load(); count > 0 {
+			found = append(found, FailureCount{Reason: reason, Count: count})
+		}
+	}
+	return found
+}
+
 // SetLimit changes the share. Idle connections over a smaller one are closed; those in use end with their responses.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -20,6 +20,7 @@
 	// MaxResponseBytes bounds one complete response kept in memory.
 	MaxResponseBytes = 32 << 20
 
+	readBufferBytes     = 4 << 10                // of each connection
 	maxEventBytes       = 1 << 20                // of one event of a stream
 	keepAliveMargin     = 300 * time.Millisecond // an idle connection is not used this long before its Keep-Alive ends
 	defaultIdleTime     = 20 * time.Second       // of connections whose responses name no Keep-Alive
@@ -27,21 +28,6 @@
 	maxStatus           = 599                    // the largest status that is an answer
 )
 
-// Reasons for which what came is not the response to the request.
-var (
-	errSurplus       = errors.New("an answer to something else")
-	errSwitched      = errors.New("switched protocols")
-	errStatus        = errors.New("a status that is none")
-	errNoSeal        = errors.New("no seal")
-	errContradiction = errors.New("a success that claims not to have run")
-	errEncoded       = errors.New("an encoded body")
-	errNoLength      = errors.New("an answer without a length")
-	errBodyCut       = errors.New("body cut short")
-	errEventTooLarge = errors.New("an event over the limit")
-	errEventCut      = errors.New("cut inside an event")
-	errAbandoned     = errors.New("abandoned")
-)
-
 // deliver gives a part to the caller; false if nobody wants the response any more.
 func (x *exchange) deliver(p Part) bool {
 	select {
@@ -55,7 +41,8 @@
 // read reads responses for as long as the connection may be used.
 func (c *Connection) read() {
 	defer c.Close()
-	br := bufio.NewReaderSize(c.conn, 4<<10)
+	in := &intake{source: c.conn, counts: &c.pool.counts.Received}
+	br := bufio.NewReaderSize(in, readBufferBytes)
 	for {
 		_, err := br.Peek(1)
 		x := c.exchange.Load()
@@ -70,42 +57,52 @@
 		}
 		if err != nil {
 			silent := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+			c.pool.failures[ReasonConnectionLost].Inc()
 			x.deliver(Part{Kind: PartFailure, Cause: "no answer: " + err.Error(), ConnectionLost: true, Reset: !silent})
 			return
 		}
-		if !c.readResponse(br, x) {
+		if !c.readResponse(in, br, x) {
 			return
 		}
+		in.begin(PhaseHead)
 	}
 }
 
 // readResponse reads the response to an exchange and reports whether the connection may be used again.
-func (c *Connection) readResponse(br *bufio.Reader, x *exchange) bool {
+func (c *Connection) readResponse(in *intake, br *bufio.Reader, x *exchange) bool {
 	response, isFirst, err := matchingResponse(br, x)
 	if err != nil {
-		x.deliver(Part{Kind: PartFailure, Cause: err.Error()})
-		return false
+		return c.failResponse(x, err, ReasonInvalidHead)
 	}
 	if response.Close {
 		c.pool.counts.Closing.Inc()
 	}
 	err = validate(response, x)
 	if err != nil {
-		x.deliver(Part{Kind: PartFailure, Cause: err.Error()})
-		return false
+		return c.failResponse(x, err, ReasonInvalidHead)
 	}
 	if !x.deliver(Part{Kind: PartHead, Status: response.StatusCode, Header: response.Header}) {
 		return false
 	}
+	in.begin(PhaseBody)
 	err = deliverBody(response, x)
 	if err != nil {
-		x.deliver(Part{Kind: PartFailure, Cause: err.Error()})
-		return false
+		return c.failResponse(x, err, ReasonInvalidBody)
 	}
 	keep := isFirst && !response.Close && response.ProtoAtLeast(1, 1) && br.Buffered() == 0
 	return c.finish(x, response, keep)
 }
 
+// failResponse ends an exchange whose response can't be used, and its connection. The reason is a general one, for errors that bear
+// none.
+func (c *Connection) failResponse(x *exchange, err error, general FailureReason) (keep bool) {
+	if !errors.Is(err, errAbandoned) {
+		c.pool.failures[reasonOf(err, general)].Inc()
+	}
+	x.deliver(Part{Kind: PartFailure, Cause: err.Error()})
+	return false
+}
+
 // matchingResponse reads up to the head of the response to the exchange. isFirst is false if
 // answers to something else came before it.
 func matchingResponse(br *bufio.Reader, x *exchange) (response *http.Response, isFirst bool, err error) {
--- /dev/null
+++ b/internal/upstream/response_error.go
@@ -0,0 +1,64 @@
+package upstream
+
+import "errors"
+
+// FailureReason is why what came from a replica is not the response to a request.
+type FailureReason int
+
+// The reasons. Their texts are labels of a metric.
+const (
+	ReasonConnectionLost FailureReason = iota // the connection ended, or was silent
+	ReasonSurplus                             // a response to something else
+	ReasonInvalidHead                         // a head that can't be read, or that contradicts the protocol
+	ReasonInvalidBody                         // framing that can't be read, or a body that ended early
+	ReasonInvalidEvent                        // a stream that ended inside an event
+	ReasonEventTooLarge
+	reasonCount
+)
+
+var reasonTexts = [reasonCount]string{
+	ReasonConnectionLost: "connection_lost",
+	ReasonSurplus:        "surplus",
+	ReasonInvalidHead:    "invalid_head",
+	ReasonInvalidBody:    "invalid_body",
+	ReasonInvalidEvent:   "invalid_event",
+	ReasonEventTooLarge:  "event_too_large",
+}
+
+// String is the reason as a label.
+func (r FailureReason) String() string { return reasonTexts[r] }
+
+// ResponseError is an error in what a replica sent.
+type ResponseError struct {
+	Reason FailureReason
+	text   string
+}
+
+// Error is a text for logs.
+func (e *ResponseError) Error() string { return e.text }
+
+// reasonOf is the reason of an error of reading a response, or a general one if it bears none.
+func reasonOf(err error, general FailureReason) FailureReason {
+	var response *ResponseError
+	if errors.As(err, &response) {
+		return response.Reason
+	}
+	return general
+}
+
+// The errors of responses.
+var (
+	errSurplus       = &ResponseError{ReasonSurplus, "an answer to something else"}
+	errSwitched      = &ResponseError{ReasonInvalidHead, "switched protocols"}
+	errStatus        = &ResponseError{ReasonInvalidHead, "a status that is none"}
+	errNoSeal        = &ResponseError{ReasonInvalidHead, "no seal"}
+	errContradiction = &ResponseError{ReasonInvalidHead, "a success that claims not to have run"}
+	errEncoded       = &ResponseError{ReasonInvalidHead, "an encoded body"}
+	errNoLength      = &ResponseError{ReasonInvalidHead, "an answer without a length"}
+	errBodyCut       = &ResponseError{ReasonInvalidBody, "body cut short"}
+	errEventTooLarge = &ResponseError{ReasonEventTooLarge, "an event over the limit"}
+	errEventCut      = &ResponseError{ReasonInvalidEvent, "cut inside an event"}
+)
+
+// errAbandoned says that nobody wants the response any more; it says nothing of the replica.
+var errAbandoned = errors.New("abandoned")
