Heads of replicas' responses are bounded in bytes and lines, interim ones with them

What callers saw: a router that had called a replica whose header line never ends grew to over 1,600 MiB within seconds and was killed, with all requests that it held. Cause: the standard parser of a head bounds neither a line nor their sum; interim responses were read in a loop. Change: the intake under the parser counts a head's bytes (32 KiB) and lines (256, as each takes far more once parsed); surplus bodies are skipped up to 1 MiB. Typed error, closed connection, reason head_too_large.

--- a/internal/upstream/intake.go
+++ b/internal/upstream/intake.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
 
 	"go.uber.org/atomic"
@@ -47,19 +48,41 @@
 	c.reads[phase].Inc()
 }
 
-// intake reads a connection to a replica for the parser and counts what comes. It belongs to the connection's reader.
+const (
+	// maxHeadBytes bounds the head of a response, with the interim responses before it.
+	maxHeadBytes = 32 << 10
+	// maxHeadLines bounds their lines: each takes far more memory once it is parsed.
+	maxHeadLines = 256
+)
+
+// intake reads a connection to a replica for the parser, counts what comes and holds it against the limits of its phase. What
+// the parser has buffered before a phase begins belongs to that phase but is not counted. It belongs to the connection's reader.
 type intake struct {
-	source io.Reader
-	counts *ByteCounts
-	phase  Phase
+	source    io.Reader
+	counts    *ByteCounts
+	phase     Phase
+	headBytes int // since the head began
+	headLines int
+	exceeded  error // the limit that was passed; the parser may hide it behind an error of its own
 }
 
 // begin begins a phase.
-func (i *intake) begin(phase Phase) { i.phase = phase }
+func (i *intake) begin(phase Phase) {
+	i.phase = phase
+	i.headBytes, i.headLines = 0, 0
+}
 
-// Read reads from the connection.
+// Read reads from the connection. A parser that wants more of a head than it may have gets errHeadTooLarge.
 func (i *intake) Read(buffer []byte) (int, error) {
+	if i.phase == PhaseHead && (i.headBytes > maxHeadBytes || i.headLines > maxHeadLines) {
+		i.exceeded = errHeadTooLarge
+		return 0, i.exceeded
+	}
 	n, err := i.source.Read(buffer)
 	i.counts.add(i.phase, n)
+	if i.phase == PhaseHead {
+		i.headBytes += n
+		i.headLines += bytes.Count(buffer[:n], []byte{'\n'})
+	}
 	return n, err
 }
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -25,6 +26,7 @@
 	keepAliveMargin     = 300 * time.Millisecond // an idle connection is not used this long before its Keep-Alive ends
 	defaultIdleTime     = 20 * time.Second       // of connections whose responses name no Keep-Alive
 	maxSurplusResponses = 3                      // responses to others that are skipped before a connection is given up
+	maxSurplusBytes     = 1 << 20                // of such a response's body
 	maxStatus           = 599                    // the largest status that is an answer
 )
 
@@ -70,7 +72,10 @@
 
 // readResponse reads the response to an exchange and reports whether the connection may be used again.
 func (c *Connection) readResponse(in *intake, br *bufio.Reader, x *exchange) bool {
-	response, isFirst, err := matchingResponse(br, x)
+	response, isFirst, err := matchingResponse(in, br, x)
+	if in.exceeded != nil {
+		err = in.exceeded
+	}
 	if err != nil {
 		return c.failResponse(x, err, ReasonInvalidHead)
 	}
@@ -105,11 +110,11 @@
 
 // matchingResponse reads up to the head of the response to the exchange. isFirst is false if
 // answers to something else came before it.
-func matchingResponse(br *bufio.Reader, x *exchange) (response *http.Response, isFirst bool, err error) {
+func matchingResponse(in *intake, br *bufio.Reader, x *exchange) (response *http.Response, isFirst bool, err error) {
 	for skipped := 0; ; {
 		response, err = http.ReadResponse(br, x.http)
 		if err != nil {
-			return nil, false, errors.New("not an answer: " + err.Error())
+			return nil, false, fmt.Errorf("not an answer: %w", err)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, false, errSwitched
@@ -124,13 +129,20 @@
 		if skipped > maxSurplusResponses || response.Close || endsWithConnection(response) {
 			return nil, false, errSurplus
 		}
-		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, MaxResponseBytes))
-		if err != nil {
+		if !skipBody(in, response) {
 			return nil, false, errSurplus
 		}
 	}
 }
 
+// skipBody reads the body of a surplus response; false if that does not end within the limit.
+func skipBody(in *intake, response *http.Response) bool {
+	in.begin(PhaseBody)
+	defer in.begin(PhaseHead)
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
+	return err == nil && n < maxSurplusBytes
+}
+
 // endsWithConnection reports whether only the connection's end would end a body.
 func endsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
--- a/internal/upstream/response_error.go
+++ b/internal/upstream/response_error.go
@@ -10,8 +10,9 @@
 	ReasonConnectionLost FailureReason = iota // the connection ended, or was silent
 	ReasonSurplus                             // a response to something else
 	ReasonInvalidHead                         // a head that can't be read, or that contradicts the protocol
-	ReasonInvalidBody                         // framing that can't be read, or a body that ended early
-	ReasonInvalidEvent                        // a stream that ended inside an event
+	ReasonHeadTooLarge
+	ReasonInvalidBody  // framing that can't be read, or a body that ended early
+	ReasonInvalidEvent // a stream that ended inside an event
 	ReasonEventTooLarge
 	reasonCount
 )
@@ -20,6 +21,7 @@
 	ReasonConnectionLost: "connection_lost",
 	ReasonSurplus:        "surplus",
 	ReasonInvalidHead:    "invalid_head",
+	ReasonHeadTooLarge:   "head_too_large",
 	ReasonInvalidBody:    "invalid_body",
 	ReasonInvalidEvent:   "invalid_event",
 	ReasonEventTooLarge:  "event_too_large",
@@ -55,6 +57,7 @@
 	errContradiction = &ResponseError{ReasonInvalidHead, "a success that claims not to have run"}
 	errEncoded       = &ResponseError{ReasonInvalidHead, "an encoded body"}
 	errNoLength      = &ResponseError{ReasonInvalidHead, "an answer without a length"}
+	errHeadTooLarge  = &ResponseError{ReasonHeadTooLarge, "a head over the limit"}
 	errBodyCut       = &ResponseError{ReasonInvalidBody, "body cut short"}
 	errEventTooLarge = &ResponseError{ReasonEventTooLarge, "an event over the limit"}
 	errEventCut      = &ResponseError{ReasonInvalidEvent, "cut inside an event"}
