Memory of responses is taken as bytes come and counted by replica; large bodies are passed on

What callers saw: beside a replica that announced much and sent little, answers of over 64 KiB from all other replicas waited until their deadline; pieces of events and many responses took a router over its memory. Cause: room was granted by the announced length, in the order of coming, and what was below 64 KiB or part of an event was counted for each response by itself, never in sum. Change: one memory for heads, bodies, events and what waits for a client, taken in steps as bytes come, with fair shares by replica while it is scarce. A body of over 256 KiB, or one for which there is no memory, is passed on in blocks instead of being held, so that nobody waits for another's room. Framing may be no more than the content and 64 KiB. Ruled out: waiting with eviction of the slowest (a queue all the same), a lane of its own for large answers (one trickling holder blocks it). Lost: such a body that breaks off is not tried elsewhere any more; its client sees the cut.

--- a/coord/fairshare/shares.go
+++ b/coord/fairshare/shares.go
@@ -57,6 +57,13 @@
 	return !scarce || s.usedBy[user]+amount <= s.fairShare(user)
 }
 
+// ExceedsShare reports whether an amount more would be over a user's fair share, whether there is room or not.
+func (s *Shares) ExceedsShare(user string, amount int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usedBy[user]+amount > s.fairShare(user)
+}
+
 // Acquire counts an amount for a user without a check, for what is in use already.
 func (s *Shares) Acquire(user string, amount int64) {
 	s.mu.Lock()
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -48,6 +48,7 @@
 	ledger      sendLedger
 	trail       requestlog.Trail
 	started     bool      // the client has the head of a response
+	passing     bool      // that response is passed on in blocks: no other one may follow
 	firstByteAt time.Time // when a response began; zero: none has
 	lastEventID int64     // of the newest event that the client has, -1 before the first
 	eventStep   int64     // between the ids of two events; 0: not known
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -195,7 +195,7 @@
 // stream that was begun is resumed only if its events have ids: without them the next event can't be recognized.
 func (req *request) retry(cause string) outcome {
 	req.endAttempt(cause)
-	resumable := !req.started || req.lastEventID >= 0
+	resumable := !req.started || req.lastEventID >= 0 && !req.passing
 	if resumable && req.mayRetry() {
 		return outcomeRetry
 	}
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -45,7 +45,7 @@
 		}
 		limit := r.connectionLimit(table.Pools[replica.Pool], replica.ID)
 		pool = upstream.NewPool(replica.Address, r.dialer, limit, keepAlive, &r.dialCounts)
-		pool.BoundAnswers(r.answers)
+		pool.BoundMemory(r.responses, replica.ID)
 		r.pools[replica.ID] = pool
 	}
 	return pool
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -39,7 +39,7 @@
 		gauge("fleet_nodes", "Routers that share the budgets.", float64(view.FleetSize)),
 		gauge("replicas", "Replicas on the list.", float64(len(view.Replicas))),
 		gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine())),
-		gauge("answer_memory_bytes", "Memory granted to complete answers of over 64 KiB.", float64(r.answers.Used())),
+		gauge("answer_memory_bytes", "Memory taken by what replicas sent until it is passed on.", float64(r.responses.Used())),
 		gauge("body_memory_bytes", "Memory accounted for request bodies.", float64(r.bodies.Used())),
 		gauge("suspected_nodes", "Watched nodes that do not answer.", float64(len(r.detector.Suspected()))),
 	}
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -27,7 +27,7 @@
 	placed     *placement.Attempt
 	sentAt     time.Time
 	lastPartAt time.Time
-	head       upstream.Part // with the body, once that came
+	head       upstream.Part // with the body, once that came whole
 	joined     bool          // the events follow on those that the client has
 }
 
@@ -74,7 +74,7 @@
 
 // silenceLimit is how long a replica may be silent before another one is tried; 0 if none may be.
 func (req *request) silenceLimit() time.Duration {
-	if !req.route.IsRetriable() || req.history.Sends() >= req.route.MaxAttempts {
+	if req.passing || !req.route.IsRetriable() || req.history.Sends() >= req.route.MaxAttempts {
 		return 0
 	}
 	if req.started {
@@ -107,6 +107,8 @@
 			req.recordFault(id, outlier.InvalidAnswer)
 			return req.retry("events out of order")
 		}
+	case upstream.PartBlock:
+		return r.handleBlock(part.Bytes)
 	case upstream.PartBody:
 		r.head.Bytes = part.Bytes
 	case upstream.PartEnd:
@@ -116,6 +118,10 @@
 		if part.State == attempt.Answered && r.head.Status < http.StatusInternalServerError {
 			req.router.placer.FirstToken(r.placed, time.Since(r.sentAt), r.choice.PredictedTTFT)
 		}
+		if req.passing {
+			req.trail.Finish(relayedCause(r.head.Status), "")
+			return outcomeAnswered
+		}
 		if part.State == attempt.NotExecuted {
 			return req.handleRejection(&r.head, id)
 		}
@@ -131,6 +137,8 @@
 func (r *receiver) recordFailure(part *upstream.Part) {
 	id := r.choice.Replica.ID
 	switch {
+	case part.Reason == upstream.ReasonNoMemory:
+		r.request.wanted.Excluded[id] = true // its connection is closed, but the shortage is not the replica's
 	case part.Reset:
 		r.request.handleLoss(id, r.connection, outlier.ConnectionReset, true)
 	case part.ConnectionLost:
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -68,13 +68,7 @@
 		copyResponseHeader(req.writer.Header(), head)
 		req.writer.WriteHeader(http.StatusOK)
 	}
-	_ = req.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := req.writer.Write(event.Bytes); err != nil {
-		req.abort()
-	}
-	if req.control.Flush() != nil {
-		req.abort()
-	}
+	req.write(event.Bytes)
 	return true
 }
 
@@ -121,7 +115,7 @@
 // complete takes a complete response of a replica that may have run the request; id is empty if a peer sent it to the
 // replica.
 func (req *request) complete(response *upstream.Part, id string) outcome {
-	failed := response.Status >= http.StatusInternalServerError && response.Status != http.StatusGatewayTimeout
+	failed := isServerFailure(response.Status)
 	if failed {
 		req.recordFault(id, outlier.ServerError)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,8 +36,8 @@
 
 const (
 	bytesPerMB = 1 << 20
-	// answerMemoryFraction is the part of memory_mb that complete answers of replicas may take until they are passed on.
-	answerMemoryFraction = 0.25
+	// responseMemoryFraction is the part of memory_mb that bytes of replicas may take until they are passed on.
+	responseMemoryFraction = 0.25
 	// shutdownMargin is how long before the end of its grace a router ends: it has nothing to save, and each stream that
 	// still runs may be finished meanwhile.
 	shutdownMargin = 300 * time.Millisecond
@@ -75,18 +75,18 @@
 	becameReady  chan struct{} // closed then
 
 	// The way of a request. Each of these guards its own state.
-	server   *frontend.Server
-	bodies   *fairshare.Shares // memory for bodies, in bytes, by route
-	answers  *upstream.AnswerMemory
-	prefixes *prefixindex.Index
-	placer   *placement.Placer
-	budget   *retrybudget.Budget
-	longWork *longwork.Coordinator
-	inflight atomic.Int64
-	paces    streamPaces
-	draining atomic.Bool   // Shutdown was called
-	endsAt   atomic.Time   // when this process will have ended; zero before Shutdown
-	serving  chan struct{} // closed once Run serves clients
+	server    *frontend.Server
+	bodies    *fairshare.Shares // memory for bodies, in bytes, by route
+	responses *upstream.ResponseMemory
+	prefixes  *prefixindex.Index
+	placer    *placement.Placer
+	budget    *retrybudget.Budget
+	longWork  *longwork.Coordinator
+	inflight  atomic.Int64
+	paces     streamPaces
+	draining  atomic.Bool   // Shutdown was called
+	endsAt    atomic.Time   // when this process will have ended; zero before Shutdown
+	serving   chan struct{} // closed once Run serves clients
 
 	listeners atomic.Pointer[ownListeners] // nil before Run
 
@@ -126,7 +126,7 @@
 		becameReady: make(chan struct{}),
 		serving:     make(chan struct{}),
 		bodies:      fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
-		answers:     upstream.NewAnswerMemory(int64(env.Limits.MemoryMB * bytesPerMB * answerMemoryFraction)),
+		responses:   upstream.NewResponseMemory(int64(env.Limits.MemoryMB * bytesPerMB * responseMemoryFraction)),
 		prefixes:    prefixindex.NewIndex(),
 		machine:     slowness.NewMonitor(log, options.SlownessProbe),
 		pools:       map[string]*upstream.Pool{},
--- a/internal/router/statepage.go
+++ b/internal/router/statepage.go
@@ -45,6 +45,7 @@
 		"budget_left":   r.budgetSection(),
 		"index":         r.indexSection(),
 		"bodies":        r.bodies.UserShares(),
+		"answers":       r.responses.ReplicaShares(),
 		"yard":          r.placer.Stats(),
 		"suspected":     r.detector.Suspected(),
 		"machine":       r.machine.State(),
--- /dev/null
+++ b/internal/upstream/body.go
@@ -0,0 +1,133 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+)
+
+const (
+	// MaxResponseBytes bounds the body of a complete response.
+	MaxResponseBytes = 32 << 20
+
+	heldBodyBytes   = 256 << 10 // up to which a body is held until it is complete, so that another replica may be tried if it is not
+	firstBodyBytes  = 4 << 10   // of memory for a body; it doubles as the body comes
+	blockBytes      = 32 << 10  // of a body that is passed on as it comes
+	smallBlockBytes = 4 << 10   // of such a body while memory is short: no more than the connection's own buffer
+	turnBytes       = 64 << 10  // of a body after which other goroutines have their turn
+	framingFactor   = 2         // bytes received for each byte of a body, at most
+	framingBytes    = 64 << 10  // received beyond that
+)
+
+// bodyReader reads a response's body for one exchange. What comes must be a body for the most part, not its framing.
+type bodyReader struct {
+	in       *intake
+	source   io.Reader
+	exchange *exchange
+	payload  int64 // bytes of the body so far
+	turn     int   // bytes since others had their turn
+}
+
+// Read reads of the body.
+func (r *bodyReader) Read(buffer []byte) (int, error) {
+	n, err := r.source.Read(buffer)
+	r.payload += int64(n)
+	if r.payload > MaxResponseBytes && !r.exchange.isStream {
+		return n, errBodyTooLarge
+	}
+	if r.in.bodyBytes > framingFactor*r.payload+framingBytes {
+		return n, errFraming
+	}
+	r.turn += n
+	if r.turn >= turnBytes {
+		r.turn = 0
+		runtime.Gosched()
+	}
+	return n, err
+}
+
+// deliverPlain delivers a body: as one part if it ends within heldBodyBytes and there is memory to hold it until then, else in
+// blocks as it comes.
+func deliverPlain(reader *bodyReader, response *http.Response, x *exchange) error {
+	if response.ContentLength > MaxResponseBytes {
+		return errBodyTooLarge
+	}
+	content, complete, err := x.holdBody(reader, response.ContentLength)
+	if err != nil {
+		return err
+	}
+	kind := PartBlock
+	if complete {
+		kind = PartBody
+	}
+	if !x.deliverAhead(Part{Kind: kind, Bytes: content}) {
+		return errAbandoned
+	}
+	if complete {
+		return nil
+	}
+	return x.deliverBlocks(reader)
+}
+
+// holdBody reads a body into memory until it ends, or until no more of it may be held. The length is negative if it is not known.
+func (x *exchange) holdBody(reader io.Reader, length int64) (content []byte, complete bool, err error) {
+	size := int64(firstBodyBytes)
+	if length >= 0 {
+		size = min(size, length+1) // the end is read too
+	}
+	for {
+		if x.account.take(size-int64(cap(content))) != nil {
+			break // what there is of it is passed on
+		}
+		larger := make([]byte, len(content), size)
+		copy(larger, content)
+		content, complete, err = fill(larger, reader)
+		if complete || err != nil || size >= heldBodyBytes {
+			return content, complete, err
+		}
+		size = min(2*size, heldBodyBytes)
+	}
+	if len(content) > 0 {
+		return content, false, nil
+	}
+	return fill(make([]byte, 0, smallBlockBytes), reader)
+}
+
+// fill reads into the room behind a slice, until that is full or the body ends.
+func fill(content []byte, reader io.Reader) (filled []byte, complete bool, err error) {
+	for len(content) < cap(content) {
+		n, err := reader.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if err == io.EOF {
+			return content, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return content, false, nil
+}
+
+// deliverBlocks delivers the rest of a body in blocks, one ahead of the caller at most.
+func (x *exchange) deliverBlocks(reader io.Reader) error {
+	for {
+		if !x.awaitAhead(blockBytes) {
+			return errAbandoned
+		}
+		size, counted := int64(blockBytes), int64(blockBytes)
+		if x.account.take(size) != nil {
+			size, counted = smallBlockBytes, 0
+		}
+		block := make([]byte, size)
+		n, err := reader.Read(block)
+		if n > 0 && !x.deliverAhead(Part{Kind: PartBlock, Bytes: block[:n], counted: counted}) {
+			return errAbandoned
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -53,10 +53,19 @@
 	request   *Request
 	http      *http.Request
 	parts     chan Part
-	memory    *AnswerMemory
+	account   *account
+	isStream  bool          // the response is read event by event
+	ahead     atomic.Int64  // bytes of parts that the caller has not done with
+	done      chan struct{} // a token when the caller has done with a part
 	abandoned chan struct{} // closed when nobody wants the response any more
 }
 
+// abandon ends the interest in the response.
+func (x *exchange) abandon() {
+	close(x.abandoned)
+	x.account.end()
+}
+
 // partsAhead is how many parts the reader of a connection may be ahead of whoever relays them.
 const partsAhead = 32
 
@@ -153,12 +162,14 @@
 		request:   request,
 		http:      request.http(),
 		parts:     make(chan Part, partsAhead),
-		memory:    c.pool.answers,
+		account:   &account{memory: c.pool.memory, replica: c.pool.replica},
+		done:      make(chan struct{}, 1),
 		abandoned: make(chan struct{}),
 	}
 	c.exchange.Store(x)
 	select {
 	case <-c.closed:
+		x.abandon()
 		return nil, attempt.NotSent, net.ErrClosed
 	default:
 	}
@@ -172,7 +183,7 @@
 	}
 	if err != nil {
 		c.Close()
-		close(x.abandoned)
+		x.abandon()
 		return nil, out.state, err
 	}
 	c.written <- struct{}{}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+func TestResponse_HeadWithoutEnd_ShortLinesFailWithinTheirNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		each := endless{beginning: okHead, piece: "a:\r\n"}
+		_, pool := playEndless(t, &each)
+		require.Equal(t, []FailureCount{{ReasonHeadTooLarge, 1}}, pool.Failures())
+		require.LessOrEqual(t, each.sent, maxHeadLines*len(each.piece)+3*readBufferBytes)
+	})
+}
+
 func TestResponse_LargestHead_IsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		padding := strings.Repeat("x", maxHeadBytes-len(okHead)-100)
--- a/internal/upstream/intake.go
+++ b/internal/upstream/intake.go
@@ -53,6 +53,10 @@
 	maxHeadBytes = 32 << 10
 	// maxHeadLines bounds their lines: each takes far more memory once it is parsed.
 	maxHeadLines = 256
+	// headCopies is how often the bytes of a head are in memory while it is parsed.
+	headCopies = 2
+	// headLineBytes is the memory that a line takes beside its bytes.
+	headLineBytes = 128
 )
 
 // intake reads a connection to a replica for the parser, counts what comes and holds it against the limits of its phase. What
@@ -63,26 +67,44 @@
 	phase     Phase
 	headBytes int // since the head began
 	headLines int
-	exceeded  error // the limit that was passed; the parser may hide it behind an error of its own
+	bodyBytes int64    // since the body began
+	account   *account // of the exchange; nil before the first one
+	exceeded  error    // the limit that was passed; the parser may hide it behind an error of its own
 }
 
 // begin begins a phase.
 func (i *intake) begin(phase Phase) {
 	i.phase = phase
-	i.headBytes, i.headLines = 0, 0
+	i.headBytes, i.headLines, i.bodyBytes = 0, 0, 0
 }
 
-// Read reads from the connection. A parser that wants more of a head than it may have gets errHeadTooLarge.
+// Read reads from the connection. A parser that wants more of a head than it may have gets an error.
 func (i *intake) Read(buffer []byte) (int, error) {
-	if i.phase == PhaseHead && (i.headBytes > maxHeadBytes || i.headLines > maxHeadLines) {
+	if i.phase == PhaseHead {
+		return i.readHead(buffer)
+	}
+	n, err := i.source.Read(buffer)
+	i.counts.add(i.phase, n)
+	i.bodyBytes += int64(n)
+	return n, err
+}
+
+// readHead reads of a head. The memory of what goes beyond one buffer is counted.
+func (i *intake) readHead(buffer []byte) (int, error) {
+	if i.headBytes > maxHeadBytes || i.headLines > maxHeadLines {
 		i.exceeded = errHeadTooLarge
 		return 0, i.exceeded
 	}
 	n, err := i.source.Read(buffer)
 	i.counts.add(i.phase, n)
-	if i.phase == PhaseHead {
-		i.headBytes += n
-		i.headLines += bytes.Count(buffer[:n], []byte{'\n'})
+	lines := bytes.Count(buffer[:n], []byte{'\n'})
+	if i.headBytes > 0 && i.account != nil {
+		if shortage := i.account.take(int64(headCopies*n + headLineBytes*lines)); shortage != nil {
+			i.exceeded = shortage
+			return 0, shortage
+		}
 	}
+	i.headBytes += n
+	i.headLines += lines
 	return n, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,7 +32,8 @@
 	dialer    Dialer
 	keepAlive *KeepAlive // of the service
 	counts    *DialCounts
-	answers   *AnswerMemory     // nil: not bounded
+	replica   string            // its id, of which the memory keeps account
+	memory    *ResponseMemory   // nil: not bounded
 	shares    *fairshare.Shares // connections in use, by owner
 	failures  [reasonCount]atomic.Int64
 
@@ -58,8 +59,10 @@
 	}
 }
 
-// BoundAnswers has the complete responses of this pool counted, with those of others. It must come before the first Get.
-func (p *Pool) BoundAnswers(memory *AnswerMemory) { p.answers = memory }
+// BoundMemory has what responses of this pool take counted for a replica, with those of others. It must come before the first Get.
+func (p *Pool) BoundMemory(memory *ResponseMemory, replica string) {
+	p.memory, p.replica = memory, replica
+}
 
 // FailureCount is how often one reason came up.
 type FailureCount struct {
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -18,11 +17,9 @@
 )
 
 const (
-	// MaxResponseBytes bounds one complete response kept in memory.
-	MaxResponseBytes = 32 << 20
-
 	readBufferBytes     = 4 << 10                // of each connection
 	maxEventBytes       = 1 << 20                // of one event of a stream
+	aheadBytes          = 64 << 10               // of events that the reader may be ahead of whoever relays them, or one event
 	keepAliveMargin     = 300 * time.Millisecond // an idle connection is not used this long before its Keep-Alive ends
 	defaultIdleTime     = 20 * time.Second       // of connections whose responses name no Keep-Alive
 	maxSurplusResponses = 3                      // responses to others that are skipped before a connection is given up
@@ -40,6 +37,40 @@
 	}
 }
 
+// deliverAhead delivers a part whose bytes count until the caller has done with it; false if nobody wants the response any more.
+func (x *exchange) deliverAhead(p Part) bool {
+	x.ahead.Add(int64(len(p.Bytes)))
+	return x.deliver(p)
+}
+
+// awaitAhead waits until the caller has done with all delivered parts but for so many bytes; false if nobody wants the response any
+// more.
+func (x *exchange) awaitAhead(bytes int64) bool {
+	for x.ahead.Load() > bytes {
+		select {
+		case <-x.done:
+		case <-x.abandoned:
+			return false
+		}
+	}
+	return true
+}
+
+// doneWith is called when the caller has done with a part.
+func (x *exchange) doneWith(p *Part) {
+	if len(p.Bytes) == 0 {
+		return
+	}
+	if p.counted > 0 {
+		x.account.give(p.counted)
+	}
+	x.ahead.Sub(int64(len(p.Bytes)))
+	select {
+	case x.done <- struct{}{}:
+	default:
+	}
+}
+
 // read reads responses for as long as the connection may be used.
 func (c *Connection) read() {
 	defer c.Close()
@@ -72,6 +103,7 @@
 
 // readResponse reads the response to an exchange and reports whether the connection may be used again.
 func (c *Connection) readResponse(in *intake, br *bufio.Reader, x *exchange) bool {
+	in.account = x.account
 	response, isFirst, err := matchingResponse(in, br, x)
 	if in.exceeded != nil {
 		err = in.exceeded
@@ -86,11 +118,11 @@
 	if err != nil {
 		return c.failResponse(x, err, ReasonInvalidHead)
 	}
-	if !x.deliver(Part{Kind: PartHead, Status: response.StatusCode, Header: response.Header}) {
+	if !x.deliver(Part{Kind: PartHead, Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}) {
 		return false
 	}
 	in.begin(PhaseBody)
-	err = deliverBody(response, x)
+	err = deliverBody(&bodyReader{in: in, source: response.Body, exchange: x}, response, x)
 	if err != nil {
 		return c.failResponse(x, err, ReasonInvalidBody)
 	}
@@ -101,10 +133,11 @@
 // failResponse ends an exchange whose response can't be used, and its connection. The reason is a general one, for errors that bear
 // none.
 func (c *Connection) failResponse(x *exchange, err error, general FailureReason) (keep bool) {
+	reason := reasonOf(err, general)
 	if !errors.Is(err, errAbandoned) {
-		c.pool.failures[reasonOf(err, general)].Inc()
+		c.pool.failures[reason].Inc()
 	}
-	x.deliver(Part{Kind: PartFailure, Cause: err.Error()})
+	x.deliver(Part{Kind: PartFailure, Cause: err.Error(), Reason: reason})
 	return false
 }
 
@@ -157,7 +190,7 @@
 		return errStatus
 	case success && response.Header.Get(HeaderSeal) == "":
 		return errNoSeal
-	case success && notExecuted(status, response.Header):
+	case success && IsNotExecuted(status, response.Header):
 		return errContradiction
 	case response.Header.Get("Content-Encoding") != "":
 		return errEncoded
@@ -167,22 +200,21 @@
 	return nil
 }
 
-// deliverBody delivers a body complete, or a stream event by event.
-func deliverBody(response *http.Response, x *exchange) error {
+// deliverBody delivers a body: a stream event by event, any other complete or in blocks.
+func deliverBody(reader *bodyReader, response *http.Response, x *exchange) error {
 	stream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 	if x.request.Events && response.StatusCode == http.StatusOK && stream {
-		return deliverEvents(response.Body, x)
+		x.isStream = true
+		return deliverEvents(reader, x)
 	}
-	body, err := x.readComplete(response)
-	if errors.Is(err, errAbandoned) {
-		return errAbandoned
+	err := deliverPlain(reader, response, x)
+	var typed *ResponseError
+	if errors.Is(err, errAbandoned) || errors.As(err, &typed) {
+		return err
 	}
 	if err != nil {
 		return errBodyCut
 	}
-	if !x.deliver(Part{Kind: PartBody, Bytes: body}) {
-		return errAbandoned
-	}
 	return nil
 }
 
@@ -208,7 +240,7 @@
 		keep = c.pool.put(c)
 	}
 	state := attempt.Answered
-	if notExecuted(response.StatusCode, response.Header) {
+	if IsNotExecuted(response.StatusCode, response.Header) {
 		state = attempt.NotExecuted
 	}
 	x.deliver(Part{Kind: PartEnd, State: state})
@@ -228,42 +260,3 @@
 	}
 	return defaultIdleTime
 }
-
-// deliverEvents delivers the complete events of a stream.
-func deliverEvents(r io.Reader, x *exchange) error {
-	br := bufio.NewReaderSize(r, 4<<10)
-	var event []byte
-	id := int64(-1)
-	for {
-		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return errEventTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(event) == 0 {
-			return nil
-		}
-		if errors.Is(err, io.EOF) {
-			return errEventCut
-		}
-		if err != nil {
-			return errors.New("cut: " + err.Error())
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
-				id = n
-			}
-		}
-		if len(text) > 0 {
-			continue
-		}
-		if !x.deliver(Part{Kind: PartEvent, Bytes: event, ID: id}) {
-			return errAbandoned
-		}
-		event, id = nil, -1
-	}
-}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -11,11 +11,12 @@
 // PartKind says what a part of a response is.
 type PartKind int
 
-// The kinds of parts. A complete response is PartHead, PartBody, PartEnd; a stream is PartHead, any number of PartEvent,
-// PartEnd. PartFailure ends either at any point.
+// The kinds of parts. A complete response is PartHead, PartBody, PartEnd, or with PartBlock, at least one, in place of PartBody if
+// it is passed on as it comes; a stream is PartHead, any number of PartEvent, PartEnd. PartFailure ends any at any point.
 const (
 	PartHead PartKind = iota
 	PartBody
+	PartBlock
 	PartEvent
 	PartEnd
 	PartFailure
@@ -26,17 +27,20 @@
 	Kind           PartKind
 	Status         int
 	Header         http.Header
+	Length         int64 // of the body, of a PartHead; negative if it is not known
 	Bytes          []byte
 	ID             int64         // of an event, -1 if it has none
 	State          attempt.State // of a PartEnd: Answered or NotExecuted
 	Cause          string
-	ConnectionLost bool // the connection itself failed
-	Reset          bool // it ended before the first byte of a response
+	Reason         FailureReason // of a PartFailure
+	ConnectionLost bool          // the connection itself failed
+	Reset          bool          // it ended before the first byte of a response
+	counted        int64         // bytes of memory that are given back when the caller has done with it
 }
 
-// notExecuted reports whether a head says that the replica did not run the request. It is a promise only once the response
+// IsNotExecuted reports whether a head says that the replica did not run the request. It is a promise only once the response
 // is complete.
-func notExecuted(status int, head http.Header) bool {
+func IsNotExecuted(status int, head http.Header) bool {
 	return status == http.StatusMisdirectedRequest || head.Get(HeaderNotExecuted) != ""
 }
 
@@ -44,11 +48,22 @@
 type Response struct {
 	connection *Connection
 	exchange   *exchange
+	last       Part // that Next gave
 }
 
 // Next waits for the next part; ok is false if the context ended or late fired first. A part that has come is given in any
-// case.
+// case. The caller has done with the part before, but for a PartHead and a PartBody, which it may keep until Close.
 func (r *Response) Next(ctx context.Context, late <-chan time.Time) (p Part, ok bool) {
+	r.exchange.doneWith(&r.last)
+	r.last = Part{}
+	p, ok = r.next(ctx, late)
+	if ok {
+		r.last = p
+	}
+	return p, ok
+}
+
+func (r *Response) next(ctx context.Context, late <-chan time.Time) (p Part, ok bool) {
 	select {
 	case p = <-r.exchange.parts:
 		return p, true
@@ -78,6 +93,6 @@
 	select {
 	case <-r.exchange.abandoned:
 	default:
-		close(r.exchange.abandoned)
+		r.exchange.abandon()
 	}
 }
--- a/internal/upstream/response_error.go
+++ b/internal/upstream/response_error.go
@@ -13,7 +13,11 @@
 	ReasonHeadTooLarge
 	ReasonInvalidBody  // framing that can't be read, or a body that ended early
 	ReasonInvalidEvent // a stream that ended inside an event
+	ReasonBodyTooLarge
+	ReasonFraming // much framing around little content
 	ReasonEventTooLarge
+	ReasonOverShare // the replica has its share of the memory for responses
+	ReasonNoMemory  // there is none although it has not: that says nothing of the replica
 	reasonCount
 )
 
@@ -24,6 +28,10 @@
 	ReasonHeadTooLarge:   "head_too_large",
 	ReasonInvalidBody:    "invalid_body",
 	ReasonInvalidEvent:   "invalid_event",
+	ReasonBodyTooLarge:   "body_too_large",
+	ReasonFraming:        "framing",
+	ReasonOverShare:      "over_share",
+	ReasonNoMemory:       "no_memory",
 	ReasonEventTooLarge:  "event_too_large",
 }
 
@@ -59,6 +67,10 @@
 	errNoLength      = &ResponseError{ReasonInvalidHead, "an answer without a length"}
 	errHeadTooLarge  = &ResponseError{ReasonHeadTooLarge, "a head over the limit"}
 	errBodyCut       = &ResponseError{ReasonInvalidBody, "body cut short"}
+	errBodyTooLarge  = &ResponseError{ReasonBodyTooLarge, "a body over the limit"}
+	errFraming       = &ResponseError{ReasonFraming, "a body that is framing for the most part"}
+	errOverShare     = &ResponseError{ReasonOverShare, "the replica's share of the memory is taken"}
+	errNoMemory      = &ResponseError{ReasonNoMemory, "no memory for the response"}
 	errEventTooLarge = &ResponseError{ReasonEventTooLarge, "an event over the limit"}
 	errEventCut      = &ResponseError{ReasonInvalidEvent, "cut inside an event"}
 )
