The work that one replica's bytes cost is paced; streams end at what their request allows

What callers saw: a router stood still, small requests of other pools late or lost, while a replica sent events, pieces of events or small chunks without end. Cause: bytes that cost work were handled as fast as they came, so that one pool's took the processor. Change: a token bucket by replica, 4,000 units a second; an event, a read of under 512 bytes and 512 bytes of framing cost one each; 64 KiB of a body give others a turn. A stream with more events than Token-Counts allows tokens ends.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -17,6 +17,8 @@
 	// checkLifetime is how long what was checked before a send is good for: a request whose first byte has not left by
 	// then is checked anew.
 	checkLifetime = 250 * time.Millisecond
+	// eventSlack is how many events a stream may have beyond one for each token that its request allows: some hold none.
+	eventSlack = 64
 	// urgencyMissed is the Urgency-Class of prompts that miss the latency target in any case.
 	urgencyMissed = 8
 	// urgencyLong is the Urgency-Class of long work: the last one.
@@ -130,6 +132,10 @@
 	if req.deadline.Before(notAfter) {
 		notAfter = req.deadline
 	}
+	maxEvents := 0
+	if req.wanted.MaxOutputTokens > 0 {
+		maxEvents = int(req.wanted.MaxOutputTokens) + eventSlack
+	}
 	return &upstream.Request{
 		Method:    req.inbound.Method,
 		Target:    req.inbound.RequestURI,
@@ -140,6 +146,7 @@
 		Events:    req.route.Kind == routing.Streaming,
 		NotAfter:  notAfter,
 		Deadline:  req.deadline,
+		MaxEvents: maxEvents,
 	}
 }
 
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -19,12 +19,14 @@
 	framingBytes    = 64 << 10  // received beyond that
 )
 
-// bodyReader reads a response's body for one exchange. What comes must be a body for the most part, not its framing.
+// bodyReader reads a response's body for one exchange. What comes must be a body for the most part, not its framing, and is paced
+// by the work that it costs.
 type bodyReader struct {
 	in       *intake
 	source   io.Reader
 	exchange *exchange
 	payload  int64 // bytes of the body so far
+	framing  int64 // bytes of its framing that were paced
 	turn     int   // bytes since others had their turn
 }
 
@@ -38,6 +40,9 @@
 	if r.in.bodyBytes > framingFactor*r.payload+framingBytes {
 		return n, errFraming
 	}
+	if !r.exchange.pace(r.work(n)) {
+		return n, errAbandoned
+	}
 	r.turn += n
 	if r.turn >= turnBytes {
 		r.turn = 0
@@ -46,6 +51,19 @@
 	return n, err
 }
 
+// work is what a read cost beside copying its bytes, in the pacer's units.
+func (r *bodyReader) work(read int) int {
+	units := 0
+	if read < smallReadBytes {
+		units = 1
+	}
+	if framing := r.in.bodyBytes - r.payload - r.framing; framing >= workFramingBytes {
+		units += int(framing / workFramingBytes)
+		r.framing += framing - framing%workFramingBytes
+	}
+	return units
+}
+
 // deliverPlain delivers a body: as one part if it ends within heldBodyBytes and there is memory to hold it until then, else in
 // blocks as it comes.
 func deliverPlain(reader *bodyReader, response *http.Response, x *exchange) error {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -46,6 +46,7 @@
 	Events    bool      // the response is a stream of events
 	NotAfter  time.Time // no first byte leaves from then on
 	Deadline  time.Time // writing ends
+	MaxEvents int       // of a stream; 0: not known
 }
 
 // exchange is one request on a connection and the response to it.
@@ -54,6 +55,7 @@
 	http      *http.Request
 	parts     chan Part
 	account   *account
+	pacer     *pacer
 	isStream  bool          // the response is read event by event
 	ahead     atomic.Int64  // bytes of parts that the caller has not done with
 	done      chan struct{} // a token when the caller has done with a part
@@ -162,6 +164,7 @@
 		request:   request,
 		http:      request.http(),
 		parts:     make(chan Part, partsAhead),
+		pacer:     &c.pool.pacer,
 		account:   &account{memory: c.pool.memory, replica: c.pool.replica},
 		done:      make(chan struct{}, 1),
 		abandoned: make(chan struct{}),
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -77,7 +77,7 @@
 // deliverEvents delivers the complete events of a stream.
 func deliverEvents(source io.Reader, x *exchange) error {
 	reader := bufio.NewReaderSize(source, readBufferBytes)
-	for {
+	for number := 1; ; number++ {
 		next, err := readEvent(reader, x)
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -85,6 +85,12 @@
 		if err != nil {
 			return eventError(err)
 		}
+		if x.request.MaxEvents > 0 && number > x.request.MaxEvents {
+			return errTooManyEvents
+		}
+		if !x.pace(1) {
+			return errAbandoned
+		}
 		part := Part{Kind: PartEvent, Bytes: next.content, ID: next.id, counted: next.counted}
 		if !x.awaitAhead(aheadBytes) || !x.deliverAhead(part) {
 			return errAbandoned
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,7 @@
 	memory    *ResponseMemory   // nil: not bounded
 	shares    *fairshare.Shares // connections in use, by owner
 	failures  [reasonCount]atomic.Int64
+	pacer     pacer
 
 	mu      sync.Mutex // guards the fields below, and Connection.owner and idleBefore
 	idle    []*Connection
--- a/internal/upstream/response_error.go
+++ b/internal/upstream/response_error.go
@@ -16,8 +16,9 @@
 	ReasonBodyTooLarge
 	ReasonFraming // much framing around little content
 	ReasonEventTooLarge
-	ReasonOverShare // the replica has its share of the memory for responses
-	ReasonNoMemory  // there is none although it has not: that says nothing of the replica
+	ReasonTooManyEvents // more than the request allows tokens
+	ReasonOverShare     // the replica has its share of the memory for responses
+	ReasonNoMemory      // there is none although it has not: that says nothing of the replica
 	reasonCount
 )
 
@@ -30,6 +31,7 @@
 	ReasonInvalidEvent:   "invalid_event",
 	ReasonBodyTooLarge:   "body_too_large",
 	ReasonFraming:        "framing",
+	ReasonTooManyEvents:  "too_many_events",
 	ReasonOverShare:      "over_share",
 	ReasonNoMemory:       "no_memory",
 	ReasonEventTooLarge:  "event_too_large",
@@ -72,6 +74,7 @@
 	errOverShare     = &ResponseError{ReasonOverShare, "the replica's share of the memory is taken"}
 	errNoMemory      = &ResponseError{ReasonNoMemory, "no memory for the response"}
 	errEventTooLarge = &ResponseError{ReasonEventTooLarge, "an event over the limit"}
+	errTooManyEvents = &ResponseError{ReasonTooManyEvents, "more events than the request allows"}
 	errEventCut      = &ResponseError{ReasonInvalidEvent, "cut inside an event"}
 )
 
