The platform's list is bounded in bytes, page by page and in sum, and read entry by entry

Change: 4 MiB a page, 16 MiB a listing (some 30,000 replicas), 32 KiB of a head; decoding ends at the first entry that is not complete; of an error 64 KiB are read. Test: TestReader_BytesWithoutEnd_AreBounded (bytes allocated, number of calls).

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,6 +98,36 @@
 	}
 }
 
+// TestReader_BytesWithoutEnd_AreBounded guards against a platform whose answer takes a controller over its memory.
+func TestReader_BytesWithoutEnd_AreBounded(t *testing.T) {
+	const mostBytes = 32 << 20
+	long := strings.Repeat("x", maxPageBytes/2)
+	for _, x := range []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"one page", 200, `{"replicas":[],"junk":"` + long + long, ErrTooLarge},
+		{"many pages", 200, `{"replicas":[` + entry + `],"junk":"` + long + `","next_token":"again"}`, ErrTooLarge},
+		{"an error", 500, long, &StatusError{Status: 500}},
+		{"empty entries", 200, `{"replicas":[` + strings.Repeat("{},", maxPageBytes/4) + `{}]}`, ErrIncompleteEntry},
+		{"empty entries behind a good one", 200, `{"replicas":[` + entry + strings.Repeat(",{}", maxPageBytes/4) + `]}`, ErrIncompleteEntry},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, calls, err := read(t, func(string) (int, string) { return x.status, x.body })
+			runtime.ReadMemStats(&after)
+			if !errors.Is(err, x.want) {
+				require.Equal(t, x.want, err)
+			}
+			require.LessOrEqual(t, len(calls), 1+maxListingBytes/len(long))
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(mostBytes*max(1, len(calls))))
+		})
+	}
+}
+
 func TestDiffer_Listings_GiveTheirChanges(t *testing.T) {
 	differ := NewDiffer()
 	a, b := &state.Replica{ID: "a", State: "ready"}, &state.Replica{ID: "b", State: "ready"}
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -13,6 +13,8 @@
 	ErrIncompleteEntry = errors.New("platform: entry without id, address or service")
 	// ErrTooManyPages says that a listing has over maxPages pages: its tokens may lead round in a circle.
 	ErrTooManyPages = errors.New("platform: the list has too many pages")
+	// ErrTooLarge says that a page, or all pages together, have more bytes than are read into memory.
+	ErrTooLarge = errors.New("platform: the list has too many bytes")
 )
 
 // StatusError says that the platform answered with another status than 200.
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -1,8 +1,10 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,8 +25,14 @@
 	pageTimeout = 700 * time.Millisecond
 	// dialTimeout bounds a dial of the platform.
 	dialTimeout = 200 * time.Millisecond
-	// maxAnswerBytes bounds one page, which is read into memory; a longer one is truncated, and so an invalid page.
-	maxAnswerBytes = 32 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 32 << 10
+	// maxPageBytes bounds one page, which is read into memory.
+	maxPageBytes = 4 << 20
+	// maxListingBytes bounds the pages of one listing.
+	maxListingBytes = 16 << 20
+	// maxErrorBytes bounds what is read of an answer that is no page.
+	maxErrorBytes = 64 << 10
 	// maxPages is the most pages of one listing; more is taken for an endless loop.
 	maxPages = 1000
 )
@@ -38,7 +46,7 @@
 
 // NewReader makes a reader of the list at an address, a host and a port. dial may be nil for the real network.
 func NewReader(address string, dial func(address string, timeout time.Duration) (net.Conn, error)) *Reader {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	if dial != nil {
 		transport.DialContext = func(_ context.Context, _, address string) (net.Conn, error) {
 			return dial(address, dialTimeout)
@@ -52,8 +60,34 @@
 
 // page is one page of the list.
 type page struct {
-	Replicas *[]*state.Replica `json:"replicas"`
-	Next     *string           `json:"next_token"`
+	Replicas *entries `json:"replicas"`
+	Next     *string  `json:"next_token"`
+}
+
+// entries are those of a page.
+type entries []*state.Replica
+
+// UnmarshalJSON reads entries up to the first that is not complete, so that a page takes no more than some times its bytes.
+func (e *entries) UnmarshalJSON(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if _, err := decoder.Token(); err != nil {
+		return err
+	}
+	*e = entries{}
+	for i := 0; decoder.More(); i++ {
+		var entry *state.Replica
+		if err := decoder.Decode(&entry); err != nil {
+			return err
+		}
+		if entry == nil {
+			return fmt.Errorf("%w: entry %d of its page is null", ErrIncompleteEntry, i)
+		}
+		if entry.ID == "" || entry.Address == "" || entry.Pool == "" {
+			return fmt.Errorf("%w: entry %d of its page, id %q", ErrIncompleteEntry, i, entry.ID)
+		}
+		*e = append(*e, entry)
+	}
+	return nil
 }
 
 // isLast reports whether no page follows.
@@ -70,12 +104,15 @@
 // this package's for a list that can't be used.
 func (r *Reader) Read(ctx context.Context) (*Listing, error) {
 	listing := &Listing{RoundTrip: pageTimeout}
-	token := ""
+	token, size := "", 0
 	for range maxPages {
 		body, roundTrip, err := r.fetch(ctx, token)
 		if err != nil {
 			return nil, err
 		}
+		if size += len(body); size > maxListingBytes {
+			return nil, ErrTooLarge
+		}
 		page, err := parsePage(body)
 		if err != nil {
 			return nil, err
@@ -109,13 +146,17 @@
 		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	roundTrip = time.Since(connectedAt)
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	_ = response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.CopyN(io.Discard, response.Body, maxErrorBytes) // so that the connection may be used again
+		return nil, 0, &StatusError{Status: response.StatusCode}
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxPageBytes+1))
 	if err != nil {
 		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, 0, &StatusError{Status: response.StatusCode}
+	if len(body) > maxPageBytes {
+		return nil, 0, ErrTooLarge
 	}
 	return body, roundTrip, nil
 }
@@ -123,19 +164,15 @@
 // parsePage reads a page and checks that each of its entries is complete.
 func parsePage(body []byte) (*page, error) {
 	parsed := &page{}
-	if err := json.Unmarshal(body, parsed); err != nil {
+	err := json.Unmarshal(body, parsed)
+	if errors.Is(err, ErrIncompleteEntry) {
+		return nil, err
+	}
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalidPage, err)
 	}
 	if parsed.Replicas == nil {
 		return nil, fmt.Errorf("%w: no replicas key", ErrInvalidPage)
 	}
-	for i, replica := range *parsed.Replicas {
-		if replica == nil {
-			return nil, fmt.Errorf("%w: entry %d of its page is null", ErrIncompleteEntry, i)
-		}
-		if replica.ID == "" || replica.Address == "" || replica.Pool == "" {
-			return nil, fmt.Errorf("%w: entry %d of its page, id %q", ErrIncompleteEntry, i, replica.ID)
-		}
-	}
 	return parsed, nil
 }
