Responses over a limit are a failure of their own kind for the outlier detection

Cause: a replica that sent bytes without end counted as one whose answer could not be read, and a shortage of memory that others caused would have counted against it. Change: outlier.Unbounded, of the weight of an unreadable answer, for every limit; a shortage that is not the replica's own counts nothing.

--- a/coord/outlier/failure.go
+++ b/coord/outlier/failure.go
@@ -12,6 +12,7 @@
 	ServerError                          // a 5xx of its own
 	Rejected                             // rejected though it reported free slots
 	Overdue                              // far later than predicted
+	Unbounded                            // an answer that went over a limit of bytes, work or memory
 	StaleConnection                      // an idle connection was reset when it was used again: most likely its keep-alive had expired
 )
 
@@ -21,6 +22,7 @@
 	Timeout:           1,
 	ConnectionReset:   0.5,  // one of a burst of resets says little
 	InvalidAnswer:     0.6,  // as a server error
+	Unbounded:         0.6,  // as an answer that could not be read, but some are the request's own fault
 	ServerError:       0.6,  // some are the request's own fault
 	Rejected:          0.3,  // other replicas may do so a moment later
 	Overdue:           0.4,  // predictions err, but a request that is not retriable may wait for it until its deadline
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -139,6 +139,8 @@
 	switch {
 	case part.Reason == upstream.ReasonNoMemory:
 		r.request.wanted.Excluded[id] = true // its connection is closed, but the shortage is not the replica's
+	case part.Reason.IsLimit():
+		r.request.recordFault(id, outlier.Unbounded)
 	case part.Reset:
 		r.request.handleLoss(id, r.connection, outlier.ConnectionReset, true)
 	case part.ConnectionLost:
--- a/internal/upstream/response_error.go
+++ b/internal/upstream/response_error.go
@@ -37,6 +37,15 @@
 	ReasonEventTooLarge:  "event_too_large",
 }
 
+// IsLimit reports whether the replica went over a limit of bytes, work or memory.
+func (r FailureReason) IsLimit() bool {
+	switch r {
+	case ReasonHeadTooLarge, ReasonBodyTooLarge, ReasonFraming, ReasonEventTooLarge, ReasonTooManyEvents, ReasonOverShare:
+		return true
+	}
+	return false
+}
+
 // String is the reason as a label.
 func (r FailureReason) String() string { return reasonTexts[r] }
 
