Soak: replicas that send bytes without end

A mode of replicas, in 12 of the 14 forms, after 200 or 500, fast or trickling. A cut answer is allowed for exactly the attempts that a replica answered without end (LOST: the replica broke off); that it never appears complete is judged as before.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -199,7 +199,7 @@
 		c.run.judge.add(RuleHang, "%s (%s) at %s: no answer within %v", r.id, r.path, router.name, clientBudget+answerSlack)
 	case got.status == 0 && !got.timedOut && calm:
 		c.run.judge.add(RuleNoAnswer, "%s (%s, chunked %v, %d bytes) at %s: connection closed without an answer after %d ms", r.id, r.path, r.chunked, len(r.body), router.name, time.Since(begun).Milliseconds())
-	case got.status == http.StatusOK && !got.complete && !r.stream && calm:
+	case got.status == http.StatusOK && !got.complete && !r.stream && calm && !c.run.judge.isWithoutEnd(r.id):
 		c.run.judge.add(RuleNoAnswer, "%s (%s) at %s: an answer was cut", r.id, r.path, router.name)
 	}
 	return got
@@ -248,6 +248,10 @@
 		number++
 		whole += eventText(number)
 	}
+	if err != nil && c.run.judge.isWithoutEnd(r.id) {
+		c.run.judge.count("streams without end cut")
+		return false
+	}
 	if text != whole {
 		c.run.judge.add(RuleOrder, "%s: after %d events came %q", r.id, number, text[len(whole):min(len(text), len(whole)+60)])
 		return false
--- a/internal/soak/endless_replica.go
+++ b/internal/soak/endless_replica.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,6 +40,11 @@
 	endlessTrailer, endlessLength, endlessNoLength, endlessEventPieces, endlessEvents, endlessEmptyEvents, endlessLargeAnswers,
 }
 
+// soakForms are those that clients of a run can tell from answers and streams that are well.
+var soakForms = slices.DeleteFunc(slices.Clone(endlessForms), func(form endlessForm) bool {
+	return form == endlessEvents || form == endlessLargeAnswers
+})
+
 const (
 	endlessBlockBytes  = 16 << 10
 	endlessTime        = 20 * time.Second       // a replica stops after that, so that no run is without end
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -58,6 +58,8 @@
 	seals    map[string]bool
 	rejected int // the status of a rejection; 0: none
 	leftAt   time.Time
+
+	withoutEnd bool // a replica sent bytes without end for it
 }
 
 // judge collects what clients, replicas and operators see.
@@ -142,6 +144,23 @@
 	}
 }
 
+// answeredWithoutEnd records that a replica sends bytes without end for an attempt: what its client gets may be cut off.
+func (j *judge) answeredWithoutEnd(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.outcomes["answered without end"]++
+	if attempt := j.attempts[id]; attempt != nil {
+		attempt.withoutEnd = true
+	}
+}
+
+// isWithoutEnd reports whether a replica sent bytes without end for an attempt.
+func (j *judge) isWithoutEnd(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.attempts[id].withoutEnd
+}
+
 // succeeded checks a success against what replicas answered.
 func (j *judge) succeeded(id, seal string, bodyRight bool) {
 	j.mu.Lock()
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -34,6 +34,7 @@
 	modeBusy       replicaMode = "busy"        // rejects every request, truly
 	modeCutStream  replicaMode = "cut stream"  // breaks streams off inside an event
 	modeErrors     replicaMode = "errors"      // answers every third request with 500
+	modeEndless    replicaMode = "endless"     // sends bytes without end, in a form of soakForms
 )
 
 const (
@@ -182,6 +183,14 @@
 		time.Sleep(work)
 		reset(w)
 		return
+	case run.mode == modeEndless:
+		r.judge.answeredWithoutEnd(run.id)
+		status := http.StatusOK
+		if rand.IntN(2) == 0 {
+			status = http.StatusInternalServerError
+		}
+		sendEndless(w, soakForms[rand.IntN(len(soakForms))], status, run.id, rand.IntN(2) == 0)
+		return
 	case run.mode == modeErrors && run.number%partialFailEvery == 0:
 		w.Header().Set(upstream.HeaderSeal, run.seal)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/soak/replica_faults.go
+++ b/internal/soak/replica_faults.go
@@ -21,7 +21,7 @@
 // replicaMode lets a replica misbehave for a time.
 func (i *faultInjector) replicaMode() error {
 	r := i.anyReplica()
-	modes := []replicaMode{modeMute, modeLostAnswer, modeLostAnswer, modeSlow, modeBusy, modeCutStream, modeErrors}
+	modes := []replicaMode{modeMute, modeLostAnswer, modeLostAnswer, modeSlow, modeBusy, modeCutStream, modeErrors, modeEndless, modeEndless}
 	mode := modes[i.random.IntN(len(modes))]
 	down := i.length()
 	i.run.log("%s: %s for %v", r.id, mode, down)
