--- a/internal/router/invariants.go
+++ b/internal/router/invariants.go
@@ -124,10 +124,11 @@
 	for _, share := range r.bodies.UserShares() {
 		bodyBytes += share.Used
 	}
+	responseBytes := r.responses.Used()
 	placed, finished := r.placer.Inflight(), r.requests.Finished()
 	if r.inflight.Load() != 0 || r.counts.requests.Load() != before {
 		return // requests came meanwhile
 	}
-	r.invariants.Check(bodyBytes == 0 && placed == 0 && finished == before, invariantReleasedResources,
-		"body_bytes", bodyBytes, "placed", placed, "requests", before, "finished", finished)
+	r.invariants.Check(bodyBytes == 0 && responseBytes == 0 && placed == 0 && finished == before, invariantReleasedResources,
+		"body_bytes", bodyBytes, "response_bytes", responseBytes, "placed", placed, "requests", before, "finished", finished)
 }
--- a/internal/router/invariants_test.go
+++ b/internal/router/invariants_test.go
@@ -128,6 +128,7 @@
 		{Name: "invariants: a send in part is forgotten", File: attempts, From: "return s == PartlySent || s == Sent || s == Answered", To: "return false", Run: "EveryPair", Shows: string(invariantRejectedUnrun)},
 		{Name: "invariants: a success without a seal", File: "../upstream/reader.go", From: "return errNoSeal", To: "return nil", Run: "EveryPair", Shows: string(invariantResponseIdentity)},
 		{Name: "invariants: body memory is kept", File: "accept.go", From: "\t\treq.router.bodies.Release(req.route.Name, req.reservedBytes)\n", To: "", Run: "Pipelined", Shows: string(invariantReleasedResources)},
+		{Name: "invariants: memory of responses is kept", File: "../upstream/response_memory.go", From: "\ta.ended = true\n\tif a.taken > 0 {", To: "\ta.ended = true\n\tif a.taken < 0 {", Run: "EveryPair", Shows: string(invariantReleasedResources)},
 		{Name: "invariants: a rejection without a cause", File: "finish.go", From: "\treq.trail.Finish(cause, detail)\n", To: "\t_ = cause\n\t_ = detail\n", Run: "EveryPair", Shows: string(invariantExplainedEnd)},
 		{Name: "invariants: a replica that is leaving is sent to", File: "../placement/replica.go", From: "return r.listed.State == state.ReplicaReady && !r.evacuated", To: "_ = state.ReplicaReady\n\treturn !r.evacuated", Package: "../simtest", Run: "TestScenarios/drain$", Shows: string(invariantAllowedReplica)},
 	})
