The collector's limit leaves room for the program's own pages

Cause: the soft limit of 0.8 of memory_mb holds what the collector manages; the pages of the program come on top (some 15 MiB), so that a process of 102 MB was allowed 97 of them and passed 0.85 as soon as garbage came fast. Change: the limit is 0.8 less 16 MiB, half at the least.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -31,6 +31,8 @@
 	// softMemoryShare is the part of limits.memory_mb that the collector keeps the heap within; a process over the
 	// whole of it is killed.
 	softMemoryShare = 0.8
+	// programBytes is what a program's own pages take beside what the collector manages.
+	programBytes = 16 << 20
 )
 
 // Daemon is a long-running program.
@@ -121,9 +123,14 @@
 	return exitOK
 }
 
+// softMemoryLimit is what the collector keeps its memory within, so that the process stays within the granted bytes.
+func softMemoryLimit(granted float64) int64 {
+	return int64(max(granted*softMemoryShare-programBytes, granted/2))
+}
+
 // limitMemory sets the collector's bounds for the memory that the settings grant.
 func limitMemory(env *settings.Settings) {
 	granted := env.Limits.MemoryMB * (1 << 20)
-	debug.SetMemoryLimit(int64(granted * softMemoryShare))
+	debug.SetMemoryLimit(softMemoryLimit(granted))
 	debug.SetGCPercent(gcPercent)
 }
