Requests in flight are counted with their bodies, by route

What was seen: 1,500 callers of faulty replicas took a router of 102 MB to 88 to 110 MiB though every response was within its limits: a request takes some 40 KiB towards client and replica that nobody counted. Change: 32 KiB a request in the memory for bodies, which has fair shares by route and rejects early with a promise.

--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// bodyMemoryFraction is the part of memory_mb that bodies in flight may take.
+	// bodyMemoryFraction is the part of memory_mb that requests in flight may take with their bodies.
 	bodyMemoryFraction = 0.25
+	// requestBytes is the memory that a request takes beside its body: its goroutines, buffers and heads, towards the client and
+	// the replica.
+	requestBytes = 32 << 10
 	// bodiesAtOnce is how many bodies of unknown length, each as large as it may be, find room at least.
 	bodiesAtOnce = 8
 	// bodyTimeout is how long a client may take over its body.
@@ -28,6 +31,9 @@
 	if req.inbound.ContentLength > limit {
 		return req.refuseAndClose(errkind.BodyTooLarge, "body over the limit")
 	}
+	if !req.reserveBody(requestBytes) {
+		return false
+	}
 	_ = req.control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body := bodyBuffer{reserve: req.reserveBody, release: req.releaseBody, limit: min(limit, req.router.largestBody())}
 	err := body.readFrom(http.MaxBytesReader(req.writer, req.inbound.Body, limit), req.inbound.ContentLength)
@@ -54,12 +60,12 @@
 	}
 }
 
-// reserveBody reserves memory for a body. When it runs short, a route that has its fair share is rejected and the others
+// reserveBody reserves memory for a request or its body. When it runs short, a route that has its fair share is rejected and the others
 // are not.
 func (req *request) reserveBody(size int64) bool {
 	if !req.router.bodies.TryAcquire(req.route.Name, size) {
 		req.writer.Header().Set("Connection", "close")
-		req.reject(errkind.Overloaded, "memory for bodies is short")
+		req.reject(errkind.Overloaded, "memory for requests is short")
 		return false
 	}
 	req.reservedBytes += size
