--- a/internal/router/mutation_test.go
+++ b/internal/router/mutation_test.go
@@ -24,7 +24,7 @@
 		{Name: "the route's timeout is not looked at", File: "admit.go", From: "min(clientTimeout(req.inbound.Header), req.route.Timeout)", To: "clientTimeout(req.inbound.Header)", Run: "EveryRequestEndsInTime"},
 		{Name: "a large body that breaks off is tried again", File: "attempt.go", From: "resumable := !req.started || req.lastEventID >= 0 && !req.passing", To: "resumable := true", Run: "LargeBod"},
 		{Name: "a large failure is passed on with a promise", File: "pass.go", From: "case impliesNotExecuted(head.Status):", To: "case false:", Run: "LargeBod"},
-		{Name: "a large refusal is passed on", File: "pass.go", From: "case upstream.IsNotExecuted(head.Status, head.Header):", To: "case false:", Run: "LargeBod"},
+		{Name: "a large refusal is passed on", File: "pass.go", From: "case upstream.IsNotExecuted(head.Status, head.Header):", To: "case upstream.IsNotExecuted(0, nil):", Run: "LargeBod"},
 		{Name: "a wait goes on past the deadline", File: "receive.go", From: "wait := time.Until(req.deadline)\n", To: "wait := time.Until(req.deadline) + req.route.Timeout\n", Run: "EveryRequestEndsInTime"},
 	})
 }
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -141,6 +141,7 @@
 		r.request.wanted.Excluded[id] = true // its connection is closed, but the shortage is not the replica's
 	case part.Reason.IsLimit():
 		r.request.recordFault(id, outlier.Unbounded)
+		r.request.router.logLimit(id, part.Reason)
 	case part.Reset:
 		r.request.handleLoss(id, r.connection, outlier.ConnectionReset, true)
 	case part.ConnectionLost:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,11 +101,12 @@
 	newestView atomic.Pointer[timedView] // for the invariants; nil before the first change
 	dialCounts upstream.DialCounts
 
-	mu          sync.Mutex                     // guards the fields below
-	pools       map[string]*upstream.Pool      // by replica id
-	keepAlives  map[string]*upstream.KeepAlive // by service
-	reportedAt  time.Time                      // when failures were reported last
-	controllers controllerChoice
+	mu            sync.Mutex                     // guards the fields below
+	pools         map[string]*upstream.Pool      // by replica id
+	keepAlives    map[string]*upstream.KeepAlive // by service
+	reportedAt    time.Time                      // when failures were reported last
+	limitLoggedAt map[string]time.Time           // by replica id, of those in pools
+	controllers   controllerChoice
 }
 
 // counts are since the start of the process.
@@ -118,20 +119,21 @@
 	env := options.Settings
 	self := env.Port(settings.RouterPortOffset)
 	r := &Router{
-		ctx:         ctx,
-		log:         log,
-		net:         options.Net,
-		dialer:      options.Dialer,
-		store:       state.NewStore(state.Options{Monotonic: true}),
-		becameReady: make(chan struct{}),
-		serving:     make(chan struct{}),
-		bodies:      fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
-		responses:   upstream.NewResponseMemory(int64(env.Limits.MemoryMB * bytesPerMB * responseMemoryFraction)),
-		prefixes:    prefixindex.NewIndex(),
-		machine:     slowness.NewMonitor(log, options.SlownessProbe),
-		pools:       map[string]*upstream.Pool{},
-		keepAlives:  map[string]*upstream.KeepAlive{},
-		controllers: controllerChoice{failedAt: map[string]time.Time{}},
+		ctx:           ctx,
+		log:           log,
+		net:           options.Net,
+		dialer:        options.Dialer,
+		store:         state.NewStore(state.Options{Monotonic: true}),
+		becameReady:   make(chan struct{}),
+		serving:       make(chan struct{}),
+		bodies:        fairshare.New(int64(env.Limits.MemoryMB*bytesPerMB*bodyMemoryFraction), fairshare.CalmFraction),
+		responses:     upstream.NewResponseMemory(int64(env.Limits.MemoryMB * bytesPerMB * responseMemoryFraction)),
+		prefixes:      prefixindex.NewIndex(),
+		machine:       slowness.NewMonitor(log, options.SlownessProbe),
+		pools:         map[string]*upstream.Pool{},
+		keepAlives:    map[string]*upstream.KeepAlive{},
+		limitLoggedAt: map[string]time.Time{},
+		controllers:   controllerChoice{failedAt: map[string]time.Time{}},
 	}
 	r.traffic = rpc.NewTraffic(env.Zone, rpc.TrafficOptions{ZoneOf: r.controllerZone, OnInvalid: r.logInvalidMessage})
 	r.peers = r.traffic.Net(options.Net)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -65,6 +65,7 @@
 	for id, pool := range r.pools {
 		if view.Replicas[id] == nil {
 			delete(r.pools, id)
+			delete(r.limitLoggedAt, id)
 			go pool.Close()
 		}
 	}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -11,7 +11,8 @@
 	MaxResponseBytes = 32 << 20
 
 	heldBodyBytes   = 256 << 10 // up to which a body is held until it is complete, so that another replica may be tried if it is not
-	firstBodyBytes  = 4 << 10   // of memory for a body; it doubles as the body comes
+	firstBodyBytes  = 4 << 10   // of memory for a body
+	bodyGrowth      = 4         // by so much it grows as the body comes, up to what is announced
 	blockBytes      = 32 << 10  // of a body that is passed on as it comes
 	smallBlockBytes = 4 << 10   // of such a body while memory is short: no more than the connection's own buffer
 	turnBytes       = 64 << 10  // of a body after which other goroutines have their turn
@@ -89,10 +90,11 @@
 
 // holdBody reads a body into memory until it ends, or until no more of it may be held. The length is negative if it is not known.
 func (x *exchange) holdBody(reader io.Reader, length int64) (content []byte, complete bool, err error) {
-	size := int64(firstBodyBytes)
+	most := int64(heldBodyBytes)
 	if length >= 0 {
-		size = min(size, length+1) // the end is read too
+		most = min(most, length+1) // the end is read too
 	}
+	size := min(firstBodyBytes, most)
 	for {
 		if x.account.take(size-int64(cap(content))) != nil {
 			break // what there is of it is passed on
@@ -100,10 +102,10 @@
 		larger := make([]byte, len(content), size)
 		copy(larger, content)
 		content, complete, err = fill(larger, reader)
-		if complete || err != nil || size >= heldBodyBytes {
+		if complete || err != nil || size >= most {
 			return content, complete, err
 		}
-		size = min(2*size, heldBodyBytes)
+		size = min(bodyGrowth*size, most)
 	}
 	if len(content) > 0 {
 		return content, false, nil
