--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -115,6 +115,8 @@
 	Reset = "reset" // part of its connections are reset
 	Drain = "drain" // shuts down gracefully, comes back as a new incarnation
 	Cold  = "cold"  // reports that it has just started
+
+	Endless = "endless" // sends bytes without end, in every form that a client can tell from a response that is well
 )
 
 // Load reads and checks an experiment file.
--- a/internal/emulator/experiment_check.go
+++ b/internal/emulator/experiment_check.go
@@ -127,9 +127,9 @@
 func (x *Experiment) checkFaults() error {
 	for _, fault := range x.Faults {
 		switch fault.Kind {
-		case Crash, Dark, Grey, Lying, Flap, Reset, Drain, Cold:
+		case Crash, Dark, Grey, Lying, Flap, Reset, Drain, Cold, Endless:
 		default:
-			return badField("troubles.how", "is not one of crash, dark, grey, lying, flap, reset, drain, cold: "+fault.Kind)
+			return badField("troubles.how", "is not one of crash, dark, grey, lying, flap, reset, drain, cold, endless: "+fault.Kind)
 		}
 	}
 	return nil
--- a/internal/emulator/plots.go
+++ b/internal/emulator/plots.go
@@ -20,9 +20,9 @@
 
 var plottedQuantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9}
 
-// plot draws latency by quantile, the outcomes of each second and, if there are samples, the totals of tallies on both
+// plot draws latency by quantile, the outcomes of each second, memory and, if there are samples, the totals of tallies on both
 // sides, as SVG and PNG.
-func (r *report) plot(experiment *Experiment, samples []TallySample, dir string) error {
+func (r *report) plot(experiment *Experiment, samples []TallySample, memory []memorySample, dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "plots")
 	}
@@ -40,6 +40,13 @@
 	if err := savePlot(outcomes, filepath.Join(dir, "outcomes")); err != nil {
 		return err
 	}
+	resident, err := memoryPlot(experiment, memory)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "plots")
+	}
+	if err := savePlot(resident, filepath.Join(dir, "memory")); err != nil {
+		return err
+	}
 	if len(samples) == 0 {
 		return nil
 	}
--- a/internal/emulator/replica_http.go
+++ b/internal/emulator/replica_http.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"shaletrestle/internal/durations"
+	"shaletrestle/internal/endless"
 	"shaletrestle/internal/httpreply"
 	"shaletrestle/internal/prefixindex"
 	"shaletrestle/internal/replicamodel"
@@ -93,6 +94,11 @@
 		return
 	}
 	r.rules.recordArrival(id, request.Method+" "+request.URL.RequestURI()+" "+string(body))
+	if view.fault == Endless {
+		r.rules.recordRun(id, "")
+		r.answerWithoutEnd(w, id)
+		return
+	}
 	if r.failsInPart(w, id, view.fault) {
 		return
 	}
@@ -104,6 +110,20 @@
 	r.serveQueued(w, request, view, id, seal)
 }
 
+// answerWithoutEnd sends bytes without end: in each form in turn, after a success and a failure, fast and trickling.
+func (r *Replica) answerWithoutEnd(w http.ResponseWriter, id string) {
+	r.mu.Lock()
+	number := r.requests
+	r.requests++
+	r.mu.Unlock()
+	status := http.StatusOK
+	if number%2 == 0 {
+		status = http.StatusInternalServerError
+	}
+	form := endless.IncompleteForms[number/4%len(endless.IncompleteForms)]
+	endless.Send(w, form, status, id, number/2%2 == 0)
+}
+
 // failsInPart counts a request and lets it fail if the replica's fault makes part of them
 // fail and it is one of those.
 func (r *Replica) failsInPart(w http.ResponseWriter, id, fault string) bool {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -76,6 +76,8 @@
 	}
 	besides.Go(func() { printProgress(besideCtx, report, output) })
 	tallies := b.beginTallies(besideCtx, report, &besides)
+	var memory []memorySample
+	besides.Go(func() { memory = sampleMemory(besideCtx, report) })
 	newTraffic(b.experiment, b.rules, b.fronts(), report.add).run(b.ctx)
 	interrupted := b.ctx.Err() != nil
 	stopBeside()
@@ -87,7 +89,7 @@
 	}
 	summary := report.summary(b, tallySummary, interrupted)
 	if output.Plots != "" {
-		if err := report.plot(b.experiment, samples, output.Plots); err != nil {
+		if err := report.plot(b.experiment, samples, memory, output.Plots); err != nil {
 			output.printf("no plots: %v", err)
 		}
 	}
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -44,6 +44,7 @@
 	require.Equal(t, x.requestCount(), strings.Count(lines.String(), `"is":"request"`))
 	require.FileExists(t, filepath.Join(plots, "latency.svg"))
 	require.FileExists(t, filepath.Join(plots, "outcomes.png"))
+	require.FileExists(t, filepath.Join(plots, "memory.svg"))
 	var table bytes.Buffer
 	require.NoError(t, s.Write(&table))
 	require.Contains(t, table.String(), "p99 ms")
--- a/internal/soak/endless_replica.go
+++ b/internal/endless/endless.go
@@ -1,4 +1,6 @@
-package soak
+// Package endless sends what a faulty replica sends when its responses have no end: bytes in one of several forms, behind any status,
+// fast or trickling, until the peer closes the connection. It is for the stand-ins of tests and experiments.
+package endless
 
 import (
 	"bufio"
@@ -13,108 +15,109 @@
 	"shaletrestle/internal/upstream"
 )
 
-// endlessForm is how a replica sends bytes without end.
-type endlessForm string
+// Form is how a replica sends bytes without end.
+type Form string
 
 // The forms. Each may follow any status.
 const (
-	endlessHeaderLine   endlessForm = "one header line"
-	endlessHeaderLines  endlessForm = "many header lines"
-	endlessInterim      endlessForm = "interim responses"
-	endlessChunkSize    endlessForm = "junk for the size of a chunk"
-	endlessChunk        endlessForm = "one chunk"
-	endlessSmallChunks  endlessForm = "chunks of one byte"
-	endlessExtensions   endlessForm = "chunk extensions"
-	endlessTrailer      endlessForm = "a trailer"
-	endlessLength       endlessForm = "a huge announced length"
-	endlessNoLength     endlessForm = "a body without a length"
-	endlessEventPieces  endlessForm = "pieces of an event"
-	endlessEvents       endlessForm = "events"
-	endlessEmptyEvents  endlessForm = "comments between events"
-	endlessLargeAnswers endlessForm = "an answer of the largest length"
+	HeaderLine   Form = "one header line"
+	HeaderLines  Form = "many header lines"
+	Interim      Form = "interim responses"
+	ChunkSize    Form = "junk for the size of a chunk"
+	Chunk        Form = "one chunk"
+	SmallChunks  Form = "chunks of one byte"
+	Extensions   Form = "chunk extensions"
+	Trailer      Form = "a trailer"
+	Length       Form = "a huge announced length"
+	NoLength     Form = "a body without a length"
+	EventPieces  Form = "pieces of an event"
+	Events       Form = "events"
+	EmptyEvents  Form = "comments between events"
+	LargeAnswers Form = "an answer of the largest length"
 )
 
-// endlessForms are all of them.
-var endlessForms = []endlessForm{
-	endlessHeaderLine, endlessHeaderLines, endlessInterim, endlessChunkSize, endlessChunk, endlessSmallChunks, endlessExtensions,
-	endlessTrailer, endlessLength, endlessNoLength, endlessEventPieces, endlessEvents, endlessEmptyEvents, endlessLargeAnswers,
+// Forms are all of them.
+var Forms = []Form{
+	HeaderLine, HeaderLines, Interim, ChunkSize, Chunk, SmallChunks, Extensions,
+	Trailer, Length, NoLength, EventPieces, Events, EmptyEvents, LargeAnswers,
 }
 
-// soakForms are those that clients of a run can tell from answers and streams that are well.
-var soakForms = slices.DeleteFunc(slices.Clone(endlessForms), func(form endlessForm) bool {
-	return form == endlessEvents || form == endlessLargeAnswers
+// IncompleteForms are those of which nothing ends as a complete response and nothing comes as an event: a client can tell them from
+// responses that are well.
+var IncompleteForms = slices.DeleteFunc(slices.Clone(Forms), func(form Form) bool {
+	return form == Events || form == LargeAnswers
 })
 
 const (
-	endlessBlockBytes  = 16 << 10
-	endlessTime        = 20 * time.Second       // a replica stops after that, so that no run is without end
+	blockBytes         = 16 << 10
+	longestTime        = 20 * time.Second       // a replica stops after that, so that no run is without end
 	tricklePause       = 20 * time.Millisecond  // between two pieces of a replica that trickles
 	tricklePieceBytes  = 512                    // of such a piece
 	trickleBodyBytes   = 96 << 10               // of a body are sent at once before it trickles
-	endlessEventEvery  = 100                    // bytes of an event
+	eventBytes         = 100                    // bytes of an event
 	hugeAnnouncedBytes = int64(1) << 40         // far over what may be kept
 	chunkOfAll         = "7fffffffffffffff\r\n" // the largest size of a chunk
 )
 
 // head is the status line and the header up to the form's own lines.
-func (f endlessForm) head(status int, attemptID string) string {
+func (f Form) head(status int, attemptID string) string {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal\r\n", status, http.StatusText(status), upstream.HeaderAttemptID, attemptID, upstream.HeaderSeal)
 	const chunked = "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
 	const events = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	switch f {
-	case endlessHeaderLine:
+	case HeaderLine:
 		return head + "Padding: "
-	case endlessHeaderLines:
+	case HeaderLines:
 		return head
-	case endlessInterim:
+	case Interim:
 		return ""
-	case endlessTrailer:
+	case Trailer:
 		return head + chunked + "0\r\nPadding: "
-	case endlessChunk:
+	case Chunk:
 		return head + chunked + chunkOfAll
-	case endlessExtensions:
+	case Extensions:
 		return head + chunked + "1;"
-	case endlessLength:
+	case Length:
 		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", hugeAnnouncedBytes)
-	case endlessLargeAnswers:
+	case LargeAnswers:
 		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", upstream.MaxResponseBytes)
-	case endlessNoLength:
+	case NoLength:
 		return head + "\r\n"
-	case endlessEventPieces, endlessEvents, endlessEmptyEvents:
+	case EventPieces, Events, EmptyEvents:
 		return head + events
 	}
 	return head + chunked
 }
 
 // piece is what follows the head again and again, given a number.
-func (f endlessForm) piece(number int) []byte {
+func (f Form) piece(number int) []byte {
 	switch f {
-	case endlessHeaderLines:
+	case HeaderLines:
 		return fmt.Appendf(nil, "Padding-%d: %s\r\n", number, strings.Repeat("x", 80))
-	case endlessInterim:
+	case Interim:
 		return []byte("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
-	case endlessSmallChunks:
+	case SmallChunks:
 		return []byte("1\r\nx\r\n")
-	case endlessEventPieces:
+	case EventPieces:
 		return []byte("8\r\ndata: x\n\r\n")
-	case endlessEmptyEvents:
+	case EmptyEvents:
 		return []byte("3\r\n:x\n\r\n")
-	case endlessEvents:
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, strings.Repeat("t", endlessEventEvery))
+	case Events:
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, strings.Repeat("t", eventBytes))
 		return fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event)
 	}
 	return []byte("xxxxxxxx")
 }
 
-// sendEndless takes over a request's connection and sends bytes of a form until the peer closes it. A trickling one sends little
+// Send takes over a request's connection and sends bytes of a form until the peer closes it. A trickling one sends little
 // at a time.
-func sendEndless(w http.ResponseWriter, form endlessForm, status int, attemptID string, trickle bool) {
+func Send(w http.ResponseWriter, form Form, status int, attemptID string, trickle bool) {
 	connection, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = connection.Close() }()
-	end := time.Now().Add(endlessTime)
+	end := time.Now().Add(longestTime)
 	_ = connection.SetDeadline(end)
 	closed := make(chan struct{})
 	go func() {
@@ -131,14 +134,14 @@
 	sendFast(connection, form)
 }
 
-func sendFast(connection net.Conn, form endlessForm) {
+func sendFast(connection net.Conn, form Form) {
 	number := 1
-	for sendPieces(connection, form, &number, endlessBlockBytes) {
+	for sendPieces(connection, form, &number, blockBytes) {
 	}
 }
 
 // sendPieces sends a number of bytes and a little more; number is that of the next piece. It returns false if the connection is closed.
-func sendPieces(connection net.Conn, form endlessForm, number *int, size int) bool {
+func sendPieces(connection net.Conn, form Form, number *int, size int) bool {
 	block := bytes.Buffer{}
 	for block.Len() < size {
 		block.Write(form.piece(*number))
@@ -149,11 +152,11 @@
 }
 
 // endsInHead reports whether the form never comes to a body.
-func (f endlessForm) endsInHead() bool {
-	return f == endlessHeaderLine || f == endlessHeaderLines || f == endlessInterim
+func (f Form) endsInHead() bool {
+	return f == HeaderLine || f == HeaderLines || f == Interim
 }
 
-func sendTrickling(connection net.Conn, form endlessForm, closed <-chan struct{}) {
+func sendTrickling(connection net.Conn, form Form, closed <-chan struct{}) {
 	number := 1
 	if !form.endsInHead() {
 		if !sendPieces(connection, form, &number, trickleBodyBytes) {
--- a/internal/metrics/process.go
+++ b/internal/metrics/process.go
@@ -27,11 +27,7 @@
 		{Name: program + "_uptime_seconds", Help: "Time since the start of the process.", Value: Uptime().Seconds()},
 		{Name: program + "_memory_limit_bytes", Help: "Memory beyond which the process is ended, by limits.memory_mb.", Value: memoryMB * bytesPerMiB},
 	}
-	content, err := os.ReadFile(statmFile)
-	if err != nil {
-		return samples
-	}
-	resident, ok := residentBytes(content, os.Getpagesize())
+	resident, ok := ResidentBytes()
 	if !ok {
 		return samples
 	}
@@ -42,6 +38,15 @@
 	})
 }
 
+// ResidentBytes is the resident memory of this process; false where the system does not tell it.
+func ResidentBytes() (float64, bool) {
+	content, err := os.ReadFile(statmFile)
+	if err != nil {
+		return 0, false
+	}
+	return residentBytes(content, os.Getpagesize())
+}
+
 // residentBytes reads the resident memory out of the content of statmFile.
 func residentBytes(statm []byte, pageSize int) (float64, bool) {
 	fields := bytes.Fields(statm)
--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"shaletrestle/internal/endless"
 	"shaletrestle/internal/metrics"
 	"shaletrestle/internal/settings"
 	"shaletrestle/internal/upstream"
@@ -44,7 +45,7 @@
 	front    string
 	state    string // where the router's metrics are
 	platform *platform
-	form     endlessForm
+	form     endless.Form
 	trickle  bool
 	number   atomic.Int64 // of the newest request
 }
@@ -59,7 +60,7 @@
 	if s.number.Load()%2 == 0 {
 		status = http.StatusInternalServerError
 	}
-	sendEndless(w, s.form, status, request.Header.Get(upstream.HeaderAttemptID), s.trickle)
+	endless.Send(w, s.form, status, request.Header.Get(upstream.HeaderAttemptID), s.trickle)
 }
 
 // addReplicas lists replicas of a service; a handler of its own takes the place of the usual one.
@@ -85,7 +86,7 @@
 	return body
 }
 
-func newEndlessStand(t *testing.T, form endlessForm, trickle bool) *endlessStand {
+func newEndlessStand(t *testing.T, form endless.Form, trickle bool) *endlessStand {
 	t.Helper()
 	m := newMachine(t)
 	platform, err := startPlatform(address(m.fleet.prefix+strconv.Itoa(platformAddress), portPlatform))
@@ -207,7 +208,7 @@
 // TestEndless_FaultyReplica_MemoryHoldsAndOthersAreServed guards against replicas that send bytes without end.
 func TestEndless_FaultyReplica_MemoryHoldsAndOthersAreServed(t *testing.T) {
 	for _, trickle := range []bool{false, true} {
-		for _, form := range endlessForms {
+		for _, form := range endless.Forms {
 			name := string(form)
 			if trickle {
 				name += ", trickling"
@@ -222,7 +223,7 @@
 				s.logMetrics()
 				require.Less(t, peak, memoryShare*endlessMemoryMB)
 				require.Equal(t, good.all.Load(), good.succeeded.Load())
-				if form != endlessLargeAnswers { // whose answers are complete, before more bytes follow
+				if form != endless.LargeAnswers { // whose answers are complete, before more bytes follow
 					require.Zero(t, faulty.succeeded.Load())
 				}
 				require.True(t, s.callGood(), "served afterwards")
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"shaletrestle/internal/endless"
 	"shaletrestle/internal/state"
 	"shaletrestle/internal/upstream"
 )
@@ -34,7 +35,7 @@
 	modeBusy       replicaMode = "busy"        // rejects every request, truly
 	modeCutStream  replicaMode = "cut stream"  // breaks streams off inside an event
 	modeErrors     replicaMode = "errors"      // answers every third request with 500
-	modeEndless    replicaMode = "endless"     // sends bytes without end, in a form of soakForms
+	modeEndless    replicaMode = "endless"     // sends bytes without end, in a form of endless.IncompleteForms
 )
 
 const (
@@ -189,7 +190,7 @@
 		if rand.IntN(2) == 0 {
 			status = http.StatusInternalServerError
 		}
-		sendEndless(w, soakForms[rand.IntN(len(soakForms))], status, run.id, rand.IntN(2) == 0)
+		endless.Send(w, endless.IncompleteForms[rand.IntN(len(endless.IncompleteForms))], status, run.id, rand.IntN(2) == 0)
 		return
 	case run.mode == modeErrors && run.number%partialFailEvery == 0:
 		w.Header().Set(upstream.HeaderSeal, run.seal)
