--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -134,7 +134,7 @@
 	}
 	maxEvents := 0
 	if req.wanted.MaxOutputTokens > 0 {
-		maxEvents = int(req.wanted.MaxOutputTokens) + eventSlack
+		maxEvents = req.wanted.MaxOutputTokens + eventSlack
 	}
 	return &upstream.Request{
 		Method:    req.inbound.Method,
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -95,10 +95,7 @@
 		most = min(most, length+1) // the end is read too
 	}
 	size := min(firstBodyBytes, most)
-	for {
-		if x.account.take(size-int64(cap(content))) != nil {
-			break // what there is of it is passed on
-		}
+	for x.account.take(size-int64(cap(content))) == nil {
 		larger := make([]byte, len(content), size)
 		copy(larger, content)
 		content, complete, err = fill(larger, reader)
@@ -108,7 +105,7 @@
 		size = min(bodyGrowth*size, most)
 	}
 	if len(content) > 0 {
-		return content, false, nil
+		return content, false, nil // there is no memory for more: it is passed on
 	}
 	return fill(make([]byte, 0, smallBlockBytes), reader)
 }
