--- a/internal/soak/endless_test.go
+++ b/internal/soak/endless_test.go
@@ -45,9 +45,10 @@
 	front    string
 	state    string // where the router's metrics are
 	platform *platform
-	form     endless.Form
+	form     endless.Form // empty: those of endless.IncompleteForms in turn, fast and trickling
 	trickle  bool
 	number   atomic.Int64 // of the newest request
+	answers  atomic.Int64 // without end
 }
 
 // endlessHandler answers each request with bytes without end, after a status of 200 and of 500 in turn.
@@ -60,16 +61,24 @@
 	if s.number.Load()%2 == 0 {
 		status = http.StatusInternalServerError
 	}
-	endless.Send(w, s.form, status, request.Header.Get(upstream.HeaderAttemptID), s.trickle)
+	form, trickle := s.form, s.trickle
+	if form == "" {
+		number := int(s.answers.Add(1))
+		form = endless.IncompleteForms[number%len(endless.IncompleteForms)]
+		trickle = number%3 == 0
+	}
+	endless.Send(w, form, status, request.Header.Get(upstream.HeaderAttemptID), trickle)
 }
 
-// addReplicas lists replicas of a service; a handler of its own takes the place of the usual one.
-func (s *endlessStand) addReplicas(m *machine, service string, first int, handler func(id string) http.Handler) {
+// addReplicas lists replicas of a service; a handler of its own takes the place of the usual one of the first few.
+func (s *endlessStand) addReplicas(m *machine, service string, first, own int, handler func(id string) http.Handler) {
 	for i := range endlessReplicas {
 		added, err := startReplica(newJudge(), service, m.fleet.prefix+strconv.Itoa(first+i), zones[0], 1)
 		require.NoError(s.t, err)
 		s.t.Cleanup(added.stop)
-		added.server.Handler = handler(added.id)
+		if i < own {
+			added.server.Handler = handler(added.id)
+		}
 		s.platform.change(func(replicas []*replica) []*replica { return append(replicas, added) })
 	}
 }
@@ -86,15 +95,15 @@
 	return body
 }
 
-func newEndlessStand(t *testing.T, form endless.Form, trickle bool) *endlessStand {
+func newEndlessStand(t *testing.T, form endless.Form, trickle bool, faulty int) *endlessStand {
 	t.Helper()
 	m := newMachine(t)
 	platform, err := startPlatform(address(m.fleet.prefix+strconv.Itoa(platformAddress), portPlatform))
 	require.NoError(t, err)
 	t.Cleanup(platform.close)
 	s := &endlessStand{t: t, platform: platform, form: form, trickle: trickle}
-	s.addReplicas(m, serviceDesk, firstReplica, func(id string) http.Handler { return largeReplica{id} })
-	s.addReplicas(m, serviceModel, firstReplica+endlessReplicas, func(string) http.Handler { return http.HandlerFunc(s.endlessHandler) })
+	s.addReplicas(m, serviceDesk, firstReplica, endlessReplicas, func(id string) http.Handler { return largeReplica{id} })
+	s.addReplicas(m, serviceModel, firstReplica+endlessReplicas, faulty, func(string) http.Handler { return http.HandlerFunc(s.endlessHandler) })
 	recording := time.NewTicker(recordInterval)
 	t.Cleanup(recording.Stop)
 	go func() {
@@ -214,7 +223,7 @@
 				name += ", trickling"
 			}
 			t.Run(name, func(t *testing.T) {
-				s := newEndlessStand(t, form, trickle)
+				s := newEndlessStand(t, form, trickle, endlessReplicas)
 				good, faulty := s.play()
 				peak := residentPeakMiB(s.router.command.Process.Pid)
 				t.Logf("%.0f MiB resident at most; good: %d of %d served; faulty: %d of %d taken for complete",
@@ -231,3 +240,22 @@
 		}
 	}
 }
+
+// leastServed is the part of a pool's requests that must be served while one of its replicas is faulty: the gate allows no more than
+// 60 in 100 refused and failed.
+const leastServed = 0.4
+
+// TestEndless_OneReplicaOfAPool_TheOthersServe guards against a faulty replica that keeps its own pool from being served.
+func TestEndless_OneReplicaOfAPool_TheOthersServe(t *testing.T) {
+	s := newEndlessStand(t, "", false, 1)
+	good, mixed := s.play()
+	peak := residentPeakMiB(s.router.command.Process.Pid)
+	t.Logf("%.0f MiB resident at most; good: %d of %d served; mixed: %d of %d served; %d answers without end",
+		peak, good.succeeded.Load(), good.all.Load(), mixed.succeeded.Load(), mixed.all.Load(), s.answers.Load())
+	s.router.requireRuns()
+	s.logMetrics()
+	require.NotZero(t, s.answers.Load())
+	require.Less(t, peak, memoryShare*endlessMemoryMB)
+	require.Equal(t, good.all.Load(), good.succeeded.Load())
+	require.Greater(t, float64(mixed.succeeded.Load()), leastServed*float64(mixed.all.Load()))
+}
