--- a/internal/router/pass_test.go
+++ b/internal/router/pass_test.go
@@ -118,3 +118,19 @@
 	require.Len(t, all, 1)
 	return all[0].Reason
 }
+
+// TestServe_BodyTricklesPastTheDeadline_CountsAgainstTheReplica guards against a replica that holds each request until its deadline
+// and stays as good as any.
+func TestServe_BodyTricklesPastTheDeadline_CountsAgainstTheReplica(t *testing.T) {
+	for _, text := range []func(int, *http.Request) string{answer(200, "SEAL\r\n"), largeAnswer(200, "SEAL\r\n", true)} {
+		length := len(text(1, &http.Request{Header: http.Header{"Attempt-Id": {"first"}}}))
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(t, clientTimeBudget, step{text: text, runs: true, sent: length - 1, ending: silence})
+			defer sim.end()
+			client := sim.client()
+			got := sim.ask(client, bufio.NewReader(client), "once", "first")
+			require.False(t, got.complete && got.status == http.StatusOK)
+			require.Len(t, sim.router.Health(), 1)
+		})
+	}
+}
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -86,6 +86,7 @@
 // handleSilence ends an attempt that was silent for too long.
 func (r *receiver) handleSilence() outcome {
 	if time.Until(r.request.deadline) <= 0 {
+		r.recordIncomplete()
 		r.request.fail(errkind.DeadlineExceeded, "time ran out")
 		return outcomeAnswered
 	}
@@ -93,6 +94,15 @@
 	return r.request.retry("silence")
 }
 
+// recordIncomplete records a response that has begun and, at the request's deadline, is neither complete nor a stream with events.
+func (r *receiver) recordIncomplete() {
+	begun := r.head.Status != 0
+	if begun && !r.placed.FirstTokenSeen && !r.placed.OverdueReported {
+		r.placed.OverdueReported = true
+		r.request.router.recordFault(r.choice.Replica.ID, outlier.Overdue)
+	}
+}
+
 // handlePart takes one part; outcomePending if more are to come.
 func (r *receiver) handlePart(part *upstream.Part) outcome {
 	req, id := r.request, r.choice.Replica.ID
