--- a/internal/router/pass_test.go
+++ b/internal/router/pass_test.go
@@ -38,6 +38,8 @@
 			step{name: "large 504", text: largeAnswer(504, "SEAL\r\n", chunked), runs: true, sent: -1},
 			step{name: "large 404", text: largeAnswer(404, "SEAL\r\n", chunked), runs: true, sent: -1},
 			step{name: "large 503 that ran", text: largeAnswer(503, "SEAL\r\n", chunked), runs: true, sent: -1},
+			step{name: "large misdirected", text: largeAnswer(421, "", chunked), sent: -1},
+			step{name: "large 400 that did not run", text: largeAnswer(400, "SEAL\r\nNot-Executed: 1\r\n", chunked), sent: -1},
 			step{name: "large refusal", text: largeAnswer(503, "Not-Executed: 1\r\n", chunked), sent: -1},
 		)
 	}
