--- a/internal/upstream/mutation_test.go
+++ b/internal/upstream/mutation_test.go
@@ -21,7 +21,7 @@
 		{Name: "any number is a status", File: "reader.go", From: "return errStatus", To: "return nil", Run: "Response_Cut"},
 		{Name: "a dropped answer leaves its connection open", File: "response.go", From: "\t\tr.connection.Close()\n", To: "", Run: "Response_Cut"},
 		{Name: "no limit on the bytes of a head", File: "intake.go", From: "i.headBytes > maxHeadBytes", To: "i.headBytes > 8*maxHeadBytes", Run: "Response_HeadWithoutEnd"},
-		{Name: "no limit on the lines of a head", File: "intake.go", From: "i.headLines > maxHeadLines", To: "i.headLines > 8*maxHeadLines", Run: "Response_HeadWithoutEnd"},
+		{Name: "no limit on the lines of a head", File: "intake.go", From: "i.headLines > maxHeadLines", To: "i.headLines > 64*maxHeadLines", Run: "Response_HeadWithoutEnd"},
 		{Name: "any surplus body is skipped", File: "reader.go", From: "io.LimitReader(response.Body, maxSurplusBytes)", To: "io.LimitReader(response.Body, 4*maxSurplusBytes)", Run: "Response_SurplusBody"},
 		{Name: "any framing is a body", File: "body.go", From: "r.in.bodyBytes > framingFactor*r.payload+framingBytes", To: "r.in.bodyBytes < 0", Run: "Response_ChunksOfOneByte"},
 		{Name: "no limit on an event", File: "events.go", From: "if size > maxEventBytes {", To: "if size > 8*maxEventBytes {", Run: "Response_EventsWithoutEnd"},
